--- /dev/null
+++ b/apps/valelead-cli/src/actions/repl.ts
@@ -0,0 +1,38 @@
+import process from 'node:process';
+import {createInterface} from 'node:readline/promises';
+import {LISTINGS, STATEMENT_KINDS} from '@valelead/language';
+import {formatError} from '../format-error.js';
+import type {Action} from '../action.js';
+import {exec} from './exec.js';
+
+const STARTS = [
+	...STATEMENT_KINDS.map(kind => `${kind.verb} ${kind.object} `),
+	...LISTINGS.map(listing => `show ${listing}`),
+	'explain model ',
+];
+
+const complete = (line: string): [string[], string] => [STARTS.filter(start => start.startsWith(line)), line];
+
+/** Reads statements line by line; an error does not end the session. */
+export const repl: Action<undefined> = {
+	name: 'repl',
+	async perform(context) {
+		const lines = createInterface({
+			input: process.stdin, output: process.stdout, prompt: 'valelead> ', completer: complete,
+		});
+		lines.prompt();
+		for await (const line of lines) {
+			if (line.trim() === 'exit') {
+				break;
+			}
+
+			try {
+				await exec.perform(context, {text: line, isWaiting: false});
+			} catch (error) {
+				context.print(formatError(error));
+			}
+
+			lines.prompt();
+		}
+	},
+};
--- /dev/null
+++ b/apps/valelead-cli/src/wait-until-in-force.ts
@@ -0,0 +1,28 @@
+import type {Connection} from './connection.js';
+
+const POLL_MS = 50;
+const LIMIT_MS = 15_000;
+
+/** Waits until every live entry has the revision, with a line for each step. Returns whether all have it. */
+export const waitUntilInForce = async (connection: Connection, revision: number, printProgress: (text: string) => void): Promise<boolean> => {
+	const endsAt = Date.now() + LIMIT_MS;
+	let shown = -1;
+	while (Date.now() < endsAt) {
+		const {rows} = await connection.query({
+			kind: 'show', listing: 'entries', conditions: [], order: [],
+		});
+		const done = rows.filter(row => Number(row.revision) >= revision).length;
+		if (done !== shown) {
+			printProgress(`revision ${revision} in force at ${done} of ${rows.length} entries`);
+			shown = done;
+		}
+
+		if (rows.length > 0 && done === rows.length) {
+			return true;
+		}
+
+		await connection.timers.wait(POLL_MS);
+	}
+
+	return false;
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/admin-server.ts
@@ -0,0 +1,43 @@
+import {once} from 'node:events';
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {Metrics} from './metrics/metrics.js';
+
+type AdminParts = {
+	readonly host: string;
+	readonly port: number;
+	readonly metrics: Metrics;
+	/** Why the process takes no new work, or undefined if it does. */
+	readonly getUnreadyReason: () => string | undefined;
+	readonly refreshMetrics: () => void;
+};
+
+const answer = (response: ServerResponse, status: number, text: string): void => {
+	response.writeHead(status, {'content-type': 'text/plain; charset=utf-8'});
+	response.end(text);
+};
+
+const writeMetrics = async (metrics: Metrics, response: ServerResponse): Promise<void> => {
+	answer(response, 200, await metrics.registry.metrics());
+};
+
+/** Serves the platform: health, readiness and metrics, apart from the callers' port. */
+export const startAdminServer = async (parts: AdminParts): Promise<Server> => {
+	const server = createServer((request, response) => {
+		if (request.url === '/metrics') {
+			parts.refreshMetrics();
+			void writeMetrics(parts.metrics, response);
+			return;
+		}
+
+		if (request.url === '/healthz') {
+			answer(response, 200, 'ok\n');
+			return;
+		}
+
+		const reason = request.url === '/readyz' ? parts.getUnreadyReason() : 'no such path';
+		answer(response, reason === undefined ? 200 : 503, `${reason ?? 'ok'}\n`);
+	});
+	server.listen(parts.port, parts.host);
+	await once(server, 'listening');
+	return server;
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/agent/agent.ts
@@ -0,0 +1,201 @@
+import {randomUUID} from 'node:crypto';
+import {create} from '@bufbuild/protobuf';
+import {
+	type TimerService, SYSTEM_CLOCK,
+} from '@valelead/common';
+import {
+	type AgentEffect, type AgentEvent, type AgentSettings, type AgentState, type Upstream, type UpstreamOrder, UNIT_STATE, getClosedCode, getUsedBytes, mutateAgent, mutateWithdrawn, newAgentState,
+} from '@valelead/engine';
+import {
+	type SessionReport, type SessionUpdate, SessionReportSchema,
+} from '@valelead/protocol';
+import type {Logger} from 'pino';
+import type {AgentDaemonSettings} from '../settings/agent-daemon-settings.js';
+
+type AgentParts = {
+	readonly settings: AgentDaemonSettings;
+	readonly upstream: Upstream;
+	readonly timers: TimerService;
+	readonly logger: Logger;
+};
+
+type AgentListener = {
+	readonly onCredits: (entry: string, creditIds: readonly string[]) => void;
+	/** The leader should hear of a change at once. */
+	readonly onReport: () => void;
+};
+
+/** What was decided on a dispatch. */
+type DispatchDecision = Extract<AgentEffect, {kind: 'accept' | 'refuse'}>;
+
+const TICK_MS = 50;
+
+/** Loads that were refused this often in a row are reported as failed. */
+const FAILED_AFTER = 3;
+
+/** Runs the decisions of one agent: feeds them with events and carries out their orders. */
+export class Agent {
+	readonly #parts: AgentParts;
+	readonly #settings: AgentSettings;
+	readonly #state: AgentState = newAgentState();
+	readonly #incarnation = `${Date.now()}-${randomUUID()}`;
+	#listener: AgentListener | undefined;
+	#isAsking = false;
+
+	constructor(parts: AgentParts) {
+		this.#parts = parts;
+		this.#settings = parts.settings;
+	}
+
+	get state(): AgentState {
+		return this.#state;
+	}
+
+	get usedBytes(): number {
+		return getUsedBytes(this.#state);
+	}
+
+	get isReady(): boolean {
+		return getClosedCode(this.#state, this.#settings, SYSTEM_CLOCK.now()) === undefined;
+	}
+
+	get creditMs(): number {
+		return this.#settings.creditMs;
+	}
+
+	start(listener: AgentListener): void {
+		this.#listener = listener;
+		this.#parts.timers.repeat(TICK_MS, () => {
+			this.take({kind: 'tick'});
+		});
+		this.#parts.timers.repeat(this.#parts.settings.statusMs, () => {
+			void this.#askStatus();
+		});
+		void this.#askStatus();
+	}
+
+	/** Feeds one event and carries out what it calls for. Returns the decision on a dispatch. */
+	take(event: AgentEvent): DispatchDecision | undefined {
+		let decision: DispatchDecision | undefined;
+		for (const effect of mutateAgent(this.#state, this.#settings, event, SYSTEM_CLOCK.now())) {
+			decision = this.#carryOut(effect) ?? decision;
+		}
+
+		return decision;
+	}
+
+	takeUpdate(update: SessionUpdate): void {
+		if (!update.orders) {
+			this.take({kind: 'confirmed', requestedAt: update.sentAt});
+			return;
+		}
+
+		const {revision, isDrained, grants} = update.orders;
+		this.take({kind: 'orders', orders: {revision, isDrained, grants}, requestedAt: update.sentAt});
+	}
+
+	withdraw(attemptId: string, creditId: string): string {
+		return mutateWithdrawn(this.#state, attemptId, creditId);
+	}
+
+	newReport(sentAt: number): SessionReport {
+		const {settings} = this.#parts;
+		const {status} = this.#state;
+		return create(SessionReportSchema, {
+			report: {
+				case: 'agent',
+				value: {
+					vm: settings.vm,
+					sentAt,
+					dataCentre: settings.dataCentre,
+					address: settings.listen,
+					incarnation: this.#incarnation,
+					upstreamIncarnation: status?.incarnation ?? '',
+					revision: this.#state.revision,
+					memoryBytes: status?.memoryBytes ?? 0,
+					units: [...this.#state.units.values()].map(unit => ({
+						unit: unit.unit,
+						state: unit.state === UNIT_STATE.Reserved && unit.failures >= FAILED_AFTER ? 'failed' : unit.state,
+						inProgress: unit.inProgress,
+						idleMs: sentAt - unit.lastUsedAt,
+					})),
+					released: [...this.#state.released],
+					isLeaving: this.#state.isStopping || (status?.isLeaving ?? true),
+					inProgress: this.#state.inProgress,
+					capacity: status?.capacity ?? 0,
+					service: status?.service ?? '',
+					cached: [...(status?.cached ?? [])],
+				},
+			},
+		});
+	}
+
+	get hasStatus(): boolean {
+		return this.#state.status !== undefined;
+	}
+
+	#carryOut(effect: AgentEffect): DispatchDecision | undefined {
+		switch (effect.kind) {
+			case 'load': {
+				void this.#load(effect.order);
+				return undefined;
+			}
+
+			case 'unload': {
+				void this.#unload(effect.order);
+				return undefined;
+			}
+
+			case 'credits': {
+				this.#listener?.onCredits(effect.entry, effect.creditIds);
+				return undefined;
+			}
+
+			case 'report': {
+				this.#listener?.onReport();
+				return undefined;
+			}
+
+			default: {
+				return effect;
+			}
+		}
+	}
+
+	async #load(order: UpstreamOrder): Promise<void> {
+		const startedAt = SYSTEM_CLOCK.now();
+		this.#parts.logger.info({event: 'load-ordered', ...order}, 'load ordered');
+		const result = await this.#parts.upstream.load(order);
+		this.#parts.logger.info({
+			event: 'load-ended', ...order, result, tookMs: Math.round(SYSTEM_CLOCK.now() - startedAt),
+		}, 'load ended');
+		this.take({kind: 'loadEnded', unit: order.unit, result});
+	}
+
+	async #unload(order: UpstreamOrder): Promise<void> {
+		this.#parts.logger.info({event: 'unload-ordered', ...order}, 'unload ordered');
+		const result = await this.#parts.upstream.unload(order);
+		this.take({kind: 'unloadEnded', unit: order.unit, result});
+	}
+
+	async #askStatus(): Promise<void> {
+		if (this.#isAsking) {
+			return;
+		}
+
+		this.#isAsking = true;
+		const requestedAt = SYSTEM_CLOCK.now();
+		try {
+			const status = await this.#parts.upstream.getStatus();
+			const isNew = this.#state.status?.incarnation !== status.incarnation || this.#state.status.isLeaving !== status.isLeaving;
+			this.take({kind: 'status', status, requestedAt});
+			if (isNew) {
+				this.#listener?.onReport();
+			}
+		} catch (error) {
+			this.#parts.logger.debug({event: 'upstream-silent', reason: (error as Error).message}, 'upstream gave no status');
+		} finally {
+			this.#isAsking = false;
+		}
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/agent/start-agent.ts
@@ -0,0 +1,88 @@
+import {SYSTEM_CLOCK, TimerService} from '@valelead/common';
+import {HttpUpstream} from '@valelead/engine';
+import {
+	Agent as AgentDescription, ChannelPool, LeaderCalls, newServiceDefinition,
+} from '@valelead/protocol';
+import type {Logger} from 'pino';
+import {startAdminServer} from '../admin-server.js';
+import {GrpcServer} from '../grpc-server.js';
+import {Metrics} from '../metrics/metrics.js';
+import {SessionClient} from '../session-client.js';
+import {newChannelCredentials} from '../tls/new-channel-credentials.js';
+import {newServerCredentials} from '../tls/new-server-credentials.js';
+import type {AgentDaemonSettings} from '../settings/agent-daemon-settings.js';
+import type {Stoppable} from '../stoppable.js';
+import {Agent} from './agent.js';
+import {holdGuardPort} from './hold-guard-port.js';
+import {newAgentService} from './new-agent-service.js';
+
+const STATUS_WAIT_MS = 50;
+
+/** Starts the agent of one upstream VM. */
+export const startAgent = async (settings: AgentDaemonSettings, logger: Logger): Promise<Stoppable> => {
+	const guard = await holdGuardPort(settings.guardPort);
+	const timers = new TimerService(SYSTEM_CLOCK);
+	const pool = new ChannelPool(newChannelCredentials(settings.tls));
+	const upstream = new HttpUpstream(settings.upstream.host, settings.upstream.port, settings.orderTimeoutMs);
+	const metrics = new Metrics();
+	const agent = new Agent({
+		settings, upstream, timers, logger,
+	});
+	const session = new SessionClient({
+		pool,
+		leader: new LeaderCalls(pool, settings.controlAddresses, timers),
+		timers,
+		clock: SYSTEM_CLOCK,
+		logger,
+		heartbeatMs: settings.heartbeatMs,
+		newReport: sentAt => agent.newReport(sentAt),
+		onUpdate(update) {
+			agent.takeUpdate(update);
+		},
+	});
+	const server = new GrpcServer([{
+		definition: newServiceDefinition(AgentDescription),
+		implementation: newAgentService(agent, upstream, timers, () => {
+			session.reportSoon();
+		}),
+	}]);
+	await server.listen(settings.listen, newServerCredentials(settings.tls));
+	const admin = await startAdminServer({
+		...settings.admin,
+		metrics,
+		getUnreadyReason: () => agent.isReady ? undefined : 'not ready',
+		refreshMetrics() {
+			metrics.revision.set(agent.state.revision);
+			metrics.configurationAge.set((SYSTEM_CLOCK.now() - agent.state.confirmedAt) / 1000);
+		},
+	});
+	const announce = timers.repeat(STATUS_WAIT_MS, () => {
+		if (agent.hasStatus) {
+			announce.cancel();
+			session.start();
+			logger.info({event: 'started'}, 'agent started');
+		}
+	});
+
+	return {
+		async stop() {
+			agent.take({kind: 'stop'});
+			const endsAt = SYSTEM_CLOCK.now() + settings.stopLimitMs;
+			while (agent.state.inProgress > 0 && SYSTEM_CLOCK.now() < endsAt) {
+				await timers.wait(STATUS_WAIT_MS);
+			}
+
+			await timers.wait(STATUS_WAIT_MS);
+			announce.cancel();
+			session.stop();
+			server.stop();
+			admin.close();
+			pool.close();
+			timers.stop();
+			guard.close();
+		},
+		stopNow() {
+			server.stop();
+		},
+	};
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/control/leader.ts
@@ -0,0 +1,202 @@
+import {type TimerService, RESULT_CODE, SYSTEM_CLOCK} from '@valelead/common';
+import {type Command, isOlderIncarnation} from '@valelead/intent';
+import {
+	type EntryReport, type Fleet, type MembershipSettings, type VmReport, getLostVms, mutateFleet, newFleet,
+} from '@valelead/membership';
+import {
+	type PlacementDecision, type PlacementState, type PolicySettings, decidePlacement, newPlacementState,
+} from '@valelead/placement';
+import type {Logger} from 'pino';
+import {newPlacementView} from './new-placement-view.js';
+import type {Voter} from './voter.js';
+
+type LeaderParts = {
+	readonly voter: Voter;
+	readonly membership: MembershipSettings;
+	readonly policy: PolicySettings;
+	readonly timers: TimerService;
+	readonly logger: Logger;
+};
+
+const ROUND_MS = 50;
+
+/** Loads that failed this often in a row are given up on their VM. */
+const FAILED_STATE = 'failed';
+
+/** What the leader does beside replication: keeps leases, registers VMs and decides the placement. */
+export class Leader {
+	readonly #parts: LeaderParts;
+	#fleet: Fleet = newFleet();
+	#placement: PlacementState;
+	#arrivals = new Map<string, number>();
+	#term = -1;
+	#leaderSince = 0;
+	#isDeciding = false;
+	readonly #registering = new Set<string>();
+
+	constructor(parts: LeaderParts) {
+		this.#parts = parts;
+		this.#placement = newPlacementState(parts.policy, SYSTEM_CLOCK.now());
+	}
+
+	get fleet(): Fleet {
+		return this.#fleet;
+	}
+
+	get membership(): MembershipSettings {
+		return this.#parts.membership;
+	}
+
+	get placement(): PlacementState {
+		return this.#placement;
+	}
+
+	start(): void {
+		this.#parts.timers.repeat(ROUND_MS, now => {
+			if (this.#parts.voter.node?.isCurrentLeader) {
+				this.#checkTerm(now);
+				void this.#decide(now);
+			}
+		});
+	}
+
+	/** Takes an entry's heartbeat. */
+	takeEntryReport(report: EntryReport, now: number): void {
+		this.#checkTerm(now);
+		this.#fleet.entries.set(report.vm, {report, receivedAt: now});
+		for (const demand of report.demands) {
+			if (demand.arrivals > 0) {
+				this.#arrivals.set(demand.unit, (this.#arrivals.get(demand.unit) ?? 0) + demand.arrivals);
+			}
+		}
+	}
+
+	/** Takes an agent's heartbeat. Returns false if a newer agent holds the VM. */
+	takeVmReport(report: VmReport, now: number): boolean {
+		this.#checkTerm(now);
+		const known = this.#parts.voter.machine.intent.vms.get(report.vm);
+		if (known && isOlderIncarnation(report.incarnation, known.incarnation)) {
+			return false;
+		}
+
+		this.#fleet.vms.set(report.vm, {report, receivedAt: now});
+		if (this.isRegistered(report)) {
+			void this.#release(report);
+		} else {
+			void this.#register(report);
+		}
+
+		return true;
+	}
+
+	/** Whether the log has this incarnation of the agent and of its upstream. */
+	isRegistered(report: VmReport): boolean {
+		const vm = this.#parts.voter.machine.intent.vms.get(report.vm);
+		return vm?.incarnation === report.incarnation && vm.upstreamIncarnation === report.upstreamIncarnation && vm.address === report.address && vm.memoryBytes === report.memoryBytes;
+	}
+
+	/** Soft state of an earlier leadership is dropped. */
+	#checkTerm(now: number): void {
+		const {node} = this.#parts.voter;
+		if (!node || node.term === this.#term) {
+			return;
+		}
+
+		this.#term = node.term;
+		this.#leaderSince = now;
+		this.#fleet = newFleet();
+		this.#arrivals = new Map();
+		this.#placement = newPlacementState(this.#parts.policy, now);
+	}
+
+	async #register(report: VmReport): Promise<void> {
+		if (this.#registering.has(report.vm)) {
+			return;
+		}
+
+		this.#registering.add(report.vm);
+		await this.#propose([{
+			kind: 'registerVm',
+			name: report.vm,
+			dataCentre: report.dataCentre,
+			address: report.address,
+			incarnation: report.incarnation,
+			upstreamIncarnation: report.upstreamIncarnation,
+			memoryBytes: report.memoryBytes,
+			service: report.service,
+		}]);
+		this.#registering.delete(report.vm);
+	}
+
+	async #release(report: VmReport): Promise<void> {
+		const {grants} = this.#parts.voter.machine.intent;
+		const grantIds = report.released.filter(grantId => grants.has(grantId));
+		if (grantIds.length === 0 || this.#registering.has(report.vm)) {
+			return;
+		}
+
+		this.#registering.add(report.vm);
+		await this.#propose([{
+			kind: 'release', vm: report.vm, incarnation: report.incarnation, grantIds,
+		}]);
+		this.#registering.delete(report.vm);
+	}
+
+	async #decide(now: number): Promise<void> {
+		if (this.#isDeciding) {
+			return;
+		}
+
+		this.#isDeciding = true;
+		mutateFleet(this.#fleet, this.#parts.membership, now);
+		const {intent} = this.#parts.voter.machine;
+		const arrivals = this.#arrivals;
+		this.#arrivals = new Map();
+		const view = newPlacementView({
+			intent, fleet: this.#fleet, membership: this.#parts.membership, state: this.#placement, arrivals, now,
+		});
+		const decisions = decidePlacement(this.#placement, this.#parts.policy, view, now);
+		const commands = [...decisions.map(decision => this.#toCommand(decision)), ...this.#getFailed(), ...this.#getLost(now)];
+		await Promise.all(commands.map(async command => this.#propose([command])));
+		this.#isDeciding = false;
+	}
+
+	#toCommand(decision: PlacementDecision): Command {
+		return decision.kind === 'grant'
+			? {kind: 'grant', unit: decision.unit, vm: decision.vm}
+			: {kind: 'revoke', grantId: decision.grantId};
+	}
+
+	/** Replicas that their engine refuses to load are given up, so that another VM can be chosen. */
+	#getFailed(): Command[] {
+		const {intent} = this.#parts.voter.machine;
+		const commands: Command[] = [];
+		for (const grant of intent.grants.values()) {
+			const units = this.#fleet.vms.get(grant.vm)?.report.units;
+			const isFailed = units?.some(unit => unit.unit === grant.unit && unit.state === FAILED_STATE);
+			if (isFailed && !grant.isRevoking) {
+				commands.push({kind: 'revoke', grantId: grant.id});
+			}
+		}
+
+		return commands;
+	}
+
+	#getLost(now: number): Command[] {
+		const {intent} = this.#parts.voter.machine;
+		const lost = getLostVms(this.#fleet, this.#parts.membership, [...intent.vms.keys()], this.#leaderSince, now);
+		return lost.map(name => ({kind: 'forgetVm', name}));
+	}
+
+	async #propose(commands: readonly Command[]): Promise<void> {
+		try {
+			const result = await this.#parts.voter.propose({commandId: '', commands});
+			const [command] = commands;
+			this.#parts.logger.info({
+				event: 'decision', command, code: result.code, revision: result.revision, reason: result.message,
+			}, result.code === RESULT_CODE.Ok ? 'decision committed' : 'decision refused');
+		} catch (error) {
+			this.#parts.logger.warn({event: 'decision-lost', reason: (error as Error).message}, 'decision not committed');
+		}
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/control/new-consensus-service.ts
@@ -0,0 +1,48 @@
+import {create} from '@bufbuild/protobuf';
+import {RESULT_CODE} from '@valelead/common';
+import {
+	type ConsensusEnvelope, type JoinRequest, DeliverReplySchema, IdentifyReplySchema, JoinReplySchema,
+} from '@valelead/protocol';
+import type {sendUnaryData, ServerUnaryCall, UntypedServiceImplementation} from '@grpc/grpc-js';
+import type {ConsensusMessage} from '@valelead/consensus';
+import type {Voter} from './voter.js';
+
+/** Serves the messages between voters. */
+export const newConsensusService = (voter: Voter): UntypedServiceImplementation => ({
+	deliver(call: ServerUnaryCall<ConsensusEnvelope, unknown>, reply: sendUnaryData<unknown>) {
+		const {from, fromAddress, to, message} = call.request;
+		if (voter.node?.id === to && message.case) {
+			voter.node.receive({id: from, address: fromAddress}, {...message.value, kind: message.case} as unknown as ConsensusMessage);
+		}
+
+		reply(null, create(DeliverReplySchema));
+	},
+	identify(_call: ServerUnaryCall<unknown, unknown>, reply: sendUnaryData<unknown>) {
+		const {id, vm} = voter.record;
+		const formation = [...(voter.node?.formation ?? [])];
+		const isFormed = voter.node !== undefined;
+		reply(null, create(IdentifyReplySchema, {
+			id, vm, formation, isFormed,
+		}));
+	},
+	async join(call: ServerUnaryCall<JoinRequest, unknown>, reply: sendUnaryData<unknown>) {
+		const code = await admit(voter, call.request);
+		reply(null, create(JoinReplySchema, {code, leaderAddress: voter.leaderAddress}));
+	},
+});
+
+const admit = async (voter: Voter, request: JoinRequest): Promise<number> => {
+	if (!voter.node?.isCurrentLeader || !request.voter) {
+		return RESULT_CODE.NotLeader;
+	}
+
+	const {id, vm, address} = request.voter;
+	try {
+		await voter.admit({
+			id, vm, address, isLearner: false,
+		});
+		return RESULT_CODE.Ok;
+	} catch {
+		return RESULT_CODE.NotLeader;
+	}
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/control/query-rows.ts
@@ -0,0 +1,16 @@
+import {
+	type Explain, type Row, type Show, selectRows,
+} from '@valelead/language';
+import {explainModel} from './explain-model.js';
+import {newListing} from './new-listing.js';
+import type {Leader} from './leader.js';
+import type {Voter} from './voter.js';
+
+/** The rows that a statement asks for. */
+export const queryRows = (voter: Voter, leader: Leader, statement: Show | Explain): Row[] => {
+	if (statement.kind === 'explain') {
+		return explainModel(voter, leader, statement.model);
+	}
+
+	return selectRows(newListing(voter, leader, statement.listing), statement);
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -0,0 +1,261 @@
+import {randomUUID} from 'node:crypto';
+import {mkdir, readFile} from 'node:fs/promises';
+import path from 'node:path';
+import {create} from '@bufbuild/protobuf';
+import {
+	type TimerService, RESULT_CODE, SYSTEM_CLOCK, ValeleadError,
+} from '@valelead/common';
+import {
+	type FoundVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormation, getNextMembership,
+} from '@valelead/consensus';
+import {
+	type ChannelPool, Consensus, IdentifyRequestSchema, JoinRequestSchema,
+} from '@valelead/protocol';
+import type {
+	ClaimCommand, ClaimResult, CommandResult, Proposal,
+} from '@valelead/intent';
+import type {Logger} from 'pino';
+import type {VoterSettings} from '../settings/voter-settings.js';
+import {ControlMachine} from './control-machine.js';
+import {GrpcTransport} from './grpc-transport.js';
+import {writeSynced} from './write-synced.js';
+
+type VoterParts = {
+	readonly vm: string;
+	readonly settings: VoterSettings;
+	readonly controlAddresses: readonly string[];
+	readonly pool: ChannelPool;
+	readonly timers: TimerService;
+	readonly logger: Logger;
+	readonly onFailure: (error: ValeleadError) => void;
+};
+
+type Identity = {
+	readonly id: string;
+	readonly vm: string;
+};
+
+type PendingClaim = {
+	readonly command: ClaimCommand;
+	readonly resolve: (result: ClaimResult) => void;
+	readonly reject: (error: unknown) => void;
+};
+
+const FORMATION_POLL_MS = 200;
+const CALL_TIMEOUT_MS = 1000;
+const JOIN_POLL_MS = 300;
+
+/** One member of the control quorum: its identity and log on the disk, and the state they drive. */
+export class Voter {
+	readonly machine = new ControlMachine();
+	readonly #parts: VoterParts;
+	readonly #storage: FileStorage;
+	#identity: Identity | undefined;
+	#node: ConsensusNode | undefined;
+	#claims: PendingClaim[] = [];
+	#isClaiming = false;
+	#isStopped = false;
+
+	constructor(parts: VoterParts) {
+		this.#parts = parts;
+		this.#storage = new FileStorage(parts.settings.dataFolder);
+	}
+
+	get node(): ConsensusNode | undefined {
+		return this.#node;
+	}
+
+	get record(): VoterRecord {
+		return {
+			id: this.#identity?.id ?? '', vm: this.#parts.vm, address: this.#parts.settings.listen, isLearner: false,
+		};
+	}
+
+	/** The address of the leader as this voter knows it, or empty. */
+	get leaderAddress(): string {
+		return this.#node?.leader?.address ?? '';
+	}
+
+	/** Loads what the disk holds; without anything, a new identity is made and synced before it is shown to anyone. */
+	async open(): Promise<void> {
+		await mkdir(this.#parts.settings.dataFolder, {recursive: true});
+		this.#identity = await this.#loadIdentity();
+		const stored = await this.#storage.load();
+		if (stored) {
+			this.#start(stored);
+		} else {
+			void this.#form();
+		}
+
+		void this.#keepMembership();
+	}
+
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		await this.#node?.stop();
+	}
+
+	/** Commits a proposal and returns its result. */
+	async propose(proposal: Proposal): Promise<CommandResult> {
+		const index = await this.#propose({kind: 'proposal', at: SYSTEM_CLOCK.wallNow(), proposal});
+		return this.machine.takeResult(index) as CommandResult;
+	}
+
+	/** Commits a claim command, together with those that arrive while one commit is under way. */
+	async claim(command: ClaimCommand): Promise<ClaimResult> {
+		return new Promise((resolve, reject) => {
+			this.#claims.push({command, resolve, reject});
+			if (!this.#isClaiming) {
+				void this.#commitClaims();
+			}
+		});
+	}
+
+	/** As leader, takes the next step of letting a voter in. */
+	async admit(voter: VoterRecord): Promise<void> {
+		const next = this.#node && getNextMembership(this.#node.voters, voter, this.#node.isCaughtUp(voter.id));
+		if (next) {
+			await this.#node!.configure(next);
+			this.#parts.logger.info({event: 'voters-changed', voters: next.map(member => `${member.vm}/${member.id}`)}, 'voters changed');
+		}
+	}
+
+	async #commitClaims(): Promise<void> {
+		this.#isClaiming = true;
+		while (this.#claims.length > 0) {
+			const batch = this.#claims;
+			this.#claims = [];
+			try {
+				const commands = batch.map(pending => pending.command);
+				const index = await this.#propose({kind: 'claims', at: SYSTEM_CLOCK.wallNow(), commands});
+				const results = this.machine.takeResult(index) as readonly ClaimResult[];
+				for (const [position, pending] of batch.entries()) {
+					pending.resolve(results[position]);
+				}
+			} catch (error) {
+				for (const pending of batch) {
+					pending.reject(error);
+				}
+			}
+		}
+
+		this.#isClaiming = false;
+	}
+
+	async #propose(record: object): Promise<number> {
+		if (!this.#node) {
+			throw new ValeleadError('This voter has no quorum yet', {code: RESULT_CODE.NotLeader});
+		}
+
+		return this.#node.propose(JSON.stringify(record));
+	}
+
+	async #loadIdentity(): Promise<Identity> {
+		const file = path.join(this.#parts.settings.dataFolder, 'identity.json');
+		try {
+			const identity = JSON.parse(await readFile(file, 'utf8')) as Identity;
+			if (identity.vm !== this.#parts.vm) {
+				throw new ValeleadError(`${file} belongs to VM ${identity.vm}`, {code: RESULT_CODE.WrongIdentity});
+			}
+
+			return identity;
+		} catch (error) {
+			if ((error as {code?: unknown}).code !== 'ENOENT') {
+				throw error;
+			}
+		}
+
+		const identity = {id: randomUUID(), vm: this.#parts.vm};
+		await writeSynced(file, JSON.stringify(identity));
+		return identity;
+	}
+
+	#start(stored: StoredLog): void {
+		const {settings, pool, timers, onFailure} = this.#parts;
+		this.#node = new ConsensusNode(stored, {
+			settings: {heartbeatMs: settings.consensusHeartbeatMs, electionTimeoutMs: settings.electionTimeoutMs},
+			clock: SYSTEM_CLOCK,
+			timers,
+			storage: this.#storage,
+			transport: new GrpcTransport(pool, settings.listen),
+			machine: this.machine,
+			onFailure,
+			snapshotEvery: settings.snapshotEvery,
+			random: Math.random,
+		});
+		this.#node.start();
+		this.#parts.logger.info({event: 'voter-started', voterId: stored.id, term: stored.hardState.term}, 'voter started');
+	}
+
+	/** With an empty disk: forms the first quorum with all voters, or joins the one that exists. */
+	async #form(): Promise<void> {
+		while (!this.#node && !this.#isStopped) {
+			const others = this.#parts.controlAddresses.filter(address => address !== this.#parts.settings.listen);
+			const found = await Promise.all(others.map(async address => this.#identify(address)));
+			const peers = found.filter(peer => peer !== undefined);
+			const decision = getFormation(this.record, this.#parts.controlAddresses.length, peers);
+			if (decision.kind !== 'wait') {
+				const voters = decision.kind === 'form' ? decision.voters : [];
+				const stored: StoredLog = {
+					...this.#identity!,
+					hardState: {term: 0, votedFor: undefined},
+					snapshot: {
+						index: 0, term: 0, voters, data: '',
+					},
+					entries: [],
+				};
+				await this.#storage.create(stored);
+				this.#start(stored);
+				return;
+			}
+
+			await this.#parts.timers.wait(FORMATION_POLL_MS);
+		}
+	}
+
+	async #identify(address: string): Promise<FoundVoter | undefined> {
+		try {
+			const reply = await this.#parts.pool.get(address).unary(Consensus.method.identify, create(IdentifyRequestSchema, {vm: this.#parts.vm}), CALL_TIMEOUT_MS);
+			if (reply.id === '') {
+				return undefined;
+			}
+
+			return {
+				voter: {
+					id: reply.id, vm: reply.vm, address, isLearner: false,
+				},
+				isFormed: reply.isFormed,
+				formation: reply.formation,
+			};
+		} catch {
+			return undefined;
+		}
+	}
+
+	/** A voter that the quorum does not count asks to be let in until it is. */
+	async #keepMembership(): Promise<void> {
+		while (!this.#isStopped) {
+			await this.#parts.timers.wait(JOIN_POLL_MS);
+			const own = this.#node?.voters.find(voter => voter.id === this.record.id);
+			if (this.#node && (!own || own.isLearner)) {
+				await this.#askToJoin();
+			}
+		}
+	}
+
+	async #askToJoin(): Promise<void> {
+		const addresses = new Set([this.leaderAddress, ...this.#parts.controlAddresses]);
+		addresses.delete('');
+		addresses.delete(this.#parts.settings.listen);
+		for (const address of addresses) {
+			try {
+				const reply = await this.#parts.pool.get(address).unary(Consensus.method.join, create(JoinRequestSchema, {voter: this.record}), CALL_TIMEOUT_MS);
+				if (reply.code === RESULT_CODE.Ok) {
+					return;
+				}
+			} catch {
+				// Another voter may answer.
+			}
+		}
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/attempt.ts
@@ -0,0 +1,171 @@
+import {Buffer} from 'node:buffer';
+import {create} from '@bufbuild/protobuf';
+import {
+	OUTCOME, type OutcomeValue, RESULT_CODE, type ResultCodeValue,
+} from '@valelead/common';
+import {
+	type Channel, type DispatchRequest, type Frame, Agent, OutcomeRequestSchema,
+} from '@valelead/protocol';
+import type {ClientReadableStream} from '@grpc/grpc-js';
+import type {AnswerSink} from './answer-sink.js';
+
+type AttemptEvents = {
+	/** The first part of the answer came. Returns false to reject the answer. */
+	readonly onStart: (status: number) => boolean;
+	readonly onData: () => void;
+	readonly onEnd: () => void;
+	readonly onFailure: (code: ResultCodeValue, outcome: OutcomeValue) => void;
+};
+
+type AttemptParts = {
+	readonly channel: Channel;
+	readonly request: DispatchRequest;
+	readonly sink: AnswerSink;
+	readonly maxWholeBytes: number;
+	readonly events: AttemptEvents;
+};
+
+const OUTCOME_TIMEOUT_MS = 500;
+
+const HTTP_SERVER_ERROR = 500;
+
+/**
+ * One dispatch to an agent. Frames are taken in order and only for this attempt; an answer counts as whole
+ * when its last frame's counts agree with what came.
+ */
+export class Attempt {
+	readonly #parts: AttemptParts;
+	readonly #stream: ClientReadableStream<Frame>;
+	#sequence = 0;
+	#bytes = 0;
+	#isEnded = false;
+
+	constructor(parts: AttemptParts) {
+		this.#parts = parts;
+		this.#stream = parts.channel.serverStream(Agent.method.dispatch, parts.request);
+		this.#stream.on('data', (frame: Frame) => {
+			this.#take(frame);
+		});
+		this.#stream.on('error', () => {
+			void this.#lose();
+		});
+		this.#stream.on('end', () => {
+			void this.#lose();
+		});
+	}
+
+	/** Drops the attempt; nothing of it is passed on any more. */
+	cancel(): void {
+		this.#isEnded = true;
+		this.#stream.cancel();
+	}
+
+	#take(frame: Frame): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		if (frame.attemptId !== this.#parts.request.attemptId || frame.sequence !== this.#sequence) {
+			this.#fail(RESULT_CODE.AnswerCut, OUTCOME.Unknown);
+			return;
+		}
+
+		this.#sequence += 1;
+		this.#takePart(frame.part);
+	}
+
+	#takePart(part: Frame['part']): void {
+		switch (part.case) {
+			case 'start': {
+				this.#start(part.value.status, part.value.contentType);
+				break;
+			}
+
+			case 'data': {
+				this.#addData(Buffer.from(part.value));
+				break;
+			}
+
+			case 'end': {
+				this.#end(part.value.frames, part.value.bytes);
+				break;
+			}
+
+			case 'refusal': {
+				this.#fail(part.value.code as ResultCodeValue, part.value.outcome as OutcomeValue);
+				break;
+			}
+
+			default: {
+				this.#fail(RESULT_CODE.AnswerCut, OUTCOME.Unknown);
+			}
+		}
+	}
+
+	#start(status: number, contentType: string): void {
+		if (!this.#parts.events.onStart(status)) {
+			const code = status >= HTTP_SERVER_ERROR ? RESULT_CODE.UpstreamFailed : RESULT_CODE.UpstreamRejected;
+			this.#fail(code, OUTCOME.Unknown);
+			return;
+		}
+
+		this.#parts.sink.start(status, contentType);
+	}
+
+	#addData(chunk: Buffer): void {
+		this.#bytes += chunk.length;
+		if (!this.#parts.sink.isStream && this.#bytes > this.#parts.maxWholeBytes) {
+			this.#fail(RESULT_CODE.AnswerCut, OUTCOME.Unknown);
+			return;
+		}
+
+		this.#parts.events.onData();
+		if (!this.#parts.sink.data(chunk)) {
+			void this.#waitForCaller();
+		}
+	}
+
+	async #waitForCaller(): Promise<void> {
+		this.#stream.pause();
+		await this.#parts.sink.drained();
+		this.#stream.resume();
+	}
+
+	#end(frames: number, bytes: number): void {
+		if (frames !== this.#sequence - 1 || bytes !== this.#bytes) {
+			this.#fail(RESULT_CODE.AnswerCut, OUTCOME.Unknown);
+			return;
+		}
+
+		this.#isEnded = true;
+		this.#parts.events.onEnd();
+	}
+
+	#fail(code: ResultCodeValue, outcome: OutcomeValue): void {
+		this.#isEnded = true;
+		this.#stream.cancel();
+		this.#parts.events.onFailure(code, outcome);
+	}
+
+	/** The stream broke off. If nothing came, the agent may still say that the request did not run. */
+	async #lose(): Promise<void> {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#isEnded = true;
+		const outcome = this.#sequence === 0 ? await this.#askOutcome() : OUTCOME.Unknown;
+		const code = this.#sequence === 0 ? RESULT_CODE.AgentLost : RESULT_CODE.AnswerCut;
+		this.#parts.events.onFailure(code, outcome);
+	}
+
+	async #askOutcome(): Promise<OutcomeValue> {
+		const {attemptId, creditId} = this.#parts.request;
+		try {
+			const reply = await this.#parts.channel.unary(Agent.method.outcome, create(OutcomeRequestSchema, {attemptId, creditId}), OUTCOME_TIMEOUT_MS);
+			return reply.outcome === OUTCOME.NotRun ? OUTCOME.NotRun : OUTCOME.Unknown;
+		} catch {
+			return OUTCOME.Unknown;
+		}
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -0,0 +1,75 @@
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {OUTCOME, RESULT_CODE, RESULT_DETAILS} from '@valelead/common';
+import type {EntrySettings} from '../settings/entry-settings.js';
+import {writeRefusal} from './write-refusal.js';
+import type {HttpHandler} from './http-handler.js';
+
+const MAX_HEADER_BYTES = 16_384;
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 60_000;
+
+/** Connections beyond the limit that are answered with a refusal before the rest is dropped. */
+const SPARE_CONNECTIONS = 64;
+
+const RETRY_MS = 1000;
+
+/** The port that callers and the platform's balancer reach. */
+export class CallerServer {
+	readonly #handler: HttpHandler;
+	readonly #settings: EntrySettings;
+	readonly #getUnreadyReason: () => string | undefined;
+	readonly #server: Server;
+	#connections = 0;
+
+	constructor(handler: HttpHandler, settings: EntrySettings, getUnreadyReason: () => string | undefined) {
+		this.#handler = handler;
+		this.#settings = settings;
+		this.#getUnreadyReason = getUnreadyReason;
+		this.#server = createServer({
+			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS,
+		}, (message, response) => {
+			this.#serve(message, response);
+		});
+		this.#server.maxConnections = settings.maxConnections + SPARE_CONNECTIONS;
+		this.#server.on('connection', socket => {
+			this.#connections += 1;
+			socket.setNoDelay(true);
+			socket.on('close', () => {
+				this.#connections -= 1;
+			});
+		});
+	}
+
+	async listen(): Promise<void> {
+		this.#server.listen(this.#settings.http.port, this.#settings.http.host);
+		await once(this.#server, 'listening');
+	}
+
+	/** Takes no new connections; those that are idle end, the others after their answer. */
+	close(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	#serve(message: IncomingMessage, response: ServerResponse): void {
+		if (message.url === '/healthz' || message.url === '/readyz') {
+			const reason = message.url === '/readyz' ? this.#getUnreadyReason() : undefined;
+			response.writeHead(reason === undefined ? 200 : 503, {'content-type': 'text/plain'});
+			response.end(`${reason ?? 'ok'}\n`);
+			return;
+		}
+
+		if (this.#connections > this.#settings.maxConnections) {
+			response.setHeader('connection', 'close');
+			writeRefusal(response, {
+				code: RESULT_CODE.TooManyConnections, message: RESULT_DETAILS[RESULT_CODE.TooManyConnections].meaning, outcome: OUTCOME.NotRun, retryAfterMs: RETRY_MS,
+			}, '');
+			return;
+		}
+
+		void this.#handler.handle(message, response);
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/dispatcher.ts
@@ -0,0 +1,328 @@
+import {create} from '@bufbuild/protobuf';
+import {
+	type Clock, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type TimerService,
+} from '@valelead/common';
+import {
+	type AdmissionEffect, type AdmissionEndpoint, type AdmissionEvent, type AdmissionSettings, type AdmissionState, type TargetDemand, getServiceTarget, mutateAdmission, mutateTargetDemands, newAdmissionState,
+} from '@valelead/admission';
+import {type ChannelPool, type Endpoint, DispatchRequestSchema} from '@valelead/protocol';
+import type {Intent} from '@valelead/intent';
+import type {Metrics} from '../metrics/metrics.js';
+import {Attempt} from './attempt.js';
+import {Lanes} from './lanes.js';
+import type {Exchange} from './exchange.js';
+
+type DispatcherParts = {
+	readonly entry: string;
+	readonly settings: AdmissionSettings;
+	readonly maxAnswerBytes: number;
+	readonly pool: ChannelPool;
+	readonly timers: TimerService;
+	readonly clock: Clock;
+	readonly metrics: Metrics;
+	readonly getIntent: () => Intent;
+	/** Requests began to wait for a target that has no replica. */
+	readonly onColdDemand: () => void;
+	readonly onEnd: (exchange: Exchange, code: ResultCodeValue) => void;
+};
+
+type Dispatch = Extract<AdmissionEffect, {kind: 'dispatch'}>;
+
+const TICK_MS = 10;
+const MS_PER_SECOND = 1000;
+const HTTP_SERVER_ERROR = 500;
+
+/** Runs an entry's admission: feeds it with events and carries out dispatches and refusals. */
+export class Dispatcher {
+	readonly #parts: DispatcherParts;
+	readonly #state: AdmissionState = newAdmissionState();
+	readonly #exchanges = new Map<string, Exchange>();
+	readonly #attempts = new Map<string, Attempt>();
+	readonly #lanes: Lanes;
+	readonly #endpoints = new Map<string, Endpoint>();
+	#entryCount = 1;
+
+	constructor(parts: DispatcherParts) {
+		this.#parts = parts;
+		this.#lanes = new Lanes(parts.entry, parts.pool, {
+			onCredits: (vm, creditIds, validForMs) => {
+				this.#take({
+					kind: 'credits', vm, creditIds, validForMs,
+				});
+			},
+			onClosed: vm => {
+				this.#take({kind: 'laneClosed', vm});
+			},
+		}, parts.timers);
+		parts.timers.repeat(TICK_MS, () => {
+			this.#take({kind: 'tick'});
+		});
+	}
+
+	get inProgress(): number {
+		return this.#exchanges.size;
+	}
+
+	get waiting(): number {
+		return [...this.#state.queues.values()].reduce((sum, queue) => sum + queue.length, 0);
+	}
+
+	hasEndpoint(target: string): boolean {
+		return (this.#state.endpoints.get(target)?.length ?? 0) > 0;
+	}
+
+	/** Demand since the last call, for the leader. */
+	takeDemands(): TargetDemand[] {
+		return mutateTargetDemands(this.#state, this.#parts.clock.now());
+	}
+
+	arrive(exchange: Exchange): void {
+		const {request, requestId, arrivedAt} = exchange;
+		const intent = this.#parts.getIntent();
+		const requestClass = intent.classes.get(request.className)!;
+		const team = intent.teams.get(request.team)!;
+		this.#exchanges.set(requestId, exchange);
+		this.#take({
+			kind: 'arrive',
+			ticket: {
+				requestId,
+				team: request.team,
+				teamWeight: request.teamWeight,
+				className: request.className,
+				classWeight: requestClass.weight,
+				target: request.target,
+				arrivedAt,
+				deadlineAt: arrivedAt + requestClass.deadlineMs,
+				isRepeatable: request.isRepeatable,
+			},
+			limits: {
+				teamInProgress: this.#getShare(team.maxInProgress),
+				teamWaiting: this.#getShare(team.maxWaiting),
+				classWaiting: this.#getShare(requestClass.maxWaiting),
+			},
+		});
+		if (exchange.wasCold) {
+			this.#parts.onColdDemand();
+		}
+	}
+
+	/** The caller is gone. A request that may not run twice is finished all the same, so that a resend finds its answer. */
+	abandon(requestId: string): void {
+		const exchange = this.#exchanges.get(requestId);
+		if (!exchange?.request.isRepeatable) {
+			return;
+		}
+
+		this.#exchanges.delete(requestId);
+		this.#take({kind: 'abandon', requestId});
+		this.#finish(exchange, RESULT_CODE.ClientClosed);
+	}
+
+	refuseWaiting(code: ResultCodeValue): void {
+		this.#take({kind: 'refuseAll', code});
+	}
+
+	/** Ends what is still in progress with an honest answer. */
+	cutAll(code: ResultCodeValue): void {
+		this.refuseWaiting(code);
+		for (const exchange of this.#exchanges.values()) {
+			this.#refuse(exchange, code, OUTCOME.Unknown, 0);
+		}
+
+		for (const attempt of this.#attempts.values()) {
+			attempt.cancel();
+		}
+	}
+
+	takeEndpoints(changed: readonly Endpoint[], entryCount: number): void {
+		this.#entryCount = Math.max(1, entryCount);
+		if (changed.length === 0) {
+			return;
+		}
+
+		for (const endpoint of changed) {
+			this.#endpoints.set(endpoint.vm, endpoint);
+			if (!endpoint.isClosed) {
+				this.#lanes.setAddress(endpoint.vm, endpoint.address);
+			}
+		}
+
+		this.#take({kind: 'endpoints', endpoints: this.#newEndpointIndex()});
+	}
+
+	#getShare(limit: number): number {
+		return Math.max(1, Math.floor(limit / this.#entryCount));
+	}
+
+	#newEndpointIndex(): Map<string, AdmissionEndpoint[]> {
+		const index = new Map<string, AdmissionEndpoint[]>();
+		for (const endpoint of this.#endpoints.values()) {
+			const targets = endpoint.service === '' ? endpoint.ready : [getServiceTarget(endpoint.service)];
+			for (const target of endpoint.isClosed ? [] : targets) {
+				const known = index.get(target) ?? [];
+				known.push({vm: endpoint.vm, dataCentre: endpoint.dataCentre});
+				index.set(target, known);
+			}
+		}
+
+		return index;
+	}
+
+	#take(event: AdmissionEvent): void {
+		for (const effect of mutateAdmission(this.#state, this.#parts.settings, event, this.#parts.clock.now())) {
+			this.#carryOut(effect);
+		}
+	}
+
+	#carryOut(effect: AdmissionEffect): void {
+		switch (effect.kind) {
+			case 'dispatch': {
+				this.#dispatch(effect);
+				break;
+			}
+
+			case 'refuse': {
+				const exchange = this.#exchanges.get(effect.requestId);
+				if (exchange) {
+					this.#refuse(exchange, effect.code, effect.outcome, effect.retryAfterMs);
+				}
+
+				break;
+			}
+
+			case 'cancel': {
+				this.#attempts.get(effect.attemptId)?.cancel();
+				this.#attempts.delete(effect.attemptId);
+				break;
+			}
+
+			default: {
+				this.#lanes.want(effect.vm, effect.wanted, this.#parts.clock.now());
+			}
+		}
+	}
+
+	#dispatch(dispatch: Dispatch): void {
+		const exchange = this.#exchanges.get(dispatch.requestId);
+		const channel = this.#lanes.getChannel(dispatch.vm);
+		if (!exchange || !channel) {
+			return;
+		}
+
+		const {request, requestId} = exchange;
+		const {attemptId} = dispatch;
+		this.#noteDispatch(exchange);
+		const requestClass = this.#parts.getIntent().classes.get(request.className);
+		this.#attempts.set(attemptId, new Attempt({
+			channel,
+			request: create(DispatchRequestSchema, {
+				requestId,
+				attemptId,
+				creditId: dispatch.creditId,
+				team: request.team,
+				unit: request.unit,
+				service: request.service,
+				remainingMs: dispatch.remainingMs,
+				priority: requestClass?.weight ?? 1,
+				method: request.method,
+				path: request.path,
+				contentType: request.contentType,
+				body: request.body,
+				isStream: request.isStream,
+				isRepeatable: request.isRepeatable,
+			}),
+			sink: exchange.sink,
+			maxWholeBytes: this.#parts.maxAnswerBytes,
+			events: {
+				onStart: status => this.#start(exchange, attemptId, status),
+				onData: () => {
+					this.#noteData(exchange);
+				},
+				onEnd: () => {
+					this.#end(exchange, attemptId);
+				},
+				onFailure: (code, outcome) => {
+					this.#fail(exchange, attemptId, code, outcome);
+				},
+			},
+		}));
+	}
+
+	/** An upstream's own failure of a request that may run again is not passed on but tried elsewhere. */
+	#start(exchange: Exchange, attemptId: string, status: number): boolean {
+		if (status >= HTTP_SERVER_ERROR && exchange.request.isRepeatable) {
+			return false;
+		}
+
+		if (exchange.sink.isStream) {
+			this.#take({kind: 'started', requestId: exchange.requestId, attemptId});
+		}
+
+		return true;
+	}
+
+	#end(exchange: Exchange, attemptId: string): void {
+		this.#attempts.delete(attemptId);
+		if (!this.#exchanges.delete(exchange.requestId)) {
+			return;
+		}
+
+		exchange.sink.end();
+		this.#take({kind: 'finished', requestId: exchange.requestId, attemptId});
+		this.#finish(exchange, RESULT_CODE.Ok);
+	}
+
+	#fail(exchange: Exchange, attemptId: string, code: ResultCodeValue, outcome: OutcomeValue): void {
+		this.#attempts.delete(attemptId);
+		this.#take({
+			kind: 'failed', requestId: exchange.requestId, attemptId, code, outcome, jitter: Math.random(),
+		});
+	}
+
+	#refuse(exchange: Exchange, code: ResultCodeValue, outcome: OutcomeValue, retryAfterMs: number): void {
+		this.#exchanges.delete(exchange.requestId);
+		exchange.sink.refuse({
+			code, outcome, retryAfterMs, message: RESULT_DETAILS[code].meaning,
+		});
+		this.#finish(exchange, code);
+	}
+
+	#finish(exchange: Exchange, code: ResultCodeValue): void {
+		const labels = this.#getLabels(exchange);
+		this.#parts.metrics.duration.observe(labels, this.#getSecondsSince(exchange.arrivedAt));
+		this.#parts.metrics.results.inc({...labels, code: String(code)});
+		this.#parts.onEnd(exchange, code);
+	}
+
+	#noteDispatch(exchange: Exchange): void {
+		if (exchange.dispatchedAt === undefined) {
+			exchange.dispatchedAt = this.#parts.clock.now();
+			this.#parts.metrics.queueWait.observe(this.#getLabels(exchange), this.#getSecondsSince(exchange.arrivedAt));
+		}
+	}
+
+	#noteData(exchange: Exchange): void {
+		const now = this.#parts.clock.now();
+		const labels = this.#getLabels(exchange);
+		if (exchange.firstPartAt === undefined) {
+			exchange.firstPartAt = now;
+			const seconds = this.#getSecondsSince(exchange.arrivedAt);
+			this.#parts.metrics.firstToken.observe(labels, seconds);
+			if (exchange.wasCold) {
+				this.#parts.metrics.coldStart.observe(labels, seconds);
+			}
+		} else if (exchange.sink.isStream) {
+			this.#parts.metrics.betweenTokens.observe(labels, (now - exchange.lastPartAt) / MS_PER_SECOND);
+		}
+
+		exchange.lastPartAt = now;
+	}
+
+	#getSecondsSince(time: number): number {
+		return (this.#parts.clock.now() - time) / MS_PER_SECOND;
+	}
+
+	#getLabels(exchange: Exchange): {team: string; class: string} {
+		return {team: this.#parts.metrics.getTeamLabel(exchange.request.team), class: exchange.request.className};
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/http-handler.ts
@@ -0,0 +1,235 @@
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	type Clock, OUTCOME, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type TimerService, ValeleadError,
+} from '@valelead/common';
+import type {Team} from '@valelead/intent';
+import type {ClaimReply} from '@valelead/protocol';
+import type {Logger} from 'pino';
+import {routeRequest} from './route-request.js';
+import {StreamSink} from './stream-sink.js';
+import {WholeSink} from './whole-sink.js';
+import {newModelList} from './new-model-list.js';
+import {writeRefusal} from './write-refusal.js';
+import {writeWholeAnswer} from './write-whole-answer.js';
+import type {AnswerSink} from './answer-sink.js';
+import type {ClaimClient} from './claim-client.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {IntentFollower} from './intent-follower.js';
+import type {KeyIndex} from './key-index.js';
+import type {Refusal} from './refusal.js';
+import type {RoutedRequest} from './routed-request.js';
+import type {WholeAnswer} from './whole-answer.js';
+
+type HandlerParts = {
+	readonly follower: IntentFollower;
+	readonly keys: KeyIndex;
+	readonly dispatcher: Dispatcher;
+	readonly claims: ClaimClient;
+	readonly timers: TimerService;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly maxBodyBytes: number;
+	readonly streamStallMs: number;
+	/** Why no new work is taken, or undefined. */
+	readonly getClosedCode: () => ResultCodeValue | undefined;
+};
+
+/** What is added to the time of a class before a claim without an answer counts as lost, in milliseconds. */
+const CLAIM_SLACK_MS = 10_000;
+
+/** When to fetch the answer of a request that is still in progress, in milliseconds. */
+const IN_PROGRESS_RETRY_MS = 1000;
+
+const NO_QUORUM_RETRY_MS = 2000;
+
+/** How long a finished answer waits for its settlement before it is given to the caller, in milliseconds. */
+const SETTLE_WAIT_MS = 1000;
+
+const readBody = async (message: IncomingMessage, maxBytes: number): Promise<Buffer> => {
+	const chunks: Buffer[] = [];
+	let length = 0;
+	for await (const chunk of message) {
+		length += (chunk as Buffer).length;
+		if (length > maxBytes) {
+			throw new ValeleadError(`The body has more than ${maxBytes} bytes`, {code: RESULT_CODE.BodyTooLarge});
+		}
+
+		chunks.push(chunk as Buffer);
+	}
+
+	return Buffer.concat(chunks);
+};
+
+const toRefusal = (error: unknown): Refusal => {
+	const known = error instanceof ValeleadError ? error : undefined;
+	const code = known?.code ?? RESULT_CODE.Internal;
+	return {
+		code, message: known?.message ?? RESULT_DETAILS[code].meaning, outcome: known?.outcome ?? OUTCOME.NotRun, retryAfterMs: known?.retryAfterMs ?? 0,
+	};
+};
+
+/** Serves callers: checks who asks for what, claims what must not run twice, and hands requests to the dispatcher. */
+export class HttpHandler {
+	readonly #parts: HandlerParts;
+
+	constructor(parts: HandlerParts) {
+		this.#parts = parts;
+	}
+
+	async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		const requestId = randomUUID();
+		try {
+			await this.#handle(message, response, requestId);
+		} catch (error) {
+			const refusal = toRefusal(error);
+			if (refusal.code === RESULT_CODE.Internal) {
+				this.#parts.logger.error({event: 'internal-error', requestId, reason: (error as Error).message}, 'internal error');
+			}
+
+			writeRefusal(response, refusal, requestId);
+			message.resume();
+		}
+	}
+
+	async #handle(message: IncomingMessage, response: ServerResponse, requestId: string): Promise<void> {
+		const closedCode = this.#parts.getClosedCode();
+		if (closedCode !== undefined) {
+			throw new ValeleadError(RESULT_DETAILS[closedCode].meaning, {code: closedCode, outcome: OUTCOME.NotRun, retryAfterMs: 1000});
+		}
+
+		const {intent} = this.#parts.follower;
+		const team = this.#parts.keys.findTeam(intent, message.headers.authorization);
+		if (!team) {
+			throw new ValeleadError('The key is missing or not known', {code: RESULT_CODE.Unauthenticated});
+		}
+
+		if (message.method === 'GET' && message.url === '/v1/models') {
+			writeWholeAnswer(response, newModelList(intent, team.name), requestId);
+			return;
+		}
+
+		const request = await this.#route(message, team);
+		await (request.idempotencyKey === '' ? this.#serve(request, response, requestId) : this.#serveOnce(request, response, requestId));
+	}
+
+	async #route(message: IncomingMessage, team: Team): Promise<RoutedRequest> {
+		const body = await readBody(message, this.#parts.maxBodyBytes);
+		return routeRequest(this.#parts.follower.intent, team, {
+			method: message.method ?? 'GET', path: message.url ?? '/', headers: message.headers, body,
+		});
+	}
+
+	async #serve(request: RoutedRequest, response: ServerResponse, requestId: string): Promise<void> {
+		const sink = request.isStream
+			? new StreamSink(response, requestId, this.#parts.timers, this.#parts.streamStallMs)
+			: new WholeSink(answer => {
+				writeWholeAnswer(response, answer, requestId);
+			}, refusal => {
+				writeRefusal(response, refusal, requestId);
+			});
+		response.on('close', () => {
+			if (!response.writableFinished) {
+				this.#parts.dispatcher.abandon(requestId);
+			}
+		});
+		this.#arrive(request, sink, requestId);
+	}
+
+	#arrive(request: RoutedRequest, sink: AnswerSink, requestId: string): void {
+		const now = this.#parts.clock.now();
+		this.#parts.dispatcher.arrive({
+			requestId,
+			request,
+			sink,
+			arrivedAt: now,
+			wasCold: !this.#parts.dispatcher.hasEndpoint(request.target),
+			dispatchedAt: undefined,
+			firstPartAt: undefined,
+			lastPartAt: now,
+		});
+	}
+
+	/** Runs a request only with a claim that the quorum has committed, and keeps its answer for resends. */
+	async #serveOnce(request: RoutedRequest, response: ServerResponse, requestId: string): Promise<void> {
+		const {deadlineMs} = this.#parts.follower.intent.classes.get(request.className)!;
+		const reply = await this.#claim(request, requestId, deadlineMs);
+		if (reply.kind !== 'claimed') {
+			this.#answerClaimed(reply, response, requestId);
+			return;
+		}
+
+		const sink = new WholeSink(answer => {
+			void this.#settle(request, response, requestId, answer);
+		}, refusal => {
+			void this.#giveBack(request, response, requestId, refusal);
+		});
+		this.#arrive(request, sink, requestId);
+	}
+
+	async #claim(request: RoutedRequest, requestId: string, deadlineMs: number): Promise<ClaimReply> {
+		try {
+			return await this.#parts.claims.start(request, requestId, deadlineMs + CLAIM_SLACK_MS, deadlineMs);
+		} catch {
+			void this.#releaseLater(request, requestId);
+			throw new ValeleadError(RESULT_DETAILS[RESULT_CODE.NoQuorum].meaning, {code: RESULT_CODE.NoQuorum, outcome: OUTCOME.NotRun, retryAfterMs: NO_QUORUM_RETRY_MS});
+		}
+	}
+
+	/** A claim whose commit was not confirmed may exist; the request never ran, so it is given back. */
+	async #releaseLater(request: RoutedRequest, requestId: string): Promise<void> {
+		try {
+			await this.#parts.claims.release(request, requestId);
+		} catch (error) {
+			this.#logUnsettled(requestId, error);
+		}
+	}
+
+	/** Answers a resend from what the claim holds. */
+	#answerClaimed(reply: ClaimReply, response: ServerResponse, requestId: string): void {
+		if (reply.kind === 'mismatch') {
+			throw new ValeleadError(RESULT_DETAILS[RESULT_CODE.KeyReused].meaning, {code: RESULT_CODE.KeyReused, outcome: OUTCOME.NotRun});
+		}
+
+		if (reply.kind === 'running' && !reply.isOverdue) {
+			throw new ValeleadError(RESULT_DETAILS[RESULT_CODE.InProgress].meaning, {code: RESULT_CODE.InProgress, outcome: OUTCOME.Unknown, retryAfterMs: IN_PROGRESS_RETRY_MS});
+		}
+
+		const {settlement} = reply;
+		if (settlement?.outcome !== OUTCOME.Ran || !settlement.hasBody) {
+			const outcome = settlement?.outcome === OUTCOME.Ran ? OUTCOME.Ran : OUTCOME.Unknown;
+			throw new ValeleadError(RESULT_DETAILS[RESULT_CODE.OutcomeUnknown].meaning, {code: RESULT_CODE.OutcomeUnknown, outcome});
+		}
+
+		response.setHeader('idempotent-replayed', 'true');
+		writeWholeAnswer(response, {status: settlement.status, contentType: settlement.contentType, body: Buffer.from(settlement.body)}, requestId);
+	}
+
+	async #settle(request: RoutedRequest, response: ServerResponse, requestId: string, answer: WholeAnswer): Promise<void> {
+		await Promise.race([this.#keepAnswer(request, requestId, answer), this.#parts.timers.wait(SETTLE_WAIT_MS)]);
+		writeWholeAnswer(response, answer, requestId);
+	}
+
+	async #keepAnswer(request: RoutedRequest, requestId: string, answer: WholeAnswer): Promise<void> {
+		try {
+			await this.#parts.claims.settle(request, requestId, answer);
+		} catch (error) {
+			this.#logUnsettled(requestId, error);
+		}
+	}
+
+	#logUnsettled(requestId: string, error: unknown): void {
+		this.#parts.logger.warn({event: 'claim-not-settled', requestId, reason: (error as Error).message}, 'claim not settled');
+	}
+
+	/** The refusal goes out at once; the claim is settled behind it. */
+	async #giveBack(request: RoutedRequest, response: ServerResponse, requestId: string, refusal: Refusal): Promise<void> {
+		writeRefusal(response, refusal, requestId);
+		try {
+			await (refusal.outcome === OUTCOME.NotRun ? this.#parts.claims.release(request, requestId) : this.#parts.claims.doubt(request, requestId));
+		} catch (error) {
+			this.#logUnsettled(requestId, error);
+		}
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/intent-follower.ts
@@ -0,0 +1,68 @@
+import {type Clock, invariant} from '@valelead/common';
+import {
+	type Intent, type Proposal, decodeIntent, mutateIntent, newIntent,
+} from '@valelead/intent';
+import type {SessionUpdate} from '@valelead/protocol';
+
+/** A replica of the configuration that follows the leader's updates and never goes back to an older revision. */
+export class IntentFollower {
+	readonly #clock: Clock;
+	#intent: Intent = newIntent();
+	#needsSnapshot = true;
+	#confirmedAt = Number.NEGATIVE_INFINITY;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	get intent(): Intent {
+		return this.#intent;
+	}
+
+	/** The revision to report: -1 asks for the whole state. */
+	get reportedRevision(): number {
+		return this.#needsSnapshot ? -1 : this.#intent.revision;
+	}
+
+	/** Time since the leader last confirmed the configuration, in milliseconds. */
+	get ageMs(): number {
+		return this.#clock.now() - this.#confirmedAt;
+	}
+
+	/** Takes an update that a current leader sent. Returns whether the configuration changed. */
+	take(update: SessionUpdate): boolean {
+		const before = this.#intent.revision;
+		if (update.snapshot !== '') {
+			this.#takeSnapshot(update.snapshot);
+		}
+
+		for (const {revision, command} of update.commands) {
+			this.#takeCommand(revision, command);
+		}
+
+		if (this.#intent.revision === update.revision) {
+			this.#confirmedAt = Math.max(this.#confirmedAt, update.sentAt);
+		} else if (this.#intent.revision < update.revision) {
+			this.#needsSnapshot = true;
+		}
+
+		return this.#intent.revision !== before;
+	}
+
+	#takeSnapshot(snapshot: string): void {
+		const intent = decodeIntent(snapshot);
+		if (intent.revision >= this.#intent.revision) {
+			this.#intent = intent;
+			this.#needsSnapshot = false;
+		}
+	}
+
+	#takeCommand(revision: number, command: string): void {
+		if (revision !== this.#intent.revision + 1) {
+			return;
+		}
+
+		mutateIntent(this.#intent, JSON.parse(command) as Proposal);
+		invariant(this.#intent.revision === revision, 'a replayed proposal makes the same revision');
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/new-model-list.ts
@@ -0,0 +1,22 @@
+import {Buffer} from 'node:buffer';
+import {type Intent, hasAccess} from '@valelead/intent';
+import type {WholeAnswer} from './whole-answer.js';
+
+/** The names that a team may ask for, in the list shape of the OpenAI interface. */
+export const newModelList = (intent: Intent, team: string): WholeAnswer => {
+	const names: string[] = [];
+	for (const model of intent.models.values()) {
+		if (hasAccess(model, team)) {
+			names.push(model.name, ...model.versions.map(version => `${model.name}@${version}`));
+		}
+	}
+
+	for (const adapter of intent.adapters.values()) {
+		if (hasAccess(adapter, team)) {
+			names.push(`${adapter.model}:${adapter.name}`);
+		}
+	}
+
+	const data = names.map(id => ({id, object: 'model', owned_by: team}));
+	return {status: 200, contentType: 'application/json', body: Buffer.from(JSON.stringify({object: 'list', data}))};
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/whole-sink.ts
@@ -0,0 +1,45 @@
+import {Buffer} from 'node:buffer';
+import type {AnswerSink} from './answer-sink.js';
+import type {Refusal} from './refusal.js';
+import type {WholeAnswer} from './whole-answer.js';
+
+/** Collects an answer, so that the caller gets it whole or not at all. */
+export class WholeSink implements AnswerSink {
+	readonly #deliver: (answer: WholeAnswer) => void;
+	readonly #refuse: (refusal: Refusal) => void;
+	#status = 0;
+	#contentType = '';
+	#chunks: Buffer[] = [];
+
+	constructor(deliver: (answer: WholeAnswer) => void, refuse: (refusal: Refusal) => void) {
+		this.#deliver = deliver;
+		this.#refuse = refuse;
+	}
+
+	get isStream(): boolean {
+		return false;
+	}
+
+	start(status: number, contentType: string): void {
+		this.#status = status;
+		this.#contentType = contentType;
+		this.#chunks = [];
+	}
+
+	data(chunk: Buffer): boolean {
+		this.#chunks.push(chunk);
+		return true;
+	}
+
+	async drained(): Promise<void> {
+		// Nothing is held back.
+	}
+
+	end(): void {
+		this.#deliver({status: this.#status, contentType: this.#contentType, body: Buffer.concat(this.#chunks)});
+	}
+
+	refuse(refusal: Refusal): void {
+		this.#refuse(refusal);
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/write-whole-answer.ts
@@ -0,0 +1,16 @@
+import type {ServerResponse} from 'node:http';
+import type {WholeAnswer} from './whole-answer.js';
+
+/** Writes an answer with its length, so that the caller can tell that it is whole. */
+export const writeWholeAnswer = (response: ServerResponse, answer: WholeAnswer, requestId: string): void => {
+	if (response.destroyed || response.headersSent) {
+		return;
+	}
+
+	response.writeHead(answer.status, {
+		...(answer.contentType !== '' && {'content-type': answer.contentType}),
+		'content-length': answer.body.length,
+		'x-request-id': requestId,
+	});
+	response.end(answer.body);
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/index.ts
@@ -0,0 +1,5 @@
+export {checkSettings} from './settings/check-settings.js';
+export {SETTINGS_SCHEMA} from './settings/settings-schema.js';
+export type {Settings} from './settings/settings.js';
+export {IntentFollower} from './entry/intent-follower.js';
+export {newPlacementView} from './control/new-placement-view.js';
--- /dev/null
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -0,0 +1,58 @@
+import {
+	type Registry as RegistryShape, collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120];
+const TOKEN_BUCKETS = [0.001, 0.005, 0.01, 0.02, 0.04, 0.065, 0.1, 0.2, 0.5, 1, 5];
+
+/** Series of one histogram are bounded by this many teams; further teams share the label `other`. */
+const MAX_TEAM_LABELS = 300;
+
+type RequestLabels = 'team' | 'class';
+
+/** The metrics of a daemon. No label carries a model, a prompt or a key. */
+export class Metrics {
+	readonly registry: RegistryShape = new Registry();
+	readonly queueWait: Histogram<RequestLabels>;
+	readonly coldStart: Histogram<RequestLabels>;
+	readonly firstToken: Histogram<RequestLabels>;
+	readonly betweenTokens: Histogram<RequestLabels>;
+	readonly duration: Histogram<RequestLabels>;
+	readonly results: Counter<RequestLabels | 'code'>;
+	readonly configurationAge: Gauge;
+	readonly revision: Gauge;
+	readonly #teams = new Set<string>();
+
+	constructor() {
+		const registers = [this.registry];
+		const labelNames = ['team', 'class'] as const;
+		const newHistogram = (name: string, help: string, buckets: number[]): Histogram<RequestLabels> => new Histogram({
+			name, help, labelNames, buckets, registers,
+		});
+		this.queueWait = newHistogram('valelead_queue_wait_seconds', 'Time from arrival to dispatch.', SECONDS_BUCKETS);
+		this.coldStart = newHistogram('valelead_cold_start_seconds', 'Time to the first part of the answer of requests that found no replica.', SECONDS_BUCKETS);
+		this.firstToken = newHistogram('valelead_first_token_seconds', 'Time from arrival to the first part of the answer.', SECONDS_BUCKETS);
+		this.betweenTokens = newHistogram('valelead_between_tokens_seconds', 'Time between two parts of a streamed answer.', TOKEN_BUCKETS);
+		this.duration = newHistogram('valelead_request_seconds', 'Time from arrival to the end of the answer.', SECONDS_BUCKETS);
+		this.results = new Counter({
+			name: 'valelead_results_total', help: 'Ended requests by result code.', labelNames: ['team', 'class', 'code'], registers,
+		});
+		this.configurationAge = new Gauge({name: 'valelead_configuration_age_seconds', help: 'Time since the leader last confirmed the configuration.', registers});
+		this.revision = new Gauge({name: 'valelead_revision', help: 'The revision of the configuration in force.', registers});
+		collectDefaultMetrics({register: this.registry});
+	}
+
+	/** The team's label, bounded in number. */
+	getTeamLabel(team: string): string {
+		if (this.#teams.has(team)) {
+			return team;
+		}
+
+		if (this.#teams.size >= MAX_TEAM_LABELS) {
+			return 'other';
+		}
+
+		this.#teams.add(team);
+		return team;
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/settings/check-settings.ts
@@ -0,0 +1,65 @@
+import * as Result from 'effect/Result';
+import * as Schema from 'effect/Schema';
+import * as SchemaIssue from 'effect/SchemaIssue';
+import {SETTINGS_SCHEMA} from './settings-schema.js';
+import type {Settings} from './settings.js';
+import type {SettingsFault} from './settings-fault.js';
+
+type Checked = {
+	readonly settings: Settings | undefined;
+	readonly faults: readonly SettingsFault[];
+};
+
+const decode = Schema.decodeUnknownResult(SETTINGS_SCHEMA);
+const formatIssue = SchemaIssue.makeFormatterStandardSchemaV1();
+
+const getFound = (value: unknown, path: readonly PropertyKey[]): string => {
+	let found: unknown = value;
+	for (const key of path) {
+		found = typeof found === 'object' && found !== null ? (found as Record<PropertyKey, unknown>)[key] : undefined;
+	}
+
+	return found === undefined ? 'nothing' : JSON.stringify(found);
+};
+
+const toKeys = (path: ReadonlyArray<PropertyKey | {readonly key: PropertyKey}> | undefined): PropertyKey[] => (path ?? []).map(part => typeof part === 'object' ? part.key : part);
+
+const newFault = (path: string, found: string, allowed: string): SettingsFault => ({path, found, allowed});
+
+/** Conditions between values that the schema cannot state. */
+const getContradictions = (settings: Settings): SettingsFault[] => {
+	if (settings.role !== 'entry' || !settings.voter) {
+		return [];
+	}
+
+	const {voter} = settings;
+	const faults: SettingsFault[] = [];
+	if (!settings.controlAddresses.includes(voter.listen)) {
+		faults.push(newFault('voter.listen', JSON.stringify(voter.listen), 'one of controlAddresses'));
+	}
+
+	if (voter.consensusHeartbeatMs * 3 > voter.electionTimeoutMs) {
+		faults.push(newFault('voter.consensusHeartbeatMs', String(voter.consensusHeartbeatMs), 'at most a third of voter.electionTimeoutMs'));
+	}
+
+	if (voter.assumeLostMs > 0 && voter.assumeLostMs <= settings.maxConfigurationAgeMs) {
+		faults.push(newFault('voter.assumeLostMs', String(voter.assumeLostMs), '0, or more than maxConfigurationAgeMs and the replicaLeaseMs of every agent'));
+	}
+
+	return faults;
+};
+
+/** Checks a settings file's value and names every fault. */
+export const checkSettings = (value: unknown): Checked => {
+	const result = decode(value, {errors: 'all', onExcessProperty: 'error'});
+	if (Result.isSuccess(result)) {
+		const faults = getContradictions(result.success);
+		return {settings: faults.length === 0 ? result.success : undefined, faults};
+	}
+
+	const faults = formatIssue(result.failure.issue).issues.map(issue => {
+		const path = toKeys(issue.path);
+		return newFault(path.map(String).join('.'), getFound(value, path), issue.message);
+	});
+	return {settings: undefined, faults};
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/settings/entry-settings.ts
@@ -0,0 +1,4 @@
+import type {Settings} from './settings.js';
+
+/** The settings of an entry. */
+export type EntrySettings = Extract<Settings, {role: 'entry'}>;
--- /dev/null
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -0,0 +1,89 @@
+import * as Effect from 'effect/Effect';
+import * as Schema from 'effect/Schema';
+
+const MAX_PORT = 65_535;
+const MAX_MS = 86_400_000;
+
+const PORT = Schema.Int.check(Schema.isBetween({minimum: 1, maximum: MAX_PORT}));
+const ADDRESS = Schema.String.check(Schema.isPattern(/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+\]):\d{1,5}$/v)).annotate({description: 'An IP number and a port, such as 10.0.0.1:7001.'});
+const NAME = Schema.String.check(Schema.isPattern(/^[a-z\d][\w.\-]{0,62}$/v));
+const LISTEN = Schema.Struct({host: Schema.String, port: PORT});
+
+const getMilliseconds = (value: number, description: string) => Schema.Int
+	.check(Schema.isBetween({minimum: 1, maximum: MAX_MS}))
+	.annotate({description: `${description} In milliseconds.`})
+	.pipe(Schema.withDecodingDefaultKey(Effect.succeed(value)));
+
+const getNumber = (value: number, description: string) => Schema.Finite
+	.check(Schema.isBetween({minimum: 0, maximum: Number.MAX_SAFE_INTEGER}))
+	.annotate({description})
+	.pipe(Schema.withDecodingDefaultKey(Effect.succeed(value)));
+
+const TLS = Schema.Struct({
+	certificateFile: Schema.String,
+	keyFile: Schema.String,
+	authorityFile: Schema.String.annotate({description: 'Peers must show a certificate of this authority.'}),
+});
+
+const SHARED = {
+	vm: NAME.annotate({description: 'The name of the VM, one in the installation.'}),
+	dataCentre: NAME,
+	admin: LISTEN.annotate({description: 'Where /healthz, /readyz and /metrics are served.'}),
+	tls: Schema.optionalKey(TLS),
+	logLevel: Schema.Literals(['debug', 'info', 'warn', 'error']).pipe(Schema.withDecodingDefaultKey(Effect.succeed('info' as const))),
+	heartbeatMs: getMilliseconds(200, 'How often the process reports to the leader.'),
+	maxConfigurationAgeMs: getMilliseconds(10_000, 'Cut off from the leader for longer, the process takes no new work.'),
+	stopLimitMs: getMilliseconds(30_000, 'How long a planned stop waits for requests in progress.'),
+};
+
+const POLICY = Schema.Struct({
+	coldStartWeight: getNumber(1, 'Cost of one second that one request of weight 1 waits for a cold model.'),
+	idleWeight: getNumber(0.01, 'Cost of one second that one accelerator holds weights without work.'),
+	loadsPerSecond: getNumber(3, 'Loads from the weight store that may start in a second.'),
+	concurrentLoads: getNumber(4, 'Loads from the weight store that may run at once.'),
+	assumedLoadMsPerGib: getNumber(500, 'Load time for each GiB until one was measured. In milliseconds.'),
+});
+
+const VOTER = Schema.Struct({
+	listen: ADDRESS,
+	dataFolder: Schema.String,
+	electionTimeoutMs: getMilliseconds(500, 'The shortest election timeout; the longest is twice this.'),
+	consensusHeartbeatMs: getMilliseconds(60, 'How often a leader sends to the other voters.'),
+	snapshotEvery: getNumber(5000, 'Log entries after which a snapshot is taken.'),
+	leaseMs: getMilliseconds(2000, 'A VM or entry that is silent for longer gets no new work.'),
+	assumeLostMs: getNumber(0, 'A VM that is silent for longer is taken as gone and its replicas as free; 0 waits for proof. In milliseconds.'),
+	policy: POLICY,
+});
+
+const ENTRY = Schema.Struct({
+	role: Schema.Literal('entry'),
+	...SHARED,
+	http: LISTEN.annotate({description: 'Where callers are served.'}),
+	controlAddresses: Schema.Array(ADDRESS).annotate({description: 'The voters, at the addresses where they listen.'}),
+	operatorKeyFile: Schema.optionalKey(Schema.String.annotate({description: 'A file with the first operator key, needed until one is created.'})),
+	voter: Schema.optionalKey(VOTER),
+	maxBodyBytes: getNumber(1_048_576, 'The largest body of a request.'),
+	maxAnswerBytes: getNumber(16_777_216, 'The largest answer that is not streamed.'),
+	maxConnections: getNumber(2000, 'Connections of callers at once.'),
+	streamStallMs: getMilliseconds(30_000, 'A caller that takes nothing of its stream for longer is cut off.'),
+	balancerDelayMs: getMilliseconds(500, 'After a stop signal, how long connections are still taken while /readyz fails.'),
+});
+
+const AGENT = Schema.Struct({
+	role: Schema.Literal('agent'),
+	...SHARED,
+	listen: ADDRESS.annotate({description: 'Where entries reach this agent.'}),
+	guardPort: PORT.annotate({description: 'A port of the VM that the agent holds while it runs, so that no second one starts.'}),
+	upstream: LISTEN.annotate({description: 'Where the upstream of this VM is reached.'}),
+	controlAddresses: Schema.Array(ADDRESS),
+	creditMs: getMilliseconds(2000, 'How long a credit to dispatch is valid.'),
+	spareCredits: getNumber(2, 'Credits that an active entry holds in advance.'),
+	replicaLeaseMs: getMilliseconds(60_000, 'Cut off from the leader for longer, the agent unloads its replicas.'),
+	settleMs: getMilliseconds(1000, 'Time after which a lost order can no longer reach the upstream.'),
+	loadRetryMs: getMilliseconds(1000, 'Wait before a refused load is ordered again.'),
+	orderTimeoutMs: getMilliseconds(600_000, 'The longest time of a load.'),
+	statusMs: getMilliseconds(250, 'How often the upstream is asked for its status.'),
+});
+
+/** The settings file of a daemon; its role says which part of the installation it is. */
+export const SETTINGS_SCHEMA = Schema.Union([ENTRY, AGENT]);
--- /dev/null
+++ b/fakes/src/call-http.ts
@@ -0,0 +1,34 @@
+import {request} from 'node:http';
+import type {HttpAnswer} from './http-answer.js';
+
+type HttpCall = {
+	readonly port: number;
+	readonly path: string;
+	readonly method?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: string;
+	/** Called with each part of the answer. */
+	readonly onData?: (text: string) => void;
+};
+
+/** One HTTP call to loopback; rejects if no answer begins. */
+export const callHttp = async (call: HttpCall): Promise<HttpAnswer> => new Promise((resolve, reject) => {
+	const outgoing = request({
+		host: '127.0.0.1', port: call.port, path: call.path, method: call.method ?? 'GET', headers: call.headers ?? {}, agent: false,
+	}, message => {
+		let text = '';
+		message.setEncoding('utf8');
+		message.on('data', (chunk: string) => {
+			text += chunk;
+			call.onData?.(chunk);
+		});
+		message.on('error', () => undefined);
+		message.on('close', () => {
+			resolve({
+				status: message.statusCode!, headers: message.headers, text, isComplete: message.complete,
+			});
+		});
+	});
+	outgoing.on('error', reject);
+	outgoing.end(call.body);
+});
--- /dev/null
+++ b/packages/admission/src/admission-event.ts
@@ -0,0 +1,17 @@
+import type {OutcomeValue, ResultCodeValue} from '@valelead/common';
+import type {AdmissionEndpoint} from './admission-endpoint.js';
+import type {Ticket} from './ticket.js';
+import type {TicketLimits} from './ticket-limits.js';
+
+/** What an entry's admission reacts to. */
+export type AdmissionEvent =
+	| {readonly kind: 'arrive'; readonly ticket: Ticket; readonly limits: TicketLimits}
+	| {readonly kind: 'abandon'; readonly requestId: string}
+	| {readonly kind: 'refuseAll'; readonly code: ResultCodeValue}
+	| {readonly kind: 'credits'; readonly vm: string; readonly creditIds: readonly string[]; readonly validForMs: number}
+	| {readonly kind: 'laneClosed'; readonly vm: string}
+	| {readonly kind: 'endpoints'; readonly endpoints: ReadonlyMap<string, readonly AdmissionEndpoint[]>}
+	| {readonly kind: 'started'; readonly requestId: string; readonly attemptId: string}
+	| {readonly kind: 'finished'; readonly requestId: string; readonly attemptId: string}
+	| {readonly kind: 'failed'; readonly requestId: string; readonly attemptId: string; readonly code: ResultCodeValue; readonly outcome: OutcomeValue; /** Uniform in [0, 1). */ readonly jitter: number}
+	| {readonly kind: 'tick'};
--- /dev/null
+++ b/packages/admission/src/admission-lane.ts
@@ -0,0 +1,18 @@
+/** A credit as the entry holds it. */
+type HeldCredit = {
+	readonly id: string;
+	readonly expiresAt: number;
+};
+
+/** What an entry knows of one agent. */
+export type AdmissionLane = {
+	credits: HeldCredit[];
+	wanted: number;
+	lastUsedAt: number;
+	inProgress: number;
+	failures: number;
+	ejections: number;
+	ejectedUntil: number;
+	/** Targets that the agent refused, and until when they are not tried there. */
+	readonly avoided: Map<string, number>;
+};
--- /dev/null
+++ b/packages/admission/src/admission-settings.ts
@@ -0,0 +1,19 @@
+/** Limits and timing of an entry. Times in milliseconds. */
+export type AdmissionSettings = {
+	/** Dispatches of one request at most. */
+	readonly maxAttempts: number;
+	/** Retries earned by each new request; a retry after a failed upstream costs one. */
+	readonly retryShare: number;
+	/** Retries that can be saved up. */
+	readonly maxRetryTokens: number;
+	/** Failures in a row after which an upstream is left out for a while. */
+	readonly ejectAfter: number;
+	readonly ejectMs: number;
+	readonly maxEjectMs: number;
+	/** A refused upstream is not tried again for the same target for this long. */
+	readonly avoidMs: number;
+	/** A credit is not used in the last part of its time. */
+	readonly creditMarginMs: number;
+	/** The data centre of the entry. */
+	readonly dataCentre: string;
+};
--- /dev/null
+++ b/packages/admission/src/admission-state.ts
@@ -0,0 +1,23 @@
+import type {AdmissionEndpoint} from './admission-endpoint.js';
+import type {AdmissionLane} from './admission-lane.js';
+import type {RequestRecord} from './request-record.js';
+import type {TargetSpeed} from './target-speed.js';
+import type {TeamUsage} from './team-usage.js';
+
+/** The state of an entry's queues. */
+export type AdmissionState = {
+	readonly requests: Map<string, RequestRecord>;
+	/** Waiting requests by target. */
+	readonly queues: Map<string, RequestRecord[]>;
+	readonly teams: Map<string, TeamUsage>;
+	readonly classWaiting: Map<string, number>;
+	readonly lanes: Map<string, AdmissionLane>;
+	endpoints: ReadonlyMap<string, readonly AdmissionEndpoint[]>;
+	readonly speeds: Map<string, TargetSpeed>;
+	/** Arrivals by target since they were last reported. */
+	readonly arrivals: Map<string, number>;
+	retryTokens: number;
+	/** The service that the least served waiting team has received. */
+	virtualTime: number;
+	nextDeadlineAt: number;
+};
--- /dev/null
+++ b/packages/admission/src/get-best-lane.ts
@@ -0,0 +1,48 @@
+import type {AdmissionEndpoint} from './admission-endpoint.js';
+import type {AdmissionLane} from './admission-lane.js';
+import type {AdmissionSettings} from './admission-settings.js';
+import type {AdmissionState} from './admission-state.js';
+
+type BestLane = {
+	readonly vm: string;
+	readonly lane: AdmissionLane;
+};
+
+/** Requests in progress that outweigh an upstream in another data centre. */
+const FAR_PENALTY = 2;
+
+/** Requests in progress that outweigh one recent failure. */
+const FAILURE_PENALTY = 4;
+
+const isUsable = (lane: AdmissionLane, target: string, now: number): boolean => {
+	const isProbing = lane.ejections > 0 && lane.inProgress > 0;
+	return lane.credits.length > 0 && now >= lane.ejectedUntil && !isProbing && now >= (lane.avoided.get(target) ?? 0);
+};
+
+const getScore = (lane: AdmissionLane, endpoint: AdmissionEndpoint, settings: AdmissionSettings): number => {
+	const farPenalty = endpoint.dataCentre === settings.dataCentre ? 0 : FAR_PENALTY;
+	return lane.inProgress + farPenalty + (lane.failures * FAILURE_PENALTY);
+};
+
+/**
+ * The agent that gets the next request for a target: the one with least outstanding work as this
+ * entry knows it, near ones first. An upstream that failed lately gets one probe at a time.
+ */
+export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, target: string, now: number): BestLane | undefined => {
+	let best: BestLane | undefined;
+	let bestScore = Number.POSITIVE_INFINITY;
+	for (const endpoint of state.endpoints.get(target) ?? []) {
+		const lane = state.lanes.get(endpoint.vm);
+		if (!lane || !isUsable(lane, target, now)) {
+			continue;
+		}
+
+		const score = getScore(lane, endpoint, settings);
+		if (score < bestScore) {
+			best = {vm: endpoint.vm, lane};
+			bestScore = score;
+		}
+	}
+
+	return best;
+};
--- /dev/null
+++ b/packages/admission/src/get-lane.ts
@@ -0,0 +1,23 @@
+import type {AdmissionLane} from './admission-lane.js';
+import type {AdmissionState} from './admission-state.js';
+
+/** The lane to an agent, made when it is first asked for. */
+export const getLane = (state: AdmissionState, vm: string): AdmissionLane => {
+	const known = state.lanes.get(vm);
+	if (known) {
+		return known;
+	}
+
+	const lane: AdmissionLane = {
+		credits: [],
+		wanted: 0,
+		lastUsedAt: Number.NEGATIVE_INFINITY,
+		inProgress: 0,
+		failures: 0,
+		ejections: 0,
+		ejectedUntil: 0,
+		avoided: new Map(),
+	};
+	state.lanes.set(vm, lane);
+	return lane;
+};
--- /dev/null
+++ b/packages/admission/src/get-next-request.ts
@@ -0,0 +1,43 @@
+import {getTeamUsage} from './get-team-usage.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+
+type Order = {
+	readonly virtualTime: number;
+	readonly classWeight: number;
+	readonly deadlineAt: number;
+};
+
+const getOrder = (state: AdmissionState, record: RequestRecord): Order => ({
+	virtualTime: getTeamUsage(state, record.ticket.team).virtualTime,
+	classWeight: record.ticket.classWeight,
+	deadlineAt: record.ticket.deadlineAt,
+});
+
+const isBefore = (left: Order, right: Order): boolean => {
+	if (left.virtualTime !== right.virtualTime) {
+		return left.virtualTime < right.virtualTime;
+	}
+
+	if (left.classWeight !== right.classWeight) {
+		return left.classWeight > right.classWeight;
+	}
+
+	return left.deadlineAt < right.deadlineAt;
+};
+
+/**
+ * The request of a target that is served next: of the team that has received least for its weight,
+ * then of the weightiest class, then the one whose time ends first. A team at its limit waits.
+ */
+export const getNextRequest = (state: AdmissionState, target: string, isAllowed: (record: RequestRecord) => boolean): RequestRecord | undefined => {
+	let best: RequestRecord | undefined;
+	for (const record of state.queues.get(target) ?? []) {
+		const isBetter = !best || isBefore(getOrder(state, record), getOrder(state, best));
+		if (isBetter && isAllowed(record)) {
+			best = record;
+		}
+	}
+
+	return best;
+};
--- /dev/null
+++ b/packages/admission/src/get-team-usage.ts
@@ -0,0 +1,14 @@
+import type {AdmissionState} from './admission-state.js';
+import type {TeamUsage} from './team-usage.js';
+
+/** The usage of a team, made when it is first asked for. */
+export const getTeamUsage = (state: AdmissionState, team: string): TeamUsage => {
+	const known = state.teams.get(team);
+	if (known) {
+		return known;
+	}
+
+	const usage: TeamUsage = {waiting: 0, inProgress: 0, virtualTime: state.virtualTime};
+	state.teams.set(team, usage);
+	return usage;
+};
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,12 @@
+export type {AdmissionEffect} from './admission-effect.js';
+export type {AdmissionEndpoint} from './admission-endpoint.js';
+export type {AdmissionEvent} from './admission-event.js';
+export type {AdmissionSettings} from './admission-settings.js';
+export type {AdmissionState} from './admission-state.js';
+export type {TargetDemand} from './target-demand.js';
+export type {Ticket} from './ticket.js';
+export type {TicketLimits} from './ticket-limits.js';
+export {getServiceTarget} from './get-service-target.js';
+export {mutateTargetDemands} from './mutate-target-demands.js';
+export {mutateAdmission} from './mutate-admission.js';
+export {newAdmissionState} from './new-admission-state.js';
--- /dev/null
+++ b/packages/admission/src/mutate-admission.ts
@@ -0,0 +1,128 @@
+import {assertNever, OUTCOME} from '@valelead/common';
+import {getLane} from './get-lane.js';
+import {mutateArrival} from './mutate-arrival.js';
+import {mutateDeadlines} from './mutate-deadlines.js';
+import {mutateDispatches} from './mutate-dispatches.js';
+import {mutateEnd} from './mutate-end.js';
+import {mutateRefused} from './mutate-refused.js';
+import {mutateFailure} from './mutate-failure.js';
+import {mutateRequest} from './mutate-request.js';
+import {newWants} from './new-wants.js';
+import type {AdmissionEffect} from './admission-effect.js';
+import type {AdmissionEvent} from './admission-event.js';
+import type {AdmissionSettings} from './admission-settings.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+
+/** The request of an attempt, unless the attempt is no longer its present one. */
+const getCurrent = (state: AdmissionState, requestId: string, attemptId: string): RequestRecord | undefined => {
+	const record = state.requests.get(requestId);
+	return record?.attemptId === attemptId && record.state !== 'waiting' ? record : undefined;
+};
+
+const mutateStarted = (state: AdmissionState, requestId: string, attemptId: string): void => {
+	const record = getCurrent(state, requestId, attemptId);
+	if (record?.state === 'sent') {
+		mutateRequest(record, 'start');
+	}
+};
+
+const mutateFinished = (state: AdmissionState, requestId: string, attemptId: string): void => {
+	const record = getCurrent(state, requestId, attemptId);
+	if (!record) {
+		return;
+	}
+
+	const lane = getLane(state, record.vm);
+	lane.failures = 0;
+	lane.ejections = 0;
+	if (record.state === 'sent') {
+		mutateRequest(record, 'start');
+	}
+
+	mutateEnd(state, record, 'finish');
+};
+
+const mutateAbandoned = (state: AdmissionState, requestId: string): AdmissionEffect[] => {
+	const record = state.requests.get(requestId);
+	if (!record) {
+		return [];
+	}
+
+	const isSent = record.state !== 'waiting';
+	mutateEnd(state, record, 'abandon');
+	return isSent
+		? [{
+			kind: 'cancel', requestId, attemptId: record.attemptId, vm: record.vm,
+		}]
+		: [];
+};
+
+const mutateLaneClosed = (state: AdmissionState, vm: string): void => {
+	const lane = getLane(state, vm);
+	lane.credits = [];
+	lane.wanted = 0;
+};
+
+const mutateEvent = (state: AdmissionState, settings: AdmissionSettings, event: AdmissionEvent, now: number): AdmissionEffect[] => {
+	switch (event.kind) {
+		case 'arrive': {
+			return mutateArrival(state, settings, event.ticket, event.limits, now);
+		}
+
+		case 'abandon': {
+			return mutateAbandoned(state, event.requestId);
+		}
+
+		case 'refuseAll': {
+			const waiting = [...state.requests.values()].filter(record => record.state === 'waiting');
+			return waiting.flatMap(record => mutateRefused(state, record, event.code, OUTCOME.NotRun));
+		}
+
+		case 'credits': {
+			const credits = event.creditIds.map(id => ({id, expiresAt: now + event.validForMs}));
+			getLane(state, event.vm).credits.push(...credits);
+			return [];
+		}
+
+		case 'laneClosed': {
+			mutateLaneClosed(state, event.vm);
+			return [];
+		}
+
+		case 'endpoints': {
+			state.endpoints = event.endpoints;
+			return [];
+		}
+
+		case 'started': {
+			mutateStarted(state, event.requestId, event.attemptId);
+			return [];
+		}
+
+		case 'finished': {
+			mutateFinished(state, event.requestId, event.attemptId);
+			return [];
+		}
+
+		case 'failed': {
+			const record = getCurrent(state, event.requestId, event.attemptId);
+			return record ? mutateFailure(state, settings, record, event, now) : [];
+		}
+
+		case 'tick': {
+			return [];
+		}
+
+		default: {
+			return assertNever(event);
+		}
+	}
+};
+
+/** Advances an entry's admission by one event at its monotonic time in milliseconds, and returns what must be done. */
+export const mutateAdmission = (state: AdmissionState, settings: AdmissionSettings, event: AdmissionEvent, now: number): AdmissionEffect[] => {
+	const effects = mutateEvent(state, settings, event, now);
+	effects.push(...mutateDeadlines(state, now), ...mutateDispatches(state, settings, now), ...newWants(state, now));
+	return effects;
+};
--- /dev/null
+++ b/packages/admission/src/mutate-arrival.ts
@@ -0,0 +1,43 @@
+import {OUTCOME, RESULT_CODE, type ResultCodeValue} from '@valelead/common';
+import {getRetryAfterMs} from './get-retry-after-ms.js';
+import {getTeamUsage} from './get-team-usage.js';
+import {getWaitMs} from './get-wait-ms.js';
+import {mutateQueued} from './mutate-queued.js';
+import type {AdmissionEffect} from './admission-effect.js';
+import type {AdmissionSettings} from './admission-settings.js';
+import type {AdmissionState} from './admission-state.js';
+import type {Ticket} from './ticket.js';
+import type {TicketLimits} from './ticket-limits.js';
+
+const getRefusalCode = (state: AdmissionState, ticket: Ticket, limits: TicketLimits, now: number): ResultCodeValue | undefined => {
+	const usage = getTeamUsage(state, ticket.team);
+	if (usage.waiting >= limits.teamWaiting || usage.inProgress + usage.waiting >= limits.teamInProgress + limits.teamWaiting) {
+		return RESULT_CODE.TeamLimit;
+	}
+
+	if ((state.classWaiting.get(ticket.className) ?? 0) >= limits.classWaiting) {
+		return RESULT_CODE.QueueFull;
+	}
+
+	const isServed = (state.endpoints.get(ticket.target)?.length ?? 0) > 0;
+	return isServed && getWaitMs(state, ticket.target) > ticket.deadlineAt - now ? RESULT_CODE.WaitTooLong : undefined;
+};
+
+/** Queues a request, or refuses it at once if a limit is reached or its wait cannot be met. */
+export const mutateArrival = (state: AdmissionState, settings: AdmissionSettings, ticket: Ticket, limits: TicketLimits, now: number): AdmissionEffect[] => {
+	state.arrivals.set(ticket.target, (state.arrivals.get(ticket.target) ?? 0) + 1);
+	const code = getRefusalCode(state, ticket, limits, now);
+	if (code !== undefined) {
+		return [{
+			kind: 'refuse', requestId: ticket.requestId, code, outcome: OUTCOME.NotRun, retryAfterMs: getRetryAfterMs(state, ticket.target),
+		}];
+	}
+
+	state.retryTokens = Math.min(settings.maxRetryTokens, state.retryTokens + settings.retryShare);
+	const record = {
+		ticket, limits, state: 'waiting', attempts: 0, attemptId: '', vm: '', mayHaveRun: false, dispatchedAt: 0,
+	};
+	state.requests.set(ticket.requestId, record);
+	mutateQueued(state, record);
+	return [];
+};
--- /dev/null
+++ b/packages/admission/src/mutate-deadlines.ts
@@ -0,0 +1,32 @@
+import {OUTCOME, RESULT_CODE} from '@valelead/common';
+import {mutateRefused} from './mutate-refused.js';
+import type {AdmissionEffect} from './admission-effect.js';
+import type {AdmissionState} from './admission-state.js';
+
+/** Refuses the requests whose time has run out before their answer began. */
+export const mutateDeadlines = (state: AdmissionState, now: number): AdmissionEffect[] => {
+	if (now < state.nextDeadlineAt) {
+		return [];
+	}
+
+	const effects: AdmissionEffect[] = [];
+	let nextDeadlineAt = Number.POSITIVE_INFINITY;
+	for (const record of state.requests.values()) {
+		if (record.state === 'answering') {
+			continue;
+		}
+
+		if (record.ticket.deadlineAt > now) {
+			nextDeadlineAt = Math.min(nextDeadlineAt, record.ticket.deadlineAt);
+			continue;
+		}
+
+		const isServed = (state.endpoints.get(record.ticket.target)?.length ?? 0) > 0;
+		const outcome = record.state === 'waiting' ? OUTCOME.NotRun : OUTCOME.Unknown;
+		const code = isServed || record.state !== 'waiting' ? RESULT_CODE.DeadlineExceeded : RESULT_CODE.NoUpstream;
+		effects.push(...mutateRefused(state, record, code, outcome));
+	}
+
+	state.nextDeadlineAt = nextDeadlineAt;
+	return effects;
+};
--- /dev/null
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -0,0 +1,83 @@
+import {getBestLane} from './get-best-lane.js';
+import {getNextRequest} from './get-next-request.js';
+import {getTeamUsage} from './get-team-usage.js';
+import {mutateRequest} from './mutate-request.js';
+import {mutateUnqueued} from './mutate-unqueued.js';
+import type {AdmissionEffect} from './admission-effect.js';
+import type {AdmissionLane} from './admission-lane.js';
+import type {AdmissionSettings} from './admission-settings.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+
+/** Weight of the newest interval in the measured speed of a queue. */
+const SPEED_SHARE = 0.2;
+
+const mutateSpeed = (state: AdmissionState, target: string, now: number): void => {
+	const speed = state.speeds.get(target) ?? {intervalMs: 0, samples: 0, lastDispatchAt: now};
+	const isBacklogged = (state.queues.get(target)?.length ?? 0) > 0;
+	const interval = now - speed.lastDispatchAt;
+	if (isBacklogged && speed.samples > 0) {
+		speed.intervalMs += (interval - speed.intervalMs) * SPEED_SHARE;
+	}
+
+	speed.samples = isBacklogged ? speed.samples + 1 : 0;
+	speed.lastDispatchAt = now;
+	state.speeds.set(target, speed);
+};
+
+const mutateUsage = (state: AdmissionState, record: RequestRecord): void => {
+	const usage = getTeamUsage(state, record.ticket.team);
+	usage.inProgress += 1;
+	state.virtualTime = Math.max(state.virtualTime, usage.virtualTime);
+	usage.virtualTime += 1 / record.ticket.teamWeight;
+};
+
+const newDispatch = (state: AdmissionState, record: RequestRecord, vm: string, lane: AdmissionLane, now: number): AdmissionEffect => {
+	const credit = lane.credits.shift()!;
+	mutateUnqueued(state, record);
+	mutateRequest(record, 'dispatch');
+	mutateUsage(state, record);
+	mutateSpeed(state, record.ticket.target, now);
+	record.attempts += 1;
+	record.attemptId = `${record.ticket.requestId}.${record.attempts}`;
+	record.vm = vm;
+	record.dispatchedAt = now;
+	lane.inProgress += 1;
+	lane.lastUsedAt = now;
+	return {
+		kind: 'dispatch',
+		requestId: record.ticket.requestId,
+		attemptId: record.attemptId,
+		vm,
+		creditId: credit.id,
+		remainingMs: record.ticket.deadlineAt - now,
+	};
+};
+
+const isAllowed = (state: AdmissionState, record: RequestRecord, now: number): boolean => {
+	const isInTime = record.ticket.deadlineAt > now;
+	return isInTime && getTeamUsage(state, record.ticket.team).inProgress < record.limits.teamInProgress;
+};
+
+/** Sends what can be sent: for each target, the next request to the best agent, while credits last. */
+export const mutateDispatches = (state: AdmissionState, settings: AdmissionSettings, now: number): AdmissionEffect[] => {
+	const effects: AdmissionEffect[] = [];
+	for (const lane of state.lanes.values()) {
+		lane.credits = lane.credits.filter(credit => credit.expiresAt - settings.creditMarginMs > now);
+	}
+
+	for (const target of state.queues.keys()) {
+		let best = getBestLane(state, settings, target, now);
+		while (best) {
+			const record = getNextRequest(state, target, candidate => isAllowed(state, candidate, now));
+			if (!record) {
+				break;
+			}
+
+			effects.push(newDispatch(state, record, best.vm, best.lane, now));
+			best = getBestLane(state, settings, target, now);
+		}
+	}
+
+	return effects;
+};
--- /dev/null
+++ b/packages/admission/src/mutate-queued.ts
@@ -0,0 +1,18 @@
+import {getTeamUsage} from './get-team-usage.js';
+import {mutateWaitingCount} from './mutate-waiting-count.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+
+/** Puts a request into its queue. A team that was idle starts level with the least served one. */
+export const mutateQueued = (state: AdmissionState, record: RequestRecord): void => {
+	const usage = getTeamUsage(state, record.ticket.team);
+	if (usage.waiting === 0) {
+		usage.virtualTime = Math.max(usage.virtualTime, state.virtualTime);
+	}
+
+	const queue = state.queues.get(record.ticket.target) ?? [];
+	queue.push(record);
+	state.queues.set(record.ticket.target, queue);
+	state.nextDeadlineAt = Math.min(state.nextDeadlineAt, record.ticket.deadlineAt);
+	mutateWaitingCount(state, record, 1);
+};
--- /dev/null
+++ b/packages/admission/src/mutate-refused.ts
@@ -0,0 +1,24 @@
+import {OUTCOME, type OutcomeValue, type ResultCodeValue} from '@valelead/common';
+import {getRetryAfterMs} from './get-retry-after-ms.js';
+import {mutateEnd} from './mutate-end.js';
+import type {AdmissionEffect} from './admission-effect.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+
+/** Ends a request with a refusal. What was dispatched and not refused by its agent may have run. */
+export const mutateRefused = (state: AdmissionState, record: RequestRecord, code: ResultCodeValue, outcome: OutcomeValue): AdmissionEffect[] => {
+	const {requestId, target} = record.ticket;
+	const effects: AdmissionEffect[] = [];
+	if (record.state !== 'waiting') {
+		effects.push({
+			kind: 'cancel', requestId, attemptId: record.attemptId, vm: record.vm,
+		});
+	}
+
+	const honest = record.mayHaveRun && outcome === OUTCOME.NotRun ? OUTCOME.Unknown : outcome;
+	effects.push({
+		kind: 'refuse', requestId, code, outcome: honest, retryAfterMs: getRetryAfterMs(state, target),
+	});
+	mutateEnd(state, record, 'refuse');
+	return effects;
+};
--- /dev/null
+++ b/packages/admission/src/mutate-released.ts
@@ -0,0 +1,16 @@
+import {getLane} from './get-lane.js';
+import {getTeamUsage} from './get-team-usage.js';
+import {mutateUnqueued} from './mutate-unqueued.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+
+/** Takes a request out of the queue or from its upstream. */
+export const mutateReleased = (state: AdmissionState, record: RequestRecord): void => {
+	if (record.state === 'waiting') {
+		mutateUnqueued(state, record);
+		return;
+	}
+
+	getTeamUsage(state, record.ticket.team).inProgress -= 1;
+	getLane(state, record.vm).inProgress -= 1;
+};
--- /dev/null
+++ b/packages/admission/src/mutate-target-demands.ts
@@ -0,0 +1,19 @@
+import type {AdmissionState} from './admission-state.js';
+import type {TargetDemand} from './target-demand.js';
+
+/** What waits for each target, and what arrived since the last call. */
+export const mutateTargetDemands = (state: AdmissionState, now: number): TargetDemand[] => {
+	const targets = new Set([...state.queues.keys(), ...state.arrivals.keys()]);
+	const demands = [...targets].map(target => {
+		const queue = state.queues.get(target) ?? [];
+		return {
+			target,
+			waiting: queue.length,
+			weight: queue.reduce((sum, record) => sum + record.ticket.classWeight, 0),
+			mostRemainingMs: Math.max(0, ...queue.map(record => record.ticket.deadlineAt - now)),
+			arrivals: state.arrivals.get(target) ?? 0,
+		};
+	});
+	state.arrivals.clear();
+	return demands;
+};
--- /dev/null
+++ b/packages/admission/src/mutate-unqueued.ts
@@ -0,0 +1,14 @@
+import {mutateWaitingCount} from './mutate-waiting-count.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+
+/** Takes a request out of its queue. */
+export const mutateUnqueued = (state: AdmissionState, record: RequestRecord): void => {
+	const queue = state.queues.get(record.ticket.target) ?? [];
+	queue.splice(queue.indexOf(record), 1);
+	if (queue.length === 0) {
+		state.queues.delete(record.ticket.target);
+	}
+
+	mutateWaitingCount(state, record, -1);
+};
--- /dev/null
+++ b/packages/admission/src/mutate-waiting-count.ts
@@ -0,0 +1,10 @@
+import {getTeamUsage} from './get-team-usage.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+
+/** Counts a request for its team and class. */
+export const mutateWaitingCount = (state: AdmissionState, record: RequestRecord, count: number): void => {
+	const {team, className} = record.ticket;
+	getTeamUsage(state, team).waiting += count;
+	state.classWaiting.set(className, (state.classWaiting.get(className) ?? 0) + count);
+};
--- /dev/null
+++ b/packages/admission/src/ticket.ts
@@ -0,0 +1,14 @@
+/** What the admission knows of a request. Times are monotonic milliseconds. */
+export type Ticket = {
+	readonly requestId: string;
+	readonly team: string;
+	readonly teamWeight: number;
+	readonly className: string;
+	readonly classWeight: number;
+	/** The unit, or the target of a service. */
+	readonly target: string;
+	readonly arrivedAt: number;
+	readonly deadlineAt: number;
+	/** Whether it may be dispatched again after an attempt that may have run. */
+	readonly isRepeatable: boolean;
+};
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,16 @@
+export {RESULT_CODE} from './result-code.js';
+export type {ResultCodeValue} from './result-code-value.js';
+export {RESULT_DETAILS} from './result-details.js';
+export type {ResultDetail} from './result-detail.js';
+export {OUTCOME} from './outcome.js';
+export type {OutcomeValue} from './outcome-value.js';
+export {ValeleadError} from './valelead-error.js';
+export {assertNever} from './assert-never.js';
+export {invariant} from './invariant.js';
+export type {Clock} from './clock.js';
+export {SYSTEM_CLOCK} from './system-clock.js';
+export {TimerService} from './timer-service.js';
+export type {TimerSubscription} from './timer-subscription.js';
+export type {StateChart} from './state-chart.js';
+export {loadStateChart} from './load-state-chart.js';
+export {getNextState} from './get-next-state.js';
--- /dev/null
+++ b/packages/common/src/outcome-value.ts
@@ -0,0 +1,4 @@
+import type {OUTCOME} from './outcome.js';
+
+/** One of the values of OUTCOME. */
+export type OutcomeValue = (typeof OUTCOME)[keyof typeof OUTCOME];
--- /dev/null
+++ b/packages/common/src/system-clock.ts
@@ -0,0 +1,8 @@
+import {performance} from 'node:perf_hooks';
+import type {Clock} from './clock.js';
+
+/** The clock of the operating system. */
+export const SYSTEM_CLOCK: Clock = {
+	now: () => performance.now(),
+	wallNow: () => Date.now(),
+};
--- /dev/null
+++ b/packages/consensus/src/consensus-node.ts
@@ -0,0 +1,257 @@
+import {
+	type Clock, type TimerService, type TimerSubscription, RESULT_CODE, ValeleadError,
+} from '@valelead/common';
+import {getLastIndex} from './get-last-index.js';
+import {getLeaseEnd} from './get-lease-end.js';
+import {isPersistEffect} from './is-persist-effect.js';
+import {mutateConsensus} from './mutate-consensus.js';
+import {newConsensusState} from './new-consensus-state.js';
+import type {ConsensusEffect} from './consensus-effect.js';
+import type {ConsensusEvent} from './consensus-event.js';
+import type {ConsensusMessage} from './consensus-message.js';
+import type {ConsensusSettings} from './consensus-settings.js';
+import type {ConsensusState} from './consensus-state.js';
+import type {ConsensusTransport} from './consensus-transport.js';
+import type {MessageTarget} from './message-target.js';
+import type {LogStorage} from './log-storage.js';
+import type {StateMachine} from './state-machine.js';
+import type {StoredLog} from './stored-log.js';
+import type {Voter} from './voter.js';
+
+type NodeParts = {
+	readonly settings: ConsensusSettings;
+	readonly clock: Clock;
+	readonly timers: TimerService;
+	readonly storage: LogStorage;
+	readonly transport: ConsensusTransport;
+	readonly machine: StateMachine;
+	readonly onFailure: (error: ValeleadError) => void;
+	/** Log entries after which a snapshot is taken. */
+	readonly snapshotEvery: number;
+	/** Uniform in [0, 1). */
+	readonly random: () => number;
+};
+
+type Proposal = {
+	readonly resolve: (index: number) => void;
+	readonly reject: (error: ValeleadError) => void;
+};
+
+const TICK_MS = 10;
+
+/** Runs one voter: feeds its state with events and carries out the effects, syncing before answering. */
+export class ConsensusNode {
+	readonly #parts: NodeParts;
+	readonly #state: ConsensusState;
+	readonly #proposals = new Map<string, Proposal>();
+	readonly #senders = new Map<string, MessageTarget>();
+	#pending: ConsensusEffect[] = [];
+	#isFlushing = false;
+	#isStopped = false;
+	#nextProposal = 1;
+	#ticks: TimerSubscription | undefined;
+
+	constructor(stored: StoredLog, parts: NodeParts) {
+		this.#parts = parts;
+		this.#state = newConsensusState(stored, parts.settings, parts.clock.now());
+		if (stored.snapshot.data !== '') {
+			parts.machine.restore(stored.snapshot.index, stored.snapshot.data);
+		}
+	}
+
+	start(): void {
+		this.#ticks = this.#parts.timers.repeat(TICK_MS, () => {
+			this.#take({kind: 'tick', jitter: this.#parts.random()});
+		});
+	}
+
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		this.#ticks?.cancel();
+		await this.#parts.storage.close();
+	}
+
+	get id(): string {
+		return this.#state.selfId;
+	}
+
+	get term(): number {
+		return this.#state.term;
+	}
+
+	get commitIndex(): number {
+		return this.#state.commitIndex;
+	}
+
+	get voters(): readonly Voter[] {
+		return this.#state.voters;
+	}
+
+	get formation(): readonly Voter[] {
+		return this.#state.snapshot.voters.length > 0 ? this.#state.snapshot.voters : this.#state.voters;
+	}
+
+	get leader(): Voter | undefined {
+		return this.#state.voters.find(voter => voter.id === this.#state.leaderId);
+	}
+
+	get isLeader(): boolean {
+		return this.#state.role === 'leader';
+	}
+
+	/** Whether this voter leads, holds its lease, and has applied everything that earlier leaders committed. */
+	get isCurrentLeader(): boolean {
+		const now = this.#parts.clock.now();
+		const hasLease = now < getLeaseEnd(this.#state, this.#parts.settings, now);
+		return hasLease && this.#hasOwnCommit();
+	}
+
+	/** Takes a message. The sender's address is kept for the answer, as it may not be a known voter yet. */
+	receive(from: MessageTarget, message: ConsensusMessage): void {
+		this.#senders.set(from.id, from);
+		this.#take({kind: 'message', from: from.id, message});
+	}
+
+	/** Resolves with the index when the command is committed and applied. */
+	async propose(data: string): Promise<number> {
+		return this.#propose(proposalId => ({kind: 'propose', proposalId, data}));
+	}
+
+	async configure(voters: readonly Voter[]): Promise<number> {
+		return this.#propose(proposalId => ({kind: 'configure', proposalId, voters}));
+	}
+
+	/** Hands leadership to the voter that has followed furthest. */
+	transfer(): void {
+		const followers = this.#state.voters.filter(voter => !voter.isLearner && voter.id !== this.#state.selfId);
+		const target = followers.sort((left, right) => this.#getMatch(right.id) - this.#getMatch(left.id))[0];
+		if (target) {
+			this.#take({kind: 'transfer', to: target.id});
+		}
+	}
+
+	/** Whether a member holds everything that is committed. */
+	isCaughtUp(id: string): boolean {
+		return this.#getMatch(id) >= this.#state.commitIndex;
+	}
+
+	#getMatch(id: string): number {
+		return this.#state.peers.get(id)?.matchIndex ?? 0;
+	}
+
+	#hasOwnCommit(): boolean {
+		const {snapshot, log, commitIndex, term} = this.#state;
+		const entry = log[commitIndex - snapshot.index - 1];
+		return (entry?.term ?? snapshot.term) === term;
+	}
+
+	async #propose(newEvent: (proposalId: string) => ConsensusEvent): Promise<number> {
+		const proposalId = String(this.#nextProposal);
+		this.#nextProposal += 1;
+		return new Promise((resolve, reject) => {
+			this.#proposals.set(proposalId, {resolve, reject});
+			this.#take(newEvent(proposalId));
+		});
+	}
+
+	#take(event: ConsensusEvent): void {
+		if (this.#isStopped) {
+			return;
+		}
+
+		const effects = mutateConsensus(this.#state, this.#parts.settings, event, this.#parts.clock.now());
+		if (effects.length === 0) {
+			return;
+		}
+
+		this.#pending.push(...effects);
+		if (!this.#isFlushing) {
+			void this.#flush();
+		}
+	}
+
+	async #flush(): Promise<void> {
+		this.#isFlushing = true;
+		try {
+			while (this.#pending.length > 0 && !this.#isStopped) {
+				const batch = this.#pending;
+				this.#pending = [];
+				await this.#persist(batch);
+				for (const effect of batch) {
+					this.#carryOut(effect);
+				}
+
+				this.#compact();
+			}
+		} catch (error) {
+			this.#isStopped = true;
+			this.#ticks?.cancel();
+			this.#parts.onFailure(new ValeleadError(`Storage failed: ${String(error)}`, {code: RESULT_CODE.StorageFailed}));
+		} finally {
+			this.#isFlushing = false;
+		}
+	}
+
+	async #persist(batch: readonly ConsensusEffect[]): Promise<void> {
+		const effects = batch.filter(effect => isPersistEffect(effect));
+		if (effects.length === 0) {
+			return;
+		}
+
+		await this.#parts.storage.persist(effects);
+		const entry = effects.flatMap(effect => effect.kind === 'persistHardState' ? [] : effect.entries).at(-1);
+		if (entry) {
+			this.#take({kind: 'synced', index: entry.index, term: entry.term});
+		}
+	}
+
+	#carryOut(effect: ConsensusEffect): void {
+		switch (effect.kind) {
+			case 'send': {
+				const to = this.#state.voters.find(voter => voter.id === effect.to) ?? this.#senders.get(effect.to);
+				if (to) {
+					this.#parts.transport.send(this.#state.selfId, to, effect.message);
+				}
+
+				break;
+			}
+
+			case 'apply': {
+				if (effect.entry.kind === 'command') {
+					this.#parts.machine.apply(effect.entry.index, effect.entry.data);
+				}
+
+				break;
+			}
+
+			case 'restore': {
+				this.#parts.machine.restore(effect.snapshot.index, effect.snapshot.data);
+				break;
+			}
+
+			case 'proposalCommitted': {
+				this.#proposals.get(effect.proposalId)?.resolve(effect.index);
+				this.#proposals.delete(effect.proposalId);
+				break;
+			}
+
+			case 'proposalRejected': {
+				this.#proposals.get(effect.proposalId)?.reject(new ValeleadError('This voter does not lead', {code: RESULT_CODE.NotLeader}));
+				this.#proposals.delete(effect.proposalId);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	#compact(): void {
+		const isDue = this.#state.appliedIndex - this.#state.snapshot.index >= this.#parts.snapshotEvery;
+		const isSettled = this.#pending.every(effect => effect.kind !== 'apply');
+		if (isDue && isSettled && getLastIndex(this.#state) > 0) {
+			this.#take({kind: 'compact', index: this.#state.appliedIndex, data: this.#parts.machine.save()});
+		}
+	}
+}
--- /dev/null
+++ b/packages/consensus/src/consensus-transport.ts
@@ -0,0 +1,7 @@
+import type {ConsensusMessage} from './consensus-message.js';
+import type {MessageTarget} from './message-target.js';
+
+/** Sends messages to other voters; a message may be lost. */
+export type ConsensusTransport = {
+	readonly send: (from: string, to: MessageTarget, message: ConsensusMessage) => void;
+};
--- /dev/null
+++ b/packages/consensus/src/file-storage.ts
@@ -0,0 +1,125 @@
+import {
+	type FileHandle, mkdir, open, readFile, readdir, rename, rm,
+} from 'node:fs/promises';
+import path from 'node:path';
+import {RESULT_CODE, ValeleadError} from '@valelead/common';
+import {decodeFrames} from './decode-frames.js';
+import {encodeFrame} from './encode-frame.js';
+import {mutateStoredLog} from './mutate-stored-log.js';
+import type {LogStorage} from './log-storage.js';
+import type {PersistEffect} from './persist-effect.js';
+import type {MutableStoredLog} from './mutable-stored-log.js';
+import type {StoredLog} from './stored-log.js';
+
+const FILE_PATTERN = /^log-(?<number>\d+)\.wal$/v;
+
+const getFileName = (number: number): string => `log-${String(number).padStart(10, '0')}.wal`;
+
+const syncFolder = async (folder: string): Promise<void> => {
+	const handle = await open(folder, 'r');
+	try {
+		await handle.sync();
+	} finally {
+		await handle.close();
+	}
+};
+
+/**
+ * A log in one append-only file. A batch is one checksummed frame, synced before the batch counts as stored.
+ * A snapshot starts a new file, which replaces the old one by an atomic rename.
+ */
+export class FileStorage implements LogStorage {
+	readonly #folder: string;
+	#number = 0;
+	#handle: FileHandle | undefined;
+	#stored: MutableStoredLog | undefined;
+
+	constructor(folder: string) {
+		this.#folder = folder;
+	}
+
+	async load(): Promise<StoredLog | undefined> {
+		await mkdir(this.#folder, {recursive: true});
+		const newest = await this.#getNewestNumber();
+		if (newest === undefined) {
+			return undefined;
+		}
+
+		this.#number = newest;
+		const file = path.join(this.#folder, getFileName(newest));
+		const {records, validLength} = decodeFrames(await readFile(file));
+		const first = records[0]?.[0] as StoredLog | undefined;
+		if (!first) {
+			throw new ValeleadError(`${file} holds no complete first record`, {code: RESULT_CODE.CorruptLog});
+		}
+
+		const stored = {...first, entries: [...first.entries]};
+		for (const effects of records.slice(1)) {
+			for (const effect of effects as PersistEffect[]) {
+				mutateStoredLog(stored, effect);
+			}
+		}
+
+		this.#handle = await open(file, 'r+');
+		await this.#handle.truncate(validLength);
+		await this.#handle.sync();
+		await this.#reopen(file);
+		this.#stored = stored;
+		return {...stored, entries: [...stored.entries]};
+	}
+
+	async create(stored: StoredLog): Promise<void> {
+		await mkdir(this.#folder, {recursive: true});
+		await this.#startFile({...stored, entries: [...stored.entries]});
+	}
+
+	async persist(effects: readonly PersistEffect[]): Promise<void> {
+		const stored = this.#stored!;
+		for (const effect of effects) {
+			mutateStoredLog(stored, effect);
+		}
+
+		if (effects.some(effect => effect.kind === 'persistSnapshot')) {
+			await this.#startFile(stored);
+			return;
+		}
+
+		await this.#handle!.appendFile(encodeFrame(effects));
+		await this.#handle!.datasync();
+	}
+
+	async close(): Promise<void> {
+		await this.#handle?.close();
+		this.#handle = undefined;
+	}
+
+	async #startFile(stored: MutableStoredLog): Promise<void> {
+		const previous = this.#number;
+		const file = path.join(this.#folder, getFileName(previous + 1));
+		const temporary = `${file}.tmp`;
+		const handle = await open(temporary, 'w');
+		await handle.writeFile(encodeFrame([stored]));
+		await handle.sync();
+		await handle.close();
+		await rename(temporary, file);
+		await syncFolder(this.#folder);
+		this.#number = previous + 1;
+		this.#stored = stored;
+		await this.#reopen(file);
+		await rm(path.join(this.#folder, getFileName(previous)), {force: true});
+	}
+
+	async #reopen(file: string): Promise<void> {
+		await this.#handle?.close();
+		this.#handle = await open(file, 'a');
+	}
+
+	async #getNewestNumber(): Promise<number | undefined> {
+		const names = await readdir(this.#folder);
+		const numbers = names
+			.map(name => FILE_PATTERN.exec(name)?.groups?.number)
+			.filter(number => number !== undefined)
+			.map(Number);
+		return numbers.length === 0 ? undefined : Math.max(...numbers);
+	}
+}
--- /dev/null
+++ b/packages/consensus/src/found-voter.ts
@@ -0,0 +1,10 @@
+import type {Voter} from './voter.js';
+
+/** What a voter with an empty disk learns of a peer. */
+export type FoundVoter = {
+	readonly voter: Voter;
+	/** Whether the peer belongs to a quorum. */
+	readonly isFormed: boolean;
+	/** The voters of that quorum as far as the peer knows them. */
+	readonly formation: readonly Voter[];
+};
--- /dev/null
+++ b/packages/consensus/src/get-quorum-value.ts
@@ -0,0 +1,14 @@
+import type {ConsensusState} from './consensus-state.js';
+
+/** The largest value that a majority of the voters has reached. */
+export const getQuorumValue = (state: ConsensusState, getValue: (id: string) => number): number => {
+	const values = state.voters
+		.filter(voter => !voter.isLearner)
+		.map(voter => getValue(voter.id))
+		.sort((left, right) => right - left);
+	if (values.length === 0) {
+		return Number.NEGATIVE_INFINITY;
+	}
+
+	return values[Math.floor(values.length / 2)];
+};
--- /dev/null
+++ b/packages/consensus/src/hard-state.ts
@@ -0,0 +1,5 @@
+/** What a voter must not forget across a restart. */
+export type HardState = {
+	readonly term: number;
+	readonly votedFor: string | undefined;
+};
--- /dev/null
+++ b/packages/consensus/src/message-target.ts
@@ -0,0 +1,5 @@
+/** Where a message to another voter goes. */
+export type MessageTarget = {
+	readonly id: string;
+	readonly address: string;
+};
--- /dev/null
+++ b/packages/consensus/src/mutate-configuration.ts
@@ -0,0 +1,48 @@
+import {getTermAt} from './get-term-at.js';
+import {getLastIndex} from './get-last-index.js';
+import {mutateAppend} from './mutate-append.js';
+import {newAppendRequests} from './new-append-requests.js';
+import {newRejection} from './new-rejection.js';
+import {LOG_ENTRY_KIND} from './log-entry-kind.js';
+import type {ConsensusEffect} from './consensus-effect.js';
+import type {ConsensusState} from './consensus-state.js';
+import type {Voter} from './voter.js';
+
+const getVotingIds = (voters: readonly Voter[]): string[] => voters.filter(voter => !voter.isLearner).map(voter => voter.id);
+
+/** Two configurations that differ by at most one vote have overlapping majorities. */
+const isOneStep = (from: readonly Voter[], to: readonly Voter[]): boolean => {
+	const before = new Set(getVotingIds(from));
+	const after = new Set(getVotingIds(to));
+	const added = [...after].filter(id => !before.has(id)).length;
+	const removed = [...before].filter(id => !after.has(id)).length;
+	return added + removed <= 1 && after.size > 0;
+};
+
+/**
+ * Appends a change of voters. One change at a time, of one vote, and only after an entry of the
+ * leader's own term has committed.
+ */
+export const mutateConfiguration = (state: ConsensusState, now: number, proposalId: string, voters: readonly Voter[]): ConsensusEffect[] => {
+	const isSettled = state.votersIndex <= state.commitIndex && getTermAt(state, state.commitIndex) === state.term;
+	if (state.role !== 'leader' || state.transferTo !== undefined || !isSettled || !isOneStep(state.voters, voters)) {
+		return newRejection(proposalId);
+	}
+
+	const effects = mutateAppend(state, LOG_ENTRY_KIND.Configuration, JSON.stringify(voters));
+	state.proposals.set(getLastIndex(state), proposalId);
+	for (const voter of voters) {
+		if (voter.id !== state.selfId && !state.peers.has(voter.id)) {
+			state.peers.set(voter.id, {nextIndex: getLastIndex(state) + 1, matchIndex: 0, ackedSentAt: Number.NEGATIVE_INFINITY});
+		}
+	}
+
+	const members = new Set(voters.map(voter => voter.id));
+	for (const id of state.peers.keys()) {
+		if (!members.has(id)) {
+			state.peers.delete(id);
+		}
+	}
+
+	return [...effects, ...newAppendRequests(state, now)];
+};
--- /dev/null
+++ b/packages/consensus/src/mutate-role.ts
@@ -0,0 +1,11 @@
+import {getNextState, invariant, loadStateChart} from '@valelead/common';
+import type {ConsensusState} from './consensus-state.js';
+
+const ROLE_CHART = loadStateChart(new URL('../charts/role.chart.json', import.meta.url));
+
+/** Moves the role along its chart. */
+export const mutateRole = (state: ConsensusState, event: string): void => {
+	const next = getNextState(ROLE_CHART, state.role, event);
+	invariant(next !== undefined, `role ${state.role} takes ${event}`);
+	state.role = next;
+};
--- /dev/null
+++ b/packages/consensus/src/mutate-tick.ts
@@ -0,0 +1,43 @@
+import {getLeaseEnd} from './get-lease-end.js';
+import {mutateElection} from './mutate-election.js';
+import {mutateFollower} from './mutate-follower.js';
+import {newAppendRequests} from './new-append-requests.js';
+import type {ConsensusEffect} from './consensus-effect.js';
+import type {ConsensusSettings} from './consensus-settings.js';
+import type {ConsensusState} from './consensus-state.js';
+
+const isQuorumLost = (state: ConsensusState, settings: ConsensusSettings, now: number): boolean => {
+	if (now - state.leaderSince < settings.electionTimeoutMs * 2) {
+		return false;
+	}
+
+	return state.transferTo === undefined && getLeaseEnd(state, settings, now) + settings.electionTimeoutMs < now;
+};
+
+/** Gives up a hand-over that its target did not take. */
+const mutateTransferEnd = (state: ConsensusState, now: number): void => {
+	if (state.transferTo !== undefined && now >= state.transferEndsAt) {
+		state.transferTo = undefined;
+		state.leaderSince = now;
+	}
+};
+
+/** Sends heartbeats, steps down without a quorum, or starts an election. */
+export const mutateTick = (state: ConsensusState, settings: ConsensusSettings, now: number, jitter: number): ConsensusEffect[] => {
+	if (state.role !== 'leader') {
+		return now >= state.electionDueAt ? mutateElection(state, settings, now, jitter) : [];
+	}
+
+	mutateTransferEnd(state, now);
+	if (isQuorumLost(state, settings, now)) {
+		state.electionDueAt = now + (settings.electionTimeoutMs * (1 + jitter));
+		return mutateFollower(state, 'quorumLost', state.term);
+	}
+
+	if (now < state.heartbeatDueAt) {
+		return [];
+	}
+
+	state.heartbeatDueAt = now + settings.heartbeatMs;
+	return newAppendRequests(state, now);
+};
--- /dev/null
+++ b/packages/consensus/src/mutate-vote-request.ts
@@ -0,0 +1,54 @@
+import {getLastIndex} from './get-last-index.js';
+import {getTermAt} from './get-term-at.js';
+import {mutateFollower} from './mutate-follower.js';
+import type {ConsensusEffect} from './consensus-effect.js';
+import type {ConsensusMessage} from './consensus-message.js';
+import type {ConsensusSettings} from './consensus-settings.js';
+import type {ConsensusState} from './consensus-state.js';
+
+type VoteRequest = Extract<ConsensusMessage, {kind: 'voteRequest'}>;
+
+const isUpToDate = (state: ConsensusState, request: VoteRequest): boolean => {
+	const lastIndex = getLastIndex(state);
+	const lastTerm = getTermAt(state, lastIndex) ?? 0;
+	if (request.lastTerm !== lastTerm) {
+		return request.lastTerm > lastTerm;
+	}
+
+	return request.lastIndex >= lastIndex;
+};
+
+/** A voter that hears a leader, or is one, does not help to replace it; this is what makes the lease safe. */
+const isLeaderAlive = (state: ConsensusState, settings: ConsensusSettings, now: number): boolean => state.role === 'leader' || now - state.leaderContactAt < settings.electionTimeoutMs;
+
+/** Answers a request for a vote. */
+export const mutateVoteRequest = (state: ConsensusState, settings: ConsensusSettings, now: number, from: string, request: VoteRequest): ConsensusEffect[] => {
+	const newReply = (isGranted: boolean): ConsensusEffect => ({
+		kind: 'send',
+		to: from,
+		message: {
+			kind: 'voteReply',
+			term: request.isPreVote && isGranted ? request.term : state.term,
+			isPreVote: request.isPreVote,
+			isGranted,
+		},
+	});
+	if (request.term < state.term || (!request.isTransfer && isLeaderAlive(state, settings, now))) {
+		return [newReply(false)];
+	}
+
+	if (request.isPreVote) {
+		return [newReply(request.term > state.term && isUpToDate(state, request))];
+	}
+
+	const effects = request.term > state.term ? mutateFollower(state, 'higherTerm', request.term) : [];
+	const isFree = state.votedFor === undefined || state.votedFor === from;
+	const isGranted = isFree && isUpToDate(state, request);
+	if (isGranted && state.votedFor === undefined) {
+		state.votedFor = from;
+		state.electionDueAt = now + (settings.electionTimeoutMs * 2);
+		effects.push({kind: 'persistHardState', hardState: {term: state.term, votedFor: from}});
+	}
+
+	return [...effects, newReply(isGranted)];
+};
--- /dev/null
+++ b/packages/consensus/src/new-consensus-state.ts
@@ -0,0 +1,36 @@
+import {getNextVoters} from './get-next-voters.js';
+import type {ConsensusSettings} from './consensus-settings.js';
+import type {ConsensusState} from './consensus-state.js';
+import type {StoredLog} from './stored-log.js';
+
+/**
+ * The state of a voter that starts from its stored log. It counts the start as contact with a leader,
+ * so that a lease granted before the restart is honoured.
+ */
+export const newConsensusState = (stored: StoredLog, settings: ConsensusSettings, now: number): ConsensusState => {
+	const lastIndex = stored.entries.at(-1)?.index ?? stored.snapshot.index;
+	const current = getNextVoters(stored.snapshot, stored.entries);
+	return {
+		selfId: stored.id,
+		role: 'follower',
+		term: stored.hardState.term,
+		votedFor: stored.hardState.votedFor,
+		snapshot: stored.snapshot,
+		log: [...stored.entries],
+		voters: current.voters,
+		votersIndex: current.index,
+		commitIndex: stored.snapshot.index,
+		appliedIndex: stored.snapshot.index,
+		syncedIndex: lastIndex,
+		leaderId: undefined,
+		leaderContactAt: now,
+		electionDueAt: now + (settings.electionTimeoutMs * 1.5),
+		heartbeatDueAt: now,
+		leaderSince: now,
+		granted: new Set(),
+		peers: new Map(),
+		proposals: new Map(),
+		transferTo: undefined,
+		transferEndsAt: 0,
+	};
+};
--- /dev/null
+++ b/packages/consensus/src/peer-progress.ts
@@ -0,0 +1,7 @@
+/** What the leader knows of another member. */
+export type PeerProgress = {
+	nextIndex: number;
+	matchIndex: number;
+	/** The leader's time of sending the newest message that was answered. */
+	ackedSentAt: number;
+};
--- /dev/null
+++ b/packages/consensus/src/stored-log.ts
@@ -0,0 +1,12 @@
+import type {HardState} from './hard-state.js';
+import type {LogEntry} from './log-entry.js';
+import type {Snapshot} from './snapshot.js';
+
+/** What a voter finds on its disk. */
+export type StoredLog = {
+	readonly id: string;
+	readonly vm: string;
+	readonly hardState: HardState;
+	readonly snapshot: Snapshot;
+	readonly entries: readonly LogEntry[];
+};
--- /dev/null
+++ b/packages/consensus/tests/fake-voter.ts
@@ -0,0 +1,148 @@
+import {FakeDisk} from './fake-disk.js';
+import {QUORUM_SETTINGS} from './quorum-settings.js';
+import type {Mutation} from './mutation.js';
+import {
+	type ConsensusEffect, type ConsensusEvent, type ConsensusMessage, type ConsensusState, type LogEntry, type StoredLog, type Voter, getLeaseEnd, isPersistEffect, mutateConsensus, newConsensusState,
+} from '@valelead/consensus';
+
+type VoterEvents = {
+	readonly onSend: (from: string, to: string, message: ConsensusMessage) => void;
+	readonly onApply: (id: string, entry: LogEntry) => void;
+	readonly onCommitted: (proposalId: string, index: number) => void;
+};
+
+/** One voter over virtual time: the shipping state machine with a disk that can be slow, lost or torn. */
+export class FakeVoter {
+	readonly disk: FakeDisk;
+	state: ConsensusState;
+	isUp = true;
+	isFrozen = false;
+	isDiskSlow = false;
+	/** Highest index applied since the last start or restore. */
+	applied: LogEntry[] = [];
+	readonly #events: VoterEvents;
+	readonly #mutation: Mutation;
+	#unsynced: ConsensusEffect[] = [];
+	/** Events that arrived while frozen. */
+	#inbox: ConsensusEvent[] = [];
+
+	constructor(readonly record: Voter, stored: StoredLog, now: number, mutation: Mutation, events: VoterEvents) {
+		this.disk = new FakeDisk(stored);
+		this.#events = events;
+		this.#mutation = mutation;
+		this.state = newConsensusState(stored, QUORUM_SETTINGS, now);
+	}
+
+	take(event: ConsensusEvent, now: number): void {
+		if (!this.isUp) {
+			return;
+		}
+
+		if (this.isFrozen) {
+			if (event.kind === 'message') {
+				this.#inbox.push(event);
+			}
+
+			return;
+		}
+
+		this.#unsynced.push(...mutateConsensus(this.state, QUORUM_SETTINGS, this.#mutate(event), now));
+		if (this.#mutation === 'send before sync') {
+			this.#sendUnsynced();
+		}
+
+		if (!this.isDiskSlow) {
+			this.sync(now);
+		}
+	}
+
+	/** Writes all that is pending, then carries out what had to wait for it. */
+	sync(now: number): void {
+		while (this.#unsynced.length > 0 && this.isUp && !this.isFrozen) {
+			const batch = this.#unsynced;
+			this.#unsynced = [];
+			const persisted = batch.filter(effect => isPersistEffect(effect));
+			this.disk.sync(this.#mutation === 'forget votes' ? persisted.filter(effect => effect.kind !== 'persistHardState') : persisted);
+			for (const effect of batch) {
+				this.#carryOut(effect);
+			}
+
+			const last = persisted.flatMap(effect => effect.kind === 'persistHardState' ? [] : effect.entries).at(-1);
+			if (last) {
+				this.#unsynced.push(...mutateConsensus(this.state, QUORUM_SETTINGS, {kind: 'synced', index: last.index, term: last.term}, now));
+			}
+		}
+	}
+
+	crash(): void {
+		this.isUp = false;
+		this.isFrozen = false;
+		this.#unsynced = [];
+		this.#inbox = [];
+	}
+
+	restart(now: number): void {
+		this.isUp = true;
+		this.applied = [];
+		this.state = newConsensusState(this.disk.load(), QUORUM_SETTINGS, now);
+		if (this.#mutation === 'forget lease') {
+			this.state.leaderContactAt = Number.NEGATIVE_INFINITY;
+		}
+	}
+
+	thaw(now: number): void {
+		this.isFrozen = false;
+		const inbox = this.#inbox;
+		this.#inbox = [];
+		for (const event of inbox) {
+			this.take(event, now);
+		}
+	}
+
+	hasLease(now: number): boolean {
+		const entry = this.state.log[this.state.commitIndex - this.state.snapshot.index - 1];
+		const hasOwnCommit = (entry?.term ?? this.state.snapshot.term) === this.state.term;
+		return this.isUp && !this.isFrozen && hasOwnCommit && now < getLeaseEnd(this.state, QUORUM_SETTINGS, now);
+	}
+
+	#mutate(event: ConsensusEvent): ConsensusEvent {
+		const isVote = event.kind === 'message' && event.message.kind === 'voteRequest';
+		if (this.#mutation === 'ignore lease' && isVote && event.message.kind === 'voteRequest') {
+			return {...event, message: {...event.message, isTransfer: true}};
+		}
+
+		return event;
+	}
+
+	#sendUnsynced(): void {
+		const sends = this.#unsynced.filter(effect => effect.kind === 'send');
+		this.#unsynced = this.#unsynced.filter(effect => effect.kind !== 'send');
+		for (const effect of sends) {
+			this.#carryOut(effect);
+		}
+	}
+
+	#carryOut(effect: ConsensusEffect): void {
+		switch (effect.kind) {
+			case 'send': {
+				this.#events.onSend(this.record.id, effect.to, effect.message);
+				break;
+			}
+
+			case 'apply': {
+				this.applied.push(effect.entry);
+				this.#events.onApply(this.record.id, effect.entry);
+				break;
+			}
+
+			case 'proposalCommitted': {
+				this.#events.onCommitted(effect.proposalId, effect.index);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/engine/src/http-upstream.ts
@@ -0,0 +1,159 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {Agent, type IncomingMessage, request as startRequest} from 'node:http';
+import {OUTCOME, RESULT_CODE, ValeleadError} from '@valelead/common';
+import * as Schema from 'effect/Schema';
+import type {OrderResult} from './order-result.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
+import type {UpstreamOrder} from './upstream-order.js';
+import type {UpstreamRequest} from './upstream-request.js';
+import type {UpstreamStatus} from './upstream-status.js';
+
+const STATUS = Schema.Struct({
+	incarnation: Schema.String,
+	memoryBytes: Schema.Finite,
+	units: Schema.Array(Schema.Struct({
+		unit: Schema.String,
+		state: Schema.Literals(['loading', 'ready']),
+		memoryBytes: Schema.Finite,
+	})),
+	cached: Schema.Array(Schema.String),
+	service: Schema.String,
+	capacity: Schema.Finite,
+	isLeaving: Schema.Boolean,
+	abilities: Schema.Struct({
+		checksFence: Schema.Boolean,
+		resumesStreams: Schema.Boolean,
+		honoursPriorities: Schema.Boolean,
+	}),
+});
+
+const decodeStatus = Schema.decodeUnknownSync(STATUS);
+
+const STATUS_TIMEOUT_MS = 2000;
+const MAX_SOCKETS = 256;
+const HTTP_CLIENT_ERROR = 400;
+const HTTP_SERVER_ERROR = 500;
+
+type Call = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body?: Buffer;
+	readonly timeoutMs?: number;
+	readonly signal?: AbortSignal;
+};
+
+async function * readBody(message: IncomingMessage): AsyncGenerator<Buffer> {
+	for await (const chunk of message) {
+		yield chunk as Buffer;
+	}
+
+	if (!message.complete) {
+		throw new ValeleadError('The upstream\'s answer ended early', {code: RESULT_CODE.AnswerCut, outcome: OUTCOME.Unknown});
+	}
+}
+
+const readText = async (message: IncomingMessage): Promise<string> => {
+	const chunks: Buffer[] = [];
+	for await (const chunk of readBody(message)) {
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+};
+
+const isConnectionRefused = (error: unknown): boolean => (error as {code?: string}).code === 'ECONNREFUSED';
+
+/** An upstream that speaks HTTP. */
+export class HttpUpstream implements Upstream {
+	readonly #host: string;
+	readonly #port: number;
+	readonly #orderTimeoutMs: number;
+	readonly #sockets = new Agent({keepAlive: true, maxSockets: MAX_SOCKETS});
+
+	constructor(host: string, port: number, orderTimeoutMs: number) {
+		this.#host = host;
+		this.#port = port;
+		this.#orderTimeoutMs = orderTimeoutMs;
+	}
+
+	async getStatus(): Promise<UpstreamStatus> {
+		const message = await this.#call({
+			method: 'GET', path: '/upstream/status', headers: {}, timeoutMs: STATUS_TIMEOUT_MS,
+		});
+		return decodeStatus(JSON.parse(await readText(message)));
+	}
+
+	async load(order: UpstreamOrder): Promise<OrderResult> {
+		return this.#order('/upstream/load', order);
+	}
+
+	async unload(order: UpstreamOrder): Promise<OrderResult> {
+		return this.#order('/upstream/unload', order);
+	}
+
+	async send(request: UpstreamRequest, signal: AbortSignal): Promise<UpstreamAnswer> {
+		try {
+			const message = await this.#call({
+				method: request.method,
+				path: request.path,
+				headers: {
+					...(request.contentType === '' ? {} : {'content-type': request.contentType}),
+					'x-request-id': request.requestId,
+					'x-attempt-id': request.attemptId,
+					'x-cache-salt': request.team,
+					'x-priority': String(request.priority),
+					'x-remaining-ms': String(Math.round(request.remainingMs)),
+				},
+				body: request.body,
+				signal,
+			});
+			return {status: message.statusCode!, contentType: message.headers['content-type'] ?? '', body: readBody(message)};
+		} catch (error) {
+			const outcome = isConnectionRefused(error) ? OUTCOME.NotRun : OUTCOME.Unknown;
+			const code = isConnectionRefused(error) ? RESULT_CODE.UpstreamRejected : RESULT_CODE.UpstreamFailed;
+			throw new ValeleadError(`The upstream failed: ${(error as Error).message}`, {code, outcome});
+		}
+	}
+
+	async #order(path: string, order: UpstreamOrder): Promise<OrderResult> {
+		try {
+			const message = await this.#call({
+				method: 'POST',
+				path,
+				headers: {'content-type': 'application/json'},
+				body: Buffer.from(JSON.stringify(order)),
+				timeoutMs: this.#orderTimeoutMs,
+			});
+			await readText(message);
+			if (message.statusCode! >= HTTP_SERVER_ERROR) {
+				return 'unknown';
+			}
+
+			return message.statusCode! >= HTTP_CLIENT_ERROR ? 'refused' : 'done';
+		} catch (error) {
+			return isConnectionRefused(error) ? 'refused' : 'unknown';
+		}
+	}
+
+	async #call(call: Call): Promise<IncomingMessage> {
+		const outgoing = startRequest({
+			agent: this.#sockets,
+			host: this.#host,
+			port: this.#port,
+			method: call.method,
+			path: call.path,
+			headers: {...call.headers, ...(call.body && {'content-length': call.body.length})},
+			...(call.timeoutMs !== undefined && {timeout: call.timeoutMs}),
+			...(call.signal && {signal: call.signal}),
+		});
+		outgoing.on('timeout', () => {
+			outgoing.destroy(new Error('timeout'));
+		});
+		outgoing.end(call.body);
+		const [message] = await once(outgoing, 'response') as [IncomingMessage];
+		return message;
+	}
+}
--- /dev/null
+++ b/packages/engine/src/mutate-credits.ts
@@ -0,0 +1,46 @@
+import {getClosedCode} from './get-closed-code.js';
+import type {AgentEffect} from './agent-effect.js';
+import type {AgentSettings} from './agent-settings.js';
+import type {AgentState} from './agent-state.js';
+
+const mutateExpired = (state: AgentState, now: number): void => {
+	for (const [creditId, credit] of state.credits) {
+		if (credit.expiresAt > now) {
+			break;
+		}
+
+		state.credits.delete(creditId);
+		state.lanes.get(credit.entry)?.credits.delete(creditId);
+	}
+};
+
+const getTarget = (wanted: number, settings: AgentSettings): number => wanted === 0 ? 0 : Math.max(wanted, settings.spareCredits);
+
+/** Issues free places of the upstream to the entries, those with fewest credits first. */
+export const mutateCredits = (state: AgentState, settings: AgentSettings, now: number): AgentEffect[] => {
+	mutateExpired(state, now);
+	if (getClosedCode(state, settings, now) !== undefined) {
+		return [];
+	}
+
+	let free = state.status!.capacity - state.inProgress - state.credits.size;
+	const issued = new Map<string, string[]>();
+	while (free > 0) {
+		const needy = [...state.lanes]
+			.filter(([, lane]) => lane.credits.size < getTarget(lane.wanted, settings))
+			.sort(([, left], [, right]) => left.credits.size - right.credits.size)[0];
+		if (!needy) {
+			break;
+		}
+
+		const [entry, lane] = needy;
+		const creditId = String(state.nextCredit);
+		state.nextCredit += 1;
+		state.credits.set(creditId, {entry, expiresAt: now + settings.creditMs});
+		lane.credits.add(creditId);
+		issued.set(entry, [...(issued.get(entry) ?? []), creditId]);
+		free -= 1;
+	}
+
+	return [...issued].map(([entry, creditIds]) => ({kind: 'credits', entry, creditIds}));
+};
--- /dev/null
+++ b/packages/engine/src/mutate-dispatch.ts
@@ -0,0 +1,59 @@
+import {RESULT_CODE, type ResultCodeValue} from '@valelead/common';
+import {getClosedCode} from './get-closed-code.js';
+import {UNIT_STATE} from './unit-state.js';
+import type {AgentEffect} from './agent-effect.js';
+import type {AgentEvent} from './agent-event.js';
+import type {AgentSettings} from './agent-settings.js';
+import type {AgentState} from './agent-state.js';
+
+type Dispatch = Extract<AgentEvent, {kind: 'dispatch'}>;
+
+const mutateCredit = (state: AgentState, creditId: string): boolean => {
+	const credit = state.credits.get(creditId);
+	state.credits.delete(creditId);
+	if (!credit) {
+		return false;
+	}
+
+	state.lanes.get(credit.entry)?.credits.delete(creditId);
+	return true;
+};
+
+const getRefusal = (state: AgentState, settings: AgentSettings, dispatch: Dispatch, now: number): ResultCodeValue | undefined => {
+	const credit = state.credits.get(dispatch.creditId);
+	const isSpent = !mutateCredit(state, dispatch.creditId);
+	if (isSpent || now >= credit!.expiresAt || state.attempts.has(dispatch.attemptId)) {
+		return RESULT_CODE.CreditExpired;
+	}
+
+	const closed = getClosedCode(state, settings, now);
+	if (closed !== undefined) {
+		return closed;
+	}
+
+	if (dispatch.remainingMs <= 0) {
+		return RESULT_CODE.DeadlineExceeded;
+	}
+
+	const unit = state.units.get(dispatch.unit);
+	const isReady = dispatch.unit === '' || (unit?.state === UNIT_STATE.Ready && !unit.isRevoking);
+	return isReady ? undefined : RESULT_CODE.UnitNotReady;
+};
+
+/** Accepts a dispatch or refuses it; a refused one never reaches the upstream. */
+export const mutateDispatch = (state: AgentState, settings: AgentSettings, dispatch: Dispatch, now: number): AgentEffect[] => {
+	const code = getRefusal(state, settings, dispatch, now);
+	if (code !== undefined) {
+		return [{kind: 'refuse', attemptId: dispatch.attemptId, code}];
+	}
+
+	state.attempts.set(dispatch.attemptId, {unit: dispatch.unit, isEnded: false, acceptedAt: now});
+	state.inProgress += 1;
+	const unit = state.units.get(dispatch.unit);
+	if (unit) {
+		unit.inProgress += 1;
+		unit.lastUsedAt = now;
+	}
+
+	return [{kind: 'accept', attemptId: dispatch.attemptId}];
+};
--- /dev/null
+++ b/packages/engine/src/mutate-orders.ts
@@ -0,0 +1,83 @@
+import {mutateUnit} from './mutate-unit.js';
+import {UNIT_STATE} from './unit-state.js';
+import type {AgentGrant} from './agent-grant.js';
+import type {AgentOrders} from './agent-orders.js';
+import type {AgentState} from './agent-state.js';
+
+/**
+ * A grant that an earlier process of this agent may have ordered counts as committed until the engine's
+ * own report clears it.
+ */
+const addUnit = (state: AgentState, grant: AgentGrant, isFirst: boolean, now: number): void => {
+	state.units.set(grant.unit, {
+		unit: grant.unit,
+		memoryBytes: grant.memoryBytes,
+		grantId: grant.id,
+		fence: grant.fence,
+		isRevoking: grant.isRevoking,
+		state: isFirst ? UNIT_STATE.Uncertain : UNIT_STATE.Reserved,
+		base: grant.base,
+		inProgress: 0,
+		lastUsedAt: now,
+		changedAt: now,
+		failures: 0,
+		retryAt: now,
+	});
+};
+
+const mutateGrant = (state: AgentState, grant: AgentGrant, isFirst: boolean, now: number): void => {
+	const unit = state.units.get(grant.unit);
+	if (!unit) {
+		addUnit(state, grant, isFirst, now);
+		return;
+	}
+
+	if (grant.fence >= unit.fence) {
+		unit.grantId = grant.id;
+		unit.fence = grant.fence;
+		unit.base = grant.base;
+		unit.isRevoking = grant.isRevoking;
+	}
+};
+
+/** Takes the leader's orders, unless they are older than what is known. */
+export const mutateOrders = (state: AgentState, orders: AgentOrders, now: number): void => {
+	if (orders.revision < state.revision) {
+		return;
+	}
+
+	const isFirst = !state.hasOrders;
+	state.hasOrders = true;
+	state.revision = orders.revision;
+	state.isDrained = orders.isDrained;
+	const granted = new Set(orders.grants.map(grant => grant.unit));
+	const ids = new Set(orders.grants.map(grant => grant.id));
+	for (const grantId of state.released) {
+		if (!ids.has(grantId)) {
+			state.released.delete(grantId);
+		}
+	}
+
+	for (const grant of orders.grants) {
+		if (!state.released.has(grant.id)) {
+			mutateGrant(state, grant, isFirst, now);
+		}
+	}
+
+	for (const unit of state.units.values()) {
+		if (!granted.has(unit.unit)) {
+			unit.isRevoking = true;
+		}
+	}
+
+	mutateRevoked(state, now);
+};
+
+/** Moves units that are to be given up towards their unloading. */
+const mutateRevoked = (state: AgentState, now: number): void => {
+	for (const unit of state.units.values()) {
+		if (unit.isRevoking) {
+			mutateUnit(unit, 'revoke', now);
+		}
+	}
+};
--- /dev/null
+++ b/packages/engine/src/mutate-status.ts
@@ -0,0 +1,74 @@
+import {mutateUnit} from './mutate-unit.js';
+import {UNIT_STATE} from './unit-state.js';
+import type {AgentSettings} from './agent-settings.js';
+import type {AgentState} from './agent-state.js';
+import type {AgentUnit} from './agent-unit.js';
+import type {UpstreamStatus} from './upstream-status.js';
+import type {UpstreamUnit} from './upstream-unit.js';
+
+/** A unit that the engine holds without a grant is unloaded. */
+const addFound = (state: AgentState, found: UpstreamUnit, now: number): AgentUnit => {
+	const unit: AgentUnit = {
+		unit: found.unit,
+		memoryBytes: found.memoryBytes,
+		grantId: '',
+		fence: state.revision,
+		isRevoking: true,
+		state: UNIT_STATE.Uncertain,
+		base: '',
+		inProgress: 0,
+		lastUsedAt: now,
+		changedAt: now,
+		failures: 0,
+		retryAt: now,
+	};
+	state.units.set(found.unit, unit);
+	return unit;
+};
+
+/** A restarted engine holds nothing, and the leader frees all grants when it learns so. None may be loaded again. */
+const mutateRestarted = (state: AgentState, now: number): void => {
+	for (const unit of state.units.values()) {
+		unit.state = UNIT_STATE.Gone;
+		unit.isRevoking = true;
+		unit.changedAt = now;
+	}
+};
+
+const mutatePresent = (unit: AgentUnit, settings: AgentSettings, found: UpstreamUnit, requestedAt: number, now: number): void => {
+	const settleMs = unit.state === UNIT_STATE.Unloading ? settings.settleMs : 0;
+	if (requestedAt >= unit.changedAt + settleMs) {
+		mutateUnit(unit, found.state === 'ready' ? 'foundReady' : 'foundLoading', now);
+	}
+};
+
+const mutateAbsent = (unit: AgentUnit, settings: AgentSettings, requestedAt: number, now: number): void => {
+	const isOrdered = unit.state === UNIT_STATE.Loading;
+	const isSettled = requestedAt >= unit.changedAt + settings.settleMs;
+	const needsSettling = unit.state === UNIT_STATE.Uncertain || unit.state === UNIT_STATE.Unloading;
+	if (isOrdered || requestedAt < unit.changedAt || (needsSettling && !isSettled)) {
+		return;
+	}
+
+	mutateUnit(unit, 'absent', now);
+};
+
+/** Compares what is known with the engine's own inventory, which was asked for at `requestedAt`. */
+export const mutateStatus = (state: AgentState, settings: AgentSettings, status: UpstreamStatus, requestedAt: number, now: number): void => {
+	if (state.status && state.status.incarnation !== status.incarnation) {
+		mutateRestarted(state, now);
+	}
+
+	state.status = status;
+	const found = new Map(status.units.map(unit => [unit.unit, unit]));
+	for (const upstreamUnit of status.units) {
+		const unit = state.units.get(upstreamUnit.unit) ?? addFound(state, upstreamUnit, now);
+		mutatePresent(unit, settings, upstreamUnit, requestedAt, now);
+	}
+
+	for (const unit of state.units.values()) {
+		if (!found.has(unit.unit)) {
+			mutateAbsent(unit, settings, requestedAt, now);
+		}
+	}
+};
--- /dev/null
+++ b/packages/intent/src/actions/alter-adapter.ts
@@ -0,0 +1,29 @@
+import * as Schema from 'effect/Schema';
+import {BYTES, COUNT, NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {putRecord} from '../put-record.js';
+import {getAdapterKey} from '../get-adapter-key.js';
+import {requireTeams} from '../require-teams.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('alterAdapter'),
+	model: NAME,
+	name: NAME,
+	memoryBytes: Schema.optionalKey(BYTES),
+	maxReplicas: Schema.optionalKey(COUNT),
+	teams: Schema.optionalKey(Schema.Array(NAME)),
+});
+
+/** Changes an adapter; fields left out stay as they are. */
+export const alterAdapter = newAction({
+	name: 'alterAdapter',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const {kind, ...fields} = command;
+		const key = getAdapterKey(command.model, command.name);
+		const adapter = {...requirePresent(draft.intent.adapters, key, 'adapter'), ...fields};
+		requireTeams(draft.intent, adapter.teams);
+		putRecord(draft, draft.intent.adapters, key, adapter);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/alter-class.ts
@@ -0,0 +1,26 @@
+import * as Schema from 'effect/Schema';
+import {
+	COUNT, DURATION_MS, NAME, WEIGHT,
+} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {putRecord} from '../put-record.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('alterClass'),
+	name: NAME,
+	deadlineMs: Schema.optionalKey(DURATION_MS),
+	weight: Schema.optionalKey(WEIGHT),
+	maxWaiting: Schema.optionalKey(COUNT),
+});
+
+/** Changes a request class; fields left out stay as they are. */
+export const alterClass = newAction({
+	name: 'alterClass',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const {kind, ...fields} = command;
+		const requestClass = requirePresent(draft.intent.classes, command.name, 'class');
+		putRecord(draft, draft.intent.classes, command.name, {...requestClass, ...fields});
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/alter-service.ts
@@ -0,0 +1,27 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {putRecord} from '../put-record.js';
+import {requireTeams} from '../require-teams.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('alterService'),
+	name: NAME,
+	class: Schema.optionalKey(NAME),
+	teams: Schema.optionalKey(Schema.Array(NAME)),
+	isRepeatable: Schema.optionalKey(Schema.Boolean),
+});
+
+/** Changes the route of a plain service; fields left out stay as they are. */
+export const alterService = newAction({
+	name: 'alterService',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const {kind, ...fields} = command;
+		const service = {...requirePresent(draft.intent.services, command.name, 'service'), ...fields};
+		requirePresent(draft.intent.classes, service.class, 'class');
+		requireTeams(draft.intent, service.teams);
+		putRecord(draft, draft.intent.services, command.name, service);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/alter-team.ts
@@ -0,0 +1,25 @@
+import * as Schema from 'effect/Schema';
+import {COUNT, NAME, WEIGHT} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {putRecord} from '../put-record.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('alterTeam'),
+	name: NAME,
+	weight: Schema.optionalKey(WEIGHT),
+	maxInProgress: Schema.optionalKey(COUNT),
+	maxWaiting: Schema.optionalKey(COUNT),
+	classes: Schema.optionalKey(Schema.Array(NAME)),
+});
+
+/** Changes a team; fields left out stay as they are. */
+export const alterTeam = newAction({
+	name: 'alterTeam',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const {kind, ...fields} = command;
+		const team = requirePresent(draft.intent.teams, command.name, 'team');
+		putRecord(draft, draft.intent.teams, command.name, {...team, ...fields});
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/create-key.ts
@@ -0,0 +1,28 @@
+import * as Schema from 'effect/Schema';
+import {RESULT_CODE, ValeleadError} from '@valelead/common';
+import {HASH, NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {putRecord} from '../put-record.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('createKey'),
+	team: NAME,
+	name: NAME,
+	hash: HASH,
+});
+
+/** Adds a key to a team. Only the hash of the key is stored. */
+export const createKey = newAction({
+	name: 'createKey',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const team = requirePresent(draft.intent.teams, command.team, 'team');
+		if (team.keys.some(key => key.name === command.name)) {
+			throw new ValeleadError(`key ${command.name} of team ${command.team} exists`, {code: RESULT_CODE.AlreadyExists});
+		}
+
+		const keys = [...team.keys, {name: command.name, hash: command.hash}];
+		putRecord(draft, draft.intent.teams, command.team, {...team, keys});
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/create-model.ts
@@ -0,0 +1,31 @@
+import * as Schema from 'effect/Schema';
+import {BYTES, COUNT, NAME} from '../field-schemas.js';
+import {requireAbsent} from '../require-absent.js';
+import {putRecord} from '../put-record.js';
+import {newModel} from '../new-model.js';
+import {requireModelReferences} from '../require-model-references.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('createModel'),
+	name: NAME,
+	memoryBytes: BYTES,
+	maxReplicas: Schema.optionalKey(COUNT),
+	minReplicas: Schema.optionalKey(COUNT),
+	class: Schema.optionalKey(NAME),
+	teams: Schema.optionalKey(Schema.Array(NAME)),
+	version: Schema.optionalKey(NAME),
+});
+
+/** Creates a model. */
+export const createModel = newAction({
+	name: 'createModel',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const {kind, ...fields} = command;
+		requireAbsent(draft.intent.models, command.name, 'model');
+		const model = {...newModel(command.name, command.memoryBytes), ...fields};
+		requireModelReferences(draft.intent, model);
+		putRecord(draft, draft.intent.models, command.name, {...model, versions: [model.version]});
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/create-service.ts
@@ -0,0 +1,30 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {requireAbsent} from '../require-absent.js';
+import {requirePresent} from '../require-present.js';
+import {putRecord} from '../put-record.js';
+import {newServiceRoute} from '../new-service-route.js';
+import {requireTeams} from '../require-teams.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('createService'),
+	name: NAME,
+	class: Schema.optionalKey(NAME),
+	teams: Schema.optionalKey(Schema.Array(NAME)),
+	isRepeatable: Schema.optionalKey(Schema.Boolean),
+});
+
+/** Creates the route of a plain service. */
+export const createService = newAction({
+	name: 'createService',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const {kind, ...fields} = command;
+		requireAbsent(draft.intent.services, command.name, 'service');
+		const service = {...newServiceRoute(command.name), ...fields};
+		requirePresent(draft.intent.classes, service.class, 'class');
+		requireTeams(draft.intent, service.teams);
+		putRecord(draft, draft.intent.services, command.name, service);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/drop-adapter.ts
@@ -0,0 +1,23 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {deleteRecord} from '../delete-record.js';
+import {getAdapterKey} from '../get-adapter-key.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('dropAdapter'),
+	model: NAME,
+	name: NAME,
+});
+
+/** Drops an adapter. Its replicas are revoked by the placement. */
+export const dropAdapter = newAction({
+	name: 'dropAdapter',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const key = getAdapterKey(command.model, command.name);
+		requirePresent(draft.intent.adapters, key, 'adapter');
+		deleteRecord(draft, draft.intent.adapters, key);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/drop-class.ts
@@ -0,0 +1,23 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {deleteRecord} from '../delete-record.js';
+import {requireUnused} from '../require-unused.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('dropClass'),
+	name: NAME,
+});
+
+/** Drops a request class that nothing refers to. */
+export const dropClass = newAction({
+	name: 'dropClass',
+	schema: SCHEMA,
+	perform(draft, command) {
+		requirePresent(draft.intent.classes, command.name, 'class');
+		const users = [...draft.intent.models.values(), ...draft.intent.services.values()];
+		requireUnused(users, user => user.class === command.name, `class ${command.name}`);
+		deleteRecord(draft, draft.intent.classes, command.name);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/drop-model.ts
@@ -0,0 +1,22 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {deleteRecord} from '../delete-record.js';
+import {requireUnused} from '../require-unused.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('dropModel'),
+	name: NAME,
+});
+
+/** Drops a model without adapters. Its replicas are revoked by the placement. */
+export const dropModel = newAction({
+	name: 'dropModel',
+	schema: SCHEMA,
+	perform(draft, command) {
+		requirePresent(draft.intent.models, command.name, 'model');
+		requireUnused([...draft.intent.adapters.values()], adapter => adapter.model === command.name, `model ${command.name}`);
+		deleteRecord(draft, draft.intent.models, command.name);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/drop-operator.ts
@@ -0,0 +1,20 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {deleteRecord} from '../delete-record.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('dropOperator'),
+	name: NAME,
+});
+
+/** Withdraws an operator key. */
+export const dropOperator = newAction({
+	name: 'dropOperator',
+	schema: SCHEMA,
+	perform(draft, command) {
+		requirePresent(draft.intent.operators, command.name, 'operator');
+		deleteRecord(draft, draft.intent.operators, command.name);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/drop-service.ts
@@ -0,0 +1,20 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {deleteRecord} from '../delete-record.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('dropService'),
+	name: NAME,
+});
+
+/** Drops the route of a plain service. */
+export const dropService = newAction({
+	name: 'dropService',
+	schema: SCHEMA,
+	perform(draft, command) {
+		requirePresent(draft.intent.services, command.name, 'service');
+		deleteRecord(draft, draft.intent.services, command.name);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/drop-team.ts
@@ -0,0 +1,23 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {deleteRecord} from '../delete-record.js';
+import {requireUnused} from '../require-unused.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('dropTeam'),
+	name: NAME,
+});
+
+/** Drops a team that nothing refers to. */
+export const dropTeam = newAction({
+	name: 'dropTeam',
+	schema: SCHEMA,
+	perform(draft, command) {
+		requirePresent(draft.intent.teams, command.name, 'team');
+		const users = [...draft.intent.models.values(), ...draft.intent.adapters.values(), ...draft.intent.services.values()];
+		requireUnused(users, user => user.teams.includes(command.name), `team ${command.name}`);
+		deleteRecord(draft, draft.intent.teams, command.name);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/forget-vm.ts
@@ -0,0 +1,25 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {deleteRecord} from '../delete-record.js';
+import {deleteGrant} from '../delete-grant.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('forgetVm'),
+	name: NAME,
+});
+
+/** Declares that a VM is gone for good: what was granted to it is free again. */
+export const forgetVm = newAction({
+	name: 'forgetVm',
+	schema: SCHEMA,
+	perform(draft, command) {
+		requirePresent(draft.intent.vms, command.name, 'VM');
+		for (const grantId of draft.intent.grantsByVm.get(command.name) ?? []) {
+			deleteGrant(draft, grantId);
+		}
+
+		deleteRecord(draft, draft.intent.vms, command.name);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/grant.ts
@@ -0,0 +1,38 @@
+import * as Schema from 'effect/Schema';
+import {RESULT_CODE, ValeleadError} from '@valelead/common';
+import {NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {getUnit} from '../get-unit.js';
+import {putGrant} from '../put-grant.js';
+import {requireRoom} from '../require-room.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('grant'),
+	unit: Schema.String,
+	vm: NAME,
+});
+
+/** Decides that a VM holds a replica. This is the only place where the limits of replicas and memory are given out. */
+export const grant = newAction({
+	name: 'grant',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const unit = getUnit(draft.intent, command.unit);
+		if (!unit) {
+			throw new ValeleadError(`there is no unit ${command.unit}`, {code: RESULT_CODE.NotFound});
+		}
+
+		const vm = requirePresent(draft.intent.vms, command.vm, 'VM');
+		requireRoom(draft.intent, unit, vm);
+		putGrant(draft, {
+			id: `${command.unit}/${command.vm}/${draft.revision}`,
+			unit: unit.key,
+			owner: unit.owner,
+			vm: vm.name,
+			memoryBytes: unit.memoryBytes,
+			fence: draft.revision,
+			isRevoking: false,
+		});
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/register-vm.ts
@@ -0,0 +1,39 @@
+import * as Schema from 'effect/Schema';
+import {RESULT_CODE, ValeleadError} from '@valelead/common';
+import {BYTES, INCARNATION, NAME} from '../field-schemas.js';
+import {putRecord} from '../put-record.js';
+import {deleteGrant} from '../delete-grant.js';
+import {isOlderIncarnation} from '../is-older-incarnation.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('registerVm'),
+	name: NAME,
+	dataCentre: Schema.String,
+	address: Schema.String,
+	incarnation: INCARNATION,
+	upstreamIncarnation: Schema.String,
+	memoryBytes: BYTES,
+	service: Schema.String,
+});
+
+/** Records the agent that holds a VM. A new incarnation of the upstream proves that its memory is empty. */
+export const registerVm = newAction({
+	name: 'registerVm',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const {kind, ...fields} = command;
+		const known = draft.intent.vms.get(command.name);
+		if (known && isOlderIncarnation(command.incarnation, known.incarnation)) {
+			throw new ValeleadError(`VM ${command.name} is held by a newer agent`, {code: RESULT_CODE.VmAlreadyHeld});
+		}
+
+		if (known && known.upstreamIncarnation !== command.upstreamIncarnation) {
+			for (const grantId of draft.intent.grantsByVm.get(command.name) ?? []) {
+				deleteGrant(draft, grantId);
+			}
+		}
+
+		putRecord(draft, draft.intent.vms, command.name, {...fields, isDrained: known?.isDrained ?? false});
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/release.ts
@@ -0,0 +1,31 @@
+import * as Schema from 'effect/Schema';
+import {RESULT_CODE, ValeleadError} from '@valelead/common';
+import {INCARNATION, NAME} from '../field-schemas.js';
+import {requirePresent} from '../require-present.js';
+import {deleteGrant} from '../delete-grant.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('release'),
+	vm: NAME,
+	incarnation: INCARNATION,
+	grantIds: Schema.Array(Schema.String),
+});
+
+/** Frees replicas that their agent has proved unloaded. Unknown grants were released before. */
+export const release = newAction({
+	name: 'release',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const vm = requirePresent(draft.intent.vms, command.vm, 'VM');
+		if (vm.incarnation !== command.incarnation) {
+			throw new ValeleadError(`VM ${command.vm} is held by another agent`, {code: RESULT_CODE.VmAlreadyHeld});
+		}
+
+		for (const grantId of command.grantIds) {
+			if (draft.intent.grants.get(grantId)?.vm === command.vm) {
+				deleteGrant(draft, grantId);
+			}
+		}
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/revoke.ts
@@ -0,0 +1,19 @@
+import * as Schema from 'effect/Schema';
+import {requirePresent} from '../require-present.js';
+import {putRecord} from '../put-record.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('revoke'),
+	grantId: Schema.String,
+});
+
+/** Decides that a VM gives up a replica. The replica counts until it is released. */
+export const revoke = newAction({
+	name: 'revoke',
+	schema: SCHEMA,
+	perform(draft, command) {
+		const grant = requirePresent(draft.intent.grants, command.grantId, 'grant');
+		putRecord(draft, draft.intent.grants, grant.id, {...grant, isRevoking: true});
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/start.ts
@@ -0,0 +1,19 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {mutateStopped} from '../mutate-stopped.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('start'),
+	target: Schema.Literals(['team', 'model', 'service']),
+	name: NAME,
+});
+
+/** Lets a stopped team, model or service serve again. */
+export const start = newAction({
+	name: 'start',
+	schema: SCHEMA,
+	perform(draft, command) {
+		mutateStopped(draft, command.target, command.name, false);
+	},
+});
--- /dev/null
+++ b/packages/intent/src/actions/undrain.ts
@@ -0,0 +1,28 @@
+import * as Schema from 'effect/Schema';
+import {NAME} from '../field-schemas.js';
+import {deleteRecord} from '../delete-record.js';
+import {requirePresent} from '../require-present.js';
+import {putRecord} from '../put-record.js';
+import {newAction} from '../action.js';
+
+const SCHEMA = Schema.Struct({
+	kind: Schema.tag('undrain'),
+	target: Schema.Literals(['vm', 'upstream', 'dataCentre']),
+	name: NAME,
+});
+
+/** Undoes a drain. */
+export const undrain = newAction({
+	name: 'undrain',
+	schema: SCHEMA,
+	perform(draft, command) {
+		if (command.target === 'dataCentre') {
+			requirePresent(draft.intent.drainedDataCentres, command.name, 'drained data centre');
+			deleteRecord(draft, draft.intent.drainedDataCentres, command.name);
+			return;
+		}
+
+		const vm = requirePresent(draft.intent.vms, command.name, 'VM');
+		putRecord(draft, draft.intent.vms, command.name, {...vm, isDrained: false});
+	},
+});
--- /dev/null
+++ b/packages/intent/src/mutate-intent.ts
@@ -0,0 +1,71 @@
+import {RESULT_CODE, ValeleadError} from '@valelead/common';
+import {ACTIONS} from './actions.js';
+import type {Command} from './command.js';
+import type {CommandResult} from './command-result.js';
+import type {Draft} from './draft.js';
+import type {Intent} from './intent.js';
+import type {Proposal} from './proposal.js';
+
+/** Results that are kept for resent commands; the oldest is dropped first. */
+const MAX_RESULTS = 10_000;
+
+type AnyPerform = (draft: Draft, command: Command) => void;
+
+const PERFORMS: ReadonlyMap<string, AnyPerform> = new Map(ACTIONS.map(action => [action.name, action.perform as AnyPerform]));
+
+const mutateResults = (intent: Intent, commandId: string, result: CommandResult): CommandResult => {
+	if (commandId === '') {
+		return result;
+	}
+
+	intent.results.set(commandId, result);
+	if (intent.results.size > MAX_RESULTS) {
+		const [oldest] = intent.results.keys();
+		intent.results.delete(oldest);
+	}
+
+	return result;
+};
+
+const mutateCommands = (intent: Intent, commands: readonly Command[]): CommandResult => {
+	const draft: Draft = {intent, revision: intent.revision + 1, undo: []};
+	try {
+		for (const command of commands) {
+			PERFORMS.get(command.kind)!(draft, command);
+		}
+	} catch (error) {
+		for (const undo of draft.undo.reverse()) {
+			undo();
+		}
+
+		if (error instanceof ValeleadError) {
+			return {code: error.code, message: error.message, revision: intent.revision};
+		}
+
+		throw error;
+	}
+
+	intent.revision = draft.revision;
+	return {code: RESULT_CODE.Ok, message: '', revision: draft.revision};
+};
+
+/**
+ * Applies a proposal: all of its commands or none. The same proposal has the same result on every
+ * process, and a proposal that was applied before returns its first result.
+ */
+export const mutateIntent = (intent: Intent, proposal: Proposal): CommandResult => {
+	const first = intent.results.get(proposal.commandId);
+	if (first) {
+		return first;
+	}
+
+	if (proposal.expectedRevision !== undefined && proposal.expectedRevision !== intent.revision) {
+		return mutateResults(intent, proposal.commandId, {
+			code: RESULT_CODE.RevisionConflict,
+			message: `the revision is ${intent.revision}, not ${proposal.expectedRevision}`,
+			revision: intent.revision,
+		});
+	}
+
+	return mutateResults(intent, proposal.commandId, mutateCommands(intent, proposal.commands));
+};
--- /dev/null
+++ b/packages/language/src/explain.ts
@@ -0,0 +1,5 @@
+/** A statement that asks why a model is or is not loaded. */
+export type Explain = {
+	readonly kind: 'explain';
+	readonly model: string;
+};
--- /dev/null
+++ b/packages/language/src/parse-statements.ts
@@ -0,0 +1,109 @@
+import {RESULT_CODE, ValeleadError} from '@valelead/common';
+import {decodeCommands} from '@valelead/intent';
+import {Lexer} from 'chevrotain';
+import {ATTRIBUTE_KINDS} from './attribute-kinds.js';
+import {LISTINGS} from './listings.js';
+import {newSyntaxError} from './new-syntax-error.js';
+import {STATEMENT_KINDS} from './statement-kinds.js';
+import {StatementParser} from './statement-parser.js';
+import {TOKENS} from './tokens.js';
+import type {ParsedChange} from './parsed-change.js';
+import type {Statement} from './statement.js';
+import type {StatementKind} from './statement-kind.js';
+
+const LEXER = new Lexer(Object.values(TOKENS));
+const PARSER = new StatementParser();
+
+const getKind = (change: ParsedChange): StatementKind => {
+	const ofVerb = STATEMENT_KINDS.filter(kind => kind.verb === change.verb.text);
+	if (ofVerb.length === 0) {
+		const verbs = [...new Set(STATEMENT_KINDS.map(kind => kind.verb))];
+		throw newSyntaxError(change.verb, change.verb.text, `one of ${[...verbs, 'show', 'explain'].join(', ')}`);
+	}
+
+	const kind = ofVerb.find(candidate => candidate.object === change.object.text);
+	if (!kind) {
+		throw newSyntaxError(change.object, change.object.text, `one of ${ofVerb.map(candidate => candidate.object).join(', ')}`);
+	}
+
+	return kind;
+};
+
+const checkOwner = (change: ParsedChange, kind: StatementKind): void => {
+	const found = change.ownerObject?.text ?? '';
+	if (found !== kind.owner) {
+		const position = change.ownerObject ?? change.name;
+		throw newSyntaxError(position, found, kind.owner === '' ? 'no owner' : `the ${kind.owner} that it belongs to`);
+	}
+};
+
+const getFields = (change: ParsedChange, kind: StatementKind): Record<string, unknown> => {
+	const fields: Record<string, unknown> = {};
+	for (const {name, values} of change.attributes) {
+		if (!kind.attributes.includes(name.text)) {
+			const expected = kind.attributes.length === 0 ? 'the end of the statement' : `one of ${kind.attributes.join(', ')}`;
+			throw newSyntaxError(name, name.text, expected);
+		}
+
+		Object.assign(fields, ATTRIBUTE_KINDS[name.text](values));
+	}
+
+	return fields;
+};
+
+const toStatement = (change: ParsedChange, newHash: (() => string) | undefined): Statement => {
+	const kind = getKind(change);
+	checkOwner(change, kind);
+	const fields = getFields(change, kind);
+	if (newHash && kind.attributes.includes('hash')) {
+		fields.hash ??= newHash();
+	}
+
+	const command = kind.perform({name: change.name.text, owner: change.ownerName?.text ?? '', fields});
+	const [checked] = decodeCommands(JSON.stringify([command]));
+	return {kind: 'change', command: checked};
+};
+
+/**
+ * Parses statements separated by semicolons. Throws a numbered error with line, column and what was expected.
+ * Statements that create a key without naming its hash get a new one.
+ */
+export const parseStatements = (text: string, newHash?: () => string): Statement[] => {
+	const {tokens, errors} = LEXER.tokenize(text);
+	if (errors[0]) {
+		const {line, column, offset} = errors[0];
+		throw newSyntaxError({line: line ?? 1, column: column ?? 1}, text.slice(offset, offset + 1), 'a word, a quoted name or a sign');
+	}
+
+	PARSER.input = tokens;
+	const parsed = PARSER.statements();
+	const [error] = PARSER.errors;
+	if (error) {
+		const {startLine, startColumn, image} = error.token;
+		const last = tokens.at(-1);
+		const isAtEnd = !startColumn;
+		const endColumn = (last?.endColumn ?? 0) + 1;
+		throw newSyntaxError({line: isAtEnd ? (last?.endLine ?? 1) : startLine!, column: isAtEnd ? endColumn : startColumn}, image, error.message);
+	}
+
+	return parsed.map(statement => {
+		if (statement.kind === 'change') {
+			return toStatement(statement, newHash);
+		}
+
+		if (statement.kind === 'explain') {
+			return statement;
+		}
+
+		const {listingWord, ...show} = statement;
+		if (!LISTINGS.includes(show.listing)) {
+			throw newSyntaxError(listingWord, show.listing, `one of ${LISTINGS.join(', ')}`);
+		}
+
+		if (show.limit !== undefined && !Number.isSafeInteger(show.limit)) {
+			throw new ValeleadError('limit takes a whole number', {code: RESULT_CODE.SyntaxError});
+		}
+
+		return show;
+	});
+};
--- /dev/null
+++ b/packages/language/src/parsed-attribute.ts
@@ -0,0 +1,7 @@
+import type {ParsedWord} from './parsed-word.js';
+
+/** An attribute of a statement with its values. */
+export type ParsedAttribute = {
+	readonly name: ParsedWord;
+	readonly values: readonly ParsedWord[];
+};
--- /dev/null
+++ b/packages/language/src/statement-parser.ts
@@ -0,0 +1,145 @@
+import {EmbeddedActionsParser, type IToken} from 'chevrotain';
+import {ERROR_MESSAGES} from './error-messages.js';
+import {TOKENS} from './tokens.js';
+import type {Condition} from './condition.js';
+import type {Explain} from './explain.js';
+import type {ParsedAttribute} from './parsed-attribute.js';
+import type {ParsedChange} from './parsed-change.js';
+import type {ParsedWord} from './parsed-word.js';
+import type {Show} from './show.js';
+import type {SortKey} from './sort-key.js';
+
+/** A listing whose name is not yet checked. */
+type ParsedShow = Show & {readonly listingWord: ParsedWord};
+
+type Parsed = ParsedChange | ParsedShow | Explain;
+
+const toWord = (token: IToken): ParsedWord => ({
+	text: token.tokenType === TOKENS.Quoted ? token.image.slice(1, -1) : token.image.replaceAll(/\s+/gv, ' '),
+	column: token.startColumn ?? 1,
+	line: token.startLine ?? 1,
+});
+
+/** Recognizes the shape of statements. Which attributes a statement takes is checked by its own file. */
+export class StatementParser extends EmbeddedActionsParser {
+	readonly statements = this.RULE('statements', (): Parsed[] => {
+		const parsed: Parsed[] = [];
+		this.MANY_SEP({
+			SEP: TOKENS.Semicolon,
+			DEF: () => {
+				const statement = this.OPTION(() => this.SUBRULE(this.#statement));
+				if (statement) {
+					parsed.push(statement);
+				}
+			},
+		});
+		return parsed;
+	});
+
+	readonly #value = this.RULE('value', (): ParsedWord => this.OR([
+		{ALT: () => toWord(this.CONSUME(TOKENS.Word))},
+		{ALT: () => toWord(this.CONSUME(TOKENS.Quoted))},
+	]));
+
+	readonly #attribute = this.RULE('attribute', (): ParsedAttribute => this.OR([
+		{ALT: () => ({name: toWord(this.CONSUME(TOKENS.Flag)), values: []})},
+		{
+			ALT: () => {
+				const name = toWord(this.CONSUME(TOKENS.Word));
+				const values: ParsedWord[] = [];
+				this.AT_LEAST_ONE_SEP({
+					SEP: TOKENS.Comma,
+					DEF: () => {
+						values.push(this.SUBRULE(this.#value));
+					},
+				});
+				return {name, values};
+			},
+		},
+	]));
+
+	readonly #condition = this.RULE('condition', (): Condition => {
+		const field = this.CONSUME(TOKENS.Word).image;
+		const operator = this.CONSUME(TOKENS.Operator).image;
+		const value = this.SUBRULE(this.#value);
+		return {field, operator, value: value.text};
+	});
+
+	readonly #sortKey = this.RULE('sortKey', (): SortKey => {
+		const field = this.CONSUME(TOKENS.Word).image;
+		const direction = this.OPTION(() => this.CONSUME(TOKENS.Direction));
+		return {field, isDescending: direction?.image === 'desc'};
+	});
+
+	readonly #show = this.RULE('show', (): ParsedShow => {
+		this.CONSUME(TOKENS.Show);
+		const listingWord = toWord(this.CONSUME(TOKENS.Word));
+		const conditions: Condition[] = [];
+		const order: SortKey[] = [];
+		this.OPTION(() => {
+			this.CONSUME(TOKENS.Where);
+			this.AT_LEAST_ONE_SEP({
+				SEP: TOKENS.And,
+				DEF: () => {
+					conditions.push(this.SUBRULE(this.#condition));
+				},
+			});
+		});
+		this.OPTION2(() => {
+			this.CONSUME(TOKENS.Order);
+			this.CONSUME(TOKENS.By);
+			this.AT_LEAST_ONE_SEP2({
+				SEP: TOKENS.Comma,
+				DEF: () => {
+					order.push(this.SUBRULE(this.#sortKey));
+				},
+			});
+		});
+		const limit = this.OPTION3(() => {
+			this.CONSUME(TOKENS.Limit);
+			return this.CONSUME2(TOKENS.Word).image;
+		});
+		return {
+			kind: 'show', listing: listingWord.text, listingWord, conditions, order, ...(limit !== undefined && {limit: Number(limit)}),
+		};
+	});
+
+	readonly #explain = this.RULE('explain', (): Explain => {
+		this.CONSUME(TOKENS.Explain);
+		this.CONSUME(TOKENS.Word);
+		return {kind: 'explain', model: this.SUBRULE(this.#value).text};
+	});
+
+	readonly #change = this.RULE('change', (): ParsedChange => {
+		const verb = toWord(this.CONSUME(TOKENS.Word));
+		const object = toWord(this.CONSUME2(TOKENS.Word));
+		const name = this.SUBRULE(this.#value);
+		const owner = this.OPTION(() => {
+			this.CONSUME(TOKENS.Connector);
+			const ownerObject = toWord(this.CONSUME3(TOKENS.Word));
+			return {ownerObject, ownerName: this.SUBRULE2(this.#value)};
+		});
+		const attributes: ParsedAttribute[] = [];
+		this.MANY(() => {
+			attributes.push(this.SUBRULE(this.#attribute));
+		});
+		return {
+			kind: 'change', verb, object, name, ownerObject: owner?.ownerObject, ownerName: owner?.ownerName, attributes,
+		};
+	});
+
+	/** A keyword is also a word, so the listing statements are tried first. */
+	readonly #statement = this.RULE('statement', (): Parsed => this.OR<Parsed>({
+		DEF: [
+			{ALT: (): Parsed => this.SUBRULE(this.#show)},
+			{ALT: (): Parsed => this.SUBRULE(this.#explain)},
+			{ALT: (): Parsed => this.SUBRULE(this.#change)},
+		],
+		IGNORE_AMBIGUITIES: true,
+	}));
+
+	constructor() {
+		super(Object.values(TOKENS), {maxLookahead: 1, errorMessageProvider: ERROR_MESSAGES});
+		this.performSelfAnalysis();
+	}
+}
--- /dev/null
+++ b/packages/language/src/statements/alter-adapter.ts
@@ -0,0 +1,12 @@
+import type {StatementKind} from '../statement-kind.js';
+
+/** `alter adapter` of a model. */
+export const alterAdapter: StatementKind = {
+	verb: 'alter',
+	object: 'adapter',
+	owner: 'model',
+	attributes: ['memory', 'replicas', 'teams'],
+	perform: ({name, owner, fields}) => ({
+		kind: 'alterAdapter', name, model: owner, ...fields,
+	}),
+};
--- /dev/null
+++ b/packages/language/src/statements/alter-class.ts
@@ -0,0 +1,10 @@
+import type {StatementKind} from '../statement-kind.js';
+
+/** `alter class`. */
+export const alterClass: StatementKind = {
+	verb: 'alter',
+	object: 'class',
+	owner: '',
+	attributes: ['deadline', 'weight', 'queue'],
+	perform: ({name, fields}) => ({kind: 'alterClass', name, ...fields}),
+};
--- /dev/null
+++ b/packages/language/src/statements/alter-model.ts
@@ -0,0 +1,10 @@
+import type {StatementKind} from '../statement-kind.js';
+
+/** `alter model`. */
+export const alterModel: StatementKind = {
+	verb: 'alter',
+	object: 'model',
+	owner: '',
+	attributes: ['memory', 'replicas', 'class', 'teams', 'version'],
+	perform: ({name, fields}) => ({kind: 'alterModel', name, ...fields}),
+};
--- /dev/null
+++ b/packages/language/src/statements/alter-service.ts
@@ -0,0 +1,10 @@
+import type {StatementKind} from '../statement-kind.js';
+
+/** `alter service`. */
+export const alterService: StatementKind = {
+	verb: 'alter',
+	object: 'service',
+	owner: '',
+	attributes: ['class', 'teams', 'repeatable', 'not repeatable'],
+	perform: ({name, fields}) => ({kind: 'alterService', name, ...fields}),
+};
--- /dev/null
+++ b/packages/language/src/statements/create-adapter.ts
@@ -0,0 +1,12 @@
+import type {StatementKind} from '../statement-kind.js';
+
+/** `create adapter` of a model. */
+export const createAdapter: StatementKind = {
+	verb: 'create',
+	object: 'adapter',
+	owner: 'model',
+	attributes: ['memory', 'replicas', 'teams'],
+	perform: ({name, owner, fields}) => ({
+		kind: 'createAdapter', name, model: owner, ...fields,
+	}),
+};
--- /dev/null
+++ b/packages/language/src/statements/create-class.ts
@@ -0,0 +1,10 @@
+import type {StatementKind} from '../statement-kind.js';
+
+/** `create class`. */
+export const createClass: StatementKind = {
+	verb: 'create',
+	object: 'class',
+	owner: '',
+	attributes: ['deadline', 'weight', 'queue'],
+	perform: ({name, fields}) => ({kind: 'createClass', name, ...fields}),
+};
--- /dev/null
+++ b/packages/language/src/statements/create-version.ts
@@ -0,0 +1,10 @@
+import type {StatementKind} from '../statement-kind.js';
+
+/** `create version` of a model. */
+export const createVersion: StatementKind = {
+	verb: 'create',
+	object: 'version',
+	owner: 'model',
+	attributes: [],
+	perform: ({name, owner}) => ({kind: 'createVersion', name, model: owner}),
+};
--- /dev/null
+++ b/packages/language/src/statements/drop-key.ts
@@ -0,0 +1,10 @@
+import type {StatementKind} from '../statement-kind.js';
+
+/** `drop key` of a team. */
+export const dropKey: StatementKind = {
+	verb: 'drop',
+	object: 'key',
+	owner: 'team',
+	attributes: [],
+	perform: ({name, owner}) => ({kind: 'dropKey', name, team: owner}),
+};
--- /dev/null
+++ b/packages/language/src/statements/drop-version.ts
@@ -0,0 +1,10 @@
+import type {StatementKind} from '../statement-kind.js';
+
+/** `drop version` of a model. */
+export const dropVersion: StatementKind = {
+	verb: 'drop',
+	object: 'version',
+	owner: 'model',
+	attributes: [],
+	perform: ({name, owner}) => ({kind: 'dropVersion', name, model: owner}),
+};
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,11 @@
+export type {VmReport} from './vm-report.js';
+export type {UnitReport} from './unit-report.js';
+export type {UnitDemand} from './unit-demand.js';
+export type {EntryReport} from './entry-report.js';
+export type {Fleet} from './fleet.js';
+export type {MembershipSettings} from './membership-settings.js';
+export {newFleet} from './new-fleet.js';
+export {isLive} from './is-live.js';
+export {mutateFleet} from './mutate-fleet.js';
+export {getLostVms} from './get-lost-vms.js';
+export {getDemands} from './get-demands.js';
--- /dev/null
+++ b/packages/membership/src/is-live.ts
@@ -0,0 +1,8 @@
+import type {Fleet} from './fleet.js';
+import type {MembershipSettings} from './membership-settings.js';
+
+/** Whether a VM's lease holds. */
+export const isLive = (fleet: Fleet, settings: MembershipSettings, vm: string, now: number): boolean => {
+	const received = fleet.vms.get(vm);
+	return received !== undefined && now - received.receivedAt < settings.leaseMs;
+};
--- /dev/null
+++ b/packages/placement/src/decide-placement.ts
@@ -0,0 +1,171 @@
+import {getKeepCosts} from './get-keep-costs.js';
+import {getKeepMs} from './get-keep-ms.js';
+import {getLoadMs} from './get-load-ms.js';
+import {getUrgency} from './get-urgency.js';
+import {hasHope} from './has-hope.js';
+import {isReturnLikely} from './is-return-likely.js';
+import {mutateArrivals} from './mutate-arrivals.js';
+import {mutateLoads} from './mutate-loads.js';
+import {mutateStartTokens} from './mutate-start-tokens.js';
+import {PlacementRound} from './placement-round.js';
+import type {PlacementDecision} from './placement-decision.js';
+import type {PlacementReplica} from './placement-replica.js';
+import type {PlacementState} from './placement-state.js';
+import type {PlacementUnit} from './placement-unit.js';
+import type {PlacementView} from './placement-view.js';
+import type {PlacementVm} from './placement-vm.js';
+import type {PolicySettings} from './policy-settings.js';
+
+/** Requests in waiting for each place of the ready replicas at which one more replica is granted. */
+const SCALE_OUT_RATIO = 2;
+
+/** A return is looked for over a window of this many load times. */
+const RETURN_WINDOW_LOADS = 2;
+
+/** Decides which replicas the view lacks and which it should give up. */
+class Decider {
+	readonly #state: PlacementState;
+	readonly #settings: PolicySettings;
+	readonly #view: PlacementView;
+	readonly #now: number;
+	readonly #round: PlacementRound;
+
+	constructor(state: PlacementState, settings: PolicySettings, view: PlacementView, now: number) {
+		this.#state = state;
+		this.#settings = settings;
+		this.#view = view;
+		this.#now = now;
+		this.#round = new PlacementRound(state, settings, view, now);
+	}
+
+	decide(): PlacementDecision[] {
+		this.#revokeUnwanted();
+		const wanted = this.#getWanted();
+		for (const unit of wanted) {
+			this.#round.place(unit, true, false);
+		}
+
+		this.#placeMinimum();
+		this.#revokeIdle();
+		if (wanted.length === 0) {
+			this.#prewarm();
+		}
+
+		return this.#round.decisions;
+	}
+
+	/** Gives up replicas of units that are stopped or no longer declared, and of VMs that are drained. */
+	#revokeUnwanted(): void {
+		for (const replica of this.#getReplicas()) {
+			const unit = this.#view.units.get(replica.unit);
+			const vm = this.#view.vms.find(candidate => candidate.name === replica.vm);
+			const isUnwanted = !unit || unit.isStopped || unit.freeReplicas < 0;
+			if (!replica.isRevoking && (isUnwanted || vm?.isDrained)) {
+				this.#round.revoke(replica);
+			}
+		}
+	}
+
+	#getWanted(): PlacementUnit[] {
+		const wanted = [...this.#view.units.values()].filter(unit => this.#isWanted(unit));
+		return wanted.sort((left, right) => getUrgency(this.#state, right) - getUrgency(this.#state, left));
+	}
+
+	#isWanted(unit: PlacementUnit): boolean {
+		if (unit.waiting === 0 || unit.isStopped || unit.freeReplicas <= 0 || this.#round.hasLoad(unit.key)) {
+			return false;
+		}
+
+		const replicas = this.#round.getReplicas(unit.key);
+		if (replicas.length > 0 && unit.waiting < SCALE_OUT_RATIO * this.#getCapacity(replicas)) {
+			return false;
+		}
+
+		return this.#view.vms.some(vm => vm.isOpen && hasHope(this.#state, unit, vm));
+	}
+
+	#getCapacity(replicas: readonly PlacementReplica[]): number {
+		const names = new Set(replicas.map(replica => replica.vm));
+		return this.#view.vms.filter(vm => names.has(vm.name)).reduce((sum, vm) => sum + vm.capacity, 0);
+	}
+
+	#placeMinimum(): void {
+		for (const unit of this.#view.units.values()) {
+			const isMissing = unit.minReplicas > 0 && this.#round.getReplicas(unit.key).length < unit.minReplicas;
+			if (isMissing && !unit.isStopped && unit.freeReplicas > 0 && !this.#round.hasLoad(unit.key)) {
+				this.#round.place(unit, false, true);
+			}
+		}
+	}
+
+	#revokeIdle(): void {
+		for (const vm of this.#round.vms) {
+			for (const replica of vm.replicas) {
+				if (this.#isIdle(replica, vm)) {
+					this.#round.revoke(replica);
+				}
+			}
+		}
+	}
+
+	#isIdle(replica: PlacementReplica, vm: PlacementVm): boolean {
+		const unit = this.#view.units.get(replica.unit);
+		const hasWork = replica.inProgress > 0 || (unit?.waiting ?? 0) > 0;
+		const isBase = vm.replicas.some(other => !other.isRevoking && this.#view.units.get(other.unit)?.base === replica.unit);
+		if (!unit || !replica.isReady || replica.isRevoking || hasWork || isBase) {
+			return false;
+		}
+
+		if (this.#round.getReplicas(unit.key).length <= unit.minReplicas) {
+			return false;
+		}
+
+		const costs = getKeepCosts(this.#state, this.#settings, unit, vm);
+		const history = this.#state.histories.get(unit.key);
+		const isLikely = history !== undefined && isReturnLikely(history, costs, this.#getWindowMs(unit), this.#now);
+		return replica.idleMs > getKeepMs(history, costs) && !isLikely;
+	}
+
+	#prewarm(): void {
+		const vm = this.#view.vms.find(candidate => candidate.isOpen);
+		if (!vm || this.#state.loads.size > 0) {
+			return;
+		}
+
+		for (const [key, history] of this.#state.histories) {
+			const unit = this.#view.units.get(key);
+			if (!unit || unit.isStopped || unit.freeReplicas <= 0 || this.#round.getReplicas(key).length > 0) {
+				continue;
+			}
+
+			const costs = getKeepCosts(this.#state, this.#settings, unit, vm);
+			if (isReturnLikely(history, costs, this.#getWindowMs(unit), this.#now)) {
+				this.#round.place(unit, false, true);
+			}
+		}
+	}
+
+	#getWindowMs(unit: PlacementUnit): number {
+		return getLoadMs(this.#state, unit) * RETURN_WINDOW_LOADS;
+	}
+
+	#getReplicas(): PlacementReplica[] {
+		return this.#view.vms.flatMap(vm => vm.replicas);
+	}
+}
+
+/**
+ * One round of placement at a monotonic time in milliseconds. Decisions are proposals: the replicated
+ * state refuses those that exceed a limit, and the next round decides anew.
+ */
+export const decidePlacement = (state: PlacementState, settings: PolicySettings, view: PlacementView, now: number): PlacementDecision[] => {
+	mutateStartTokens(state, settings, now);
+	mutateLoads(state, view, now);
+	for (const unit of view.units.values()) {
+		if (unit.arrivals > 0) {
+			mutateArrivals(state, unit, now);
+		}
+	}
+
+	return new Decider(state, settings, view, now).decide();
+};
--- /dev/null
+++ b/packages/placement/src/get-evictions.ts
@@ -0,0 +1,58 @@
+import {getKeepCosts} from './get-keep-costs.js';
+import type {PlacementReplica} from './placement-replica.js';
+import type {PlacementState} from './placement-state.js';
+import type {PlacementView} from './placement-view.js';
+import type {PlacementVm} from './placement-vm.js';
+import type {PolicySettings} from './policy-settings.js';
+
+type Evictions = {
+	readonly replicas: readonly PlacementReplica[];
+	/** Expected cost of bringing the evicted units back. */
+	readonly cost: number;
+};
+
+/** Bytes that are free, or will be once the replicas that are being revoked are released. */
+const getFutureBytes = (vm: PlacementVm): number => {
+	const kept = vm.replicas.filter(replica => !replica.isRevoking);
+	return vm.memoryBytes - kept.reduce((sum, replica) => sum + replica.memoryBytes, 0);
+};
+
+const isEvictable = (replica: PlacementReplica, vm: PlacementVm, view: PlacementView, neededBase: string): boolean => {
+	const isBase = vm.replicas.some(other => !other.isRevoking && view.units.get(other.unit)?.base === replica.unit);
+	const isWanted = (view.units.get(replica.unit)?.waiting ?? 0) > 0;
+	return replica.isReady && !replica.isRevoking && replica.inProgress === 0 && !isWanted && !isBase && replica.unit !== neededBase;
+};
+
+/** Chance that an idle unit is asked for again within its cold-start horizon, from its last gap. */
+const getReturnCost = (state: PlacementState, settings: PolicySettings, replica: PlacementReplica, vm: PlacementVm): number => {
+	const costs = getKeepCosts(state, settings, {key: replica.unit, memoryBytes: replica.memoryBytes}, vm);
+	const gaps = state.histories.get(replica.unit)?.gaps ?? [];
+	const longer = gaps.filter(gap => gap > replica.idleMs).length;
+	const returns = (longer + 1) / (gaps.length + 2);
+	return returns * costs.coldStart / (replica.idleMs + 1);
+};
+
+/**
+ * The replicas of a VM whose eviction makes room at the least expected cost; never one with work
+ * or with waiting requests. Undefined where no room can be made.
+ */
+export const getEvictions = (state: PlacementState, settings: PolicySettings, view: PlacementView, vm: PlacementVm, neededBytes: number, neededBase: string): Evictions | undefined => {
+	let freeBytes = getFutureBytes(vm);
+	const candidates = vm.replicas
+		.filter(replica => isEvictable(replica, vm, view, neededBase))
+		.map(replica => ({replica, cost: getReturnCost(state, settings, replica, vm)}))
+		.sort((left, right) => (left.cost / left.replica.memoryBytes) - (right.cost / right.replica.memoryBytes));
+	const replicas: PlacementReplica[] = [];
+	let cost = 0;
+	for (const candidate of candidates) {
+		if (freeBytes >= neededBytes) {
+			break;
+		}
+
+		replicas.push(candidate.replica);
+		cost += candidate.cost;
+		freeBytes += candidate.replica.memoryBytes;
+	}
+
+	return freeBytes >= neededBytes ? {replicas, cost} : undefined;
+};
--- /dev/null
+++ b/packages/placement/src/get-load-key.ts
@@ -0,0 +1,2 @@
+/** The key of a load. */
+export const getLoadKey = (unit: string, vm: string): string => `${unit}/${vm}`;
--- /dev/null
+++ b/packages/placement/src/get-load-ms.ts
@@ -0,0 +1,15 @@
+import type {PlacementState} from './placement-state.js';
+import type {PlacementVm} from './placement-vm.js';
+
+const BYTES_PER_GIB = 2 ** 30;
+
+type Loadable = {
+	readonly key: string;
+	readonly memoryBytes: number;
+};
+
+/** The expected time of a load on a VM in milliseconds, or from the weight store where no VM is given. */
+export const getLoadMs = (state: PlacementState, unit: Loadable, vm?: PlacementVm): number => {
+	const msPerGib = vm?.cached.has(unit.key) ? state.diskMsPerGib : state.remoteMsPerGib;
+	return Math.max(1, msPerGib * unit.memoryBytes / BYTES_PER_GIB);
+};
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,12 @@
+export type {PolicySettings} from './policy-settings.js';
+export type {PlacementState} from './placement-state.js';
+export type {PlacementView} from './placement-view.js';
+export type {PlacementUnit} from './placement-unit.js';
+export type {PlacementVm} from './placement-vm.js';
+export type {PlacementReplica} from './placement-replica.js';
+export type {PlacementDecision} from './placement-decision.js';
+export {newPlacementState} from './new-placement-state.js';
+export {decidePlacement} from './decide-placement.js';
+export {mutateLoadEnd} from './mutate-load-end.js';
+export {getKeepMs} from './get-keep-ms.js';
+export {getLoadMs} from './get-load-ms.js';
--- /dev/null
+++ b/packages/placement/src/mutate-arrivals.ts
@@ -0,0 +1,39 @@
+import type {History} from './history.js';
+import type {PlacementState} from './placement-state.js';
+import type {PlacementUnit} from './placement-unit.js';
+
+/** Gaps that are remembered for each unit. */
+const MAX_GAPS = 48;
+
+/** Weight of the newest value in a running mean. */
+const MEAN_SHARE = 0.3;
+
+/** Shorter gaps belong to one session of use, in milliseconds. */
+const SESSION_GAP_MS = 5000;
+
+const newHistory = (now: number): History => ({
+	lastArrivalAt: now,
+	gaps: [],
+	burstSize: 1,
+	requestWeight: 1,
+});
+
+/** Remembers that requests for a unit arrived, and the gap before them if it ended a session. */
+export const mutateArrivals = (state: PlacementState, unit: PlacementUnit, now: number): void => {
+	const history = state.histories.get(unit.key) ?? newHistory(now);
+	state.histories.set(unit.key, history);
+	const gap = now - history.lastArrivalAt;
+	history.lastArrivalAt = now;
+	if (gap >= SESSION_GAP_MS) {
+		history.gaps.push(gap);
+	}
+
+	if (history.gaps.length > MAX_GAPS) {
+		history.gaps.shift();
+	}
+
+	if (unit.waiting > 0) {
+		history.burstSize += (unit.waiting - history.burstSize) * MEAN_SHARE;
+		history.requestWeight += ((unit.waitingWeight / unit.waiting) - history.requestWeight) * MEAN_SHARE;
+	}
+};
