--- /dev/null
+++ b/packages/placement/src/placement-round.ts
@@ -0,0 +1,144 @@
+import {getEvictions} from './get-evictions.js';
+import {getLoadKey} from './get-load-key.js';
+import {getLoadMs} from './get-load-ms.js';
+import type {PlacementDecision} from './placement-decision.js';
+import type {PlacementReplica} from './placement-replica.js';
+import type {PlacementState} from './placement-state.js';
+import type {PlacementUnit} from './placement-unit.js';
+import type {PlacementView} from './placement-view.js';
+import type {PlacementVm} from './placement-vm.js';
+import type {PolicySettings} from './policy-settings.js';
+
+type Choice = {
+	readonly vm: PlacementVm;
+	readonly evicted: readonly PlacementReplica[];
+	readonly cost: number;
+};
+
+/** Cost of a full VM relative to an empty one, in milliseconds of waiting. */
+const BUSY_VM_MS = 500;
+
+/** One round of decisions over a copy of the view, so that later decisions see earlier ones. */
+export class PlacementRound {
+	readonly decisions: PlacementDecision[] = [];
+	readonly #state: PlacementState;
+	readonly #settings: PolicySettings;
+	readonly #view: PlacementView;
+	readonly #now: number;
+	readonly #vms: Map<string, PlacementVm>;
+	readonly #freeReplicas = new Map<string, number>();
+
+	constructor(state: PlacementState, settings: PolicySettings, view: PlacementView, now: number) {
+		this.#state = state;
+		this.#settings = settings;
+		this.#view = view;
+		this.#now = now;
+		this.#vms = new Map(view.vms.map(vm => [vm.name, vm]));
+	}
+
+	get vms(): Iterable<PlacementVm> {
+		return this.#vms.values();
+	}
+
+	/** Replicas of a unit that are not being given up. */
+	getReplicas(unit: string): PlacementReplica[] {
+		const replicas: PlacementReplica[] = [];
+		for (const vm of this.#vms.values()) {
+			replicas.push(...vm.replicas.filter(replica => replica.unit === unit && !replica.isRevoking));
+		}
+
+		return replicas;
+	}
+
+	/** Whether a load of the unit is under way. */
+	hasLoad(unit: string): boolean {
+		const isGranted = this.getReplicas(unit).some(replica => !replica.isReady);
+		return isGranted || [...this.#state.loads.values()].some(load => load.unit === unit);
+	}
+
+	revoke(replica: PlacementReplica): void {
+		const vm = this.#vms.get(replica.vm)!;
+		const replicas = vm.replicas.map(other => other.grantId === replica.grantId ? {...other, isRevoking: true} : other);
+		this.#vms.set(vm.name, {...vm, replicas});
+		this.decisions.push({kind: 'revoke', grantId: replica.grantId});
+	}
+
+	/** Grants the unit to the best VM, or begins to make room for it. Returns whether a VM was found. */
+	place(unit: PlacementUnit, canEvict: boolean, isPrewarm: boolean): boolean {
+		const choice = this.#choose(unit, canEvict);
+		if (!choice) {
+			return false;
+		}
+
+		for (const replica of choice.evicted) {
+			this.revoke(replica);
+		}
+
+		this.#grant(unit, this.#vms.get(choice.vm.name)!, isPrewarm);
+		return true;
+	}
+
+	#choose(unit: PlacementUnit, canEvict: boolean): Choice | undefined {
+		let best: Choice | undefined;
+		for (const vm of this.#vms.values()) {
+			const choice = this.#getChoice(unit, vm, canEvict);
+			if (choice && (!best || choice.cost < best.cost)) {
+				best = choice;
+			}
+		}
+
+		return best;
+	}
+
+	#getChoice(unit: PlacementUnit, vm: PlacementVm, canEvict: boolean): Choice | undefined {
+		const hasUnit = vm.replicas.some(replica => replica.unit === unit.key);
+		const hasBase = unit.base === '' || vm.replicas.some(replica => replica.unit === unit.base && !replica.isRevoking);
+		if (!vm.isOpen || hasUnit || !hasBase) {
+			return undefined;
+		}
+
+		const evictions = getEvictions(this.#state, this.#settings, this.#view, vm, unit.memoryBytes, unit.base);
+		if (!evictions || (!canEvict && evictions.replicas.length > 0)) {
+			return undefined;
+		}
+
+		const busyMs = BUSY_VM_MS * vm.inProgress / Math.max(1, vm.capacity);
+		const waitMs = getLoadMs(this.#state, unit, vm) + busyMs;
+		const weight = Math.max(1, unit.waitingWeight) * this.#settings.coldStartWeight;
+		return {vm, evicted: evictions.replicas, cost: (waitMs * weight) + evictions.cost};
+	}
+
+	#grant(unit: PlacementUnit, vm: PlacementVm, isPrewarm: boolean): void {
+		const held = vm.replicas.reduce((sum, replica) => sum + replica.memoryBytes, 0);
+		const freeReplicas = this.#freeReplicas.get(unit.key) ?? unit.freeReplicas;
+		if (held + unit.memoryBytes > vm.memoryBytes || freeReplicas <= 0) {
+			return;
+		}
+
+		const isRemote = !vm.cached.has(unit.key);
+		if (isRemote && !this.#takeStart()) {
+			return;
+		}
+
+		this.#freeReplicas.set(unit.key, freeReplicas - 1);
+		const replica: PlacementReplica = {
+			grantId: '', unit: unit.key, vm: vm.name, memoryBytes: unit.memoryBytes, isReady: false, isRevoking: false, inProgress: 0, idleMs: 0,
+		};
+		this.#vms.set(vm.name, {...vm, replicas: [...vm.replicas, replica]});
+		this.#state.loads.set(getLoadKey(unit.key, vm.name), {
+			unit: unit.key, vm: vm.name, startedAt: this.#now, isRemote, isPrewarm,
+		});
+		this.decisions.push({kind: 'grant', unit: unit.key, vm: vm.name});
+	}
+
+	/** Takes a start from the budget of the weight store, if one is left. */
+	#takeStart(): boolean {
+		const running = [...this.#state.loads.values()].filter(load => load.isRemote).length;
+		if (running >= this.#settings.concurrentLoads || this.#state.startTokens < 1) {
+			return false;
+		}
+
+		this.#state.startTokens -= 1;
+		return true;
+	}
+}
--- /dev/null
+++ b/packages/protocol/src/leader-calls.ts
@@ -0,0 +1,64 @@
+import type {DescMessage, DescMethodUnary, MessageShape} from '@bufbuild/protobuf';
+import {RESULT_CODE, type TimerService, ValeleadError} from '@valelead/common';
+import type {ChannelPool} from './channel-pool.js';
+
+/** What every reply of a voter says. */
+type ControlReply = {
+	readonly code: number;
+	readonly leaderAddress: string;
+};
+
+const RETRY_MS = 50;
+
+/** Calls the leader, wherever it is: follows the address in a reply, and tries the voters in turn. */
+export class LeaderCalls {
+	readonly #pool: ChannelPool;
+	readonly #addresses: readonly string[];
+	readonly #timers: TimerService;
+	#next = 0;
+	#leader: string | undefined;
+
+	constructor(pool: ChannelPool, addresses: readonly string[], timers: TimerService) {
+		this.#pool = pool;
+		this.#addresses = addresses;
+		this.#timers = timers;
+	}
+
+	/** The address to try next. */
+	get address(): string {
+		return this.#leader ?? this.#addresses[this.#next % this.#addresses.length];
+	}
+
+	/** Takes the word of a voter on who leads; an empty address means that it does not know. */
+	redirect(address: string): void {
+		this.#leader = address === '' ? undefined : address;
+		if (address === '') {
+			this.#next += 1;
+		}
+	}
+
+	/** Repeats the call until a leader answers it or the time is over. The call must be idempotent. */
+	async call<Input extends DescMessage, Output extends DescMessage>(method: DescMethodUnary<Input, Output>, request: MessageShape<Input>, timeoutMs: number): Promise<MessageShape<Output> & ControlReply> {
+		const endsAt = Date.now() + timeoutMs;
+		while (Date.now() < endsAt) {
+			const reply = await this.#try(method, request, endsAt - Date.now());
+			if (reply && reply.code !== RESULT_CODE.NotLeader) {
+				return reply;
+			}
+
+			this.redirect(reply?.leaderAddress ?? '');
+			await this.#timers.wait(RETRY_MS);
+		}
+
+		throw new ValeleadError('No leader answered in time', {code: RESULT_CODE.NoQuorum});
+	}
+
+	async #try<Input extends DescMessage, Output extends DescMessage>(method: DescMethodUnary<Input, Output>, request: MessageShape<Input>, timeoutMs: number): Promise<(MessageShape<Output> & ControlReply) | undefined> {
+		const attemptMs = Math.min(timeoutMs, 2000);
+		try {
+			return await this.#pool.get(this.address).unary(method, request, attemptMs) as MessageShape<Output> & ControlReply;
+		} catch {
+			return undefined;
+		}
+	}
+}
--- /dev/null
+++ b/packages/protocol/src/new-service-definition.ts
@@ -0,0 +1,35 @@
+import {Buffer} from 'node:buffer';
+import {
+	type DescMessage, type DescService, type MessageShape, fromBinary, toBinary,
+} from '@bufbuild/protobuf';
+import type {MethodDefinition, ServiceDefinition, UntypedServiceImplementation} from '@grpc/grpc-js';
+
+const newMethodDefinition = <Input extends DescMessage, Output extends DescMessage>(
+	path: string,
+	input: Input,
+	output: Output,
+	kind: string,
+): MethodDefinition<MessageShape<Input>, MessageShape<Output>> => ({
+	path,
+	requestStream: kind === 'client_streaming' || kind === 'bidi_streaming',
+	responseStream: kind === 'server_streaming' || kind === 'bidi_streaming',
+	requestSerialize: value => Buffer.from(toBinary(input, value)),
+	requestDeserialize: bytes => fromBinary(input, bytes),
+	responseSerialize: value => Buffer.from(toBinary(output, value)),
+	responseDeserialize: bytes => fromBinary(output, bytes),
+});
+
+/** Turns a generated service description into the definition that grpc-js takes. */
+export const newServiceDefinition = (service: DescService): ServiceDefinition => {
+	const definition: Record<string, MethodDefinition<unknown, unknown>> = {};
+	for (const method of service.methods) {
+		definition[method.localName] = newMethodDefinition(
+			`/${service.typeName}/${method.name}`,
+			method.input,
+			method.output,
+			method.methodKind,
+		) as MethodDefinition<unknown, unknown>;
+	}
+
+	return definition;
+};
