--- a/tests/failures.steps.ts
+++ b/tests/failures.steps.ts
@@ -169,8 +169,8 @@
 const pickEntry = async (world: InstallationWorld): Promise<number> => {
 	for (;;) {
 		for (const [index, entry] of world.installation.entries.entries()) {
-			const isReady = await callHttp({port: entry.httpPort, path: '/readyz'}).catch(() => false).then(answer => answer.status === 200);
-			if (isReady) {
+			const answer = await orElse(callHttp({port: entry.httpPort, path: '/readyz'}), undefined);
+			if (answer?.status === 200) {
 				return index;
 			}
 		}
