Carry dispatches and answers on one stream for each entry and agent

Cause: a profile of the entry and the agent under load showed most of the added time in opening one HTTP/2 stream for each request. Ruled out: queues and admission (under 5% of the busy time), the claim path (not used by models), the metrics.

Change: dispatches, cancels and frames share the lane; frames of one turn of the event loop go out together; credits are filled up by halves. A slow caller is cut off by what it makes the entry hold, as the shared stream cannot be paused for it.

--- /dev/null
+++ b/apps/valelead-daemon/src/agent/lane-writer.ts
@@ -0,0 +1,53 @@
+import {once} from 'node:events';
+import {create} from '@bufbuild/protobuf';
+import {type Frame, type LaneUpdate, LaneUpdateSchema} from '@valelead/protocol';
+import type {ServerDuplexStream} from '@grpc/grpc-js';
+
+/** Writes to one entry. What comes up in one turn of the event loop goes out as one message. */
+export class LaneWriter {
+	readonly #lane: ServerDuplexStream<unknown, LaneUpdate>;
+	#frames: Frame[] = [];
+	#credits: string[] = [];
+	#validForMs = 0;
+	#isFlushDue = false;
+	#isFull = false;
+
+	constructor(lane: ServerDuplexStream<unknown, LaneUpdate>) {
+		this.#lane = lane;
+	}
+
+	/** Resolves when the entry can take more, or is gone. */
+	async addFrame(frame: Frame): Promise<void> {
+		this.#frames.push(frame);
+		this.#flushSoon();
+		if (this.#isFull) {
+			await Promise.race([once(this.#lane, 'drain'), once(this.#lane, 'cancelled')]);
+		}
+	}
+
+	addCredits(ids: readonly string[], validForMs: number): void {
+		this.#credits.push(...ids);
+		this.#validForMs = validForMs;
+		this.#flushSoon();
+	}
+
+	#flushSoon(): void {
+		if (!this.#isFlushDue) {
+			this.#isFlushDue = true;
+			setImmediate(() => {
+				this.#flush();
+			});
+		}
+	}
+
+	#flush(): void {
+		this.#isFlushDue = false;
+		const update = create(LaneUpdateSchema, {
+			frames: this.#frames,
+			...(this.#credits.length > 0 && {credits: {ids: this.#credits, validForMs: this.#validForMs}}),
+		});
+		this.#frames = [];
+		this.#credits = [];
+		this.#isFull = !this.#lane.write(update);
+	}
+}
--- a/apps/valelead-daemon/src/agent/new-agent-service.ts
+++ b/apps/valelead-daemon/src/agent/new-agent-service.ts
@@ -1,82 +1,56 @@
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {create} from '@bufbuild/protobuf';
 import {
-	OUTCOME, RESULT_CODE, type TimerService, ValeleadError,
+	assertNever, OUTCOME, RESULT_CODE, ValeleadError,
 } from '@valelead/common';
 import {
-	type DispatchRequest, type Frame, type LaneRequest, type LaneUpdate, type OutcomeRequest, FrameSchema, LaneUpdateSchema, OutcomeReplySchema,
+	type DispatchRequest, type LaneRequest, type LaneUpdate, type OutcomeRequest, OutcomeReplySchema,
 } from '@valelead/protocol';
 import type {
-	handleBidiStreamingCall, handleServerStreamingCall, sendUnaryData, ServerDuplexStream, ServerUnaryCall, ServerWritableStream, UntypedServiceImplementation,
+	handleBidiStreamingCall, sendUnaryData, ServerDuplexStream, ServerUnaryCall, UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import type {Upstream} from '@valelead/engine';
+import {FrameWriter} from './frame-writer.js';
+import {LaneWriter} from './lane-writer.js';
 import type {Agent} from './agent.js';
 
-type FramePart = Frame['part'];
+type LaneStream = ServerDuplexStream<LaneRequest, LaneUpdate>;
 
-type DispatchStream = ServerWritableStream<DispatchRequest, Frame>;
-
-/** Writes the numbered frames of one attempt. */
-class FrameWriter {
-	readonly #stream: DispatchStream;
-	#sequence = 0;
-	#bytes = 0;
-
-	constructor(stream: DispatchStream) {
-		this.#stream = stream;
-	}
-
-	async write(part: FramePart): Promise<void> {
-		const frame = create(FrameSchema, {attemptId: this.#stream.request.attemptId, sequence: this.#sequence, part});
-		this.#sequence += 1;
-		this.#bytes += part.case === 'data' ? part.value.length : 0;
-		if (!this.#stream.write(frame)) {
-			await Promise.race([once(this.#stream, 'drain'), once(this.#stream, 'cancelled')]);
-		}
-	}
-
-	async end(): Promise<void> {
-		await this.write({case: 'end', value: {$typeName: 'valelead.v1.AnswerEnd', frames: this.#sequence, bytes: this.#bytes}});
-		this.#stream.end();
-	}
+/** The stream of one entry. */
+type Lane = {
+	readonly stream: LaneStream;
+	readonly writer: LaneWriter;
+};
 
-	async refuse(code: number, message: string, outcome: string): Promise<void> {
-		await this.write({
-			case: 'refusal',
-			value: {
-				$typeName: 'valelead.v1.AnswerRefusal', code, message, outcome, retryAfterMs: 0,
-			},
-		});
-		this.#stream.end();
-	}
-}
+/** An attempt that the upstream works on. */
+type RunningAttempt = {
+	readonly lane: Lane;
+	readonly controller: AbortController;
+	readonly isRepeatable: boolean;
+};
 
-/** Serves entries: lanes with credits, dispatches, and questions about lost answers. */
+/** Serves entries: lanes with credits and dispatches, and questions about lost answers. */
 class AgentService {
 	readonly #agent: Agent;
 	readonly #upstream: Upstream;
-	readonly #lanes = new Map<string, ServerDuplexStream<LaneRequest, LaneUpdate>>();
+	readonly #lanes = new Map<string, Lane>();
+	readonly #attempts = new Map<string, RunningAttempt>();
 
 	constructor(agent: Agent, upstream: Upstream) {
 		this.#agent = agent;
 		this.#upstream = upstream;
 	}
 
-	acceptLane(stream: ServerDuplexStream<LaneRequest, LaneUpdate>): void {
+	acceptLane(stream: LaneStream): void {
 		let entry = '';
+		const lane: Lane = {stream, writer: new LaneWriter(stream)};
 		stream.on('data', (request: LaneRequest) => {
 			entry = request.entry;
-			this.#lanes.set(entry, stream);
-			this.#agent.take({kind: 'lane', entry, wanted: request.wanted});
+			this.#lanes.set(entry, lane);
+			this.#take(lane, request);
 		});
 		const end = (): void => {
-			if (entry !== '' && this.#lanes.get(entry) === stream) {
-				this.#lanes.delete(entry);
-				this.#agent.take({kind: 'laneClosed', entry});
-			}
-
-			stream.end();
+			this.#endLane(entry, lane);
 		};
 
 		stream.on('end', end);
@@ -84,14 +58,56 @@
 		stream.on('cancelled', end);
 	}
 
-	sendCredits(entry: string, creditIds: readonly string[]): void {
-		const credits = creditIds.map(id => ({id, validForMs: this.#agent.creditMs}));
-		this.#lanes.get(entry)?.write(create(LaneUpdateSchema, {credits}));
+	sendCredits(entry: string, ids: readonly string[]): void {
+		this.#lanes.get(entry)?.writer.addCredits(ids, this.#agent.creditMs);
 	}
 
-	async dispatch(stream: DispatchStream): Promise<void> {
-		const {attemptId, creditId, unit, remainingMs} = stream.request;
-		const writer = new FrameWriter(stream);
+	#take(lane: Lane, {entry, step}: LaneRequest): void {
+		switch (step.case) {
+			case 'want': {
+				this.#agent.take({kind: 'lane', entry, wanted: step.value.wanted});
+				break;
+			}
+
+			case 'dispatch': {
+				void this.#dispatch(lane, step.value);
+				break;
+			}
+
+			case 'cancel': {
+				this.#attempts.get(step.value.attemptId)?.controller.abort();
+				break;
+			}
+
+			case undefined: {
+				break;
+			}
+
+			default: {
+				assertNever(step);
+			}
+		}
+	}
+
+	/** Calls that may not be repeated go on to their end, so that the upstream is not left in between. */
+	#endLane(entry: string, lane: Lane): void {
+		if (entry !== '' && this.#lanes.get(entry) === lane) {
+			this.#lanes.delete(entry);
+			this.#agent.take({kind: 'laneClosed', entry});
+		}
+
+		for (const attempt of this.#attempts.values()) {
+			if (attempt.lane === lane && attempt.isRepeatable) {
+				attempt.controller.abort();
+			}
+		}
+
+		lane.stream.end();
+	}
+
+	async #dispatch(lane: Lane, request: DispatchRequest): Promise<void> {
+		const {attemptId, creditId, unit, remainingMs} = request;
+		const writer = new FrameWriter(lane.writer, attemptId);
 		const decision = this.#agent.take({
 			kind: 'dispatch', attemptId, creditId, unit, remainingMs,
 		});
@@ -100,26 +116,24 @@
 			return;
 		}
 
+		const controller = new AbortController();
+		this.#attempts.set(attemptId, {lane, controller, isRepeatable: request.isRepeatable});
 		try {
-			await this.#run(stream, writer);
+			await this.#run(request, writer, controller.signal);
 		} catch (error) {
 			const failure = error instanceof ValeleadError ? error : undefined;
 			await writer.refuse(failure?.code ?? RESULT_CODE.UpstreamFailed, (error as Error).message, failure?.outcome ?? OUTCOME.Unknown);
 		} finally {
+			this.#attempts.delete(attemptId);
 			this.#agent.take({kind: 'attemptEnded', attemptId});
 		}
 	}
 
-	async #run(stream: DispatchStream, writer: FrameWriter): Promise<void> {
-		const {request} = stream;
-		const controller = new AbortController();
-		stream.on('cancelled', () => {
-			controller.abort();
-		});
-		const answer = await this.#upstream.send({...request, body: Buffer.from(request.body)}, controller.signal);
-		await writer.write({case: 'start', value: {$typeName: 'valelead.v1.AnswerStart', status: answer.status, contentType: answer.contentType}});
+	async #run(request: DispatchRequest, writer: FrameWriter, signal: AbortSignal): Promise<void> {
+		const answer = await this.#upstream.send({...request, body: Buffer.from(request.body)}, signal);
+		await writer.start(answer.status, answer.contentType);
 		for await (const chunk of answer.body) {
-			await writer.write({case: 'data', value: chunk});
+			await writer.data(chunk);
 		}
 
 		await writer.end();
@@ -127,7 +141,7 @@
 }
 
 /** The agent service as grpc-js takes it. */
-export const newAgentService = (agent: Agent, upstream: Upstream, timers: TimerService, onReport: () => void): UntypedServiceImplementation => {
+export const newAgentService = (agent: Agent, upstream: Upstream, onReport: () => void): UntypedServiceImplementation => {
 	const service = new AgentService(agent, upstream);
 	agent.start({
 		onCredits(entry, creditIds) {
@@ -139,13 +153,8 @@
 		service.acceptLane(stream);
 	};
 
-	const dispatch: handleServerStreamingCall<DispatchRequest, Frame> = stream => {
-		void service.dispatch(stream);
-	};
-
 	return {
 		lane,
-		dispatch,
 		outcome(call: ServerUnaryCall<OutcomeRequest, unknown>, send: sendUnaryData<unknown>) {
 			const outcome = agent.withdraw(call.request.attemptId, call.request.creditId);
 			send(null, create(OutcomeReplySchema, {outcome}));
--- a/apps/valelead-daemon/src/agent/start-agent.ts
+++ b/apps/valelead-daemon/src/agent/start-agent.ts
@@ -42,7 +42,7 @@
 	});
 	const server = new GrpcServer([{
 		definition: newServiceDefinition(AgentDescription),
-		implementation: newAgentService(agent, upstream, timers, () => {
+		implementation: newAgentService(agent, upstream, () => {
 			session.reportSoon();
 		}),
 	}]);
--- a/apps/valelead-daemon/src/entry/dispatcher.ts
+++ b/apps/valelead-daemon/src/entry/dispatcher.ts
@@ -5,7 +5,9 @@
 import {
 	type AdmissionEffect, type AdmissionEndpoint, type AdmissionEvent, type AdmissionSettings, type AdmissionState, type TargetDemand, getServiceTarget, mutateAdmission, mutateTargetDemands, newAdmissionState,
 } from '@valelead/admission';
-import {type ChannelPool, type Endpoint, DispatchRequestSchema} from '@valelead/protocol';
+import {
+	type ChannelPool, type DispatchRequest, type Endpoint, DispatchRequestSchema,
+} from '@valelead/protocol';
 import type {Intent} from '@valelead/intent';
 import type {Metrics} from '../metrics/metrics.js';
 import {Attempt} from './attempt.js';
@@ -50,8 +52,11 @@
 					kind: 'credits', vm, creditIds, validForMs,
 				});
 			},
+			onFrame: frame => {
+				this.#attempts.get(frame.attemptId)?.take(frame);
+			},
 			onClosed: vm => {
-				this.#take({kind: 'laneClosed', vm});
+				this.#closeLane(vm);
 			},
 		}, parts.timers);
 		parts.timers.repeat(TICK_MS, () => {
@@ -204,33 +209,42 @@
 
 	#dispatch(dispatch: Dispatch): void {
 		const exchange = this.#exchanges.get(dispatch.requestId);
-		const channel = this.#lanes.getChannel(dispatch.vm);
-		if (!exchange || !channel) {
+		if (!exchange) {
 			return;
 		}
 
-		const {request, requestId} = exchange;
-		const {attemptId} = dispatch;
 		this.#noteDispatch(exchange);
+		const attempt = this.#newAttempt(exchange, dispatch);
+		this.#attempts.set(dispatch.attemptId, attempt);
+		if (!this.#lanes.dispatch(dispatch.vm, this.#newRequest(exchange, dispatch))) {
+			this.#fail(exchange, dispatch.attemptId, RESULT_CODE.AgentLost, OUTCOME.NotRun);
+		}
+	}
+
+	#newRequest({request, requestId}: Exchange, dispatch: Dispatch): DispatchRequest {
 		const requestClass = this.#parts.getIntent().classes.get(request.className);
-		this.#attempts.set(attemptId, new Attempt({
-			channel,
-			request: create(DispatchRequestSchema, {
-				requestId,
-				attemptId,
-				creditId: dispatch.creditId,
-				team: request.team,
-				unit: request.unit,
-				service: request.service,
-				remainingMs: dispatch.remainingMs,
-				priority: requestClass?.weight ?? 1,
-				method: request.method,
-				path: request.path,
-				contentType: request.contentType,
-				body: request.body,
-				isStream: request.isStream,
-				isRepeatable: request.isRepeatable,
-			}),
+		return create(DispatchRequestSchema, {
+			requestId,
+			attemptId: dispatch.attemptId,
+			creditId: dispatch.creditId,
+			team: request.team,
+			unit: request.unit,
+			service: request.service,
+			remainingMs: dispatch.remainingMs,
+			priority: requestClass?.weight ?? 1,
+			method: request.method,
+			path: request.path,
+			contentType: request.contentType,
+			body: request.body,
+			isStream: request.isStream,
+			isRepeatable: request.isRepeatable,
+		});
+	}
+
+	#newAttempt(exchange: Exchange, {attemptId, vm, creditId}: Dispatch): Attempt {
+		return new Attempt({
+			attemptId,
+			vm,
 			sink: exchange.sink,
 			maxWholeBytes: this.#parts.maxAnswerBytes,
 			events: {
@@ -244,8 +258,29 @@
 				onFailure: (code, outcome) => {
 					this.#fail(exchange, attemptId, code, outcome);
 				},
+				onCancel: () => {
+					this.#lanes.cancel(vm, attemptId);
+				},
+				askOutcome: async () => this.#lanes.askOutcome(vm, attemptId, creditId),
 			},
-		}));
+		});
+	}
+
+	#closeLane(vm: string): void {
+		this.#take({kind: 'laneClosed', vm});
+		for (const attempt of this.#attempts.values()) {
+			if (attempt.vm === vm) {
+				void attempt.lose();
+			}
+		}
+	}
+
+	#dropAttempt(attemptId: string): void {
+		const attempt = this.#attempts.get(attemptId);
+		this.#attempts.delete(attemptId);
+		if (attempt) {
+			this.#lanes.end(attempt.vm, attemptId);
+		}
 	}
 
 	/** An upstream's own failure of a request that may run again is not passed on but tried elsewhere. */
@@ -262,7 +297,7 @@
 	}
 
 	#end(exchange: Exchange, attemptId: string): void {
-		this.#attempts.delete(attemptId);
+		this.#dropAttempt(attemptId);
 		if (!this.#exchanges.delete(exchange.requestId)) {
 			return;
 		}
@@ -273,7 +308,7 @@
 	}
 
 	#fail(exchange: Exchange, attemptId: string, code: ResultCodeValue, outcome: OutcomeValue): void {
-		this.#attempts.delete(attemptId);
+		this.#dropAttempt(attemptId);
 		this.#take({
 			kind: 'failed', requestId: exchange.requestId, attemptId, code, outcome, jitter: Math.random(),
 		});
--- a/apps/valelead-daemon/src/entry/lanes.ts
+++ b/apps/valelead-daemon/src/entry/lanes.ts
@@ -1,12 +1,13 @@
 import {create} from '@bufbuild/protobuf';
-import type {TimerService} from '@valelead/common';
+import {OUTCOME, type OutcomeValue, type TimerService} from '@valelead/common';
 import {
-	type Channel, type ChannelPool, type LaneRequest, type LaneUpdate, Agent, LaneRequestSchema,
+	type ChannelPool, type DispatchRequest, type Frame, type LaneRequest, type LaneUpdate, Agent, LaneRequestSchema, OutcomeRequestSchema,
 } from '@valelead/protocol';
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 
 type LaneEvents = {
 	readonly onCredits: (vm: string, creditIds: readonly string[], validForMs: number) => void;
+	readonly onFrame: (frame: Frame) => void;
 	readonly onClosed: (vm: string) => void;
 };
 
@@ -17,11 +18,15 @@
 
 const REFRESH_MS = 500;
 
+const OUTCOME_TIMEOUT_MS = 500;
+
 type OpenLane = {
 	readonly address: string;
 	readonly stream: LaneStream;
 	wanted: number;
 	usedAt: number;
+	/** Attempts that were sent on this lane and have not ended. */
+	readonly attempts: Set<string>;
 };
 
 /** Streams to the agents that this entry has work for, on which they grant credits. */
@@ -50,9 +55,41 @@
 		}
 	}
 
-	getChannel(vm: string): Channel | undefined {
+	/** Sends a dispatch. Returns false if there is no lane to send it on. */
+	dispatch(vm: string, request: DispatchRequest): boolean {
+		const lane = this.#open.get(vm);
+		if (!lane) {
+			return false;
+		}
+
+		lane.attempts.add(request.attemptId);
+		lane.stream.write(create(LaneRequestSchema, {entry: this.#entry, step: {case: 'dispatch', value: request}}));
+		return true;
+	}
+
+	/** Tells the agent that an answer is no longer wanted. */
+	cancel(vm: string, attemptId: string): void {
+		const lane = this.#open.get(vm);
+		if (lane?.attempts.delete(attemptId)) {
+			const cancel = {$typeName: 'valelead.v1.Cancel' as const, attemptId};
+			lane.stream.write(create(LaneRequestSchema, {entry: this.#entry, step: {case: 'cancel', value: cancel}}));
+		}
+	}
+
+	/** Notes that an attempt has ended. */
+	end(vm: string, attemptId: string): void {
+		this.#open.get(vm)?.attempts.delete(attemptId);
+	}
+
+	/** Asks an agent what became of an attempt whose answer was lost. */
+	async askOutcome(vm: string, attemptId: string, creditId: string): Promise<OutcomeValue> {
 		const address = this.#addresses.get(vm);
-		return address === undefined || address === '' ? undefined : this.#pool.get(address);
+		try {
+			const reply = await this.#pool.get(address!).unary(Agent.method.outcome, create(OutcomeRequestSchema, {attemptId, creditId}), OUTCOME_TIMEOUT_MS);
+			return reply.outcome === OUTCOME.NotRun ? OUTCOME.NotRun : OUTCOME.Unknown;
+		} catch {
+			return OUTCOME.Unknown;
+		}
 	}
 
 	/** Tells an agent how many requests wait for it. */
@@ -64,7 +101,8 @@
 
 		lane.wanted = wanted;
 		lane.usedAt = wanted > 0 ? now : lane.usedAt;
-		lane.stream.write(create(LaneRequestSchema, {entry: this.#entry, wanted}));
+		const want = {$typeName: 'valelead.v1.Want' as const, wanted};
+		lane.stream.write(create(LaneRequestSchema, {entry: this.#entry, step: {case: 'want', value: want}}));
 	}
 
 	#connect(vm: string, now: number): OpenLane | undefined {
@@ -75,11 +113,11 @@
 
 		const stream = this.#pool.get(address).bidiStream(Agent.method.lane);
 		const lane: OpenLane = {
-			address, stream, wanted: 0, usedAt: now,
+			address, stream, wanted: 0, usedAt: now, attempts: new Set(),
 		};
 		this.#open.set(vm, lane);
 		stream.on('data', (update: LaneUpdate) => {
-			this.#events.onCredits(vm, update.credits.map(credit => credit.id), update.credits[0]?.validForMs ?? 0);
+			this.#take(vm, update);
 		});
 		stream.on('error', () => {
 			this.#close(vm, lane);
@@ -90,6 +128,16 @@
 		return lane;
 	}
 
+	#take(vm: string, {credits, frames}: LaneUpdate): void {
+		if (credits) {
+			this.#events.onCredits(vm, credits.ids, credits.validForMs);
+		}
+
+		for (const frame of frames) {
+			this.#events.onFrame(frame);
+		}
+	}
+
 	#close(vm: string, lane: OpenLane): void {
 		if (this.#open.get(vm) !== lane) {
 			return;
@@ -102,7 +150,7 @@
 
 	#refresh(now: number): void {
 		for (const [vm, lane] of this.#open) {
-			if (lane.wanted === 0 && now - lane.usedAt > IDLE_LANE_MS) {
+			if (lane.wanted === 0 && lane.attempts.size === 0 && now - lane.usedAt > IDLE_LANE_MS) {
 				this.#close(vm, lane);
 			}
 		}
--- a/apps/valelead-daemon/src/entry/stream-sink.ts
+++ b/apps/valelead-daemon/src/entry/stream-sink.ts
@@ -1,18 +1,21 @@
 import type {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
-import type {TimerService} from '@valelead/common';
+import type {TimerService, TimerSubscription} from '@valelead/common';
 import {newRefusalBody} from './new-refusal-body.js';
 import {writeRefusal} from './write-refusal.js';
 import type {AnswerSink} from './answer-sink.js';
 import type {Refusal} from './refusal.js';
 
+/** What an entry holds for one slow caller at most. */
+const MAX_BUFFERED_BYTES = 1_048_576;
+
 /** Passes an answer on as it comes. An answer that breaks off ends in an error event, never as if it were whole. */
 export class StreamSink implements AnswerSink {
 	readonly #response: ServerResponse;
 	readonly #requestId: string;
 	readonly #timers: TimerService;
 	readonly #stallMs: number;
+	#stall: TimerSubscription | undefined;
 
 	constructor(response: ServerResponse, requestId: string, timers: TimerService, stallMs: number) {
 		this.#response = response;
@@ -29,16 +32,18 @@
 		this.#response.writeHead(status, {'content-type': contentType, 'x-request-id': this.#requestId, 'cache-control': 'no-cache'});
 	}
 
-	data(chunk: Buffer): boolean {
-		return this.#response.destroyed || this.#response.write(chunk);
-	}
+	/** A caller that takes too little for too long is cut off, so that it cannot hold memory. */
+	data(chunk: Buffer): void {
+		if (this.#response.destroyed || this.#response.write(chunk)) {
+			return;
+		}
 
-	async drained(): Promise<void> {
-		const stall = this.#timers.after(this.#stallMs, () => {
+		if (this.#response.writableLength > MAX_BUFFERED_BYTES) {
 			this.#response.destroy();
-		});
-		await Promise.race([once(this.#response, 'drain'), once(this.#response, 'close')]);
-		stall.cancel();
+			return;
+		}
+
+		this.#watchStall();
 	}
 
 	end(): void {
@@ -53,4 +58,18 @@
 
 		this.#response.end(`event: error\ndata: ${newRefusalBody(refusal, this.#requestId)}\n\n`);
 	}
+
+	#watchStall(): void {
+		if (this.#stall) {
+			return;
+		}
+
+		this.#stall = this.#timers.after(this.#stallMs, () => {
+			this.#response.destroy();
+		});
+		this.#response.once('drain', () => {
+			this.#stall?.cancel();
+			this.#stall = undefined;
+		});
+	}
 }
--- a/apps/valelead-daemon/src/entry/whole-sink.ts
+++ b/apps/valelead-daemon/src/entry/whole-sink.ts
@@ -26,13 +26,8 @@
 		this.#chunks = [];
 	}
 
-	data(chunk: Buffer): boolean {
+	data(chunk: Buffer): void {
 		this.#chunks.push(chunk);
-		return true;
-	}
-
-	async drained(): Promise<void> {
-		// Nothing is held back.
 	}
 
 	end(): void {
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -77,7 +77,7 @@
 	upstream: LISTEN.annotate({description: 'Where the upstream of this VM is reached.'}),
 	controlAddresses: Schema.Array(ADDRESS),
 	creditMs: getMilliseconds(2000, 'How long a credit to dispatch is valid.'),
-	spareCredits: getNumber(2, 'Credits that an active entry holds in advance.'),
+	spareCredits: getNumber(4, 'Credits that an active entry holds in advance.'),
 	replicaLeaseMs: getMilliseconds(60_000, 'Cut off from the leader for longer, the agent unloads its replicas.'),
 	settleMs: getMilliseconds(1000, 'Time after which a lost order can no longer reach the upstream.'),
 	loadRetryMs: getMilliseconds(1000, 'Wait before a refused load is ordered again.'),
--- a/packages/engine/src/mutate-credits.ts
+++ b/packages/engine/src/mutate-credits.ts
@@ -16,6 +16,9 @@
 
 const getTarget = (wanted: number, settings: AgentSettings): number => wanted === 0 ? 0 : Math.max(wanted, settings.spareCredits);
 
+/** A lane is filled up when half of its credits are gone, so that not every dispatch calls for a message. */
+const isNeedy = (held: number, target: number, isBeingFilled: boolean): boolean => held < target && (isBeingFilled || held <= target / 2);
+
 /** Issues free places of the upstream to the entries, those with fewest credits first. */
 export const mutateCredits = (state: AgentState, settings: AgentSettings, now: number): AgentEffect[] => {
 	mutateExpired(state, now);
@@ -27,7 +30,7 @@
 	const issued = new Map<string, string[]>();
 	while (free > 0) {
 		const needy = [...state.lanes]
-			.filter(([, lane]) => lane.credits.size < getTarget(lane.wanted, settings))
+			.filter(([entry, lane]) => isNeedy(lane.credits.size, getTarget(lane.wanted, settings), issued.has(entry)))
 			.sort(([, left], [, right]) => left.credits.size - right.credits.size)[0];
 		if (!needy) {
 			break;
