--- a/apps/valelead-daemon/src/agent/agent.ts
+++ b/apps/valelead-daemon/src/agent/agent.ts
@@ -28,7 +28,7 @@
 /** What was decided on a dispatch. */
 type DispatchDecision = Extract<AgentEffect, {kind: 'accept' | 'refuse'}>;
 
-const TICK_MS = 50;
+const TICK_MS = 100;
 
 /** Runs the decisions of one agent: feeds them with events and carries out their orders. */
 export class Agent {
--- a/apps/valelead-daemon/src/control/leader.ts
+++ b/apps/valelead-daemon/src/control/leader.ts
@@ -18,7 +18,8 @@
 	readonly logger: Logger;
 };
 
-const ROUND_MS = 50;
+/** Demand for a cold unit is decided on at once; the rest can wait for a round. */
+const ROUND_MS = 100;
 
 /** Loads that failed this often in a row are given up on their VM. */
 const FAILED_STATE = 'failed';
@@ -64,11 +65,16 @@
 	takeEntryReport(report: EntryReport, now: number): void {
 		this.#checkTerm(now);
 		this.#fleet.entries.set(report.vm, {report, receivedAt: now});
+		const hasDemand = report.demands.some(demand => demand.waiting > 0 && demand.arrivals > 0);
 		for (const demand of report.demands) {
 			if (demand.arrivals > 0) {
 				this.#arrivals.set(demand.unit, (this.#arrivals.get(demand.unit) ?? 0) + demand.arrivals);
 			}
 		}
+
+		if (hasDemand) {
+			void this.#decide(now);
+		}
 	}
 
 	/** Takes an agent's heartbeat. Returns false if a newer agent holds the VM. */
--- a/apps/valelead-daemon/src/entry/dispatcher.ts
+++ b/apps/valelead-daemon/src/entry/dispatcher.ts
@@ -11,6 +11,7 @@
 import type {Intent} from '@valelead/intent';
 import type {Metrics} from '../metrics/metrics.js';
 import {Attempt} from './attempt.js';
+import {ExchangeRecorder} from './exchange-recorder.js';
 import {Lanes} from './lanes.js';
 import type {Exchange} from './exchange.js';
 
@@ -30,8 +31,7 @@
 
 type Dispatch = Extract<AdmissionEffect, {kind: 'dispatch'}>;
 
-const TICK_MS = 10;
-const MS_PER_SECOND = 1000;
+const TICK_MS = 25;
 const HTTP_SERVER_ERROR = 500;
 
 /** Runs an entry's admission: feeds it with events and carries out dispatches and refusals. */
@@ -41,11 +41,13 @@
 	readonly #exchanges = new Map<string, Exchange>();
 	readonly #attempts = new Map<string, Attempt>();
 	readonly #lanes: Lanes;
+	readonly #recorder: ExchangeRecorder;
 	readonly #endpoints = new Map<string, Endpoint>();
 	#entryCount = 1;
 
 	constructor(parts: DispatcherParts) {
 		this.#parts = parts;
+		this.#recorder = new ExchangeRecorder(parts.metrics, parts.clock);
 		this.#lanes = new Lanes(parts.entry, parts.pool, {
 			onCredits: (vm, creditIds, validForMs) => {
 				this.#take({
@@ -213,7 +215,7 @@
 			return;
 		}
 
-		this.#noteDispatch(exchange);
+		this.#recorder.noteDispatch(exchange);
 		const attempt = this.#newAttempt(exchange, dispatch);
 		this.#attempts.set(dispatch.attemptId, attempt);
 		if (!this.#lanes.dispatch(dispatch.vm, this.#newRequest(exchange, dispatch))) {
@@ -250,7 +252,7 @@
 			events: {
 				onStart: status => this.#start(exchange, attemptId, status),
 				onData: () => {
-					this.#noteData(exchange);
+					this.#recorder.noteData(exchange);
 				},
 				onEnd: () => {
 					this.#end(exchange, attemptId);
@@ -323,41 +325,7 @@
 	}
 
 	#finish(exchange: Exchange, code: ResultCodeValue): void {
-		const labels = this.#getLabels(exchange);
-		this.#parts.metrics.duration.observe(labels, this.#getSecondsSince(exchange.arrivedAt));
-		this.#parts.metrics.results.inc({...labels, code: String(code)});
+		this.#recorder.noteEnd(exchange, code);
 		this.#parts.onEnd(exchange, code);
 	}
-
-	#noteDispatch(exchange: Exchange): void {
-		if (exchange.dispatchedAt === undefined) {
-			exchange.dispatchedAt = this.#parts.clock.now();
-			this.#parts.metrics.queueWait.observe(this.#getLabels(exchange), this.#getSecondsSince(exchange.arrivedAt));
-		}
-	}
-
-	#noteData(exchange: Exchange): void {
-		const now = this.#parts.clock.now();
-		const labels = this.#getLabels(exchange);
-		if (exchange.firstPartAt === undefined) {
-			exchange.firstPartAt = now;
-			const seconds = this.#getSecondsSince(exchange.arrivedAt);
-			this.#parts.metrics.firstToken.observe(labels, seconds);
-			if (exchange.wasCold) {
-				this.#parts.metrics.coldStart.observe(labels, seconds);
-			}
-		} else if (exchange.sink.isStream) {
-			this.#parts.metrics.betweenTokens.observe(labels, (now - exchange.lastPartAt) / MS_PER_SECOND);
-		}
-
-		exchange.lastPartAt = now;
-	}
-
-	#getSecondsSince(time: number): number {
-		return (this.#parts.clock.now() - time) / MS_PER_SECOND;
-	}
-
-	#getLabels(exchange: Exchange): {team: string; class: string} {
-		return {team: this.#parts.metrics.getTeamLabel(exchange.request.team), class: exchange.request.className};
-	}
 }
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/exchange-recorder.ts
@@ -0,0 +1,63 @@
+import type {Clock, ResultCodeValue} from '@valelead/common';
+import type {Metrics} from '../metrics/metrics.js';
+import type {Exchange} from './exchange.js';
+
+type RequestLabels = {
+	readonly team: string;
+	readonly class: string;
+};
+
+const MS_PER_SECOND = 1000;
+
+/** Records the times of exchanges in the histograms of their team and class. */
+export class ExchangeRecorder {
+	readonly #metrics: Metrics;
+	readonly #clock: Clock;
+
+	constructor(metrics: Metrics, clock: Clock) {
+		this.#metrics = metrics;
+		this.#clock = clock;
+	}
+
+	noteDispatch(exchange: Exchange): void {
+		if (exchange.dispatchedAt === undefined) {
+			exchange.dispatchedAt = this.#clock.now();
+			this.#metrics.queueWait.observe(this.#getLabels(exchange), this.#getSecondsSince(exchange.arrivedAt));
+		}
+	}
+
+	noteData(exchange: Exchange): void {
+		const now = this.#clock.now();
+		const labels = this.#getLabels(exchange);
+		if (exchange.firstPartAt === undefined) {
+			exchange.firstPartAt = now;
+			this.#noteFirstPart(exchange, labels);
+		} else if (exchange.sink.isStream) {
+			this.#metrics.betweenTokens.observe(labels, (now - exchange.lastPartAt) / MS_PER_SECOND);
+		}
+
+		exchange.lastPartAt = now;
+	}
+
+	noteEnd(exchange: Exchange, code: ResultCodeValue): void {
+		const labels = this.#getLabels(exchange);
+		this.#metrics.duration.observe(labels, this.#getSecondsSince(exchange.arrivedAt));
+		this.#metrics.results.inc({...labels, code: String(code)});
+	}
+
+	#noteFirstPart(exchange: Exchange, labels: RequestLabels): void {
+		const seconds = this.#getSecondsSince(exchange.arrivedAt);
+		this.#metrics.firstToken.observe(labels, seconds);
+		if (exchange.wasCold) {
+			this.#metrics.coldStart.observe(labels, seconds);
+		}
+	}
+
+	#getSecondsSince(time: number): number {
+		return (this.#clock.now() - time) / MS_PER_SECOND;
+	}
+
+	#getLabels(exchange: Exchange): RequestLabels {
+		return {team: this.#metrics.getTeamLabel(exchange.request.team), class: exchange.request.className};
+	}
+}
--- a/apps/valelead-daemon/src/settings/check-settings.ts
+++ b/apps/valelead-daemon/src/settings/check-settings.ts
@@ -49,8 +49,22 @@
 	return faults;
 };
 
+const ROLES = ['entry', 'agent'];
+
+/** A wrong role leaves nothing else to compare with. */
+const getRoleFault = (value: unknown): SettingsFault | undefined => {
+	const found = getFound(value, ['role']);
+	const isKnown = ROLES.some(role => JSON.stringify(role) === found);
+	return isKnown ? undefined : newFault('role', found, ROLES.map(role => JSON.stringify(role)).join(' | '));
+};
+
 /** Checks a settings file's value and names every fault. */
 export const checkSettings = (value: unknown): Checked => {
+	const roleFault = getRoleFault(value);
+	if (roleFault) {
+		return {settings: undefined, faults: [roleFault]};
+	}
+
 	const result = decode(value, {errors: 'all', onExcessProperty: 'error'});
 	if (Result.isSuccess(result)) {
 		const faults = getContradictions(result.success);
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -31,7 +31,7 @@
 	admin: LISTEN.annotate({description: 'Where /healthz, /readyz and /metrics are served.'}),
 	tls: Schema.optionalKey(TLS),
 	logLevel: Schema.Literals(['debug', 'info', 'warn', 'error']).pipe(Schema.withDecodingDefaultKey(Effect.succeed('info' as const))),
-	heartbeatMs: getMilliseconds(200, 'How often the process reports to the leader.'),
+	heartbeatMs: getMilliseconds(250, 'How often the process reports to the leader.'),
 	maxConfigurationAgeMs: getMilliseconds(10_000, 'Cut off from the leader for longer, the process takes no new work.'),
 	stopLimitMs: getMilliseconds(30_000, 'How long a planned stop waits for requests in progress.'),
 };
@@ -48,7 +48,7 @@
 	listen: ADDRESS,
 	dataFolder: Schema.String,
 	electionTimeoutMs: getMilliseconds(500, 'The shortest election timeout; the longest is twice this.'),
-	consensusHeartbeatMs: getMilliseconds(60, 'How often a leader sends to the other voters.'),
+	consensusHeartbeatMs: getMilliseconds(100, 'How often a leader sends to the other voters.'),
 	snapshotEvery: getNumber(5000, 'Log entries after which a snapshot is taken.'),
 	leaseMs: getMilliseconds(2000, 'A VM or entry that is silent for longer gets no new work.'),
 	assumeLostMs: getNumber(0, 'A VM that is silent for longer is taken as gone and its replicas as free; 0 waits for proof. In milliseconds.'),
--- a/bench/policy/deployment.ts
+++ b/bench/policy/deployment.ts
@@ -1,7 +1,7 @@
 import type {PolicySettings} from '@valelead/placement';
 
 /** A class of the deployment. */
-type DeploymentClass = {
+type WeighedClass = {
 	readonly weight: number;
 	readonly deadlineMs: number;
 };
@@ -13,6 +13,6 @@
 	readonly models: number;
 	readonly memoryGib: number;
 	readonly capacity: number;
-	readonly classes: Readonly<Record<string, DeploymentClass>>;
+	readonly classes: Readonly<Record<string, WeighedClass>>;
 	readonly policy: PolicySettings;
 };
--- a/bench/policy/replay-result.ts
+++ b/bench/policy/replay-result.ts
@@ -12,6 +12,6 @@
 	readonly served: number;
 	/** Refused by class, as their time was over before they were served. */
 	readonly refused: ReadonlyMap<string, number>;
-	/** Weighted cost: cold waits by the weights of their classes, idle time by the deployment's. */
+	/** Weighted cost: cold waits by the weights of their classes, idle and loading time by the deployment's. */
 	readonly cost: number;
 };
--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -37,7 +37,7 @@
 	readonly reject: (error: ValeleadError) => void;
 };
 
-const TICK_MS = 10;
+const TICK_MS = 25;
 
 /** Runs one voter: feeds its state with events and carries out the effects, syncing before answering. */
 export class ConsensusNode {
--- a/packages/language/src/parse-statements.ts
+++ b/packages/language/src/parse-statements.ts
@@ -1,5 +1,5 @@
 import {RESULT_CODE, ValeleadError} from '@valelead/common';
-import {decodeCommands} from '@valelead/intent';
+import {type Command, decodeCommands} from '@valelead/intent';
 import {Lexer} from 'chevrotain';
 import {ATTRIBUTE_KINDS} from './attribute-kinds.js';
 import {LISTINGS} from './listings.js';
@@ -51,6 +51,17 @@
 	return fields;
 };
 
+/** A value that the command schema refuses is reported where its statement begins. */
+const checkCommand = (change: ParsedChange, command: Readonly<Record<string, unknown>>): Command => {
+	try {
+		const [checked] = decodeCommands(JSON.stringify([command]));
+		return checked;
+	} catch (error) {
+		const {line, column} = change.verb;
+		throw new ValeleadError(`line ${line}, column ${column}: ${(error as Error).message}`, {code: RESULT_CODE.InvalidCommand});
+	}
+};
+
 const toStatement = (change: ParsedChange, newHash: (() => string) | undefined): Statement => {
 	const kind = getKind(change);
 	checkOwner(change, kind);
@@ -60,8 +71,7 @@
 	}
 
 	const command = kind.perform({name: change.name.text, owner: change.ownerName?.text ?? '', fields});
-	const [checked] = decodeCommands(JSON.stringify([command]));
-	return {kind: 'change', command: checked};
+	return {kind: 'change', command: checkCommand(change, command)};
 };
 
 /**
--- a/packages/placement/src/decide-placement.ts
+++ b/packages/placement/src/decide-placement.ts
@@ -134,13 +134,13 @@
 
 		for (const [key, history] of this.#state.histories) {
 			const unit = this.#view.units.get(key);
-			if (!unit || unit.isStopped || unit.freeReplicas <= 0 || this.#round.getReplicas(key).length > 0) {
+			if (!unit || history.wasPrewarmed || unit.isStopped || unit.freeReplicas <= 0 || this.#round.getReplicas(key).length > 0) {
 				continue;
 			}
 
 			const costs = getKeepCosts(this.#state, this.#settings, unit, vm);
 			if (isReturnLikely(history, costs, this.#getWindowMs(unit), this.#now)) {
-				this.#round.place(unit, false, true);
+				history.wasPrewarmed = this.#round.place(unit, false, true);
 			}
 		}
 	}
--- a/packages/placement/src/mutate-arrivals.ts
+++ b/packages/placement/src/mutate-arrivals.ts
@@ -13,6 +13,7 @@
 
 const newHistory = (now: number): History => ({
 	lastArrivalAt: now,
+	wasPrewarmed: false,
 	gaps: [],
 	burstSize: 1,
 	requestWeight: 1,
@@ -24,6 +25,7 @@
 	state.histories.set(unit.key, history);
 	const gap = now - history.lastArrivalAt;
 	history.lastArrivalAt = now;
+	history.wasPrewarmed = false;
 	if (gap >= SESSION_GAP_MS) {
 		history.gaps.push(gap);
 	}
--- a/packages/protocol/src/leader-calls.ts
+++ b/packages/protocol/src/leader-calls.ts
@@ -10,6 +10,9 @@
 
 const RETRY_MS = 50;
 
+/** A voter that does not answer for longer is passed over; it may be frozen. */
+const ATTEMPT_MS = 700;
+
 /** Calls the leader, wherever it is: follows the address in a reply, and tries the voters in turn. */
 export class LeaderCalls {
 	readonly #pool: ChannelPool;
@@ -54,7 +57,7 @@
 	}
 
 	async #try<Input extends DescMessage, Output extends DescMessage>(method: DescMethodUnary<Input, Output>, request: MessageShape<Input>, timeoutMs: number): Promise<(MessageShape<Output> & ControlReply) | undefined> {
-		const attemptMs = Math.min(timeoutMs, 2000);
+		const attemptMs = Math.min(timeoutMs, ATTEMPT_MS);
 		try {
 			return await this.#pool.get(this.address).unary(method, request, attemptMs) as MessageShape<Output> & ControlReply;
 		} catch {
--- a/tests/requests/fake-traffic.ts
+++ b/tests/requests/fake-traffic.ts
@@ -5,7 +5,8 @@
 import {VirtualNetwork} from '../support/virtual-network.js';
 import {VirtualTime} from '../support/virtual-time.js';
 import {FakeDispatchAgent} from './fake-dispatch-agent.js';
-import {FakeEntry, type FakeRequest} from './fake-entry.js';
+import {FakeEntry} from './fake-entry.js';
+import type {FakeRequest} from './fake-request.js';
 import type {GivenAnswer} from './given-answer.js';
 import type {RequestMutation} from './request-mutation.js';
 
