Split the start of an entry and the dispatcher into small parts

Cause: read as a newcomer, the start of an entry was one function of 110 lines, the dispatcher had 364 lines, and two operator connections stood in tests and benches.

A result code that nothing returned is gone from the table.

--- a/apps/valelead-daemon/src/entry/dispatcher.ts
+++ b/apps/valelead-daemon/src/entry/dispatcher.ts
@@ -1,18 +1,17 @@
-import {create} from '@bufbuild/protobuf';
 import {
 	type Clock, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type TimerService,
 } from '@valelead/common';
 import {
-	type AdmissionEffect, type AdmissionEndpoint, type AdmissionEvent, type AdmissionSettings, type AdmissionState, type TargetDemand, getServiceTarget, mutateAdmission, mutateTargetDemands, newAdmissionState,
+	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, type TargetDemand, mutateAdmission, mutateTargetDemands, newAdmissionState,
 } from '@valelead/admission';
-import {
-	type ChannelPool, type DispatchRequest, type Endpoint, DispatchRequestSchema,
-} from '@valelead/protocol';
+import type {ChannelPool, Endpoint} from '@valelead/protocol';
 import type {Intent} from '@valelead/intent';
 import type {Metrics} from '../metrics/metrics.js';
 import {Attempt} from './attempt.js';
 import {ExchangeRecorder} from './exchange-recorder.js';
 import {Lanes} from './lanes.js';
+import {newDispatchRequest} from './new-dispatch-request.js';
+import {newEndpointIndex} from './new-endpoint-index.js';
 import type {Exchange} from './exchange.js';
 
 type DispatcherParts = {
@@ -154,27 +153,13 @@
 			}
 		}
 
-		this.#take({kind: 'endpoints', endpoints: this.#newEndpointIndex()});
+		this.#take({kind: 'endpoints', endpoints: newEndpointIndex(this.#endpoints.values())});
 	}
 
 	#getShare(limit: number): number {
 		return Math.max(1, Math.floor(limit / this.#entryCount));
 	}
 
-	#newEndpointIndex(): Map<string, AdmissionEndpoint[]> {
-		const index = new Map<string, AdmissionEndpoint[]>();
-		for (const endpoint of this.#endpoints.values()) {
-			const targets = endpoint.service === '' ? endpoint.ready : [getServiceTarget(endpoint.service)];
-			for (const target of endpoint.isClosed ? [] : targets) {
-				const known = index.get(target) ?? [];
-				known.push({vm: endpoint.vm, dataCentre: endpoint.dataCentre});
-				index.set(target, known);
-			}
-		}
-
-		return index;
-	}
-
 	#take(event: AdmissionEvent): void {
 		for (const effect of mutateAdmission(this.#state, this.#parts.settings, event, this.#parts.clock.now())) {
 			this.#carryOut(effect);
@@ -218,31 +203,12 @@
 		this.#recorder.noteDispatch(exchange);
 		const attempt = this.#newAttempt(exchange, dispatch);
 		this.#attempts.set(dispatch.attemptId, attempt);
-		if (!this.#lanes.dispatch(dispatch.vm, this.#newRequest(exchange, dispatch))) {
+		const {weight} = this.#parts.getIntent().classes.get(exchange.request.className)!;
+		if (!this.#lanes.dispatch(dispatch.vm, newDispatchRequest(exchange, dispatch, weight))) {
 			this.#fail(exchange, dispatch.attemptId, RESULT_CODE.AgentLost, OUTCOME.NotRun);
 		}
 	}
 
-	#newRequest({request, requestId}: Exchange, dispatch: Dispatch): DispatchRequest {
-		const requestClass = this.#parts.getIntent().classes.get(request.className);
-		return create(DispatchRequestSchema, {
-			requestId,
-			attemptId: dispatch.attemptId,
-			creditId: dispatch.creditId,
-			team: request.team,
-			unit: request.unit,
-			service: request.service,
-			remainingMs: dispatch.remainingMs,
-			priority: requestClass?.weight ?? 1,
-			method: request.method,
-			path: request.path,
-			contentType: request.contentType,
-			body: request.body,
-			isStream: request.isStream,
-			isRepeatable: request.isRepeatable,
-		});
-	}
-
 	#newAttempt(exchange: Exchange, {attemptId, vm, creditId}: Dispatch): Attempt {
 		return new Attempt({
 			attemptId,
--- /dev/null
+++ b/apps/valelead-daemon/src/entry/entry.ts
@@ -0,0 +1,201 @@
+import type {Server} from 'node:http';
+import {create} from '@bufbuild/protobuf';
+import {
+	RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, SYSTEM_CLOCK, type TimerService,
+} from '@valelead/common';
+import {
+	type ChannelPool, LeaderCalls, type SessionReport, type SessionUpdate, SessionReportSchema,
+} from '@valelead/protocol';
+import type {Logger} from 'pino';
+import {startAdminServer} from '../admin-server.js';
+import {SessionClient} from '../session-client.js';
+import {Metrics} from '../metrics/metrics.js';
+import type {EntrySettings} from '../settings/entry-settings.js';
+import type {Stoppable} from '../stoppable.js';
+import {ADMISSION_DEFAULTS} from './admission-defaults.js';
+import {CallerServer} from './caller-server.js';
+import {ClaimClient} from './claim-client.js';
+import {Dispatcher} from './dispatcher.js';
+import {HttpHandler} from './http-handler.js';
+import {IntentFollower} from './intent-follower.js';
+import {KeyIndex} from './key-index.js';
+import type {Exchange} from './exchange.js';
+
+type EntryParts = {
+	readonly settings: EntrySettings;
+	readonly logger: Logger;
+	readonly timers: TimerService;
+	readonly pool: ChannelPool;
+};
+
+const IDLE_POLL_MS = 20;
+const MS_PER_SECOND = 1000;
+
+/** An entry: follows the leader, takes callers' requests and hands them to agents. */
+export class Entry implements Stoppable {
+	readonly #parts: EntryParts;
+	readonly #follower = new IntentFollower(SYSTEM_CLOCK);
+	readonly #keys = new KeyIndex();
+	readonly #metrics = new Metrics();
+	readonly #dispatcher: Dispatcher;
+	readonly #callers: CallerServer;
+	readonly #session: SessionClient;
+	#admin: Server | undefined;
+	#isStopping = false;
+
+	constructor(parts: EntryParts) {
+		this.#parts = parts;
+		this.#dispatcher = this.#newDispatcher();
+		this.#callers = new CallerServer(this.#newHandler(), parts.settings, () => this.#getUnreadyReason());
+		this.#session = this.#newSession();
+	}
+
+	async start(): Promise<void> {
+		const {settings, timers, logger} = this.#parts;
+		this.#session.start();
+		timers.repeat(settings.heartbeatMs, () => {
+			this.#refuseWhenCutOff();
+		});
+		await this.#callers.listen();
+		this.#admin = await startAdminServer({
+			...settings.admin,
+			metrics: this.#metrics,
+			getUnreadyReason: () => this.#getUnreadyReason(),
+			refreshMetrics: () => {
+				this.#metrics.revision.set(this.#follower.intent.revision);
+				this.#metrics.configurationAge.set(this.#follower.ageMs / MS_PER_SECOND);
+			},
+		});
+		logger.info({event: 'started'}, 'entry started');
+	}
+
+	/** Fails readiness, lets the balancer notice, and waits for what is in progress. */
+	async stop(): Promise<void> {
+		const {settings, timers} = this.#parts;
+		this.#isStopping = true;
+		await timers.wait(settings.balancerDelayMs);
+		this.#callers.close();
+		await this.#waitUntilIdle(settings.stopLimitMs);
+		this.#dispatcher.cutAll(RESULT_CODE.Draining);
+		this.#session.stop();
+		this.#admin?.close();
+	}
+
+	stopNow(): void {
+		this.#isStopping = true;
+		this.#dispatcher.cutAll(RESULT_CODE.Draining);
+	}
+
+	#newDispatcher(): Dispatcher {
+		const {settings, timers, pool} = this.#parts;
+		return new Dispatcher({
+			entry: settings.vm,
+			settings: {...ADMISSION_DEFAULTS, dataCentre: settings.dataCentre},
+			maxAnswerBytes: settings.maxAnswerBytes,
+			pool,
+			timers,
+			clock: SYSTEM_CLOCK,
+			metrics: this.#metrics,
+			getIntent: () => this.#follower.intent,
+			onColdDemand: () => {
+				this.#session.reportSoon();
+			},
+			onEnd: (exchange, code) => {
+				this.#log(exchange, code);
+			},
+		});
+	}
+
+	#newHandler(): HttpHandler {
+		const {settings, timers, logger} = this.#parts;
+		return new HttpHandler({
+			follower: this.#follower,
+			keys: this.#keys,
+			dispatcher: this.#dispatcher,
+			claims: new ClaimClient(this.#newLeaderCalls()),
+			timers,
+			clock: SYSTEM_CLOCK,
+			logger,
+			maxBodyBytes: settings.maxBodyBytes,
+			streamStallMs: settings.streamStallMs,
+			getClosedCode: () => this.#getClosedCode(),
+		});
+	}
+
+	#newSession(): SessionClient {
+		const {settings, timers, pool, logger} = this.#parts;
+		return new SessionClient({
+			pool,
+			leader: this.#newLeaderCalls(),
+			timers,
+			clock: SYSTEM_CLOCK,
+			logger,
+			heartbeatMs: settings.heartbeatMs,
+			newReport: sentAt => this.#newReport(sentAt),
+			onUpdate: update => {
+				this.#takeUpdate(update);
+			},
+		});
+	}
+
+	#newLeaderCalls(): LeaderCalls {
+		const {settings, timers, pool} = this.#parts;
+		return new LeaderCalls(pool, settings.controlAddresses, timers);
+	}
+
+	#newReport(sentAt: number): SessionReport {
+		const demands = this.#dispatcher.takeDemands().map(({target, ...demand}) => ({unit: target, ...demand, inProgress: 0}));
+		const value = {
+			vm: this.#parts.settings.vm,
+			sentAt,
+			revision: this.#follower.reportedRevision,
+			demands,
+			inProgress: this.#dispatcher.inProgress,
+			waiting: this.#dispatcher.waiting,
+		};
+		return create(SessionReportSchema, {report: {case: 'entry', value}});
+	}
+
+	#takeUpdate(update: SessionUpdate): void {
+		if (this.#follower.take(update)) {
+			this.#keys.refresh(this.#follower.intent);
+		}
+
+		this.#dispatcher.takeEndpoints(update.endpoints, update.entryCount);
+	}
+
+	#getClosedCode(): ResultCodeValue | undefined {
+		if (this.#isStopping) {
+			return RESULT_CODE.Draining;
+		}
+
+		const isTooOld = this.#follower.ageMs > this.#parts.settings.maxConfigurationAgeMs;
+		return isTooOld ? RESULT_CODE.ConfigurationTooOld : undefined;
+	}
+
+	#getUnreadyReason(): string | undefined {
+		const code = this.#getClosedCode();
+		return code === undefined ? undefined : RESULT_DETAILS[code].name;
+	}
+
+	#refuseWhenCutOff(): void {
+		if (this.#getClosedCode() === RESULT_CODE.ConfigurationTooOld) {
+			this.#dispatcher.refuseWaiting(RESULT_CODE.ConfigurationTooOld);
+		}
+	}
+
+	async #waitUntilIdle(limitMs: number): Promise<void> {
+		const endsAt = SYSTEM_CLOCK.now() + limitMs;
+		while (this.#dispatcher.inProgress > 0 && SYSTEM_CLOCK.now() < endsAt) {
+			await this.#parts.timers.wait(IDLE_POLL_MS);
+		}
+	}
+
+	#log({requestId, request, arrivedAt}: Exchange, code: ResultCodeValue): void {
+		const {team, className, target} = request;
+		const tookMs = Math.round(SYSTEM_CLOCK.now() - arrivedAt);
+		this.#parts.logger.info({
+			event: 'request-ended', requestId, team, class: className, target, code, tookMs,
+		}, 'request ended');
+	}
+}
--- a/bench/failover.ts
+++ b/bench/failover.ts
@@ -1,21 +1,13 @@
-import {readFileSync} from 'node:fs';
 import {mkdtemp} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as wait} from 'node:timers/promises';
-import {create} from '@bufbuild/protobuf';
-import {ChannelCredentials} from '@grpc/grpc-js';
-import {SYSTEM_CLOCK, TimerService} from '@valelead/common';
-import {type EngineBooks, Installation} from '@valelead/fakes';
-import {
-	ChannelPool, Control, ExecuteRequestSchema, LeaderCalls, QueryRequestSchema,
-} from '@valelead/protocol';
+import {type EngineBooks, ControlClient, Installation} from '@valelead/fakes';
 
 type Row = Readonly<Record<string, string | number | boolean>>;
 
-const TIMEOUT_MS = 15_000;
 const ROUNDS = 5;
 const QUIET_MS = 1500;
 
@@ -23,32 +15,6 @@
 	process.stdout.write(`${line}\n`);
 };
 
-/** An operator's connection that is kept open. */
-class Operator {
-	readonly #timers = new TimerService(SYSTEM_CLOCK);
-	readonly #pool = new ChannelPool(ChannelCredentials.createInsecure());
-	readonly #leader: LeaderCalls;
-	readonly #operatorKey: string;
-
-	constructor(installation: Installation) {
-		this.#leader = new LeaderCalls(this.#pool, installation.control.split(','), this.#timers);
-		this.#operatorKey = readFileSync(installation.keyFile, 'utf8').trim();
-	}
-
-	async execute(commands: readonly unknown[]): Promise<number> {
-		const reply = await this.#leader.call(Control.method.execute, create(ExecuteRequestSchema, {operatorKey: this.#operatorKey, commands: JSON.stringify(commands)}), TIMEOUT_MS);
-		return reply.revision;
-	}
-
-	async list(listing: string): Promise<Row[]> {
-		const statement = JSON.stringify({
-			kind: 'show', listing, conditions: [], order: [],
-		});
-		const reply = await this.#leader.call(Control.method.query, create(QueryRequestSchema, {operatorKey: this.#operatorKey, statement}), TIMEOUT_MS);
-		return JSON.parse(reply.rows) as Row[];
-	}
-}
-
 const getMedian = (values: readonly number[]): number => [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)];
 
 const report = (name: string, agents: number, values: readonly number[]): void => {
@@ -56,13 +22,13 @@
 };
 
 /** Time from the end of the leader to the first command that its successor accepts. */
-const measureLoss = async (installation: Installation, operator: Operator, signal: NodeJS.Signals): Promise<number[]> => {
+const measureLoss = async (installation: Installation, operator: ControlClient, signal: NodeJS.Signals): Promise<number[]> => {
 	const times: number[] = [];
 	for (let round = 0; round < ROUNDS; round += 1) {
 		const {program} = installation.entries[await installation.getLeader()];
 		const startedAt = performance.now();
 		program.signal(signal);
-		await operator.execute([{kind: 'createTeam', name: `${signal.toLowerCase()}-${round}`}]);
+		await operator.execute([{kind: 'createTeam', name: `${signal.toLowerCase()}-${round}`}], {commandId: `${signal}-${round}`});
 		times.push(performance.now() - startedAt);
 		if (signal === 'SIGSTOP') {
 			program.signal('SIGCONT');
@@ -79,13 +45,13 @@
 };
 
 /** Time from an accepted command to its revision at every entry; polling adds up to one call. */
-const measureInForce = async (operator: Operator): Promise<number[]> => {
+const measureInForce = async (operator: ControlClient): Promise<number[]> => {
 	const times: number[] = [];
 	for (let round = 0; round < ROUNDS * 4; round += 1) {
-		const revision = await operator.execute([{kind: 'createTeam', name: `force-${round}`}]);
+		const {revision} = await operator.execute([{kind: 'createTeam', name: `force-${round}`}], {commandId: `force-${round}`});
 		const startedAt = performance.now();
 		for (;;) {
-			const entries = await operator.list('entries');
+			const entries = await operator.list<Row>('entries');
 			if (entries.every(entry => Number(entry.revision) >= revision)) {
 				break;
 			}
@@ -98,7 +64,7 @@
 };
 
 /** Time from an accepted drain to the last request that the drained engine ran. */
-const measureDrain = async (installation: Installation, operator: Operator, key: string): Promise<number[]> => {
+const measureDrain = async (installation: Installation, operator: ControlClient, key: string): Promise<number[]> => {
 	const times: number[] = [];
 	for (let round = 0; round < ROUNDS; round += 1) {
 		const stopping = new AbortController();
@@ -108,9 +74,9 @@
 			}
 		})();
 		await wait(QUIET_MS);
-		const [replica] = await operator.list('replicas');
+		const [replica] = await operator.list<Row>('replicas');
 		const engine = installation.engines.find(candidate => candidate.vm === replica.vm)!;
-		await operator.execute([{kind: 'drain', target: 'vm', name: engine.vm}]);
+		await operator.execute([{kind: 'drain', target: 'vm', name: engine.vm}], {commandId: `drain-${round}`});
 		const startedAt = performance.now();
 		let last = 0;
 		let ran = -1;
@@ -123,7 +89,7 @@
 		times.push(last);
 		stopping.abort();
 		await load;
-		await operator.execute([{kind: 'undrain', target: 'vm', name: engine.vm}]);
+		await operator.execute([{kind: 'undrain', target: 'vm', name: engine.vm}], {commandId: `undrain-${round}`});
 	}
 
 	return times;
@@ -138,7 +104,7 @@
 		await installation.exec('create team mill; create model alloy memory 1GiB teams mill');
 		const key = await installation.createKey('mill');
 		await installation.complete(0, key, {model: 'alloy', max_tokens: 1});
-		const operator = new Operator(installation);
+		const operator = new ControlClient(installation);
 		report('in-force-everywhere', engines, await measureInForce(operator));
 		report('drain-to-last-dispatch', engines, await measureDrain(installation, operator, key));
 		report('leader-killed', engines, await measureLoss(installation, operator, 'SIGKILL'));
--- a/bench/fit-line.ts
+++ b/bench/fit-line.ts
@@ -1,5 +1,5 @@
 /** A straight line through measured points, and how far they lie from it. */
-export type Line = {
+type Line = {
 	readonly slope: number;
 	readonly intercept: number;
 	/** Root of the mean squared distance, relative to the mean value. */
--- a/tests/support/control-client.ts
+++ b/fakes/src/control-client.ts
@@ -1,11 +1,11 @@
 import {readFileSync} from 'node:fs';
 import {create} from '@bufbuild/protobuf';
 import {SYSTEM_CLOCK, TimerService} from '@valelead/common';
-import type {Installation} from '@valelead/fakes';
 import {
 	type ExecuteReply, ChannelPool, Control, ExecuteRequestSchema, LeaderCalls, QueryRequestSchema,
 } from '@valelead/protocol';
 import {ChannelCredentials} from '@grpc/grpc-js';
+import type {Installation} from './installation.js';
 
 type ExecuteOptions = {
 	readonly commandId: string;
--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -2,6 +2,7 @@
 export type {InstallationOptions} from './installation-options.js';
 export {runProgram} from './run-program.js';
 export type {ProgramResult} from './program-result.js';
+export {ControlClient} from './control-client.js';
 export {Program} from './program.js';
 export {getFreePorts} from './get-free-ports.js';
 export {callHttp} from './call-http.js';
--- a/packages/common/src/result-code.ts
+++ b/packages/common/src/result-code.ts
@@ -41,7 +41,6 @@
 	StillInUse: 4006,
 	CommandTimeout: 4007,
 	VmAlreadyHeld: 4008,
-	PeerRefused: 4009,
 	CorruptLog: 5001,
 	InvalidSettings: 5002,
 	StorageFailed: 5003,
--- a/packages/common/src/result-details.ts
+++ b/packages/common/src/result-details.ts
@@ -48,7 +48,6 @@
 	[RESULT_CODE.StillInUse]: newDetail('StillInUse', 409, 'Another object refers to this one.', 'Drop or alter the other object first.'),
 	[RESULT_CODE.CommandTimeout]: newDetail('CommandTimeout', 504, 'The command was not confirmed in time; it may still take effect.', 'Send it again with the same command id.'),
 	[RESULT_CODE.VmAlreadyHeld]: newDetail('VmAlreadyHeld', 409, 'Another agent holds this VM.', 'Stop the other agent.'),
-	[RESULT_CODE.PeerRefused]: newDetail('PeerRefused', 403, 'The peer did not prove its identity.', 'Check the certificates.'),
 	[RESULT_CODE.CorruptLog]: newDetail('CorruptLog', 500, 'The log is damaged before its end.', 'Delete the data folder; the voter rejoins as a new one.'),
 	[RESULT_CODE.InvalidSettings]: newDetail('InvalidSettings', 400, 'The settings file has faults.', 'Correct each fault listed.'),
 	[RESULT_CODE.StorageFailed]: newDetail('StorageFailed', 500, 'The data folder could not be written or synced.', 'Check the disk; the voter stops.'),
--- a/tests/support/installation-world.ts
+++ b/tests/support/installation-world.ts
@@ -3,10 +3,9 @@
 import path from 'node:path';
 import {After, setDefaultTimeout, World} from '@cucumber/cucumber';
 import {
-	type HttpAnswer, type InstallationOptions, type Program, Installation,
+	type HttpAnswer, type InstallationOptions, type Program, Installation, ControlClient,
 } from '@valelead/fakes';
 import type {ExecuteReply} from '@valelead/protocol';
-import {ControlClient} from './control-client.js';
 
 const STEP_TIMEOUT_MS = 120_000;
 
