Name the points with known gaps as partial

Cause: the proofs command looked for gap lines at the start of a line, where the page has them as list items, so it called all nine points proved. Ruled out: the scenarios and their tags, which were read rightly.

--- a/scripts/proofs.mjs
+++ b/scripts/proofs.mjs
@@ -14,7 +14,7 @@
 	tags: element.tags.map(tag => tag.name),
 	isPassed: element.steps.every(step => step.result.status === 'passed'),
 })));
-const gaps = new Set([...readFileSync('docs/PROOFS.md', 'utf8').matchAll(/^GAP (?<point>\d)/gmv)].map(match => Number(match.groups.point)));
+const gaps = new Set([...readFileSync('docs/PROOFS.md', 'utf8').matchAll(/^- GAP (?<point>\d)/gmv)].map(match => Number(match.groups.point)));
 
 let isGreen = true;
 for (let point = 1; point <= POINTS; point += 1) {
