Prove that a second stop signal ends a stream with an honest answer

Cause: the second signal was built and not tried with real processes. A scenario now stops an entry in the middle of a stream and signals again; the stream ends in an error event, never in [DONE], and the entry ends with status 0. Ruled out: that the first signal alone cut the stream, as 180 further parts came before the second one.

--- a/tests/failures.feature
+++ b/tests/failures.feature
@@ -51,6 +51,13 @@
     When every daemon is stopped as planned and started again while holds and streams go on
     Then no request in progress was cut off
 
+  @point9
+  Scenario: A second stop signal ends a stream with an honest answer
+    Given an installation with 1 engine and 0 services
+    When entry 1 gets a stop signal in the middle of a stream of 8000 tokens, and then a second one
+    Then the stream ends in an error event and never in "[DONE]"
+    And the entry ended with status 0
+
   @point9 @off
   Scenario: Processes that are killed in place of stopped cut requests off
     Given an installation with 2 engines and 1 service
--- a/tests/failures.steps.ts
+++ b/tests/failures.steps.ts
@@ -224,6 +224,24 @@
 	assert.ok(served > this.answers.length * 0.8, `${served} of ${this.answers.length} were served`);
 });
 
+When('entry {int} gets a stop signal in the middle of a stream of {int} tokens, and then a second one', async function (this: InstallationWorld, entry: number, tokens: number) {
+	const {program} = this.installation.entries[entry - 1];
+	this.stopped = entry - 1;
+	let parts = 0;
+	this.answers = [await askTokens(this, entry - 1, tokens, () => {
+		parts += 1;
+		if (parts === 20) {
+			program.signal('SIGTERM');
+		} else if (parts === 200) {
+			program.signal('SIGTERM');
+		}
+	})];
+});
+
+Then('the entry ended with status {int}', async function (this: InstallationWorld, status: number) {
+	assert.equal(await this.installation.entries[this.stopped].program.exited(), status);
+});
+
 When('team {string} is added with its own key', async function (this: InstallationWorld, team: string) {
 	await this.installation.exec(`create team ${team}; create service other class urgent teams ${team} not repeatable`);
 	this.otherKey = await this.installation.createKey(team);
