Treat an unframed answer that ends with its data as cut, and let a silent voter go

Ruled out: a missed error event (with data and reset apart, Node does report it). Now such an end counts as a cut answer. Also: a voter that is silent for 2 s is removed where an even number of voters is left with no more tolerance.

--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -48,6 +48,9 @@
 const CALL_TIMEOUT_MS = 1000;
 const JOIN_POLL_MS = 300;
 
+/** A voter is let go after this silence where the others are better off without it, in milliseconds. */
+const SILENT_VOTER_MS = 2000;
+
 /** One member of the control quorum: its identity and log on the disk, and the state they drive. */
 export class Voter {
 	readonly machine = new ControlMachine();
@@ -261,6 +264,23 @@
 			if (this.#node && (!own || own.isLearner)) {
 				await this.#askToJoin();
 			}
+
+			await this.#dropSilent();
+		}
+	}
+
+	/** As leader, lets a voter go that is not heard of, where the others are better off without it. */
+	async #dropSilent(): Promise<void> {
+		const voters = this.#node?.getReducedVoters(SILENT_VOTER_MS);
+		if (!voters) {
+			return;
+		}
+
+		try {
+			await this.#node!.configure(voters);
+			this.#parts.logger.info({event: 'voters-changed', silentMs: SILENT_VOTER_MS, voters: voters.map(member => `${member.vm}/${member.id}`)}, 'a silent voter was removed');
+		} catch (error) {
+			this.#parts.logger.info({event: 'voters-kept', reason: (error as Error).message}, 'a silent voter could not be removed yet');
 		}
 	}
 
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -46,6 +46,8 @@
 	#isSent = false;
 	#isAnswered = false;
 	#isOver = false;
+	/** Whether bytes of the answer came in the present turn of the event loop. */
+	#isFresh = false;
 
 	constructor(parts: AttemptParts) {
 		this.#parts = parts;
@@ -143,12 +145,13 @@
 
 	#pass(answer: IncomingMessage): void {
 		answer.on('data', (chunk: Buffer) => {
+			this.#noteFresh();
 			if (!this.#isOver) {
 				this.#parts.events.onData(chunk);
 			}
 		});
 		answer.on('end', () => {
-			if (answer.complete) {
+			if (answer.complete && !this.#isPerhapsReset(answer)) {
 				this.#end(this.#parts.events.onEnd);
 			}
 		});
@@ -160,6 +163,22 @@
 		});
 	}
 
+	#noteFresh(): void {
+		this.#isFresh = true;
+		setImmediate(() => {
+			this.#isFresh = false;
+		});
+	}
+
+	/**
+	 * Whether an answer that ends with its connection may have been cut by a reset. Node reports a reset that arrives
+	 * together with data as an orderly end, in the same turn of the event loop; an orderly end comes in a later turn.
+	 */
+	#isPerhapsReset({headers}: IncomingMessage): boolean {
+		const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		return !isFramed && this.#isFresh;
+	}
+
 	#end(tell: () => void): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
--- a/apps/valelead-daemon/src/with-timeout.ts
+++ b/apps/valelead-daemon/src/with-timeout.ts
@@ -8,8 +8,8 @@
 	const settle = async (): Promise<void> => {
 		try {
 			resolve(await promise);
-		} catch (cause) {
-			reject(cause instanceof Error ? cause : new Error(String(cause)));
+		} catch (error_) {
+			reject(error_ instanceof Error ? error_ : new Error(String(error_)));
 		} finally {
 			timer.cancel();
 		}
--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -3,6 +3,7 @@
 } from '@valelead/common';
 import {getLastIndex} from './get-last-index.js';
 import {getLeaseEnd} from './get-lease-end.js';
+import {getReducedVoters} from './get-reduced-voters.js';
 import {isPersistEffect} from './is-persist-effect.js';
 import {mutateConsensus} from './mutate-consensus.js';
 import {newConsensusState} from './new-consensus-state.js';
@@ -150,6 +151,11 @@
 		}
 	}
 
+	/** The voters without one that was silent for too long, where they are better off without it. */
+	getReducedVoters(silenceMs: number): readonly Voter[] | undefined {
+		return this.isCurrentLeader ? getReducedVoters(this.#state, silenceMs, this.#parts.clock.now()) : undefined;
+	}
+
 	/** Whether a member holds everything that is committed. */
 	isCaughtUp(id: string): boolean {
 		return this.#getMatch(id) >= this.#state.commitIndex;
