--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -27,6 +27,9 @@
 /** A new leader has this long to confirm an upstream, in milliseconds: some announcements of the slowest. */
 const CONFIRM_MS = 8000;
 
+/** A lower number of gateways is believed after this time, in milliseconds. */
+const COUNT_PATIENCE_MS = 20_000;
+
 const CHECK_MS = 1000;
 
 /** Keeps the newest routing and the directory of upstreams, as the leader sends them. Neither ever goes back. */
@@ -38,6 +41,8 @@
 	#table: RouteTable | undefined;
 	#gatewayCount = 1;
 	#heardAt: number;
+	/** When the number of gateways was last believed. */
+	#countedAt = 0;
 
 	constructor(parts: FollowerParts) {
 		this.#parts = parts;
@@ -132,12 +137,21 @@
 
 	#takeDirectory(delta: DirectoryDelta): void {
 		const upstreams = delta.upstreams as unknown as readonly Upstream[];
-		this.#gatewayCount = Math.max(1, delta.gatewayCount);
+		this.#noteGateways(delta.gatewayCount);
 		if (mutateDirectoryCopy(this.#copy, {...delta, upstreams}, this.#parts.clock.now())) {
 			this.#publishDirectory();
 		}
 	}
 
+	/** A leader that has just been elected has not heard all gateways yet, so a lower count is believed only after a while. */
+	#noteGateways(count: number): void {
+		const now = this.#parts.clock.now();
+		if (count >= this.#gatewayCount || now - this.#countedAt > COUNT_PATIENCE_MS) {
+			this.#gatewayCount = Math.max(1, count);
+			this.#countedAt = now;
+		}
+	}
+
 	#publishDirectory(): void {
 		this.#parts.onDirectory([...this.#copy.upstreams.values()].map(entry => entry.upstream));
 	}
--- a/apps/valelead-daemon/src/gateway/engine-fleet.ts
+++ b/apps/valelead-daemon/src/gateway/engine-fleet.ts
@@ -63,7 +63,8 @@
 		return {
 			upstream,
 			models: source.models,
-			loading: current?.loading ?? [],
+			inProgressByModel: new Map(current?.models.map(model => [model.name, model.inProgress])),
+			loads: current?.loads ?? [],
 			copiesInMemory: source.copiesInMemory,
 			copiesOnDisk: source.copiesOnDisk,
 			inProgress: current?.inProgress ?? 0,
--- a/apps/valelead-daemon/src/gateway/engine-view.ts
+++ b/apps/valelead-daemon/src/gateway/engine-view.ts
@@ -1,11 +1,14 @@
+import type {ModelLoad} from '@valelead/residency';
 import type {LoadedModel, Upstream} from '@valelead/discovery';
 
 /** What a gateway knows of an upstream that may take requests. */
 export type EngineView = {
 	readonly upstream: Upstream;
 	readonly models: readonly LoadedModel[];
-	/** Models that are being loaded or wait for it. */
-	readonly loading: readonly string[];
+	/** Requests in progress of all gateways by model, where a sidecar tells. */
+	readonly inProgressByModel: ReadonlyMap<string, number>;
+	/** Models that are being loaded or wait for it, in their order. */
+	readonly loads: readonly ModelLoad[];
 	readonly copiesInMemory: readonly string[];
 	readonly copiesOnDisk: readonly string[];
 	/** Requests in progress that come from all gateways, as last reported. */
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import {
 	type OutcomeValue, RESULT_CODE, type ResultCodeValue, SYSTEM_CLOCK, type TimerService,
 } from '@valelead/common';
+import type {AdmissionSettings} from '@valelead/admission';
 import type {ChannelPool} from '@valelead/protocol';
 import type {RouteTable} from '@valelead/routing';
 import type {Logger} from 'pino';
@@ -11,7 +12,7 @@
 import {Metrics} from '../metrics/metrics.js';
 import type {GatewaySettings} from '../settings/gateway-settings.js';
 import type {Stoppable} from '../stoppable.js';
-import {GATEWAY_ADMISSION} from './gateway-admission.js';
+import {newGatewayAdmission} from './new-gateway-admission.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import {RequestHandler} from './request-handler.js';
 import {RequestServer} from './request-server.js';
@@ -47,6 +48,8 @@
 	readonly #server: RequestServer;
 	#admin: Server | undefined;
 	#readiness: Server | undefined;
+	#admission: AdmissionSettings | undefined;
+	#admissionCount = 0;
 	#isStopping = false;
 
 	constructor(parts: GatewayParts) {
@@ -66,9 +69,7 @@
 		});
 		this.#follower = this.#newFollower();
 		this.#dispatcher = new RequestDispatcher({
-			settings: {
-				...GATEWAY_ADMISSION, dataCentre: settings.dataCentre, retryShare: settings.retryRatio,
-			},
+			getSettings: () => this.#getAdmission(),
 			codec: adapter.caller,
 			timers,
 			clock: SYSTEM_CLOCK,
@@ -158,6 +159,20 @@
 		this.#dispatcher.refresh();
 	}
 
+	/** Worked out anew only when the number of gateways changes. */
+	#getAdmission(): AdmissionSettings {
+		const {gatewayCount} = this.#follower;
+		if (this.#admission === undefined || this.#admissionCount !== gatewayCount) {
+			const {dataCentre, retryRatio, retryReserve} = this.#parts.settings;
+			this.#admission = newGatewayAdmission({
+				dataCentre, ratio: retryRatio, reserve: retryReserve, gatewayCount,
+			});
+			this.#admissionCount = gatewayCount;
+		}
+
+		return this.#admission;
+	}
+
 	#getUnreadyReason(): string | undefined {
 		if (this.#isStopping) {
 			return 'stopping';
--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -1,9 +1,12 @@
 import {
-	type LoadSite, type UnitNeed, getLoadSite, getUnitName,
+	type LoadSite, type UnitNeed, getExpectedMs, getLoadSite, getWishedReplicas,
 } from '@valelead/residency';
 import type {ModelShape, RouteTable} from '@valelead/routing';
+import {NeedTable} from './need-table.js';
+import {newLoadSite} from './new-load-site.js';
 import type {EngineView} from './engine-view.js';
 import type {GatewayRequest} from './gateway-request.js';
+import type {WantedUnit} from './wanted-unit.js';
 
 type PlannerParts = {
 	readonly getTable: () => RouteTable | undefined;
@@ -12,110 +15,106 @@
 	readonly isUsable: (upstreamId: string) => boolean;
 };
 
-/** A site that has not served a waiting request within this many of its load times is left for another one. */
-const PATIENCE_LOADS = 4;
+/** Another engine is chosen only where it is expected to be ready this much sooner, in milliseconds. */
+const SWITCH_MARGIN_MS = 400;
 
-type ChosenSite = {
-	readonly upstreamId: string;
-	readonly chosenAt: number;
-	readonly patienceMs: number;
-};
+/** How soon one more replica of a busy model is wanted, in milliseconds: after the requests that wait for a cold one. */
+const REPLICA_DUE_MS = 3000;
+
+/**
+ * A replica is fetched from the weight store, which keeps its engine from other loads for long, only where this many
+ * times the present replicas are called for.
+ */
+const STORE_LOAD_FACTOR = 4;
 
-/** Chooses the engines where models and adapters that requests wait for are to be loaded. */
+/** Chooses the engines where models and adapters are to be loaded, for waiting requests and for busy models. */
 export class LoadPlanner {
 	readonly #parts: PlannerParts;
-	readonly #sites = new Map<string, ChosenSite>();
+	/** The engine that was chosen for each wish. */
+	#sites = new Map<string, string>();
 
 	constructor(parts: PlannerParts) {
 		this.#parts = parts;
 	}
 
-	/** What each engine is needed for: requests in progress there, and waiting ones that it is to load for. */
+	/** What each engine is needed for: requests in progress there, waiting ones that it is to load for, and more replicas. */
 	getNeeds(waiting: readonly GatewayRequest[], inProgress: readonly GatewayRequest[], now: number): Map<string, UnitNeed[]> {
-		const needs = new Map<string, Map<string, UnitNeed>>();
-		for (const request of inProgress) {
-			this.#add(needs, request.upstreamId, request, {waiting: 0, inProgress: 1, dueInMs: Number.MAX_SAFE_INTEGER});
-		}
-
-		const targets = new Set(waiting.map(request => request.target));
-		for (const target of this.#sites.keys()) {
-			if (!targets.has(target)) {
-				this.#sites.delete(target);
-			}
+		const table = new NeedTable();
+		const before = this.#sites;
+		this.#sites = new Map();
+		for (const {upstreamId, head} of inProgress) {
+			table.add(upstreamId, {
+				model: head.model, adapter: head.adapter, waiting: 0, inProgress: 1, dueInMs: Number.MAX_SAFE_INTEGER,
+			});
 		}
 
 		for (const request of waiting) {
-			const site = this.#getSite(request, now);
-			if (site !== undefined) {
-				this.#add(needs, site, request, {waiting: 1, inProgress: 0, dueInMs: Math.round(request.arrivedAt + request.route.objectiveMs - now)});
-			}
+			const {service, target, head, arrivedAt, route} = request;
+			const unit = {
+				service, model: head.model, adapter: head.adapter, key: target, needsCopy: false,
+			};
+			this.#addWish(table, before, unit, Math.round(arrivedAt + route.objectiveMs - now));
 		}
 
-		return new Map([...needs].map(([id, units]) => [id, [...units.values()]]));
+		this.#addReplicas(table, before, inProgress);
+		return table.all;
 	}
 
-	#add(needs: Map<string, Map<string, UnitNeed>>, upstreamId: string, {head}: GatewayRequest, counts: Omit<UnitNeed, 'model' | 'adapter'>): void {
-		const units = needs.get(upstreamId) ?? new Map<string, UnitNeed>();
-		needs.set(upstreamId, units);
-		const name = getUnitName(head.model, head.adapter);
-		const known = units.get(name);
-		units.set(name, {
-			model: head.model,
-			adapter: head.adapter,
-			waiting: counts.waiting + (known?.waiting ?? 0),
-			inProgress: counts.inProgress + (known?.inProgress ?? 0),
-			dueInMs: Math.min(counts.dueInMs, known?.dueInMs ?? Number.MAX_SAFE_INTEGER),
-		});
+	#addReplicas(table: NeedTable, before: ReadonlyMap<string, string>, inProgress: readonly GatewayRequest[]): void {
+		const models = new Map(inProgress.map(request => [`${request.service}/${request.head.model}`, request]));
+		for (const [key, {service, head}] of models) {
+			const views = [...this.#parts.getViews().values()].filter(view => view.upstream.service === service);
+			const held = views.filter(view => view.models.some(model => model.name === head.model));
+			const total = held.reduce((sum, view) => sum + (view.inProgressByModel.get(head.model) ?? 0), 0);
+			if (held.length > 0 && getWishedReplicas(total) > held.length) {
+				this.#addWish(table, before, {
+					service, model: head.model, adapter: '', key: `replica of ${key}`, needsCopy: getWishedReplicas(total) < held.length * STORE_LOAD_FACTOR,
+				}, REPLICA_DUE_MS);
+			}
+		}
 	}
 
-	#getSite(request: GatewayRequest, now: number): string | undefined {
-		const chosen = this.#sites.get(request.target);
-		if (chosen && this.#isCandidate(chosen.upstreamId, request) && now - chosen.chosenAt < chosen.patienceMs) {
-			return chosen.upstreamId;
+	#addWish(table: NeedTable, before: ReadonlyMap<string, string>, unit: WantedUnit, dueInMs: number): void {
+		const site = this.#sites.get(unit.key) ?? this.#choose(unit, before.get(unit.key));
+		if (site === undefined) {
+			return;
 		}
 
-		const shape = this.#getShape(request);
-		if (!shape) {
-			return undefined;
-		}
+		this.#sites.set(unit.key, site);
+		table.add(site, {
+			model: unit.model, adapter: unit.adapter, waiting: 1, inProgress: 0, dueInMs,
+		});
+	}
 
-		const candidates = [...this.#parts.getViews().values()].filter(view => this.#isCandidate(view.upstream.id, request));
-		const others = candidates.filter(view => view.upstream.id !== chosen?.upstreamId);
-		const site = getLoadSite(request.target, shape, (others.length > 0 ? others : candidates).map(view => this.#newSite(view, request)));
-		if (!site) {
-			this.#sites.delete(request.target);
+	#choose(unit: WantedUnit, chosenId: string | undefined): string | undefined {
+		const shape = this.#getShape(unit);
+		if (!shape) {
 			return undefined;
 		}
 
-		this.#sites.set(request.target, {upstreamId: site.upstreamId, chosenAt: now, patienceMs: shape.storeLoadMs * PATIENCE_LOADS});
-		return site.upstreamId;
-	}
-
-	#isCandidate(upstreamId: string, request: GatewayRequest): boolean {
-		const view = this.#parts.getViews().get(upstreamId);
-		if (!view?.hasSidecar || view.upstream.service !== request.service || !this.#parts.isUsable(upstreamId)) {
-			return false;
+		const sites = this.#getSites(unit);
+		const best = getLoadSite(unit.key, shape, sites);
+		const chosen = sites.find(site => site.upstreamId === chosenId);
+		if (!best || !chosen) {
+			return best?.upstreamId;
 		}
 
-		// A request for a model itself waits because its replicas are full or failing, so another one is needed.
-		const isHeld = view.models.some(model => model.name === request.head.model);
-		return request.head.adapter !== '' || !isHeld;
+		const isBetter = getExpectedMs(best, shape) + SWITCH_MARGIN_MS < getExpectedMs(chosen, shape);
+		return isBetter ? best.upstreamId : chosen.upstreamId;
 	}
 
-	#getShape({service, head}: GatewayRequest): ModelShape | undefined {
-		return this.#parts.getTable()?.services.get(service)?.engine?.models.find(model => model.name === head.model);
+	/** Engines that could load the unit. A wish for a model itself means that those which hold it do not suffice. */
+	#getSites({
+		service, model, adapter, needsCopy,
+	}: WantedUnit): LoadSite[] {
+		return [...this.#parts.getViews().values()]
+			.filter(view => view.hasSidecar && view.upstream.service === service && this.#parts.isUsable(view.upstream.id))
+			.map(view => newLoadSite(view, model))
+			.filter(site => adapter !== '' || !site.isHeld)
+			.filter(site => !needsCopy || site.hasMemoryCopy || site.hasDiskCopy || site.remainingMs !== undefined);
 	}
 
-	#newSite({upstream, models, loading, copiesInMemory, copiesOnDisk, inProgress}: EngineView, {head}: GatewayRequest): LoadSite {
-		const isHeld = models.some(model => model.name === head.model);
-		return {
-			upstreamId: upstream.id,
-			isHeld,
-			hasMemoryCopy: copiesInMemory.includes(head.model),
-			hasDiskCopy: copiesOnDisk.includes(head.model),
-			isLoading: loading.includes(head.model),
-			queuedLoads: loading.filter(model => model !== head.model).length,
-			pressure: inProgress / Math.max(1, upstream.slots),
-		};
+	#getShape({service, model}: WantedUnit): ModelShape | undefined {
+		return this.#parts.getTable()?.services.get(service)?.engine?.models.find(shape => shape.name === model);
 	}
 }
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -20,7 +20,7 @@
 import type {ResidencyClients} from './residency-clients.js';
 
 type DispatcherParts = {
-	readonly settings: AdmissionSettings;
+	readonly getSettings: () => AdmissionSettings;
 	readonly codec: CallerCodec;
 	readonly timers: TimerService;
 	readonly clock: Clock;
@@ -244,7 +244,7 @@
 	}
 
 	#take(event: AdmissionEvent): void {
-		for (const effect of mutateAdmission(this.#state, this.#parts.settings, event, this.#parts.clock.now())) {
+		for (const effect of mutateAdmission(this.#state, this.#parts.getSettings(), event, this.#parts.clock.now())) {
 			this.#carryOut(effect);
 		}
 	}
--- a/apps/valelead-daemon/src/gateway/residency-client.ts
+++ b/apps/valelead-daemon/src/gateway/residency-client.ts
@@ -27,6 +27,8 @@
 	readonly #parts: ClientParts;
 	#stream: Stream | undefined;
 	#needs: readonly UnitNeed[] = [];
+	/** What was told last, without the times, which the sidecar counts on itself. */
+	#told = '[]';
 	#isStopped = false;
 	#isKnown = false;
 
@@ -37,12 +39,12 @@
 
 	/** Tells the whole need of this gateway; the sidecar forgets what it was told before. */
 	setNeeds(needs: readonly UnitNeed[]): void {
-		if (needs.length === 0 && this.#needs.length === 0) {
-			return;
-		}
-
+		const told = JSON.stringify(needs.map(need => [need.model, need.adapter, need.waiting, need.inProgress]));
 		this.#needs = needs;
-		this.#send();
+		if (told !== this.#told) {
+			this.#told = told;
+			this.#send();
+		}
 	}
 
 	stop(): void {
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -114,6 +114,7 @@
 	host: Schema.String.annotate({description: 'The IP number at which gateways reach this process.'}),
 	engine: ADDRESS.annotate({description: 'Where the engine of this VM is reached.'}),
 	service: Schema.String.annotate({description: 'The service that the engine belongs to.'}),
+	concurrentStoreLoads: getNumber(4, 'Idle engines that fetch models from the weight store at once, over the installation.'),
 });
 
 const CONTROLLER = Schema.Struct({
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -2,7 +2,7 @@
 	type Clock, type TimerService, type TimerSubscription,
 } from '@valelead/common';
 import {
-	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, getNextOrder, getWantedModels, mutateUse, newResidencyState,
+	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, type ModelLoad, getLoadMs, getLoadQueue, getNextOrder, getPrefetch, mutateUse, newResidencyState,
 } from '@valelead/residency';
 import type {Logger} from 'pino';
 import type {EngineStatus} from '../adapter/engine-status.js';
@@ -11,12 +11,23 @@
 
 type KeeperParts = {
 	readonly holder: string;
+	/** Engines that fetch from the weight store at once, over the installation, while they are idle. */
+	readonly concurrentStoreLoads: number;
 	readonly client: EngineClient;
 	readonly timers: TimerService;
 	readonly clock: Clock;
 	readonly logger: Logger;
 };
 
+/** An engine counts as idle when nothing was needed of it for this long, in milliseconds. */
+const PREFETCH_IDLE_MS = 3000;
+
+/** The needs of one gateway, and when it told them. */
+type ToldNeeds = {
+	readonly needs: readonly UnitNeed[];
+	readonly toldAt: number;
+};
+
 /** How soon the engine is asked again while an order is carried out or something waits, in milliseconds. */
 const BUSY_POLL_MS = 40;
 
@@ -26,6 +37,12 @@
 /** How often the engine is asked while nothing is to be done, in milliseconds. */
 const IDLE_POLL_MS = 1000;
 
+/** Remaining times of loads are told in steps of this, in milliseconds. */
+const REMAINING_STEP_MS = 250;
+
+/** Changes of counts alone are told together after this time, in milliseconds. */
+const COUNTS_COALESCE_MS = 60;
+
 /** Between the word that a model goes and the order: gateways stop sending for it, in milliseconds. */
 const NOTICE_MS = 30;
 
@@ -38,19 +55,25 @@
 /** Gives the engine the orders that its gateways' needs call for, one after the other, from its newest state. */
 export class EngineKeeper {
 	readonly #parts: KeeperParts;
-	readonly #needs = new Map<string, readonly UnitNeed[]>();
+	readonly #needs = new Map<string, ToldNeeds>();
 	readonly #residency = newResidencyState();
 	readonly #listeners = new Set<() => void>();
 	#capacity: Capacity | undefined;
+	#engines: readonly EngineCopies[] = [];
+	#neededAt = Number.NEGATIVE_INFINITY;
 	#upstreamId = '';
 	#status: EngineStatus | undefined;
 	/** What is announced to go, and since when. */
 	#leaving: {readonly order: EngineOrder; readonly since: number} | undefined;
+	/** The load in progress, and when it is expected to end. */
+	#loading: {readonly model: string; readonly endsAt: number} | undefined;
 	#timer: TimerSubscription | undefined;
 	#isRunning = false;
 	#isAgain = false;
 	#isStopped = false;
 	#published = '';
+	#publishedHeld = '';
+	#isTellDue = false;
 	#isReachable = true;
 
 	constructor(parts: KeeperParts) {
@@ -78,6 +101,11 @@
 		}
 	}
 
+	/** Learns what the engines of the service keep, this one among them. */
+	setEngines(engines: readonly EngineCopies[]): void {
+		this.#engines = engines;
+	}
+
 	/** Calls back whenever the summary changes. */
 	subscribe(listener: () => void): () => void {
 		this.#listeners.add(listener);
@@ -88,8 +116,10 @@
 
 	/** Takes the whole need of the gateway at the other end of a stream. */
 	setNeeds(streamId: string, needs: readonly UnitNeed[]): void {
-		this.#needs.set(streamId, needs);
-		mutateUse(this.#residency, needs, this.#parts.clock.now());
+		const toldAt = this.#parts.clock.now();
+		this.#needs.set(streamId, {needs, toldAt});
+		mutateUse(this.#residency, needs, toldAt);
+		this.#neededAt = needs.length > 0 ? toldAt : this.#neededAt;
 		this.#publish();
 		if (needs.some(need => need.waiting > 0)) {
 			this.#wake();
@@ -110,8 +140,8 @@
 		const needs = this.#getNeeds();
 		return {
 			upstreamId: this.#upstreamId,
-			models: this.#getOfferedModels(status),
-			loading: this.#capacity ? getWantedModels(this.#getHoldings(status), needs) : [],
+			models: this.#getOfferedModels(status, needs),
+			loads: this.#getLoads(status, needs),
 			copiesInMemory: [...status.copiesInMemory],
 			copiesOnDisk: [...status.copiesOnDisk],
 			inProgress: needs.reduce((sum, need) => sum + need.inProgress, 0),
@@ -120,18 +150,48 @@
 		};
 	}
 
+	/** What is being loaded and what waits for its order, with the expected time until each is done. */
+	#getLoads(status: EngineStatus, needs: readonly UnitNeed[]): ModelLoad[] {
+		const capacity = this.#capacity;
+		if (!capacity) {
+			return [];
+		}
+
+		const holdings = this.#getHoldings(status);
+		const held = new Set(holdings.models.map(model => model.name));
+		const getModelMs = (model: string): number => getLoadMs(capacity, holdings, model);
+		const current = status.isBusy ? this.#loading : undefined;
+		let remainingMs = current ? Math.max(0, current.endsAt - this.#parts.clock.now()) : 0;
+		const loads = current ? [{model: current.model, remainingMs: this.#round(remainingMs)}] : [];
+		for (const model of getLoadQueue(held, needs, getModelMs)) {
+			if (model !== current?.model && capacity.models.has(model)) {
+				remainingMs += getModelMs(model);
+				loads.push({model, remainingMs: this.#round(remainingMs)});
+			}
+		}
+
+		return loads;
+	}
+
+	/** Coarse, so that the passing of time alone is no news. */
+	#round(milliseconds: number): number {
+		return Math.ceil(milliseconds / REMAINING_STEP_MS) * REMAINING_STEP_MS;
+	}
+
 	#getNeeds(): UnitNeed[] {
-		return getMergedNeeds([...this.#needs.values()].flat());
+		const now = this.#parts.clock.now();
+		return getMergedNeeds([...this.#needs.values()].flatMap(({needs, toldAt}) => needs.map(need => ({...need, dueInMs: need.dueInMs - (now - toldAt)}))));
 	}
 
 	/** What is about to go is not offered any more. */
-	#getOfferedModels(status: EngineStatus): EngineSummary['models'] {
+	#getOfferedModels(status: EngineStatus, needs: readonly UnitNeed[]): EngineSummary['models'] {
 		const leaving = this.#leaving?.order;
 		return status.models
 			.filter(model => !(leaving?.adapter === '' && leaving.model === model.name))
 			.map(model => ({
 				name: model.name,
 				version: model.version,
+				inProgress: needs.filter(need => need.model === model.name).reduce((sum, need) => sum + need.inProgress, 0),
 				adapters: model.adapters.filter(adapter => !(leaving?.model === model.name && leaving.adapter === adapter)),
 			}));
 	}
@@ -139,6 +199,8 @@
 	#getHoldings(status: EngineStatus): Holdings {
 		return {
 			isBusy: status.isBusy,
+			copiesInMemory: status.copiesInMemory,
+			copiesOnDisk: status.copiesOnDisk,
 			models: status.models.map(model => ({
 				name: model.name,
 				adapters: [...new Set([...model.adapters, ...status.pending.filter(pending => pending.model === model.name).map(pending => pending.adapter)])],
@@ -226,7 +288,19 @@
 			return undefined;
 		}
 
-		return getNextOrder(this.#residency, this.#capacity, this.#getHoldings(this.#status!), this.#getNeeds());
+		return getNextOrder(this.#residency, this.#capacity, this.#getHoldings(this.#status!), [...this.#getNeeds(), ...this.#getPrefetchNeeds()]);
+	}
+
+	/** An engine that nobody needs fetches a model of which no engine has a copy. */
+	#getPrefetchNeeds(): UnitNeed[] {
+		const isIdle = this.#parts.clock.now() - this.#neededAt > PREFETCH_IDLE_MS;
+		const models = [...this.#capacity!.models.keys()];
+		const model = isIdle ? getPrefetch(this.#upstreamId, models, this.#engines, this.#parts.concurrentStoreLoads) : undefined;
+		return model === undefined
+			? []
+			: [{
+				model, adapter: '', waiting: 1, inProgress: 0, dueInMs: Number.MAX_SAFE_INTEGER,
+			}];
 	}
 
 	/** Whether gateways were told of the order long enough ago; tells them if not. */
@@ -251,6 +325,8 @@
 		this.#parts.logger.info({
 			event: 'order', order: order.kind, model: order.model, adapter: order.adapter, upstreamId: this.#upstreamId, expectedSequence, result: reply.result, reason: reply.reason, tookMs: Math.round(this.#parts.clock.now() - startedAt),
 		}, 'engine ordered');
+		const isLoad = order.kind === ORDER_KIND.Load && order.adapter === '' && reply.result === ORDER_RESULT.Accepted;
+		this.#loading = isLoad ? {model: order.model, endsAt: startedAt + getLoadMs(this.#capacity!, this.#getHoldings(this.#status!), order.model)} : this.#loading;
 		if (reply.result === ORDER_RESULT.OtherEngine) {
 			this.#upstreamId = reply.upstreamId;
 		}
@@ -258,13 +334,27 @@
 		return reply.result;
 	}
 
+	/** Tells followers at once what is offered or loading; counts alone wait for others to go with them. */
 	#publish(): void {
-		const text = JSON.stringify(this.summary);
-		if (text === this.#published) {
+		const {summary} = this;
+		const held = JSON.stringify(summary && [summary.upstreamId, summary.loads, summary.copiesOnDisk, summary.models.map(model => [model.name, model.version, model.adapters])]);
+		if (held !== this.#publishedHeld) {
+			this.#publishedHeld = held;
+			this.#tell();
 			return;
 		}
 
-		this.#published = text;
+		if (!this.#isTellDue && JSON.stringify(summary) !== this.#published) {
+			this.#isTellDue = true;
+			this.#parts.timers.after(COUNTS_COALESCE_MS, () => {
+				this.#tell();
+			});
+		}
+	}
+
+	#tell(): void {
+		this.#isTellDue = false;
+		this.#published = JSON.stringify(this.summary);
 		for (const listener of this.#listeners) {
 			listener();
 		}
--- a/apps/valelead-daemon/src/sidecar/start-sidecar.ts
+++ b/apps/valelead-daemon/src/sidecar/start-sidecar.ts
@@ -12,6 +12,7 @@
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import {EngineClient} from './engine-client.js';
 import {EngineKeeper} from './engine-keeper.js';
+import {newEngineCopies} from './new-engine-copies.js';
 import {newCapacity} from './new-capacity.js';
 import {newResidencyService} from './new-residency-service.js';
 
@@ -21,7 +22,7 @@
 	const pool = new ChannelPool(newChannelCredentials(settings.tls));
 	const client = new EngineClient(settings.engine, adapter.engine);
 	const keeper = new EngineKeeper({
-		holder: settings.vm, client, timers, clock: SYSTEM_CLOCK, logger,
+		holder: settings.vm, concurrentStoreLoads: settings.concurrentStoreLoads, client, timers, clock: SYSTEM_CLOCK, logger,
 	});
 	const follower = new RoutingFollower({
 		settings,
@@ -34,6 +35,7 @@
 			keeper.setCapacity(newCapacity(table, settings.service));
 		},
 		onDirectory(upstreams) {
+			keeper.setEngines(newEngineCopies(upstreams, settings.service));
 			keeper.setUpstreamId(upstreams.findLast(upstream => upstream.address === settings.engine)?.id ?? '');
 		},
 	});
--- a/packages/admission/src/admission-lane.ts
+++ b/packages/admission/src/admission-lane.ts
@@ -12,6 +12,8 @@
 	wanted: number;
 	lastUsedAt: number;
 	inProgress: number;
+	/** Since when the upstream has answered none of the requests in progress there; undefined where none is. */
+	unansweredSince: number | undefined;
 	failures: number;
 	ejections: number;
 	ejectedUntil: number;
--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -6,6 +6,8 @@
 	readonly retryShare: number;
 	/** Retries that can be saved up, in each budget. */
 	readonly maxRetryTokens: number;
+	/** Retries that each budget starts with. */
+	readonly initialRetryTokens?: number;
 	/** Whether a dispatch that was refused before it ran costs a retry as well. */
 	readonly isRefusalBudgeted?: boolean;
 	/** Failures in a row after which an upstream is left out for a while. */
@@ -16,6 +18,8 @@
 	readonly avoidMs: number;
 	/** A credit is not used in the last part of its time. */
 	readonly creditMarginMs: number;
+	/** An upstream without any answer to the entry's requests for this long is passed over where another one can serve; undefined to not look. */
+	readonly unansweredMs?: number;
 	/** The data centre of the entry. */
 	readonly dataCentre: string;
 };
--- a/packages/admission/src/get-best-lane.ts
+++ b/packages/admission/src/get-best-lane.ts
@@ -8,6 +8,9 @@
 /** Requests in progress that outweigh an upstream in another data centre. */
 const FAR_PENALTY = 2;
 
+/** Requests in progress that outweigh an upstream that answers nothing. */
+const SILENCE_PENALTY = 100;
+
 /** Requests in progress that outweigh one recent failure. */
 const FAILURE_PENALTY = 4;
 
@@ -18,9 +21,15 @@
 	return hasPlace(lane, endpoint) && now >= lane.ejectedUntil && !isProbing && now >= (lane.avoided.get(target) ?? 0);
 };
 
-const getScore = (lane: AdmissionLane, endpoint: AdmissionEndpoint, settings: AdmissionSettings): number => {
+const isUnanswered = (lane: AdmissionLane, settings: AdmissionSettings, now: number): boolean => {
+	const {unansweredSince} = lane;
+	return settings.unansweredMs !== undefined && unansweredSince !== undefined && now - unansweredSince > settings.unansweredMs;
+};
+
+const getScore = (lane: AdmissionLane, endpoint: AdmissionEndpoint, settings: AdmissionSettings, now: number): number => {
 	const farPenalty = endpoint.dataCentre === settings.dataCentre ? 0 : FAR_PENALTY;
-	return lane.inProgress + (endpoint.othersInProgress ?? 0) + farPenalty + (lane.failures * FAILURE_PENALTY);
+	const silencePenalty = isUnanswered(lane, settings, now) ? SILENCE_PENALTY : 0;
+	return lane.inProgress + (endpoint.othersInProgress ?? 0) + farPenalty + silencePenalty + (lane.failures * FAILURE_PENALTY);
 };
 
 /**
@@ -36,7 +45,7 @@
 			continue;
 		}
 
-		const score = getScore(lane, endpoint, settings);
+		const score = getScore(lane, endpoint, settings, now);
 		if (score < bestScore) {
 			best = {vm: endpoint.vm, lane, isDirect: endpoint.places !== undefined};
 			bestScore = score;
--- a/packages/admission/src/get-lane.ts
+++ b/packages/admission/src/get-lane.ts
@@ -14,6 +14,7 @@
 		wanted: 0,
 		lastUsedAt: Number.NEGATIVE_INFINITY,
 		inProgress: 0,
+		unansweredSince: undefined,
 		failures: 0,
 		ejections: 0,
 		ejectedUntil: 0,
--- a/packages/admission/src/mutate-admission.ts
+++ b/packages/admission/src/mutate-admission.ts
@@ -1,5 +1,6 @@
 import {assertNever, OUTCOME} from '@valelead/common';
 import {getLane} from './get-lane.js';
+import {mutateAnswered} from './mutate-answered.js';
 import {mutateArrival} from './mutate-arrival.js';
 import {mutateDeadlines} from './mutate-deadlines.js';
 import {mutateDispatches} from './mutate-dispatches.js';
@@ -20,14 +21,15 @@
 	return record?.attemptId === attemptId && record.state !== 'waiting' ? record : undefined;
 };
 
-const mutateStarted = (state: AdmissionState, requestId: string, attemptId: string): void => {
+const mutateStarted = (state: AdmissionState, requestId: string, attemptId: string, now: number): void => {
 	const record = getCurrent(state, requestId, attemptId);
 	if (record?.state === 'sent') {
+		mutateAnswered(getLane(state, record.vm), now);
 		mutateRequest(record, 'start');
 	}
 };
 
-const mutateFinished = (state: AdmissionState, requestId: string, attemptId: string): void => {
+const mutateFinished = (state: AdmissionState, requestId: string, attemptId: string, now: number): void => {
 	const record = getCurrent(state, requestId, attemptId);
 	if (!record) {
 		return;
@@ -36,6 +38,7 @@
 	const lane = getLane(state, record.vm);
 	lane.failures = 0;
 	lane.ejections = 0;
+	mutateAnswered(lane, now);
 	if (record.state === 'sent') {
 		mutateRequest(record, 'start');
 	}
@@ -96,12 +99,12 @@
 		}
 
 		case 'started': {
-			mutateStarted(state, event.requestId, event.attemptId);
+			mutateStarted(state, event.requestId, event.attemptId, now);
 			return [];
 		}
 
 		case 'finished': {
-			mutateFinished(state, event.requestId, event.attemptId);
+			mutateFinished(state, event.requestId, event.attemptId, now);
 			return [];
 		}
 
@@ -123,6 +126,6 @@
 /** Advances an entry's admission by one event at its monotonic time in milliseconds, and returns what must be done. */
 export const mutateAdmission = (state: AdmissionState, settings: AdmissionSettings, event: AdmissionEvent, now: number): AdmissionEffect[] => {
 	const effects = mutateEvent(state, settings, event, now);
-	effects.push(...mutateDeadlines(state, now), ...mutateDispatches(state, settings, now), ...newWants(state, now));
+	effects.push(...mutateDeadlines(state, settings, now), ...mutateDispatches(state, settings, now), ...newWants(state, now));
 	return effects;
 };
--- a/packages/admission/src/mutate-deadlines.ts
+++ b/packages/admission/src/mutate-deadlines.ts
@@ -1,10 +1,24 @@
 import {OUTCOME, RESULT_CODE} from '@valelead/common';
+import {getLane} from './get-lane.js';
+import {mutateLaneFailure} from './mutate-lane-failure.js';
 import {mutateRefused} from './mutate-refused.js';
 import type {AdmissionEffect} from './admission-effect.js';
+import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+
+const NO_JITTER = 0.5;
+
+/** A request that an upstream left without any answer until its time was over counts against the upstream. */
+const mutateUnanswered = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, now: number): void => {
+	const lane = getLane(state, record.vm);
+	if (record.state === 'sent' && lane.isDirect) {
+		mutateLaneFailure(lane, settings, {jitter: NO_JITTER, isUnreachable: false}, now);
+	}
+};
 
 /** Refuses the requests whose time has run out before their answer began. */
-export const mutateDeadlines = (state: AdmissionState, now: number): AdmissionEffect[] => {
+export const mutateDeadlines = (state: AdmissionState, settings: AdmissionSettings, now: number): AdmissionEffect[] => {
 	if (now < state.nextDeadlineAt) {
 		return [];
 	}
@@ -21,6 +35,7 @@
 			continue;
 		}
 
+		mutateUnanswered(state, settings, record, now);
 		const isServed = (state.endpoints.get(record.ticket.target)?.length ?? 0) > 0;
 		const outcome = record.state === 'waiting' ? OUTCOME.NotRun : OUTCOME.Unknown;
 		const code = isServed || record.state !== 'waiting' ? RESULT_CODE.DeadlineExceeded : RESULT_CODE.NoUpstream;
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -44,6 +44,7 @@
 	record.dispatchedAt = now;
 	lane.isDirect = isDirect;
 	lane.inProgress += 1;
+	lane.unansweredSince ??= now;
 	lane.lastUsedAt = now;
 	return {
 		kind: 'dispatch',
--- a/packages/admission/src/mutate-failure.ts
+++ b/packages/admission/src/mutate-failure.ts
@@ -4,12 +4,13 @@
 import {getRetryTokens} from './get-retry-tokens.js';
 import {mutateRetryTokens} from './mutate-retry-tokens.js';
 import {getLane} from './get-lane.js';
+import {mutateAnswered} from './mutate-answered.js';
+import {mutateLaneFailure} from './mutate-lane-failure.js';
 import {mutateRefused} from './mutate-refused.js';
 import {mutateReleased} from './mutate-released.js';
 import {mutateQueued} from './mutate-queued.js';
 import {mutateRequest} from './mutate-request.js';
 import type {AdmissionEffect} from './admission-effect.js';
-import type {AdmissionLane} from './admission-lane.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
 import type {RequestRecord} from './request-record.js';
@@ -20,9 +21,6 @@
 	readonly jitter: number;
 };
 
-/** The spread of an ejection around its base, either way. */
-const JITTER_SHARE = 0.2;
-
 /** Codes that say something of the agent's present state, not of its health. */
 const GATE_CODES: ReadonlySet<ResultCodeValue> = new Set([
 	RESULT_CODE.CreditExpired,
@@ -32,25 +30,16 @@
 	RESULT_CODE.ConfigurationTooOld,
 ]);
 
-/**
- * Leaves an upstream out after failures in a row, for a time that doubles with a bounded jitter
- * (the jitter of ±20% follows "Resilience: Circuit Breakers and Retry Backoff", ComputeFlux series, article 9).
- */
-const mutateHealth = (lane: AdmissionLane, settings: AdmissionSettings, jitter: number, now: number): void => {
-	lane.failures += 1;
-	if (lane.failures < settings.ejectAfter && lane.ejections === 0) {
-		return;
-	}
+/** Codes of attempts that got no answer at all. */
+const UNANSWERED_CODES: ReadonlySet<ResultCodeValue> = new Set([RESULT_CODE.UpstreamUnreachable, RESULT_CODE.UpstreamSilent]);
 
-	const baseMs = Math.min(settings.maxEjectMs, settings.ejectMs * (2 ** lane.ejections));
-	lane.ejectedUntil = now + (baseMs * (1 - JITTER_SHARE + (2 * JITTER_SHARE * jitter)));
-	lane.ejections += 1;
-	lane.failures = 0;
+/** A request that reached no upstream costs nothing; one that was refused costs where the settings say so. */
+const getRetryCost = (settings: AdmissionSettings, code: ResultCodeValue): number => {
+	const isFree = code === RESULT_CODE.UpstreamUnreachable || (GATE_CODES.has(code) && !settings.isRefusalBudgeted);
+	return isFree ? 0 : 1;
 };
 
-const getRetryCost = (settings: AdmissionSettings, isGate: boolean): number => isGate && !settings.isRefusalBudgeted ? 0 : 1;
-
-const canRetry = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, failure: Failure, isGate: boolean): boolean => {
+const canRetry = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, failure: Failure): boolean => {
 	const isSafe = failure.outcome === OUTCOME.NotRun || record.ticket.isRepeatable;
 	const runs = record.runs + (failure.outcome === OUTCOME.NotRun ? 0 : 1);
 	const hasRuns = runs === 0 || runs < (record.ticket.maxRuns ?? Number.POSITIVE_INFINITY);
@@ -59,7 +48,7 @@
 		return false;
 	}
 
-	return getRetryCost(settings, isGate) <= getRetryTokens(state, record.ticket);
+	return getRetryCost(settings, failure.code) <= getRetryTokens(state, settings, record.ticket);
 };
 
 /**
@@ -69,13 +58,17 @@
 export const mutateFailure = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, failure: Failure, now: number): AdmissionEffect[] => {
 	const isGate = GATE_CODES.has(failure.code);
 	const lane = getLane(state, record.vm);
+	if (!UNANSWERED_CODES.has(failure.code)) {
+		mutateAnswered(lane, now);
+	}
+
 	if (isGate) {
 		lane.avoided.set(record.ticket.target, now + settings.avoidMs);
 	} else {
-		mutateHealth(lane, settings, failure.jitter, now);
+		mutateLaneFailure(lane, settings, {jitter: failure.jitter, isUnreachable: failure.code === RESULT_CODE.UpstreamUnreachable}, now);
 	}
 
-	const isRetried = canRetry(state, settings, record, failure, isGate) && now < record.ticket.deadlineAt;
+	const isRetried = canRetry(state, settings, record, failure) && now < record.ticket.deadlineAt;
 	if (failure.outcome !== OUTCOME.NotRun) {
 		record.runs += 1;
 	}
@@ -84,7 +77,7 @@
 		return mutateRefused(state, record, failure.code, failure.outcome);
 	}
 
-	mutateRetryTokens(state, settings, record.ticket, -getRetryCost(settings, isGate));
+	mutateRetryTokens(state, settings, record.ticket, -getRetryCost(settings, failure.code));
 	mutateReleased(state, record);
 	mutateRequest(record, 'requeue');
 	mutateQueued(state, record);
--- a/packages/admission/src/mutate-released.ts
+++ b/packages/admission/src/mutate-released.ts
@@ -12,5 +12,9 @@
 	}
 
 	getTeamUsage(state, record.ticket.team).inProgress -= 1;
-	getLane(state, record.vm).inProgress -= 1;
+	const lane = getLane(state, record.vm);
+	lane.inProgress -= 1;
+	if (lane.inProgress === 0) {
+		lane.unansweredSince = undefined;
+	}
 };
--- a/packages/residency/src/get-next-order.ts
+++ b/packages/residency/src/get-next-order.ts
@@ -1,7 +1,8 @@
 import {getAdapterOrder} from './get-adapter-order.js';
 import {getIdleModel} from './get-idle-model.js';
 import {getUsedMemory} from './get-used-memory.js';
-import {getWantedModels} from './get-wanted-models.js';
+import {getLoadMs} from './get-load-ms.js';
+import {getLoadQueue} from './get-load-queue.js';
 import {ORDER_KIND} from './order-kind.js';
 import type {Capacity} from './capacity.js';
 import type {EngineOrder} from './engine-order.js';
@@ -10,7 +11,9 @@
 import type {UnitNeed} from './unit-need.js';
 
 const getModelOrder = (state: ResidencyState, capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[]): EngineOrder | undefined => {
-	const wanted = getWantedModels(holdings, needs).find(model => capacity.models.has(model));
+	const held = new Set(holdings.models.map(model => model.name));
+	const queue = getLoadQueue(held, needs, model => getLoadMs(capacity, holdings, model));
+	const wanted = queue.find(model => capacity.models.has(model));
 	if (wanted === undefined) {
 		return undefined;
 	}
@@ -26,13 +29,12 @@
 
 /**
  * The order that serves waiting requests next, or undefined where nothing waits or nothing can make way.
- * Adapters come first, as they load within milliseconds and do not keep the engine from its models.
+ * Adapters come first, as they load within milliseconds. An engine refuses any order while it loads a model.
  */
 export const getNextOrder = (state: ResidencyState, capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[]): EngineOrder | undefined => {
-	const adapterOrder = getAdapterOrder(state, capacity, holdings, needs);
 	if (holdings.isBusy) {
-		return adapterOrder;
+		return undefined;
 	}
 
-	return adapterOrder ?? getModelOrder(state, capacity, holdings, needs);
+	return getAdapterOrder(state, capacity, holdings, needs) ?? getModelOrder(state, capacity, holdings, needs);
 };
--- a/packages/residency/src/holdings.ts
+++ b/packages/residency/src/holdings.ts
@@ -5,4 +5,7 @@
 	readonly models: readonly HeldModel[];
 	/** Whether it carries out an order for a model. */
 	readonly isBusy: boolean;
+	/** Models of which it keeps a copy in host memory or on its disk. */
+	readonly copiesInMemory: readonly string[];
+	readonly copiesOnDisk: readonly string[];
 };
--- a/packages/residency/src/load-site.ts
+++ b/packages/residency/src/load-site.ts
@@ -5,10 +5,10 @@
 	readonly isHeld: boolean;
 	readonly hasMemoryCopy: boolean;
 	readonly hasDiskCopy: boolean;
-	/** Whether the engine loads the model already, or has it waiting for its order. */
-	readonly isLoading: boolean;
-	/** Other models that it loads or that wait for their order there. */
-	readonly queuedLoads: number;
+	/** Expected time until the model is loaded there, in milliseconds; undefined where it is not loading or queued. */
+	readonly remainingMs: number | undefined;
+	/** Expected time until all loads that are in progress or queued there are done, in milliseconds. */
+	readonly queueMs: number;
 	/** Requests in progress for each of its slots. */
 	readonly pressure: number;
 };
--- /dev/null
+++ b/packages/residency/src/model-load.ts
@@ -0,0 +1,6 @@
+/** A model that is being loaded or waits for its order. */
+export type ModelLoad = {
+	readonly model: string;
+	/** Expected time until it is loaded, in milliseconds. */
+	readonly remainingMs: number;
+};
