--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/demand-reporter.ts
@@ -0,0 +1,59 @@
+import type {Clock, TimerService} from '@valelead/common';
+import type {LoadPlanner} from './load-planner.js';
+import type {GatewayRequest} from './gateway-request.js';
+import type {ResidencyClients} from './residency-clients.js';
+
+type ReporterParts = {
+	readonly clock: Clock;
+	readonly timers: TimerService;
+	readonly planner: LoadPlanner;
+	readonly residency: ResidencyClients;
+	readonly getRequests: () => Iterable<GatewayRequest>;
+	readonly isWaiting: (request: GatewayRequest) => boolean;
+};
+
+/** How long changes of demand wait for others to be told with them, in milliseconds. */
+const COALESCE_MS = 8;
+
+/** Demand is told again at least this often while anything waits, in milliseconds, as chosen engines may fall away. */
+const REFRESH_MS = 250;
+
+/** Tells sidecars what this gateway needs of their engines, when that changes. */
+export class DemandReporter {
+	readonly #parts: ReporterParts;
+	#isDue = false;
+	#toldAt = 0;
+
+	constructor(parts: ReporterParts) {
+		this.#parts = parts;
+	}
+
+	tellSoon(): void {
+		if (this.#isDue) {
+			return;
+		}
+
+		this.#isDue = true;
+		this.#parts.timers.after(COALESCE_MS, () => {
+			this.#tell();
+		});
+	}
+
+	/** Tells again what has been told long ago; called while anything waits. */
+	refresh(now: number): void {
+		if (now - this.#toldAt > REFRESH_MS) {
+			this.tellSoon();
+		}
+	}
+
+	#tell(): void {
+		const {clock, planner, residency, isWaiting} = this.#parts;
+		const now = clock.now();
+		this.#isDue = false;
+		this.#toldAt = now;
+		const requests = [...this.#parts.getRequests()].filter(request => request.head.model !== '');
+		const waiting = requests.filter(request => isWaiting(request));
+		const inProgress = requests.filter(request => !isWaiting(request));
+		residency.setNeeds(planner.getNeeds(waiting, inProgress, now));
+	}
+}
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -6,16 +6,19 @@
 import {
 	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
-import {type Upstream, UPSTREAM_STATE} from '@valelead/discovery';
+import type {Upstream} from '@valelead/discovery';
 import {ROUTE_KIND, type RouteTable, isRepeatable} from '@valelead/routing';
 import type {EngineReport} from '@valelead/protocol';
 import type {Logger} from 'pino';
 import type {CallerCodec} from '../adapter/caller-codec.js';
 import {AnswerPipe} from './answer-pipe.js';
-import {EngineFleet} from './engine-fleet.js';
+import {DemandReporter} from './demand-reporter.js';
+import {getHonestCode} from './get-honest-code.js';
+import {getPatienceMs} from './get-patience-ms.js';
 import {LoadPlanner} from './load-planner.js';
+import {newTicket} from './new-ticket.js';
 import {UpstreamAttempt} from './upstream-attempt.js';
-import {UpstreamPool} from './upstream-pool.js';
+import {UpstreamBook} from './upstream-book.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {ResidencyClients} from './residency-clients.js';
 
@@ -36,32 +39,14 @@
 /** Resolution of deadlines, in milliseconds. */
 const TICK_MS = 50;
 
-/** How long changes of demand wait for others to be told to sidecars with them, in milliseconds. */
-const DEMAND_COALESCE_MS = 8;
-
-/** Demand is told again at least this often while anything waits, in milliseconds, as chosen engines may fall away. */
-const DEMAND_REFRESH_MS = 250;
-
 /** A connection that does not come up within this time is given up, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
 
-/** A repeatable request without a beginning of its answer after this many latency objectives is sent elsewhere. */
-const PATIENCE_OBJECTIVES = 3;
-
-/** No request is sent elsewhere for silence before this time, in milliseconds. */
-const LEAST_PATIENCE_MS = 900;
-
-/** Dispatches beyond the route's attempts that a request may make when upstreams refuse it before running it. */
-const SPARE_ATTEMPTS = 2;
-
 /** A limit that single routes and teams of this interface do not have. */
 const UNLIMITED = Number.MAX_SAFE_INTEGER;
 
 const LIMITS = {teamInProgress: UNLIMITED, teamWaiting: UNLIMITED, classWaiting: UNLIMITED};
 
-/** An upstream that was silent in the directory counts as usable while it answered within this time, in milliseconds. */
-const ANSWERED_MS = 3000;
-
 /** A refused caller is asked back soon: engines swap models within about a second. In milliseconds. */
 const LEAST_RETRY_AFTER_MS = 250;
 
@@ -74,19 +59,28 @@
 	readonly #requests = new Map<string, GatewayRequest>();
 	readonly #attempts = new Map<string, UpstreamAttempt>();
 	readonly #pipes = new Map<string, AnswerPipe>();
-	readonly #fleet = new EngineFleet();
-	readonly #pool = new UpstreamPool();
-	readonly #planner: LoadPlanner;
-	readonly #answeredAt = new Map<string, number>();
-	#isDemandDue = false;
-	#toldAt = 0;
+	readonly #book: UpstreamBook;
+	readonly #demand: DemandReporter;
 
 	constructor(parts: DispatcherParts) {
 		this.#parts = parts;
-		this.#planner = new LoadPlanner({
+		this.#book = new UpstreamBook({
+			clock: parts.clock,
 			getTable: parts.getTable,
-			getViews: () => this.#fleet.views,
-			isUsable: upstreamId => this.#isUsable(upstreamId),
+			getGatewayCount: parts.getGatewayCount,
+			getOwnCount: upstreamId => this.#state.lanes.get(upstreamId)?.inProgress ?? 0,
+		});
+		this.#demand = new DemandReporter({
+			clock: parts.clock,
+			timers: parts.timers,
+			planner: new LoadPlanner({
+				getTable: parts.getTable,
+				getViews: () => this.#book.views,
+				isUsable: upstreamId => this.#isUsable(upstreamId),
+			}),
+			residency: parts.residency,
+			getRequests: () => this.#requests.values(),
+			isWaiting: request => this.#state.requests.get(request.id)?.state === 'waiting',
 		});
 		parts.timers.repeat(TICK_MS, now => {
 			this.#tick(now);
@@ -98,28 +92,13 @@
 	}
 
 	arrive(request: GatewayRequest): void {
-		const {route} = request;
 		this.#requests.set(request.id, request);
 		this.#take({
 			kind: 'arrive',
-			ticket: {
-				requestId: request.id,
-				team: '',
-				teamWeight: 1,
-				className: route.name,
-				classWeight: 1 / (1 + route.priority),
-				target: request.target,
-				arrivedAt: request.arrivedAt,
-				deadlineAt: request.deadlineAt,
-				isRepeatable: isRepeatable(route),
-				isResumable: route.kind === ROUTE_KIND.Stream && route.isResumable,
-				maxRuns: route.maxAttempts,
-				maxAttempts: route.maxAttempts + SPARE_ATTEMPTS,
-				budget: request.service,
-			},
+			ticket: newTicket(request),
 			limits: LIMITS,
 		});
-		this.#tellDemandSoon();
+		this.#demand.tellSoon();
 	}
 
 	/** The caller is gone: its request is ended here and at the upstream. */
@@ -147,15 +126,12 @@
 	}
 
 	takeDirectory(upstreams: readonly Upstream[]): void {
-		this.#fleet.setUpstreams(upstreams);
-		const live = upstreams.filter(upstream => upstream.state !== UPSTREAM_STATE.Gone);
-		this.#pool.retain(new Set(live.map(upstream => upstream.id)));
-		this.#parts.residency.follow(upstreams.filter(upstream => this.#isEngine(upstream)));
+		this.#parts.residency.follow(this.#book.setUpstreams(upstreams));
 		this.refresh();
 	}
 
 	takeReport(address: string, report: EngineReport | undefined): void {
-		this.#fleet.setReport(address, report);
+		this.#book.setReport(address, report);
 		this.refresh();
 	}
 
@@ -166,24 +142,17 @@
 			return;
 		}
 
-		this.#fleet.refresh(table, this.#parts.getGatewayCount(), upstreamId => this.#state.lanes.get(upstreamId)?.inProgress ?? 0);
-		this.#take({kind: 'endpoints', endpoints: this.#fleet.endpoints});
-		this.#tellDemandSoon();
+		this.#book.refresh(table);
+		this.#take({kind: 'endpoints', endpoints: this.#book.endpoints});
+		this.#demand.tellSoon();
 	}
 
 	close(): void {
-		this.#pool.close();
-	}
-
-	#isEngine({service}: Upstream): boolean {
-		return this.#parts.getTable()?.services.get(service)?.engine !== undefined;
+		this.#book.close();
 	}
 
 	#isUsable(upstreamId: string): boolean {
-		const now = this.#parts.clock.now();
-		const view = this.#fleet.views.get(upstreamId);
-		const isHeard = view?.upstream.state === UPSTREAM_STATE.Ready || now - (this.#answeredAt.get(upstreamId) ?? Number.NEGATIVE_INFINITY) < ANSWERED_MS;
-		return isHeard && now >= (this.#state.lanes.get(upstreamId)?.ejectedUntil ?? 0);
+		return this.#book.isHeard(upstreamId) && this.#parts.clock.now() >= (this.#state.lanes.get(upstreamId)?.ejectedUntil ?? 0);
 	}
 
 	#tick(now: number): void {
@@ -198,8 +167,8 @@
 			}
 		}
 
-		if (this.#state.queues.size > 0 && now - this.#toldAt > DEMAND_REFRESH_MS) {
-			this.#tellDemand();
+		if (this.#state.queues.size > 0) {
+			this.#demand.refresh(now);
 		}
 	}
 
@@ -232,9 +201,8 @@
 			return;
 		}
 
-		const patienceMs = Math.max(LEAST_PATIENCE_MS, request.route.objectiveMs * PATIENCE_OBJECTIVES);
 		const canGoElsewhere = request.attempts < request.route.maxAttempts && (this.#state.endpoints.get(request.target)?.length ?? 0) > 1;
-		if (waitedMs > patienceMs && canGoElsewhere) {
+		if (waitedMs > getPatienceMs(request.route) && canGoElsewhere) {
 			attempt.fail(RESULT_CODE.UpstreamSilent, `no answer for ${Math.round(waitedMs)} ms`);
 		}
 	}
@@ -279,7 +247,7 @@
 
 	#dispatch({requestId, attemptId, vm, remainingMs}: Dispatch): void {
 		const request = this.#requests.get(requestId);
-		const view = this.#fleet.views.get(vm);
+		const view = this.#book.views.get(vm);
 		if (!request || !view) {
 			this.#fail(attemptId, RESULT_CODE.UpstreamLeaving, OUTCOME.NotRun, 'the upstream has left');
 			return;
@@ -288,12 +256,11 @@
 		request.dispatchedAt ??= this.#parts.clock.now();
 		request.upstreamId = vm;
 		request.attempts += 1;
-		const service = this.#parts.getTable()?.services.get(request.service);
 		const attempt = new UpstreamAttempt({
 			requestId: request.head.id,
 			upstreamId: vm,
 			address: view.upstream.address,
-			agent: this.#pool.get(vm, Math.max(1, Math.floor((service?.maxConnections ?? 0) / this.#parts.getGatewayCount()))),
+			agent: this.#book.getAgent(vm, request.service),
 			codec: this.#parts.codec,
 			method: request.method,
 			url: request.url,
@@ -316,12 +283,12 @@
 			},
 		});
 		this.#attempts.set(attemptId, attempt);
-		this.#tellDemandSoon();
+		this.#demand.tellSoon();
 	}
 
 	#start(request: GatewayRequest, attemptId: string, answer: IncomingMessage): boolean {
 		const status = answer.statusCode ?? 0;
-		this.#answeredAt.set(request.upstreamId, this.#parts.clock.now());
+		this.#book.noteAnswer(request.upstreamId);
 		const isRetried = status >= HTTP_SERVER_ERROR && isRepeatable(request.route) && request.attempts < request.route.maxAttempts;
 		const isBroken = request.answer.isStarted && status !== 200;
 		if (isRetried || isBroken) {
@@ -352,7 +319,7 @@
 	#end(request: GatewayRequest, attemptId: string): void {
 		const pipe = this.#pipes.get(attemptId);
 		this.#dropAttempt(attemptId);
-		this.#answeredAt.set(request.upstreamId, this.#parts.clock.now());
+		this.#book.noteAnswer(request.upstreamId);
 		if (!this.#requests.delete(request.id)) {
 			return;
 		}
@@ -380,51 +347,20 @@
 	#dropAttempt(attemptId: string): void {
 		this.#attempts.delete(attemptId);
 		this.#pipes.delete(attemptId);
-		this.#tellDemandSoon();
+		this.#demand.tellSoon();
 	}
 
 	#refuse(request: GatewayRequest, code: ResultCodeValue, outcome: OutcomeValue, retryAfterMs: number, reason: string): void {
 		this.#requests.delete(request.id);
-		const honestCode = this.#getHonestCode(code, outcome);
+		const honestCode = getHonestCode(code, outcome);
 		request.answer.refuse({
 			code: honestCode, outcome, retryAfterMs: outcome === OUTCOME.NotRun ? retryAfterMs : 0, message: RESULT_DETAILS[honestCode].meaning,
 		});
 		this.#finish(request, honestCode, outcome, reason);
 	}
 
-	/** A status that promises "not run" is given only where that is known, and always then. */
-	#getHonestCode(code: ResultCodeValue, outcome: OutcomeValue): ResultCodeValue {
-		const isPromise = RESULT_DETAILS[code].status === 503 || RESULT_DETAILS[code].status === 429;
-		if (outcome === OUTCOME.NotRun) {
-			return isPromise ? code : RESULT_CODE.WaitTooLong;
-		}
-
-		return isPromise ? RESULT_CODE.UpstreamFailed : code;
-	}
-
 	#finish(request: GatewayRequest, code: ResultCodeValue, outcome: OutcomeValue, reason: string): void {
 		this.#parts.onEnd(request, code, outcome, reason);
-		this.#tellDemandSoon();
-	}
-
-	#tellDemandSoon(): void {
-		if (this.#isDemandDue) {
-			return;
-		}
-
-		this.#isDemandDue = true;
-		this.#parts.timers.after(DEMAND_COALESCE_MS, () => {
-			this.#tellDemand();
-		});
-	}
-
-	#tellDemand(): void {
-		const now = this.#parts.clock.now();
-		this.#isDemandDue = false;
-		this.#toldAt = now;
-		const engineRequests = [...this.#requests.values()].filter(request => request.head.model !== '');
-		const waiting = engineRequests.filter(request => this.#state.requests.get(request.id)?.state === 'waiting');
-		const inProgress = engineRequests.filter(request => this.#state.requests.get(request.id)?.state !== 'waiting');
-		this.#parts.residency.setNeeds(this.#planner.getNeeds(waiting, inProgress, now));
+		this.#demand.tellSoon();
 	}
 }
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -126,8 +126,8 @@
 	dataFolder: Schema.String,
 	mayForm: Schema.Boolean.annotate({description: 'Whether this is the first start of the installation; only then a quorum is formed.'}),
 	announceMs: getMilliseconds(2000, 'How often upstreams announce themselves.'),
-	electionTimeoutMs: getMilliseconds(1000, 'The shortest election timeout; the longest is twice this.'),
-	consensusHeartbeatMs: getMilliseconds(250, 'How often a leader sends to the other voters.'),
+	electionTimeoutMs: getMilliseconds(700, 'The shortest election timeout; the longest is twice this.'),
+	consensusHeartbeatMs: getMilliseconds(200, 'How often a leader sends to the other voters.'),
 	snapshotEvery: getNumber(50, 'Log entries after which a snapshot is taken; each may hold a whole configuration.'),
 });
 
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -2,12 +2,15 @@
 	type Clock, type TimerService, type TimerSubscription,
 } from '@valelead/common';
 import {
-	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, type ModelLoad, getLoadMs, getLoadQueue, getNextOrder, getPrefetch, mutateUse, newResidencyState,
+	type Capacity, type EngineOrder, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getLoadMs, getNextOrder, getPrefetch, mutateUse, newResidencyState,
 } from '@valelead/residency';
 import type {Logger} from 'pino';
 import type {EngineStatus} from '../adapter/engine-status.js';
 import type {EngineClient} from './engine-client.js';
+import {newEngineSummary} from './new-engine-summary.js';
+import {newHoldings} from './new-holdings.js';
 import type {EngineSummary} from './engine-summary.js';
+import type {LoadInProgress} from './load-in-progress.js';
 
 type KeeperParts = {
 	readonly holder: string;
@@ -37,9 +40,6 @@
 /** How often the engine is asked while nothing is to be done, in milliseconds. */
 const IDLE_POLL_MS = 1000;
 
-/** Remaining times of loads are told in steps of this, in milliseconds. */
-const REMAINING_STEP_MS = 250;
-
 /** Changes of counts alone are told together after this time, in milliseconds. */
 const COUNTS_COALESCE_MS = 60;
 
@@ -66,7 +66,7 @@
 	/** What is announced to go, and since when. */
 	#leaving: {readonly order: EngineOrder; readonly since: number} | undefined;
 	/** The load in progress, and when it is expected to end. */
-	#loading: {readonly model: string; readonly endsAt: number} | undefined;
+	#loading: LoadInProgress | undefined;
 	#timer: TimerSubscription | undefined;
 	#isRunning = false;
 	#isAgain = false;
@@ -137,45 +137,16 @@
 			return undefined;
 		}
 
-		const needs = this.#getNeeds();
-		return {
+		return newEngineSummary({
 			upstreamId: this.#upstreamId,
-			models: this.#getOfferedModels(status, needs),
-			loads: this.#getLoads(status, needs),
-			copiesInMemory: [...status.copiesInMemory],
-			copiesOnDisk: [...status.copiesOnDisk],
-			inProgress: needs.reduce((sum, need) => sum + need.inProgress, 0),
-			waiting: needs.reduce((sum, need) => sum + need.waiting, 0),
-			cacheShare: status.cacheTokens === 0 ? 0 : Math.round(100 * status.cacheUsedTokens / status.cacheTokens) / 100,
-		};
-	}
-
-	/** What is being loaded and what waits for its order, with the expected time until each is done. */
-	#getLoads(status: EngineStatus, needs: readonly UnitNeed[]): ModelLoad[] {
-		const capacity = this.#capacity;
-		if (!capacity) {
-			return [];
-		}
-
-		const holdings = this.#getHoldings(status);
-		const held = new Set(holdings.models.map(model => model.name));
-		const getModelMs = (model: string): number => getLoadMs(capacity, holdings, model);
-		const current = status.isBusy ? this.#loading : undefined;
-		let remainingMs = current ? Math.max(0, current.endsAt - this.#parts.clock.now()) : 0;
-		const loads = current ? [{model: current.model, remainingMs: this.#round(remainingMs)}] : [];
-		for (const model of getLoadQueue(held, needs, getModelMs)) {
-			if (model !== current?.model && capacity.models.has(model)) {
-				remainingMs += getModelMs(model);
-				loads.push({model, remainingMs: this.#round(remainingMs)});
-			}
-		}
-
-		return loads;
-	}
-
-	/** Coarse, so that the passing of time alone is no news. */
-	#round(milliseconds: number): number {
-		return Math.ceil(milliseconds / REMAINING_STEP_MS) * REMAINING_STEP_MS;
+			status,
+			capacity: this.#capacity,
+			holdings: newHoldings(status),
+			needs: this.#getNeeds(),
+			leaving: this.#leaving?.order,
+			loading: this.#loading,
+			now: this.#parts.clock.now(),
+		});
 	}
 
 	#getNeeds(): UnitNeed[] {
@@ -183,31 +154,6 @@
 		return getMergedNeeds([...this.#needs.values()].flatMap(({needs, toldAt}) => needs.map(need => ({...need, dueInMs: need.dueInMs - (now - toldAt)}))));
 	}
 
-	/** What is about to go is not offered any more. */
-	#getOfferedModels(status: EngineStatus, needs: readonly UnitNeed[]): EngineSummary['models'] {
-		const leaving = this.#leaving?.order;
-		return status.models
-			.filter(model => !(leaving?.adapter === '' && leaving.model === model.name))
-			.map(model => ({
-				name: model.name,
-				version: model.version,
-				inProgress: needs.filter(need => need.model === model.name).reduce((sum, need) => sum + need.inProgress, 0),
-				adapters: model.adapters.filter(adapter => !(leaving?.model === model.name && leaving.adapter === adapter)),
-			}));
-	}
-
-	#getHoldings(status: EngineStatus): Holdings {
-		return {
-			isBusy: status.isBusy,
-			copiesInMemory: status.copiesInMemory,
-			copiesOnDisk: status.copiesOnDisk,
-			models: status.models.map(model => ({
-				name: model.name,
-				adapters: [...new Set([...model.adapters, ...status.pending.filter(pending => pending.model === model.name).map(pending => pending.adapter)])],
-			})),
-		};
-	}
-
 	#wake(): void {
 		if (this.#isRunning) {
 			this.#isAgain = true;
@@ -288,7 +234,7 @@
 			return undefined;
 		}
 
-		return getNextOrder(this.#residency, this.#capacity, this.#getHoldings(this.#status!), [...this.#getNeeds(), ...this.#getPrefetchNeeds()]);
+		return getNextOrder(this.#residency, this.#capacity, newHoldings(this.#status!), [...this.#getNeeds(), ...this.#getPrefetchNeeds()]);
 	}
 
 	/** An engine that nobody needs fetches a model of which no engine has a copy. */
@@ -326,7 +272,7 @@
 			event: 'order', order: order.kind, model: order.model, adapter: order.adapter, upstreamId: this.#upstreamId, expectedSequence, result: reply.result, reason: reply.reason, tookMs: Math.round(this.#parts.clock.now() - startedAt),
 		}, 'engine ordered');
 		const isLoad = order.kind === ORDER_KIND.Load && order.adapter === '' && reply.result === ORDER_RESULT.Accepted;
-		this.#loading = isLoad ? {model: order.model, endsAt: startedAt + getLoadMs(this.#capacity!, this.#getHoldings(this.#status!), order.model)} : this.#loading;
+		this.#loading = isLoad ? {model: order.model, endsAt: startedAt + getLoadMs(this.#capacity!, newHoldings(this.#status!), order.model)} : this.#loading;
 		if (reply.result === ORDER_RESULT.OtherEngine) {
 			this.#upstreamId = reply.upstreamId;
 		}
--- /dev/null
+++ b/apps/valelead-daemon/src/sidecar/new-engine-summary.ts
@@ -0,0 +1,67 @@
+import {
+	type Capacity, type EngineOrder, type Holdings, type ModelLoad, type UnitNeed, getLoadMs, getLoadQueue,
+} from '@valelead/residency';
+import type {EngineStatus} from '../adapter/engine-status.js';
+import type {EngineSummary} from './engine-summary.js';
+import type {LoadInProgress} from './load-in-progress.js';
+
+type SummaryParts = {
+	readonly upstreamId: string;
+	readonly status: EngineStatus;
+	readonly capacity: Capacity | undefined;
+	readonly holdings: Holdings;
+	readonly needs: readonly UnitNeed[];
+	/** What is about to be unloaded; it is not offered any more. */
+	readonly leaving: EngineOrder | undefined;
+	readonly loading: LoadInProgress | undefined;
+	readonly now: number;
+};
+
+/** Remaining times of loads are told in steps of this, in milliseconds, so that the passing of time alone is no news. */
+const REMAINING_STEP_MS = 250;
+
+const getRounded = (milliseconds: number): number => Math.ceil(milliseconds / REMAINING_STEP_MS) * REMAINING_STEP_MS;
+
+const getOfferedModels = ({status, needs, leaving}: SummaryParts): EngineSummary['models'] => status.models
+	.filter(model => !(leaving?.adapter === '' && leaving.model === model.name))
+	.map(model => ({
+		name: model.name,
+		version: model.version,
+		inProgress: needs.filter(need => need.model === model.name).reduce((sum, need) => sum + need.inProgress, 0),
+		adapters: model.adapters.filter(adapter => !(leaving?.model === model.name && leaving.adapter === adapter)),
+	}));
+
+const getLoads = ({status, capacity, holdings, needs, loading, now}: SummaryParts): ModelLoad[] => {
+	if (!capacity) {
+		return [];
+	}
+
+	const held = new Set(holdings.models.map(model => model.name));
+	const getModelMs = (model: string): number => getLoadMs(capacity, holdings, model);
+	const current = status.isBusy ? loading : undefined;
+	let remainingMs = current ? Math.max(0, current.endsAt - now) : 0;
+	const loads = current ? [{model: current.model, remainingMs: getRounded(remainingMs)}] : [];
+	for (const model of getLoadQueue(held, needs, getModelMs)) {
+		if (model !== current?.model && capacity.models.has(model)) {
+			remainingMs += getModelMs(model);
+			loads.push({model, remainingMs: getRounded(remainingMs)});
+		}
+	}
+
+	return loads;
+};
+
+/** What gateways are told of an engine. */
+export const newEngineSummary = (parts: SummaryParts): EngineSummary => {
+	const {upstreamId, status, needs} = parts;
+	return {
+		upstreamId,
+		models: getOfferedModels(parts),
+		loads: getLoads(parts),
+		copiesInMemory: [...status.copiesInMemory],
+		copiesOnDisk: [...status.copiesOnDisk],
+		inProgress: needs.reduce((sum, need) => sum + need.inProgress, 0),
+		waiting: needs.reduce((sum, need) => sum + need.waiting, 0),
+		cacheShare: status.cacheTokens === 0 ? 0 : Math.round(100 * status.cacheUsedTokens / status.cacheTokens) / 100,
+	};
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/sidecar/new-holdings.ts
@@ -0,0 +1,13 @@
+import type {Holdings} from '@valelead/residency';
+import type {EngineStatus} from '../adapter/engine-status.js';
+
+/** What an engine holds, with the adapters that are on their way. */
+export const newHoldings = ({models, pending, isBusy, copiesInMemory, copiesOnDisk}: EngineStatus): Holdings => ({
+	isBusy,
+	copiesInMemory,
+	copiesOnDisk,
+	models: models.map(({name, adapters}) => {
+		const coming = pending.filter(unit => unit.model === name).map(unit => unit.adapter);
+		return {name, adapters: [...new Set([...adapters, ...coming])]};
+	}),
+});
--- /dev/null
+++ b/apps/valelead-daemon/tests/upstream-attempt.feature
@@ -0,0 +1,40 @@
+Feature: One sending of a request to an upstream
+  Only the whole answer to this very request counts; what is known of its execution is never more than was seen.
+
+  Scenario Outline: How an answer ends
+    When an upstream answers with "<answer>"
+    Then the sending ends as "<end>"
+
+    Examples:
+      | answer                              | end          |
+      | whole                               | whole        |
+      | chunks                              | whole        |
+      | unframed, closed                    | whole        |
+      | unframed, reset with its last bytes | 3005 unknown |
+      | chunks, closed in the middle        | 3005 unknown |
+      | length, closed in the middle        | 3005 unknown |
+      | not http                            | 3003 unknown |
+      | nothing, closed                     | 3003 unknown |
+      | of another request                  | 3010 unknown |
+      | refused before running              | 3004 not_run |
+      | another upstream                    | 3007 not_run |
+
+  Scenario: Nobody listens
+    When nobody listens at the upstream's address
+    Then the sending ends as "3008 not_run"
+
+  Scenario: A second answer on a kept connection is not taken for the next one
+    When an upstream sends two answers to the first of two requests on one connection
+    Then the second request gets its own answer on a new connection
+
+  Scenario: A stream is cut into whole events
+    When the pieces "id: 1\ndata: a\n|\nid: 2\nda|ta: b\n\nid: 3\ndata" of a stream arrive
+    Then the events passed on are "id: 1\ndata: a\n\n|id: 2\ndata: b\n\n" and the last id is "2"
+
+  Scenario: Headers of one connection are not passed on
+    When the headers "Host: a|Connection: keep-alive, X-Mine|X-Mine: 1|X-Other: 2|Transfer-Encoding: chunked|Content-Length: 3" are passed on
+    Then these remain: "Host: a|X-Other: 2"
+
+  Scenario: All gateways together stay within the installation's retries
+    When 7 gateways share a reserve of 58 retries and a ratio of 0.2
+    Then together they start with less than 58 retries and earn less than 0.2 for a request
--- /dev/null
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -0,0 +1,197 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	type AddressInfo, type Server, type Socket, createServer,
+} from 'node:net';
+import {After, Then, When} from '@cucumber/cucumber';
+import {
+	type CallerCodec, EventSplitter, UpstreamAgent, UpstreamAttempt, getForwardedHeaders, newGatewayAdmission,
+} from 'valelead-daemon';
+
+type AttemptWorld = {
+	end: string;
+	servers: Server[] | undefined;
+	bodies: string[];
+	connections: number;
+	passed: string[];
+	lastEventId: string | undefined;
+	headers: string[];
+	admissions: Array<ReturnType<typeof newGatewayAdmission>>;
+};
+
+/** A codec of the test's own: the answer's id stands in `id`, refusals in `not-run`, another upstream in `other`. */
+const CODEC: CallerCodec = {
+	readinessPath: '/ready',
+	decodeRequest: () => ({
+		id: '1', deadlineMs: undefined, model: '', adapter: '', promptTokens: 0, maxNewTokens: 0,
+	}),
+	newUpstreamHeaders: rawHeaders => [...rawHeaders],
+	decodeAnswer: (_status, headers) => ({
+		requestId: String(headers.id), isNotExecuted: headers['not-run'] !== undefined || headers.other !== undefined, isOtherUpstream: headers.other !== undefined,
+	}),
+};
+
+const HEAD = 'HTTP/1.1 200 OK\r\nid: 1\r\n';
+
+const ANSWERS: Readonly<Record<string, {readonly bytes: string; readonly end: 'keep' | 'close' | 'reset'}>> = {
+	whole: {bytes: `${HEAD}content-length: 2\r\n\r\nok`, end: 'keep'},
+	chunks: {bytes: `${HEAD}transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`, end: 'keep'},
+	'unframed, closed': {bytes: `${HEAD}\r\nok`, end: 'close'},
+	'unframed, reset with its last bytes': {bytes: `${HEAD}\r\no`, end: 'reset'},
+	'chunks, closed in the middle': {bytes: `${HEAD}transfer-encoding: chunked\r\n\r\n2\r\no`, end: 'close'},
+	'length, closed in the middle': {bytes: `${HEAD}content-length: 2\r\n\r\no`, end: 'close'},
+	'not http': {bytes: 'garbage\r\n\r\n', end: 'close'},
+	'nothing, closed': {bytes: '', end: 'close'},
+	'of another request': {bytes: 'HTTP/1.1 200 OK\r\nid: 2\r\ncontent-length: 2\r\n\r\nok', end: 'keep'},
+	'refused before running': {bytes: 'HTTP/1.1 503 Full\r\nid: 1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
+	'another upstream': {bytes: 'HTTP/1.1 421 Other\r\nid: 1\r\nother: x\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
+};
+
+const listen = async (world: AttemptWorld, onRequest: (socket: Socket) => void): Promise<number> => {
+	const server = createServer(socket => {
+		world.connections = (world.connections ?? 0) + 1;
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			onRequest(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	world.servers = [...(world.servers ?? []), server];
+	return (server.address() as AddressInfo).port;
+};
+
+const send = async (port: number, agent: UpstreamAgent): Promise<{end: string; body: string}> => new Promise(resolve => {
+	const chunks: Buffer[] = [];
+	const attempt = new UpstreamAttempt({
+		requestId: '1',
+		upstreamId: 'u',
+		address: `127.0.0.1:${port}`,
+		agent,
+		codec: CODEC,
+		method: 'GET',
+		url: '/',
+		headers: ['host', 'a'],
+		body: Buffer.alloc(0),
+		startedAt: 0,
+		events: {
+			onHead: () => true,
+			onData(chunk) {
+				chunks.push(chunk);
+			},
+			onEnd() {
+				resolve({end: 'whole', body: Buffer.concat(chunks).toString()});
+			},
+			onFailure(code, outcome) {
+				resolve({end: `${code} ${outcome}`, body: ''});
+			},
+		},
+	});
+	assert.equal(attempt.upstreamId, 'u');
+});
+
+After(function (this: AttemptWorld) {
+	for (const server of this.servers ?? []) {
+		server.close();
+	}
+});
+
+When('an upstream answers with {string}', async function (this: AttemptWorld, name: string) {
+	const {bytes, end} = ANSWERS[name];
+	const port = await listen(this, socket => {
+		socket.write(bytes);
+		if (end === 'close') {
+			socket.end();
+		} else if (end === 'reset') {
+			// Both reach the client in one turn of its event loop.
+			socket.resetAndDestroy();
+		}
+	});
+	const agent = new UpstreamAgent(4);
+	const {end: ended} = await send(port, agent);
+	this.end = ended;
+	agent.destroy();
+});
+
+When('nobody listens at the upstream\'s address', async function (this: AttemptWorld) {
+	const port = await listen(this, () => undefined);
+	const server = this.servers!.pop()!;
+	server.close();
+	await once(server, 'close');
+	const {end} = await send(port, new UpstreamAgent(4));
+	this.end = end;
+});
+
+Then('the sending ends as {string}', function (this: AttemptWorld, end: string) {
+	assert.equal(this.end, end);
+});
+
+When('an upstream sends two answers to the first of two requests on one connection', async function (this: AttemptWorld) {
+	let requests = 0;
+	const newAnswer = (body: string): string => `${HEAD}content-length: 1\r\n\r\n${body}`;
+	const port = await listen(this, socket => {
+		requests += 1;
+		socket.write(newAnswer(String(requests)));
+		if (requests === 1) {
+			setImmediate(() => {
+				socket.write(newAnswer('x'));
+			});
+		}
+	});
+	const agent = new UpstreamAgent(4);
+	const first = await send(port, agent);
+	// The surplus answer has arrived once the connection that it came on is closed.
+	while (Object.keys(agent.freeSockets).length > 0) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	const second = await send(port, agent);
+	this.bodies = [first.body, second.body];
+	agent.destroy();
+});
+
+Then('the second request gets its own answer on a new connection', function (this: AttemptWorld) {
+	assert.deepEqual(this.bodies, ['1', '2']);
+	assert.equal(this.connections, 2);
+});
+
+const unescape = (text: string): string => text.replaceAll(String.raw`\n`, '\n');
+
+When('the pieces {string} of a stream arrive', function (this: AttemptWorld, pieces: string) {
+	const splitter = new EventSplitter();
+	this.passed = [];
+	for (const piece of unescape(pieces).split('|')) {
+		const {bytes, lastEventId} = splitter.take(Buffer.from(piece));
+		this.lastEventId = lastEventId ?? this.lastEventId;
+		if (bytes.length > 0) {
+			this.passed.push(bytes.toString());
+		}
+	}
+});
+
+Then('the events passed on are {string} and the last id is {string}', function (this: AttemptWorld, events: string, id: string) {
+	assert.equal(this.passed.join('|'), unescape(events));
+	assert.equal(this.lastEventId, id);
+});
+
+When('the headers {string} are passed on', function (this: AttemptWorld, headers: string) {
+	this.headers = getForwardedHeaders(headers.split('|').flatMap(header => header.split(': ')));
+});
+
+Then('these remain: {string}', function (this: AttemptWorld, headers: string) {
+	assert.deepEqual(this.headers, headers.split('|').flatMap(header => header.split(': ')));
+});
+
+When('{int} gateways share a reserve of {int} retries and a ratio of {float}', function (this: AttemptWorld, count: number, reserve: number, ratio: number) {
+	this.admissions = Array.from({length: count}, () => newGatewayAdmission({
+		dataCentre: 'd', ratio, reserve, gatewayCount: count,
+	}));
+});
+
+Then('together they start with less than {int} retries and earn less than {float} for a request', function (this: AttemptWorld, reserve: number, ratio: number) {
+	assert.ok(this.admissions.reduce((sum, admission) => sum + (admission.initialRetryTokens ?? 0), 0) < reserve);
+	assert.ok(this.admissions.every(admission => admission.retryShare < ratio));
+});
--- /dev/null
+++ b/packages/admission/tests/direct.steps.ts
@@ -0,0 +1,163 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {
+	OUTCOME, RESULT_CODE, type OutcomeValue, type ResultCodeValue,
+} from '@valelead/common';
+import {
+	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, type Ticket, mutateAdmission, newAdmissionState,
+} from '@valelead/admission';
+
+type Dispatch = Extract<AdmissionEffect, {kind: 'dispatch'}>;
+
+type DirectWorld = {
+	direct: {
+		state: AdmissionState;
+		settings: AdmissionSettings;
+		now: number;
+		nextId: number;
+		dispatched: Dispatch[];
+		refused: Array<Extract<AdmissionEffect, {kind: 'refuse'}>>;
+		/** What an upstream does with a request as soon as it is sent. */
+		react: (dispatch: Dispatch) => AdmissionEvent | undefined;
+	};
+};
+
+const TARGET = 'service/s';
+const UNLIMITED = 10_000;
+const LIMITS = {teamInProgress: UNLIMITED, teamWaiting: UNLIMITED, classWaiting: UNLIMITED};
+
+const take = (world: DirectWorld, event: AdmissionEvent): void => {
+	const {direct} = world;
+	for (const effect of mutateAdmission(direct.state, direct.settings, event, direct.now)) {
+		if (effect.kind === 'refuse') {
+			direct.refused.push(effect);
+		} else if (effect.kind === 'dispatch') {
+			direct.dispatched.push(effect);
+			const reaction = direct.react(effect);
+			if (reaction) {
+				take(world, reaction);
+			}
+		}
+	}
+};
+
+const newFailure = ({requestId, attemptId}: Dispatch, code: ResultCodeValue, outcome: OutcomeValue): AdmissionEvent => ({
+	kind: 'failed', requestId, attemptId, code, outcome, jitter: 0.5,
+});
+
+const arrive = (world: DirectWorld, ticket: Partial<Ticket> = {}): void => {
+	const {direct} = world;
+	direct.nextId += 1;
+	take(world, {
+		kind: 'arrive',
+		limits: LIMITS,
+		ticket: {
+			requestId: String(direct.nextId), team: '', teamWeight: 1, className: 'c', classWeight: 1, target: TARGET, arrivedAt: direct.now, deadlineAt: direct.now + 10_000, isRepeatable: true, maxAttempts: 4, ...ticket,
+		},
+	});
+};
+
+const arriveMany = (world: DirectWorld, count: number): void => {
+	for (let index = 0; index < count; index += 1) {
+		arrive(world);
+	}
+};
+
+const start = (world: DirectWorld): void => {
+	const {requestId, attemptId} = world.direct.dispatched.at(-1)!;
+	take(world, {kind: 'started', requestId, attemptId});
+};
+
+Given('an entry that reaches upstreams {string} itself, with {int} places each and {int} retries', function (this: DirectWorld, names: string, places: number, retries: number) {
+	this.direct = {
+		state: newAdmissionState(),
+		settings: {
+			maxAttempts: 4, retryShare: 0, maxRetryTokens: retries, initialRetryTokens: retries, isRefusalBudgeted: true, ejectAfter: 3, ejectMs: 1000, maxEjectMs: 8000, avoidMs: 0, creditMarginMs: 0, unansweredMs: 700, dataCentre: 'dc',
+		},
+		now: 0,
+		nextId: 0,
+		dispatched: [],
+		refused: [],
+		react: () => undefined,
+	};
+	take(this, {kind: 'endpoints', endpoints: new Map([[TARGET, names.split(', ').map(vm => ({vm, dataCentre: 'dc', places}))]])});
+});
+
+When('{int} request(s) arrive(s)', function (this: DirectWorld, count: number) {
+	arriveMany(this, count);
+});
+
+Then('{int} are dispatched and {int} wait(s)', function (this: DirectWorld, dispatched: number, waiting: number) {
+	assert.equal(this.direct.dispatched.length, dispatched);
+	assert.equal(this.direct.state.queues.get(TARGET)?.length ?? 0, waiting);
+});
+
+When('a request at {string} ends', function (this: DirectWorld, vm: string) {
+	const {requestId, attemptId} = this.direct.dispatched.find(dispatch => dispatch.vm === vm)!;
+	take(this, {kind: 'finished', requestId, attemptId});
+});
+
+When('{string} refuses connections and {int} requests arrive', function (this: DirectWorld, vm: string, count: number) {
+	this.direct.react = dispatch => dispatch.vm === vm ? newFailure(dispatch, RESULT_CODE.UpstreamUnreachable, OUTCOME.NotRun) : {kind: 'finished', requestId: dispatch.requestId, attemptId: dispatch.attemptId};
+	arriveMany(this, count);
+});
+
+Then('none is refused', function (this: DirectWorld) {
+	assert.equal(this.direct.refused.length, 0);
+});
+
+Then('{string} was tried once', function (this: DirectWorld, vm: string) {
+	assert.equal(this.direct.dispatched.filter(dispatch => dispatch.vm === vm).length, 1);
+});
+
+When('upstreams refuse every request before running it and {int} requests arrive one after the other', function (this: DirectWorld, count: number) {
+	this.direct.react = dispatch => newFailure(dispatch, RESULT_CODE.UpstreamRejected, OUTCOME.NotRun);
+	for (let index = 0; index < count; index += 1) {
+		arrive(this, {maxAttempts: 2});
+		this.direct.now += 5000;
+	}
+});
+
+Then('{int} requests were sent a second time', function (this: DirectWorld, count: number) {
+	assert.equal(this.direct.dispatched.filter(dispatch => dispatch.attemptId.endsWith('.2')).length, count);
+});
+
+Then('every refusal says that the request did not run', function (this: DirectWorld) {
+	assert.ok(this.direct.refused.length > 0);
+	assert.ok(this.direct.refused.every(refusal => refusal.outcome === OUTCOME.NotRun && refusal.retryAfterMs > 0));
+});
+
+When('upstreams fail every request after running it and {int} request that may run {int} times arrives', function (this: DirectWorld, _count: number, runs: number) {
+	this.direct.react = dispatch => newFailure(dispatch, RESULT_CODE.UpstreamFailed, OUTCOME.Unknown);
+	arrive(this, {maxRuns: runs});
+});
+
+Then('it was sent {int} times', function (this: DirectWorld, count: number) {
+	assert.equal(this.direct.dispatched.length, count);
+});
+
+Then('the refusal says that it may have run', function (this: DirectWorld) {
+	assert.deepEqual(this.direct.refused.map(refusal => refusal.outcome), [OUTCOME.Unknown]);
+});
+
+When('{string} answers and {string} is silent for {int} ms', function (this: DirectWorld, answering: string, _silent: string, milliseconds: number) {
+	this.direct.now += milliseconds;
+	const {requestId, attemptId} = this.direct.dispatched.find(dispatch => dispatch.vm === answering)!;
+	take(this, {kind: 'finished', requestId, attemptId});
+});
+
+Then('the last {int} were sent to {string}', function (this: DirectWorld, count: number, vm: string) {
+	assert.deepEqual(this.direct.dispatched.slice(-count).map(dispatch => dispatch.vm), Array.from({length: count}, () => vm));
+});
+
+When('a resumable stream begins at an upstream and breaks', function (this: DirectWorld) {
+	arrive(this, {isResumable: true});
+	start(this);
+	take(this, newFailure(this.direct.dispatched.at(-1)!, RESULT_CODE.AnswerCut, OUTCOME.Unknown));
+});
+
+When('a stream that runs once begins at an upstream and breaks', function (this: DirectWorld) {
+	arrive(this, {isRepeatable: false});
+	start(this);
+	take(this, newFailure(this.direct.dispatched.at(-1)!, RESULT_CODE.AnswerCut, OUTCOME.Unknown));
+});
--- /dev/null
+++ b/packages/discovery/tests/discovery.feature
@@ -0,0 +1,54 @@
+Feature: Discovery
+  Announcements come late, twice and out of order; what an upstream said last holds.
+
+  Scenario: A late announcement does not undo a newer one
+    Given upstream "a" at "10.0.0.1:80" announced itself as "ready" with sequence 5
+    When upstream "a" announces itself as "draining" with sequence 6
+    And upstream "a" announces itself as "ready" with sequence 4
+    Then upstream "a" is "draining"
+
+  Scenario: A drain is never taken back
+    Given upstream "a" at "10.0.0.1:80" announced itself as "draining" with sequence 5
+    When upstream "a" announces itself as "ready" with sequence 6
+    Then upstream "a" is "draining"
+
+  Scenario: What has left does not come back
+    Given upstream "a" at "10.0.0.1:80" announced itself as "ready" with sequence 5
+    When upstream "a" departs
+    And upstream "a" announces itself as "ready" with sequence 9
+    Then upstream "a" is "gone"
+
+  Scenario: Another run at the same address replaces the one before
+    Given upstream "a" at "10.0.0.1:80" announced itself as "ready" with sequence 5
+    When upstream "b" at "10.0.0.1:80" announced itself as "ready" with sequence 1
+    Then upstream "a" is "gone"
+    And upstream "b" is "ready"
+
+  Scenario: Silence is no departure
+    Given upstream "a" at "10.0.0.1:80" announced itself as "ready" with sequence 5
+    When 10000 ms pass in silence
+    Then upstream "a" is "silent"
+    When upstream "a" announces itself as "ready" with sequence 6
+    Then upstream "a" is "ready"
+
+  Scenario: An announcement without news gives followers nothing to learn
+    Given upstream "a" at "10.0.0.1:80" announced itself as "ready" with sequence 5
+    When upstream "a" announces itself as "ready" with sequence 6
+    Then followers learn 0 changes since then
+
+  Scenario: A new leader that has not heard an upstream yet does not take it away
+    Given a follower that holds upstreams "a, b" of leader "one"
+    When leader "two" tells it all that it knows, upstreams "a"
+    Then the follower holds "a, b"
+    When 9000 ms pass without more
+    Then the follower holds "a"
+
+  Scenario: A follower keeps a drain that a new leader has not heard of
+    Given a follower that holds upstreams "a" of leader "one"
+    When leader "one" tells it that "a" is "draining"
+    And leader "two" tells it that "a" is "ready"
+    Then the follower holds "a" as "draining"
+
+  Scenario: Random announcements in any order end as in their right order
+    When 300 shuffled histories of announcements are tried
+    Then each ends in the state of its newest announcement
--- /dev/null
+++ b/packages/residency/tests/residency.feature
@@ -0,0 +1,80 @@
+Feature: Residency
+  An engine holds what its gateways need, never more than it can, and gives up only what nobody needs.
+
+  Background:
+    Given an engine of 230 units of memory and 2 adapter slots, with models of 70 units and adapters of 1 unit
+
+  Scenario: A cold model takes the place of the one that is idle for longest
+    Given it holds "a, b, c" with copies of all
+    And the models were used at times "a:1, b:3, c:2"
+    When 1 request waits for "d"
+    And "a" has 1 request in progress
+    Then the next order is "unload c"
+
+  Scenario: With room, a model is loaded at once
+    Given it holds "a, b" with copies of all
+    When 1 request waits for "d"
+    Then the next order is "load d"
+
+  Scenario: Nothing makes way that somebody needs
+    Given it holds "a, b, c" with copies of all
+    When 1 request waits for "d"
+    And "a" has 1 request in progress
+    And "b" has 1 request in progress
+    And "c" has 1 request in progress
+    Then there is no next order
+
+  Scenario: A model without a copy makes way last
+    Given it holds "a, b, c" with copies of "b, c"
+    And the models were used at times "a:1, b:3, c:2"
+    When 1 request waits for "d"
+    Then the next order is "unload c"
+
+  Scenario: A load that can still make its objective goes before one that cannot
+    Given it holds "a" with copies of "d"
+    When 1 request that is due in 1000 ms waits for "e"
+    And 1 request that is due in 2000 ms waits for "d"
+    Then the next order is "load d"
+
+  Scenario: A late load does not wait for ever
+    Given it holds "a" with copies of "d"
+    When 1 request that is due in -7000 ms waits for "e"
+    And 1 request that is due in 2000 ms waits for "d"
+    Then the next order is "load e"
+
+  Scenario: An adapter takes the slot of an idle one
+    Given it holds "a+x+y, b" with copies of all
+    When 1 request waits for "a/z"
+    And "a/x" has 1 request in progress
+    Then the next order is "unload a/y"
+
+  Scenario: A busy engine gets no order
+    Given it holds "a" with copies of all
+    And it is busy
+    When 1 request waits for "d"
+    Then there is no next order
+
+  Scenario: Orders never go beyond the engine's memory or slots, and never take what is needed
+    When 2000 random states of an engine are decided on
+    Then no order breaks a limit
+
+  Scenario: Gateways that know the same choose the same engine, the one that is ready first
+    Given sites
+      | engine | held | memory | disk | remaining | queue |
+      | one    | no   | no     | yes  |           | 0     |
+      | two    | no   | no     | yes  |           | 0     |
+      | three  | no   | no     | no   |           | 0     |
+      | four   | no   | yes    | yes  |           | 6000  |
+    Then the site for "m" is one of "one, two" in any order of the sites
+
+  Scenario: A load in progress is joined
+    Given sites
+      | engine | held | memory | disk | remaining | queue |
+      | one    | no   | no     | yes  |           | 0     |
+      | two    | no   | no     | no   | 500       | 500   |
+    Then the site for "m" is one of "two" in any order of the sites
+
+  Scenario: Each missing model is fetched by one engine, some at a time
+    Given 3 idle engines that keep "a, b" of the models "a, b, c, d, e, f, g"
+    Then together they fetch 2 different models with 2 loads at once
+    And together they fetch 3 different models with 4 loads at once
--- /dev/null
+++ b/packages/residency/tests/residency.steps.ts
@@ -0,0 +1,179 @@
+import assert from 'node:assert/strict';
+import {
+	type DataTable, Given, Then, When,
+} from '@cucumber/cucumber';
+import * as fc from 'fast-check';
+import {
+	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getLoadSite, getNextOrder, getPrefetch, getUnitName, newResidencyState,
+} from '@valelead/residency';
+
+type ResidencyWorld = {
+	capacity: Capacity;
+	holdings: Holdings;
+	state: ReturnType<typeof newResidencyState>;
+	needs: UnitNeed[];
+	sites: LoadSite[];
+	engines: EngineCopies[];
+	models: string[];
+};
+
+const TIMES = {storeLoadMs: 6000, diskLoadMs: 800, memoryLoadMs: 500};
+const MODELS = ['a', 'b', 'c', 'd', 'e'];
+const ADAPTERS = ['x', 'y', 'z'];
+const FAR_MS = 100_000;
+
+const newCapacity = (weightMemory: number, adapterSlots: number, modelMemory: number, adapterMemory: number): Capacity => ({
+	weightMemory,
+	adapterSlots,
+	models: new Map(MODELS.map(name => [name, {...TIMES, weightMemory: modelMemory, adapterMemory}])),
+});
+
+const split = (text: string): string[] => text.split(', ').filter(Boolean);
+
+const newNeed = (unit: string, waiting: number, inProgress: number, dueInMs: number): UnitNeed => {
+	const [model, adapter = ''] = unit.split('/');
+	return {
+		model, adapter, waiting, inProgress, dueInMs,
+	};
+};
+
+const format = (order: EngineOrder | undefined): string => order ? `${order.kind} ${getUnitName(order.model, order.adapter)}` : '';
+
+Given('an engine of {int} units of memory and {int} adapter slots, with models of {int} units and adapters of {int} unit', function (this: ResidencyWorld, memory: number, slots: number, model: number, adapter: number) {
+	this.capacity = newCapacity(memory, slots, model, adapter);
+	this.state = newResidencyState();
+	this.needs = [];
+});
+
+const hold = (world: ResidencyWorld, held: string, copies: readonly string[]): void => {
+	world.holdings = {
+		isBusy: false,
+		copiesInMemory: [],
+		copiesOnDisk: copies,
+		models: split(held).map(text => ({name: text.split('+')[0], adapters: text.split('+').slice(1)})),
+	};
+};
+
+Given('it holds {string} with copies of all', function (this: ResidencyWorld, held: string) {
+	hold(this, held, MODELS);
+});
+
+Given('it holds {string} with copies of {string}', function (this: ResidencyWorld, held: string, copies: string) {
+	hold(this, held, split(copies));
+});
+
+Given('it is busy', function (this: ResidencyWorld) {
+	this.holdings = {...this.holdings, isBusy: true};
+});
+
+Given('the models were used at times {string}', function (this: ResidencyWorld, uses: string) {
+	for (const use of split(uses)) {
+		const [model, usedAt] = use.split(':');
+		this.state.lastUsedAt.set(model, Number(usedAt));
+	}
+});
+
+When('{int} request waits for {string}', function (this: ResidencyWorld, count: number, unit: string) {
+	this.needs.push(newNeed(unit, count, 0, FAR_MS));
+});
+
+When('{int} request that is due in {int} ms waits for {string}', function (this: ResidencyWorld, count: number, dueInMs: number, unit: string) {
+	this.needs.push(newNeed(unit, count, 0, dueInMs));
+});
+
+When('{string} has {int} request in progress', function (this: ResidencyWorld, unit: string, count: number) {
+	this.needs.push(newNeed(unit, 0, count, FAR_MS));
+});
+
+Then('the next order is {string}', function (this: ResidencyWorld, order: string) {
+	assert.equal(format(getNextOrder(this.state, this.capacity, this.holdings, this.needs)), order);
+});
+
+Then('there is no next order', function (this: ResidencyWorld) {
+	assert.equal(getNextOrder(this.state, this.capacity, this.holdings, this.needs), undefined);
+});
+
+const getMemory = (capacity: Capacity, models: Holdings['models']): number => {
+	let sum = 0;
+	for (const {name, adapters} of models) {
+		const size = capacity.models.get(name)!;
+		sum += size.weightMemory + (size.adapterMemory * adapters.length);
+	}
+
+	return sum;
+};
+
+/** The models after an order, as an engine would hold them. */
+const apply = (models: Holdings['models'], {kind, model, adapter}: EngineOrder): Holdings['models'] => {
+	if (adapter === '') {
+		return kind === ORDER_KIND.Load ? [...models, {name: model, adapters: []}] : models.filter(held => held.name !== model);
+	}
+
+	return models.map(held => held.name === model ? {name: model, adapters: kind === ORDER_KIND.Load ? [...held.adapters, adapter] : held.adapters.filter(name => name !== adapter)} : held);
+};
+
+const checkOrder = (capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[]): void => {
+	const order = getNextOrder(newResidencyState(), capacity, holdings, needs);
+	if (!order) {
+		return;
+	}
+
+	const models = apply(holdings.models, order);
+	const isNeeded = needs.some(need => need.waiting + need.inProgress > 0 && need.model === order.model && (order.adapter === '' || need.adapter === order.adapter));
+	assert.equal(isNeeded, order.kind === ORDER_KIND.Load, format(order));
+	if (order.kind === ORDER_KIND.Load) {
+		assert.ok(getMemory(capacity, models) <= capacity.weightMemory, 'memory');
+		assert.ok(models.reduce((sum, {adapters}) => sum + adapters.length, 0) <= capacity.adapterSlots, 'slots');
+	}
+};
+
+When('{int} random states of an engine are decided on', (runs: number) => {
+	const held = fc.record({name: fc.constantFrom(...MODELS), adapters: fc.uniqueArray(fc.constantFrom(...ADAPTERS), {maxLength: 2})});
+	const holdings = fc.record({
+		models: fc.uniqueArray(held, {selector: model => model.name, maxLength: 3}),
+		isBusy: fc.boolean(),
+		copiesInMemory: fc.subarray(MODELS),
+		copiesOnDisk: fc.subarray(MODELS),
+	});
+	const need = fc.record({
+		model: fc.constantFrom(...MODELS),
+		adapter: fc.constantFrom('', ...ADAPTERS),
+		waiting: fc.nat(2),
+		inProgress: fc.nat(2),
+		dueInMs: fc.integer({min: -10_000, max: 10_000}),
+	});
+	fc.assert(fc.property(holdings, fc.array(need, {maxLength: 6}), (state, needs) => {
+		checkOrder(newCapacity(230, 4, 70, 5), state, needs);
+	}), {numRuns: runs, seed: 11});
+});
+
+Then('no order breaks a limit', () => undefined);
+
+Given('sites', function (this: ResidencyWorld, rows: DataTable) {
+	this.sites = rows.hashes().map(row => ({
+		upstreamId: row.engine,
+		isHeld: row.held === 'yes',
+		hasMemoryCopy: row.memory === 'yes',
+		hasDiskCopy: row.disk === 'yes',
+		remainingMs: row.remaining === '' ? undefined : Number(row.remaining),
+		queueMs: Number(row.queue),
+		pressure: 0,
+	}));
+});
+
+Then('the site for {string} is one of {string} in any order of the sites', function (this: ResidencyWorld, model: string, expected: string) {
+	const chosen = getLoadSite(model, TIMES, this.sites)!.upstreamId;
+	assert.ok(split(expected).includes(chosen), chosen);
+	assert.equal(getLoadSite(model, TIMES, [...this.sites].reverse())!.upstreamId, chosen);
+});
+
+Given('{int} idle engines that keep {string} of the models {string}', function (this: ResidencyWorld, count: number, kept: string, models: string) {
+	this.models = split(models);
+	this.engines = Array.from({length: count}, (_, index) => ({upstreamId: `engine-${index}`, models: new Set(split(kept))}));
+});
+
+Then('together they fetch {int} different models with {int} loads at once', function (this: ResidencyWorld, count: number, loads: number) {
+	const fetched = this.engines.map(engine => getPrefetch(engine.upstreamId, this.models, this.engines, loads)).filter(model => model !== undefined);
+	assert.equal(fetched.length, count);
+	assert.equal(new Set(fetched).size, count);
+});
