--- a/fakes/src/call-http.ts
+++ b/fakes/src/call-http.ts
@@ -2,6 +2,8 @@
 import type {HttpAnswer} from './http-answer.js';
 
 type HttpCall = {
+	/** Another address of loopback than 127.0.0.1. */
+	readonly host?: string;
 	readonly port: number;
 	readonly path: string;
 	readonly method?: string;
@@ -14,7 +16,7 @@
 /** One HTTP call to loopback; rejects if no answer begins. */
 export const callHttp = async (call: HttpCall): Promise<HttpAnswer> => new Promise((resolve, reject) => {
 	const outgoing = request({
-		host: '127.0.0.1', port: call.port, path: call.path, method: call.method ?? 'GET', headers: call.headers ?? {}, agent: false,
+		host: call.host ?? '127.0.0.1', port: call.port, path: call.path, method: call.method ?? 'GET', headers: call.headers ?? {}, agent: false,
 	}, message => {
 		let text = '';
 		message.setEncoding('utf8');
--- a/fakes/src/program.ts
+++ b/fakes/src/program.ts
@@ -8,12 +8,15 @@
 	readonly #file: string;
 	readonly #arguments: readonly string[];
 	readonly #logFile: string;
+	readonly #environment: Readonly<Record<string, string>>;
 	#child: ChildProcess | undefined;
 
-	constructor(file: string, parameters: readonly string[], logFile: string) {
+	/** @param environment - Variables beside those of this process. */
+	constructor(file: string, parameters: readonly string[], logFile: string, environment: Readonly<Record<string, string>> = {}) {
 		this.#file = file;
 		this.#arguments = parameters;
 		this.#logFile = logFile;
+		this.#environment = environment;
 	}
 
 	get pid(): number {
@@ -26,7 +29,7 @@
 
 	start(): void {
 		const log = createWriteStream(this.#logFile, {flags: 'a'});
-		this.#child = spawn(process.execPath, [this.#file, ...this.#arguments], {stdio: ['ignore', 'pipe', 'pipe']});
+		this.#child = spawn(process.execPath, [this.#file, ...this.#arguments], {stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...this.#environment}});
 		this.#child.stdout!.pipe(log, {end: false});
 		this.#child.stderr!.pipe(log, {end: false});
 	}
