--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -118,6 +118,8 @@
 		this.#server.closeIdle();
 		while (this.#dispatcher.inProgress > 0 && SYSTEM_CLOCK.now() < endsAt) {
 			await timers.wait(IDLE_POLL_MS);
+			// A connection whose answer began before the stop was not told to close.
+			this.#server.closeIdle();
 		}
 
 		logger.info({event: 'stopping', inProgress: this.#dispatcher.inProgress}, 'gateway stops');
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -24,16 +24,24 @@
 	readonly isStopping: () => boolean;
 };
 
-/** When a caller should come back to a gateway that has just started, in milliseconds. */
-const NO_ROUTING_RETRY_MS = 500;
+/**
+ * A gateway learns its routing within this time after its start, in milliseconds, even where all controllers start with
+ * it and elect a leader first. A refused caller is asked back when it is over.
+ */
+const LEARN_MS = 2500;
+
+/** The least time after which a caller is asked back, in milliseconds. */
+const LEAST_RETRY_MS = 300;
 
 /** Takes callers' requests: finds their route, reads them whole, and hands them to the dispatcher. */
 export class RequestHandler {
 	readonly #parts: HandlerParts;
+	readonly #startedAt: number;
 	#nextId = 1;
 
 	constructor(parts: HandlerParts) {
 		this.#parts = parts;
+		this.#startedAt = parts.clock.now();
 	}
 
 	async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -101,7 +109,9 @@
 	}
 
 	#newError(code: ResultCodeValue): Error {
-		return new ValeleadError(RESULT_DETAILS[code].meaning, {code, outcome: OUTCOME.NotRun, retryAfterMs: RESULT_DETAILS[code].status === 503 ? NO_ROUTING_RETRY_MS : 0});
+		const restMs = Math.round(this.#startedAt + LEARN_MS - this.#parts.clock.now());
+		const retryAfterMs = code === RESULT_CODE.NoRouting ? Math.max(LEAST_RETRY_MS, restMs) : 0;
+		return new ValeleadError(RESULT_DETAILS[code].meaning, {code, outcome: OUTCOME.NotRun, retryAfterMs});
 	}
 
 	#refuse(answer: CallerAnswer, head: CallerRequest, message: IncomingMessage, error: unknown): void {
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -2,7 +2,7 @@
 	type Clock, type TimerService, type TimerSubscription,
 } from '@valelead/common';
 import {
-	type Capacity, type EngineOrder, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getLoadMs, getNextOrder, getPrefetch, mutateUse, newResidencyState,
+	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getLoadMs, getNextOrder, getPrefetch, mutateUse, newResidencyState,
 } from '@valelead/residency';
 import type {Logger} from 'pino';
 import type {EngineStatus} from '../adapter/engine-status.js';
@@ -25,6 +25,13 @@
 /** An engine counts as idle when nothing was needed of it for this long, in milliseconds. */
 const PREFETCH_IDLE_MS = 3000;
 
+/** The engines that announce themselves must not have changed for this long, in milliseconds, as each works out who fetches what. */
+const ENGINES_SETTLED_MS = 2000;
+
+const NO_NEED = {
+	adapter: '', waiting: 0, inProgress: 0, dueInMs: Number.MAX_SAFE_INTEGER,
+};
+
 /** The needs of one gateway, and when it told them. */
 type ToldNeeds = {
 	readonly needs: readonly UnitNeed[];
@@ -60,6 +67,9 @@
 	readonly #listeners = new Set<() => void>();
 	#capacity: Capacity | undefined;
 	#engines: readonly EngineCopies[] = [];
+	#engineIds = '';
+	#enginesChangedAt = Number.NEGATIVE_INFINITY;
+	#replicated: ReadonlySet<string> = new Set();
 	#neededAt = Number.NEGATIVE_INFINITY;
 	#upstreamId = '';
 	#status: EngineStatus | undefined;
@@ -103,7 +113,11 @@
 
 	/** Learns what the engines of the service keep, this one among them. */
 	setEngines(engines: readonly EngineCopies[]): void {
+		const ids = engines.map(engine => engine.upstreamId).sort().join(' ');
+		this.#enginesChangedAt = ids === this.#engineIds ? this.#enginesChangedAt : this.#parts.clock.now();
+		this.#engineIds = ids;
 		this.#engines = engines;
+		this.#replicated = new Set(engines.filter(engine => engine.upstreamId !== this.#upstreamId).flatMap(engine => [...engine.held]));
 	}
 
 	/** Calls back whenever the summary changes. */
@@ -141,7 +155,7 @@
 			upstreamId: this.#upstreamId,
 			status,
 			capacity: this.#capacity,
-			holdings: newHoldings(status),
+			holdings: this.#getHoldings(status),
 			needs: this.#getNeeds(),
 			leaving: this.#leaving?.order,
 			loading: this.#loading,
@@ -149,6 +163,10 @@
 		});
 	}
 
+	#getHoldings(status: EngineStatus): Holdings {
+		return newHoldings(status, this.#replicated);
+	}
+
 	#getNeeds(): UnitNeed[] {
 		const now = this.#parts.clock.now();
 		return getMergedNeeds([...this.#needs.values()].flatMap(({needs, toldAt}) => needs.map(need => ({...need, dueInMs: need.dueInMs - (now - toldAt)}))));
@@ -234,19 +252,24 @@
 			return undefined;
 		}
 
-		return getNextOrder(this.#residency, this.#capacity, newHoldings(this.#status!), [...this.#getNeeds(), ...this.#getPrefetchNeeds()]);
+		return getNextOrder(this.#residency, this.#capacity, this.#getHoldings(this.#status!), [...this.#getNeeds(), ...this.#getPrefetchNeeds()]);
 	}
 
-	/** An engine that nobody needs fetches a model of which no engine has a copy. */
+	/**
+	 * An engine that nobody needs fetches a model of which no engine has a copy. It makes room for it only from models
+	 * that no other engine holds: those that several hold are busy ones, whose requests may begin at any moment.
+	 */
 	#getPrefetchNeeds(): UnitNeed[] {
-		const isIdle = this.#parts.clock.now() - this.#neededAt > PREFETCH_IDLE_MS;
+		const now = this.#parts.clock.now();
+		const isIdle = now - this.#neededAt > PREFETCH_IDLE_MS && now - this.#enginesChangedAt > ENGINES_SETTLED_MS;
 		const models = [...this.#capacity!.models.keys()];
 		const model = isIdle ? getPrefetch(this.#upstreamId, models, this.#engines, this.#parts.concurrentStoreLoads) : undefined;
-		return model === undefined
-			? []
-			: [{
-				model, adapter: '', waiting: 1, inProgress: 0, dueInMs: Number.MAX_SAFE_INTEGER,
-			}];
+		if (model === undefined) {
+			return [];
+		}
+
+		const kept = [...this.#replicated].map(name => ({...NO_NEED, model: name, inProgress: 1}));
+		return [{...NO_NEED, model, waiting: 1}, ...kept];
 	}
 
 	/** Whether gateways were told of the order long enough ago; tells them if not. */
@@ -272,7 +295,7 @@
 			event: 'order', order: order.kind, model: order.model, adapter: order.adapter, upstreamId: this.#upstreamId, expectedSequence, result: reply.result, reason: reply.reason, tookMs: Math.round(this.#parts.clock.now() - startedAt),
 		}, 'engine ordered');
 		const isLoad = order.kind === ORDER_KIND.Load && order.adapter === '' && reply.result === ORDER_RESULT.Accepted;
-		this.#loading = isLoad ? {model: order.model, endsAt: startedAt + getLoadMs(this.#capacity!, newHoldings(this.#status!), order.model)} : this.#loading;
+		this.#loading = isLoad ? {model: order.model, endsAt: startedAt + getLoadMs(this.#capacity!, this.#getHoldings(this.#status!), order.model)} : this.#loading;
 		if (reply.result === ORDER_RESULT.OtherEngine) {
 			this.#upstreamId = reply.upstreamId;
 		}
--- a/apps/valelead-daemon/src/sidecar/new-holdings.ts
+++ b/apps/valelead-daemon/src/sidecar/new-holdings.ts
@@ -1,9 +1,13 @@
 import type {Holdings} from '@valelead/residency';
 import type {EngineStatus} from '../adapter/engine-status.js';
 
-/** What an engine holds, with the adapters that are on their way. */
-export const newHoldings = ({models, pending, isBusy, copiesInMemory, copiesOnDisk}: EngineStatus): Holdings => ({
+/**
+ * What an engine holds, with the adapters that are on their way.
+ * @param replicated - Models that other engines hold as well.
+ */
+export const newHoldings = ({models, pending, isBusy, copiesInMemory, copiesOnDisk}: EngineStatus, replicated: ReadonlySet<string>): Holdings => ({
 	isBusy,
+	replicated,
 	copiesInMemory,
 	copiesOnDisk,
 	models: models.map(({name, adapters}) => {
--- a/packages/residency/src/engine-copies.ts
+++ b/packages/residency/src/engine-copies.ts
@@ -2,4 +2,6 @@
 export type EngineCopies = {
 	readonly upstreamId: string;
 	readonly models: ReadonlySet<string>;
+	/** Those that are loaded. */
+	readonly held: ReadonlySet<string>;
 };
--- a/packages/residency/tests/residency.feature
+++ b/packages/residency/tests/residency.feature
@@ -30,6 +30,12 @@
     When 1 request waits for "d"
     Then the next order is "unload c"
 
+  Scenario: Before any use, a model that other engines hold too makes way after the others
+    Given it holds "a, b, c" with copies of all
+    And other engines hold "a, b" too
+    When 1 request waits for "d"
+    Then the next order is "unload c"
+
   Scenario: A load that can still make its objective goes before one that cannot
     Given it holds "a" with copies of "d"
     When 1 request that is due in 1000 ms waits for "e"
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -48,6 +48,7 @@
 const hold = (world: ResidencyWorld, held: string, copies: readonly string[]): void => {
 	world.holdings = {
 		isBusy: false,
+		replicated: new Set(),
 		copiesInMemory: [],
 		copiesOnDisk: copies,
 		models: split(held).map(text => ({name: text.split('+')[0], adapters: text.split('+').slice(1)})),
@@ -62,6 +63,10 @@
 	hold(this, held, split(copies));
 });
 
+Given('other engines hold {string} too', function (this: ResidencyWorld, models: string) {
+	this.holdings = {...this.holdings, replicated: new Set(split(models))};
+});
+
 Given('it is busy', function (this: ResidencyWorld) {
 	this.holdings = {...this.holdings, isBusy: true};
 });
@@ -132,6 +137,7 @@
 	const holdings = fc.record({
 		models: fc.uniqueArray(held, {selector: model => model.name, maxLength: 3}),
 		isBusy: fc.boolean(),
+		replicated: fc.constant(new Set<string>()),
 		copiesInMemory: fc.subarray(MODELS),
 		copiesOnDisk: fc.subarray(MODELS),
 	});
@@ -169,7 +175,7 @@
 
 Given('{int} idle engines that keep {string} of the models {string}', function (this: ResidencyWorld, count: number, kept: string, models: string) {
 	this.models = split(models);
-	this.engines = Array.from({length: count}, (_, index) => ({upstreamId: `engine-${index}`, models: new Set(split(kept))}));
+	this.engines = Array.from({length: count}, (_, index) => ({upstreamId: `engine-${index}`, models: new Set(split(kept)), held: new Set()}));
 });
 
 Then('together they fetch {int} different models with {int} loads at once', function (this: ResidencyWorld, count: number, loads: number) {
