--- a/apps/valelead-daemon/src/gateway/engine-fleet.ts
+++ b/apps/valelead-daemon/src/gateway/engine-fleet.ts
@@ -1,6 +1,7 @@
 import {type AdmissionEndpoint, getServiceTarget} from '@valelead/admission';
 import {type Upstream, UPSTREAM_STATE} from '@valelead/discovery';
 import type {EngineReport} from '@valelead/protocol';
+import {getSpareReplicas} from '@valelead/residency';
 import type {RouteTable} from '@valelead/routing';
 import type {EngineView} from './engine-view.js';
 import {getTarget} from './get-target.js';
@@ -10,6 +11,9 @@
 
 const LEAST_PLACES = 2;
 
+/** Requests in progress at other replicas that outweigh the use of a spare one. */
+const SPARE_PENALTY = 16;
+
 /** Joins what announcements and sidecars tell of upstreams into endpoints by target. */
 export class EngineFleet {
 	#upstreams: readonly Upstream[] = [];
@@ -43,12 +47,14 @@
 		this.#views = new Map(this.#upstreams
 			.filter(upstream => upstream.state === UPSTREAM_STATE.Ready || upstream.state === UPSTREAM_STATE.Silent)
 			.map(upstream => [upstream.id, this.#newView(upstream)]));
+		const spare = this.#getSpareReplicas();
 		const endpoints = new Map<string, AdmissionEndpoint[]>();
 		for (const view of this.#views.values()) {
 			const endpoint = this.#newEndpoint(view, gatewayCount, getOwnCount(view.upstream.id));
-			for (const target of this.#getTargets(table, view)) {
+			const spareEndpoint = {...endpoint, othersInProgress: (endpoint.othersInProgress ?? 0) + SPARE_PENALTY};
+			for (const {target, model} of this.#getTargets(table, view)) {
 				const known = endpoints.get(target) ?? [];
-				known.push(endpoint);
+				known.push(spare.get(model)?.has(view.upstream.id) ? spareEndpoint : endpoint);
 				endpoints.set(target, known);
 			}
 		}
@@ -56,6 +62,22 @@
 		this.#endpoints = endpoints;
 	}
 
+	/** For each model of a service, the engines that hold it without need. */
+	#getSpareReplicas(): ReadonlyMap<string, ReadonlySet<string>> {
+		const holders = new Map<string, {readonly ids: string[]; inProgress: number}>();
+		for (const {upstream, models, inProgressByModel} of this.#views.values()) {
+			for (const {name} of models) {
+				const key = getTarget(upstream.service, name, '');
+				const known = holders.get(key) ?? {ids: [], inProgress: 0};
+				known.ids.push(upstream.id);
+				known.inProgress += inProgressByModel.get(name) ?? 0;
+				holders.set(key, known);
+			}
+		}
+
+		return new Map([...holders].map(([key, {ids, inProgress}]) => [key, getSpareReplicas(key, ids, inProgress)]));
+	}
+
 	#newView(upstream: Upstream): EngineView {
 		const report = this.#reports.get(upstream.address);
 		const current = report?.upstreamId === upstream.id ? report : undefined;
@@ -81,11 +103,15 @@
 		};
 	}
 
-	#getTargets(table: RouteTable, {upstream, models}: EngineView): string[] {
-		if (!table.services.get(upstream.service)?.engine) {
-			return [getServiceTarget(upstream.service)];
+	/** What an upstream offers, each with the model that it belongs to. */
+	#getTargets(table: RouteTable, {upstream, models}: EngineView): ReadonlyArray<{readonly target: string; readonly model: string}> {
+		const {service} = upstream;
+		if (!table.services.get(service)?.engine) {
+			return [{target: getServiceTarget(service), model: ''}];
 		}
 
-		return models.flatMap(model => ['', ...model.adapters].map(adapter => getTarget(upstream.service, model.name, adapter)));
+		return models.flatMap(model => ['', ...model.adapters].map(adapter => ({
+			target: getTarget(service, model.name, adapter), model: getTarget(service, model.name, ''),
+		})));
 	}
 }
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -14,6 +14,7 @@
 export {getLoadSite} from './get-load-site.js';
 export {getLoadQueue} from './get-load-queue.js';
 export type {ModelLoad} from './model-load.js';
+export {getSpareReplicas} from './get-spare-replicas.js';
 export {getWishedReplicas} from './get-wished-replicas.js';
 export {getMergedNeeds} from './get-merged-needs.js';
 export {newResidencyState} from './new-residency-state.js';
--- a/packages/residency/tests/residency.feature
+++ b/packages/residency/tests/residency.feature
@@ -84,3 +84,15 @@
     Given 3 idle engines that keep "a, b" of the models "a, b, c, d, e, f, g"
     Then together they fetch 2 different models with 2 loads at once
     And together they fetch 3 different models with 4 loads at once
+
+  Scenario Outline: A model's requests keep to as many replicas as they call for
+    Given replicas "one, two, three, four" of a model
+    When <count> requests are in progress
+    Then <spare> of the replicas are spare, the same in any order
+
+    Examples:
+      | count | spare |
+      | 0     | 3     |
+      | 8     | 3     |
+      | 9     | 2     |
+      | 100   | 0     |
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -4,7 +4,7 @@
 } from '@cucumber/cucumber';
 import * as fc from 'fast-check';
 import {
-	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getLoadSite, getNextOrder, getPrefetch, getUnitName, newResidencyState,
+	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getLoadSite, getNextOrder, getPrefetch, getSpareReplicas, getUnitName, newResidencyState,
 } from '@valelead/residency';
 
 type ResidencyWorld = {
@@ -15,6 +15,7 @@
 	sites: LoadSite[];
 	engines: EngineCopies[];
 	models: string[];
+	inProgress: number;
 };
 
 const TIMES = {storeLoadMs: 6000, diskLoadMs: 800, memoryLoadMs: 500};
@@ -183,3 +184,17 @@
 	assert.equal(fetched.length, count);
 	assert.equal(new Set(fetched).size, count);
 });
+
+Given('replicas {string} of a model', function (this: ResidencyWorld, ids: string) {
+	this.models = split(ids);
+});
+
+When('{int} requests are in progress', function (this: ResidencyWorld, count: number) {
+	this.inProgress = count;
+});
+
+Then('{int} of the replicas are spare, the same in any order', function (this: ResidencyWorld, count: number) {
+	const spare = getSpareReplicas('m', this.models, this.inProgress);
+	assert.equal(spare.size, count);
+	assert.deepEqual(getSpareReplicas('m', [...this.models].reverse(), this.inProgress), spare);
+});
