Write logs in the background, bounded, and end even where nobody reads them

Cause: each log line was a synchronous write, so a reader that stalls would have held up the process.

--- a/apps/valelead-daemon/src/control/start-voter.ts
+++ b/apps/valelead-daemon/src/control/start-voter.ts
@@ -4,6 +4,7 @@
 	type ChannelPool, Consensus, Control, newServiceDefinition,
 } from '@valelead/protocol';
 import type {Logger} from 'pino';
+import {exitWithLogs} from '../exit-with-logs.js';
 import {GrpcServer} from '../grpc-server.js';
 import {hashKey} from '../hash-key.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
@@ -39,7 +40,7 @@
 		logger,
 		onFailure(error) {
 			logger.fatal({event: 'storage-failed', code: error.code, reason: error.message}, 'storage failed');
-			process.exit(1); // eslint-disable-line n/prefer-global/process, unicorn/no-process-exit
+			exitWithLogs(logger, 1);
 		},
 	});
 	const membership = {leaseMs: voterSettings.leaseMs, assumeLostMs: voterSettings.assumeLostMs};
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -14,6 +14,7 @@
 import {UpstreamRegistry} from '../control/upstream-registry.js';
 import {Voter} from '../control/voter.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
+import {exitWithLogs} from '../exit-with-logs.js';
 import {GrpcServer} from '../grpc-server.js';
 import {hashKey} from '../hash-key.js';
 import {Metrics} from '../metrics/metrics.js';
@@ -40,8 +41,7 @@
 	logger,
 	onFailure(error) {
 		logger.fatal({event: 'storage-failed', code: error.code, reason: error.message}, 'storage failed');
-		logger.flush();
-		process.exit(1); // eslint-disable-line n/prefer-global/process, unicorn/no-process-exit
+		exitWithLogs(logger, 1);
 	},
 });
 
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -23,3 +23,5 @@
 export {getForwardedHeaders} from './gateway/get-forwarded-headers.js';
 export {getHonestCode} from './gateway/get-honest-code.js';
 export {newGatewayAdmission} from './gateway/new-gateway-admission.js';
+export {newLogger} from './logger.js';
+export {exitWithLogs} from './exit-with-logs.js';
--- a/apps/valelead-daemon/src/run-daemon.ts
+++ b/apps/valelead-daemon/src/run-daemon.ts
@@ -7,6 +7,7 @@
 import {startController} from './controller/start-controller.js';
 import {startEntry} from './entry/start-entry.js';
 import {startGateway} from './gateway/start-gateway.js';
+import {exitWithLogs} from './exit-with-logs.js';
 import {newLogger} from './logger.js';
 import {loadOrExit} from './settings/load-or-exit.js';
 import {tryLoadSettings} from './settings/try-load-settings.js';
@@ -93,13 +94,10 @@
 	try {
 		await Effect.runPromise(newProgram(settings, logger, adapter));
 		logger.info({event: 'stopped'}, 'stopped');
-		process.exitCode = 0;
+		exitWithLogs(logger, 0);
 	} catch (error) {
 		const code = error instanceof ValeleadError ? error.code : RESULT_CODE.Internal;
 		logger.fatal({event: 'start-failed', code, reason: (error as Error).message}, 'start failed');
-		process.exitCode = 1;
+		exitWithLogs(logger, 1);
 	}
-
-	logger.flush();
-	process.exit(); // eslint-disable-line unicorn/no-process-exit -- open sockets must not keep a stopped daemon alive
 };
--- /dev/null
+++ b/apps/valelead-daemon/tests/logger.steps.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {Then, When} from '@cucumber/cucumber';
+
+type LoggerWorld = {
+	report: {readonly written: number; readonly heldBytes: number};
+	isEnded: boolean;
+};
+
+const PROGRAM = fileURLToPath(new URL('logger-program.js', import.meta.url));
+const MEGABYTE = 1_000_000;
+
+When('a process writes 8 MB of log lines to a pipe that nobody reads', async function (this: LoggerWorld) {
+	const child = spawn(process.execPath, [PROGRAM], {stdio: ['ignore', 'pipe', 'inherit', 'ipc']});
+	const [report] = await once(child, 'message') as [LoggerWorld['report']];
+	this.report = report;
+	await once(child, 'exit');
+	this.isEnded = true;
+});
+
+Then('it writes all of them without waiting, holds at most {int} MB more for them, and ends', function (this: LoggerWorld, megabytes: number) {
+	assert.equal(this.report.written, 30_000);
+	assert.ok(this.report.heldBytes < megabytes * MEGABYTE, `${this.report.heldBytes} bytes`);
+	assert.ok(this.isEnded);
+});
