Let a load that cannot make its objective wait for a while only, though its callers give up

Loads that cannot make the objective of a request went last until the oldest request was 6 s late; callers give up after 2.4 s, so that never came. Ruled out: ejected upstreams (none), lost sidecars (back within 1 s), refused orders (none). Now the time counts for the model, over its callers, and is 2.5 s. Test: residency.feature.

--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -2,7 +2,7 @@
 	type Clock, type TimerService, type TimerSubscription,
 } from '@valelead/common';
 import {
-	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getLoadMs, getNextOrder, getPrefetch, mutateUse, newResidencyState,
+	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getLoadMs, getNextOrder, getPrefetch, getWantedMs, mutateUse, mutateWanted, newResidencyState,
 } from '@valelead/residency';
 import type {Logger} from 'pino';
 import type {EngineStatus} from '../adapter/engine-status.js';
@@ -159,6 +159,7 @@
 			needs: this.#getNeeds(),
 			leaving: this.#leaving?.order,
 			loading: this.#loading,
+			getWantedMs: model => getWantedMs(this.#residency, model),
 			now: this.#parts.clock.now(),
 		});
 	}
@@ -252,7 +253,9 @@
 			return undefined;
 		}
 
-		return getNextOrder(this.#residency, this.#capacity, this.#getHoldings(this.#status!), [...this.#getNeeds(), ...this.#getPrefetchNeeds()]);
+		const needs = this.#getNeeds();
+		mutateWanted(this.#residency, needs, this.#parts.clock.now());
+		return getNextOrder(this.#residency, this.#capacity, this.#getHoldings(this.#status!), [...needs, ...this.#getPrefetchNeeds()]);
 	}
 
 	/**
--- a/apps/valelead-daemon/src/sidecar/new-engine-summary.ts
+++ b/apps/valelead-daemon/src/sidecar/new-engine-summary.ts
@@ -14,6 +14,8 @@
 	/** What is about to be unloaded; it is not offered any more. */
 	readonly leaving: EngineOrder | undefined;
 	readonly loading: LoadInProgress | undefined;
+	/** For how long requests have waited for a model, in milliseconds. */
+	readonly getWantedMs: (model: string) => number;
 	readonly now: number;
 };
 
@@ -31,7 +33,7 @@
 		adapters: model.adapters.filter(adapter => !(leaving?.model === model.name && leaving.adapter === adapter)),
 	}));
 
-const getLoads = ({status, capacity, holdings, needs, loading, now}: SummaryParts): ModelLoad[] => {
+const getLoads = ({status, capacity, holdings, needs, loading, getWantedMs, now}: SummaryParts): ModelLoad[] => {
 	if (!capacity) {
 		return [];
 	}
@@ -41,7 +43,9 @@
 	const current = status.isBusy ? loading : undefined;
 	let remainingMs = current ? Math.max(0, current.endsAt - now) : 0;
 	const loads = current ? [{model: current.model, remainingMs: getRounded(remainingMs)}] : [];
-	for (const model of getLoadQueue(held, needs, getModelMs)) {
+	for (const model of getLoadQueue({
+		held, needs, getLoadMs: getModelMs, getWantedMs,
+	})) {
 		if (model !== current?.model && capacity.models.has(model)) {
 			remainingMs += getModelMs(model);
 			loads.push({model, remainingMs: getRounded(remainingMs)});
--- a/packages/residency/src/get-load-queue.ts
+++ b/packages/residency/src/get-load-queue.ts
@@ -3,31 +3,41 @@
 type Candidate = {
 	readonly model: string;
 	readonly dueInMs: number;
-	readonly loadMs: number;
+	/** Whether it lets the others go first. */
+	readonly isPostponed: boolean;
 };
 
-/** A load that can no longer make its objective lets the others go first, but not for longer than this, in milliseconds. */
-const LATE_PATIENCE_MS = 6000;
+/**
+ * A load that can no longer make the objective of a request lets the others go first, but not for longer than this, in
+ * milliseconds. Its callers may give up sooner than that, so the time is the model's and not that of one request.
+ */
+const LATE_PATIENCE_MS = 2500;
 
-const isHopeless = ({dueInMs, loadMs}: Candidate): boolean => loadMs > dueInMs && dueInMs > -LATE_PATIENCE_MS;
+const compare = (left: Candidate, right: Candidate): number => (Number(left.isPostponed) - Number(right.isPostponed)) || (left.dueInMs - right.dueInMs);
 
-const compare = (left: Candidate, right: Candidate): number => (Number(isHopeless(left)) - Number(isHopeless(right))) || (left.dueInMs - right.dueInMs);
+type QueueTerms = {
+	readonly held: ReadonlySet<string>;
+	readonly needs: readonly UnitNeed[];
+	/** The expected load time of a model on the engine, in milliseconds. */
+	readonly getLoadMs: (model: string) => number;
+	/** For how long requests have waited for a model, in milliseconds. */
+	readonly getWantedMs: (model: string) => number;
+};
 
 /**
  * Models that requests wait for and that the engine does not hold, in the order in which they are loaded: first those
- * that can still make the objective of a request, the most urgent before the others.
- * @param getLoadMs - The expected load time of a model on the engine, in milliseconds.
+ * that can still make the objective of a request or were postponed for long enough, the most urgent before the others.
  */
-export const getLoadQueue = (held: ReadonlySet<string>, needs: readonly UnitNeed[], getLoadMs: (model: string) => number): string[] => {
-	const candidates = new Map<string, Candidate>();
+export const getLoadQueue = ({held, needs, getLoadMs, getWantedMs}: QueueTerms): string[] => {
+	const due = new Map<string, number>();
 	for (const {model, waiting, dueInMs} of needs) {
-		if (waiting === 0 || held.has(model)) {
-			continue;
+		if (waiting > 0 && !held.has(model)) {
+			due.set(model, Math.min(dueInMs, due.get(model) ?? Number.POSITIVE_INFINITY));
 		}
-
-		const known = candidates.get(model);
-		candidates.set(model, {model, dueInMs: Math.min(dueInMs, known?.dueInMs ?? Number.POSITIVE_INFINITY), loadMs: getLoadMs(model)});
 	}
 
-	return [...candidates.values()].sort(compare).map(candidate => candidate.model);
+	return [...due]
+		.map(([model, dueInMs]) => ({model, dueInMs, isPostponed: getLoadMs(model) > dueInMs && getWantedMs(model) < LATE_PATIENCE_MS}))
+		.sort(compare)
+		.map(candidate => candidate.model);
 };
--- a/packages/residency/src/get-next-order.ts
+++ b/packages/residency/src/get-next-order.ts
@@ -1,5 +1,6 @@
 import {getAdapterOrder} from './get-adapter-order.js';
 import {getIdleModel} from './get-idle-model.js';
+import {getWantedMs} from './get-wanted-ms.js';
 import {getUsedMemory} from './get-used-memory.js';
 import {getLoadMs} from './get-load-ms.js';
 import {getLoadQueue} from './get-load-queue.js';
@@ -12,7 +13,9 @@
 
 const getModelOrder = (state: ResidencyState, capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[]): EngineOrder | undefined => {
 	const held = new Set(holdings.models.map(model => model.name));
-	const queue = getLoadQueue(held, needs, model => getLoadMs(capacity, holdings, model));
+	const queue = getLoadQueue({
+		held, needs, getLoadMs: model => getLoadMs(capacity, holdings, model), getWantedMs: model => getWantedMs(state, model),
+	});
 	const wanted = queue.find(model => capacity.models.has(model));
 	if (wanted === undefined) {
 		return undefined;
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -18,6 +18,8 @@
 export {getWishedReplicas} from './get-wished-replicas.js';
 export {getMergedNeeds} from './get-merged-needs.js';
 export {newResidencyState} from './new-residency-state.js';
+export {getWantedMs} from './get-wanted-ms.js';
+export {mutateWanted} from './mutate-wanted.js';
 export {mutateUse} from './mutate-use.js';
 export type {EngineCopies} from './engine-copies.js';
 export {getPrefetch} from './get-prefetch.js';
--- a/packages/residency/src/new-residency-state.ts
+++ b/packages/residency/src/new-residency-state.ts
@@ -1,4 +1,4 @@
 import type {ResidencyState} from './residency-state.js';
 
-/** Nothing was used yet. */
-export const newResidencyState = (): ResidencyState => ({lastUsedAt: new Map()});
+/** Nothing was used or wanted yet. */
+export const newResidencyState = (): ResidencyState => ({lastUsedAt: new Map(), wanted: new Map()});
--- a/packages/residency/src/residency-state.ts
+++ b/packages/residency/src/residency-state.ts
@@ -1,5 +1,13 @@
-/** What the choice of what makes way remembers. */
+/** Monotonic times in milliseconds. */
+type WantedTime = {
+	readonly since: number;
+	readonly lastAt: number;
+};
+
+/** What the choice of loads and of what makes way remembers. */
 export type ResidencyState = {
 	/** When each unit was last needed, in monotonic milliseconds. */
 	readonly lastUsedAt: Map<string, number>;
+	/** Since when requests wait for each model without a longer break, and when they did last. */
+	readonly wanted: Map<string, WantedTime>;
 };
--- a/packages/residency/tests/residency.feature
+++ b/packages/residency/tests/residency.feature
@@ -42,9 +42,9 @@
     And 1 request that is due in 2000 ms waits for "d"
     Then the next order is "load d"
 
-  Scenario: A late load does not wait for ever
+  Scenario: A load that cannot make its objective does not wait for ever, though its callers give up and others come
     Given it holds "a" with copies of "d"
-    When 1 request that is due in -7000 ms waits for "e"
+    When requests for "e" come for 3000 ms, each given up after 2400 ms
     And 1 request that is due in 2000 ms waits for "d"
     Then the next order is "load e"
 
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -4,7 +4,7 @@
 } from '@cucumber/cucumber';
 import * as fc from 'fast-check';
 import {
-	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getLoadSite, getNextOrder, getPrefetch, getSpareReplicas, getUnitName, newResidencyState,
+	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getLoadSite, getNextOrder, getPrefetch, getSpareReplicas, getUnitName, mutateWanted, newResidencyState,
 } from '@valelead/residency';
 
 type ResidencyWorld = {
@@ -22,6 +22,8 @@
 const MODELS = ['a', 'b', 'c', 'd', 'e'];
 const ADAPTERS = ['x', 'y', 'z'];
 const FAR_MS = 100_000;
+const ARRIVAL_MS = 500;
+const OBJECTIVE_MS = 400;
 
 const newCapacity = (weightMemory: number, adapterSlots: number, modelMemory: number, adapterMemory: number): Capacity => ({
 	weightMemory,
@@ -87,6 +89,14 @@
 	this.needs.push(newNeed(unit, count, 0, dueInMs));
 });
 
+When('requests for {string} come for {int} ms, each given up after {int} ms', function (this: ResidencyWorld, unit: string, lengthMs: number, patienceMs: number) {
+	for (let now = 0; now <= lengthMs; now += ARRIVAL_MS) {
+		const arrivals = Array.from({length: (now / ARRIVAL_MS) + 1}, (_, index) => index * ARRIVAL_MS).filter(arrivedAt => now - arrivedAt < patienceMs);
+		this.needs = [newNeed(unit, arrivals.length, 0, arrivals[0] + OBJECTIVE_MS - now)];
+		mutateWanted(this.state, this.needs, now);
+	}
+});
+
 When('{string} has {int} request in progress', function (this: ResidencyWorld, unit: string, count: number) {
 	this.needs.push(newNeed(unit, 0, count, FAR_MS));
 });
