--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -28,3 +28,4 @@
 export {getFormation} from './get-formation.js';
 export type {FormationDecision} from './formation-decision.js';
 export {getNextMembership} from './get-next-membership.js';
+export {getReducedVoters} from './get-reduced-voters.js';
--- /dev/null
+++ b/packages/consensus/tests/node.feature
@@ -0,0 +1,21 @@
+Feature: A voter and its surroundings
+  A disk that refuses writes silences a voter for as long as it does; a voter that is gone does not stay in the way.
+
+  Scenario: Nothing is acknowledged while the disk refuses writes, and all is once it takes them again
+    Given a voter that forms a quorum of its own
+    When its disk refuses the next 2 writes and a command is proposed
+    Then the command is not acknowledged before the disk has taken it
+    And the command is applied once
+
+  Scenario Outline: A silent voter is let go only where the others are better off
+    Given a leader with <voters> voters and <learners> learner, of which "<silent>" was silent for long
+    Then <kept> members are kept
+
+    Examples:
+      | voters | learners | silent    | kept |
+      | 4      | 0        | a voter   | 3    |
+      | 3      | 0        | a voter   | 3    |
+      | 5      | 0        | a voter   | 5    |
+      | 6      | 0        | a voter   | 5    |
+      | 3      | 1        | a learner | 3    |
+      | 4      | 0        | nobody    | 4    |
