Repeat unanswered orders sooner, weigh loads by what waits, and tell small changes of counts together

Change: an order without an answer is given again after 150 ms, as answers take 3 ms on the same machine and the order count voids the late one.

Ruled out: the store's rate, engines that refuse orders (none refused).

--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -1,5 +1,5 @@
 import {
-	type LoadSite, type UnitNeed, getExpectedMs, getLoadSite, getWishedReplicas,
+	type LoadSite, type UnitNeed, getClassWeight, getExpectedMs, getLoadSite, getWishedReplicas,
 } from '@valelead/residency';
 import {type ModelShape, type RouteTable, getModelShapes} from '@valelead/routing';
 import {getTarget} from './get-target.js';
@@ -23,10 +23,10 @@
 	waiting: number;
 };
 
-/** When a load is due, in milliseconds from now, and the rank of the class that waits for it. */
+/** When a load is due, in milliseconds from now, and what the request counts that waits for it. */
 type Urgency = {
 	readonly dueInMs: number;
-	readonly rank: number;
+	readonly weight: number;
 };
 
 /** The engine that was chosen for a wish, and when the others were last compared with it, in monotonic milliseconds. */
@@ -43,11 +43,8 @@
 /** Another engine is chosen only where it is expected to be ready this much sooner, in milliseconds. */
 const SWITCH_MARGIN_MS = 400;
 
-/** Below every class that callers wait in. */
-const LEAST_RANK = 100;
-
 /** How soon one more replica of a busy model is wanted: after the requests that wait for a cold one. */
-const REPLICA_URGENCY: Urgency = {dueInMs: 3000, rank: LEAST_RANK};
+const REPLICA_URGENCY: Urgency = {dueInMs: 3000, weight: 0.01};
 
 /**
  * A replica is fetched from the weight store, which keeps its engine from other loads for long, only where this many
@@ -98,7 +95,7 @@
 		this.#now = now;
 		for (const {upstreamId, head} of inProgress) {
 			table.add(upstreamId, {
-				model: head.model, adapter: head.adapter, waiting: 0, inProgress: 1, dueInMs: Number.MAX_SAFE_INTEGER, rank: LEAST_RANK,
+				model: head.model, adapter: head.adapter, waiting: 0, inProgress: 1, dueInMs: Number.MAX_SAFE_INTEGER, weight: 0,
 			});
 		}
 
@@ -107,7 +104,7 @@
 			const unit = {
 				service, model: head.model, adapter: head.adapter, key: target, needsCopy: false, needsRoom: false, excluded: NOWHERE,
 			};
-			this.#addWish(table, before, unit, {dueInMs: Math.round(arrivedAt + route.objectiveMs - now), rank: route.priority});
+			this.#addWish(table, before, unit, {dueInMs: Math.round(arrivedAt + route.objectiveMs - now), weight: getClassWeight(route.priority)});
 		}
 
 		this.#addReplicas(table, before, waiting, inProgress);
@@ -146,7 +143,7 @@
 		return new Set([...this.#sites].filter(([key]) => key === name || key.startsWith(`${name}/`) || key.endsWith(` of ${name}`)).map(([, choice]) => choice.upstreamId));
 	}
 
-	#addWish(table: NeedTable, before: ReadonlyMap<string, Choice>, unit: WantedUnit, {dueInMs, rank}: Urgency): void {
+	#addWish(table: NeedTable, before: ReadonlyMap<string, Choice>, unit: WantedUnit, {dueInMs, weight}: Urgency): void {
 		const choice = this.#sites.get(unit.key) ?? this.#choose(unit, before.get(unit.key));
 		if (choice === undefined) {
 			return;
@@ -154,7 +151,7 @@
 
 		this.#sites.set(unit.key, choice);
 		table.add(choice.upstreamId, {
-			model: unit.model, adapter: unit.adapter, waiting: 1, inProgress: 0, dueInMs, rank,
+			model: unit.model, adapter: unit.adapter, waiting: 1, inProgress: 0, dueInMs, weight,
 		});
 	}
 
--- a/apps/valelead-daemon/src/gateway/need-table.ts
+++ b/apps/valelead-daemon/src/gateway/need-table.ts
@@ -14,7 +14,7 @@
 			waiting: need.waiting + (known?.waiting ?? 0),
 			inProgress: need.inProgress + (known?.inProgress ?? 0),
 			dueInMs: Math.min(need.dueInMs, known?.dueInMs ?? Number.POSITIVE_INFINITY),
-			rank: Math.min(need.rank, known?.rank ?? Number.POSITIVE_INFINITY),
+			weight: need.weight + (known?.weight ?? 0),
 		});
 	}
 
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -43,7 +43,7 @@
 const CONNECT_TIMEOUT_MS = 1000;
 
 /** How long the report of a sidecar waits for others to be taken with it, in milliseconds. */
-const REFRESH_COALESCE_MS = 15;
+const REFRESH_COALESCE_MS = 25;
 
 /** A limit that single routes and teams of this interface do not have. */
 const UNLIMITED = Number.MAX_SAFE_INTEGER;
--- a/apps/valelead-daemon/src/sidecar/engine-client.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-client.ts
@@ -21,8 +21,14 @@
 	readonly upstreamId: string;
 };
 
-/** An engine that does not answer within this time is asked again later, in milliseconds. It is on the same machine. */
-const TIMEOUT_MS = 1000;
+/** An engine that does not tell its status within this time is asked again later, in milliseconds. It is on the same machine. */
+const STATUS_TIMEOUT_MS = 1000;
+
+/**
+ * An order without an answer is given again after this time, in milliseconds. Answers take some milliseconds, and an order
+ * that is carried out after all is void once the repeated one has moved the engine's order count.
+ */
+const ORDER_TIMEOUT_MS = 150;
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const HTTP_OK = 200;
@@ -40,7 +46,7 @@
 
 	/** The engine's state; rejects where it does not answer. */
 	async getStatus(): Promise<StatusReply> {
-		const answer = await this.#call(this.#codec.newStatusCall());
+		const answer = await this.#call(this.#codec.newStatusCall(), STATUS_TIMEOUT_MS);
 		const body = await readBody(answer, MAX_BODY_BYTES);
 		if (answer.statusCode !== HTTP_OK) {
 			throw new Error(`status ${answer.statusCode}`);
@@ -52,7 +58,7 @@
 	/** Gives an order. Without an answer its result is unknown: it may have been taken or be carried out later. */
 	async order(terms: OrderTerms): Promise<OrderReply> {
 		try {
-			const answer = await this.#call(this.#codec.newOrderCall(terms));
+			const answer = await this.#call(this.#codec.newOrderCall(terms), ORDER_TIMEOUT_MS);
 			const body = await readBody(answer, MAX_BODY_BYTES);
 			const result = this.#codec.decodeOrderResult(answer.statusCode ?? 0);
 			return {result, upstreamId: this.#codec.decodeUpstreamId(answer.headers), reason: `status ${answer.statusCode} ${body.toString('utf8').slice(0, 200)}`};
@@ -65,10 +71,10 @@
 		this.#agent.destroy();
 	}
 
-	async #call({method, path, headers, body}: HttpCall): Promise<IncomingMessage> {
+	async #call({method, path, headers, body}: HttpCall, timeoutMs: number): Promise<IncomingMessage> {
 		return new Promise((resolve, reject) => {
 			const request = newHttpRequest({
-				host: getHost(this.#address), port: getPort(this.#address), method, path, headers, agent: this.#agent, timeout: TIMEOUT_MS,
+				host: getHost(this.#address), port: getPort(this.#address), method, path, headers, agent: this.#agent, timeout: timeoutMs,
 			});
 			request.on('response', resolve);
 			request.on('error', reject);
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -10,6 +10,7 @@
 import {Prefetcher} from './prefetcher.js';
 import {newEngineSummary} from './new-engine-summary.js';
 import {newHoldings} from './new-holdings.js';
+import {SummaryPublisher} from './summary-publisher.js';
 import type {EngineSummary} from './engine-summary.js';
 import type {LoadInProgress} from './load-in-progress.js';
 
@@ -38,16 +39,6 @@
 /** How often the engine is asked while nothing is to be done, in milliseconds. */
 const IDLE_POLL_MS = 1000;
 
-/**
- * Changes of counts alone are told together after this time for each follower, in milliseconds, so that what one follower
- * hears does not grow with the installation: with as many gateways as engines it takes some hundred reports a second.
- */
-const COUNTS_COALESCE_PER_FOLLOWER_MS = 8;
-
-/** The bounds of that time, in milliseconds. */
-const LEAST_COALESCE_MS = 60;
-const MOST_COALESCE_MS = 1000;
-
 /** Between the word that a model goes and the order: gateways stop sending for it, in milliseconds. */
 const NOTICE_MS = 30;
 
@@ -63,7 +54,7 @@
 	readonly #needs = new Map<string, ToldNeeds>();
 	readonly #residency = newResidencyState();
 	readonly #prefetcher: Prefetcher;
-	readonly #listeners = new Set<() => void>();
+	readonly #publisher: SummaryPublisher;
 	#capacity: Capacity | undefined;
 	#upstreamId = '';
 	#status: EngineStatus | undefined;
@@ -75,14 +66,12 @@
 	#isRunning = false;
 	#isAgain = false;
 	#isStopped = false;
-	#published = '';
-	#publishedHeld = '';
-	#isTellDue = false;
 	#isReachable = true;
 
 	constructor(parts: KeeperParts) {
 		this.#parts = parts;
 		this.#prefetcher = new Prefetcher(parts);
+		this.#publisher = new SummaryPublisher({...parts, getSummary: () => this.summary});
 	}
 
 	start(): void {
@@ -113,10 +102,7 @@
 
 	/** Calls back whenever the summary changes. */
 	subscribe(listener: () => void): () => void {
-		this.#listeners.add(listener);
-		return () => {
-			this.#listeners.delete(listener);
-		};
+		return this.#publisher.subscribe(listener);
 	}
 
 	/** Takes the whole need of the gateway at the other end of a stream. */
@@ -125,7 +111,7 @@
 		this.#needs.set(streamId, {needs, toldAt});
 		mutateUse(this.#residency, needs, toldAt);
 		this.#prefetcher.noteNeeds(needs);
-		this.#tellLater();
+		this.#publisher.publishSoon();
 		if (needs.some(need => need.waiting > 0)) {
 			this.#wake();
 		}
@@ -133,7 +119,7 @@
 
 	forgetStream(streamId: string): void {
 		this.#needs.delete(streamId);
-		this.#tellLater();
+		this.#publisher.publishSoon();
 	}
 
 	get summary(): EngineSummary | undefined {
@@ -195,7 +181,7 @@
 		}
 
 		const order = this.#decide();
-		this.#publish();
+		this.#publisher.publish();
 		if (!order) {
 			return this.#status!.isBusy || this.#status!.pending.length > 0 ? BUSY_POLL_MS : this.#getRestMs();
 		}
@@ -256,7 +242,7 @@
 		const isSame = this.#leaving?.order.model === order.model && this.#leaving.order.adapter === order.adapter;
 		if (!isSame) {
 			this.#leaving = {order, since: now};
-			this.#publish();
+			this.#publisher.publish();
 			return false;
 		}
 
@@ -280,40 +266,4 @@
 
 		return reply.result;
 	}
-
-	/** Tells followers at once what is offered or loading; counts and times alone wait for others to go with them. */
-	#publish(): void {
-		const {summary} = this;
-		const held = JSON.stringify(summary && [summary.upstreamId, summary.loads.map(load => load.model), summary.copiesOnDisk, summary.models.map(model => [model.name, model.version, model.adapters])]);
-		if (held !== this.#publishedHeld) {
-			this.#publishedHeld = held;
-			this.#tell(JSON.stringify(summary));
-			return;
-		}
-
-		this.#tellLater();
-	}
-
-	#tellLater(): void {
-		if (this.#isTellDue) {
-			return;
-		}
-
-		this.#isTellDue = true;
-		const waitMs = Math.min(MOST_COALESCE_MS, Math.max(LEAST_COALESCE_MS, this.#listeners.size * COUNTS_COALESCE_PER_FOLLOWER_MS));
-		this.#parts.timers.after(waitMs, () => {
-			this.#isTellDue = false;
-			const told = JSON.stringify(this.summary);
-			if (told !== this.#published) {
-				this.#tell(told);
-			}
-		});
-	}
-
-	#tell(told: string): void {
-		this.#published = told;
-		for (const listener of this.#listeners) {
-			listener();
-		}
-	}
 }
--- a/apps/valelead-daemon/src/sidecar/prefetcher.ts
+++ b/apps/valelead-daemon/src/sidecar/prefetcher.ts
@@ -19,7 +19,7 @@
 const ENGINES_SETTLED_MS = 2000;
 
 const NO_NEED = {
-	adapter: '', waiting: 0, inProgress: 0, dueInMs: Number.MAX_SAFE_INTEGER, rank: Number.MAX_SAFE_INTEGER,
+	adapter: '', waiting: 0, inProgress: 0, dueInMs: Number.MAX_SAFE_INTEGER, weight: 0,
 };
 
 /** Decides what an engine fetches from the weight store while no request waits for it. */
--- a/packages/residency/src/get-merged-needs.ts
+++ b/packages/residency/src/get-merged-needs.ts
@@ -6,7 +6,7 @@
 	waiting: left.waiting + right.waiting,
 	inProgress: left.inProgress + right.inProgress,
 	dueInMs: Math.min(left.dueInMs, right.dueInMs),
-	rank: Math.min(left.rank, right.rank),
+	weight: left.weight + right.weight,
 });
 
 /** The needs of several gateways together, one for each unit. */
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -22,6 +22,7 @@
 export {mutateWanted} from './mutate-wanted.js';
 export {mutateUse} from './mutate-use.js';
 export type {EngineCopies} from './engine-copies.js';
+export {getClassWeight} from './get-class-weight.js';
 export {getPrefetch} from './get-prefetch.js';
 export {getBalancingFetch} from './get-balancing-fetch.js';
 export {getLoadMs} from './get-load-ms.js';
--- a/packages/residency/src/unit-need.ts
+++ b/packages/residency/src/unit-need.ts
@@ -8,6 +8,6 @@
 	readonly inProgress: number;
 	/** Time until the most urgent waiting request misses its objective, in milliseconds. */
 	readonly dueInMs: number;
-	/** The rank of the most urgent class that waits; 0 is the highest. */
-	readonly rank: number;
+	/** The weights of the requests that wait, added up. */
+	readonly weight: number;
 };
--- a/packages/residency/tests/residency.feature
+++ b/packages/residency/tests/residency.feature
@@ -118,3 +118,15 @@
   Scenario: Engines that keep about as much as the others fetch nothing
     Given engines that keep "a, b, c", "a, b, d" and "a, c"
     Then no engine fetches
+
+  Scenario: Many requests of the next rank outweigh one
+    Given it holds "a" with copies of all
+    When 5 requests of rank 1 that is due in 2000 ms wait for "d"
+    And 1 request of rank 0 that is due in 1000 ms waits for "e"
+    Then the next order is "load d"
+
+  Scenario: A late answer counts for less than one in time
+    Given it holds "a" with copies of all
+    When 3 requests of rank 0 that is due in 100 ms wait for "d"
+    And 1 request of rank 0 that is due in 1000 ms waits for "e"
+    Then the next order is "load e"
