Use one coalescer, one control plane and one voter's start for both kinds of controllers

Change: Coalescer in packages/common serves the dispatcher, the demand reporter, follower sessions and the session client; newControlPlane, newVoter and handOver serve entries and controllers; patience with an attempt and the times of answer parts are functions of their own.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -1,5 +1,7 @@
 import {create} from '@bufbuild/protobuf';
-import {type Clock, SYSTEM_CLOCK, type TimerService} from '@valelead/common';
+import {
+	type Clock, Coalescer, SYSTEM_CLOCK, type TimerService,
+} from '@valelead/common';
 import {type Upstream, getChangesSince} from '@valelead/discovery';
 import {
 	type FollowerReport, type SessionReport, type SessionUpdate, SessionUpdateSchema, UpstreamRecordSchema,
@@ -68,13 +70,16 @@
 	readonly #clock: Clock;
 	readonly #sessions = new Map<SessionStream, FollowerSession>();
 	readonly #waiters = new Set<Waiter>();
-	#isPushDue = false;
+	readonly #pushes: Coalescer;
 
 	constructor(voter: Voter, registry: UpstreamRegistry, timers: TimerService, clock: Clock = SYSTEM_CLOCK) {
 		this.#voter = voter;
 		this.#registry = registry;
 		this.#timers = timers;
 		this.#clock = clock;
+		this.#pushes = new Coalescer(timers, COALESCE_MS, () => {
+			this.#push();
+		});
 	}
 
 	start(): void {
@@ -114,15 +119,7 @@
 
 	/** Sends what changed once the changes of this moment are together. */
 	pushSoon(): void {
-		if (this.#isPushDue) {
-			return;
-		}
-
-		this.#isPushDue = true;
-		this.#timers.after(COALESCE_MS, () => {
-			this.#isPushDue = false;
-			this.#push();
-		});
+		this.#pushes.schedule();
 	}
 
 	/**
--- /dev/null
+++ b/apps/valelead-daemon/src/control/new-control-plane.ts
@@ -0,0 +1,51 @@
+import {readFileSync} from 'node:fs';
+import type {TimerService} from '@valelead/common';
+import {Consensus, Control, newServiceDefinition} from '@valelead/protocol';
+import type {MembershipSettings} from '@valelead/membership';
+import type {PolicySettings} from '@valelead/placement';
+import type {Logger} from 'pino';
+import {GrpcServer} from '../grpc-server.js';
+import {hashKey} from '../hash-key.js';
+import {Leader} from './leader.js';
+import {newConsensusService} from './new-consensus-service.js';
+import {newControlService} from './new-control-service.js';
+import {Sessions} from './sessions.js';
+import type {ControlPlane} from './control-plane.js';
+import type {FollowerSessions} from './follower-sessions.js';
+import type {Voter} from './voter.js';
+
+type ControlPlaneParts = {
+	readonly voter: Voter;
+	readonly membership: MembershipSettings;
+	readonly policy: PolicySettings;
+	/** A file with the first operator key, where there is one. */
+	readonly operatorKeyFile: string | undefined;
+	/** Sessions with gateways and sidecars, where the voter serves these. */
+	readonly followers?: FollowerSessions;
+	readonly timers: TimerService;
+	readonly logger: Logger;
+};
+
+/** The services of a voter; nothing listens or runs yet. */
+export const newControlPlane = (parts: ControlPlaneParts): ControlPlane => {
+	const {
+		voter, membership, policy, operatorKeyFile, followers, timers, logger,
+	} = parts;
+	const leader = new Leader({
+		voter, membership, policy, timers, logger,
+	});
+	const sessions = new Sessions(voter, leader, timers, followers);
+	const initialOperatorHash = operatorKeyFile === undefined ? '' : hashKey(readFileSync(operatorKeyFile, 'utf8').trim());
+	const server = new GrpcServer([
+		{definition: newServiceDefinition(Consensus), implementation: newConsensusService(voter)},
+		{
+			definition: newServiceDefinition(Control),
+			implementation: newControlService({
+				voter, leader, sessions, initialOperatorHash,
+			}),
+		},
+	]);
+	return {
+		voter, leader, sessions, server,
+	};
+};
--- /dev/null
+++ b/apps/valelead-daemon/src/control/new-voter.ts
@@ -0,0 +1,32 @@
+import type {TimerService} from '@valelead/common';
+import type {ChannelPool} from '@valelead/protocol';
+import type {Logger} from 'pino';
+import {exitWithLogs} from '../exit-with-logs.js';
+import type {VoterTerms} from './voter-terms.js';
+import {Voter} from './voter.js';
+
+type VoterFoundation = {
+	readonly vm: string;
+	readonly terms: VoterTerms;
+	readonly mayForm?: boolean;
+	/** Where the voters reach each other. */
+	readonly controlAddresses: readonly string[];
+	readonly logger: Logger;
+	readonly timers: TimerService;
+	readonly pool: ChannelPool;
+};
+
+/** A voter that ends its process when its disk fails for good. */
+export const newVoter = ({vm, terms, mayForm, controlAddresses, logger, timers, pool}: VoterFoundation): Voter => new Voter({
+	vm,
+	settings: terms,
+	...(mayForm !== undefined && {mayForm}),
+	controlAddresses,
+	pool,
+	timers,
+	logger,
+	onFailure(error) {
+		logger.fatal({event: 'storage-failed', code: error.code, reason: error.message}, 'storage failed');
+		exitWithLogs(logger, 1);
+	},
+});
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -1,22 +1,14 @@
-import {readFileSync} from 'node:fs';
 import {SYSTEM_CLOCK, TimerService} from '@valelead/common';
-import {
-	ChannelPool, Consensus, Control, newServiceDefinition,
-} from '@valelead/protocol';
+import {ChannelPool} from '@valelead/protocol';
 import type {Logger} from 'pino';
 import type {Adapter} from '../adapter/adapter.js';
 import {startAdminServer} from '../admin-server.js';
 import {FollowerSessions} from '../control/follower-sessions.js';
-import {Leader} from '../control/leader.js';
-import {newConsensusService} from '../control/new-consensus-service.js';
-import {newControlService} from '../control/new-control-service.js';
-import {Sessions} from '../control/sessions.js';
+import {handOver} from '../control/hand-over.js';
+import {newControlPlane} from '../control/new-control-plane.js';
+import {newVoter} from '../control/new-voter.js';
 import {UpstreamRegistry} from '../control/upstream-registry.js';
-import {Voter} from '../control/voter.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
-import {exitWithLogs} from '../exit-with-logs.js';
-import {GrpcServer} from '../grpc-server.js';
-import {hashKey} from '../hash-key.js';
 import {Metrics} from '../metrics/metrics.js';
 import type {ControllerSettings} from '../settings/controller-settings.js';
 import type {Stoppable} from '../stoppable.js';
@@ -25,33 +17,21 @@
 import {ControlServer} from './control-server.js';
 import {POLICY_DEFAULTS} from './policy-defaults.js';
 
-/** How long the successor has to take over before the old leader stops answering, in milliseconds. */
-const HAND_OVER_MS = 300;
-
 /** A VM that is silent for longer gets no new work, in milliseconds. */
 const LEASE_MS = 2000;
 
-const newVoter = (settings: ControllerSettings, logger: Logger, timers: TimerService, pool: ChannelPool): Voter => new Voter({
-	vm: settings.vm,
-	settings: {...settings, listen: `${settings.host}:${settings.peerPort}`},
-	mayForm: settings.mayForm,
-	controlAddresses: getPeerAddresses(settings),
-	pool,
-	timers,
-	logger,
-	onFailure(error) {
-		logger.fatal({event: 'storage-failed', code: error.code, reason: error.message}, 'storage failed');
-		exitWithLogs(logger, 1);
-	},
-});
-
 /** Starts a controller: a voter that serves operators, upstreams and followers while it leads. */
 export const startController = async (settings: ControllerSettings, logger: Logger, adapter: Adapter): Promise<Stoppable> => {
 	const timers = new TimerService(SYSTEM_CLOCK);
 	const pool = new ChannelPool(newChannelCredentials(settings.tls));
-	const voter = newVoter(settings, logger, timers, pool);
-	const leader = new Leader({
-		voter, membership: {leaseMs: LEASE_MS, assumeLostMs: 0}, policy: POLICY_DEFAULTS, timers, logger,
+	const voter = newVoter({
+		vm: settings.vm,
+		terms: {...settings, listen: `${settings.host}:${settings.peerPort}`},
+		mayForm: settings.mayForm,
+		controlAddresses: getPeerAddresses(settings),
+		logger,
+		timers,
+		pool,
 	});
 	const registry: UpstreamRegistry = new UpstreamRegistry({
 		voter,
@@ -64,17 +44,15 @@
 		},
 	});
 	const followers = new FollowerSessions(voter, registry, timers);
-	const sessions = new Sessions(voter, leader, timers, followers);
-	const initialOperatorHash = settings.operatorKeyFile === undefined ? '' : hashKey(readFileSync(settings.operatorKeyFile, 'utf8').trim());
-	const server = new GrpcServer([
-		{definition: newServiceDefinition(Consensus), implementation: newConsensusService(voter)},
-		{
-			definition: newServiceDefinition(Control),
-			implementation: newControlService({
-				voter, leader, sessions, initialOperatorHash,
-			}),
-		},
-	]);
+	const {leader, sessions, server} = newControlPlane({
+		voter,
+		membership: {leaseMs: LEASE_MS, assumeLostMs: 0},
+		policy: POLICY_DEFAULTS,
+		operatorKeyFile: settings.operatorKeyFile,
+		followers,
+		timers,
+		logger,
+	});
 	const control = new ControlServer({
 		codec: adapter.control, voter, registry, followers, address: settings.control, timers, logger,
 	});
@@ -97,11 +75,7 @@
 	logger.info({event: 'started', control: settings.control}, 'controller started');
 	return {
 		async stop() {
-			if (voter.node?.isLeader) {
-				voter.node.transfer();
-				await timers.wait(HAND_OVER_MS);
-			}
-
+			await handOver(voter, timers);
 			control.close();
 			sessions.close();
 			await voter.stop();
--- a/apps/valelead-daemon/src/gateway/demand-reporter.ts
+++ b/apps/valelead-daemon/src/gateway/demand-reporter.ts
@@ -1,4 +1,4 @@
-import type {Clock, TimerService} from '@valelead/common';
+import {type Clock, type TimerService, Coalescer} from '@valelead/common';
 import type {LoadPlanner} from './load-planner.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {ResidencyClients} from './residency-clients.js';
@@ -21,22 +21,18 @@
 /** Tells sidecars what this gateway needs of their engines, when that changes. */
 export class DemandReporter {
 	readonly #parts: ReporterParts;
-	#isDue = false;
+	readonly #tellings: Coalescer;
 	#toldAt = 0;
 
 	constructor(parts: ReporterParts) {
 		this.#parts = parts;
+		this.#tellings = new Coalescer(parts.timers, COALESCE_MS, () => {
+			this.#tell();
+		});
 	}
 
 	tellSoon(): void {
-		if (this.#isDue) {
-			return;
-		}
-
-		this.#isDue = true;
-		this.#parts.timers.after(COALESCE_MS, () => {
-			this.#tell();
-		});
+		this.#tellings.schedule();
 	}
 
 	/** Tells again what has been told long ago; called while anything waits. */
@@ -49,7 +45,6 @@
 	#tell(): void {
 		const {clock, planner, residency, isWaiting} = this.#parts;
 		const now = clock.now();
-		this.#isDue = false;
 		this.#toldAt = now;
 		const requests = [...this.#parts.getRequests()].filter(request => request.head.model !== '');
 		const waiting = requests.filter(request => isWaiting(request));
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
-	type Clock, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type TimerService,
+	type Clock, Coalescer, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type TimerService,
 } from '@valelead/common';
 import {
 	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
@@ -13,9 +13,10 @@
 import type {CallerCodec} from '../adapter/caller-codec.js';
 import {AnswerPipe} from './answer-pipe.js';
 import {DemandReporter} from './demand-reporter.js';
+import {getAttemptFailure} from './get-attempt-failure.js';
 import {getHonestCode} from './get-honest-code.js';
-import {getPatienceMs} from './get-patience-ms.js';
 import {LoadPlanner} from './load-planner.js';
+import {mutatePart} from './mutate-part.js';
 import {newTicket} from './new-ticket.js';
 import {UpstreamAttempt} from './upstream-attempt.js';
 import {UpstreamBook} from './upstream-book.js';
@@ -39,9 +40,6 @@
 /** Resolution of deadlines, in milliseconds. */
 const TICK_MS = 50;
 
-/** A connection that does not come up within this time is given up, in milliseconds. */
-const CONNECT_TIMEOUT_MS = 1000;
-
 /** How long the report of a sidecar waits for others to be taken with it, in milliseconds. */
 const REFRESH_COALESCE_MS = 25;
 
@@ -64,7 +62,8 @@
 	readonly #pipes = new Map<string, AnswerPipe>();
 	readonly #book: UpstreamBook;
 	readonly #demand: DemandReporter;
-	#isRefreshDue = false;
+	/** Reports of many sidecars come together, and each refresh looks at all upstreams. */
+	readonly #refreshes: Coalescer;
 
 	constructor(parts: DispatcherParts) {
 		this.#parts = parts;
@@ -86,6 +85,9 @@
 			getRequests: () => this.#requests.values(),
 			isWaiting: request => this.#state.requests.get(request.id)?.state === 'waiting',
 		});
+		this.#refreshes = new Coalescer(parts.timers, REFRESH_COALESCE_MS, () => {
+			this.refresh();
+		});
 		parts.timers.repeat(TICK_MS, now => {
 			this.#tick(now);
 		});
@@ -136,7 +138,7 @@
 
 	takeReport(address: string, report: EngineReport | undefined): void {
 		this.#book.setReport(address, report);
-		this.#refreshSoon();
+		this.#refreshes.schedule();
 	}
 
 	/** Works out anew where requests can go. */
@@ -155,19 +157,6 @@
 		this.#book.close();
 	}
 
-	/** Reports of many sidecars come together, and each refresh looks at all upstreams. */
-	#refreshSoon(): void {
-		if (this.#isRefreshDue) {
-			return;
-		}
-
-		this.#isRefreshDue = true;
-		this.#parts.timers.after(REFRESH_COALESCE_MS, () => {
-			this.#isRefreshDue = false;
-			this.refresh();
-		});
-	}
-
 	#isUsable(upstreamId: string): boolean {
 		return this.#book.isHeard(upstreamId) && this.#parts.clock.now() >= (this.#state.lanes.get(upstreamId)?.ejectedUntil ?? 0);
 	}
@@ -204,23 +193,11 @@
 	}
 
 	#checkPatience(attemptId: string, attempt: UpstreamAttempt, now: number): void {
-		const waitedMs = now - attempt.startedAt;
-		if (!attempt.isSent) {
-			if (waitedMs > CONNECT_TIMEOUT_MS) {
-				attempt.fail(RESULT_CODE.UpstreamUnreachable, 'the connection did not come up');
-			}
-
-			return;
-		}
-
 		const request = this.#getRequest(attemptId);
-		if (!request || attempt.isAnswered || !isRepeatable(request.route)) {
-			return;
-		}
-
-		const canGoElsewhere = request.attempts < request.route.maxAttempts && (this.#state.endpoints.get(request.target)?.length ?? 0) > 1;
-		if (waitedMs > getPatienceMs(request.route) && canGoElsewhere) {
-			attempt.fail(RESULT_CODE.UpstreamSilent, `no answer for ${Math.round(waitedMs)} ms`);
+		const isElsewhere = request !== undefined && (this.#state.endpoints.get(request.target)?.length ?? 0) > 1;
+		const failure = getAttemptFailure(attempt, isElsewhere ? request : undefined, now);
+		if (failure) {
+			attempt.fail(failure.code, failure.reason);
 		}
 	}
 
@@ -322,14 +299,7 @@
 	}
 
 	#pass(request: GatewayRequest, attemptId: string, chunk: Buffer): void {
-		const now = this.#parts.clock.now();
-		if (request.firstPartAt === undefined) {
-			request.firstPartAt = now;
-		} else {
-			request.longestPauseMs = Math.max(request.longestPauseMs, now - request.lastPartAt);
-		}
-
-		request.lastPartAt = now;
+		mutatePart(request, this.#parts.clock.now());
 		this.#pipes.get(attemptId)?.data(chunk);
 	}
 
--- a/apps/valelead-daemon/src/session-client.ts
+++ b/apps/valelead-daemon/src/session-client.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type TimerService, type TimerSubscription,
+	type Clock, type TimerService, type TimerSubscription, Coalescer,
 } from '@valelead/common';
 import {
 	type ChannelPool, type LeaderCalls, type SessionReport, type SessionUpdate, Control,
@@ -52,13 +52,19 @@
 	#address = '';
 	/** The leader that fell silent last, and when it was given up. */
 	#silent = {address: '', since: Number.NEGATIVE_INFINITY};
-	#isReportDue = false;
-	#isAskingAgain = false;
+	readonly #reports: Coalescer;
+	readonly #questions: Coalescer;
 	#isStopped = false;
 	#heartbeats: TimerSubscription | undefined;
 
 	constructor(parts: SessionParts) {
 		this.#parts = parts;
+		this.#reports = new Coalescer(parts.timers, COALESCE_MS, () => {
+			this.#report();
+		});
+		this.#questions = new Coalescer(parts.timers, ASK_AGAIN_MS, () => {
+			this.#report();
+		});
 	}
 
 	start(): void {
@@ -76,15 +82,7 @@
 
 	/** Reports soon, together with what else changes until then. */
 	reportSoon(): void {
-		if (this.#isReportDue || this.#isStopped) {
-			return;
-		}
-
-		this.#isReportDue = true;
-		this.#parts.timers.after(COALESCE_MS, () => {
-			this.#isReportDue = false;
-			this.#report();
-		});
+		this.#reports.schedule();
 	}
 
 	#beat(now: number): void {
@@ -172,22 +170,8 @@
 			return;
 		}
 
-		this.#askAgain(stream);
-	}
-
-	/** Asks a voter that names no leader until it does. */
-	#askAgain(stream: SessionStream): void {
-		if (this.#isAskingAgain) {
-			return;
-		}
-
-		this.#isAskingAgain = true;
-		this.#parts.timers.after(ASK_AGAIN_MS, () => {
-			this.#isAskingAgain = false;
-			if (stream === this.#stream) {
-				this.#report();
-			}
-		});
+		// A voter that names no leader is asked until it does.
+		this.#questions.schedule();
 	}
 
 	#leave(stream: SessionStream): void {
--- /dev/null
+++ b/packages/common/src/coalescer.ts
@@ -0,0 +1,28 @@
+import type {TimerService} from './timer-service.js';
+
+/** Runs something once for all calls that come within a time. */
+export class Coalescer {
+	readonly #timers: TimerService;
+	readonly #waitMs: number;
+	readonly #run: (now: number) => void;
+	#isDue = false;
+
+	/** @param waitMs - How long the first call waits for others, in milliseconds. */
+	constructor(timers: TimerService, waitMs: number, run: (now: number) => void) {
+		this.#timers = timers;
+		this.#waitMs = waitMs;
+		this.#run = run;
+	}
+
+	schedule(): void {
+		if (this.#isDue) {
+			return;
+		}
+
+		this.#isDue = true;
+		this.#timers.after(this.#waitMs, now => {
+			this.#isDue = false;
+			this.#run(now);
+		});
+	}
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,6 +10,7 @@
 export type {Clock} from './clock.js';
 export {SYSTEM_CLOCK} from './system-clock.js';
 export {TimerService} from './timer-service.js';
+export {Coalescer} from './coalescer.js';
 export type {TimerSubscription} from './timer-subscription.js';
 export type {StateChart} from './state-chart.js';
 export {loadStateChart} from './load-state-chart.js';
