Leave an engine that does not begin a load for another one

Every gateway chose an engine with a copy, all models of which were in use without end by other busy models, so nothing could make way; and once queued there, the load looked nearer than anywhere else, as the time until a place falls idle was not counted for queued loads.

Change: a queued load that has not begun counts the time until a place falls idle; sidecars tell which load has begun; an engine that has not begun after 2 s is left out for 8 s. Balancing fetches take a quarter of the loads at once, so that they do not slow those that requests wait for.

Before: the new scenario "in use for ever" fails without the time limit.

--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -33,8 +33,26 @@
 type Choice = {
 	readonly upstreamId: string;
 	readonly comparedAt: number;
+	/** Since when this engine is the choice. */
+	readonly since: number;
+	/** An engine that was chosen before and did not begin, and until when it is left out. */
+	readonly avoided: Avoidance | undefined;
 };
 
+type Avoidance = {
+	readonly upstreamId: string;
+	readonly until: number;
+};
+
+/**
+ * An engine that has not begun a load after this time is left for another one, in milliseconds: all its models may be in
+ * use by callers that never cease. Twice the usual swap of a model.
+ */
+const STUCK_MS = 2000;
+
+/** How long it is left out then, in milliseconds: as long as a load from the weight store takes elsewhere. */
+const AVOID_MS = 8000;
+
 type Choices = Map<string, Choice>;
 
 /** A choice is compared with the other engines this often, in milliseconds; demand changes much more often. */
@@ -161,17 +179,42 @@
 			return known;
 		}
 
-		const upstreamId = this.#compare(unit, known?.upstreamId);
-		return upstreamId === undefined ? undefined : {upstreamId, comparedAt: this.#now};
+		const avoided = this.#getAvoidance(unit, known);
+		const upstreamId = this.#compare(unit, known?.upstreamId, avoided?.upstreamId);
+		if (upstreamId === undefined) {
+			return undefined;
+		}
+
+		const since = upstreamId === known?.upstreamId ? known.since : this.#now;
+		return {
+			upstreamId, comparedAt: this.#now, since, avoided,
+		};
+	}
+
+	/** The engine that a wish leaves out: its present choice once that has not begun for too long, or an earlier one. */
+	#getAvoidance({model}: WantedUnit, known: Choice | undefined): Avoidance | undefined {
+		if (!known) {
+			return undefined;
+		}
+
+		const view = this.#parts.getViews().get(known.upstreamId);
+		const hasBegun = view?.models.some(held => held.name === model) === true || view?.loads.some(load => load.model === model && load.isStarted) === true;
+		if (!hasBegun && this.#now - known.since > STUCK_MS) {
+			return {upstreamId: known.upstreamId, until: this.#now + AVOID_MS};
+		}
+
+		return known.avoided && this.#now < known.avoided.until ? known.avoided : undefined;
 	}
 
-	#compare(unit: WantedUnit, chosenId: string | undefined): string | undefined {
+	#compare(unit: WantedUnit, chosenId: string | undefined, avoidedId: string | undefined): string | undefined {
 		const shape = this.#getShape(unit);
 		if (!shape) {
 			return undefined;
 		}
 
-		const sites = this.#getSites(unit);
+		const all = this.#getSites(unit);
+		const others = all.filter(site => site.upstreamId !== avoidedId);
+		const sites = others.length > 0 ? others : all;
 		const best = getLoadSite(unit.key, shape, sites);
 		const chosen = sites.find(site => site.upstreamId === chosenId);
 		if (!best || !chosen) {
--- a/apps/valelead-daemon/src/gateway/new-load-site.ts
+++ b/apps/valelead-daemon/src/gateway/new-load-site.ts
@@ -22,6 +22,7 @@
 /** An engine as a place where a model could be loaded. */
 export const newLoadSite = (view: EngineView, model: string, limits: EngineLimits | undefined): LoadSite => {
 	const {upstream, models, loads, copiesInMemory, copiesOnDisk, inProgress} = view;
+	const load = loads.find(other => other.model === model);
 	const isRoomy = hasRoom(view, model, limits);
 	return {
 		upstreamId: upstream.id,
@@ -30,7 +31,8 @@
 		hasDiskCopy: copiesOnDisk.includes(model),
 		hasRoom: isRoomy,
 		isInUse: !isRoomy && isInUse(view),
-		remainingMs: loads.find(load => load.model === model)?.remainingMs,
+		remainingMs: load?.remainingMs,
+		isStarted: load?.isStarted ?? false,
 		queueMs: loads.at(-1)?.remainingMs ?? 0,
 		pressure: inProgress / Math.max(1, upstream.slots),
 	};
--- a/apps/valelead-daemon/src/sidecar/new-engine-summary.ts
+++ b/apps/valelead-daemon/src/sidecar/new-engine-summary.ts
@@ -44,13 +44,19 @@
 	const getModelMs = (model: string): number => getLoadMs(capacity, holdings, model);
 	const current = status.isBusy ? loading : undefined;
 	let remainingMs = current ? Math.max(0, current.endsAt - now) : 0;
-	const loads = current ? [{model: current.model, remainingMs: getRounded(remainingMs), waiting: getWaiting(needs, current.model)}] : [];
+	const loads = current
+		? [{
+			model: current.model, remainingMs: getRounded(remainingMs), waiting: getWaiting(needs, current.model), isStarted: true,
+		}]
+		: [];
 	for (const model of getLoadQueue({
 		held, needs, getLoadMs: getModelMs, getWantedMs,
 	})) {
 		if (model !== current?.model && capacity.models.has(model)) {
 			remainingMs += getModelMs(model);
-			loads.push({model, remainingMs: getRounded(remainingMs), waiting: getWaiting(needs, model)});
+			loads.push({
+				model, remainingMs: getRounded(remainingMs), waiting: getWaiting(needs, model), isStarted: false,
+			});
 		}
 	}
 
--- a/apps/valelead-daemon/tests/load-planner.feature
+++ b/apps/valelead-daemon/tests/load-planner.feature
@@ -38,3 +38,9 @@
     And engine "e1" holds "a" with 3 requests in progress
     When 1 request of the gateway waits for "a/x"
     Then 0 engines other than "e1" are to load "a"
+
+  Scenario: An engine of which all models are in use for ever is left for another one
+    Given engines "e1, e2" that hold "b, c, d" with copies of "b, c, d"
+    And engine "e1" holds "a copy of a" and "b, c, d" with 5 requests in progress each
+    When 1 request of the gateway waits for "a" for 3000 ms and no engine begins to load
+    Then it was to be loaded at "e1" first and at "e2" last
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -12,6 +12,8 @@
 	planner: LoadPlanner;
 	waiting: GatewayRequest[];
 	inProgress: GatewayRequest[];
+	/** Where the model was to be loaded, in the order of time. */
+	sites: string[];
 };
 
 const SERVICE = 'llm';
@@ -19,6 +21,7 @@
 const NOW = 1000;
 const OBJECTIVE_MS = 400;
 const LOAD_MS = 800;
+const STEP_MS = 50;
 
 const split = (text: string): string[] => text.split(', ').filter(Boolean);
 
@@ -85,7 +88,11 @@
 });
 
 When('the sidecar of {string} tells of {int} requests of all gateways that wait for {string}', function (this: PlannerWorld, id: string, waiting: number, model: string) {
-	this.views.set(id, {...this.views.get(id)!, loads: [{model, remainingMs: LOAD_MS, waiting}]});
+	this.views.set(id, {
+		...this.views.get(id)!, loads: [{
+			model, remainingMs: LOAD_MS, waiting, isStarted: false,
+		}],
+	});
 });
 
 When('{int} request for {string} is in progress at {string}', function (this: PlannerWorld, count: number, model: string, id: string) {
@@ -104,3 +111,21 @@
 Then('{int} engine(s) other than {string} is/are to load {string}', function (this: PlannerWorld, count: number, id: string, model: string) {
 	assert.equal(getLoading(this, model).filter(other => other !== id).length, count);
 });
+
+Given('engine {string} holds {string} and {string} with {int} requests in progress each', function (this: PlannerWorld, id: string, _copy: string, held: string, count: number) {
+	this.views.set(id, newView(id, split(held), MODELS, new Map(split(held).map(model => [model, count]))));
+});
+
+When('{int} request of the gateway waits for {string} for {int} ms and no engine begins to load', function (this: PlannerWorld, count: number, model: string, waitedMs: number) {
+	this.waiting = Array.from({length: count}, () => newRequest(model));
+	this.sites = [];
+	for (let now = NOW; now <= NOW + waitedMs; now += STEP_MS) {
+		const needs = this.planner.getNeeds(this.waiting, [], now);
+		this.sites.push(...[...needs].filter(([, units]) => units.some(unit => unit.model === model && unit.waiting > 0)).map(([id]) => id));
+	}
+});
+
+Then('it was to be loaded at {string} first and at {string} last', function (this: PlannerWorld, first: string, last: string) {
+	assert.equal(this.sites.at(0), first);
+	assert.equal(this.sites.at(-1), last);
+});
--- a/packages/residency/src/get-balancing-fetch.ts
+++ b/packages/residency/src/get-balancing-fetch.ts
@@ -6,13 +6,17 @@
 
 const isShort = ({models}: EngineCopies, mean: number): boolean => models.size < mean * SHORT_SHARE;
 
+/** The part of the loads at once that is spent on balance; the rest is left to loads that requests wait for. */
+const BALANCE_SHARE = 0.25;
+
 /** Engines that keep a copy of a model. */
 const getCount = (model: string, engines: readonly EngineCopies[]): number => engines.filter(engine => engine.models.has(model)).length;
 
 /**
  * The model that an engine with few copies, such as one that has just replaced another, should fetch from the weight
  * store: one of those of which fewest engines keep a copy. Otherwise the other engines carry out all loads of rare
- * models. At most `concurrentLoads` engines do so at once, the same ones in the view of all.
+ * models. A quarter of `concurrentLoads` engines do so at once, the
+ * same ones in the view of all.
  */
 export const getBalancingFetch = (upstreamId: string, models: readonly string[], engines: readonly EngineCopies[], concurrentLoads: number): string | undefined => {
 	const own = engines.find(engine => engine.upstreamId === upstreamId);
@@ -22,7 +26,7 @@
 
 	const mean = engines.reduce((sum, engine) => sum + engine.models.size, 0) / engines.length;
 	const short = engines.filter(engine => isShort(engine, mean)).sort((left, right) => getHash(left.upstreamId) - getHash(right.upstreamId));
-	if (!short.slice(0, concurrentLoads).includes(own)) {
+	if (!short.slice(0, Math.ceil(concurrentLoads * BALANCE_SHARE)).includes(own)) {
 		return undefined;
 	}
 
--- a/packages/residency/src/get-expected-ms.ts
+++ b/packages/residency/src/get-expected-ms.ts
@@ -25,5 +25,9 @@
 	}
 
 	const placeMs = site.isInUse ? IN_USE_MS : 0;
-	return site.remainingMs ?? (site.queueMs + placeMs + (getOwnMs(site, times) * (1 + (site.pressure * PRESSURE_SHARE))));
+	if (site.remainingMs !== undefined) {
+		return site.remainingMs + (site.isStarted ? 0 : placeMs);
+	}
+
+	return site.queueMs + placeMs + (getOwnMs(site, times) * (1 + (site.pressure * PRESSURE_SHARE)));
 };
--- a/packages/residency/src/load-site.ts
+++ b/packages/residency/src/load-site.ts
@@ -11,6 +11,8 @@
 	readonly isInUse: boolean;
 	/** Expected time until the model is loaded there, in milliseconds; undefined where it is not loading or queued. */
 	readonly remainingMs: number | undefined;
+	/** Whether the engine is carrying that load out. */
+	readonly isStarted: boolean;
 	/** Expected time until all loads that are in progress or queued there are done, in milliseconds. */
 	readonly queueMs: number;
 	/** Requests in progress for each of its slots. */
--- a/packages/residency/src/model-load.ts
+++ b/packages/residency/src/model-load.ts
@@ -5,4 +5,6 @@
 	readonly remainingMs: number;
 	/** Requests of all gateways that wait for it. */
 	readonly waiting: number;
+	/** Whether the engine is carrying it out. */
+	readonly isStarted: boolean;
 };
--- a/packages/residency/tests/residency.feature
+++ b/packages/residency/tests/residency.feature
@@ -130,3 +130,17 @@
     When 3 requests of rank 0 that is due in 100 ms wait for "d"
     And 1 request of rank 0 that is due in 1000 ms waits for "e"
     Then the next order is "load e"
+
+  Scenario: A load that only waits for a place is not expected sooner because it is queued
+    Given sites
+      | engine | held | memory | disk | remaining | started | queue | in use |
+      | e1     | no   | no     | yes  | 900       | no      | 900   | yes    |
+      | e2     | no   | no     | yes  |           | no      | 900   | no     |
+    Then the site for "a" is one of "e2" in any order of the sites
+
+  Scenario: A load that has begun is waited for
+    Given sites
+      | engine | held | memory | disk | remaining | started | queue | in use |
+      | e1     | no   | no     | yes  | 900       | yes     | 900   | yes    |
+      | e2     | no   | no     | yes  |           | no      | 900   | no     |
+    Then the site for "a" is one of "e1" in any order of the sites
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -180,6 +180,7 @@
 		hasRoom: row['in use'] !== 'yes',
 		isInUse: row['in use'] === 'yes',
 		remainingMs: row.remaining === '' ? undefined : Number(row.remaining),
+		isStarted: row.started === 'yes',
 		queueMs: Number(row.queue),
 		pressure: 0,
 	}));
