Leave an engine only where all its models are in use, and later

Queues of swaps are longer than 2 s in every burst; gateways took them for engines that do not begin, left them, and kept other engines busy for 6 s each with models from the store.

Change: an engine is left after 5 s and only if none of its models is idle.

--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -45,10 +45,11 @@
 };
 
 /**
- * An engine that has not begun a load after this time is left for another one, in milliseconds: all its models may be in
- * use by callers that never cease. Twice the usual swap of a model.
+ * An engine that has not begun a load after this time, and all models of which are in use, is left for another one, in
+ * milliseconds: callers of a busy model may never cease. Well above the wait for some swaps that are queued there, as the
+ * other engine may have to fetch the model from the weight store.
  */
-const STUCK_MS = 2000;
+const STUCK_MS = 5000;
 
 /** How long it is left out then, in milliseconds: as long as a load from the weight store takes elsewhere. */
 const AVOID_MS = 8000;
@@ -199,7 +200,8 @@
 
 		const view = this.#parts.getViews().get(known.upstreamId);
 		const hasBegun = view?.models.some(held => held.name === model) === true || view?.loads.some(load => load.model === model && load.isStarted) === true;
-		if (!hasBegun && this.#now - known.since > STUCK_MS) {
+		const hasPlace = view?.models.some(held => (view.inProgressByModel.get(held.name) ?? 0) === 0) === true;
+		if (!hasBegun && !hasPlace && this.#now - known.since > STUCK_MS) {
 			return {upstreamId: known.upstreamId, until: this.#now + AVOID_MS};
 		}
 
