Play patterns of load against the shipped decisions in virtual time

packages/emulator: engines that batch, load from memory, disk and store, one order at a time, and a weight store. apps/valelead-lab: the shipped dispatcher of gateways and keeper of sidecars over them, callers that leave and come back once, patterns as JSON, paired differences between saved figures. The dispatcher gets its way to send and its links to sidecars as ports, the keeper its engine, the timer service its wake-ups.

--- a/apps/valelead-daemon/src/gateway/answer-pipe.ts
+++ b/apps/valelead-daemon/src/gateway/answer-pipe.ts
@@ -1,8 +1,8 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
 import {ROUTE_KIND} from '@valelead/routing';
 import {EventSplitter} from './event-splitter.js';
 import {getForwardedHeaders} from './get-forwarded-headers.js';
+import type {AnswerStart} from './answer-start.js';
 import type {GatewayRequest} from './gateway-request.js';
 
 const HTTP_OK = 200;
@@ -16,7 +16,7 @@
 	readonly #isStream: boolean;
 	readonly #chunks: Buffer[] = [];
 
-	constructor(request: GatewayRequest, answer: IncomingMessage) {
+	constructor(request: GatewayRequest, answer: AnswerStart) {
 		const {route} = request;
 		this.#request = request;
 		this.#status = answer.statusCode ?? 0;
--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/attempt-terms.ts
@@ -0,0 +1,32 @@
+import type {Buffer} from 'node:buffer';
+import type {OutcomeValue, ResultCodeValue} from '@valelead/common';
+import type {CallerCodec} from '../adapter/caller-codec.js';
+import type {AnswerStart} from './answer-start.js';
+import type {UpstreamAgent} from './upstream-agent.js';
+
+/** What an attempt tells its gateway. After onEnd or onFailure nothing more comes. */
+type AttemptEvents = {
+	/** The head of the answer; returns whether the answer is wanted. */
+	readonly onHead: (answer: AnswerStart) => boolean;
+	readonly onData: (chunk: Buffer) => void;
+	/** The whole answer has come. */
+	readonly onEnd: () => void;
+	readonly onFailure: (code: ResultCodeValue, outcome: OutcomeValue, reason: string) => void;
+};
+
+/** One sending of a request: what is sent where, and who is told. */
+export type AttemptTerms = {
+	readonly requestId: string;
+	readonly upstreamId: string;
+	/** IP number and port. */
+	readonly address: string;
+	readonly agent: UpstreamAgent;
+	readonly codec: CallerCodec;
+	readonly method: string;
+	readonly url: string;
+	/** Name, value, name, value … without the length. */
+	readonly headers: readonly string[];
+	readonly body: Buffer;
+	readonly startedAt: number;
+	readonly events: AttemptEvents;
+};
--- a/apps/valelead-daemon/src/gateway/caller-answer.ts
+++ b/apps/valelead-daemon/src/gateway/caller-answer.ts
@@ -3,6 +3,7 @@
 import {RESULT_DETAILS} from '@valelead/common';
 import type {Refusal} from '../entry/refusal.js';
 import {newRefusalBody} from '../entry/new-refusal-body.js';
+import type {Answer} from './answer.js';
 
 type AnswerParts = {
 	readonly response: ServerResponse;
@@ -17,7 +18,7 @@
 const MS_PER_SECOND = 1000;
 
 /** The answer to one caller: an upstream's, unchanged, or a refusal of the gateway's own. */
-export class CallerAnswer {
+export class CallerAnswer implements Answer {
 	readonly #parts: AnswerParts;
 	#isEnded = false;
 
--- a/apps/valelead-daemon/src/gateway/demand-reporter.ts
+++ b/apps/valelead-daemon/src/gateway/demand-reporter.ts
@@ -1,13 +1,13 @@
 import {type Clock, type TimerService, Coalescer} from '@valelead/common';
 import type {LoadPlanner} from './load-planner.js';
+import type {EngineLinks} from './engine-links.js';
 import type {GatewayRequest} from './gateway-request.js';
-import type {ResidencyClients} from './residency-clients.js';
 
 type ReporterParts = {
 	readonly clock: Clock;
 	readonly timers: TimerService;
 	readonly planner: LoadPlanner;
-	readonly residency: ResidencyClients;
+	readonly residency: EngineLinks;
 	readonly getRequests: () => Iterable<GatewayRequest>;
 	readonly isWaiting: (request: GatewayRequest) => boolean;
 };
--- a/apps/valelead-daemon/src/gateway/gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/gateway-request.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {Route} from '@valelead/routing';
 import type {CallerRequest} from '../adapter/caller-request.js';
-import type {CallerAnswer} from './caller-answer.js';
+import type {Answer} from './answer.js';
 
 /** One request of a caller at a gateway. Times are monotonic milliseconds. */
 export type GatewayRequest = {
@@ -17,7 +17,7 @@
 	/** The caller's headers that go on, as name, value, name, value … */
 	readonly rawHeaders: readonly string[];
 	readonly body: Buffer;
-	readonly answer: CallerAnswer;
+	readonly answer: Answer;
 	readonly arrivedAt: number;
 	/** When its final answer is due. */
 	readonly deadlineAt: number;
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import {RequestServer} from './request-server.js';
 import {ResidencyClients} from './residency-clients.js';
 import {startReadinessServer} from './start-readiness-server.js';
+import {UpstreamAttempt} from './upstream-attempt.js';
 import type {GatewayRequest} from './gateway-request.js';
 
 type GatewayParts = {
@@ -77,6 +78,7 @@
 			residency: this.#residency,
 			getTable: () => this.#follower.table,
 			getGatewayCount: () => this.#follower.gatewayCount,
+			newAttempt: terms => new UpstreamAttempt(terms),
 			onEnd: (request, code, outcome, reason) => {
 				this.#noteEnd(request, code, outcome, reason);
 			},
--- a/apps/valelead-daemon/src/gateway/get-attempt-failure.ts
+++ b/apps/valelead-daemon/src/gateway/get-attempt-failure.ts
@@ -2,7 +2,7 @@
 import {isRepeatable} from '@valelead/routing';
 import {getPatienceMs} from './get-patience-ms.js';
 import type {GatewayRequest} from './gateway-request.js';
-import type {UpstreamAttempt} from './upstream-attempt.js';
+import type {SentAttempt} from './sent-attempt.js';
 
 type AttemptFailure = {
 	readonly code: ResultCodeValue;
@@ -16,7 +16,7 @@
  * Why an attempt is given up now, or undefined while it may go on.
  * @param request - The request where another upstream could take it, or undefined.
  */
-export const getAttemptFailure = (attempt: UpstreamAttempt, request: GatewayRequest | undefined, now: number): AttemptFailure | undefined => {
+export const getAttemptFailure = (attempt: SentAttempt, request: GatewayRequest | undefined, now: number): AttemptFailure | undefined => {
 	const waitedMs = now - attempt.startedAt;
 	if (!attempt.isSent) {
 		return waitedMs > CONNECT_TIMEOUT_MS ? {code: RESULT_CODE.UpstreamUnreachable, reason: 'the connection did not come up'} : undefined;
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -1,5 +1,4 @@
 import type {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
 import {
 	type Clock, Coalescer, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type TimerService,
 } from '@valelead/common';
@@ -18,10 +17,12 @@
 import {LoadPlanner} from './load-planner.js';
 import {mutatePart} from './mutate-part.js';
 import {newTicket} from './new-ticket.js';
-import {UpstreamAttempt} from './upstream-attempt.js';
 import {UpstreamBook} from './upstream-book.js';
+import type {AnswerStart} from './answer-start.js';
+import type {AttemptTerms} from './attempt-terms.js';
+import type {EngineLinks} from './engine-links.js';
 import type {GatewayRequest} from './gateway-request.js';
-import type {ResidencyClients} from './residency-clients.js';
+import type {SentAttempt} from './sent-attempt.js';
 
 type DispatcherParts = {
 	readonly getSettings: () => AdmissionSettings;
@@ -29,9 +30,11 @@
 	readonly timers: TimerService;
 	readonly clock: Clock;
 	readonly logger: Logger;
-	readonly residency: ResidencyClients;
+	readonly residency: EngineLinks;
 	readonly getTable: () => RouteTable | undefined;
 	readonly getGatewayCount: () => number;
+	/** Sends a request to an upstream. */
+	readonly newAttempt: (terms: AttemptTerms) => SentAttempt;
 	readonly onEnd: (request: GatewayRequest, code: ResultCodeValue, outcome: OutcomeValue, reason: string) => void;
 };
 
@@ -58,7 +61,7 @@
 	readonly #parts: DispatcherParts;
 	readonly #state: AdmissionState = newAdmissionState(LEAST_RETRY_AFTER_MS);
 	readonly #requests = new Map<string, GatewayRequest>();
-	readonly #attempts = new Map<string, UpstreamAttempt>();
+	readonly #attempts = new Map<string, SentAttempt>();
 	readonly #pipes = new Map<string, AnswerPipe>();
 	readonly #book: UpstreamBook;
 	readonly #demand: DemandReporter;
@@ -192,7 +195,7 @@
 		this.#refuse(request, RESULT_CODE.DeadlineExceeded, OUTCOME.Unknown, 0, 'the deadline passed during the answer');
 	}
 
-	#checkPatience(attemptId: string, attempt: UpstreamAttempt, now: number): void {
+	#checkPatience(attemptId: string, attempt: SentAttempt, now: number): void {
 		const request = this.#getRequest(attemptId);
 		const isElsewhere = request !== undefined && (this.#state.endpoints.get(request.target)?.length ?? 0) > 1;
 		const failure = getAttemptFailure(attempt, isElsewhere ? request : undefined, now);
@@ -250,7 +253,7 @@
 		request.dispatchedAt ??= this.#parts.clock.now();
 		request.upstreamId = vm;
 		request.attempts += 1;
-		const attempt = new UpstreamAttempt({
+		const attempt = this.#parts.newAttempt({
 			requestId: request.head.id,
 			upstreamId: vm,
 			address: view.upstream.address,
@@ -280,7 +283,7 @@
 		this.#demand.tellSoon();
 	}
 
-	#start(request: GatewayRequest, attemptId: string, answer: IncomingMessage): boolean {
+	#start(request: GatewayRequest, attemptId: string, answer: AnswerStart): boolean {
 		const status = answer.statusCode ?? 0;
 		this.#book.noteAnswer(request.upstreamId);
 		const isRetried = status >= HTTP_SERVER_ERROR && isRepeatable(request.route) && request.attempts < request.route.maxAttempts;
--- a/apps/valelead-daemon/src/gateway/residency-clients.ts
+++ b/apps/valelead-daemon/src/gateway/residency-clients.ts
@@ -5,6 +5,7 @@
 import type {Logger} from 'pino';
 import {getHost} from '../get-host.js';
 import {ResidencyClient} from './residency-client.js';
+import type {EngineLinks} from './engine-links.js';
 
 type ClientsParts = {
 	readonly gateway: string;
@@ -16,7 +17,7 @@
 };
 
 /** One client for the sidecar beside each engine. */
-export class ResidencyClients {
+export class ResidencyClients implements EngineLinks {
 	readonly #parts: ClientsParts;
 	readonly #clients = new Map<string, ResidencyClient>();
 	#addresses = new Map<string, string>();
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -2,45 +2,17 @@
 import {
 	type ClientRequest, type IncomingMessage, request as newHttpRequest,
 } from 'node:http';
-import {
-	OUTCOME, type OutcomeValue, RESULT_CODE, type ResultCodeValue,
-} from '@valelead/common';
-import type {CallerCodec} from '../adapter/caller-codec.js';
+import {OUTCOME, RESULT_CODE, type ResultCodeValue} from '@valelead/common';
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
-import type {UpstreamAgent} from './upstream-agent.js';
-
-/** What an attempt tells its gateway. After onEnd or onFailure nothing more comes. */
-type AttemptEvents = {
-	/** The head of the answer; returns whether the answer is wanted. */
-	readonly onHead: (answer: IncomingMessage) => boolean;
-	readonly onData: (chunk: Buffer) => void;
-	/** The whole answer has come. */
-	readonly onEnd: () => void;
-	readonly onFailure: (code: ResultCodeValue, outcome: OutcomeValue, reason: string) => void;
-};
-
-type AttemptParts = {
-	readonly requestId: string;
-	readonly upstreamId: string;
-	/** IP number and port. */
-	readonly address: string;
-	readonly agent: UpstreamAgent;
-	readonly codec: CallerCodec;
-	readonly method: string;
-	readonly url: string;
-	/** Name, value, name, value … without the length. */
-	readonly headers: readonly string[];
-	readonly body: Buffer;
-	readonly startedAt: number;
-	readonly events: AttemptEvents;
-};
+import type {AttemptTerms} from './attempt-terms.js';
+import type {SentAttempt} from './sent-attempt.js';
 
 const BODYLESS_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE']);
 
 /** One sending of a request to an upstream over HTTP. */
-export class UpstreamAttempt {
-	readonly #parts: AttemptParts;
+export class UpstreamAttempt implements SentAttempt {
+	readonly #parts: AttemptTerms;
 	readonly #request: ClientRequest;
 	/** Whether bytes of the request may have left. */
 	#isSent = false;
@@ -49,7 +21,7 @@
 	/** Whether bytes of the answer came in the present turn of the event loop. */
 	#isFresh = false;
 
-	constructor(parts: AttemptParts) {
+	constructor(parts: AttemptTerms) {
 		this.#parts = parts;
 		this.#request = this.#send();
 	}
--- a/apps/valelead-daemon/src/sidecar/engine-client.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-client.ts
@@ -1,25 +1,14 @@
 import {Agent, type IncomingMessage, request as newHttpRequest} from 'node:http';
-import {ORDER_RESULT, type OrderResultValue} from '@valelead/residency';
+import {ORDER_RESULT} from '@valelead/residency';
 import type {EngineCodec} from '../adapter/engine-codec.js';
-import type {EngineStatus} from '../adapter/engine-status.js';
 import type {HttpCall} from '../adapter/http-call.js';
 import type {OrderTerms} from '../adapter/order-terms.js';
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
 import {readBody} from '../read-body.js';
-
-type OrderReply = {
-	readonly result: OrderResultValue;
-	/** The engine's own id where it told it, or empty. */
-	readonly upstreamId: string;
-	/** Why there is no clear answer, or empty. */
-	readonly reason: string;
-};
-
-type StatusReply = {
-	readonly status: EngineStatus;
-	readonly upstreamId: string;
-};
+import type {EnginePort} from './engine-port.js';
+import type {OrderReply} from './order-reply.js';
+import type {StatusReply} from './status-reply.js';
 
 /** An engine that does not tell its status within this time is asked again later, in milliseconds. It is on the same machine. */
 const STATUS_TIMEOUT_MS = 1000;
@@ -34,7 +23,7 @@
 const HTTP_OK = 200;
 
 /** Calls the engine on this machine. */
-export class EngineClient {
+export class EngineClient implements EnginePort {
 	readonly #address: string;
 	readonly #codec: EngineCodec;
 	readonly #agent = new Agent({keepAlive: true, maxSockets: 2});
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -6,7 +6,7 @@
 } from '@valelead/residency';
 import type {Logger} from 'pino';
 import type {EngineStatus} from '../adapter/engine-status.js';
-import type {EngineClient} from './engine-client.js';
+import type {EnginePort} from './engine-port.js';
 import {Prefetcher} from './prefetcher.js';
 import {newEngineSummary} from './new-engine-summary.js';
 import {newHoldings} from './new-holdings.js';
@@ -18,7 +18,7 @@
 	readonly holder: string;
 	/** Engines that fetch from the weight store at once, over the installation, while they are idle. */
 	readonly concurrentStoreLoads: number;
-	readonly client: EngineClient;
+	readonly client: EnginePort;
 	readonly timers: TimerService;
 	readonly clock: Clock;
 	readonly logger: Logger;
--- /dev/null
+++ b/apps/valelead-lab/src/call-result.ts
@@ -0,0 +1,11 @@
+import type {CALL_OUTCOME} from './call-outcome.js';
+
+/** The end of one caller's request. Times in milliseconds. */
+export type CallResult = {
+	readonly className: string;
+	readonly outcome: (typeof CALL_OUTCOME)[keyof typeof CALL_OUTCOME];
+	readonly model: string;
+	/** From the first try to the first event, or to the end where none came. */
+	readonly waitedMs: number;
+	readonly at: number;
+};
--- /dev/null
+++ b/apps/valelead-lab/src/lab-caller.ts
@@ -0,0 +1,199 @@
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import {OUTCOME} from '@valelead/common';
+import type {VirtualClock} from '@valelead/emulator';
+import type {Route} from '@valelead/routing';
+import {
+	type Answer, type GatewayRequest, type Refusal, getTarget,
+} from 'valelead-daemon';
+import {CALL_OUTCOME} from './call-outcome.js';
+import type {CallResult} from './call-result.js';
+import type {LabCall} from './lab-call.js';
+import type {LabGateway} from './lab-gateway.js';
+
+type LabCallerParts = {
+	readonly call: LabCall;
+	readonly route: Route;
+	readonly clock: VirtualClock;
+	readonly linkMs: number;
+	/** Draws the gateway of the next try. */
+	readonly getGateway: () => LabGateway;
+	readonly onEnd: (result: CallResult) => void;
+};
+
+/** A refused caller comes back this often at most. */
+const MAX_RETRIES = 1;
+
+/** It heeds the time that it is told to wait up to this part of the time it has left. */
+const HEEDED_SHARE = 1 / 3;
+
+/** One caller: sends its request, waits as long as it is patient, and comes back once after a refusal. */
+export class LabCaller {
+	readonly #parts: LabCallerParts;
+	#abandon: (() => void) | undefined;
+	#firstEventAt: number | undefined;
+	#lastEventAt = 0;
+	#longestPauseMs = 0;
+	/** Changes with every try, so that the watch over an earlier one ends. */
+	#watchId = 0;
+	#isOver = false;
+
+	constructor(parts: LabCallerParts) {
+		this.#parts = parts;
+	}
+
+	get #endsAt(): number {
+		const {call} = this.#parts;
+		return call.firstAt + call.callerClass.deadlineMs;
+	}
+
+	start(): void {
+		this.#try();
+	}
+
+	#try(): void {
+		const {clock, linkMs, call, getGateway} = this.#parts;
+		call.tries += 1;
+		const triedAt = clock.now();
+		clock.after(linkMs, () => {
+			if (!this.#isOver) {
+				this.#abandon = getGateway().arrive(call, this.#newRequest());
+			}
+		});
+		this.#watchId += 1;
+		this.#watch(triedAt, this.#watchId);
+	}
+
+	/** Leaves where nothing comes within the caller's patience, or when its time is over. */
+	#watch(heardAt: number, watchId: number): void {
+		const {clock, call} = this.#parts;
+		const patienceEndsAt = heardAt + call.callerClass.patienceMs;
+		clock.after(Math.min(patienceEndsAt, this.#endsAt) - clock.now(), () => {
+			if (this.#isOver || watchId !== this.#watchId) {
+				return;
+			}
+
+			const lastAt = Math.max(heardAt, this.#lastEventAt);
+			if (lastAt > heardAt && clock.now() < this.#endsAt) {
+				this.#watch(lastAt, watchId);
+				return;
+			}
+
+			this.#abandon?.();
+			this.#finish(CALL_OUTCOME.InVain);
+		});
+	}
+
+	#newRequest(): Omit<GatewayRequest, 'id'> {
+		const {call: {run}, route, clock} = this.#parts;
+		const [service] = route.shares;
+		const now = clock.now();
+		return {
+			head: {
+				id: randomUUID(), deadlineMs: this.#endsAt - now, model: run.model, adapter: run.adapter, promptTokens: run.ownTokens + run.sharedTokens, maxNewTokens: run.newTokens,
+			},
+			route,
+			service: service.service,
+			target: getTarget(service.service, run.model, run.adapter),
+			method: 'POST',
+			url: '/',
+			rawHeaders: [],
+			body: Buffer.alloc(0),
+			answer: this.#newAnswer(),
+			arrivedAt: now,
+			deadlineAt: Math.min(this.#endsAt, now + route.timeoutMs),
+			routingVersion: 1,
+			dispatchedAt: undefined,
+			upstreamId: '',
+			attempts: 0,
+			lastEventId: undefined,
+			firstPartAt: undefined,
+			lastPartAt: now,
+			longestPauseMs: 0,
+		};
+	}
+
+	#newAnswer(): Answer {
+		let isStarted = false;
+		let isEnded = false;
+		return {
+			get isStarted() {
+				return isStarted;
+			},
+			get isEnded() {
+				return isEnded;
+			},
+			start() {
+				isStarted = true;
+			},
+			data: () => {
+				this.#later(() => {
+					this.#takeEvent();
+				});
+			},
+			end: () => {
+				isEnded = true;
+				this.#later(() => {
+					this.#finish(this.#getServedOutcome());
+				});
+			},
+			refuse: refusal => {
+				isEnded = true;
+				this.#later(() => {
+					this.#takeRefusal(refusal, isStarted);
+				});
+			},
+		};
+	}
+
+	#later(action: () => void): void {
+		this.#parts.clock.after(this.#parts.linkMs, () => {
+			if (!this.#isOver) {
+				action();
+			}
+		});
+	}
+
+	#takeEvent(): void {
+		const now = this.#parts.clock.now();
+		if (this.#firstEventAt === undefined) {
+			this.#firstEventAt = now;
+		} else {
+			this.#longestPauseMs = Math.max(this.#longestPauseMs, now - this.#lastEventAt);
+		}
+
+		this.#lastEventAt = now;
+	}
+
+	#takeRefusal({outcome, retryAfterMs}: Refusal, isStarted: boolean): void {
+		const {clock, call} = this.#parts;
+		const leftMs = this.#endsAt - clock.now();
+		if (isStarted || outcome !== OUTCOME.NotRun || call.tries > MAX_RETRIES || leftMs <= 0) {
+			this.#finish(outcome === OUTCOME.NotRun ? CALL_OUTCOME.Refused : CALL_OUTCOME.InVain);
+			return;
+		}
+
+		this.#watchId += 1;
+		clock.after(Math.min(retryAfterMs, leftMs * HEEDED_SHARE), () => {
+			this.#try();
+		});
+	}
+
+	#getServedOutcome(): CallResult['outcome'] {
+		const {firstAt, callerClass} = this.#parts.call;
+		const isInTime = this.#firstEventAt !== undefined && this.#firstEventAt - firstAt <= callerClass.objectiveMs && this.#longestPauseMs <= callerClass.pauseObjectiveMs;
+		return isInTime ? CALL_OUTCOME.InTime : CALL_OUTCOME.Late;
+	}
+
+	#finish(outcome: CallResult['outcome']): void {
+		const {call, clock, onEnd} = this.#parts;
+		this.#isOver = true;
+		onEnd({
+			className: call.callerClass.name,
+			model: call.run.model,
+			outcome,
+			waitedMs: (this.#firstEventAt ?? clock.now()) - call.firstAt,
+			at: call.firstAt,
+		});
+	}
+}
--- /dev/null
+++ b/apps/valelead-lab/src/lab-engine.ts
@@ -0,0 +1,143 @@
+import type {TimerService} from '@valelead/common';
+import {type Upstream, type UpstreamStateValue, UPSTREAM_STATE} from '@valelead/discovery';
+import type {EmulatedEngine, VirtualClock} from '@valelead/emulator';
+import {ORDER_RESULT, type OrderResultValue} from '@valelead/residency';
+import type {RouteTable} from '@valelead/routing';
+import type {Logger} from 'pino';
+import {
+	EngineKeeper, type EnginePort, type OrderTerms, newCapacity,
+} from 'valelead-daemon';
+
+type LabEngineParts = {
+	readonly id: string;
+	readonly engine: EmulatedEngine;
+	readonly clock: VirtualClock;
+	readonly timers: TimerService;
+	readonly logger: Logger;
+	readonly table: RouteTable;
+	readonly slots: number;
+};
+
+/** Between a sidecar and its engine, one way, in milliseconds: the same machine, with the work of two processes. */
+const LOCAL_MS = 1.5;
+
+/** Loads from the weight store for no request that waits, over the installation, as in the daemon's settings. */
+const CONCURRENT_STORE_LOADS = 4;
+
+/** An emulated engine with the shipped keeper beside it. */
+export class LabEngine {
+	readonly keeper: EngineKeeper;
+	readonly #parts: LabEngineParts;
+	#state: UpstreamStateValue = UPSTREAM_STATE.Ready;
+	#sequence = 0;
+
+	constructor(parts: LabEngineParts) {
+		this.#parts = parts;
+		this.keeper = new EngineKeeper({
+			holder: parts.id,
+			concurrentStoreLoads: CONCURRENT_STORE_LOADS,
+			client: this.#newPort(),
+			timers: parts.timers,
+			clock: parts.clock,
+			logger: parts.logger,
+		});
+		this.keeper.setCapacity(newCapacity(parts.table, 'llm'));
+		this.keeper.setUpstreamId(parts.id);
+		this.keeper.start();
+	}
+
+	get id(): string {
+		return this.#parts.id;
+	}
+
+	get address(): string {
+		return `${this.#parts.id}:1`;
+	}
+
+	get engine(): EmulatedEngine {
+		return this.#parts.engine;
+	}
+
+	get state(): UpstreamStateValue {
+		return this.#state;
+	}
+
+	drain(): void {
+		this.#state = UPSTREAM_STATE.Draining;
+	}
+
+	/** Ends the engine with its sidecar. */
+	end(): void {
+		this.keeper.stop();
+		this.engine.crash();
+	}
+
+	/** What the engine announces of itself. */
+	announce(): Upstream {
+		this.#sequence += 1;
+		return {
+			id: this.id,
+			service: 'llm',
+			address: this.address,
+			dataCentre: 'lab',
+			state: this.#state,
+			slots: this.#parts.slots,
+			sequence: this.#sequence,
+			models: this.#getModels(),
+			copiesInMemory: this.engine.memoryCopies,
+			copiesOnDisk: this.engine.diskCopies,
+			remainingMs: 0,
+		};
+	}
+
+	#getModels(): Upstream['models'] {
+		return [...this.engine.held].map(([name, adapters]) => ({name, version: 1, adapters: [...adapters]}));
+	}
+
+	#newPort(): EnginePort {
+		return {
+			getStatus: async () => this.#call(() => ({
+				upstreamId: this.id,
+				status: {
+					models: this.#getModels(),
+					pending: [],
+					isBusy: this.engine.isBusy,
+					orderSequence: this.engine.sequence,
+					queued: this.engine.queuedCount,
+					active: this.engine.activeCount,
+					cacheUsedTokens: 0,
+					cacheTokens: 1,
+					copiesInMemory: this.engine.memoryCopies,
+					copiesOnDisk: this.engine.diskCopies,
+				},
+			})),
+			order: async terms => this.#call(() => ({result: this.#order(terms), upstreamId: this.id, reason: ''})),
+		};
+	}
+
+	#order({order, expectedSequence}: OrderTerms): OrderResultValue {
+		const {engine} = this.#parts;
+		const isTaken = order.adapter === ''
+			? engine.order({kind: order.kind, model: order.model}, expectedSequence)
+			: engine.orderAdapter(order.kind, order.model, order.adapter, expectedSequence);
+		return isTaken ? ORDER_RESULT.Accepted : ORDER_RESULT.Conflict;
+	}
+
+	/** Asks the engine and hears its answer a little later; an engine that is gone does not answer. */
+	async #call<Reply>(ask: () => Reply): Promise<Reply> {
+		const {clock, engine} = this.#parts;
+		return new Promise((resolve, reject) => {
+			clock.after(LOCAL_MS, () => {
+				if (!engine.isUp) {
+					reject(new Error('the engine is gone'));
+					return;
+				}
+
+				const reply = ask();
+				clock.after(LOCAL_MS, () => {
+					resolve(reply);
+				});
+			});
+		});
+	}
+}
--- /dev/null
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -0,0 +1,91 @@
+import {randomUUID} from 'node:crypto';
+import type {TimerService} from '@valelead/common';
+import type {Upstream} from '@valelead/discovery';
+import type {VirtualClock} from '@valelead/emulator';
+import type {RouteTable} from '@valelead/routing';
+import type {Logger} from 'pino';
+import {
+	type CallerCodec, type GatewayRequest, RequestDispatcher, newGatewayAdmission,
+} from 'valelead-daemon';
+import {LabAttempt} from './lab-attempt.js';
+import type {LabCall} from './lab-call.js';
+import type {LabEngine} from './lab-engine.js';
+import {LabLinks} from './lab-links.js';
+
+type LabGatewayParts = {
+	readonly name: string;
+	readonly clock: VirtualClock;
+	readonly timers: TimerService;
+	readonly logger: Logger;
+	readonly table: RouteTable;
+	readonly gatewayCount: number;
+	readonly linkMs: number;
+	readonly getEngine: (id: string) => LabEngine | undefined;
+};
+
+/** Retries that the installation may send, as in the daemon's settings. */
+const RETRY_RATIO = 0.2;
+const RETRY_RESERVE = 60;
+
+/** Nothing is written on a wire here. */
+const CODEC: CallerCodec = {
+	readinessPath: '/',
+	decodeRequest: () => ({
+		id: '', deadlineMs: undefined, model: '', adapter: '', promptTokens: 0, maxNewTokens: 0,
+	}),
+	newUpstreamHeaders: () => [],
+	decodeAnswer: () => ({requestId: '', isNotExecuted: false, isOtherUpstream: false}),
+};
+
+/** The shipped dispatcher of a gateway over emulated engines. */
+export class LabGateway {
+	readonly #dispatcher: RequestDispatcher;
+	readonly #calls = new Map<string, LabCall>();
+
+	constructor(parts: LabGatewayParts) {
+		const {
+			name, clock, timers, logger, table, gatewayCount, linkMs, getEngine,
+		} = parts;
+		const admission = newGatewayAdmission({
+			dataCentre: 'lab', ratio: RETRY_RATIO, reserve: RETRY_RESERVE, gatewayCount,
+		});
+		this.#dispatcher = new RequestDispatcher({
+			getSettings: () => admission,
+			codec: CODEC,
+			timers,
+			clock,
+			logger,
+			residency: new LabLinks({
+				gateway: name,
+				clock,
+				linkMs,
+				getEngine,
+				onReport: (address, report) => {
+					this.#dispatcher.takeReport(address, report);
+				},
+			}),
+			getTable: () => table,
+			getGatewayCount: () => gatewayCount,
+			newAttempt: terms => new LabAttempt({
+				terms, engine: getEngine(terms.upstreamId), clock, linkMs, run: this.#calls.get(terms.requestId)!.run,
+			}),
+			onEnd: ({head}) => {
+				this.#calls.delete(head.id);
+			},
+		});
+	}
+
+	takeDirectory(upstreams: readonly Upstream[]): void {
+		this.#dispatcher.takeDirectory(upstreams);
+	}
+
+	/** Takes a call and returns the way to abandon it. */
+	arrive(call: LabCall, request: Omit<GatewayRequest, 'id'>): () => void {
+		const id = randomUUID();
+		this.#calls.set(request.head.id, call);
+		this.#dispatcher.arrive({...request, id});
+		return () => {
+			this.#dispatcher.abandon(id);
+		};
+	}
+}
--- /dev/null
+++ b/apps/valelead-lab/src/lab-links.ts
@@ -0,0 +1,78 @@
+import {create} from '@bufbuild/protobuf';
+import type {Upstream} from '@valelead/discovery';
+import type {VirtualClock} from '@valelead/emulator';
+import {type EngineReport, EngineReportSchema} from '@valelead/protocol';
+import type {UnitNeed} from '@valelead/residency';
+import type {EngineLinks} from 'valelead-daemon';
+import type {LabEngine} from './lab-engine.js';
+
+type LabLinksParts = {
+	readonly gateway: string;
+	readonly clock: VirtualClock;
+	readonly linkMs: number;
+	readonly getEngine: (id: string) => LabEngine | undefined;
+	readonly onReport: (address: string, report: EngineReport | undefined) => void;
+};
+
+type Link = {
+	readonly engine: LabEngine;
+	readonly unsubscribe: () => void;
+	told: string;
+};
+
+/** The links from one gateway to the sidecars, with a delay in place of a network. */
+export class LabLinks implements EngineLinks {
+	readonly #parts: LabLinksParts;
+	readonly #links = new Map<string, Link>();
+
+	constructor(parts: LabLinksParts) {
+		this.#parts = parts;
+	}
+
+	follow(engines: readonly Upstream[]): void {
+		const ids = new Set(engines.map(engine => engine.id));
+		for (const id of ids) {
+			const engine = this.#parts.getEngine(id);
+			if (engine && !this.#links.has(id)) {
+				this.#connect(engine);
+			}
+		}
+
+		for (const [id, link] of this.#links) {
+			if (!ids.has(id)) {
+				link.unsubscribe();
+				link.engine.keeper.forgetStream(this.#parts.gateway);
+				this.#links.delete(id);
+				this.#parts.onReport(link.engine.address, undefined);
+			}
+		}
+	}
+
+	setNeeds(needs: ReadonlyMap<string, readonly UnitNeed[]>): void {
+		for (const [id, link] of this.#links) {
+			const own = needs.get(id) ?? [];
+			const told = JSON.stringify(own.map(need => [need.model, need.adapter, need.waiting, need.inProgress]));
+			if (told !== link.told) {
+				link.told = told;
+				this.#parts.clock.after(this.#parts.linkMs, () => {
+					link.engine.keeper.setNeeds(this.#parts.gateway, own);
+				});
+			}
+		}
+	}
+
+	#connect(engine: LabEngine): void {
+		const send = (): void => {
+			const {summary} = engine.keeper;
+			if (summary) {
+				const report = create(EngineReportSchema, summary as never);
+				this.#parts.clock.after(this.#parts.linkMs, () => {
+					this.#parts.onReport(engine.address, report);
+				});
+			}
+		};
+
+		this.#links.set(engine.id, {engine, unsubscribe: engine.keeper.subscribe(send), told: '[]'});
+		send();
+	}
+}
--- /dev/null
+++ b/apps/valelead-lab/src/lab-traffic.ts
@@ -0,0 +1,88 @@
+import type {Random} from '@valelead/emulator';
+import type {CallResult} from './call-result.js';
+import type {CallerClass} from './caller-class.js';
+import {LabCaller} from './lab-caller.js';
+import type {LabInstallation} from './lab-installation.js';
+import type {Pattern} from './pattern.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Callers that come at random at the rates of their classes. */
+export class LabTraffic {
+	readonly #installation: LabInstallation;
+	readonly #random: Random;
+	readonly #onEnd: (result: CallResult) => void;
+	/** Factors of running bursts, and the present weights of models, by class. */
+	readonly #factors = new Map<string, number>();
+	readonly #weights = new Map<string, readonly number[]>();
+	readonly #models = new Map<string, readonly string[]>();
+	#isOver = false;
+
+	constructor(pattern: Pattern, installation: LabInstallation, random: Random, onEnd: (result: CallResult) => void) {
+		this.#installation = installation;
+		this.#random = random;
+		this.#onEnd = onEnd;
+		for (const callerClass of pattern.classes) {
+			const models = pattern.models.filter(({group}) => callerClass.groups.includes(group)).flatMap(({group, count}) => Array.from({length: count}, (_, index) => `${group}${index}`));
+			this.#models.set(callerClass.name, models);
+			this.setWeights(callerClass.name, callerClass.weights ?? models.map(() => 1));
+			this.#scheduleNext(callerClass);
+		}
+	}
+
+	setFactor(className: string, factor: number): void {
+		this.#factors.set(className, factor);
+	}
+
+	/** Sets the weights of a class's first models; the others are not asked for. */
+	setWeights(className: string, weights: readonly number[]): void {
+		this.#weights.set(className, weights);
+	}
+
+	stop(): void {
+		this.#isOver = true;
+	}
+
+	#scheduleNext(callerClass: CallerClass): void {
+		const rate = callerClass.perSecond * (this.#factors.get(callerClass.name) ?? 1);
+		this.#installation.clock.after(this.#random.exponential(rate) * MS_PER_SECOND, () => {
+			if (!this.#isOver) {
+				this.#call(callerClass);
+				this.#scheduleNext(callerClass);
+			}
+		});
+	}
+
+	#call(callerClass: CallerClass): void {
+		const {clock, table, gateways} = this.#installation;
+		const model = this.#models.get(callerClass.name)![this.#random.pick(this.#weights.get(callerClass.name)!)];
+		const call = {
+			callerClass,
+			run: {
+				model,
+				adapter: this.#getAdapter(callerClass, model),
+				ownTokens: this.#random.length(callerClass.ownTokens),
+				sharedTokens: callerClass.sharedTokens,
+				newTokens: this.#random.length(callerClass.newTokens),
+				priority: callerClass.priority,
+			},
+			firstAt: clock.now(),
+			tries: 0,
+		};
+		const caller = new LabCaller({
+			call,
+			route: table.routing.routes.find(route => route.name === callerClass.name)!,
+			clock,
+			linkMs: this.#installation.linkMs,
+			getGateway: () => gateways[Math.floor(this.#random.next() * gateways.length)],
+			onEnd: this.#onEnd,
+		});
+		caller.start();
+	}
+
+	#getAdapter({adapterShare}: CallerClass, model: string): string {
+		const adapters = this.#installation.getAdapterCount(model);
+		const isAdapter = this.#random.next() < adapterShare && adapters > 0;
+		return isAdapter ? `a${1 + Math.floor(this.#random.next() * adapters)}` : '';
+	}
+}
--- /dev/null
+++ b/apps/valelead-lab/src/play-figures.ts
@@ -0,0 +1,21 @@
+/** What the callers of one class saw: shares of its requests, and waits for the first event in milliseconds. */
+type ClassFigures = {
+	readonly requests: number;
+	readonly inTime: number;
+	readonly late: number;
+	readonly refused: number;
+	readonly inVain: number;
+	readonly p50Ms: number;
+	readonly p99Ms: number;
+};
+
+/** The figures of one play. */
+export type PlayFigures = {
+	/** The part of the credit owed that was earned. */
+	readonly credit: number;
+	/** The part of all requests that got no whole answer. */
+	readonly unserved: number;
+	readonly copyLoads: number;
+	readonly storeLoads: number;
+	readonly classes: Readonly<Record<string, ClassFigures>>;
+};
--- /dev/null
+++ b/apps/valelead-lab/src/play.ts
@@ -0,0 +1,17 @@
+import type {CallResult} from './call-result.js';
+
+/** What one engine has loaded, by where the weights came from, and for how long it was busy with orders. */
+type EngineLoads = {
+	readonly id: string;
+	readonly memory: number;
+	readonly disk: number;
+	readonly store: number;
+	readonly busyMs: number;
+};
+
+/** One play of a pattern. */
+export type Play = {
+	readonly seed: number;
+	readonly results: readonly CallResult[];
+	readonly loads: readonly EngineLoads[];
+};
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -9,6 +9,7 @@
 export {invariant} from './invariant.js';
 export type {Clock} from './clock.js';
 export {SYSTEM_CLOCK} from './system-clock.js';
+export type {Wakeups} from './wakeups.js';
 export {TimerService} from './timer-service.js';
 export {Coalescer} from './coalescer.js';
 export type {TimerSubscription} from './timer-subscription.js';
--- /dev/null
+++ b/packages/common/src/system-wakeups.ts
@@ -0,0 +1,9 @@
+import type {Wakeups} from './wakeups.js';
+
+/** The runtime's own timers. */
+export const SYSTEM_WAKEUPS: Wakeups = {
+	set: (run, delayMs) => setTimeout(run, delayMs),
+	clear(handle) {
+		clearTimeout(handle as NodeJS.Timeout | undefined);
+	},
+};
--- a/packages/common/src/timer-service.ts
+++ b/packages/common/src/timer-service.ts
@@ -1,5 +1,7 @@
 import type {Clock} from './clock.js';
+import {SYSTEM_WAKEUPS} from './system-wakeups.js';
 import type {TimerSubscription} from './timer-subscription.js';
+import type {Wakeups} from './wakeups.js';
 
 type Subscriber = {
 	readonly periodMs: number | undefined;
@@ -13,13 +15,15 @@
 /** The one source of time events of a process. Parts subscribe to it in place of setting timers of their own. */
 export class TimerService {
 	readonly #clock: Clock;
+	readonly #wakeups: Wakeups;
 	readonly #subscribers = new Set<Subscriber>();
-	#handle: NodeJS.Timeout | undefined;
+	#handle: unknown;
 	#wakesAt = Number.POSITIVE_INFINITY;
 	#isStopped = false;
 
-	constructor(clock: Clock) {
+	constructor(clock: Clock, wakeups: Wakeups = SYSTEM_WAKEUPS) {
 		this.#clock = clock;
+		this.#wakeups = wakeups;
 	}
 
 	/** Calls back every `periodMs` milliseconds. */
@@ -45,7 +49,7 @@
 	stop(): void {
 		this.#isStopped = true;
 		this.#subscribers.clear();
-		clearTimeout(this.#handle);
+		this.#wakeups.clear(this.#handle);
 	}
 
 	#subscribe(delayMs: number, periodMs: number | undefined, callback: (now: number) => void): TimerSubscription {
@@ -70,10 +74,10 @@
 			return;
 		}
 
-		clearTimeout(this.#handle);
+		this.#wakeups.clear(this.#handle);
 		this.#wakesAt = dueAt;
 		const waitMs = Math.min(Math.max(0, dueAt - this.#clock.now()), COARSEST_WAIT_MS);
-		this.#handle = setTimeout(() => {
+		this.#handle = this.#wakeups.set(() => {
 			this.#wake();
 		}, waitMs);
 	}
--- /dev/null
+++ b/packages/emulator/src/emulated-engine.ts
@@ -0,0 +1,216 @@
+import {EngineBatch} from './engine-batch.js';
+import type {EngineRun} from './engine-run.js';
+import type {EngineTerms} from './engine-terms.js';
+import type {ModelTerms} from './model-terms.js';
+import type {VirtualClock} from './virtual-clock.js';
+import {WeightCopies} from './weight-copies.js';
+import type {WeightStore} from './weight-store.js';
+
+type EngineParts = {
+	readonly clock: VirtualClock;
+	readonly store: WeightStore;
+	readonly terms: EngineTerms;
+	readonly models: ReadonlyMap<string, ModelTerms>;
+	/** How slow the engine is, relative to its terms. */
+	readonly slowness: number;
+};
+
+/** A load or an unload of a model. */
+type ModelOrder = {
+	readonly kind: 'load' | 'unload';
+	readonly model: string;
+};
+
+/** Counts of what an engine has loaded, by where the weights came from, and for how long it was busy. */
+type LoadCounts = {
+	memory: number;
+	disk: number;
+	store: number;
+	busyMs: number;
+};
+
+/** A model engine: it holds models within its memory, carries out one order at a time and serves what it holds meanwhile. */
+export class EmulatedEngine {
+	readonly counts: LoadCounts = {
+		memory: 0, disk: 0, store: 0, busyMs: 0,
+	};
+
+	readonly #parts: EngineParts;
+	readonly #batch: EngineBatch;
+	/** Held models with their adapters. */
+	readonly #held = new Map<string, Set<string>>();
+	readonly #memoryCopies: WeightCopies;
+	readonly #diskCopies: WeightCopies;
+	#order: ModelOrder | undefined;
+	#orderedAt = 0;
+	#sequence = 0;
+	#isUp = true;
+
+	constructor(parts: EngineParts) {
+		this.#parts = parts;
+		this.#memoryCopies = new WeightCopies(parts.terms.hostMemory);
+		this.#diskCopies = new WeightCopies(parts.terms.diskMemory);
+		this.#batch = new EngineBatch({
+			clock: parts.clock,
+			terms: parts.terms,
+			getPace: model => (parts.models.get(model)?.pace ?? 1) * parts.slowness,
+			onLeft: () => {
+				this.#continueUnload();
+			},
+		});
+	}
+
+	get held(): ReadonlyMap<string, ReadonlySet<string>> {
+		return this.#held;
+	}
+
+	get memoryCopies(): string[] {
+		return this.#memoryCopies.names;
+	}
+
+	get diskCopies(): string[] {
+		return this.#diskCopies.names;
+	}
+
+	get isBusy(): boolean {
+		return this.#order !== undefined;
+	}
+
+	get isUp(): boolean {
+		return this.#isUp;
+	}
+
+	get sequence(): number {
+		return this.#sequence;
+	}
+
+	get activeCount(): number {
+		return this.#batch.activeCount;
+	}
+
+	get queuedCount(): number {
+		return this.#batch.queuedCount;
+	}
+
+	/** Places a model at once, with copies in memory and on the disk, as an installation does at its start. */
+	place(model: string): void {
+		this.#held.set(model, new Set());
+		this.keepCopy(model);
+	}
+
+	/** Keeps a copy of a model on the disk and in host memory. */
+	keepCopy(model: string): void {
+		const size = this.#parts.models.get(model)!.weightMemory;
+		this.#memoryCopies.use(model, size);
+		this.#diskCopies.use(model, size);
+	}
+
+	/** Ends the engine for good; what it runs gets no further word. */
+	crash(): void {
+		this.#isUp = false;
+		this.#held.clear();
+	}
+
+	send(run: EngineRun): void {
+		const isGoing = this.#order?.kind === 'unload' && this.#order.model === run.model;
+		const adapters = this.#held.get(run.model);
+		const isHeld = adapters !== undefined && (run.adapter === '' || adapters.has(run.adapter));
+		if (!this.#isUp || !isHeld || isGoing) {
+			run.onReject(true);
+			return;
+		}
+
+		if (!this.#batch.take(run)) {
+			run.onReject(false);
+		}
+	}
+
+	drop(run: EngineRun): void {
+		this.#batch.drop(run);
+	}
+
+	/** Takes an order for a model; false where another one is in progress or the state has changed since `expected`. */
+	order(order: ModelOrder, expected: number): boolean {
+		if (!this.#isReady(expected)) {
+			return false;
+		}
+
+		this.#sequence += 1;
+		this.#order = order;
+		this.#orderedAt = this.#parts.clock.now();
+		if (order.kind === 'unload') {
+			this.#batch.forget(order.model);
+			this.#continueUnload();
+		} else {
+			this.#load(order.model);
+		}
+
+		return true;
+	}
+
+	/** Loads or unloads an adapter; false while an order for a model is in progress. */
+	orderAdapter(kind: 'load' | 'unload', model: string, adapter: string, expected: number): boolean {
+		const adapters = this.#held.get(model);
+		if (!adapters || !this.#isReady(expected)) {
+			return false;
+		}
+
+		this.#sequence += 1;
+		if (kind === 'unload') {
+			adapters.delete(adapter);
+		} else {
+			this.#parts.clock.after(this.#parts.models.get(model)!.adapterLoadMs, () => {
+				this.#held.get(model)?.add(adapter);
+			});
+		}
+
+		return true;
+	}
+
+	#isReady(expected: number): boolean {
+		return this.#isUp && this.#order === undefined && expected === this.#sequence;
+	}
+
+	/** Ends an unload once nothing of the model runs any more. */
+	#continueUnload(): void {
+		const order = this.#order;
+		if (order?.kind !== 'unload' || this.#batch.getRunning(order.model) > 0) {
+			return;
+		}
+
+		this.#parts.clock.after(this.#parts.terms.unloadMs, () => {
+			if (this.#order === order) {
+				this.#held.delete(order.model);
+				this.#endOrder();
+			}
+		});
+	}
+
+	#load(model: string): void {
+		const terms = this.#parts.models.get(model)!;
+		const pressure = 1 + (this.#batch.activeCount / this.#parts.terms.slots);
+		const end = (): void => {
+			if (this.#isUp) {
+				this.#held.set(model, new Set());
+				this.keepCopy(model);
+				this.#endOrder();
+			}
+		};
+
+		if (this.#memoryCopies.has(model)) {
+			this.counts.memory += 1;
+			this.#parts.clock.after(terms.memoryLoadMs * pressure, end);
+		} else if (this.#diskCopies.has(model)) {
+			this.counts.disk += 1;
+			this.#parts.clock.after(terms.diskLoadMs * pressure, end);
+		} else {
+			this.counts.store += 1;
+			this.#parts.store.fetch(terms.storeLoadMs * pressure, end);
+		}
+	}
+
+	#endOrder(): void {
+		this.counts.busyMs += this.#parts.clock.now() - this.#orderedAt;
+		this.#order = undefined;
+	}
+}
--- /dev/null
+++ b/packages/emulator/src/virtual-clock.ts
@@ -0,0 +1,115 @@
+import type {Clock, Wakeups} from '@valelead/common';
+
+type Scheduled = {
+	readonly dueAt: number;
+	readonly order: number;
+	readonly run: () => void;
+	isCancelled: boolean;
+};
+
+const isBefore = (left: Scheduled, right: Scheduled): boolean => left.dueAt === right.dueAt ? left.order < right.order : left.dueAt < right.dueAt;
+
+/** Resolves once all promises that are settled by now have run their continuations. */
+const flushPromises = async (): Promise<void> => new Promise(resolve => {
+	setImmediate(resolve);
+});
+
+/** Time in milliseconds that passes only from one scheduled event to the next. */
+export class VirtualClock implements Clock, Wakeups {
+	/** A binary heap; the event that is due next comes first. */
+	readonly #heap: Scheduled[] = [];
+	#now = 0;
+	#order = 0;
+
+	readonly now = (): number => this.#now;
+	readonly wallNow = (): number => this.#now;
+
+	/** Runs something after a delay; equal times run in the order of their scheduling. */
+	after(delayMs: number, run: () => void): Scheduled {
+		this.#order += 1;
+		const scheduled = {
+			dueAt: this.#now + Math.max(0, delayMs), order: this.#order, run, isCancelled: false,
+		};
+		this.#heap.push(scheduled);
+		this.#rise(this.#heap.length - 1);
+		return scheduled;
+	}
+
+	set(run: () => void, delayMs: number): Scheduled {
+		return this.after(delayMs, run);
+	}
+
+	clear(handle: unknown): void {
+		if (handle) {
+			(handle as Scheduled).isCancelled = true;
+		}
+	}
+
+	/** Carries out everything that is due until a time. */
+	async runUntil(endsAt: number): Promise<void> {
+		for (let next = this.#take(endsAt); next; next = this.#take(endsAt)) {
+			this.#now = next.dueAt;
+			if (!next.isCancelled) {
+				next.run();
+				await flushPromises();
+			}
+		}
+
+		this.#now = endsAt;
+	}
+
+	#take(endsAt: number): Scheduled | undefined {
+		const [first] = this.#heap;
+		if (!first || first.dueAt > endsAt) {
+			return undefined;
+		}
+
+		const last = this.#heap.pop()!;
+		if (this.#heap.length > 0) {
+			this.#heap[0] = last;
+			this.#sink();
+		}
+
+		return first;
+	}
+
+	#rise(start: number): void {
+		let index = start;
+		while (index > 0) {
+			const parent = Math.floor((index - 1) / 2);
+			if (!isBefore(this.#heap[index], this.#heap[parent])) {
+				return;
+			}
+
+			this.#swap(index, parent);
+			index = parent;
+		}
+	}
+
+	#sink(): void {
+		let index = 0;
+		while (true) {
+			const left = (2 * index) + 1;
+			const right = left + 1;
+			let first = index;
+			if (left < this.#heap.length && isBefore(this.#heap[left], this.#heap[first])) {
+				first = left;
+			}
+
+			if (right < this.#heap.length && isBefore(this.#heap[right], this.#heap[first])) {
+				first = right;
+			}
+
+			if (first === index) {
+				return;
+			}
+
+			this.#swap(index, first);
+			index = first;
+		}
+	}
+
+	#swap(left: number, right: number): void {
+		[this.#heap[left], this.#heap[right]] = [this.#heap[right], this.#heap[left]];
+	}
+}
