Order loads by what they count for their time, and refuse at once what would be held in vain

Loads from the weight store (6 s and more) ran on engines that keep copies and took the place of nine swaps each, late requests counted in full after 2.5 s, and one late request made all others of its model late.

--- a/apps/valelead-daemon/src/gateway/demand-reporter.ts
+++ b/apps/valelead-daemon/src/gateway/demand-reporter.ts
@@ -1,4 +1,5 @@
 import {type Clock, type TimerService, Coalescer} from '@valelead/common';
+import {isHopeless} from './is-hopeless.js';
 import type {LoadPlanner} from './load-planner.js';
 import type {EngineLinks} from './engine-links.js';
 import type {GatewayRequest} from './gateway-request.js';
@@ -10,6 +11,8 @@
 	readonly residency: EngineLinks;
 	readonly getRequests: () => Iterable<GatewayRequest>;
 	readonly isWaiting: (request: GatewayRequest) => boolean;
+	/** Takes a waiting request that is expected to be served only when its caller has left. */
+	readonly onHopeless: (request: GatewayRequest, forecastMs: number) => void;
 };
 
 /** How long changes of demand wait for others to be told with them, in milliseconds. */
@@ -43,12 +46,20 @@
 	}
 
 	#tell(): void {
-		const {clock, planner, residency, isWaiting} = this.#parts;
+		const {
+			clock, planner, residency, isWaiting, onHopeless,
+		} = this.#parts;
 		const now = clock.now();
 		this.#toldAt = now;
 		const requests = [...this.#parts.getRequests()].filter(request => request.head.model !== '');
 		const waiting = requests.filter(request => isWaiting(request));
 		const inProgress = requests.filter(request => !isWaiting(request));
 		residency.setNeeds(planner.getNeeds(waiting, inProgress, now));
+		for (const request of waiting) {
+			const forecastMs = planner.getForecastMs(request.target);
+			if (forecastMs !== undefined && isHopeless(request, forecastMs, now)) {
+				onHopeless(request, forecastMs);
+			}
+		}
 	}
 }
--- a/apps/valelead-daemon/src/gateway/engine-fleet.ts
+++ b/apps/valelead-daemon/src/gateway/engine-fleet.ts
@@ -1,7 +1,7 @@
 import {type AdmissionEndpoint, getServiceTarget} from '@valelead/admission';
 import {type Upstream, UPSTREAM_STATE} from '@valelead/discovery';
 import type {EngineReport} from '@valelead/protocol';
-import {getSpareReplicas} from '@valelead/residency';
+import {type Replica, getSpareReplicas} from '@valelead/residency';
 import type {RouteTable} from '@valelead/routing';
 import type {EngineView} from './engine-view.js';
 import {getTarget} from './get-target.js';
@@ -64,18 +64,18 @@
 
 	/** For each model of a service, the engines that hold it without need. */
 	#getSpareReplicas(): ReadonlyMap<string, ReadonlySet<string>> {
-		const holders = new Map<string, {readonly ids: string[]; inProgress: number}>();
-		for (const {upstream, models, inProgressByModel} of this.#views.values()) {
+		const holders = new Map<string, {readonly replicas: Replica[]; inProgress: number}>();
+		for (const {upstream, models, inProgressByModel, copiesOnDisk} of this.#views.values()) {
 			for (const {name} of models) {
 				const key = getTarget(upstream.service, name, '');
-				const known = holders.get(key) ?? {ids: [], inProgress: 0};
-				known.ids.push(upstream.id);
+				const known = holders.get(key) ?? {replicas: [], inProgress: 0};
+				known.replicas.push({upstreamId: upstream.id, copies: copiesOnDisk.length});
 				known.inProgress += inProgressByModel.get(name) ?? 0;
 				holders.set(key, known);
 			}
 		}
 
-		return new Map([...holders].map(([key, {ids, inProgress}]) => [key, getSpareReplicas(key, ids, inProgress)]));
+		return new Map([...holders].map(([key, {replicas, inProgress}]) => [key, getSpareReplicas(key, replicas, inProgress)]));
 	}
 
 	#newView(upstream: Upstream): EngineView {
--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -1,10 +1,11 @@
 import {
-	type LoadSite, type UnitNeed, getClassWeight, getExpectedMs, getLoadSite, getWishedReplicas,
+	type LoadSite, type UnitNeed, type Wait, getExpectedMs, getLoadSite, getWishedReplicas,
 } from '@valelead/residency';
 import {type ModelShape, type RouteTable, getModelShapes} from '@valelead/routing';
 import {getTarget} from './get-target.js';
 import {NeedTable} from './need-table.js';
 import {newLoadSite} from './new-load-site.js';
+import {newWait} from './new-wait.js';
 import type {EngineView} from './engine-view.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {WantedUnit} from './wanted-unit.js';
@@ -23,16 +24,12 @@
 	waiting: number;
 };
 
-/** When a load is due, in milliseconds from now, and what the request counts that waits for it. */
-type Urgency = {
-	readonly dueInMs: number;
-	readonly weight: number;
-};
-
 /** The engine that was chosen for a wish, and when the others were last compared with it, in monotonic milliseconds. */
 type Choice = {
 	readonly upstreamId: string;
 	readonly comparedAt: number;
+	/** Until the unit is expected to be loaded there, in milliseconds from the comparison. */
+	readonly expectedMs: number;
 	/** Since when this engine is the choice. */
 	readonly since: number;
 	/** An engine that was chosen before and did not begin, and until when it is left out. */
@@ -63,7 +60,9 @@
 const SWITCH_MARGIN_MS = 400;
 
 /** How soon one more replica of a busy model is wanted: after the requests that wait for a cold one. */
-const REPLICA_URGENCY: Urgency = {dueInMs: 3000, weight: 0.01};
+const REPLICA_WAIT: Wait = {
+	count: 1, weight: 0.01, dueInMs: 3000, leavesInMs: Number.MAX_SAFE_INTEGER,
+};
 
 /**
  * A replica is fetched from the weight store, which keeps its engine from other loads for long, only where this many
@@ -71,6 +70,15 @@
  */
 const STORE_LOAD_FACTOR = 4;
 
+/** Requests in progress from which a model is busy enough to be carried by an engine that keeps few copies. */
+const BUSY_REQUESTS = 4;
+
+/**
+ * What each request in progress adds to the wish to carry its model there: enough to go before the loads for single late
+ * requests that such an engine has to do otherwise.
+ */
+const CARRY_WEIGHT = 0.1;
+
 const NOWHERE: ReadonlySet<string> = new Set();
 
 /** Requests that wait for a model to be loaded: those of all gateways as sidecars tell, and no less than the own ones. */
@@ -114,22 +122,28 @@
 		this.#now = now;
 		for (const {upstreamId, head} of inProgress) {
 			table.add(upstreamId, {
-				model: head.model, adapter: head.adapter, waiting: 0, inProgress: 1, dueInMs: Number.MAX_SAFE_INTEGER, weight: 0,
+				model: head.model, adapter: head.adapter, waiting: 0, inProgress: 1, waits: [],
 			});
 		}
 
 		for (const request of waiting) {
-			const {service, target, head, arrivedAt, route} = request;
+			const {service, target, head} = request;
 			const unit = {
-				service, model: head.model, adapter: head.adapter, key: target, needsCopy: false, needsRoom: false, excluded: NOWHERE,
+				service, model: head.model, adapter: head.adapter, key: target, needsCopy: false, needsRoom: false, needsShortOfCopies: false, excluded: NOWHERE,
 			};
-			this.#addWish(table, before, unit, {dueInMs: Math.round(arrivedAt + route.objectiveMs - now), weight: getClassWeight(route.priority)});
+			this.#addWish(table, before, unit, newWait(request, now));
 		}
 
 		this.#addReplicas(table, before, waiting, inProgress);
 		return table.all;
 	}
 
+	/** Until the target is expected to be loaded at the engine that was chosen for it, in milliseconds; undefined where none was. */
+	getForecastMs(target: string): number | undefined {
+		const choice = this.#sites.get(target);
+		return choice && Math.max(0, choice.expectedMs - (this.#now - choice.comparedAt));
+	}
+
 	#addReplicas(table: NeedTable, before: ReadonlyMap<string, Choice>, waiting: readonly GatewayRequest[], inProgress: readonly GatewayRequest[]): void {
 		for (const requests of getModelRequests(waiting, inProgress)) {
 			this.#addReplicasOf(requests, table, before);
@@ -147,12 +161,30 @@
 		const wished = getWishedReplicas(inProgress + getWaiting(views, model, waiting));
 		// Where no engine holds the model, the waiting requests have wished for the first one.
 		const missing = wished - Math.max(1, held.length);
+		if (inProgress >= BUSY_REQUESTS) {
+			this.#addCarrier({service, model, waiting}, table, before, inProgress);
+		}
+
 		const needsCopy = wished < held.length * STORE_LOAD_FACTOR;
 		for (let index = 1; index <= missing; index += 1) {
 			const needsRoom = index > 1 || held.length === 0;
 			this.#addWish(table, before, {
-				service, model, adapter: '', key: `replica ${index} of ${getTarget(service, model, '')}`, needsCopy, needsRoom, excluded: this.#getChosenSites(service, model),
-			}, REPLICA_URGENCY);
+				service, model, adapter: '', key: `replica ${index} of ${getTarget(service, model, '')}`, needsCopy, needsRoom, needsShortOfCopies: false, excluded: this.#getChosenSites(service, model),
+			}, REPLICA_WAIT);
+		}
+	}
+
+	/**
+	 * Wishes for a replica of a busy model on an engine that keeps few copies, unless there is one: such an engine can do
+	 * little else, and the places that the model leaves on the others serve models that are asked for now and then.
+	 */
+	#addCarrier({service, model}: ModelRequests, table: NeedTable, before: ReadonlyMap<string, Choice>, inProgress: number): void {
+		const unit = {
+			service, model, adapter: '', key: `carrier of ${getTarget(service, model, '')}`, needsCopy: false, needsRoom: false, needsShortOfCopies: true, excluded: this.#getChosenSites(service, model),
+		};
+		const hasCarrier = this.#getAllSites(unit).some(site => site.isHeld && site.isShortOfCopies);
+		if (!hasCarrier) {
+			this.#addWish(table, before, unit, {...REPLICA_WAIT, weight: inProgress * CARRY_WEIGHT});
 		}
 	}
 
@@ -162,7 +194,7 @@
 		return new Set([...this.#sites].filter(([key]) => key === name || key.startsWith(`${name}/`) || key.endsWith(` of ${name}`)).map(([, choice]) => choice.upstreamId));
 	}
 
-	#addWish(table: NeedTable, before: ReadonlyMap<string, Choice>, unit: WantedUnit, {dueInMs, weight}: Urgency): void {
+	#addWish(table: NeedTable, before: ReadonlyMap<string, Choice>, unit: WantedUnit, wait: Wait): void {
 		const choice = this.#sites.get(unit.key) ?? this.#choose(unit, before.get(unit.key));
 		if (choice === undefined) {
 			return;
@@ -170,7 +202,7 @@
 
 		this.#sites.set(unit.key, choice);
 		table.add(choice.upstreamId, {
-			model: unit.model, adapter: unit.adapter, waiting: 1, inProgress: 0, dueInMs, weight,
+			model: unit.model, adapter: unit.adapter, waiting: 1, inProgress: 0, waits: [wait],
 		});
 	}
 
@@ -181,14 +213,15 @@
 		}
 
 		const avoided = this.#getAvoidance(unit, known);
-		const upstreamId = this.#compare(unit, known?.upstreamId, avoided?.upstreamId);
-		if (upstreamId === undefined) {
+		const site = this.#compare(unit, known?.upstreamId, avoided?.upstreamId);
+		if (site === undefined) {
 			return undefined;
 		}
 
+		const {upstreamId} = site;
 		const since = upstreamId === known?.upstreamId ? known.since : this.#now;
 		return {
-			upstreamId, comparedAt: this.#now, since, avoided,
+			upstreamId, comparedAt: this.#now, expectedMs: getExpectedMs(site, this.#getShape(unit)!), since, avoided,
 		};
 	}
 
@@ -208,7 +241,7 @@
 		return known.avoided && this.#now < known.avoided.until ? known.avoided : undefined;
 	}
 
-	#compare(unit: WantedUnit, chosenId: string | undefined, avoidedId: string | undefined): string | undefined {
+	#compare(unit: WantedUnit, chosenId: string | undefined, avoidedId: string | undefined): LoadSite | undefined {
 		const shape = this.#getShape(unit);
 		if (!shape) {
 			return undefined;
@@ -220,26 +253,32 @@
 		const best = getLoadSite(unit.key, shape, sites);
 		const chosen = sites.find(site => site.upstreamId === chosenId);
 		if (!best || !chosen) {
-			return best?.upstreamId;
+			return best;
 		}
 
 		const isBetter = getExpectedMs(best, shape) + SWITCH_MARGIN_MS < getExpectedMs(chosen, shape);
-		return isBetter ? best.upstreamId : chosen.upstreamId;
+		return isBetter ? best : chosen;
 	}
 
 	/** Engines that could load the unit. A wish for a model itself means that those which hold it do not suffice. */
-	#getSites({
-		service, model, adapter, needsCopy, needsRoom, excluded,
-	}: WantedUnit): LoadSite[] {
-		const limits = this.#parts.getTable()?.services.get(service)?.engine;
-		return [...this.#parts.getViews().values()]
-			.filter(view => view.hasSidecar && view.upstream.service === service && this.#parts.isUsable(view.upstream.id))
-			.map(view => newLoadSite(view, model, limits))
+	#getSites(unit: WantedUnit): LoadSite[] {
+		const {
+			adapter, needsCopy, needsRoom, needsShortOfCopies, excluded,
+		} = unit;
+		return this.#getAllSites(unit)
 			.filter(site => adapter !== '' || !site.isHeld)
-			.filter(site => !excluded.has(site.upstreamId) && (!needsRoom || site.hasRoom))
+			.filter(site => !excluded.has(site.upstreamId) && (!needsRoom || site.hasRoom) && (!needsShortOfCopies || site.isShortOfCopies))
 			.filter(site => !needsCopy || site.hasMemoryCopy || site.hasDiskCopy || site.remainingMs !== undefined);
 	}
 
+	/** All engines of the unit's service that take orders and requests. */
+	#getAllSites({service, model}: WantedUnit): LoadSite[] {
+		const limits = this.#parts.getTable()?.services.get(service)?.engine;
+		const views = [...this.#parts.getViews().values()].filter(view => view.hasSidecar && view.upstream.service === service && this.#parts.isUsable(view.upstream.id));
+		const mostCopies = Math.max(...views.map(view => view.copiesOnDisk.length));
+		return views.map(view => newLoadSite(view, model, limits, mostCopies));
+	}
+
 	#getShape({service, model}: WantedUnit): ModelShape | undefined {
 		const engine = this.#parts.getTable()?.services.get(service)?.engine;
 		return engine && getModelShapes(engine).get(model);
--- a/apps/valelead-daemon/src/gateway/need-table.ts
+++ b/apps/valelead-daemon/src/gateway/need-table.ts
@@ -1,4 +1,4 @@
-import {type UnitNeed, getUnitName} from '@valelead/residency';
+import {type UnitNeed, getMergedWaits, getUnitName} from '@valelead/residency';
 
 /** Needs of engines, added up by unit. */
 export class NeedTable {
@@ -13,8 +13,7 @@
 			...need,
 			waiting: need.waiting + (known?.waiting ?? 0),
 			inProgress: need.inProgress + (known?.inProgress ?? 0),
-			dueInMs: Math.min(need.dueInMs, known?.dueInMs ?? Number.POSITIVE_INFINITY),
-			weight: need.weight + (known?.weight ?? 0),
+			waits: known ? getMergedWaits([...known.waits, ...need.waits]) : need.waits,
 		});
 	}
 
--- a/apps/valelead-daemon/src/gateway/new-load-site.ts
+++ b/apps/valelead-daemon/src/gateway/new-load-site.ts
@@ -1,4 +1,4 @@
-import type {LoadSite} from '@valelead/residency';
+import {type LoadSite, isShortOfCopies} from '@valelead/residency';
 import {type EngineLimits, getModelShapes} from '@valelead/routing';
 import type {EngineView} from './engine-view.js';
 
@@ -19,8 +19,11 @@
 	return idle.length <= loads.length;
 };
 
-/** An engine as a place where a model could be loaded. */
-export const newLoadSite = (view: EngineView, model: string, limits: EngineLimits | undefined): LoadSite => {
+/**
+ * An engine as a place where a model could be loaded.
+ * @param mostCopies - How many models the engine that keeps most copies has on its disk.
+ */
+export const newLoadSite = (view: EngineView, model: string, limits: EngineLimits | undefined, mostCopies: number): LoadSite => {
 	const {upstream, models, loads, copiesInMemory, copiesOnDisk, inProgress} = view;
 	const load = loads.find(other => other.model === model);
 	const isRoomy = hasRoom(view, model, limits);
@@ -29,10 +32,13 @@
 		isHeld: models.some(held => held.name === model),
 		hasMemoryCopy: copiesInMemory.includes(model),
 		hasDiskCopy: copiesOnDisk.includes(model),
+		copyShare: copiesOnDisk.length / Math.max(1, mostCopies),
+		isShortOfCopies: isShortOfCopies(copiesOnDisk.length, mostCopies),
 		hasRoom: isRoomy,
 		isInUse: !isRoomy && isInUse(view),
 		remainingMs: load?.remainingMs,
 		isStarted: load?.isStarted ?? false,
+		busyMs: loads.find(other => other.isStarted)?.remainingMs ?? 0,
 		queueMs: loads.at(-1)?.remainingMs ?? 0,
 		pressure: inProgress / Math.max(1, upstream.slots),
 	};
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -87,6 +87,9 @@
 			residency: parts.residency,
 			getRequests: () => this.#requests.values(),
 			isWaiting: request => this.#state.requests.get(request.id)?.state === 'waiting',
+			onHopeless: (request, forecastMs) => {
+				this.#giveUp(request, forecastMs);
+			},
 		});
 		this.#refreshes = new Coalescer(parts.timers, REFRESH_COALESCE_MS, () => {
 			this.refresh();
@@ -160,6 +163,18 @@
 		this.#book.close();
 	}
 
+	/** Ends a request that waits for a model which will be loaded too late for it; its caller is told when to come back. */
+	#giveUp(request: GatewayRequest, forecastMs: number): void {
+		const isServed = (this.#state.endpoints.get(request.target)?.length ?? 0) > 0;
+		if (isServed) {
+			return;
+		}
+
+		this.#take({
+			kind: 'giveUp', requestId: request.id, code: RESULT_CODE.WaitTooLong, retryAfterMs: forecastMs,
+		});
+	}
+
 	#isUsable(upstreamId: string): boolean {
 		return this.#book.isHeard(upstreamId) && this.#parts.clock.now() >= (this.#state.lanes.get(upstreamId)?.ejectedUntil ?? 0);
 	}
--- a/apps/valelead-daemon/src/gateway/residency-client.ts
+++ b/apps/valelead-daemon/src/gateway/residency-client.ts
@@ -54,7 +54,7 @@
 	}
 
 	#send(): void {
-		this.#stream?.write(create(DemandReportSchema, {gateway: this.#parts.gateway, needs: [...this.#needs]}));
+		this.#stream?.write(create(DemandReportSchema, {gateway: this.#parts.gateway, needs: this.#needs.map(need => ({...need, waits: [...need.waits]}))}));
 	}
 
 	#connect(): void {
--- a/apps/valelead-daemon/src/gateway/wanted-unit.ts
+++ b/apps/valelead-daemon/src/gateway/wanted-unit.ts
@@ -10,6 +10,8 @@
 	readonly needsCopy: boolean;
 	/** Whether only engines come into question where nothing has to make way. */
 	readonly needsRoom: boolean;
+	/** Whether only engines come into question that keep few copies. */
+	readonly needsShortOfCopies: boolean;
 	/** Engines that load the model for another wish already. */
 	readonly excluded: ReadonlySet<string>;
 };
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -43,3 +43,4 @@
 export type {EnginePort} from './sidecar/engine-port.js';
 export {newEngineCopies} from './sidecar/new-engine-copies.js';
 export {newCapacity} from './sidecar/new-capacity.js';
+export {isHopeless} from './gateway/is-hopeless.js';
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -2,7 +2,7 @@
 	type Clock, type TimerService, type TimerSubscription,
 } from '@valelead/common';
 import {
-	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getLoadMs, getNextOrder, getWantedMs, mutateUse, mutateWanted, newResidencyState,
+	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getAgedNeed, getLoadMs, getNextOrder, getWantedMs, mutateUse, mutateWanted, newResidencyState,
 } from '@valelead/residency';
 import type {Logger} from 'pino';
 import type {EngineStatus} from '../adapter/engine-status.js';
@@ -147,7 +147,7 @@
 
 	#getNeeds(): UnitNeed[] {
 		const now = this.#parts.clock.now();
-		return getMergedNeeds([...this.#needs.values()].flatMap(({needs, toldAt}) => needs.map(need => ({...need, dueInMs: need.dueInMs - (now - toldAt)}))));
+		return getMergedNeeds([...this.#needs.values()].flatMap(({needs, toldAt}) => needs.map(need => getAgedNeed(need, now - toldAt))));
 	}
 
 	#wake(): void {
--- a/apps/valelead-daemon/src/sidecar/prefetcher.ts
+++ b/apps/valelead-daemon/src/sidecar/prefetcher.ts
@@ -19,7 +19,12 @@
 const ENGINES_SETTLED_MS = 2000;
 
 const NO_NEED = {
-	adapter: '', waiting: 0, inProgress: 0, dueInMs: Number.MAX_SAFE_INTEGER, weight: 0,
+	adapter: '', waiting: 0, inProgress: 0, waits: [],
+};
+
+/** A fetch that no request waits for goes after all others. */
+const PREFETCH_WAIT = {
+	count: 1, weight: 0, dueInMs: Number.MAX_SAFE_INTEGER, leavesInMs: Number.MAX_SAFE_INTEGER,
 };
 
 /** Decides what an engine fetches from the weight store while no request waits for it. */
@@ -68,7 +73,9 @@
 		}
 
 		const kept = [...this.#replicated].map(name => ({...NO_NEED, model: name, inProgress: 1}));
-		return [{...NO_NEED, model, waiting: 1}, ...kept];
+		return [{
+			...NO_NEED, model, waiting: 1, waits: [PREFETCH_WAIT],
+		}, ...kept];
 	}
 
 	#choose(upstreamId: string, models: readonly string[]): string | undefined {
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -129,3 +129,13 @@
 	assert.equal(this.sites.at(0), first);
 	assert.equal(this.sites.at(-1), last);
 });
+
+Given('engine {string} holds {string} and keeps no other copy', function (this: PlannerWorld, id: string, model: string) {
+	this.views.set(id, newView(id, [model], [model]));
+});
+
+Then('{string} is forecast to be loaded in {int} to {int} ms', function (this: PlannerWorld, model: string, leastMs: number, mostMs: number) {
+	getLoading(this, model);
+	const forecastMs = this.planner.getForecastMs(`${SERVICE}/${model}`)!;
+	assert.ok(forecastMs >= leastMs && forecastMs <= mostMs, String(forecastMs));
+});
--- a/apps/valelead-lab/src/lab-caller.ts
+++ b/apps/valelead-lab/src/lab-caller.ts
@@ -8,6 +8,7 @@
 } from 'valelead-daemon';
 import {CALL_OUTCOME} from './call-outcome.js';
 import type {CallResult} from './call-result.js';
+import type {CallerClass} from './caller-class.js';
 import type {LabCall} from './lab-call.js';
 import type {LabGateway} from './lab-gateway.js';
 
@@ -27,6 +28,18 @@
 /** It heeds the time that it is told to wait up to this part of the time it has left. */
 const HEEDED_SHARE = 1 / 3;
 
+/** A try that is held and then not served costs from this part of its objective to this part of its time. */
+const FREE_OBJECTIVE_SHARE = 1 / 8;
+const WHOLE_TIME_SHARE = 3 / 4;
+
+/** What a second refusal costs of a request's worth. */
+const SECOND_REFUSAL_SHARE = 0.3;
+
+const getHeldShare = (heldMs: number, {objectiveMs, deadlineMs}: CallerClass): number => {
+	const freeMs = objectiveMs * FREE_OBJECTIVE_SHARE;
+	return Math.min(1, Math.max(0, heldMs - freeMs) / ((deadlineMs * WHOLE_TIME_SHARE) - freeMs));
+};
+
 /** One caller: sends its request, waits as long as it is patient, and comes back once after a refusal. */
 export class LabCaller {
 	readonly #parts: LabCallerParts;
@@ -36,6 +49,8 @@
 	#longestPauseMs = 0;
 	/** Changes with every try, so that the watch over an earlier one ends. */
 	#watchId = 0;
+	#triedAt = 0;
+	#pricedShare = 0;
 	#isOver = false;
 
 	constructor(parts: LabCallerParts) {
@@ -54,14 +69,14 @@
 	#try(): void {
 		const {clock, linkMs, call, getGateway} = this.#parts;
 		call.tries += 1;
-		const triedAt = clock.now();
+		this.#triedAt = clock.now();
 		clock.after(linkMs, () => {
 			if (!this.#isOver) {
 				this.#abandon = getGateway().arrive(call, this.#newRequest());
 			}
 		});
 		this.#watchId += 1;
-		this.#watch(triedAt, this.#watchId);
+		this.#watch(this.#triedAt, this.#watchId);
 	}
 
 	/** Leaves where nothing comes within the caller's patience, or when its time is over. */
@@ -80,6 +95,7 @@
 			}
 
 			this.#abandon?.();
+			this.#pricedShare += this.#firstEventAt === undefined ? 1 : 0;
 			this.#finish(CALL_OUTCOME.InVain);
 		});
 	}
@@ -168,6 +184,7 @@
 	#takeRefusal({outcome, retryAfterMs}: Refusal, isStarted: boolean): void {
 		const {clock, call} = this.#parts;
 		const leftMs = this.#endsAt - clock.now();
+		this.#pricedShare += getHeldShare(clock.now() - this.#triedAt, call.callerClass) + (call.tries > MAX_RETRIES ? SECOND_REFUSAL_SHARE : 0);
 		if (isStarted || outcome !== OUTCOME.NotRun || call.tries > MAX_RETRIES || leftMs <= 0) {
 			this.#finish(outcome === OUTCOME.NotRun ? CALL_OUTCOME.Refused : CALL_OUTCOME.InVain);
 			return;
@@ -191,9 +208,11 @@
 		onEnd({
 			className: call.callerClass.name,
 			model: call.run.model,
+			adapter: call.run.adapter,
 			outcome,
 			waitedMs: (this.#firstEventAt ?? clock.now()) - call.firstAt,
 			at: call.firstAt,
+			pricedShare: this.#pricedShare,
 		});
 	}
 }
--- a/apps/valelead-lab/src/lab-installation.ts
+++ b/apps/valelead-lab/src/lab-installation.ts
@@ -89,8 +89,8 @@
 		return this.#models.get(model)?.adapters ?? 0;
 	}
 
-	/** Starts an engine that holds nothing and keeps no copies. */
-	startEngine(): LabEngine {
+	/** Starts an engine that holds nothing. */
+	startEngine(diskCopies: readonly string[] = []): LabEngine {
 		const {engines} = this.#pattern;
 		const id = `engine-${this.#engineCount}`;
 		const slowness = engines.slowness?.[this.#engineCount] ?? 1;
@@ -106,6 +106,10 @@
 			table: this.table,
 			slots: engines.slots,
 		});
+		for (const model of diskCopies) {
+			engine.engine.keepDiskCopy(model);
+		}
+
 		this.#engines.set(id, engine);
 		return engine;
 	}
--- a/apps/valelead-lab/src/new-lab-routing.ts
+++ b/apps/valelead-lab/src/new-lab-routing.ts
@@ -19,6 +19,7 @@
 	timeoutMs: callerClass.deadlineMs,
 	objectiveMs: callerClass.objectiveMs,
 	pauseObjectiveMs: callerClass.pauseObjectiveMs,
+	patienceMs: callerClass.patienceMs,
 	priority: callerClass.priority,
 	maxAttempts: callerClass.maxAttempts,
 	shares: [{service: SERVICE, weight: 1}],
--- a/apps/valelead-lab/src/pattern-schema.ts
+++ b/apps/valelead-lab/src/pattern-schema.ts
@@ -51,7 +51,12 @@
 	Schema.Struct({
 		kind: Schema.Literal('shift'), at: Schema.Finite, className: Schema.String, weights: Schema.Array(Schema.Finite),
 	}),
+	/** An engine is lost for good. */
 	Schema.Struct({kind: Schema.Literal('crash'), at: Schema.Finite, engine: Schema.Int}),
+	/** An engine crashes and comes back empty with its disk. */
+	Schema.Struct({
+		kind: Schema.Literal('restart'), at: Schema.Finite, engine: Schema.Int, downMs: Schema.Finite,
+	}),
 	/** An engine that keeps no copies joins. */
 	Schema.Struct({kind: Schema.Literal('join'), at: Schema.Finite}),
 	/** An engine takes no more work and ends after a while. */
--- a/apps/valelead-lab/src/play-figures.ts
+++ b/apps/valelead-lab/src/play-figures.ts
@@ -13,6 +13,8 @@
 export type PlayFigures = {
 	/** The part of the credit owed that was earned. */
 	readonly credit: number;
+	/** What holding requests in vain, and refusing them twice, costs of the credit owed. */
+	readonly price: number;
 	/** The part of all requests that got no whole answer. */
 	readonly unserved: number;
 	readonly copyLoads: number;
--- a/apps/valelead-lab/src/play-pattern.ts
+++ b/apps/valelead-lab/src/play-pattern.ts
@@ -35,6 +35,16 @@
 			break;
 		}
 
+		case 'restart': {
+			const {engine} = installation.engines[event.engine];
+			installation.engines[event.engine].end();
+			clock.after(event.downMs, () => {
+				installation.startEngine(engine.diskCopies);
+				installation.announce();
+			});
+			break;
+		}
+
 		case 'join': {
 			installation.startEngine();
 			installation.announce();
--- a/packages/admission/src/admission-event.ts
+++ b/packages/admission/src/admission-event.ts
@@ -7,6 +7,8 @@
 export type AdmissionEvent =
 	| {readonly kind: 'arrive'; readonly ticket: Ticket; readonly limits: TicketLimits}
 	| {readonly kind: 'abandon'; readonly requestId: string}
+	/** A waiting request is given up on. */
+	| {readonly kind: 'giveUp'; readonly requestId: string; readonly code: ResultCodeValue; readonly retryAfterMs: number}
 	| {readonly kind: 'refuseAll'; readonly code: ResultCodeValue}
 	| {readonly kind: 'credits'; readonly vm: string; readonly creditIds: readonly string[]; readonly validForMs: number}
 	| {readonly kind: 'laneClosed'; readonly vm: string}
--- a/packages/admission/src/mutate-admission.ts
+++ b/packages/admission/src/mutate-admission.ts
@@ -77,6 +77,11 @@
 			return mutateAbandoned(state, event.requestId);
 		}
 
+		case 'giveUp': {
+			const record = state.requests.get(event.requestId);
+			return record?.state === 'waiting' ? mutateRefused(state, record, event.code, OUTCOME.NotRun, event.retryAfterMs) : [];
+		}
+
 		case 'refuseAll': {
 			const waiting = [...state.requests.values()].filter(record => record.state === 'waiting');
 			return waiting.flatMap(record => mutateRefused(state, record, event.code, OUTCOME.NotRun));
--- a/packages/admission/src/mutate-refused.ts
+++ b/packages/admission/src/mutate-refused.ts
@@ -5,9 +5,12 @@
 import type {AdmissionState} from './admission-state.js';
 import type {RequestRecord} from './request-record.js';
 
-/** Ends a request with a refusal. What was dispatched and not refused by its agent may have run. */
-export const mutateRefused = (state: AdmissionState, record: RequestRecord, code: ResultCodeValue, outcome: OutcomeValue): AdmissionEffect[] => {
-	const {requestId, target} = record.ticket;
+/**
+ * Ends a request with a refusal. What was dispatched and not refused by its agent may have run.
+ * @param retryAfterMs - When the caller should come back, in milliseconds; once the present queue is served where it is not known better.
+ */
+export const mutateRefused = (state: AdmissionState, record: RequestRecord, code: ResultCodeValue, outcome: OutcomeValue, retryAfterMs = getRetryAfterMs(state, record.ticket.target)): AdmissionEffect[] => {
+	const {requestId} = record.ticket;
 	const effects: AdmissionEffect[] = [];
 	if (record.state !== 'waiting') {
 		effects.push({
@@ -17,7 +20,7 @@
 
 	const honest = record.runs > 0 && outcome === OUTCOME.NotRun ? OUTCOME.Unknown : outcome;
 	effects.push({
-		kind: 'refuse', requestId, code, outcome: honest, retryAfterMs: getRetryAfterMs(state, target),
+		kind: 'refuse', requestId, code, outcome: honest, retryAfterMs,
 	});
 	mutateEnd(state, record, 'refuse');
 	return effects;
--- a/packages/emulator/src/emulated-engine.ts
+++ b/packages/emulator/src/emulated-engine.ts
@@ -100,9 +100,13 @@
 
 	/** Keeps a copy of a model on the disk and in host memory. */
 	keepCopy(model: string): void {
-		const size = this.#parts.models.get(model)!.weightMemory;
-		this.#memoryCopies.use(model, size);
-		this.#diskCopies.use(model, size);
+		this.#memoryCopies.use(model, this.#parts.models.get(model)!.weightMemory);
+		this.keepDiskCopy(model);
+	}
+
+	/** Keeps a copy of a model on the disk alone. */
+	keepDiskCopy(model: string): void {
+		this.#diskCopies.use(model, this.#parts.models.get(model)!.weightMemory);
 	}
 
 	/** Ends the engine for good; what it runs gets no further word. */
--- a/packages/residency/src/get-adapter-order.ts
+++ b/packages/residency/src/get-adapter-order.ts
@@ -1,3 +1,4 @@
+import {getDueInMs} from './get-due-in-ms.js';
 import {getUnitName} from './get-unit-name.js';
 import {getUsedMemory} from './get-used-memory.js';
 import {ORDER_KIND} from './order-kind.js';
@@ -30,7 +31,7 @@
 	const models = new Map(holdings.models.map(model => [model.name, model]));
 	const wanted = needs
 		.filter(need => need.adapter !== '' && need.waiting > 0 && models.get(need.model)?.adapters.includes(need.adapter) === false)
-		.sort((left, right) => left.dueInMs - right.dueInMs)[0];
+		.sort((left, right) => getDueInMs(left) - getDueInMs(right))[0];
 	const size = wanted && capacity.models.get(wanted.model);
 	if (!wanted || !size) {
 		return undefined;
--- a/packages/residency/src/get-balancing-fetch.ts
+++ b/packages/residency/src/get-balancing-fetch.ts
@@ -1,11 +1,7 @@
 import {getHash} from './get-hash.js';
+import {isShortOfCopies} from './is-short-of-copies.js';
 import type {EngineCopies} from './engine-copies.js';
 
-/** An engine is short of copies if it keeps less than this part of what the engines keep on the average. */
-const SHORT_SHARE = 0.5;
-
-const isShort = ({models}: EngineCopies, mean: number): boolean => models.size < mean * SHORT_SHARE;
-
 /** The part of the loads at once that is spent on balance; the rest is left to loads that requests wait for. */
 const BALANCE_SHARE = 0.25;
 
@@ -25,7 +21,7 @@
 	}
 
 	const mean = engines.reduce((sum, engine) => sum + engine.models.size, 0) / engines.length;
-	const short = engines.filter(engine => isShort(engine, mean)).sort((left, right) => getHash(left.upstreamId) - getHash(right.upstreamId));
+	const short = engines.filter(engine => isShortOfCopies(engine.models.size, mean)).sort((left, right) => getHash(left.upstreamId) - getHash(right.upstreamId));
 	if (!short.slice(0, Math.ceil(concurrentLoads * BALANCE_SHARE)).includes(own)) {
 		return undefined;
 	}
--- a/packages/residency/src/get-expected-ms.ts
+++ b/packages/residency/src/get-expected-ms.ts
@@ -10,18 +10,24 @@
  */
 const IN_USE_MS = 1500;
 
+/**
+ * A load from the weight store takes the time of several loads from copies. On an engine that keeps many copies these are
+ * loads that requests wait for, so its time counts up to this much more there.
+ */
+const DISPLACED_SHARE = 1;
+
 const getOwnMs = (site: LoadSite, times: LoadTimes): number => {
 	if (site.hasMemoryCopy) {
 		return times.memoryLoadMs;
 	}
 
-	return site.hasDiskCopy ? times.diskLoadMs : times.storeLoadMs;
+	return site.hasDiskCopy ? times.diskLoadMs : times.storeLoadMs * (1 + (DISPLACED_SHARE * site.copyShare));
 };
 
 /** The expected time until an engine has a model loaded, in milliseconds. */
 export const getExpectedMs = (site: LoadSite, times: LoadTimes): number => {
 	if (site.isHeld) {
-		return 0;
+		return site.busyMs;
 	}
 
 	const placeMs = site.isInUse ? IN_USE_MS : 0;
--- a/packages/residency/src/get-load-queue.ts
+++ b/packages/residency/src/get-load-queue.ts
@@ -1,21 +1,24 @@
+import {getLoadValue} from './get-load-value.js';
 import type {UnitNeed} from './unit-need.js';
+import type {Wait} from './wait.js';
 
 type Candidate = {
 	readonly model: string;
-	readonly weight: number;
+	/** What the load counts for each millisecond that it takes. */
+	readonly rate: number;
 	readonly dueInMs: number;
 };
 
+/** What else a swap takes beside its load, in milliseconds: the notice, the unload, and the engine's word that it is done. */
+const SWAP_MS = 100;
+
 /**
- * A load that can no longer make the objective of a request counts for less, but not for longer than this, in
- * milliseconds. Its callers may give up sooner than that, so the time is the model's and not that of one request.
+ * A load counts twice as much for each such time that requests have waited for its model, in milliseconds, so that none
+ * waits for ever: a load from the weight store catches up with those from copies after six to eight of them.
  */
-const LATE_PATIENCE_MS = 2500;
-
-/** What a late answer counts against one in time: about the part that the users' sheets state for late answers. */
-const LATE_SHARE = 0.25;
+const DOUBLING_MS = 2500;
 
-const compare = (left: Candidate, right: Candidate): number => (right.weight - left.weight) || (left.dueInMs - right.dueInMs);
+const compare = (left: Candidate, right: Candidate): number => (right.rate - left.rate) || (left.dueInMs - right.dueInMs);
 
 type QueueTerms = {
 	readonly held: ReadonlySet<string>;
@@ -26,24 +29,27 @@
 	readonly getWantedMs: (model: string) => number;
 };
 
-/**
- * Models that requests wait for and that the engine does not hold, in the order in which they are loaded: first those
- * for which most waits, by number and class, then the most urgent. What can no longer be in time counts for less.
- */
-export const getLoadQueue = ({held, needs, getLoadMs, getWantedMs}: QueueTerms): string[] => {
-	const wanted = new Map<string, {readonly weight: number; readonly dueInMs: number}>();
-	for (const {model, waiting, dueInMs, weight} of needs) {
-		if (waiting > 0 && !held.has(model)) {
-			const known = wanted.get(model);
-			wanted.set(model, {weight: weight + (known?.weight ?? 0), dueInMs: Math.min(dueInMs, known?.dueInMs ?? dueInMs)});
+const getWaitsByModel = ({held, needs}: QueueTerms): ReadonlyMap<string, readonly Wait[]> => {
+	const waits = new Map<string, Wait[]>();
+	for (const need of needs) {
+		if (need.waiting > 0 && !held.has(need.model)) {
+			waits.set(need.model, [...waits.get(need.model) ?? [], ...need.waits]);
 		}
 	}
 
-	return [...wanted]
-		.map(([model, {weight, dueInMs}]) => {
-			const isLate = getLoadMs(model) > dueInMs && getWantedMs(model) < LATE_PATIENCE_MS;
-			return {model, weight: isLate ? weight * LATE_SHARE : weight, dueInMs};
-		})
-		.sort(compare)
-		.map(candidate => candidate.model);
+	return waits;
 };
+
+/**
+ * Models that requests wait for and that the engine does not hold, in the order in which they are loaded: by what their
+ * waiting requests count for the time that the load takes. Answers in time count most, and a load from the weight store
+ * takes the time of many loads from copies.
+ */
+export const getLoadQueue = (terms: QueueTerms): string[] => [...getWaitsByModel(terms)]
+	.map(([model, waits]) => {
+		const loadMs = terms.getLoadMs(model);
+		const value = getLoadValue(waits, loadMs) * (2 ** (terms.getWantedMs(model) / DOUBLING_MS));
+		return {model, rate: value / (loadMs + SWAP_MS), dueInMs: Math.min(...waits.map(wait => wait.dueInMs))};
+	})
+	.sort(compare)
+	.map(candidate => candidate.model);
--- a/packages/residency/src/get-merged-needs.ts
+++ b/packages/residency/src/get-merged-needs.ts
@@ -1,3 +1,4 @@
+import {getMergedWaits} from './get-merged-waits.js';
 import {getUnitName} from './get-unit-name.js';
 import type {UnitNeed} from './unit-need.js';
 
@@ -5,8 +6,7 @@
 	...left,
 	waiting: left.waiting + right.waiting,
 	inProgress: left.inProgress + right.inProgress,
-	dueInMs: Math.min(left.dueInMs, right.dueInMs),
-	weight: left.weight + right.weight,
+	waits: getMergedWaits([...left.waits, ...right.waits]),
 });
 
 /** The needs of several gateways together, one for each unit. */
--- a/packages/residency/src/load-site.ts
+++ b/packages/residency/src/load-site.ts
@@ -5,6 +5,10 @@
 	readonly isHeld: boolean;
 	readonly hasMemoryCopy: boolean;
 	readonly hasDiskCopy: boolean;
+	/** Models that it keeps copies of, relative to the engine that keeps most, 0 to 1. */
+	readonly copyShare: number;
+	/** Whether it keeps so few that it can load few models quickly. */
+	readonly isShortOfCopies: boolean;
 	/** Whether the model fits beside what is loaded or is going to be. */
 	readonly hasRoom: boolean;
 	/** Whether all models that are loaded are in use, so that one of them has to fall idle first. */
@@ -13,6 +17,8 @@
 	readonly remainingMs: number | undefined;
 	/** Whether the engine is carrying that load out. */
 	readonly isStarted: boolean;
+	/** Expected time until the load that the engine carries out now is done, in milliseconds; it takes no other order before. */
+	readonly busyMs: number;
 	/** Expected time until all loads that are in progress or queued there are done, in milliseconds. */
 	readonly queueMs: number;
 	/** Requests in progress for each of its slots. */
--- a/packages/residency/src/unit-need.ts
+++ b/packages/residency/src/unit-need.ts
@@ -1,3 +1,5 @@
+import type {Wait} from './wait.js';
+
 /** What is needed of a model, or of an adapter on it, at one engine. */
 export type UnitNeed = {
 	readonly model: string;
@@ -6,8 +8,6 @@
 	/** Requests that wait for it to be loaded. */
 	readonly waiting: number;
 	readonly inProgress: number;
-	/** Time until the most urgent waiting request misses its objective, in milliseconds. */
-	readonly dueInMs: number;
-	/** The weights of the requests that wait, added up. */
-	readonly weight: number;
+	/** Those that wait, by when they are due. */
+	readonly waits: readonly Wait[];
 };
