Know all engines before fetching from the weight store, refuse by the soonest load, and expect refused callers back

- the forecast takes the soonest engine, not the chosen one, and there is none until the engines are known;
- refused callers count as demand until they were told to come back;
- an engine begins a store load only where loads from copies have counted less in the same time;

--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -186,6 +186,8 @@
 		this.#node = new ConsensusNode(stored, {
 			settings: {heartbeatMs: settings.consensusHeartbeatMs, electionTimeoutMs: settings.electionTimeoutMs},
 			clock: SYSTEM_CLOCK,
+			// The system's monotonic clock begins with the process.
+			processStartedAt: 0,
 			timers,
 			storage: this.#storage,
 			transport: new GrpcTransport(pool, settings.listen, SYSTEM_CLOCK),
--- a/apps/valelead-daemon/src/gateway/demand-reporter.ts
+++ b/apps/valelead-daemon/src/gateway/demand-reporter.ts
@@ -1,5 +1,7 @@
 import {type Clock, type TimerService, Coalescer} from '@valelead/common';
+import {ExpectedReturns} from './expected-returns.js';
 import {isHopeless} from './is-hopeless.js';
+import {newDemand} from './new-demand.js';
 import type {LoadPlanner} from './load-planner.js';
 import type {EngineLinks} from './engine-links.js';
 import type {GatewayRequest} from './gateway-request.js';
@@ -11,8 +13,8 @@
 	readonly residency: EngineLinks;
 	readonly getRequests: () => Iterable<GatewayRequest>;
 	readonly isWaiting: (request: GatewayRequest) => boolean;
-	/** Takes a waiting request that is expected to be served only when its caller has left. */
-	readonly onHopeless: (request: GatewayRequest, forecastMs: number) => void;
+	/** Refuses a waiting request whose unit is loaded only when its caller has left; false where it may be served all the same. */
+	readonly giveUp: (request: GatewayRequest, forecastMs: number) => boolean;
 };
 
 /** How long changes of demand wait for others to be told with them, in milliseconds. */
@@ -25,6 +27,7 @@
 export class DemandReporter {
 	readonly #parts: ReporterParts;
 	readonly #tellings: Coalescer;
+	readonly #returns = new ExpectedReturns();
 	#toldAt = 0;
 
 	constructor(parts: ReporterParts) {
@@ -47,18 +50,18 @@
 
 	#tell(): void {
 		const {
-			clock, planner, residency, isWaiting, onHopeless,
+			clock, planner, residency, isWaiting, giveUp,
 		} = this.#parts;
 		const now = clock.now();
 		this.#toldAt = now;
 		const requests = [...this.#parts.getRequests()].filter(request => request.head.model !== '');
-		const waiting = requests.filter(request => isWaiting(request));
 		const inProgress = requests.filter(request => !isWaiting(request));
-		residency.setNeeds(planner.getNeeds(waiting, inProgress, now));
-		for (const request of waiting) {
-			const forecastMs = planner.getForecastMs(request.target);
-			if (forecastMs !== undefined && isHopeless(request, forecastMs, now)) {
-				onHopeless(request, forecastMs);
+		const waiting = requests.filter(request => isWaiting(request)).map(request => ({request, demand: newDemand(request)}));
+		residency.setNeeds(planner.getNeeds([...waiting.map(({demand}) => demand), ...this.#returns.getDemands(now)], inProgress, now));
+		for (const {request, demand} of waiting) {
+			const forecastMs = planner.getForecastMs(demand);
+			if (forecastMs !== undefined && isHopeless(demand, forecastMs, now) && giveUp(request, forecastMs)) {
+				this.#returns.add(demand, now + forecastMs);
 			}
 		}
 	}
--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -1,11 +1,12 @@
 import {
-	type LoadSite, type UnitNeed, type Wait, getExpectedMs, getLoadSite, getWishedReplicas,
+	type LoadSite, type UnitNeed, type Wait, getExpectedMs, getLoadSite, getSoonestMs, getWishedReplicas,
 } from '@valelead/residency';
 import {type ModelShape, type RouteTable, getModelShapes} from '@valelead/routing';
+import {EngineKnowledge} from './engine-knowledge.js';
 import {getTarget} from './get-target.js';
 import {NeedTable} from './need-table.js';
 import {newLoadSite} from './new-load-site.js';
-import {newWait} from './new-wait.js';
+import type {Demand} from './demand.js';
 import type {EngineView} from './engine-view.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {WantedUnit} from './wanted-unit.js';
@@ -28,8 +29,6 @@
 type Choice = {
 	readonly upstreamId: string;
 	readonly comparedAt: number;
-	/** Until the unit is expected to be loaded there, in milliseconds from the comparison. */
-	readonly expectedMs: number;
 	/** Since when this engine is the choice. */
 	readonly since: number;
 	/** An engine that was chosen before and did not begin, and until when it is left out. */
@@ -87,15 +86,15 @@
 	return Math.max(told, ownWaiting);
 };
 
-const getModelRequests = (waiting: readonly GatewayRequest[], inProgress: readonly GatewayRequest[]): ModelRequests[] => {
+const getModelRequests = (waiting: readonly Demand[], inProgress: readonly GatewayRequest[]): ModelRequests[] => {
 	const models = new Map<string, ModelRequests>();
 	for (const {service, head} of inProgress) {
 		models.set(`${service}/${head.model}`, {service, model: head.model, waiting: 0});
 	}
 
-	for (const {service, head} of waiting) {
-		const key = `${service}/${head.model}`;
-		const known = models.get(key) ?? {service, model: head.model, waiting: 0};
+	for (const {service, model} of waiting) {
+		const key = `${service}/${model}`;
+		const known = models.get(key) ?? {service, model, waiting: 0};
 		known.waiting += 1;
 		models.set(key, known);
 	}
@@ -108,6 +107,7 @@
 	readonly #parts: PlannerParts;
 	/** The engine that was chosen for each wish. */
 	#sites: Choices = new Map();
+	readonly #knowledge = new EngineKnowledge();
 	#now = 0;
 
 	constructor(parts: PlannerParts) {
@@ -115,36 +115,47 @@
 	}
 
 	/** What each engine is needed for: requests in progress there, waiting ones that it is to load for, and more replicas. */
-	getNeeds(waiting: readonly GatewayRequest[], inProgress: readonly GatewayRequest[], now: number): Map<string, UnitNeed[]> {
+	getNeeds(waiting: readonly Demand[], inProgress: readonly GatewayRequest[], now: number): Map<string, UnitNeed[]> {
 		const table = new NeedTable();
 		const before = this.#sites;
 		this.#sites = new Map();
 		this.#now = now;
+		this.#knowledge.note([...this.#parts.getViews().values()], now);
 		for (const {upstreamId, head} of inProgress) {
 			table.add(upstreamId, {
 				model: head.model, adapter: head.adapter, waiting: 0, inProgress: 1, waits: [],
 			});
 		}
 
-		for (const request of waiting) {
-			const {service, target, head} = request;
+		for (const {
+			service, target, model, adapter, weight, dueAt, leavesAt,
+		} of waiting) {
 			const unit = {
-				service, model: head.model, adapter: head.adapter, key: target, needsCopy: false, needsRoom: false, needsShortOfCopies: false, excluded: NOWHERE,
+				service, model, adapter, key: target, needsCopy: false, needsRoom: false, needsShortOfCopies: false, excluded: NOWHERE,
 			};
-			this.#addWish(table, before, unit, newWait(request, now));
+			this.#addWish(table, before, unit, {
+				count: 1, weight, dueInMs: Math.round(dueAt - now), leavesInMs: Math.round(leavesAt - now),
+			});
 		}
 
 		this.#addReplicas(table, before, waiting, inProgress);
 		return table.all;
 	}
 
-	/** Until the target is expected to be loaded at the engine that was chosen for it, in milliseconds; undefined where none was. */
-	getForecastMs(target: string): number | undefined {
-		const choice = this.#sites.get(target);
-		return choice && Math.max(0, choice.expectedMs - (this.#now - choice.comparedAt));
+	/**
+	 * Until a unit is loaded somewhere at the soonest, in milliseconds: where it is queued, in its turn, elsewhere after the
+	 * load in progress. Undefined while the engines are not all known, as after the start of this process.
+	 */
+	getForecastMs({service, model, adapter, target}: Demand): number | undefined {
+		const unit = {
+			service, model, adapter, key: target, needsCopy: false, needsRoom: false, needsShortOfCopies: false, excluded: NOWHERE,
+		};
+		const shape = this.#getShape(unit);
+		const sites = this.#getSites(unit);
+		return shape && sites.length > 0 && this.#knowledge.isSettled(service, this.#now) ? Math.min(...sites.map(site => getSoonestMs(site, shape))) : undefined;
 	}
 
-	#addReplicas(table: NeedTable, before: ReadonlyMap<string, Choice>, waiting: readonly GatewayRequest[], inProgress: readonly GatewayRequest[]): void {
+	#addReplicas(table: NeedTable, before: ReadonlyMap<string, Choice>, waiting: readonly Demand[], inProgress: readonly GatewayRequest[]): void {
 		for (const requests of getModelRequests(waiting, inProgress)) {
 			this.#addReplicasOf(requests, table, before);
 		}
@@ -213,15 +224,14 @@
 		}
 
 		const avoided = this.#getAvoidance(unit, known);
-		const site = this.#compare(unit, known?.upstreamId, avoided?.upstreamId);
-		if (site === undefined) {
+		const upstreamId = this.#compare(unit, known?.upstreamId, avoided?.upstreamId);
+		if (upstreamId === undefined) {
 			return undefined;
 		}
 
-		const {upstreamId} = site;
 		const since = upstreamId === known?.upstreamId ? known.since : this.#now;
 		return {
-			upstreamId, comparedAt: this.#now, expectedMs: getExpectedMs(site, this.#getShape(unit)!), since, avoided,
+			upstreamId, comparedAt: this.#now, since, avoided,
 		};
 	}
 
@@ -241,7 +251,7 @@
 		return known.avoided && this.#now < known.avoided.until ? known.avoided : undefined;
 	}
 
-	#compare(unit: WantedUnit, chosenId: string | undefined, avoidedId: string | undefined): LoadSite | undefined {
+	#compare(unit: WantedUnit, chosenId: string | undefined, avoidedId: string | undefined): string | undefined {
 		const shape = this.#getShape(unit);
 		if (!shape) {
 			return undefined;
@@ -253,18 +263,22 @@
 		const best = getLoadSite(unit.key, shape, sites);
 		const chosen = sites.find(site => site.upstreamId === chosenId);
 		if (!best || !chosen) {
-			return best;
+			return best?.upstreamId;
 		}
 
 		const isBetter = getExpectedMs(best, shape) + SWITCH_MARGIN_MS < getExpectedMs(chosen, shape);
-		return isBetter ? best : chosen;
+		return isBetter ? best.upstreamId : chosen.upstreamId;
 	}
 
-	/** Engines that could load the unit. A wish for a model itself means that those which hold it do not suffice. */
+	/**
+	 * Engines that could load the unit. A wish for a model itself means that those which hold it do not suffice. While the
+	 * engines are not all known none is to fetch from the weight store: the copy may lie on one that is not heard yet.
+	 */
 	#getSites(unit: WantedUnit): LoadSite[] {
 		const {
-			adapter, needsCopy, needsRoom, needsShortOfCopies, excluded,
+			service, adapter, needsRoom, needsShortOfCopies, excluded,
 		} = unit;
+		const needsCopy = unit.needsCopy || !this.#knowledge.isSettled(service, this.#now);
 		return this.#getAllSites(unit)
 			.filter(site => adapter !== '' || !site.isHeld)
 			.filter(site => !excluded.has(site.upstreamId) && (!needsRoom || site.hasRoom) && (!needsShortOfCopies || site.isShortOfCopies))
--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/new-demand.ts
@@ -0,0 +1,14 @@
+import {getClassWeight} from '@valelead/residency';
+import type {Demand} from './demand.js';
+import type {GatewayRequest} from './gateway-request.js';
+
+/** What a waiting request needs. */
+export const newDemand = ({service, target, head, arrivedAt, deadlineAt, route}: GatewayRequest): Demand => ({
+	service,
+	target,
+	model: head.model,
+	adapter: head.adapter,
+	weight: getClassWeight(route.priority),
+	dueAt: arrivedAt + route.objectiveMs,
+	leavesAt: Math.min(deadlineAt, arrivedAt + route.patienceMs),
+});
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -87,9 +87,7 @@
 			residency: parts.residency,
 			getRequests: () => this.#requests.values(),
 			isWaiting: request => this.#state.requests.get(request.id)?.state === 'waiting',
-			onHopeless: (request, forecastMs) => {
-				this.#giveUp(request, forecastMs);
-			},
+			giveUp: (request, forecastMs) => this.#giveUp(request, forecastMs),
 		});
 		this.#refreshes = new Coalescer(parts.timers, REFRESH_COALESCE_MS, () => {
 			this.refresh();
@@ -164,15 +162,16 @@
 	}
 
 	/** Ends a request that waits for a model which will be loaded too late for it; its caller is told when to come back. */
-	#giveUp(request: GatewayRequest, forecastMs: number): void {
+	#giveUp(request: GatewayRequest, forecastMs: number): boolean {
 		const isServed = (this.#state.endpoints.get(request.target)?.length ?? 0) > 0;
 		if (isServed) {
-			return;
+			return false;
 		}
 
 		this.#take({
 			kind: 'giveUp', requestId: request.id, code: RESULT_CODE.WaitTooLong, retryAfterMs: forecastMs,
 		});
+		return true;
 	}
 
 	#isUsable(upstreamId: string): boolean {
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -43,4 +43,8 @@
 export type {EnginePort} from './sidecar/engine-port.js';
 export {newEngineCopies} from './sidecar/new-engine-copies.js';
 export {newCapacity} from './sidecar/new-capacity.js';
+export type {Demand} from './gateway/demand.js';
+export {newDemand} from './gateway/new-demand.js';
+export {ExpectedReturns} from './gateway/expected-returns.js';
+export {EngineKnowledge} from './gateway/engine-knowledge.js';
 export {isHopeless} from './gateway/is-hopeless.js';
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -2,7 +2,7 @@
 	type Clock, type TimerService, type TimerSubscription,
 } from '@valelead/common';
 import {
-	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getAgedNeed, getLoadMs, getNextOrder, getWantedMs, mutateUse, mutateWanted, newResidencyState,
+	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getAgedNeed, getLoadMs, getLoadValue, getNextOrder, getWaits, mutateCopyLoad, getWantedMs, mutateUse, mutateWanted, newResidencyState,
 } from '@valelead/residency';
 import type {Logger} from 'pino';
 import type {EngineStatus} from '../adapter/engine-status.js';
@@ -33,6 +33,9 @@
 /** How soon the engine is asked again while an order is carried out or something waits, in milliseconds. */
 const BUSY_POLL_MS = 40;
 
+/** The same when the order may end at any moment, in milliseconds. */
+const ENDING_POLL_MS = 10;
+
 /** An adapter loads within milliseconds. */
 const ADAPTER_POLL_MS = 10;
 
@@ -75,7 +78,7 @@
 	}
 
 	start(): void {
-		void this.#run();
+		this.#wake();
 	}
 
 	stop(): void {
@@ -183,7 +186,7 @@
 		const order = this.#decide();
 		this.#publisher.publish();
 		if (!order) {
-			return this.#status!.isBusy || this.#status!.pending.length > 0 ? BUSY_POLL_MS : this.#getRestMs();
+			return this.#status!.isBusy || this.#status!.pending.length > 0 ? this.#getBusyMs() : this.#getRestMs();
 		}
 
 		if (order.kind === ORDER_KIND.Unload && !this.#isNoticed(order)) {
@@ -196,7 +199,13 @@
 			return ADAPTER_POLL_MS;
 		}
 
-		return order.adapter === '' ? BUSY_POLL_MS : ADAPTER_POLL_MS;
+		return order.adapter === '' ? this.#getBusyMs() : ADAPTER_POLL_MS;
+	}
+
+	/** Until the engine is asked again while it carries out an order: an unload may end at any moment, a load when it is expected to. */
+	#getBusyMs(): number {
+		const remainingMs = this.#loading ? this.#loading.endsAt - this.#parts.clock.now() : 0;
+		return Math.min(BUSY_POLL_MS, Math.max(ENDING_POLL_MS, remainingMs - ENDING_POLL_MS));
 	}
 
 	#getRestMs(): number {
@@ -233,7 +242,7 @@
 		const needs = this.#getNeeds();
 		mutateWanted(this.#residency, needs, this.#parts.clock.now());
 		const fetched = this.#prefetcher.getNeeds(this.#upstreamId, [...this.#capacity.models.keys()]);
-		return getNextOrder(this.#residency, this.#capacity, this.#getHoldings(this.#status!), [...needs, ...fetched]);
+		return getNextOrder(this.#residency, this.#capacity, this.#getHoldings(this.#status!), [...needs, ...fetched], this.#parts.clock.now());
 	}
 
 	/** Whether gateways were told of the order long enough ago; tells them if not. */
@@ -259,7 +268,12 @@
 			event: 'order', order: order.kind, model: order.model, adapter: order.adapter, upstreamId: this.#upstreamId, expectedSequence, result: reply.result, reason: reply.reason, tookMs: Math.round(this.#parts.clock.now() - startedAt),
 		}, 'engine ordered');
 		const isLoad = order.kind === ORDER_KIND.Load && order.adapter === '' && reply.result === ORDER_RESULT.Accepted;
-		this.#loading = isLoad ? {model: order.model, endsAt: startedAt + getLoadMs(this.#capacity!, this.#getHoldings(this.#status!), order.model)} : this.#loading;
+		const loadMs = isLoad ? getLoadMs(this.#capacity!, this.#getHoldings(this.#status!), order.model) : 0;
+		this.#loading = isLoad ? {model: order.model, endsAt: startedAt + loadMs} : undefined;
+		if (isLoad && loadMs < this.#capacity!.models.get(order.model)!.storeLoadMs) {
+			mutateCopyLoad(this.#residency, getLoadValue(getWaits(this.#getNeeds(), order.model), loadMs), startedAt);
+		}
+
 		if (reply.result === ORDER_RESULT.OtherEngine) {
 			this.#upstreamId = reply.upstreamId;
 		}
--- a/apps/valelead-daemon/tests/is-hopeless.feature
+++ b/apps/valelead-daemon/tests/is-hopeless.feature
@@ -19,3 +19,8 @@
   Scenario: The time of a caller may end before its patience
     When a request with 4000 ms of time has waited for 0 ms and its model is expected in 4500 ms
     Then the decision about it is "given up"
+
+  Scenario: A model whose callers are all refused is loaded for their return
+    When a refused caller is told to come back in 4000 ms
+    Then its model is still needed after 4200 ms, for a caller that leaves 6000 ms after it was to come back
+    And its model is no longer needed after 4600 ms
--- a/apps/valelead-daemon/tests/is-hopeless.steps.ts
+++ b/apps/valelead-daemon/tests/is-hopeless.steps.ts
@@ -1,23 +1,34 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {type GatewayRequest, isHopeless} from 'valelead-daemon';
+import {
+	type Demand, type GatewayRequest, ExpectedReturns, isHopeless, newDemand,
+} from 'valelead-daemon';
 
 type HopelessWorld = {
 	objectiveMs: number;
 	patienceMs: number;
 	timeMs: number;
 	isGivenUp: boolean;
+	demand: Demand;
+	returns: ExpectedReturns;
 };
 
 const ARRIVED_AT = 1000;
 
-const decide = ({objectiveMs, patienceMs}: HopelessWorld, timeMs: number, waitedMs: number, forecastMs: number): boolean => {
-	const request: Pick<GatewayRequest, 'arrivedAt' | 'deadlineAt'> & {readonly route: object} = {
-		arrivedAt: ARRIVED_AT, deadlineAt: ARRIVED_AT + timeMs, route: {objectiveMs, patienceMs},
+const getDemand = ({objectiveMs, patienceMs}: HopelessWorld, timeMs: number): Demand => {
+	const request: Pick<GatewayRequest, 'arrivedAt' | 'deadlineAt' | 'service' | 'target'> & {readonly head: object; readonly route: object} = {
+		arrivedAt: ARRIVED_AT,
+		deadlineAt: ARRIVED_AT + timeMs,
+		service: 'llm',
+		target: 'llm/a',
+		head: {model: 'a', adapter: ''},
+		route: {objectiveMs, patienceMs, priority: 0},
 	};
-	return isHopeless(request as GatewayRequest, forecastMs, ARRIVED_AT + waitedMs);
+	return newDemand(request as GatewayRequest);
 };
 
+const decide = (world: HopelessWorld, timeMs: number, waitedMs: number, forecastMs: number): boolean => isHopeless(getDemand(world, timeMs), forecastMs, ARRIVED_AT + waitedMs);
+
 Given('a route with an objective of {int} ms whose callers leave after {int} ms, and {int} ms of time', function (this: HopelessWorld, objectiveMs: number, patienceMs: number, timeMs: number) {
 	this.objectiveMs = objectiveMs;
 	this.patienceMs = patienceMs;
@@ -35,3 +46,20 @@
 Then('the decision about it is {string}', function (this: HopelessWorld, decision: string) {
 	assert.equal(this.isGivenUp, decision === 'given up');
 });
+
+When('a refused caller is told to come back in {int} ms', function (this: HopelessWorld, returnMs: number) {
+	this.demand = getDemand(this, this.timeMs);
+	this.returns = new ExpectedReturns();
+	this.returns.add(this.demand, ARRIVED_AT + returnMs);
+});
+
+Then('its model is still needed after {int} ms, for a caller that leaves {int} ms after it was to come back', function (this: HopelessWorld, afterMs: number, leavesMs: number) {
+	const [demand] = this.returns.getDemands(ARRIVED_AT + afterMs);
+	assert.equal(demand.target, this.demand.target);
+	assert.equal(demand.dueAt, this.demand.dueAt);
+	assert.equal(demand.leavesAt, ARRIVED_AT + 4000 + leavesMs);
+});
+
+Then('its model is no longer needed after {int} ms', function (this: HopelessWorld, afterMs: number) {
+	assert.deepEqual(this.returns.getDemands(ARRIVED_AT + afterMs), []);
+});
--- a/apps/valelead-daemon/tests/load-planner.feature
+++ b/apps/valelead-daemon/tests/load-planner.feature
@@ -74,4 +74,15 @@
   Scenario: The forecast for a model of which no copy exists is a load from the weight store
     Given engines "e1, e2" that hold "b, c, d" with copies of "b, c, d"
     When 1 request of the gateway waits for "a"
-    Then "a" is forecast to be loaded in 6000 to 12000 ms
+    Then 1 engine is to load "a"
+    And "a" is forecast to be loaded in 6000 to 12000 ms
+
+  Scenario: After a start nothing is fetched from the weight store until the engines that may keep a copy are known
+    Given engines "e1, e2" that hold "b, c, d" with copies of "b, c, d"
+    When 1 request of the gateway waits for "a"
+    Then just after the engines became known, 0 engines are to load "a", and there is no forecast
+
+  Scenario: A load from a copy does not wait for that
+    Given engines "e1, e2" that hold "b, c, d" with copies of all models
+    When 1 request of the gateway waits for "a"
+    Then just after the engines became known, 1 engine is to load "a", and there is no forecast
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -2,7 +2,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {UPSTREAM_STATE} from '@valelead/discovery';
 import {
-	type EngineView, type GatewayRequest, LoadPlanner,
+	type Demand, type EngineView, type GatewayRequest, LoadPlanner, newDemand,
 } from 'valelead-daemon';
 
 type PlannerWorld = {
@@ -10,7 +10,7 @@
 	modelMemory: number;
 	views: Map<string, EngineView>;
 	planner: LoadPlanner;
-	waiting: GatewayRequest[];
+	waiting: Demand[];
 	inProgress: GatewayRequest[];
 	/** Where the model was to be loaded, in the order of time. */
 	sites: string[];
@@ -20,6 +20,11 @@
 const MODELS = ['a', 'b', 'c', 'd'];
 const NOW = 1000;
 const OBJECTIVE_MS = 400;
+const PATIENCE_MS = 2400;
+const TIME_MS = 15_000;
+
+/** The planner has known the engines for long. */
+const SETTLED_AT = -10_000;
 const LOAD_MS = 800;
 const STEP_MS = 50;
 
@@ -41,12 +46,13 @@
 /** Only the fields that the planner reads. */
 const newRequest = (unit: string, upstreamId = ''): GatewayRequest => {
 	const [model, adapter = ''] = unit.split('/');
-	const request: Pick<GatewayRequest, 'service' | 'target' | 'arrivedAt' | 'upstreamId'> & {readonly head: object; readonly route: object} = {
+	const request: Pick<GatewayRequest, 'service' | 'target' | 'arrivedAt' | 'deadlineAt' | 'upstreamId'> & {readonly head: object; readonly route: object} = {
 		service: SERVICE,
 		target: `${SERVICE}/${unit}`,
 		head: {model, adapter},
-		route: {objectiveMs: OBJECTIVE_MS, priority: 1},
+		route: {objectiveMs: OBJECTIVE_MS, patienceMs: PATIENCE_MS, priority: 1},
 		arrivedAt: NOW,
+		deadlineAt: NOW + TIME_MS,
 		upstreamId,
 	};
 	return request as GatewayRequest;
@@ -84,7 +90,7 @@
 });
 
 When('{int} request(s) of the gateway wait(s) for {string}', function (this: PlannerWorld, count: number, unit: string) {
-	this.waiting = Array.from({length: count}, () => newRequest(unit));
+	this.waiting = Array.from({length: count}, () => newDemand(newRequest(unit)));
 });
 
 When('the sidecar of {string} tells of {int} requests of all gateways that wait for {string}', function (this: PlannerWorld, id: string, waiting: number, model: string) {
@@ -99,7 +105,8 @@
 	this.inProgress = Array.from({length: count}, () => newRequest(model, id));
 });
 
-const getLoading = (world: PlannerWorld, model: string): string[] => {
+const getLoading = (world: PlannerWorld, model: string, isSettled = true): string[] => {
+	world.planner.getNeeds([], [], isSettled ? SETTLED_AT : NOW - 1);
 	const needs = world.planner.getNeeds(world.waiting, world.inProgress, NOW);
 	return [...needs].filter(([, units]) => units.some(unit => unit.model === model && unit.waiting > 0)).map(([id]) => id);
 };
@@ -117,7 +124,8 @@
 });
 
 When('{int} request of the gateway waits for {string} for {int} ms and no engine begins to load', function (this: PlannerWorld, count: number, model: string, waitedMs: number) {
-	this.waiting = Array.from({length: count}, () => newRequest(model));
+	this.waiting = Array.from({length: count}, () => newDemand(newRequest(model)));
+	this.planner.getNeeds([], [], SETTLED_AT);
 	this.sites = [];
 	for (let now = NOW; now <= NOW + waitedMs; now += STEP_MS) {
 		const needs = this.planner.getNeeds(this.waiting, [], now);
@@ -136,6 +144,11 @@
 
 Then('{string} is forecast to be loaded in {int} to {int} ms', function (this: PlannerWorld, model: string, leastMs: number, mostMs: number) {
 	getLoading(this, model);
-	const forecastMs = this.planner.getForecastMs(`${SERVICE}/${model}`)!;
+	const forecastMs = this.planner.getForecastMs(newDemand(newRequest(model)))!;
 	assert.ok(forecastMs >= leastMs && forecastMs <= mostMs, String(forecastMs));
 });
+
+Then('just after the engines became known, {int} engine(s) is/are to load {string}, and there is no forecast', function (this: PlannerWorld, count: number, model: string) {
+	assert.equal(getLoading(this, model, false).length, count);
+	assert.equal(this.planner.getForecastMs(newDemand(newRequest(model))), undefined);
+});
--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -23,6 +23,8 @@
 type NodeParts = {
 	readonly settings: ConsensusSettings;
 	readonly clock: Clock;
+	/** When this process started, in monotonic milliseconds; an earlier run on the same disk had ended by then. */
+	readonly processStartedAt: number;
 	readonly timers: TimerService;
 	readonly storage: LogStorage;
 	readonly transport: ConsensusTransport;
@@ -66,7 +68,7 @@
 
 	constructor(stored: StoredLog, parts: NodeParts) {
 		this.#parts = parts;
-		this.#state = newConsensusState(stored, parts.settings, parts.clock.now());
+		this.#state = newConsensusState(stored, parts.settings, parts.processStartedAt);
 		if (stored.snapshot.data !== '') {
 			parts.machine.restore(stored.snapshot.index, stored.snapshot.data);
 			this.#machineIndex = stored.snapshot.index;
--- a/packages/consensus/src/new-consensus-state.ts
+++ b/packages/consensus/src/new-consensus-state.ts
@@ -4,10 +4,12 @@
 import type {StoredLog} from './stored-log.js';
 
 /**
- * The state of a voter that starts from its stored log. It counts the start as contact with a leader,
- * so that a lease granted before the restart is honoured.
+ * The state of a voter that starts from its stored log. It counts the start of its process as contact with a leader, so
+ * that a lease granted before the restart is honoured. An earlier run can have granted none after that, so the time that
+ * the process took to get here counts: after the loss of all processes it is half a second of the time without a leader.
+ * @param startedAt - When the process started, in monotonic milliseconds.
  */
-export const newConsensusState = (stored: StoredLog, settings: ConsensusSettings, now: number): ConsensusState => {
+export const newConsensusState = (stored: StoredLog, settings: ConsensusSettings, startedAt: number): ConsensusState => {
 	const lastIndex = stored.entries.at(-1)?.index ?? stored.snapshot.index;
 	const current = getNextVoters(stored.snapshot, stored.entries);
 	return {
@@ -23,10 +25,10 @@
 		appliedIndex: stored.snapshot.index,
 		syncedIndex: lastIndex,
 		leaderId: undefined,
-		leaderContactAt: now,
-		electionDueAt: now + (settings.electionTimeoutMs * 1.5),
-		heartbeatDueAt: now,
-		leaderSince: now,
+		leaderContactAt: startedAt,
+		electionDueAt: startedAt + (settings.electionTimeoutMs * 1.5),
+		heartbeatDueAt: startedAt,
+		leaderSince: startedAt,
 		granted: new Set(),
 		peers: new Map(),
 		proposals: new Map(),
--- a/packages/consensus/tests/node.feature
+++ b/packages/consensus/tests/node.feature
@@ -19,3 +19,7 @@
       | 6      | 0        | a voter   | 5    |
       | 3      | 1        | a learner | 3    |
       | 4      | 0        | nobody    | 4    |
+
+  Scenario: A lease from before a restart is honoured from the start of the process on, and no longer
+    Then a voter whose process started at 0 ms grants a vote that is asked for at 40 ms: no
+    And a voter whose process started at 0 ms grants a vote that is asked for at 60 ms: yes
--- a/packages/consensus/tests/node.steps.ts
+++ b/packages/consensus/tests/node.steps.ts
@@ -55,6 +55,7 @@
 	this.node = new ConsensusNode(newStored([newVoter('a')]), {
 		settings: SETTINGS,
 		clock: SYSTEM_CLOCK,
+		processStartedAt: SYSTEM_CLOCK.now(),
 		timers: this.timers,
 		storage: newStorage(this),
 		transport: {send: () => undefined},
@@ -121,3 +122,16 @@
 	assert.equal(kept.length, count);
 	assert.equal(kept.some(voter => voter.id === lastId), count === this.voters.length);
 });
+
+Then('a voter whose process started at 0 ms grants a vote that is asked for at {int} ms: {word}', (askedAt: number, isGranted: string) => {
+	const state = newConsensusState(newStored([newVoter('a'), newVoter('b'), newVoter('c')]), SETTINGS, 0);
+	const [effect] = mutateConsensus(state, SETTINGS, {
+		kind: 'message',
+		from: 'b',
+		message: {
+			kind: 'voteRequest', term: 9, isPreVote: true, isTransfer: false, lastIndex: 9, lastTerm: 9,
+		},
+	}, askedAt);
+	assert.ok(effect?.kind === 'send' && effect.message.kind === 'voteReply');
+	assert.equal(effect.message.isGranted, isGranted === 'yes');
+});
--- a/packages/residency/src/get-expected-ms.ts
+++ b/packages/residency/src/get-expected-ms.ts
@@ -1,3 +1,4 @@
+import {getOwnLoadMs} from './get-own-load-ms.js';
 import type {LoadSite} from './load-site.js';
 import type {LoadTimes} from './load-times.js';
 
@@ -10,20 +11,6 @@
  */
 const IN_USE_MS = 1500;
 
-/**
- * A load from the weight store takes the time of several loads from copies. On an engine that keeps many copies these are
- * loads that requests wait for, so its time counts up to this much more there.
- */
-const DISPLACED_SHARE = 1;
-
-const getOwnMs = (site: LoadSite, times: LoadTimes): number => {
-	if (site.hasMemoryCopy) {
-		return times.memoryLoadMs;
-	}
-
-	return site.hasDiskCopy ? times.diskLoadMs : times.storeLoadMs * (1 + (DISPLACED_SHARE * site.copyShare));
-};
-
 /** The expected time until an engine has a model loaded, in milliseconds. */
 export const getExpectedMs = (site: LoadSite, times: LoadTimes): number => {
 	if (site.isHeld) {
@@ -35,5 +22,5 @@
 		return site.remainingMs + (site.isStarted ? 0 : placeMs);
 	}
 
-	return site.queueMs + placeMs + (getOwnMs(site, times) * (1 + (site.pressure * PRESSURE_SHARE)));
+	return site.queueMs + placeMs + (getOwnLoadMs(site, times) * (1 + (site.pressure * PRESSURE_SHARE)));
 };
--- a/packages/residency/src/get-load-queue.ts
+++ b/packages/residency/src/get-load-queue.ts
@@ -1,3 +1,4 @@
+import {getAging} from './get-aging.js';
 import {getLoadValue} from './get-load-value.js';
 import type {UnitNeed} from './unit-need.js';
 import type {Wait} from './wait.js';
@@ -12,12 +13,6 @@
 /** What else a swap takes beside its load, in milliseconds: the notice, the unload, and the engine's word that it is done. */
 const SWAP_MS = 100;
 
-/**
- * A load counts twice as much for each such time that requests have waited for its model, in milliseconds, so that none
- * waits for ever: a load from the weight store catches up with those from copies after six to eight of them.
- */
-const DOUBLING_MS = 2500;
-
 const compare = (left: Candidate, right: Candidate): number => (right.rate - left.rate) || (left.dueInMs - right.dueInMs);
 
 type QueueTerms = {
@@ -48,7 +43,7 @@
 export const getLoadQueue = (terms: QueueTerms): string[] => [...getWaitsByModel(terms)]
 	.map(([model, waits]) => {
 		const loadMs = terms.getLoadMs(model);
-		const value = getLoadValue(waits, loadMs) * (2 ** (terms.getWantedMs(model) / DOUBLING_MS));
+		const value = getLoadValue(waits, loadMs) * getAging(terms.getWantedMs(model));
 		return {model, rate: value / (loadMs + SWAP_MS), dueInMs: Math.min(...waits.map(wait => wait.dueInMs))};
 	})
 	.sort(compare)
--- /dev/null
+++ b/packages/residency/src/get-own-load-ms.ts
@@ -0,0 +1,17 @@
+import type {LoadSite} from './load-site.js';
+import type {LoadTimes} from './load-times.js';
+
+/**
+ * A load from the weight store takes the time of several loads from copies. On an engine that keeps many copies these are
+ * loads that requests wait for, so its time counts up to this much more there.
+ */
+const DISPLACED_SHARE = 1;
+
+/** How long the load itself counts on an engine, from the nearest copy, in milliseconds. */
+export const getOwnLoadMs = ({hasMemoryCopy, hasDiskCopy, copyShare}: LoadSite, times: LoadTimes): number => {
+	if (hasMemoryCopy) {
+		return times.memoryLoadMs;
+	}
+
+	return hasDiskCopy ? times.diskLoadMs : times.storeLoadMs * (1 + (DISPLACED_SHARE * copyShare));
+};
--- a/packages/residency/src/residency-state.ts
+++ b/packages/residency/src/residency-state.ts
@@ -8,6 +8,8 @@
 export type ResidencyState = {
 	/** When each unit was last needed, in monotonic milliseconds. */
 	readonly lastUsedAt: Map<string, number>;
+	/** What loads from copies counted on the average at `at`, in weights of requests in time for each millisecond. */
+	copyLoads: {readonly rate: number; readonly at: number};
 	/** Since when requests wait for each model without a longer break, and when they did last. */
 	readonly wanted: Map<string, WantedTime>;
 };
--- a/packages/residency/tests/residency.feature
+++ b/packages/residency/tests/residency.feature
@@ -181,3 +181,14 @@
     Given replicas "one, two, three" of a model
     Then with few copies on "one" the others are spare
     And with few copies on "three" the others are spare
+
+  Scenario: In a short pause, an engine that loads copies all the time does not begin a load from the weight store
+    Given it holds "a" with copies of "c, d"
+    And the engine has loaded copies for 1 request in time a second over the last 5 s
+    When 1 request of rank 0 that is due in 2000 ms waits for "e"
+    Then there is no next order
+
+  Scenario: An engine that has loaded no copies lately does
+    Given it holds "a" with copies of "c, d"
+    When 1 request of rank 0 that is due in 2000 ms waits for "e"
+    Then the next order is "load e"
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -4,7 +4,7 @@
 } from '@cucumber/cucumber';
 import * as fc from 'fast-check';
 import {
-	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getBalancingFetch, getClassWeight, getLoadSite, getNextOrder, getPrefetch, getSpareReplicas, getUnitName, mutateWanted, newResidencyState,
+	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getBalancingFetch, getClassWeight, getLoadSite, getNextOrder, getPrefetch, getSpareReplicas, getUnitName, mutateCopyLoad, mutateWanted, newResidencyState,
 } from '@valelead/residency';
 
 type ResidencyWorld = {
@@ -16,6 +16,7 @@
 	engines: EngineCopies[];
 	models: string[];
 	inProgress: number;
+	now: number | undefined;
 };
 
 const TIMES = {storeLoadMs: 6000, diskLoadMs: 800, memoryLoadMs: 500};
@@ -117,11 +118,11 @@
 });
 
 Then('the next order is {string}', function (this: ResidencyWorld, order: string) {
-	assert.equal(format(getNextOrder(this.state, this.capacity, this.holdings, this.needs)), order);
+	assert.equal(format(getNextOrder(this.state, this.capacity, this.holdings, this.needs, this.now ?? 0)), order);
 });
 
 Then('there is no next order', function (this: ResidencyWorld) {
-	assert.equal(getNextOrder(this.state, this.capacity, this.holdings, this.needs), undefined);
+	assert.equal(getNextOrder(this.state, this.capacity, this.holdings, this.needs, this.now ?? 0), undefined);
 });
 
 const getMemory = (capacity: Capacity, models: Holdings['models']): number => {
@@ -144,7 +145,7 @@
 };
 
 const checkOrder = (capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[]): void => {
-	const order = getNextOrder(newResidencyState(), capacity, holdings, needs);
+	const order = getNextOrder(newResidencyState(), capacity, holdings, needs, 0);
 	if (!order) {
 		return;
 	}
@@ -268,3 +269,10 @@
 Then('no engine fetches', function (this: ResidencyWorld) {
 	assert.deepEqual(getFetched(this), this.engines.map(() => undefined));
 });
+
+When('the engine has loaded copies for {int} request(s) in time a second over the last {int} s', function (this: ResidencyWorld, count: number, seconds: number) {
+	for (let second = 1; second <= seconds; second += 1) {
+		this.now = second * 1000;
+		mutateCopyLoad(this.state, count, this.now);
+	}
+});
