--- a/apps/valelead-daemon/src/gateway/new-gateway-admission.ts
+++ b/apps/valelead-daemon/src/gateway/new-gateway-admission.ts
@@ -12,6 +12,8 @@
 	creditMarginMs: 0,
 	/** Well above the longest answer of a plain service, and above the reading of some prompts before another. */
 	unansweredMs: 700,
+	/** Some requests are answered in between even by an engine that reads prompts of more than a second. */
+	darkMs: 1500,
 };
 
 /** The part of the installation's retries that is used; the rest covers gateways that count each other late. */
--- a/apps/valelead-lab/src/lab-traffic.ts
+++ b/apps/valelead-lab/src/lab-traffic.ts
@@ -44,15 +44,31 @@
 	}
 
 	#scheduleNext(callerClass: CallerClass): void {
-		const rate = callerClass.perSecond * (this.#factors.get(callerClass.name) ?? 1);
+		const clump = callerClass.clump ?? 1;
+		const rate = callerClass.perSecond * (this.#factors.get(callerClass.name) ?? 1) / clump;
 		this.#installation.clock.after(this.#random.exponential(rate) * MS_PER_SECOND, () => {
-			if (!this.#isOver) {
+			if (this.#isOver) {
+				return;
+			}
+
+			for (let count = this.#getClumpSize(clump); count > 0; count -= 1) {
 				this.#call(callerClass);
-				this.#scheduleNext(callerClass);
 			}
+
+			this.#scheduleNext(callerClass);
 		});
 	}
 
+	/** A geometric number with the given mean. */
+	#getClumpSize(mean: number): number {
+		let size = 1;
+		while (this.#random.next() > 1 / mean) {
+			size += 1;
+		}
+
+		return size;
+	}
+
 	#call(callerClass: CallerClass): void {
 		const {clock, table, gateways} = this.#installation;
 		const model = this.#models.get(callerClass.name)![this.#random.pick(this.#weights.get(callerClass.name)!)];
--- a/apps/valelead-lab/src/pattern-schema.ts
+++ b/apps/valelead-lab/src/pattern-schema.ts
@@ -30,6 +30,8 @@
 	/** A stream without a first event, or with a pause, of this length is left by its caller. */
 	patienceMs: Schema.Finite,
 	perSecond: Schema.Finite,
+	/** Requests that come at the same moment, on the average. */
+	clump: Schema.optionalKey(Schema.Finite),
 	worth: Schema.Finite,
 	lateWorth: Schema.Finite,
 	isResumable: Schema.Boolean,
--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -20,6 +20,11 @@
 	readonly creditMarginMs: number;
 	/** An upstream without any answer to the entry's requests for this long is passed over where another one can serve; undefined to not look. */
 	readonly unansweredMs?: number;
+	/**
+	 * An upstream that has left all requests of the entry without any answer for this long is left out for a while, also
+	 * where no other one can serve; undefined to not look.
+	 */
+	readonly darkMs?: number;
 	/** The data centre of the entry. */
 	readonly dataCentre: string;
 };
--- a/packages/admission/src/mutate-admission.ts
+++ b/packages/admission/src/mutate-admission.ts
@@ -2,6 +2,7 @@
 import {getLane} from './get-lane.js';
 import {mutateAnswered} from './mutate-answered.js';
 import {mutateArrival} from './mutate-arrival.js';
+import {mutateDarkLanes} from './mutate-dark-lanes.js';
 import {mutateDeadlines} from './mutate-deadlines.js';
 import {mutateDispatches} from './mutate-dispatches.js';
 import {mutateEnd} from './mutate-end.js';
@@ -119,6 +120,7 @@
 		}
 
 		case 'tick': {
+			mutateDarkLanes(state, settings, now);
 			return [];
 		}
 
--- /dev/null
+++ b/packages/admission/src/mutate-dark-lanes.ts
@@ -0,0 +1,26 @@
+import {mutateLaneFailure} from './mutate-lane-failure.js';
+import type {AdmissionLane} from './admission-lane.js';
+import type {AdmissionSettings} from './admission-settings.js';
+import type {AdmissionState} from './admission-state.js';
+
+const NO_JITTER = 0.5;
+
+const isDark = ({isDirect, unansweredSince, ejectedUntil}: AdmissionLane, darkMs: number, now: number): boolean =>
+	isDirect && now >= ejectedUntil && unansweredSince !== undefined && now - unansweredSince > darkMs;
+
+/**
+ * Leaves out the upstreams that answer nothing any more. A machine without power takes what is sent on open connections
+ * and says nothing, for some seconds until it is missed in the directory; what comes meanwhile is better kept for others.
+ */
+export const mutateDarkLanes = (state: AdmissionState, settings: AdmissionSettings, now: number): void => {
+	if (settings.darkMs === undefined) {
+		return;
+	}
+
+	for (const lane of state.lanes.values()) {
+		if (isDark(lane, settings.darkMs, now)) {
+			mutateLaneFailure(lane, settings, {jitter: NO_JITTER, isUnreachable: true}, now);
+			lane.unansweredSince = now;
+		}
+	}
+};
--- a/packages/admission/tests/direct.feature
+++ b/packages/admission/tests/direct.feature
@@ -39,3 +39,14 @@
     When a stream that runs once begins at an upstream and breaks
     Then it was sent 1 times
     And the refusal says that it may have run
+
+  Scenario: The only upstream is left out once it answers nothing at all, so that its model is loaded elsewhere
+    Given an entry that reaches upstreams "one" itself, with 3 places each and 2 retries
+    When 1 request arrives
+    And 1400 ms pass without an answer
+    And 1 request arrives
+    Then 2 are dispatched and 0 wait
+    When 200 ms pass without an answer
+    Then the upstream is left out
+    When 1 request arrives
+    Then 2 are dispatched and 1 waits
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -72,7 +72,7 @@
 	this.direct = {
 		state: newAdmissionState(),
 		settings: {
-			maxAttempts: 4, retryShare: 0, maxRetryTokens: retries, initialRetryTokens: retries, isRefusalBudgeted: true, ejectAfter: 3, ejectMs: 1000, maxEjectMs: 8000, avoidMs: 0, creditMarginMs: 0, unansweredMs: 700, dataCentre: 'dc',
+			maxAttempts: 4, retryShare: 0, maxRetryTokens: retries, initialRetryTokens: retries, isRefusalBudgeted: true, ejectAfter: 3, ejectMs: 1000, maxEjectMs: 8000, avoidMs: 0, creditMarginMs: 0, unansweredMs: 700, darkMs: 1500, dataCentre: 'dc',
 		},
 		now: 0,
 		nextId: 0,
@@ -161,3 +161,12 @@
 	start(this);
 	take(this, newFailure(this.direct.dispatched.at(-1)!, RESULT_CODE.AnswerCut, OUTCOME.Unknown));
 });
+
+When('{int} ms pass without an answer', function (this: DirectWorld, ms: number) {
+	this.direct.now += ms;
+	take(this, {kind: 'tick'});
+});
+
+Then('the upstream is left out', function (this: DirectWorld) {
+	assert.ok([...this.direct.state.lanes.values()].every(lane => lane.ejectedUntil > this.direct.now));
+});
--- a/packages/protocol/src/channel.ts
+++ b/packages/protocol/src/channel.ts
@@ -14,6 +14,13 @@
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 const MAX_RECONNECT_MS = 1000;
 
+/**
+ * A connection is tried this often, and counts as lost without an answer in the second time, in milliseconds. A machine
+ * without power says nothing; what it was to load is decided anew once it is missed.
+ */
+const KEEPALIVE_MS = 1500;
+const KEEPALIVE_TIMEOUT_MS = 1000;
+
 const getPath = (method: AnyMethod): string => `/${method.parent.typeName}/${method.name}`;
 
 const newSerialize = <Desc extends DescMessage>(desc: Desc) => (value: MessageShape<Desc>): Buffer => Buffer.from(toBinary(desc, value));
@@ -31,8 +38,8 @@
 			'grpc.initial_reconnect_backoff_ms': 100,
 			'grpc.min_reconnect_backoff_ms': 100,
 			'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
-			'grpc.keepalive_time_ms': 5000,
-			'grpc.keepalive_timeout_ms': 2000,
+			'grpc.keepalive_time_ms': KEEPALIVE_MS,
+			'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
 			'grpc.enable_retries': 0,
 			'grpc.use_local_subchannel_pool': 1,
 		});
