--- a/apps/valelead-daemon/src/gateway/gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/gateway-request.ts
@@ -25,6 +25,8 @@
 	readonly routingVersion: number;
 	dispatchedAt: number | undefined;
 	upstreamId: string;
+	/** The engine that was last chosen to load its model while it waited, or empty. */
+	awaitedUpstreamId: string;
 	attempts: number;
 	/** The last event that was passed on whole, where the stream may be resumed. */
 	lastEventId: string | undefined;
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -207,6 +207,7 @@
 			target: request.target,
 			routingVersion: request.routingVersion,
 			upstreamId: request.upstreamId,
+			awaitedUpstreamId: request.awaitedUpstreamId,
 			attempts: request.attempts,
 			code,
 			outcome,
--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -1,23 +1,17 @@
 import {
-	type LoadSite, type UnitNeed, type Wait, getExpectedMs, getLoadSite, getSoonestMs, getWishedReplicas,
+	type UnitNeed, type Wait, getExpectedMs, getLoadSite, getWishedReplicas,
 } from '@valelead/residency';
-import {type ModelShape, type RouteTable, getModelShapes} from '@valelead/routing';
-import {EngineKnowledge} from './engine-knowledge.js';
 import {getTarget} from './get-target.js';
 import {NeedTable} from './need-table.js';
-import {newLoadSite} from './new-load-site.js';
+import {LoadForecast} from './load-forecast.js';
+import {LoadSites} from './load-sites.js';
+import {newWantedUnit} from './new-wanted-unit.js';
 import type {Demand} from './demand.js';
 import type {EngineView} from './engine-view.js';
 import type {GatewayRequest} from './gateway-request.js';
+import type {SiteParts} from './site-parts.js';
 import type {WantedUnit} from './wanted-unit.js';
 
-type PlannerParts = {
-	readonly getTable: () => RouteTable | undefined;
-	readonly getViews: () => ReadonlyMap<string, EngineView>;
-	/** Whether requests are sent to the upstream at present. */
-	readonly isUsable: (upstreamId: string) => boolean;
-};
-
 /** The requests of one model at this gateway. */
 type ModelRequests = {
 	readonly service: string;
@@ -78,8 +72,6 @@
  */
 const CARRY_WEIGHT = 0.1;
 
-const NOWHERE: ReadonlySet<string> = new Set();
-
 /** Requests that wait for a model to be loaded: those of all gateways as sidecars tell, and no less than the own ones. */
 const getWaiting = (views: readonly EngineView[], model: string, ownWaiting: number): number => {
 	const told = views.reduce((sum, view) => sum + (view.loads.find(load => load.model === model)?.waiting ?? 0), 0);
@@ -104,14 +96,17 @@
 
 /** Chooses the engines where models and adapters are to be loaded, for waiting requests and for busy models. */
 export class LoadPlanner {
-	readonly #parts: PlannerParts;
+	readonly #parts: SiteParts;
 	/** The engine that was chosen for each wish. */
 	#sites: Choices = new Map();
-	readonly #knowledge = new EngineKnowledge();
+	readonly #loadSites: LoadSites;
+	readonly #forecast: LoadForecast;
 	#now = 0;
 
-	constructor(parts: PlannerParts) {
+	constructor(parts: SiteParts) {
 		this.#parts = parts;
+		this.#loadSites = new LoadSites(parts);
+		this.#forecast = new LoadForecast(this.#loadSites);
 	}
 
 	/** What each engine is needed for: requests in progress there, waiting ones that it is to load for, and more replicas. */
@@ -120,7 +115,7 @@
 		const before = this.#sites;
 		this.#sites = new Map();
 		this.#now = now;
-		this.#knowledge.note([...this.#parts.getViews().values()], now);
+		this.#loadSites.note(now);
 		for (const {upstreamId, head} of inProgress) {
 			table.add(upstreamId, {
 				model: head.model, adapter: head.adapter, waiting: 0, inProgress: 1, waits: [],
@@ -130,9 +125,9 @@
 		for (const {
 			service, target, model, adapter, weight, dueAt, leavesAt,
 		} of waiting) {
-			const unit = {
-				service, model, adapter, key: target, needsCopy: false, needsRoom: false, needsShortOfCopies: false, excluded: NOWHERE,
-			};
+			const unit = newWantedUnit({
+				service, model, adapter, key: target,
+			});
 			this.#addWish(table, before, unit, {
 				count: 1, weight, dueInMs: Math.round(dueAt - now), leavesInMs: Math.round(leavesAt - now),
 			});
@@ -142,17 +137,14 @@
 		return table.all;
 	}
 
-	/**
-	 * Until a unit is loaded somewhere at the soonest, in milliseconds: where it is queued, in its turn, elsewhere after the
-	 * load in progress. Undefined while the engines are not all known, as after the start of this process.
-	 */
-	getForecastMs({service, model, adapter, target}: Demand): number | undefined {
-		const unit = {
-			service, model, adapter, key: target, needsCopy: false, needsRoom: false, needsShortOfCopies: false, excluded: NOWHERE,
-		};
-		const shape = this.#getShape(unit);
-		const sites = this.#getSites(unit);
-		return shape && sites.length > 0 && this.#knowledge.isSettled(service, this.#now) ? Math.min(...sites.map(site => getSoonestMs(site, shape))) : undefined;
+	/** The engine that was chosen to load a target. */
+	getSite(target: string): string | undefined {
+		return this.#sites.get(target)?.upstreamId;
+	}
+
+	/** Until a unit is loaded somewhere at the soonest, in milliseconds; undefined while the engines are not all known. */
+	getForecastMs(demand: Demand): number | undefined {
+		return this.#forecast.getMs(demand, this.#now);
 	}
 
 	#addReplicas(table: NeedTable, before: ReadonlyMap<string, Choice>, waiting: readonly Demand[], inProgress: readonly GatewayRequest[]): void {
@@ -179,8 +171,11 @@
 		const needsCopy = wished < held.length * STORE_LOAD_FACTOR;
 		for (let index = 1; index <= missing; index += 1) {
 			const needsRoom = index > 1 || held.length === 0;
+			const unit = newWantedUnit({
+				service, model, adapter: '', key: `replica ${index} of ${getTarget(service, model, '')}`,
+			});
 			this.#addWish(table, before, {
-				service, model, adapter: '', key: `replica ${index} of ${getTarget(service, model, '')}`, needsCopy, needsRoom, needsShortOfCopies: false, excluded: this.#getChosenSites(service, model),
+				...unit, needsCopy, needsRoom, excluded: this.#getChosenSites(service, model),
 			}, REPLICA_WAIT);
 		}
 	}
@@ -191,9 +186,13 @@
 	 */
 	#addCarrier({service, model}: ModelRequests, table: NeedTable, before: ReadonlyMap<string, Choice>, inProgress: number): void {
 		const unit = {
-			service, model, adapter: '', key: `carrier of ${getTarget(service, model, '')}`, needsCopy: false, needsRoom: false, needsShortOfCopies: true, excluded: this.#getChosenSites(service, model),
+			...newWantedUnit({
+				service, model, adapter: '', key: `carrier of ${getTarget(service, model, '')}`,
+			}),
+			needsShortOfCopies: true,
+			excluded: this.#getChosenSites(service, model),
 		};
-		const hasCarrier = this.#getAllSites(unit).some(site => site.isHeld && site.isShortOfCopies);
+		const hasCarrier = this.#loadSites.getAll(unit).some(site => site.isHeld && site.isShortOfCopies);
 		if (!hasCarrier) {
 			this.#addWish(table, before, unit, {...REPLICA_WAIT, weight: inProgress * CARRY_WEIGHT});
 		}
@@ -252,12 +251,12 @@
 	}
 
 	#compare(unit: WantedUnit, chosenId: string | undefined, avoidedId: string | undefined): string | undefined {
-		const shape = this.#getShape(unit);
+		const shape = this.#loadSites.getShape(unit);
 		if (!shape) {
 			return undefined;
 		}
 
-		const all = this.#getSites(unit);
+		const all = this.#loadSites.getSuitable(unit, this.#now);
 		const others = all.filter(site => site.upstreamId !== avoidedId);
 		const sites = others.length > 0 ? others : all;
 		const best = getLoadSite(unit.key, shape, sites);
@@ -269,32 +268,4 @@
 		const isBetter = getExpectedMs(best, shape) + SWITCH_MARGIN_MS < getExpectedMs(chosen, shape);
 		return isBetter ? best.upstreamId : chosen.upstreamId;
 	}
-
-	/**
-	 * Engines that could load the unit. A wish for a model itself means that those which hold it do not suffice. While the
-	 * engines are not all known none is to fetch from the weight store: the copy may lie on one that is not heard yet.
-	 */
-	#getSites(unit: WantedUnit): LoadSite[] {
-		const {
-			service, adapter, needsRoom, needsShortOfCopies, excluded,
-		} = unit;
-		const needsCopy = unit.needsCopy || !this.#knowledge.isSettled(service, this.#now);
-		return this.#getAllSites(unit)
-			.filter(site => adapter !== '' || !site.isHeld)
-			.filter(site => !excluded.has(site.upstreamId) && (!needsRoom || site.hasRoom) && (!needsShortOfCopies || site.isShortOfCopies))
-			.filter(site => !needsCopy || site.hasMemoryCopy || site.hasDiskCopy || site.remainingMs !== undefined);
-	}
-
-	/** All engines of the unit's service that take orders and requests. */
-	#getAllSites({service, model}: WantedUnit): LoadSite[] {
-		const limits = this.#parts.getTable()?.services.get(service)?.engine;
-		const views = [...this.#parts.getViews().values()].filter(view => view.hasSidecar && view.upstream.service === service && this.#parts.isUsable(view.upstream.id));
-		const mostCopies = Math.max(...views.map(view => view.copiesOnDisk.length));
-		return views.map(view => newLoadSite(view, model, limits, mostCopies));
-	}
-
-	#getShape({service, model}: WantedUnit): ModelShape | undefined {
-		const engine = this.#parts.getTable()?.services.get(service)?.engine;
-		return engine && getModelShapes(engine).get(model);
-	}
 }
--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/load-sites.ts
@@ -0,0 +1,54 @@
+import type {LoadSite} from '@valelead/residency';
+import {type ModelShape, getModelShapes} from '@valelead/routing';
+import {EngineKnowledge} from './engine-knowledge.js';
+import {newLoadSite} from './new-load-site.js';
+import type {SiteParts} from './site-parts.js';
+import type {WantedUnit} from './wanted-unit.js';
+
+/** The engines as places where units could be loaded. */
+export class LoadSites {
+	readonly #parts: SiteParts;
+	readonly #knowledge = new EngineKnowledge();
+
+	constructor(parts: SiteParts) {
+		this.#parts = parts;
+	}
+
+	/** Notes which engines are known now. */
+	note(now: number): void {
+		this.#knowledge.note([...this.#parts.getViews().values()], now);
+	}
+
+	/** Whether the engines of a service are known well enough to tell which copies exist. */
+	isSettled(service: string, now: number): boolean {
+		return this.#knowledge.isSettled(service, now);
+	}
+
+	getShape({service, model}: Pick<WantedUnit, 'service' | 'model'>): ModelShape | undefined {
+		const engine = this.#parts.getTable()?.services.get(service)?.engine;
+		return engine && getModelShapes(engine).get(model);
+	}
+
+	/**
+	 * Engines that could load the unit. A wish for a model itself means that those which hold it do not suffice. While the
+	 * engines are not all known none is to fetch from the weight store: the copy may lie on one that is not heard yet.
+	 */
+	getSuitable(unit: WantedUnit, now: number): LoadSite[] {
+		const {
+			service, adapter, needsRoom, needsShortOfCopies, excluded,
+		} = unit;
+		const needsCopy = unit.needsCopy || !this.isSettled(service, now);
+		return this.getAll(unit)
+			.filter(site => adapter !== '' || !site.isHeld)
+			.filter(site => !excluded.has(site.upstreamId) && (!needsRoom || site.hasRoom) && (!needsShortOfCopies || site.isShortOfCopies))
+			.filter(site => !needsCopy || site.hasMemoryCopy || site.hasDiskCopy || site.remainingMs !== undefined);
+	}
+
+	/** All engines of the unit's service that take orders and requests. */
+	getAll({service, model}: Pick<WantedUnit, 'service' | 'model'>): LoadSite[] {
+		const limits = this.#parts.getTable()?.services.get(service)?.engine;
+		const views = [...this.#parts.getViews().values()].filter(view => view.hasSidecar && view.upstream.service === service && this.#parts.isUsable(view.upstream.id));
+		const mostCopies = Math.max(...views.map(view => view.copiesOnDisk.length));
+		return views.map(view => newLoadSite(view, model, limits, mostCopies));
+	}
+}
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -168,6 +168,16 @@
 			return false;
 		}
 
+		const waitedMs = this.#parts.clock.now() - request.arrivedAt;
+		this.#parts.logger.info({
+			event: 'request-given-up',
+			requestId: request.head.id,
+			target: request.target,
+			awaitedUpstreamId: request.awaitedUpstreamId,
+			forecastMs: Math.round(forecastMs),
+			waitedMs: Math.round(waitedMs),
+			patienceMs: request.route.patienceMs,
+		}, 'request given up');
 		this.#take({
 			kind: 'giveUp', requestId: request.id, code: RESULT_CODE.WaitTooLong, retryAfterMs: forecastMs,
 		});
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -96,6 +96,7 @@
 			routingVersion: table.routing.version,
 			dispatchedAt: undefined,
 			upstreamId: '',
+			awaitedUpstreamId: '',
 			attempts: 0,
 			lastEventId: undefined,
 			firstPartAt: undefined,
--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/site-parts.ts
@@ -0,0 +1,10 @@
+import type {RouteTable} from '@valelead/routing';
+import type {EngineView} from './engine-view.js';
+
+/** What a gateway knows of the engines where models could be loaded. */
+export type SiteParts = {
+	readonly getTable: () => RouteTable | undefined;
+	readonly getViews: () => ReadonlyMap<string, EngineView>;
+	/** Whether requests are sent to the upstream at present. */
+	readonly isUsable: (upstreamId: string) => boolean;
+};
--- a/apps/valelead-lab/src/lab-caller.ts
+++ b/apps/valelead-lab/src/lab-caller.ts
@@ -121,6 +121,7 @@
 			routingVersion: 1,
 			dispatchedAt: undefined,
 			upstreamId: '',
+			awaitedUpstreamId: '',
 			attempts: 0,
 			lastEventId: undefined,
 			firstPartAt: undefined,
