Make and serialise a sidecar's report once for all gateways

Each tell worked out the summary, with the needs of all gateways merged, and serialised it once for each follower.

--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -103,8 +103,8 @@
 		this.#prefetcher.setEngines(engines, this.#upstreamId);
 	}
 
-	/** Calls back whenever the summary changes. */
-	subscribe(listener: () => void): () => void {
+	/** Calls back with the summary whenever it changes. */
+	subscribe(listener: (summary: EngineSummary) => void): () => void {
 		return this.#publisher.subscribe(listener);
 	}
 
--- a/apps/valelead-daemon/src/sidecar/summary-publisher.ts
+++ b/apps/valelead-daemon/src/sidecar/summary-publisher.ts
@@ -24,7 +24,7 @@
 /** Tells followers what the engine offers: at once where that changes, and some time later where only counts do. */
 export class SummaryPublisher {
 	readonly #parts: PublisherParts;
-	readonly #listeners = new Set<() => void>();
+	readonly #listeners = new Set<(summary: EngineSummary) => void>();
 	#told: EngineSummary | undefined;
 	#toldText = '';
 	#toldOffer = '';
@@ -35,8 +35,8 @@
 		this.#parts = parts;
 	}
 
-	/** Calls back whenever followers are to be told. */
-	subscribe(listener: () => void): () => void {
+	/** Calls back with the summary whenever followers are to be told. All get the same one, as it takes the needs of all gateways together. */
+	subscribe(listener: (summary: EngineSummary) => void): () => void {
 		this.#listeners.add(listener);
 		return () => {
 			this.#listeners.delete(listener);
@@ -89,8 +89,12 @@
 		this.#told = summary;
 		this.#toldText = text;
 		this.#toldAt = this.#parts.clock.now();
+		if (!summary) {
+			return;
+		}
+
 		for (const listener of this.#listeners) {
-			listener();
+			listener(summary);
 		}
 	}
 }
--- a/apps/valelead-lab/src/lab-links.ts
+++ b/apps/valelead-lab/src/lab-links.ts
@@ -3,7 +3,7 @@
 import type {VirtualClock} from '@valelead/emulator';
 import {type EngineReport, EngineReportSchema} from '@valelead/protocol';
 import type {UnitNeed} from '@valelead/residency';
-import type {EngineLinks} from 'valelead-daemon';
+import type {EngineLinks, EngineSummary} from 'valelead-daemon';
 import type {LabEngine} from './lab-engine.js';
 
 type LabLinksParts = {
@@ -62,17 +62,17 @@
 	}
 
 	#connect(engine: LabEngine): void {
-		const send = (): void => {
-			const {summary} = engine.keeper;
-			if (summary) {
-				const report = create(EngineReportSchema, summary as never);
-				this.#parts.clock.after(this.#parts.linkMs, () => {
-					this.#parts.onReport(engine.address, report);
-				});
-			}
+		const send = (summary: EngineSummary): void => {
+			const report = create(EngineReportSchema, summary as never);
+			this.#parts.clock.after(this.#parts.linkMs, () => {
+				this.#parts.onReport(engine.address, report);
+			});
 		};
 
 		this.#links.set(engine.id, {engine, unsubscribe: engine.keeper.subscribe(send), told: '[]'});
-		send();
+		const {summary} = engine.keeper;
+		if (summary) {
+			send(summary);
+		}
 	}
 }
--- a/apps/valelead-lab/src/main.ts
+++ b/apps/valelead-lab/src/main.ts
@@ -1,10 +1,12 @@
-import {readFileSync, writeFileSync} from 'node:fs';
+import {writeFileSync} from 'node:fs';
 import process from 'node:process';
+import {ValeleadError} from '@valelead/common';
 import {Command, InvalidArgumentError} from 'commander';
 import {formatFigures} from './format-figures.js';
 import {getPlayFigures} from './get-play-figures.js';
 import type {PlayFigures} from './play-figures.js';
 import {playPattern} from './play-pattern.js';
+import {readFigures} from './read-figures.js';
 import {readPattern} from './read-pattern.js';
 
 type Options = {
@@ -25,7 +27,7 @@
 };
 
 const play = async (names: readonly string[], {seeds, first, save, against, log}: Options): Promise<void> => {
-	const before = against === undefined ? {} : JSON.parse(readFileSync(against, 'utf8')) as Record<string, PlayFigures[]>;
+	const before = readFigures(against);
 	const all: Record<string, PlayFigures[]> = {};
 	for (const name of names) {
 		const pattern = readPattern(name);
@@ -52,4 +54,13 @@
 	.option('--log', 'writes the decisions to standard error', false)
 	.action(async (names: readonly string[], options: Options) => play(names, options));
 
-await program.parseAsync();
+try {
+	await program.parseAsync();
+} catch (error) {
+	if (!(error instanceof ValeleadError)) {
+		throw error;
+	}
+
+	process.stderr.write(`error ${error.code}: ${error.message}\n`);
+	process.exitCode = 1;
+}
--- a/packages/protocol/src/new-service-definition.ts
+++ b/packages/protocol/src/new-service-definition.ts
@@ -4,6 +4,16 @@
 } from '@bufbuild/protobuf';
 import type {MethodDefinition, ServiceDefinition, UntypedServiceImplementation} from '@grpc/grpc-js';
 
+/** A message that is written to many streams is serialised once. It must not change after it was written. */
+const newSharedSerialize = <Desc extends DescMessage>(desc: Desc): (value: MessageShape<Desc>) => Buffer => {
+	const serialised = new WeakMap<MessageShape<Desc>, Buffer>();
+	return value => {
+		const bytes = serialised.get(value) ?? Buffer.from(toBinary(desc, value));
+		serialised.set(value, bytes);
+		return bytes;
+	};
+};
+
 const newMethodDefinition = <Input extends DescMessage, Output extends DescMessage>(
 	path: string,
 	input: Input,
@@ -15,7 +25,7 @@
 	responseStream: kind === 'server_streaming' || kind === 'bidi_streaming',
 	requestSerialize: value => Buffer.from(toBinary(input, value)),
 	requestDeserialize: bytes => fromBinary(input, bytes),
-	responseSerialize: value => Buffer.from(toBinary(output, value)),
+	responseSerialize: newSharedSerialize(output),
 	responseDeserialize: bytes => fromBinary(output, bytes),
 });
 
