--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -152,3 +152,8 @@
 	assert.equal(getLoading(this, model, false).length, count);
 	assert.equal(this.planner.getForecastMs(newDemand(newRequest(model))), undefined);
 });
+
+Then('just after the engines became known, {int} engine is to load {string}, and it is forecast in {int} ms', function (this: PlannerWorld, count: number, model: string, forecastMs: number) {
+	assert.equal(getLoading(this, model, false).length, count);
+	assert.equal(this.planner.getForecastMs(newDemand(newRequest(model))), forecastMs);
+});
