Add up needs, begin requests and tell what changed in one place each

The route's patience is its callers' (callerPatienceMs), apart from the gateway's own with an upstream (getPatienceMs).

--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -36,6 +36,12 @@
 	readonly until: number;
 };
 
+/** An engine, and until it is expected to have the unit loaded, in milliseconds. */
+type Candidate = {
+	readonly upstreamId: string;
+	readonly expectedMs: number;
+};
+
 /**
  * An engine that has not begun a load after this time, and all models of which are in use, is left for another one, in
  * milliseconds: callers of a busy model may never cease. Well above the wait for some swaps that are queued there, as the
@@ -46,12 +52,6 @@
 /** How long it is left out then, in milliseconds: as long as a load from the weight store takes elsewhere. */
 const AVOID_MS = 8000;
 
-/** An engine, and until it is expected to have the unit loaded, in milliseconds. */
-type Candidate = {
-	readonly upstreamId: string;
-	readonly expectedMs: number;
-};
-
 type Choices = Map<string, Choice>;
 
 /** A choice is compared with the other engines this often, in milliseconds; demand changes much more often. */
@@ -89,11 +89,11 @@
 const getModelRequests = (waiting: readonly Demand[], inProgress: readonly GatewayRequest[]): ModelRequests[] => {
 	const models = new Map<string, ModelRequests>();
 	for (const {service, head} of inProgress) {
-		models.set(`${service}/${head.model}`, {service, model: head.model, waiting: 0});
+		models.set(getTarget(service, head.model, ''), {service, model: head.model, waiting: 0});
 	}
 
 	for (const {service, model} of waiting) {
-		const key = `${service}/${model}`;
+		const key = getTarget(service, model, '');
 		const known = models.get(key) ?? {service, model, waiting: 0};
 		known.waiting += 1;
 		models.set(key, known);
--- a/apps/valelead-daemon/src/gateway/new-demand.ts
+++ b/apps/valelead-daemon/src/gateway/new-demand.ts
@@ -10,5 +10,5 @@
 	adapter: head.adapter,
 	weight: getClassWeight(route.priority),
 	dueAt: arrivedAt + route.objectiveMs,
-	leavesAt: Math.min(deadlineAt, arrivedAt + route.patienceMs),
+	leavesAt: Math.min(deadlineAt, arrivedAt + route.callerPatienceMs),
 });
--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/new-gateway-request.ts
@@ -0,0 +1,17 @@
+import type {GatewayRequest} from './gateway-request.js';
+
+/** What becomes of a request, as opposed to what it is. */
+type Progress = 'dispatchedAt' | 'upstreamId' | 'awaitedUpstreamId' | 'attempts' | 'lastEventId' | 'firstPartAt' | 'lastPartAt' | 'longestPauseMs';
+
+/** A request that has just arrived. */
+export const newGatewayRequest = (terms: Omit<GatewayRequest, Progress>): GatewayRequest => ({
+	...terms,
+	dispatchedAt: undefined,
+	upstreamId: '',
+	awaitedUpstreamId: '',
+	attempts: 0,
+	lastEventId: undefined,
+	firstPartAt: undefined,
+	lastPartAt: terms.arrivedAt,
+	longestPauseMs: 0,
+});
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -176,7 +176,7 @@
 			awaitedUpstreamId: request.awaitedUpstreamId,
 			forecastMs: Math.round(forecastMs),
 			waitedMs: Math.round(waitedMs),
-			patienceMs: request.route.patienceMs,
+			callerPatienceMs: request.route.callerPatienceMs,
 		}, 'request given up');
 		this.#take({
 			kind: 'giveUp', requestId: request.id, code: RESULT_CODE.WaitTooLong, retryAfterMs: forecastMs,
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -12,6 +12,7 @@
 import {CallerAnswer} from './caller-answer.js';
 import {getForwardedHeaders} from './get-forwarded-headers.js';
 import {getTarget} from './get-target.js';
+import {newGatewayRequest} from './new-gateway-request.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {RequestDispatcher} from './request-dispatcher.js';
 
@@ -80,7 +81,7 @@
 		const service = getService(route, Math.random());
 		const id = String(this.#nextId);
 		this.#nextId += 1;
-		return {
+		return newGatewayRequest({
 			id,
 			head,
 			route,
@@ -94,15 +95,7 @@
 			arrivedAt,
 			deadlineAt: arrivedAt + this.#getHoldMs(route, head),
 			routingVersion: table.routing.version,
-			dispatchedAt: undefined,
-			upstreamId: '',
-			awaitedUpstreamId: '',
-			attempts: 0,
-			lastEventId: undefined,
-			firstPartAt: undefined,
-			lastPartAt: arrivedAt,
-			longestPauseMs: 0,
-		};
+		});
 	}
 
 	#getHoldMs(route: Route, head: CallerRequest): number {
--- a/apps/valelead-daemon/src/gateway/residency-client.ts
+++ b/apps/valelead-daemon/src/gateway/residency-client.ts
@@ -6,6 +6,7 @@
 import type {UnitNeed} from '@valelead/residency';
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import type {Logger} from 'pino';
+import {getNeedsText} from './get-needs-text.js';
 
 type Stream = ClientDuplexStream<DemandReport, EngineReport>;
 
@@ -27,8 +28,8 @@
 	readonly #parts: ClientParts;
 	#stream: Stream | undefined;
 	#needs: readonly UnitNeed[] = [];
-	/** What was told last, without the times, which the sidecar counts on itself. */
-	#told = '[]';
+	/** What was told last. */
+	#told = getNeedsText([]);
 	#isStopped = false;
 	#isKnown = false;
 
@@ -39,7 +40,7 @@
 
 	/** Tells the whole need of this gateway; the sidecar forgets what it was told before. */
 	setNeeds(needs: readonly UnitNeed[]): void {
-		const told = JSON.stringify(needs.map(need => [need.model, need.adapter, need.waiting, need.inProgress]));
+		const told = getNeedsText(needs);
 		this.#needs = needs;
 		if (told !== this.#told) {
 			this.#told = told;
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -2,7 +2,7 @@
 	type Clock, type TimerService, type TimerSubscription,
 } from '@valelead/common';
 import {
-	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getAgedNeed, getLoadMs, getLoadValue, getNextOrder, getWaits, mutateCopyLoad, getWantedMs, mutateUse, mutateWanted, newResidencyState,
+	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getAgedNeed, getLoadMs, getLoadValue, getNextOrder, getWaits, isStoreLoad, mutateCopyLoad, getWantedMs, mutateUse, mutateWanted, newResidencyState,
 } from '@valelead/residency';
 import type {Logger} from 'pino';
 import type {EngineStatus} from '../adapter/engine-status.js';
@@ -209,7 +209,8 @@
 	}
 
 	#getRestMs(): number {
-		return this.#getNeeds().some(need => need.waiting > 0) ? BUSY_POLL_MS : IDLE_POLL_MS;
+		const isWaiting = [...this.#needs.values()].some(({needs}) => needs.some(need => need.waiting > 0));
+		return isWaiting ? BUSY_POLL_MS : IDLE_POLL_MS;
 	}
 
 	async #refresh(): Promise<boolean> {
@@ -268,16 +269,23 @@
 			event: 'order', order: order.kind, model: order.model, adapter: order.adapter, upstreamId: this.#upstreamId, expectedSequence, result: reply.result, reason: reply.reason, tookMs: Math.round(this.#parts.clock.now() - startedAt),
 		}, 'engine ordered');
 		const isLoad = order.kind === ORDER_KIND.Load && order.adapter === '' && reply.result === ORDER_RESULT.Accepted;
-		const loadMs = isLoad ? getLoadMs(this.#capacity!, this.#getHoldings(this.#status!), order.model) : 0;
-		this.#loading = isLoad ? {model: order.model, endsAt: startedAt + loadMs} : undefined;
-		if (isLoad && loadMs < this.#capacity!.models.get(order.model)!.storeLoadMs) {
-			mutateCopyLoad(this.#residency, getLoadValue(getWaits(this.#getNeeds(), order.model), loadMs), startedAt);
-		}
-
+		this.#loading = isLoad ? this.#noteLoad(order.model, startedAt) : undefined;
 		if (reply.result === ORDER_RESULT.OtherEngine) {
 			this.#upstreamId = reply.upstreamId;
 		}
 
 		return reply.result;
 	}
+
+	/** The load that has begun. What loads from copies count decides later whether one from the weight store may begin. */
+	#noteLoad(model: string, startedAt: number): LoadInProgress {
+		const capacity = this.#capacity!;
+		const holdings = this.#getHoldings(this.#status!);
+		const loadMs = getLoadMs(capacity, holdings, model);
+		if (!isStoreLoad(capacity, holdings, model)) {
+			mutateCopyLoad(this.#residency, getLoadValue(getWaits(this.#getNeeds(), model), loadMs), startedAt);
+		}
+
+		return {model, endsAt: startedAt + loadMs};
+	}
 }
--- a/apps/valelead-daemon/tests/is-hopeless.steps.ts
+++ b/apps/valelead-daemon/tests/is-hopeless.steps.ts
@@ -22,7 +22,7 @@
 		service: 'llm',
 		target: 'llm/a',
 		head: {model: 'a', adapter: ''},
-		route: {objectiveMs, patienceMs, priority: 0},
+		route: {objectiveMs, callerPatienceMs: patienceMs, priority: 0},
 	};
 	return newDemand(request as GatewayRequest);
 };
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -50,7 +50,7 @@
 		service: SERVICE,
 		target: `${SERVICE}/${unit}`,
 		head: {model, adapter},
-		route: {objectiveMs: OBJECTIVE_MS, patienceMs: PATIENCE_MS, priority: 1},
+		route: {objectiveMs: OBJECTIVE_MS, callerPatienceMs: PATIENCE_MS, priority: 1},
 		arrivedAt: NOW,
 		deadlineAt: NOW + TIME_MS,
 		upstreamId,
--- a/apps/valelead-lab/src/lab-attempt.ts
+++ b/apps/valelead-lab/src/lab-attempt.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {OUTCOME, RESULT_CODE, type ResultCodeValue} from '@valelead/common';
-import type {EngineRun, VirtualClock} from '@valelead/emulator';
+import type {EngineRun, RunTerms, VirtualClock} from '@valelead/emulator';
 import type {AttemptTerms, SentAttempt} from 'valelead-daemon';
 import type {LabEngine} from './lab-engine.js';
 
@@ -9,7 +9,7 @@
 	readonly engine: LabEngine | undefined;
 	readonly clock: VirtualClock;
 	readonly linkMs: number;
-	readonly run: Pick<EngineRun, 'model' | 'adapter' | 'ownTokens' | 'sharedTokens' | 'newTokens' | 'priority'>;
+	readonly run: RunTerms;
 };
 
 const HTTP_OK = 200;
--- a/apps/valelead-lab/src/lab-call.ts
+++ b/apps/valelead-lab/src/lab-call.ts
@@ -1,10 +1,10 @@
-import type {EngineRun} from '@valelead/emulator';
+import type {RunTerms} from '@valelead/emulator';
 import type {CallerGroup} from './caller-group.js';
 
 /** One request of a caller, with all its tries. */
 export type LabCall = {
 	readonly callerGroup: CallerGroup;
-	readonly run: Pick<EngineRun, 'model' | 'adapter' | 'ownTokens' | 'sharedTokens' | 'newTokens' | 'priority'>;
+	readonly run: RunTerms;
 	/** When the first try was made, in virtual milliseconds. */
 	readonly firstAt: number;
 	tries: number;
--- a/apps/valelead-lab/src/lab-caller.ts
+++ b/apps/valelead-lab/src/lab-caller.ts
@@ -4,7 +4,7 @@
 import type {VirtualClock} from '@valelead/emulator';
 import type {Route} from '@valelead/routing';
 import {
-	type Answer, type GatewayRequest, type Refusal, getTarget,
+	type Answer, type GatewayRequest, type Refusal, getTarget, newGatewayRequest,
 } from 'valelead-daemon';
 import {CALL_OUTCOME} from './call-outcome.js';
 import type {CallResult} from './call-result.js';
@@ -100,13 +100,15 @@
 		});
 	}
 
-	#newRequest(): Omit<GatewayRequest, 'id'> {
+	#newRequest(): GatewayRequest {
 		const {call: {run}, route, clock} = this.#parts;
 		const [service] = route.shares;
 		const now = clock.now();
-		return {
+		const id = randomUUID();
+		return newGatewayRequest({
+			id,
 			head: {
-				id: randomUUID(), deadlineMs: this.#endsAt - now, model: run.model, adapter: run.adapter, promptTokens: run.ownTokens + run.sharedTokens, maxNewTokens: run.newTokens,
+				id, deadlineMs: this.#endsAt - now, model: run.model, adapter: run.adapter, promptTokens: run.ownTokens + run.sharedTokens, maxNewTokens: run.newTokens,
 			},
 			route,
 			service: service.service,
@@ -119,15 +121,7 @@
 			arrivedAt: now,
 			deadlineAt: Math.min(this.#endsAt, now + route.timeoutMs),
 			routingVersion: 1,
-			dispatchedAt: undefined,
-			upstreamId: '',
-			awaitedUpstreamId: '',
-			attempts: 0,
-			lastEventId: undefined,
-			firstPartAt: undefined,
-			lastPartAt: now,
-			longestPauseMs: 0,
-		};
+		});
 	}
 
 	#newAnswer(): Answer {
--- a/apps/valelead-lab/src/lab-engine.ts
+++ b/apps/valelead-lab/src/lab-engine.ts
@@ -7,6 +7,7 @@
 import {
 	EngineKeeper, type EnginePort, type OrderTerms, newCapacity,
 } from 'valelead-daemon';
+import {LAB_NAMES} from './lab-names.js';
 
 type LabEngineParts = {
 	readonly id: string;
@@ -41,7 +42,7 @@
 			clock: parts.clock,
 			logger: parts.logger,
 		});
-		this.keeper.setCapacity(newCapacity(parts.table, 'llm'));
+		this.keeper.setCapacity(newCapacity(parts.table, LAB_NAMES.service));
 		this.keeper.setUpstreamId(parts.id);
 		this.keeper.start();
 	}
@@ -77,9 +78,9 @@
 		this.#sequence += 1;
 		return {
 			id: this.id,
-			service: 'llm',
+			service: LAB_NAMES.service,
 			address: this.address,
-			dataCentre: 'lab',
+			dataCentre: LAB_NAMES.dataCentre,
 			state: this.#state,
 			slots: this.#parts.slots,
 			sequence: this.#sequence,
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -1,4 +1,3 @@
-import {randomUUID} from 'node:crypto';
 import type {TimerService} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import type {VirtualClock} from '@valelead/emulator';
@@ -11,6 +10,7 @@
 import type {LabCall} from './lab-call.js';
 import type {LabEngine} from './lab-engine.js';
 import {LabLinks} from './lab-links.js';
+import {LAB_NAMES} from './lab-names.js';
 
 type LabGatewayParts = {
 	readonly name: string;
@@ -47,7 +47,7 @@
 			name, clock, timers, logger, table, gatewayCount, linkMs, getEngine,
 		} = parts;
 		const admission = newGatewayAdmission({
-			dataCentre: 'lab', ratio: RETRY_RATIO, reserve: RETRY_RESERVE, gatewayCount,
+			dataCentre: LAB_NAMES.dataCentre, ratio: RETRY_RATIO, reserve: RETRY_RESERVE, gatewayCount,
 		});
 		this.#dispatcher = new RequestDispatcher({
 			getSettings: () => admission,
@@ -69,8 +69,8 @@
 			newAttempt: terms => new LabAttempt({
 				terms, engine: getEngine(terms.upstreamId), clock, linkMs, run: this.#calls.get(terms.requestId)!.run,
 			}),
-			onEnd: ({head}) => {
-				this.#calls.delete(head.id);
+			onEnd: ({id}) => {
+				this.#calls.delete(id);
 			},
 		});
 	}
@@ -80,12 +80,11 @@
 	}
 
 	/** Takes a call and returns the way to abandon it. */
-	arrive(call: LabCall, request: Omit<GatewayRequest, 'id'>): () => void {
-		const id = randomUUID();
-		this.#calls.set(request.head.id, call);
-		this.#dispatcher.arrive({...request, id});
+	arrive(call: LabCall, request: GatewayRequest): () => void {
+		this.#calls.set(request.id, call);
+		this.#dispatcher.arrive(request);
 		return () => {
-			this.#dispatcher.abandon(id);
+			this.#dispatcher.abandon(request.id);
 		};
 	}
 }
--- a/apps/valelead-lab/src/lab-installation.ts
+++ b/apps/valelead-lab/src/lab-installation.ts
@@ -8,6 +8,7 @@
 import {newEngineCopies} from 'valelead-daemon';
 import {LabEngine} from './lab-engine.js';
 import {LabGateway} from './lab-gateway.js';
+import {LAB_NAMES} from './lab-names.js';
 import {newLabRouting} from './new-lab-routing.js';
 import {newModels} from './new-models.js';
 import type {Pattern} from './pattern.js';
@@ -123,7 +124,7 @@
 			}
 
 			for (const {keeper} of this.#engines.values()) {
-				keeper.setEngines(newEngineCopies(upstreams, 'llm'));
+				keeper.setEngines(newEngineCopies(upstreams, LAB_NAMES.service));
 			}
 		});
 	}
--- a/apps/valelead-lab/src/lab-links.ts
+++ b/apps/valelead-lab/src/lab-links.ts
@@ -1,9 +1,10 @@
-import {create} from '@bufbuild/protobuf';
 import type {Upstream} from '@valelead/discovery';
 import type {VirtualClock} from '@valelead/emulator';
-import {type EngineReport, EngineReportSchema} from '@valelead/protocol';
+import type {EngineReport} from '@valelead/protocol';
 import type {UnitNeed} from '@valelead/residency';
-import type {EngineLinks, EngineSummary} from 'valelead-daemon';
+import {
+	type EngineLinks, type EngineSummary, ReportEncoder, getNeedsText,
+} from 'valelead-daemon';
 import type {LabEngine} from './lab-engine.js';
 
 type LabLinksParts = {
@@ -20,10 +21,14 @@
 	told: string;
 };
 
+/** Nothing was told before, so that each report is whole. */
+const NO_COPIES = '';
+
 /** The links from one gateway to the sidecars, with a delay in place of a network. */
 export class LabLinks implements EngineLinks {
 	readonly #parts: LabLinksParts;
 	readonly #links = new Map<string, Link>();
+	readonly #encoder = new ReportEncoder();
 
 	constructor(parts: LabLinksParts) {
 		this.#parts = parts;
@@ -51,7 +56,7 @@
 	setNeeds(needs: ReadonlyMap<string, readonly UnitNeed[]>): void {
 		for (const [id, link] of this.#links) {
 			const own = needs.get(id) ?? [];
-			const told = JSON.stringify(own.map(need => [need.model, need.adapter, need.waiting, need.inProgress]));
+			const told = getNeedsText(own);
 			if (told !== link.told) {
 				link.told = told;
 				this.#parts.clock.after(this.#parts.linkMs, () => {
@@ -63,13 +68,13 @@
 
 	#connect(engine: LabEngine): void {
 		const send = (summary: EngineSummary): void => {
-			const report = create(EngineReportSchema, summary as never);
+			const {report} = this.#encoder.encode(summary, NO_COPIES);
 			this.#parts.clock.after(this.#parts.linkMs, () => {
 				this.#parts.onReport(engine.address, report);
 			});
 		};
 
-		this.#links.set(engine.id, {engine, unsubscribe: engine.keeper.subscribe(send), told: '[]'});
+		this.#links.set(engine.id, {engine, unsubscribe: engine.keeper.subscribe(send), told: getNeedsText([])});
 		const {summary} = engine.keeper;
 		if (summary) {
 			send(summary);
--- a/apps/valelead-lab/src/new-lab-routing.ts
+++ b/apps/valelead-lab/src/new-lab-routing.ts
@@ -3,11 +3,9 @@
 } from '@valelead/routing';
 import type {CallerGroup} from './caller-group.js';
 import type {Pattern} from './pattern.js';
+import {LAB_NAMES} from './lab-names.js';
 import {newModels} from './new-models.js';
 
-/** The one service of the laboratory. */
-const SERVICE = 'llm';
-
 const UNUSED_LIMIT = Number.MAX_SAFE_INTEGER;
 
 const newRoute = (callerGroup: CallerGroup): RouteTable['routing']['routes'][number] => ({
@@ -19,10 +17,10 @@
 	timeoutMs: callerGroup.deadlineMs,
 	objectiveMs: callerGroup.objectiveMs,
 	pauseObjectiveMs: callerGroup.pauseObjectiveMs,
-	patienceMs: callerGroup.patienceMs,
+	callerPatienceMs: callerGroup.patienceMs,
 	priority: callerGroup.priority,
 	maxAttempts: callerGroup.maxAttempts,
-	shares: [{service: SERVICE, weight: 1}],
+	shares: [{service: LAB_NAMES.service, weight: 1}],
 });
 
 /** The routing that a pattern's gateways and sidecars follow. */
@@ -30,7 +28,7 @@
 	version: 1,
 	routes: pattern.classes.map(callerGroup => newRoute(callerGroup)),
 	services: [{
-		name: SERVICE,
+		name: LAB_NAMES.service,
 		healthPath: '/',
 		maxConnections: UNUSED_LIMIT,
 		engine: {
--- a/packages/admission/src/mutate-dark-lanes.ts
+++ b/packages/admission/src/mutate-dark-lanes.ts
@@ -3,8 +3,6 @@
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
 
-const NO_JITTER = 0.5;
-
 const isDark = ({isDirect, unansweredSince, ejectedUntil}: AdmissionLane, darkMs: number, now: number): boolean =>
 	isDirect && now >= ejectedUntil && unansweredSince !== undefined && now - unansweredSince > darkMs;
 
@@ -19,7 +17,7 @@
 
 	for (const lane of state.lanes.values()) {
 		if (isDark(lane, settings.darkMs, now)) {
-			mutateLaneFailure(lane, settings, {jitter: NO_JITTER, isUnreachable: true}, now);
+			mutateLaneFailure(lane, settings, {isUnreachable: true}, now);
 			lane.unansweredSince = now;
 		}
 	}
--- a/packages/admission/src/mutate-deadlines.ts
+++ b/packages/admission/src/mutate-deadlines.ts
@@ -7,13 +7,11 @@
 import type {AdmissionState} from './admission-state.js';
 import type {RequestRecord} from './request-record.js';
 
-const NO_JITTER = 0.5;
-
 /** A request that an upstream left without any answer until its time was over counts against the upstream. */
 const mutateUnanswered = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, now: number): void => {
 	const lane = getLane(state, record.vm);
 	if (record.state === 'sent' && lane.isDirect) {
-		mutateLaneFailure(lane, settings, {jitter: NO_JITTER, isUnreachable: false}, now);
+		mutateLaneFailure(lane, settings, {isUnreachable: false}, now);
 	}
 };
 
--- a/packages/admission/src/mutate-lane-failure.ts
+++ b/packages/admission/src/mutate-lane-failure.ts
@@ -2,8 +2,8 @@
 import type {AdmissionSettings} from './admission-settings.js';
 
 type LaneFailure = {
-	/** Uniform in [0, 1). */
-	readonly jitter: number;
+	/** Uniform in [0, 1); the middle where none was drawn. */
+	readonly jitter?: number;
 	/** No connection could be made; one such failure is enough. */
 	readonly isUnreachable: boolean;
 };
@@ -15,7 +15,7 @@
  * Leaves an upstream out after failures in a row, for a time that doubles with a bounded jitter
  * (the jitter of ±20% follows "Resilience: Circuit Breakers and Retry Backoff", ComputeFlux series, article 9).
  */
-export const mutateLaneFailure = (lane: AdmissionLane, settings: AdmissionSettings, {jitter, isUnreachable}: LaneFailure, now: number): void => {
+export const mutateLaneFailure = (lane: AdmissionLane, settings: AdmissionSettings, {jitter = 0.5, isUnreachable}: LaneFailure, now: number): void => {
 	lane.failures += 1;
 	if (!isUnreachable && lane.failures < settings.ejectAfter && lane.ejections === 0) {
 		return;
--- a/packages/residency/src/get-load-queue.ts
+++ b/packages/residency/src/get-load-queue.ts
@@ -1,7 +1,7 @@
 import {getAging} from './get-aging.js';
 import {getLoadValue} from './get-load-value.js';
+import {getWaits} from './get-waits.js';
 import type {UnitNeed} from './unit-need.js';
-import type {Wait} from './wait.js';
 
 type Candidate = {
 	readonly model: string;
@@ -24,16 +24,7 @@
 	readonly getWantedMs: (model: string) => number;
 };
 
-const getWaitsByModel = ({held, needs}: QueueTerms): ReadonlyMap<string, readonly Wait[]> => {
-	const waits = new Map<string, Wait[]>();
-	for (const need of needs) {
-		if (need.waiting > 0 && !held.has(need.model)) {
-			waits.set(need.model, [...waits.get(need.model) ?? [], ...need.waits]);
-		}
-	}
-
-	return waits;
-};
+const getWantedModels = ({held, needs}: QueueTerms): ReadonlySet<string> => new Set(needs.filter(need => need.waiting > 0 && !held.has(need.model)).map(need => need.model));
 
 /**
  * Models that requests wait for and that the engine does not hold, in the order in which they are loaded: by what their
@@ -41,8 +32,9 @@
  * takes the time of many loads from copies. Against an order by weight alone, 7 in 100 of the credit in the laboratory's
  * mixed-losses and 3 in 100 in empty-engines.
  */
-export const getLoadQueue = (terms: QueueTerms): string[] => [...getWaitsByModel(terms)]
-	.map(([model, waits]) => {
+export const getLoadQueue = (terms: QueueTerms): string[] => [...getWantedModels(terms)]
+	.map(model => {
+		const waits = getWaits(terms.needs, model);
 		const loadMs = terms.getLoadMs(model);
 		const value = getLoadValue(waits, loadMs) * getAging(terms.getWantedMs(model));
 		return {model, rate: value / (loadMs + SWAP_MS), dueInMs: Math.min(...waits.map(wait => wait.dueInMs))};
--- a/packages/residency/src/get-merged-needs.ts
+++ b/packages/residency/src/get-merged-needs.ts
@@ -2,21 +2,24 @@
 import {getUnitName} from './get-unit-name.js';
 import type {UnitNeed} from './unit-need.js';
 
-const getSum = (left: UnitNeed, right: UnitNeed): UnitNeed => ({
-	...left,
-	waiting: left.waiting + right.waiting,
-	inProgress: left.inProgress + right.inProgress,
-	waits: getMergedWaits([...left.waits, ...right.waits]),
-});
+const getSum = (needs: readonly UnitNeed[]): UnitNeed => needs.length === 1
+	? needs[0]
+	: {
+		...needs[0],
+		waiting: needs.reduce((sum, need) => sum + need.waiting, 0),
+		inProgress: needs.reduce((sum, need) => sum + need.inProgress, 0),
+		waits: getMergedWaits(needs.flatMap(need => need.waits)),
+	};
 
-/** The needs of several gateways together, one for each unit. */
+/** Needs added up, one for each unit. */
 export const getMergedNeeds = (needs: Iterable<UnitNeed>): UnitNeed[] => {
-	const merged = new Map<string, UnitNeed>();
+	const units = new Map<string, UnitNeed[]>();
 	for (const need of needs) {
 		const name = getUnitName(need.model, need.adapter);
-		const known = merged.get(name);
-		merged.set(name, known ? getSum(known, need) : need);
+		const known = units.get(name) ?? [];
+		known.push(need);
+		units.set(name, known);
 	}
 
-	return [...merged.values()];
+	return [...units.values()].map(parts => getSum(parts));
 };
--- a/packages/residency/src/get-next-order.ts
+++ b/packages/residency/src/get-next-order.ts
@@ -8,6 +8,7 @@
 import {getLoadQueue} from './get-load-queue.js';
 import {getLoadValue} from './get-load-value.js';
 import {getWaits} from './get-waits.js';
+import {isStoreLoad} from './is-store-load.js';
 import {ORDER_KIND} from './order-kind.js';
 import type {Capacity} from './capacity.js';
 import type {EngineOrder} from './engine-order.js';
@@ -22,9 +23,8 @@
  */
 const isDisplacing = (state: ResidencyState, capacity: Capacity, holdings: Holdings, model: string, needs: readonly UnitNeed[], now: number): boolean => {
 	const loadMs = getLoadMs(capacity, holdings, model);
-	const isStoreLoad = loadMs >= capacity.models.get(model)!.storeLoadMs;
 	const value = getLoadValue(getWaits(needs, model), loadMs) * getAging(getWantedMs(state, model));
-	return isStoreLoad && value > 0 && value < getCopyLoadRate(state, now) * loadMs;
+	return isStoreLoad(capacity, holdings, model) && value > 0 && value < getCopyLoadRate(state, now) * loadMs;
 };
 
 const getModelOrder = (state: ResidencyState, capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[], now: number): EngineOrder | undefined => {
--- a/packages/routing/src/route.ts
+++ b/packages/routing/src/route.ts
@@ -17,7 +17,7 @@
 	/** The longest pause between two events that is wanted, in milliseconds; 0 where it is not stated. */
 	readonly pauseObjectiveMs: number;
 	/** A caller leaves when its answer, or the next event of its stream, has not come for this long, in milliseconds. */
-	readonly patienceMs: number;
+	readonly callerPatienceMs: number;
 	/** 0 is the most urgent. */
 	readonly priority: number;
 	/** Upstreams to which one request may be sent at most. */
--- a/packages/routing/tests/routing.steps.ts
+++ b/packages/routing/tests/routing.steps.ts
@@ -24,7 +24,7 @@
 	timeoutMs: Number(row.timeout),
 	objectiveMs: 100,
 	pauseObjectiveMs: 0,
-	patienceMs: 1000,
+	callerPatienceMs: 1000,
 	priority: 0,
 	maxAttempts: 1,
 	shares: row.shares.split(', ').map(share => ({service: share.split(':')[0], weight: Number(share.split(':')[1])})),
