State only what differs in a pattern, and use the coalescer and the timer service where copies stood

SummaryPublisher and Sessions kept a flag and a timer as Coalescer does; its wait may now vary. The tests' virtual timers imitated the timer service, which since takes its wake-ups as a port: they are the service itself now.

--- a/apps/valelead-daemon/src/control/sessions.ts
+++ b/apps/valelead-daemon/src/control/sessions.ts
@@ -1,5 +1,5 @@
 import {create} from '@bufbuild/protobuf';
-import {type TimerService, SYSTEM_CLOCK} from '@valelead/common';
+import {type TimerService, Coalescer, SYSTEM_CLOCK} from '@valelead/common';
 import {encodeIntent} from '@valelead/intent';
 import {
 	type AgentReport, type SessionReport, type SessionUpdate, SessionUpdateSchema,
@@ -39,18 +39,21 @@
 	readonly #followers: FollowerSessions | undefined;
 	readonly #sessions = new Set<Session>();
 	readonly #endpoints = new EndpointTable();
-	#isPushDue = false;
+	readonly #pushes: Coalescer;
 
 	constructor(voter: Voter, leader: Leader, timers: TimerService, followers?: FollowerSessions) {
 		this.#followers = followers;
 		this.#voter = voter;
 		this.#leader = leader;
 		this.#timers = timers;
+		this.#pushes = new Coalescer(timers, COALESCE_MS, () => {
+			this.#push();
+		});
 	}
 
 	start(): void {
 		this.#voter.machine.subscribe(() => {
-			this.#schedulePush();
+			this.#pushes.schedule();
 		});
 		this.#timers.repeat(REFRESH_MS, () => {
 			this.#push();
@@ -122,22 +125,10 @@
 		}
 
 		this.#sendTo(session);
-		this.#schedulePush();
-	}
-
-	#schedulePush(): void {
-		if (this.#isPushDue) {
-			return;
-		}
-
-		this.#isPushDue = true;
-		this.#timers.after(COALESCE_MS, () => {
-			this.#push();
-		});
+		this.#pushes.schedule();
 	}
 
 	#push(): void {
-		this.#isPushDue = false;
 		if (!this.#voter.node?.isCurrentLeader) {
 			return;
 		}
--- a/apps/valelead-daemon/src/sidecar/summary-publisher.ts
+++ b/apps/valelead-daemon/src/sidecar/summary-publisher.ts
@@ -1,4 +1,4 @@
-import type {Clock, TimerService} from '@valelead/common';
+import {type Clock, type TimerService, Coalescer} from '@valelead/common';
 import {isSignificantChange} from './is-significant-change.js';
 import type {EngineSummary} from './engine-summary.js';
 
@@ -25,14 +25,17 @@
 export class SummaryPublisher {
 	readonly #parts: PublisherParts;
 	readonly #listeners = new Set<(summary: EngineSummary) => void>();
+	readonly #changes: Coalescer;
 	#told: EngineSummary | undefined;
 	#toldText = '';
 	#toldOffer = '';
 	#toldAt = Number.NEGATIVE_INFINITY;
-	#isDue = false;
 
 	constructor(parts: PublisherParts) {
 		this.#parts = parts;
+		this.#changes = new Coalescer(parts.timers, () => this.#getCoalesceMs(), now => {
+			this.#tellChange(now);
+		});
 	}
 
 	/** Calls back with the summary whenever followers are to be told. All get the same one, as it takes the needs of all gateways together. */
@@ -58,16 +61,11 @@
 
 	/** Counts may have changed. */
 	publishSoon(): void {
-		if (this.#isDue) {
-			return;
-		}
+		this.#changes.schedule();
+	}
 
-		this.#isDue = true;
-		const waitMs = Math.min(MOST_COALESCE_MS, Math.max(LEAST_COALESCE_MS, this.#listeners.size * COALESCE_PER_FOLLOWER_MS));
-		this.#parts.timers.after(waitMs, now => {
-			this.#isDue = false;
-			this.#tellChange(now);
-		});
+	#getCoalesceMs(): number {
+		return Math.min(MOST_COALESCE_MS, Math.max(LEAST_COALESCE_MS, this.#listeners.size * COALESCE_PER_FOLLOWER_MS));
 	}
 
 	#tellChange(now: number): void {
--- a/apps/valelead-lab/src/read-pattern.ts
+++ b/apps/valelead-lab/src/read-pattern.ts
@@ -6,11 +6,24 @@
 
 const decode = Schema.decodeUnknownSync(PATTERN_SCHEMA);
 
-/** Reads a pattern from a JSON file, or one of the patterns that come with the laboratory by its name. */
-export const readPattern = (nameOrPath: string): Pattern => {
+/** What a file states of its own, and the pattern that the rest is taken from. */
+type PatternDocument = Readonly<Record<string, unknown>> & {
+	readonly extends?: string;
+};
+
+const readDocument = (nameOrPath: string): PatternDocument => {
 	const path = existsSync(nameOrPath) ? nameOrPath : new URL(`../patterns/${nameOrPath}.json`, import.meta.url);
+	return JSON.parse(readFileSync(path, 'utf8')) as PatternDocument;
+};
+
+/**
+ * Reads a pattern from a JSON file, or one of the patterns that come with the laboratory by its name. Where the file names
+ * another one under `extends`, that gives the fields which the file does not state.
+ */
+export const readPattern = (nameOrPath: string): Pattern => {
 	try {
-		return decode(JSON.parse(readFileSync(path, 'utf8')));
+		const {extends: base, ...own} = readDocument(nameOrPath);
+		return decode(base === undefined ? own : {...readDocument(base), ...own});
 	} catch (error) {
 		throw new ValeleadError(`pattern ${nameOrPath}: ${(error as Error).message}`, {code: RESULT_CODE.InvalidSettings});
 	}
--- a/packages/common/src/coalescer.ts
+++ b/packages/common/src/coalescer.ts
@@ -3,14 +3,14 @@
 /** Runs something once for all calls that come within a time. */
 export class Coalescer {
 	readonly #timers: TimerService;
-	readonly #waitMs: number;
+	readonly #getWaitMs: () => number;
 	readonly #run: (now: number) => void;
 	#isDue = false;
 
-	/** @param waitMs - How long the first call waits for others, in milliseconds. */
-	constructor(timers: TimerService, waitMs: number, run: (now: number) => void) {
+	/** @param waitMs - How long the first call waits for others, in milliseconds; a function where that varies. */
+	constructor(timers: TimerService, waitMs: number | (() => number), run: (now: number) => void) {
 		this.#timers = timers;
-		this.#waitMs = waitMs;
+		this.#getWaitMs = typeof waitMs === 'number' ? () => waitMs : waitMs;
 		this.#run = run;
 	}
 
@@ -20,7 +20,7 @@
 		}
 
 		this.#isDue = true;
-		this.#timers.after(this.#waitMs, now => {
+		this.#timers.after(this.#getWaitMs(), now => {
 			this.#isDue = false;
 			this.#run(now);
 		});
--- a/tests/support/new-virtual-timers.ts
+++ b/tests/support/new-virtual-timers.ts
@@ -1,41 +1,26 @@
-import type {TimerService} from '@valelead/common';
+import {TimerService, type Wakeups} from '@valelead/common';
 import type {VirtualTime} from './virtual-time.js';
 
-const ignore = (): void => undefined;
-
-/** A timer service whose time passes only when a test says so. */
-export const newVirtualTimers = (time: VirtualTime): TimerService => {
-	const repeat = (periodMs: number, callback: (now: number) => void): {cancel: () => void} => {
-		let isCancelled = false;
-		const again = (): void => {
-			time.after(periodMs, () => {
-				if (!isCancelled) {
-					callback(time.now);
-					again();
-				}
-			});
-		};
+type Wakeup = {
+	isCancelled: boolean;
+};
 
-		again();
-		return {
-			cancel() {
-				isCancelled = true;
-			},
-		};
-	};
+const newWakeups = (time: VirtualTime): Wakeups => ({
+	set(run, delayMs) {
+		const wakeup: Wakeup = {isCancelled: false};
+		time.after(delayMs, () => {
+			if (!wakeup.isCancelled) {
+				run();
+			}
+		});
+		return wakeup;
+	},
+	clear(handle) {
+		if (handle) {
+			(handle as Wakeup).isCancelled = true;
+		}
+	},
+});
 
-	return {
-		repeat,
-		after(delayMs: number, callback: (now: number) => void) {
-			time.after(delayMs, () => {
-				callback(time.now);
-			});
-			return {cancel: ignore};
-		},
-		async wait(delayMs: number) {
-			return new Promise<void>(resolve => {
-				time.after(delayMs, resolve);
-			});
-		},
-	} as unknown as TimerService;
-};
+/** The timer service over time that passes only when a test says so. */
+export const newVirtualTimers = (time: VirtualTime): TimerService => new TimerService({now: () => time.now, wallNow: () => time.now}, newWakeups(time));
