--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -247,7 +247,14 @@
 		}
 
 		const {upstreamId, expectedMs} = candidate;
-		const since = upstreamId === known?.upstreamId ? known.since : this.#now;
+		const isKept = upstreamId === known?.upstreamId;
+		if (known && !isKept) {
+			this.#parts.onSiteChange({
+				key: unit.key, fromUpstreamId: known.upstreamId, toUpstreamId: upstreamId, stoodMs: this.#now - known.since, expectedMs, isStuck: avoided?.upstreamId === known.upstreamId,
+			});
+		}
+
+		const since = isKept ? known.since : this.#now;
 		return {
 			upstreamId, comparedAt: this.#now, expectedAt: this.#now + expectedMs, since, avoided,
 		};
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -83,6 +83,11 @@
 				getTable: parts.getTable,
 				getViews: () => this.#book.views,
 				isUsable: upstreamId => this.#isUsable(upstreamId),
+				onSiteChange(change) {
+					parts.logger.info({
+						event: 'load-moved', ...change, stoodMs: Math.round(change.stoodMs), expectedMs: Math.round(change.expectedMs),
+					}, 'load moved to another engine');
+				},
 			}),
 			residency: parts.residency,
 			getRequests: () => this.#requests.values(),
--- a/apps/valelead-daemon/src/gateway/site-parts.ts
+++ b/apps/valelead-daemon/src/gateway/site-parts.ts
@@ -1,5 +1,6 @@
 import type {RouteTable} from '@valelead/routing';
 import type {EngineView} from './engine-view.js';
+import type {SiteChange} from './site-change.js';
 
 /** What a gateway knows of the engines where models could be loaded. */
 export type SiteParts = {
@@ -7,4 +8,6 @@
 	readonly getViews: () => ReadonlyMap<string, EngineView>;
 	/** Whether requests are sent to the upstream at present. */
 	readonly isUsable: (upstreamId: string) => boolean;
+	/** Hears of wishes that go from one engine to another. */
+	readonly onSiteChange: (change: SiteChange) => void;
 };
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -30,6 +30,7 @@
 export type {EngineView} from './gateway/engine-view.js';
 export type {GatewayRequest} from './gateway/gateway-request.js';
 export {LoadPlanner} from './gateway/load-planner.js';
+export type {SiteChange} from './gateway/site-change.js';
 export type {EngineSummary} from './sidecar/engine-summary.js';
 export {SummaryPublisher} from './sidecar/summary-publisher.js';
 export {RequestDispatcher} from './gateway/request-dispatcher.js';
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -1,13 +1,16 @@
 import {
-	type Clock, type TimerService, type TimerSubscription,
+	assertNever, type Clock, type TimerService, type TimerSubscription,
 } from '@valelead/common';
 import {
-	type Capacity, type EngineOrder, type Holdings, ORDER_KIND, ORDER_RESULT, type OrderResultValue, type UnitNeed, getMergedNeeds, type EngineCopies, getAgedNeed, getLoadMs, getLoadValue, getNextOrder, getWaits, isStoreLoad, mutateCopyLoad, getWantedMs, mutateUse, mutateWanted, newResidencyState,
+	type Capacity, type EngineOrder, type Holdings, type OrderResultValue, type UnitNeed, type EngineCopies, ORDER_KIND, ORDER_RESULT, getMergedNeeds,
+	getAgedNeed, getLoadMs, getLoadValue, getNextStep, getWaits, isStoreLoad, mutateCopyLoad, getWantedMs, mutateUse, mutateWanted, newResidencyState,
 } from '@valelead/residency';
 import type {Logger} from 'pino';
 import type {EngineStatus} from '../adapter/engine-status.js';
 import type {EnginePort} from './engine-port.js';
+import {LoadDelayLog} from './load-delay-log.js';
 import {Prefetcher} from './prefetcher.js';
+import {getOrderInputs} from './get-order-inputs.js';
 import {newEngineSummary} from './new-engine-summary.js';
 import {newHoldings} from './new-holdings.js';
 import {SummaryPublisher} from './summary-publisher.js';
@@ -58,6 +61,7 @@
 	readonly #residency = newResidencyState();
 	readonly #prefetcher: Prefetcher;
 	readonly #publisher: SummaryPublisher;
+	readonly #delays: LoadDelayLog;
 	#capacity: Capacity | undefined;
 	#upstreamId = '';
 	#status: EngineStatus | undefined;
@@ -74,6 +78,7 @@
 	constructor(parts: KeeperParts) {
 		this.#parts = parts;
 		this.#prefetcher = new Prefetcher(parts);
+		this.#delays = new LoadDelayLog(parts);
 		this.#publisher = new SummaryPublisher({...parts, getSummary: () => this.summary});
 	}
 
@@ -241,9 +246,31 @@
 		}
 
 		const needs = this.#getNeeds();
-		mutateWanted(this.#residency, needs, this.#parts.clock.now());
+		const now = this.#parts.clock.now();
+		mutateWanted(this.#residency, needs, now);
 		const fetched = this.#prefetcher.getNeeds(this.#upstreamId, [...this.#capacity.models.keys()]);
-		return getNextOrder(this.#residency, this.#capacity, this.#getHoldings(this.#status!), [...needs, ...fetched], this.#parts.clock.now());
+		const holdings = this.#getHoldings(this.#status!);
+		const step = getNextStep(this.#residency, this.#capacity, holdings, [...needs, ...fetched], now);
+		switch (step.kind) {
+			case 'order': {
+				return step.order;
+			}
+
+			case 'delay': {
+				this.#delays.note(step.load, {
+					upstreamId: this.#upstreamId, capacity: this.#capacity, holdings, needs, wantedMs: getWantedMs(this.#residency, step.load.model),
+				});
+				return undefined;
+			}
+
+			case 'rest': {
+				return undefined;
+			}
+
+			default: {
+				return assertNever(step);
+			}
+		}
 	}
 
 	/** Whether gateways were told of the order long enough ago; tells them if not. */
@@ -266,7 +293,18 @@
 			order, upstreamId: this.#upstreamId, expectedSequence, holder: this.#parts.holder, fence: FENCE,
 		});
 		this.#parts.logger.info({
-			event: 'order', order: order.kind, model: order.model, adapter: order.adapter, upstreamId: this.#upstreamId, expectedSequence, result: reply.result, reason: reply.reason, tookMs: Math.round(this.#parts.clock.now() - startedAt),
+			event: 'order',
+			order: order.kind,
+			model: order.model,
+			adapter: order.adapter,
+			upstreamId: this.#upstreamId,
+			expectedSequence,
+			result: reply.result,
+			reason: reply.reason,
+			tookMs: Math.round(this.#parts.clock.now() - startedAt),
+			...getOrderInputs(order, {
+				capacity: this.#capacity!, holdings: this.#getHoldings(this.#status!), needs: this.#getNeeds(), residency: this.#residency,
+			}),
 		}, 'engine ordered');
 		const isLoad = order.kind === ORDER_KIND.Load && order.adapter === '' && reply.result === ORDER_RESULT.Accepted;
 		this.#loading = isLoad ? this.#noteLoad(order.model, startedAt) : undefined;
--- /dev/null
+++ b/apps/valelead-daemon/src/sidecar/load-delay-log.ts
@@ -0,0 +1,62 @@
+import type {Clock} from '@valelead/common';
+import {
+	type Capacity, type DelayedLoad, type Holdings, type UnitNeed, getWaits, isStoreLoad,
+} from '@valelead/residency';
+import type {Logger} from 'pino';
+
+type LogParts = {
+	readonly clock: Clock;
+	readonly logger: Logger;
+};
+
+/** What a delay was decided on. */
+type DelayInputs = {
+	readonly upstreamId: string;
+	readonly capacity: Capacity;
+	readonly holdings: Holdings;
+	readonly needs: readonly UnitNeed[];
+	/** For how long requests have waited for the model, in milliseconds. */
+	readonly wantedMs: number;
+};
+
+/** A load that stays delayed, for the same reason or another, is told again after this time, in milliseconds; it bounds the lines of a sidecar. */
+const REPEAT_MS = 1000;
+
+/** Logs why a load that requests wait for does not begin. */
+export class LoadDelayLog {
+	readonly #parts: LogParts;
+	#told: DelayedLoad | undefined;
+	#toldAt = Number.NEGATIVE_INFINITY;
+
+	constructor(parts: LogParts) {
+		this.#parts = parts;
+	}
+
+	note(load: DelayedLoad, {upstreamId, capacity, holdings, needs, wantedMs}: DelayInputs): void {
+		const now = this.#parts.clock.now();
+		if (now - this.#toldAt < REPEAT_MS) {
+			return;
+		}
+
+		const isSame = this.#told?.model === load.model && this.#told.reason === load.reason;
+		this.#told = load;
+		this.#toldAt = now;
+		const waits = getWaits(needs, load.model);
+		this.#parts.logger.info({
+			event: 'load-delayed',
+			upstreamId,
+			model: load.model,
+			reason: load.reason,
+			isRepeated: isSame,
+			isStoreLoad: isStoreLoad(capacity, holdings, load.model),
+			waiting: waits.reduce((sum, wait) => sum + wait.count, 0),
+			wantedMs: Math.round(wantedMs),
+			dueInMs: Math.round(Math.min(...waits.map(wait => wait.dueInMs))),
+			held: holdings.models.map(({name}) => ({
+				name,
+				inProgress: needs.filter(need => need.model === name).reduce((sum, need) => sum + need.inProgress, 0),
+				waiting: needs.filter(need => need.model === name).reduce((sum, need) => sum + need.waiting, 0),
+			})),
+		}, 'load delayed');
+	}
+}
--- a/apps/valelead-daemon/tests/load-planner.feature
+++ b/apps/valelead-daemon/tests/load-planner.feature
@@ -44,6 +44,7 @@
     And engine "e1" holds "a copy of a" and "b, c, d" with 5 requests in progress each
     When 1 request of the gateway waits for "a" for 6000 ms and no engine begins to load
     Then it was to be loaded at "e1" first and at "e2" last
+    And it is told that the load moved from "e1" to "e2" as it was stuck
 
   Scenario: An engine that has a long queue but an idle model is not left
     Given engines "e1, e2" that hold "b, c, d" with copies of "b, c, d"
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -2,7 +2,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {UPSTREAM_STATE} from '@valelead/discovery';
 import {
-	type Demand, type EngineView, type GatewayRequest, LoadPlanner, newDemand,
+	type Demand, type EngineView, type GatewayRequest, type SiteChange, LoadPlanner, newDemand,
 } from 'valelead-daemon';
 
 type PlannerWorld = {
@@ -14,6 +14,7 @@
 	inProgress: GatewayRequest[];
 	/** Where the model was to be loaded, in the order of time. */
 	sites: string[];
+	changes: SiteChange[];
 };
 
 const SERVICE = 'llm';
@@ -66,10 +67,14 @@
 	this.views = new Map();
 	this.waiting = [];
 	this.inProgress = [];
+	this.changes = [];
 	this.planner = new LoadPlanner({
 		getTable: () => table as never,
 		getViews: () => this.views,
 		isUsable: () => true,
+		onSiteChange: change => {
+			this.changes.push(change);
+		},
 	});
 });
 
@@ -142,6 +147,10 @@
 	this.views.set(id, newView(id, [model], [model]));
 });
 
+Then('it is told that the load moved from {string} to {string} as it was stuck', function (this: PlannerWorld, from: string, to: string) {
+	assert.deepEqual(this.changes.map(({fromUpstreamId, toUpstreamId, isStuck}) => ({fromUpstreamId, toUpstreamId, isStuck})), [{fromUpstreamId: from, toUpstreamId: to, isStuck: true}]);
+});
+
 Then('{string} is forecast to be loaded in {int} to {int} ms', function (this: PlannerWorld, model: string, leastMs: number, mostMs: number) {
 	getLoading(this, model);
 	const forecastMs = this.planner.getForecastMs(newDemand(newRequest(model)))!;
--- a/packages/residency/src/get-next-order.ts
+++ b/packages/residency/src/get-next-order.ts
@@ -1,60 +1,12 @@
-import {getAdapterOrder} from './get-adapter-order.js';
-import {getIdleModel} from './get-idle-model.js';
-import {getWantedMs} from './get-wanted-ms.js';
-import {getUsedMemory} from './get-used-memory.js';
-import {getLoadMs} from './get-load-ms.js';
-import {getAging} from './get-aging.js';
-import {getCopyLoadRate} from './get-copy-load-rate.js';
-import {getLoadQueue} from './get-load-queue.js';
-import {getLoadValue} from './get-load-value.js';
-import {getWaits} from './get-waits.js';
-import {isStoreLoad} from './is-store-load.js';
-import {ORDER_KIND} from './order-kind.js';
+import {getNextStep} from './get-next-step.js';
 import type {Capacity} from './capacity.js';
 import type {EngineOrder} from './engine-order.js';
 import type {Holdings} from './holdings.js';
 import type {ResidencyState} from './residency-state.js';
 import type {UnitNeed} from './unit-need.js';
 
-/**
- * Whether a load from the weight store would keep the engine from loads of copies that have lately counted more in the same
- * time: one load takes the time of about nine swaps. Requests that wait longer make it count more, so that it comes in the
- * end. Begun in each pause of the queue instead, there are 19 of them in place of 16 in the laboratory's mixed-losses.
- */
-const isDisplacing = (state: ResidencyState, capacity: Capacity, holdings: Holdings, model: string, needs: readonly UnitNeed[], now: number): boolean => {
-	const loadMs = getLoadMs(capacity, holdings, model);
-	const value = getLoadValue(getWaits(needs, model), loadMs) * getAging(getWantedMs(state, model));
-	return isStoreLoad(capacity, holdings, model) && value > 0 && value < getCopyLoadRate(state, now) * loadMs;
-};
-
-const getModelOrder = (state: ResidencyState, capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[], now: number): EngineOrder | undefined => {
-	const held = new Set(holdings.models.map(model => model.name));
-	const queue = getLoadQueue({
-		held, needs, getLoadMs: model => getLoadMs(capacity, holdings, model), getWantedMs: model => getWantedMs(state, model),
-	});
-	const wanted = queue.find(model => capacity.models.has(model));
-	if (wanted === undefined || isDisplacing(state, capacity, holdings, wanted, needs, now)) {
-		return undefined;
-	}
-
-	const {weightMemory} = capacity.models.get(wanted)!;
-	if (getUsedMemory(capacity, holdings) + weightMemory <= capacity.weightMemory) {
-		return {kind: ORDER_KIND.Load, model: wanted, adapter: ''};
-	}
-
-	const idle = getIdleModel(state, holdings, needs);
-	return idle === undefined ? undefined : {kind: ORDER_KIND.Unload, model: idle, adapter: ''};
-};
-
-/**
- * The order that serves waiting requests next, or undefined where nothing waits or nothing can make way.
- * Adapters come first, as they load within milliseconds. An engine refuses any order while it loads a model.
- * @param now - Monotonic milliseconds.
- */
+/** The order that serves waiting requests next, or undefined where nothing waits or nothing can make way. */
 export const getNextOrder = (state: ResidencyState, capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[], now: number): EngineOrder | undefined => {
-	if (holdings.isBusy) {
-		return undefined;
-	}
-
-	return getAdapterOrder(state, capacity, holdings, needs) ?? getModelOrder(state, capacity, holdings, needs, now);
+	const step = getNextStep(state, capacity, holdings, needs, now);
+	return step.kind === 'order' ? step.order : undefined;
 };
--- /dev/null
+++ b/packages/residency/src/get-next-step.ts
@@ -0,0 +1,71 @@
+import {getAdapterOrder} from './get-adapter-order.js';
+import {getIdleModel} from './get-idle-model.js';
+import {getWantedMs} from './get-wanted-ms.js';
+import {getUsedMemory} from './get-used-memory.js';
+import {getLoadMs} from './get-load-ms.js';
+import {getAging} from './get-aging.js';
+import {getCopyLoadRate} from './get-copy-load-rate.js';
+import {getLoadQueue} from './get-load-queue.js';
+import {getLoadValue} from './get-load-value.js';
+import {getWaits} from './get-waits.js';
+import {isStoreLoad} from './is-store-load.js';
+import {LOAD_DELAY} from './load-delay.js';
+import {ORDER_KIND} from './order-kind.js';
+import type {Capacity} from './capacity.js';
+import type {EngineOrder} from './engine-order.js';
+import type {Holdings} from './holdings.js';
+import type {LoadStep} from './load-step.js';
+import type {ResidencyState} from './residency-state.js';
+import type {UnitNeed} from './unit-need.js';
+
+/**
+ * Whether a load from the weight store would keep the engine from loads of copies that have lately counted more in the same
+ * time: one load takes the time of about nine swaps. Requests that wait longer make it count more, so that it comes in the
+ * end. Begun in each pause of the queue instead, there are 19 of them in place of 16 in the laboratory's mixed-losses.
+ */
+const isDisplacing = (state: ResidencyState, capacity: Capacity, holdings: Holdings, model: string, needs: readonly UnitNeed[], now: number): boolean => {
+	const loadMs = getLoadMs(capacity, holdings, model);
+	const value = getLoadValue(getWaits(needs, model), loadMs) * getAging(getWantedMs(state, model));
+	return isStoreLoad(capacity, holdings, model) && value > 0 && value < getCopyLoadRate(state, now) * loadMs;
+};
+
+const REST: LoadStep = {kind: 'rest'};
+
+const newModelOrder = (kind: EngineOrder['kind'], model: string): LoadStep => ({kind: 'order', order: {kind, model, adapter: ''}});
+
+const getModelStep = (state: ResidencyState, capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[], now: number): LoadStep => {
+	const held = new Set(holdings.models.map(model => model.name));
+	const queue = getLoadQueue({
+		held, needs, getLoadMs: model => getLoadMs(capacity, holdings, model), getWantedMs: model => getWantedMs(state, model),
+	});
+	const wanted = queue.find(model => capacity.models.has(model));
+	if (wanted === undefined) {
+		return REST;
+	}
+
+	if (isDisplacing(state, capacity, holdings, wanted, needs, now)) {
+		return {kind: 'delay', load: {model: wanted, reason: LOAD_DELAY.CopiesFirst}};
+	}
+
+	const {weightMemory} = capacity.models.get(wanted)!;
+	if (getUsedMemory(capacity, holdings) + weightMemory <= capacity.weightMemory) {
+		return newModelOrder(ORDER_KIND.Load, wanted);
+	}
+
+	const idle = getIdleModel(state, holdings, needs);
+	return idle === undefined ? {kind: 'delay', load: {model: wanted, reason: LOAD_DELAY.NoIdleModel}} : newModelOrder(ORDER_KIND.Unload, idle);
+};
+
+/**
+ * What serves waiting requests next: an order, a load that has to wait, or nothing where no request waits or the engine is busy.
+ * Adapters come first, as they load within milliseconds. An engine refuses any order while it loads a model.
+ * @param now - Monotonic milliseconds.
+ */
+export const getNextStep = (state: ResidencyState, capacity: Capacity, holdings: Holdings, needs: readonly UnitNeed[], now: number): LoadStep => {
+	if (holdings.isBusy) {
+		return REST;
+	}
+
+	const order = getAdapterOrder(state, capacity, holdings, needs);
+	return order ? {kind: 'order', order} : getModelStep(state, capacity, holdings, needs, now);
+};
--- a/packages/residency/tests/residency.feature
+++ b/packages/residency/tests/residency.feature
@@ -23,6 +23,7 @@
     And "b" has 1 request in progress
     And "c" has 1 request in progress
     Then there is no next order
+    And the load of "d" is delayed as "no-idle-model"
 
   Scenario: A model without a copy makes way last
     Given it holds "a, b, c" with copies of "b, c"
@@ -187,6 +188,7 @@
     And the engine has loaded copies for 1 request in time a second over the last 5 s
     When 1 request of rank 0 that is due in 2000 ms waits for "e"
     Then there is no next order
+    And the load of "e" is delayed as "copies-first"
 
   Scenario: An engine that has loaded no copies lately does
     Given it holds "a" with copies of "c, d"
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -4,7 +4,7 @@
 } from '@cucumber/cucumber';
 import * as fc from 'fast-check';
 import {
-	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getBalancingFetch, getClassWeight, getLoadSite, getNextOrder, getPrefetch, getSpareReplicas, getUnitName, mutateCopyLoad, mutateWanted, newResidencyState,
+	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getBalancingFetch, getClassWeight, getLoadSite, getNextOrder, getNextStep, getPrefetch, getSpareReplicas, getUnitName, mutateCopyLoad, mutateWanted, newResidencyState,
 } from '@valelead/residency';
 
 type ResidencyWorld = {
@@ -125,6 +125,10 @@
 	assert.equal(getNextOrder(this.state, this.capacity, this.holdings, this.needs, this.now ?? 0), undefined);
 });
 
+Then('the load of {string} is delayed as {string}', function (this: ResidencyWorld, model: string, reason: string) {
+	assert.deepEqual(getNextStep(this.state, this.capacity, this.holdings, this.needs, this.now ?? 0), {kind: 'delay', load: {model, reason}});
+});
+
 const getMemory = (capacity: Capacity, models: Holdings['models']): number => {
 	let sum = 0;
 	for (const {name, adapters} of models) {
