Drop the run before at an address when a new leader names the next one, and take back a run that only seemed replaced

Cause: after a change of leader a follower kept the runs that the new leader had not heard of for 8 s, also where it named another run at the same address. Ruled out: a model that is missing (the logs name the old run, the engine answers for the new one). By reading, at the leader: a late announcement of a dead run marked the live one at its address as gone for good.

--- a/packages/discovery/src/directory-entry.ts
+++ b/packages/discovery/src/directory-entry.ts
@@ -7,4 +7,6 @@
 	heardAt: number;
 	/** The directory's version at the last change that followers must learn. */
 	version: number;
+	/** Whether it counts as gone only because another run announced itself at its address. */
+	isReplaced: boolean;
 };
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -7,6 +7,7 @@
 export {newDirectory} from './new-directory.js';
 export {mutateAnnouncement} from './mutate-announcement.js';
 export {mutateDeparture} from './mutate-departure.js';
+export {mutateKeeper} from './mutate-keeper.js';
 export {mutateSilent} from './mutate-silent.js';
 export {getChangesSince} from './get-changes-since.js';
 export type {DirectoryChange} from './directory-change.js';
--- a/packages/discovery/src/mutate-directory-copy.ts
+++ b/packages/discovery/src/mutate-directory-copy.ts
@@ -3,6 +3,18 @@
 import type {DirectoryCopy} from './directory-copy.js';
 import type {Upstream} from './upstream.js';
 
+/**
+ * Drops the runs before at an upstream's address. The leader says so of those that it knows; one that was elected since does not know
+ * them, and requests for them would be refused at the address until they are given up as unconfirmed.
+ */
+const mutateReplaced = (copy: DirectoryCopy, {id, address}: Upstream): void => {
+	for (const [otherId, {upstream, unconfirmedSince}] of copy.upstreams) {
+		if (otherId !== id && upstream.address === address && unconfirmedSince !== undefined) {
+			copy.upstreams.delete(otherId);
+		}
+	}
+};
+
 const mutateUpstream = (copy: DirectoryCopy, upstream: Upstream): boolean => {
 	const known = copy.upstreams.get(upstream.id)?.upstream;
 	const isOlder = known !== undefined && upstream.sequence < known.sequence && upstream.state !== UPSTREAM_STATE.Gone;
@@ -11,6 +23,7 @@
 		return copy.upstreams.delete(upstream.id);
 	}
 
+	mutateReplaced(copy, upstream);
 	copy.upstreams.set(upstream.id, {upstream: isOlder || isLeaving ? known : upstream, unconfirmedSince: undefined});
 	return true;
 };
--- a/packages/discovery/src/mutate-entry.ts
+++ b/packages/discovery/src/mutate-entry.ts
@@ -14,7 +14,9 @@
 	}
 
 	directory.version += 1;
-	directory.entries.set(upstream.id, {upstream, heardAt: now, version: directory.version});
+	directory.entries.set(upstream.id, {
+		upstream, heardAt: now, version: directory.version, isReplaced: false,
+	});
 	if (upstream.state === UPSTREAM_STATE.Gone) {
 		return;
 	}
@@ -25,6 +27,7 @@
 			directory.version += 1;
 			entry.upstream = {...entry.upstream, state: UPSTREAM_STATE.Gone};
 			entry.version = directory.version;
+			entry.isReplaced = true;
 		}
 	}
 };
--- a/packages/discovery/src/upstream.ts
+++ b/packages/discovery/src/upstream.ts
@@ -19,4 +19,6 @@
 	readonly copiesOnDisk: readonly string[];
 	/** Time until it is taken away, in milliseconds; 0 where none was announced. */
 	readonly remainingMs: number;
+	/** Where the process that gives it orders is reached; empty where its own sidecar does. Added by the leader. */
+	readonly keeperAddress: string;
 };
--- a/packages/discovery/tests/discovery.feature
+++ b/packages/discovery/tests/discovery.feature
@@ -24,6 +24,22 @@
     Then upstream "a" is "gone"
     And upstream "b" is "ready"
 
+  Scenario: A run that only seemed to be replaced is back with its next announcement
+    Given upstream "b" at "10.0.0.1:80" announced itself as "ready" with sequence 1
+    When upstream "a" at "10.0.0.1:80" announced itself as "ready" with sequence 7
+    Then upstream "b" is "gone"
+    When upstream "b" announces itself as "ready" with sequence 2
+    Then upstream "b" is "ready"
+    And upstream "a" is "gone"
+
+  Scenario: A run that was replaced and departs does not come back
+    Given upstream "a" at "10.0.0.1:80" announced itself as "ready" with sequence 5
+    When upstream "b" at "10.0.0.1:80" announced itself as "ready" with sequence 1
+    And upstream "a" departs
+    And upstream "a" announces itself as "ready" with sequence 9
+    Then upstream "a" is "gone"
+    And upstream "b" is "ready"
+
   Scenario: Silence is no departure
     Given upstream "a" at "10.0.0.1:80" announced itself as "ready" with sequence 5
     When 10000 ms pass in silence
@@ -43,6 +59,11 @@
     When 9000 ms pass without more
     Then the follower holds "a"
 
+  Scenario: A new leader that names the next run at an address takes the one before away
+    Given a follower that holds upstreams "a, b" of leader "one"
+    When leader "two" tells it of upstream "c" at the address of "a"
+    Then the follower holds "b, c"
+
   Scenario: A follower keeps a drain that a new leader has not heard of
     Given a follower that holds upstreams "a" of leader "one"
     When leader "one" tells it that "a" is "draining"
--- a/packages/discovery/tests/discovery.steps.ts
+++ b/packages/discovery/tests/discovery.steps.ts
@@ -17,7 +17,7 @@
 const GRACE_MS = 8000;
 
 const newUpstream = (id: string, state: UpstreamStateValue, sequence: number, address = `10.0.0.9:${id.codePointAt(0)}`): Upstream => ({
-	id, service: 's', address, dataCentre: 'd', state, slots: 1, sequence, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0,
+	id, service: 's', address, dataCentre: 'd', state, slots: 1, sequence, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0, keeperAddress: '',
 });
 
 const announce = (world: DiscoveryWorld, id: string, state: string, sequence: number): void => {
@@ -75,6 +75,10 @@
 	tell(this, epoch, false, [newUpstream(id, state as UpstreamStateValue, 2)]);
 });
 
+When('leader {string} tells it of upstream {string} at the address of {string}', function (this: DiscoveryWorld, epoch: string, id: string, other: string) {
+	tell(this, epoch, true, [newUpstream(id, UPSTREAM_STATE.Ready, 1, this.copy.upstreams.get(other)!.upstream.address)]);
+});
+
 When('{int} ms pass without more', function (this: DiscoveryWorld, milliseconds: number) {
 	mutateUnconfirmed(this.copy, GRACE_MS, milliseconds);
 });
