--- a/apps/valelead-daemon/src/control/order-leases.ts
+++ b/apps/valelead-daemon/src/control/order-leases.ts
@@ -81,6 +81,13 @@
 		return state ? Math.max(0, ...addresses.map(address => getSidecarDelayMs(state, settings, address, clock.now()))) : 0;
 	}
 
+	/** Engines that no sidecar attends to and nobody holds a lease on; 0 where this voter does not lead. */
+	get unattendedCount(): number {
+		const state = this.#getState();
+		const isUnattended = (address: string): boolean => !state!.attended.has(address) && !state!.leases.has(address);
+		return state ? [...this.#getEngines()].filter(address => isUnattended(address)).length : 0;
+	}
+
 	#getState(): LeaseState | undefined {
 		const {node} = this.#parts.voter;
 		if (!node?.isCurrentLeader) {
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -79,6 +79,7 @@
 		getUnreadyReason: () => voter.node ? undefined : 'no quorum yet',
 		refreshMetrics() {
 			metrics.revision.set(voter.machine.routing?.version ?? 0);
+			metrics.unattendedEngines.set(leases.unattendedCount);
 		},
 	});
 	logger.info({event: 'started', control: settings.control}, 'controller started');
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -21,6 +21,8 @@
 	readonly results: Counter<RequestLabels | 'code'>;
 	readonly configurationAge: Gauge;
 	readonly revision: Gauge;
+	/** Engines that nobody gives orders to; set by the leader. */
+	readonly unattendedEngines: Gauge;
 	readonly #teams = new Set<string>();
 
 	constructor() {
@@ -39,6 +41,7 @@
 		});
 		this.configurationAge = new Gauge({name: 'valelead_configuration_age_seconds', help: 'Time since the leader last confirmed the configuration.', registers});
 		this.revision = new Gauge({name: 'valelead_revision', help: 'The revision of the configuration in force.', registers});
+		this.unattendedEngines = new Gauge({name: 'valelead_unattended_engines', help: 'Engines that announce themselves and that no process gives orders to, as the leader knows.', registers});
 		collectDefaultMetrics({register: this.registry});
 	}
 
