--- a/apps/valelead-lab/src/get-play-figures.ts
+++ b/apps/valelead-lab/src/get-play-figures.ts
@@ -32,6 +32,7 @@
 	unserved: getShare(results, CALL_OUTCOME.Refused) + getShare(results, CALL_OUTCOME.InVain),
 	copyLoads: loads.reduce((sum, engine) => sum + engine.memory + engine.disk, 0),
 	storeLoads: loads.reduce((sum, engine) => sum + engine.store, 0),
+	refusedOrders: loads.reduce((sum, engine) => sum + engine.refusedOrders, 0),
 	classes: Object.fromEntries(pattern.classes.map(({name}) => {
 		const own = results.filter(result => result.className === name);
 		return [name, {
--- a/apps/valelead-lab/src/lab-engine.ts
+++ b/apps/valelead-lab/src/lab-engine.ts
@@ -5,7 +5,7 @@
 import type {RouteTable} from '@valelead/routing';
 import type {Logger} from 'pino';
 import {
-	EngineKeeper, type EnginePort, LOCAL_POLLS, type OrderTerms, SIDECAR_FENCE, newCapacity,
+	EngineKeeper, type EnginePort, type EngineStatus, LOCAL_POLLS, type OrderTerms, REMOTE_POLLS, SIDECAR_FENCE, newCapacity,
 } from 'valelead-daemon';
 import {LAB_NAMES} from './lab-names.js';
 
@@ -17,6 +17,8 @@
 	readonly logger: Logger;
 	readonly table: RouteTable;
 	readonly slots: number;
+	/** How old the state is that the engine tells, in milliseconds: 0 to a process on its own machine. */
+	readonly statusLagMs: number;
 };
 
 /** Between a sidecar and its engine, one way, in milliseconds: the same machine, with the work of two processes. */
@@ -25,12 +27,23 @@
 /** Loads from the weight store for no request that waits, over the installation, as in the daemon's settings. */
 const CONCURRENT_STORE_LOADS = 4;
 
+type ToldStatus = {
+	readonly at: number;
+	readonly status: EngineStatus;
+};
+
+/** How often an engine takes down the state that it tells to other machines, in milliseconds. */
+const SNAPSHOT_MS = 20;
+
 /** An emulated engine with the shipped keeper beside it. */
 export class LabEngine {
 	readonly keeper: EngineKeeper;
 	readonly #parts: LabEngineParts;
 	#state: UpstreamStateValue = UPSTREAM_STATE.Ready;
 	#sequence = 0;
+	/** States of the last moments, the oldest first. */
+	#told: ToldStatus[] = [];
+	#refused = 0;
 
 	constructor(parts: LabEngineParts) {
 		this.#parts = parts;
@@ -42,8 +55,14 @@
 			clock: parts.clock,
 			logger: parts.logger,
 			fence: SIDECAR_FENCE,
-			polls: LOCAL_POLLS,
+			polls: parts.statusLagMs === 0 ? LOCAL_POLLS : REMOTE_POLLS,
 		});
+		if (parts.statusLagMs > 0) {
+			parts.timers.repeat(SNAPSHOT_MS, now => {
+				this.#takeDown(now);
+			});
+		}
+
 		this.keeper.setCapacity(newCapacity(parts.table, LAB_NAMES.service));
 		this.keeper.setUpstreamId(parts.id);
 		this.keeper.start();
@@ -61,6 +80,11 @@
 		return this.#parts.engine;
 	}
 
+	/** Orders that came while another one was carried out, or that were decided on an older state. */
+	get refusedOrders(): number {
+		return this.#refused;
+	}
+
 	get state(): UpstreamStateValue {
 		return this.#state;
 	}
@@ -98,22 +122,31 @@
 		return [...this.engine.held].map(([name, adapters]) => ({name, version: 1, adapters: [...adapters]}));
 	}
 
+	#getStatus(): EngineStatus {
+		return {
+			models: this.#getModels(),
+			pending: [],
+			isBusy: this.engine.isBusy,
+			orderSequence: this.engine.sequence,
+			queued: this.engine.queuedCount,
+			active: this.engine.activeCount,
+			cacheUsedTokens: 0,
+			cacheTokens: 1,
+			copiesInMemory: this.engine.memoryCopies,
+			copiesOnDisk: this.engine.diskCopies,
+		};
+	}
+
+	#takeDown(now: number): void {
+		this.#told.push({at: now, status: this.#getStatus()});
+		this.#told = this.#told.filter(({at}) => now - at <= this.#parts.statusLagMs);
+	}
+
 	#newPort(): EnginePort {
 		return {
 			getStatus: async () => this.#call(() => ({
 				upstreamId: this.id,
-				status: {
-					models: this.#getModels(),
-					pending: [],
-					isBusy: this.engine.isBusy,
-					orderSequence: this.engine.sequence,
-					queued: this.engine.queuedCount,
-					active: this.engine.activeCount,
-					cacheUsedTokens: 0,
-					cacheTokens: 1,
-					copiesInMemory: this.engine.memoryCopies,
-					copiesOnDisk: this.engine.diskCopies,
-				},
+				status: this.#told.at(0)?.status ?? this.#getStatus(),
 			})),
 			order: async terms => this.#call(() => ({result: this.#order(terms), upstreamId: this.id, reason: ''})),
 		};
@@ -124,6 +157,7 @@
 		const isTaken = order.adapter === ''
 			? engine.order({kind: order.kind, model: order.model}, expectedSequence)
 			: engine.orderAdapter(order.kind, order.model, order.adapter, expectedSequence);
+		this.#refused += isTaken ? 0 : 1;
 		return isTaken ? ORDER_RESULT.Accepted : ORDER_RESULT.Conflict;
 	}
 
--- a/apps/valelead-lab/src/lab-installation.ts
+++ b/apps/valelead-lab/src/lab-installation.ts
@@ -106,6 +106,7 @@
 			logger: this.#logger.child({vm: id}),
 			table: this.table,
 			slots: engines.slots,
+			statusLagMs: this.#pattern.statusLagMs ?? 0,
 		});
 		for (const model of diskCopies) {
 			engine.engine.keepDiskCopy(model);
--- a/apps/valelead-lab/src/pattern-schema.ts
+++ b/apps/valelead-lab/src/pattern-schema.ts
@@ -76,6 +76,8 @@
 	/** One way between two processes, in milliseconds. */
 	linkMs: Schema.Finite,
 	fullSpeedStoreLoads: Schema.Int,
+	/** How old the state is that engines tell, in milliseconds, where they are ordered from other machines; 0 from their own. */
+	statusLagMs: Schema.optionalKey(Schema.Finite),
 	engines: Schema.Struct({
 		count: Schema.Int,
 		/** How slow each engine is, relative to the terms; 1 where none is given. */
--- a/apps/valelead-lab/src/play-figures.ts
+++ b/apps/valelead-lab/src/play-figures.ts
@@ -19,5 +19,6 @@
 	readonly unserved: number;
 	readonly copyLoads: number;
 	readonly storeLoads: number;
+	readonly refusedOrders: number;
 	readonly classes: Readonly<Record<string, ClassFigures>>;
 };
--- a/apps/valelead-lab/src/play-pattern.ts
+++ b/apps/valelead-lab/src/play-pattern.ts
@@ -87,5 +87,5 @@
 	traffic.stop();
 	const longestMs = Math.max(...pattern.classes.map(callerGroup => callerGroup.deadlineMs));
 	await clock.runUntil(LEAD_MS + pattern.lengthMs + longestMs);
-	return {seed, results, loads: installation.engines.map(({id, engine}) => ({id, ...engine.counts}))};
+	return {seed, results, loads: installation.engines.map(({id, engine, refusedOrders}) => ({id, ...engine.counts, refusedOrders}))};
 };
--- a/apps/valelead-lab/src/play.ts
+++ b/apps/valelead-lab/src/play.ts
@@ -7,6 +7,8 @@
 	readonly disk: number;
 	readonly store: number;
 	readonly busyMs: number;
+	/** Orders that it refused, as it was busy or its state had changed. */
+	readonly refusedOrders: number;
 };
 
 /** One play of a pattern. */
--- a/apps/valelead-lab/tests/patterns.steps.ts
+++ b/apps/valelead-lab/tests/patterns.steps.ts
@@ -47,6 +47,11 @@
 	assert.ok(unserved <= share, String(unserved));
 });
 
+Then('at most {int} orders are refused by engines', function (this: LabWorld, count: number) {
+	const refused = getMean(this.plays.map(figures => figures.refusedOrders));
+	assert.ok(refused <= count, String(refused));
+});
+
 Then('playing it again gives the same figures', {timeout: 120_000}, async function (this: LabWorld) {
 	assert.deepEqual(await play(this.pattern, this.first, this.first), this.plays);
 });
