Take what is newly known of the engines as a share, so that changes one after the other hold nothing up

Cause: an installation counted as known when nothing had changed for 1.5 s, which never came while engines were replaced one after the other. Meanwhile no model without a copy was fetched, no forecast was made, and callers were held until they left. Also: an engine that joins where no engine has a sidecar gets a holder at once, not after 3 s.

--- a/apps/valelead-daemon/src/gateway/engine-knowledge.ts
+++ b/apps/valelead-daemon/src/gateway/engine-knowledge.ts
@@ -1,11 +1,11 @@
 import type {EngineView} from './engine-view.js';
 
-type ServiceKnowledge = {
-	/** The engines that are known, and those of them that sidecars tell of. */
-	readonly engines: string;
-	/** In monotonic milliseconds. */
-	readonly changedAt: number;
-	readonly isComplete: boolean;
+/** One engine as it is known. Times are monotonic milliseconds. */
+type KnownEngine = {
+	readonly service: string;
+	readonly hasSidecar: boolean;
+	/** Since when it is known with or without its sidecar. */
+	readonly since: number;
 };
 
 /** Engines announce themselves about once in this time, in milliseconds, and their sidecars are reached soon after. */
@@ -14,32 +14,37 @@
 /** An engine whose sidecar is not reached is waited for this long, in milliseconds. */
 const MISSING_MS = 3000;
 
+/**
+ * The part of the engines that may have become known lately. After a start, and after the loss of all engines, most have, and others
+ * are yet to come. Engines that are replaced one after the other stay below it: they are no reason to hold callers of models without a
+ * copy, which with a quiet time that each change began anew were neither loaded nor refused for 8 s.
+ */
+const MOST_NEW_SHARE = 1 / 3;
+
+const isNew = ({hasSidecar, since}: KnownEngine, now: number): boolean => now - since <= (hasSidecar ? SETTLE_MS : MISSING_MS);
+
 /**
  * How completely the engines of a service are known. After a start engines become known one after the other, and a model
  * seems to have no copy until the engine that keeps it is heard. Looking at them too early blocks engines with loads from the
  * weight store: 1 in 100 of the credit in the laboratory's power-loss, and seconds of a whole installation's recovery.
  */
 export class EngineKnowledge {
-	readonly #services = new Map<string, ServiceKnowledge>();
+	#engines: ReadonlyMap<string, KnownEngine> = new Map();
 
 	/** Takes all engines as they are known now. */
 	note(views: readonly EngineView[], now: number): void {
-		for (const service of new Set(views.map(view => view.upstream.service))) {
-			this.#noteService(service, views.filter(view => view.upstream.service === service), now);
-		}
+		this.#engines = new Map(views.map(view => [view.upstream.id, this.#newKnown(view, now)]));
 	}
 
-	/** Whether what is known of the service's engines has not changed for long enough to tell which copies exist. */
+	/** Whether enough of the service's engines have been known for long enough to tell which copies exist. */
 	isSettled(service: string, now: number): boolean {
-		const known = this.#services.get(service);
-		return known !== undefined && now - known.changedAt > (known.isComplete ? SETTLE_MS : MISSING_MS);
+		const engines = [...this.#engines.values()].filter(engine => engine.service === service);
+		const newCount = engines.filter(engine => isNew(engine, now)).length;
+		return engines.length > 0 && newCount <= engines.length * MOST_NEW_SHARE;
 	}
 
-	#noteService(service: string, views: readonly EngineView[], now: number): void {
-		const engines = views.map(view => `${view.upstream.id} ${view.hasSidecar}`).sort().join(',');
-		const known = this.#services.get(service);
-		if (known?.engines !== engines) {
-			this.#services.set(service, {engines, changedAt: now, isComplete: views.every(view => view.hasSidecar)});
-		}
+	#newKnown({upstream: {id, service}, hasSidecar}: EngineView, now: number): KnownEngine {
+		const known = this.#engines.get(id);
+		return known?.hasSidecar === hasSidecar ? known : {service, hasSidecar, since: now};
 	}
 }
--- a/packages/order-lease/src/mutate-leases.ts
+++ b/packages/order-lease/src/mutate-leases.ts
@@ -54,7 +54,9 @@
 const mutateGranted = (state: LeaseState, settings: LeaseSettings, address: string, candidates: readonly LeaseCandidate[], now: number): OrderLease | undefined => {
 	const known = state.leases.get(address);
 	const isHeld = known !== undefined && now - known.renewedAt < ORDER_LEASE_MS;
-	const isSettled = now - state.knownSince.get(address)! >= SIDECAR_MS && now - state.startedAt >= SIDECAR_MS;
+	// Where no engine has a sidecar, one that joins is not waited for.
+	const isAwaited = state.attended.size > 0 && now - state.knownSince.get(address)! < SIDECAR_MS;
+	const isSettled = !isAwaited && now - state.startedAt >= SIDECAR_MS;
 	if (isHeld || state.attended.has(address) || (known === undefined && !isSettled)) {
 		return undefined;
 	}
--- a/packages/order-lease/tests/order-lease.feature
+++ b/packages/order-lease/tests/order-lease.feature
@@ -13,6 +13,17 @@
     And engine "e1" and gateways "g1, g2" are heard from 0 ms to 20000 ms
     Then "e1" is held by nobody
 
+  Scenario: Where no engine has a sidecar, one that joins gets a holder at once
+    When engine "e1" and gateway "g1" are heard from 0 ms to 20000 ms
+    And engines "e1, e2" and gateway "g1" are heard from 20500 ms to 20500 ms
+    Then "e2" may be ordered from 20500 ms on
+
+  Scenario: Where others have a sidecar, one that joins is waited for
+    When the sidecar of "e1" is heard
+    And engine "e1" and gateway "g1" are heard from 0 ms to 20000 ms
+    And engines "e1, e2" and gateway "g1" are heard from 20500 ms to 23500 ms
+    Then "e2" may be ordered from 23500 ms on
+
   Scenario: The holders of several engines are spread
     When engines "e1, e2, e3, e4" and gateways "g1, g2" are heard from 0 ms to 4000 ms
     Then each of "g1, g2" holds 2 engines
--- a/packages/order-lease/tests/order-lease.steps.ts
+++ b/packages/order-lease/tests/order-lease.steps.ts
@@ -57,6 +57,10 @@
 	assert.deepEqual(getLeasesOf(this.state, lease.vm).map(({address}) => address), [engine]);
 });
 
+Then('{string} may be ordered from {int} ms on', function (this: LeaseWorld, engine: string, startsAt: number) {
+	assert.equal(this.state.leases.get(engine)?.startsAt, startsAt);
+});
+
 Then('{string} is held by nobody', function (this: LeaseWorld, engine: string) {
 	const lease = this.state.leases.get(engine);
 	assert.deepEqual(lease ? getLeasesOf(this.state, lease.vm) : [], []);
