Grant nothing of an earlier term, and name what gives an engine its orders its keeper

A voter that was elected again still held the leases of its term before, and would have confirmed them to their holders with the next push, while another leader had given the engines to others.

--- a/apps/valelead-daemon/src/control/order-leases.ts
+++ b/apps/valelead-daemon/src/control/order-leases.ts
@@ -69,15 +69,16 @@
 	/** The leases of a VM, as it is told of them. */
 	getGrants(vm: string): Array<Pick<HeldLease, 'engineAddress' | 'fence' | 'startsInMs'>> {
 		const now = this.#parts.clock.now();
-		return this.#state
-			? getLeasesOf(this.#state, vm).map(({address, fence, startsAt}) => ({engineAddress: address, fence, startsInMs: Math.max(0, startsAt - now)}))
+		const state = this.#getState();
+		return state
+			? getLeasesOf(state, vm).map(({address, fence, startsAt}) => ({engineAddress: address, fence, startsInMs: Math.max(0, startsAt - now)}))
 			: [];
 	}
 
 	/** How long the sidecars of these engines leave them to others, in milliseconds. */
 	getSidecarDelayMs(addresses: readonly string[]): number {
 		const {clock, settings} = this.#parts;
-		const state = this.#state;
+		const state = this.#getState();
 		return state ? Math.max(0, ...addresses.map(address => getSidecarDelayMs(state, settings, address, clock.now()))) : 0;
 	}
 
@@ -88,6 +89,7 @@
 		return state ? [...this.#getEngines()].filter(address => isUnattended(address)).length : 0;
 	}
 
+	/** What is known since this voter leads; an earlier leadership's leases may have been granted to others since. */
 	#getState(): LeaseState | undefined {
 		const {node} = this.#parts.voter;
 		if (!node?.isCurrentLeader) {
--- a/apps/valelead-daemon/src/gateway/engine-fleet.ts
+++ b/apps/valelead-daemon/src/gateway/engine-fleet.ts
@@ -90,7 +90,7 @@
 			copiesInMemory: source.copiesInMemory,
 			copiesOnDisk: source.copiesOnDisk,
 			inProgress: current?.inProgress ?? 0,
-			hasSidecar: current !== undefined,
+			hasKeeper: current !== undefined,
 		};
 	}
 
--- a/apps/valelead-daemon/src/gateway/engine-knowledge.ts
+++ b/apps/valelead-daemon/src/gateway/engine-knowledge.ts
@@ -3,15 +3,15 @@
 /** One engine as it is known. Times are monotonic milliseconds. */
 type KnownEngine = {
 	readonly service: string;
-	readonly hasSidecar: boolean;
-	/** Since when it is known with or without its sidecar. */
+	readonly hasKeeper: boolean;
+	/** Since when it is known with or without its keeper. */
 	readonly since: number;
 };
 
-/** Engines announce themselves about once in this time, in milliseconds, and their sidecars are reached soon after. */
+/** Engines announce themselves about once in this time, in milliseconds, and their keepers are reached soon after. */
 const SETTLE_MS = 1500;
 
-/** An engine whose sidecar is not reached is waited for this long, in milliseconds. */
+/** An engine whose keeper is not reached is waited for this long, in milliseconds. */
 const MISSING_MS = 3000;
 
 /**
@@ -21,7 +21,7 @@
  */
 const MOST_NEW_SHARE = 1 / 3;
 
-const isNew = ({hasSidecar, since}: KnownEngine, now: number): boolean => now - since <= (hasSidecar ? SETTLE_MS : MISSING_MS);
+const isNew = ({hasKeeper, since}: KnownEngine, now: number): boolean => now - since <= (hasKeeper ? SETTLE_MS : MISSING_MS);
 
 /**
  * How completely the engines of a service are known. After a start engines become known one after the other, and a model
@@ -43,8 +43,8 @@
 		return engines.length > 0 && newCount <= engines.length * MOST_NEW_SHARE;
 	}
 
-	#newKnown({upstream: {id, service}, hasSidecar}: EngineView, now: number): KnownEngine {
+	#newKnown({upstream: {id, service}, hasKeeper}: EngineView, now: number): KnownEngine {
 		const known = this.#engines.get(id);
-		return known?.hasSidecar === hasSidecar ? known : {service, hasSidecar, since: now};
+		return known?.hasKeeper === hasKeeper ? known : {service, hasKeeper, since: now};
 	}
 }
--- a/apps/valelead-daemon/src/gateway/engine-view.ts
+++ b/apps/valelead-daemon/src/gateway/engine-view.ts
@@ -13,6 +13,6 @@
 	readonly copiesOnDisk: readonly string[];
 	/** Requests in progress that come from all gateways, as last reported. */
 	readonly inProgress: number;
-	/** Whether its sidecar can be told what to load. */
-	readonly hasSidecar: boolean;
+	/** Whether the process that gives it orders is reached and can be told what to load. */
+	readonly hasKeeper: boolean;
 };
--- a/apps/valelead-daemon/src/gateway/load-sites.ts
+++ b/apps/valelead-daemon/src/gateway/load-sites.ts
@@ -47,7 +47,7 @@
 	/** All engines of the unit's service that take orders and requests. */
 	getAll({service, model}: Pick<WantedUnit, 'service' | 'model'>): LoadSite[] {
 		const limits = this.#parts.getTable()?.services.get(service)?.engine;
-		const views = [...this.#parts.getViews().values()].filter(view => view.hasSidecar && view.upstream.service === service && this.#parts.isUsable(view.upstream.id));
+		const views = [...this.#parts.getViews().values()].filter(view => view.hasKeeper && view.upstream.service === service && this.#parts.isUsable(view.upstream.id));
 		const mostCopies = Math.max(...views.map(view => view.copiesOnDisk.length));
 		return views.map(view => newLoadSite(view, model, limits, mostCopies));
 	}
--- a/apps/valelead-daemon/tests/engine-knowledge.steps.ts
+++ b/apps/valelead-daemon/tests/engine-knowledge.steps.ts
@@ -19,7 +19,7 @@
 
 const split = (text: string): string[] => text.split(', ');
 
-const newView = (id: string, hasSidecar: boolean): EngineView => ({
+const newView = (id: string, hasKeeper: boolean): EngineView => ({
 	upstream: {
 		id, service: SERVICE, address: id, dataCentre: 'z', state: UPSTREAM_STATE.Ready, slots: 64, sequence: 1, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0, keeperAddress: '',
 	},
@@ -29,7 +29,7 @@
 	copiesInMemory: [],
 	copiesOnDisk: [],
 	inProgress: 0,
-	hasSidecar,
+	hasKeeper,
 });
 
 const reach = (world: KnowledgeWorld, ids: string, at: number): void => {
--- /dev/null
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import {create} from '@bufbuild/protobuf';
+import {Given, Then, When} from '@cucumber/cucumber';
+import type {TimerService} from '@valelead/common';
+import {
+	type Directory, UPSTREAM_STATE, mutateAnnouncement, mutateKeeper, newDirectory,
+} from '@valelead/discovery';
+import {FollowerReportSchema, HeldLeaseSchema} from '@valelead/protocol';
+import {pino} from 'pino';
+import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
+import {FollowerSessions, OrderLeases} from 'valelead-daemon';
+
+type LeasesWorld = {
+	time: VirtualTime;
+	timers: TimerService;
+	node: {isCurrentLeader: boolean; term: number; voters: readonly never[]};
+	directory: Directory;
+	leases: OrderLeases;
+	sessions: FollowerSessions;
+	stream: object;
+};
+
+const SERVICE = 'llm';
+const REPORT_MS = 500;
+const FENCES_PER_TERM = 65_536;
+
+/** Stands for parts that the scenario does not look at. */
+const ignore = (): void => undefined;
+
+const report = (world: LeasesWorld, attendedEngines: string[] = []): void => {
+	const leases = world.leases.getGrants('g1').map(lease => create(HeldLeaseSchema, lease));
+	world.sessions.take(world.stream as never, create(FollowerReportSchema, {
+		vm: 'g1', role: 'gateway', directoryEpoch: 'e', keeperAddress: 'g1', attendedEngines, leases,
+	}));
+};
+
+Given('a leader of term {int} with engine {string} and a session of gateway {string}', function (this: LeasesWorld, term: number, engine: string, _vm: string) {
+	this.time = new VirtualTime();
+	this.timers = newVirtualTimers(this.time);
+	this.node = {isCurrentLeader: true, term, voters: []};
+	this.directory = newDirectory();
+	mutateAnnouncement(this.directory, {
+		id: engine, service: SERVICE, address: engine, dataCentre: 'z', state: UPSTREAM_STATE.Ready, slots: 1, sequence: 1, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0, keeperAddress: '',
+	}, 0);
+	const voter = {node: this.node, machine: {routing: undefined, subscribe: ignore}};
+	const registry = {
+		epoch: 'e',
+		directory: this.directory,
+		setKeeper: (address: string, keeperAddress: string) => {
+			mutateKeeper(this.directory, address, keeperAddress);
+		},
+	};
+	const clock = {now: () => this.time.now, wallNow: () => this.time.now};
+	this.leases = new OrderLeases({
+		voter: voter as never,
+		registry: registry as never,
+		getEngineServices: () => new Set([SERVICE]),
+		settings: {orderGapMs: 3000},
+		timers: this.timers,
+		clock,
+		logger: pino({level: 'silent'}),
+	});
+	this.sessions = new FollowerSessions({
+		voter: voter as never, registry: registry as never, leases: this.leases, timers: this.timers, clock,
+	});
+	this.stream = {on: ignore, write: () => true};
+	this.leases.start();
+	report(this);
+});
+
+When('{int} ms pass with reports', function (this: LeasesWorld, passedMs: number) {
+	for (let passed = 0; passed < passedMs; passed += REPORT_MS) {
+		this.time.advance(REPORT_MS);
+		report(this);
+	}
+});
+
+When('{string} says that it has reached the sidecar of {string}', function (this: LeasesWorld, _vm: string, engine: string) {
+	report(this, [engine]);
+});
+
+When('the leader is elected again, in term {int}', function (this: LeasesWorld, term: number) {
+	this.node.term = term;
+});
+
+When('the leader loses its lease', function (this: LeasesWorld) {
+	this.node.isCurrentLeader = false;
+});
+
+Then('{string} is granted {string} with a fence of term {int}', function (this: LeasesWorld, vm: string, engine: string, term: number) {
+	const [lease] = this.leases.getGrants(vm);
+	assert.equal(lease.engineAddress, engine);
+	assert.equal(Math.floor(lease.fence / FENCES_PER_TERM), term);
+});
+
+Then('{string} is granted nothing', function (this: LeasesWorld, vm: string) {
+	assert.deepEqual(this.leases.getGrants(vm), []);
+});
+
+Then('the directory names {string} as the keeper of {string}', function (this: LeasesWorld, keeper: string, engine: string) {
+	assert.equal(this.directory.entries.get(engine)?.upstream.keeperAddress, keeper);
+});
+
+Then('the directory names nobody as the keeper of {string}', function (this: LeasesWorld, engine: string) {
+	assert.equal(this.directory.entries.get(engine)?.upstream.keeperAddress, '');
+});
