--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -35,7 +35,6 @@
 export {getPrefetch} from './get-prefetch.js';
 export {getBalancingFetch} from './get-balancing-fetch.js';
 export {getLoadMs} from './get-load-ms.js';
-export {getNextOrder} from './get-next-order.js';
 export {getNextStep} from './get-next-step.js';
 export {LOAD_DELAY} from './load-delay.js';
 export type {DelayedLoad} from './delayed-load.js';
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -4,7 +4,7 @@
 } from '@cucumber/cucumber';
 import * as fc from 'fast-check';
 import {
-	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getBalancingFetch, getClassWeight, getLoadSite, getNextOrder, getNextStep, getPrefetch, getSpareReplicas, getUnitName, mutateCopyLoad, mutateWanted, newResidencyState,
+	type Capacity, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getBalancingFetch, getClassWeight, getLoadSite, getNextStep, getPrefetch, getSpareReplicas, getUnitName, mutateCopyLoad, mutateWanted, newResidencyState,
 } from '@valelead/residency';
 
 type ResidencyWorld = {
@@ -52,6 +52,12 @@
 	};
 };
 
+/** The order that comes next, if there is one. */
+const getNextOrder = (...terms: Parameters<typeof getNextStep>): EngineOrder | undefined => {
+	const step = getNextStep(...terms);
+	return step.kind === 'order' ? step.order : undefined;
+};
+
 const format = (order: EngineOrder | undefined): string => order ? `${order.kind} ${getUnitName(order.model, order.adapter)}` : '';
 
 Given('an engine of {int} units of memory and {int} adapter slots, with models of {int} units and adapters of {int} unit', function (this: ResidencyWorld, memory: number, slots: number, model: number, adapter: number) {
