Tell runs of an upstream apart by their start, and take nothing from entries of other writers

Cause: an engine may start again under its id with its counts anew. Its announcements were dropped until they counted higher than before, its keeper kept copies, orders and places of the run before, and a late order to that run could fit the next one's count. A run is now (id, start), named by getRunId wherever the id of an upstream was used; an earlier run never wins over a later one, at the leader and at followers. Room is left at an engine for a load that was ordered of an earlier run without an answer. An unknown state counted as ready, missing fields as defaults, and a foreign heartbeat took a true engine at its address away. Heartbeats, departures and reports are decoded strictly, refused with 1001 or 3011, counted, and logged once a second at most.

Ruled out: a new id for each run on the wire, as engines check theirs.

--- a/apps/valelead-daemon/src/adapter/control-call.ts
+++ b/apps/valelead-daemon/src/adapter/control-call.ts
@@ -2,6 +2,6 @@
 export type ControlCall =
 	| {readonly kind: 'replaceRouting'}
 	| {readonly kind: 'readRouting'}
-	| {readonly kind: 'announce'; readonly upstreamId: string}
-	| {readonly kind: 'depart'; readonly upstreamId: string}
+	| {readonly kind: 'announce'; readonly instanceId: string}
+	| {readonly kind: 'depart'; readonly instanceId: string}
 	| {readonly kind: 'unknown'};
--- a/apps/valelead-daemon/src/adapter/control-codec.ts
+++ b/apps/valelead-daemon/src/adapter/control-codec.ts
@@ -1,4 +1,4 @@
-import type {Upstream} from '@valelead/discovery';
+import type {Run, Upstream} from '@valelead/discovery';
 import type {Routing} from '@valelead/routing';
 import type {ControlCall} from './control-call.js';
 
@@ -6,7 +6,8 @@
 export type ControlCodec = {
 	readonly decodeCall: (method: string, url: string) => ControlCall;
 	readonly decodeRouting: (document: string) => Routing;
-	readonly decodeAnnouncement: (upstreamId: string, body: string) => Upstream;
+	readonly decodeAnnouncement: (instanceId: string, body: string) => Upstream;
+	readonly decodeDeparture: (instanceId: string, body: string) => Run;
 	/** @param address - Where the upstream should announce itself from now on. */
 	readonly newAnnouncementReply: (address: string) => string;
 };
--- a/apps/valelead-daemon/src/adapter/engine-codec.ts
+++ b/apps/valelead-daemon/src/adapter/engine-codec.ts
@@ -11,5 +11,5 @@
 	readonly newOrderCall: (terms: OrderTerms) => HttpCall;
 	readonly decodeOrderResult: (status: number) => OrderResultValue;
 	/** The engine's id where an answer tells it, or empty. */
-	readonly decodeUpstreamId: (headers: IncomingHttpHeaders) => string;
+	readonly decodeInstanceId: (headers: IncomingHttpHeaders) => string;
 };
--- a/apps/valelead-daemon/src/adapter/engine-status.ts
+++ b/apps/valelead-daemon/src/adapter/engine-status.ts
@@ -2,6 +2,8 @@
 
 /** What an engine tells of itself. */
 export type EngineStatus = {
+	/** When its run started, by its own clock, in Unix milliseconds; 0 where it does not tell. */
+	readonly bornAt: number;
 	readonly models: readonly LoadedModel[];
 	/** Adapters on their way, as model and adapter. */
 	readonly pending: ReadonlyArray<{readonly model: string; readonly adapter: string}>;
--- a/apps/valelead-daemon/src/adapter/upstream-dispatch.ts
+++ b/apps/valelead-daemon/src/adapter/upstream-dispatch.ts
@@ -1,7 +1,7 @@
 /** What a gateway adds to a request for an upstream. */
 export type UpstreamDispatch = {
-	/** The run of the upstream that is meant; any other one at its address refuses the request. */
-	readonly upstreamId: string;
+	/** The upstream that is meant, by what it calls itself; any other one at its address refuses the request. */
+	readonly instanceId: string;
 	readonly remainingMs: number;
 	/** 0 is the most urgent, 9 the least. */
 	readonly priority: number;
--- a/apps/valelead-daemon/src/control/engine-services.ts
+++ b/apps/valelead-daemon/src/control/routed-services.ts
@@ -1,6 +1,7 @@
 import {ValeleadError} from '@valelead/common';
 import type {Routing} from '@valelead/routing';
 import type {Logger} from 'pino';
+import type {ServiceNames} from './service-names.js';
 import type {StoredRouting} from './stored-routing.js';
 
 type ServicesParts = {
@@ -9,19 +10,18 @@
 	readonly logger: Logger;
 };
 
-const NONE: ReadonlySet<string> = new Set();
-
-/** The services of the routing in force whose upstreams take orders; read anew when the routing changes. */
-export class EngineServices {
+/** The services of the routing in force; read anew when the routing changes. */
+export class RoutedServices {
 	readonly #parts: ServicesParts;
 	#version = 0;
-	#names = NONE;
+	#names: ServiceNames | undefined;
 
 	constructor(parts: ServicesParts) {
 		this.#parts = parts;
 	}
 
-	get names(): ReadonlySet<string> {
+	/** Undefined before there is a routing. */
+	get names(): ServiceNames | undefined {
 		const routing = this.#parts.getRouting();
 		if (routing && routing.version !== this.#version) {
 			this.#version = routing.version;
@@ -31,9 +31,13 @@
 		return this.#names;
 	}
 
-	#read({version, document}: StoredRouting): ReadonlySet<string> {
+	#read({version, document}: StoredRouting): ServiceNames | undefined {
 		try {
-			return new Set(this.#parts.decodeRouting(document).services.filter(service => service.engine !== undefined).map(service => service.name));
+			const {services} = this.#parts.decodeRouting(document);
+			return {
+				all: new Set(services.map(service => service.name)),
+				engines: new Set(services.filter(service => service.engine !== undefined).map(service => service.name)),
+			};
 		} catch (error) {
 			const code = error instanceof ValeleadError ? error.code : undefined;
 			this.#parts.logger.error({
--- a/apps/valelead-daemon/src/control/upstream-registry.ts
+++ b/apps/valelead-daemon/src/control/upstream-registry.ts
@@ -1,12 +1,16 @@
-import {type Clock, type TimerService} from '@valelead/common';
 import {
-	type Directory, type Upstream, UPSTREAM_STATE, mutateAnnouncement, mutateDeparture, mutateKeeper, mutateSilent, newDirectory,
+	type Clock, RESULT_CODE, type TimerService, ValeleadError,
+} from '@valelead/common';
+import {
+	type Directory, type Run, type Upstream, UPSTREAM_STATE, getNewestRun, getRunId, mutateAnnouncement, mutateDeparture, mutateKeeper, mutateSilent, newDirectory,
 } from '@valelead/discovery';
 import type {Logger} from 'pino';
 import type {Voter} from './voter.js';
 
 type RegistryParts = {
 	readonly voter: Voter;
+	/** The services of the routing in force; undefined before there is one. */
+	readonly getServices: () => ReadonlySet<string> | undefined;
 	readonly clock: Clock;
 	readonly timers: TimerService;
 	readonly logger: Logger;
@@ -47,9 +51,13 @@
 		});
 	}
 
-	/** Takes an announcement; returns whether the upstream leaves with it. */
+	/**
+	 * Takes an announcement; returns whether the upstream leaves with it. Throws what shows that another program wrote it, as its address
+	 * may be one that a true upstream has: UnroutedService or MalformedRequest.
+	 */
 	announce(upstream: Upstream): boolean {
 		const known = this.directory.entries.get(upstream.id)?.upstream;
+		this.#check(upstream, known);
 		this.#change(() => {
 			mutateAnnouncement(this.#directory, {...upstream, keeperAddress: this.#keepers.get(upstream.address) ?? ''}, this.#parts.clock.now());
 		});
@@ -72,16 +80,28 @@
 		});
 	}
 
-	depart(upstreamId: string): void {
-		const known = this.directory.entries.get(upstreamId)?.upstream;
+	depart(run: Run): void {
+		const known = this.directory.entries.get(getRunId(run))?.upstream ?? getNewestRun(this.directory, run.instanceId);
 		this.#change(() => {
-			mutateDeparture(this.#directory, upstreamId, this.#parts.clock.now());
+			mutateDeparture(this.#directory, run, this.#parts.clock.now());
 		});
 		if (known) {
 			this.#log(known, 'gone');
 		}
 	}
 
+	#check(upstream: Upstream, known: Upstream | undefined): void {
+		const isRouted = this.#parts.getServices()?.has(upstream.service) ?? true;
+		if (!isRouted && known?.service !== upstream.service) {
+			throw new ValeleadError(`No service "${upstream.service}" is in the routing`, {code: RESULT_CODE.UnroutedService});
+		}
+
+		const newestBornAt = getNewestRun(this.directory, upstream.instanceId)?.bornAt ?? 0;
+		if (upstream.bornAt === 0 && newestBornAt > 0) {
+			throw new ValeleadError('The upstream has told its start before and does not now', {code: RESULT_CODE.MalformedRequest});
+		}
+	}
+
 	#dropSilent(now: number): void {
 		this.#checkTerm();
 		this.#change(() => {
--- a/apps/valelead-daemon/src/controller/control-server.ts
+++ b/apps/valelead-daemon/src/controller/control-server.ts
@@ -3,7 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	RESULT_CODE, RESULT_DETAILS, SYSTEM_CLOCK, type TimerService, ValeleadError,
+	RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, SYSTEM_CLOCK, type TimerService, ValeleadError,
 } from '@valelead/common';
 import {getRoutingFaults} from '@valelead/routing';
 import type {Logger} from 'pino';
@@ -16,6 +16,7 @@
 import {withTimeout} from '../with-timeout.js';
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
+import type {RefusalLog} from './refusal-log.js';
 
 type ControlServerParts = {
 	readonly codec: ControlCodec;
@@ -26,6 +27,8 @@
 	readonly address: string;
 	readonly timers: TimerService;
 	readonly logger: Logger;
+	readonly refusals: RefusalLog;
+	readonly onRefusal: (call: ControlCall, code: ResultCodeValue) => void;
 };
 
 type Reply = {
@@ -65,13 +68,13 @@
 	}
 
 	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		const call = this.#parts.codec.decodeCall(message.method ?? '', message.url ?? '');
 		try {
 			const body = await readBody(message, MAX_BODY_BYTES);
-			const call = this.#parts.codec.decodeCall(message.method ?? '', message.url ?? '');
 			const reply = this.#getRedirect(call, message.url ?? '') ?? await this.#carryOut(call, body.toString('utf8'));
 			this.#write(response, reply);
 		} catch (error) {
-			this.#write(response, this.#newFailure(error));
+			this.#write(response, this.#newFailure(call, error));
 		}
 	}
 
@@ -106,13 +109,13 @@
 			}
 
 			case 'announce': {
-				const isLeaving = this.#parts.registry.announce(this.#parts.codec.decodeAnnouncement(call.upstreamId, body));
+				const isLeaving = this.#parts.registry.announce(this.#parts.codec.decodeAnnouncement(call.instanceId, body));
 				await (isLeaving ? this.#parts.followers.settle() : undefined);
 				return {status: 200, body: this.#parts.codec.newAnnouncementReply(this.#parts.address)};
 			}
 
 			case 'depart': {
-				this.#parts.registry.depart(call.upstreamId);
+				this.#parts.registry.depart(this.#parts.codec.decodeDeparture(call.instanceId, body));
 				await this.#parts.followers.settle();
 				return OK;
 			}
@@ -164,9 +167,10 @@
 		return {status: 200, body: routing.document};
 	}
 
-	#newFailure(error: unknown): Reply {
+	#newFailure(call: ControlCall, error: unknown): Reply {
 		const code = error instanceof ValeleadError ? error.code : RESULT_CODE.Internal;
-		this.#parts.logger.warn({event: 'control-refused', code, reason: (error as Error).message}, 'control call refused');
+		this.#parts.refusals.note(call, code, (error as Error).message);
+		this.#parts.onRefusal(call, code);
 		return this.#newRefusal(code, (error as Error).message);
 	}
 
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -3,12 +3,12 @@
 import type {Logger} from 'pino';
 import type {Adapter} from '../adapter/adapter.js';
 import {startAdminServer} from '../admin-server.js';
-import {EngineServices} from '../control/engine-services.js';
 import {FollowerSessions} from '../control/follower-sessions.js';
 import {handOver} from '../control/hand-over.js';
 import {newControlPlane} from '../control/new-control-plane.js';
 import {newVoter} from '../control/new-voter.js';
 import {OrderLeases} from '../control/order-leases.js';
+import {RoutedServices} from '../control/routed-services.js';
 import {UpstreamRegistry} from '../control/upstream-registry.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
 import {Metrics} from '../metrics/metrics.js';
@@ -17,6 +17,7 @@
 import {newChannelCredentials} from '../tls/new-channel-credentials.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import {ControlServer} from './control-server.js';
+import {RefusalLog} from './refusal-log.js';
 import {POLICY_DEFAULTS} from './policy-defaults.js';
 
 /** A VM that is silent for longer gets no new work, in milliseconds. */
@@ -24,6 +25,7 @@
 
 /** Starts a controller: a voter that serves operators, upstreams and followers while it leads. */
 export const startController = async (settings: ControllerSettings, logger: Logger, adapter: Adapter): Promise<Stoppable> => {
+	const metrics = new Metrics();
 	const timers = new TimerService(SYSTEM_CLOCK);
 	const pool = new ChannelPool(newChannelCredentials(settings.tls));
 	const voter = newVoter({
@@ -35,8 +37,10 @@
 		timers,
 		pool,
 	});
+	const services = new RoutedServices({getRouting: () => voter.machine.routing, decodeRouting: adapter.control.decodeRouting, logger});
 	const registry: UpstreamRegistry = new UpstreamRegistry({
 		voter,
+		getServices: () => services.names?.all,
 		clock: SYSTEM_CLOCK,
 		timers,
 		logger,
@@ -45,9 +49,8 @@
 			followers.pushSoon();
 		},
 	});
-	const services = new EngineServices({getRouting: () => voter.machine.routing, decodeRouting: adapter.control.decodeRouting, logger});
 	const leases = new OrderLeases({
-		voter, registry, getEngineServices: () => services.names, settings, timers, clock: SYSTEM_CLOCK, logger,
+		voter, registry, getEngineServices: () => services.names?.engines ?? new Set(), settings, timers, clock: SYSTEM_CLOCK, logger,
 	});
 	const followers = new FollowerSessions({
 		voter, registry, leases, timers,
@@ -62,9 +65,18 @@
 		logger,
 	});
 	const control = new ControlServer({
-		codec: adapter.control, voter, registry, followers, address: settings.control, timers, logger,
+		codec: adapter.control,
+		voter,
+		registry,
+		followers,
+		address: settings.control,
+		timers,
+		logger,
+		refusals: new RefusalLog({clock: SYSTEM_CLOCK, logger}),
+		onRefusal(call, code) {
+			metrics.refusedControlCalls.inc({call: call.kind, code});
+		},
 	});
-	const metrics = new Metrics();
 	await server.listen(`${settings.listenHost ?? settings.host}:${settings.peerPort}`, newServerCredentials(settings.tls));
 	await voter.open();
 	leader.start();
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -291,7 +291,7 @@
 			method: request.method,
 			url: request.url,
 			headers: this.#parts.codec.newUpstreamHeaders(request.rawHeaders, {
-				upstreamId: vm, remainingMs, priority: request.route.priority, lastEventId: request.lastEventId,
+				instanceId: view.upstream.instanceId, remainingMs, priority: request.route.priority, lastEventId: request.lastEventId,
 			}),
 			body: request.body,
 			startedAt: this.#parts.clock.now(),
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -26,6 +26,7 @@
 export {newLogger} from './logger.js';
 export {exitWithLogs} from './exit-with-logs.js';
 export {FollowerSessions} from './control/follower-sessions.js';
+export {UpstreamRegistry} from './control/upstream-registry.js';
 export {OrderLeases} from './control/order-leases.js';
 export {SessionClient} from './session-client.js';
 export type {EngineView} from './gateway/engine-view.js';
--- a/apps/valelead-daemon/src/keeping/engine-keepers.ts
+++ b/apps/valelead-daemon/src/keeping/engine-keepers.ts
@@ -138,7 +138,7 @@
 		}
 
 		keeper.setEngines(newEngineCopies(this.#upstreams, upstream.service));
-		keeper.setUpstreamId(upstream.id);
+		keeper.setRun(upstream);
 		keeper.setAnnounced(upstream);
 		keeper.setCapacity(this.#table && newCapacity(this.#table, upstream.service));
 	}
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -23,6 +23,7 @@
 	readonly revision: Gauge;
 	/** Engines that nobody gives orders to; set by the leader. */
 	readonly unattendedEngines: Gauge;
+	readonly refusedControlCalls: Counter<'call' | 'code'>;
 	readonly #teams = new Set<string>();
 
 	constructor() {
@@ -42,6 +43,9 @@
 		this.configurationAge = new Gauge({name: 'valelead_configuration_age_seconds', help: 'Time since the leader last confirmed the configuration.', registers});
 		this.revision = new Gauge({name: 'valelead_revision', help: 'The revision of the configuration in force.', registers});
 		this.unattendedEngines = new Gauge({name: 'valelead_unattended_engines', help: 'Engines that announce themselves and that no process gives orders to, as the leader knows.', registers});
+		this.refusedControlCalls = new Counter({
+			name: 'valelead_refused_control_calls_total', help: 'Calls of operators and upstreams that were refused, by call and result code.', labelNames: ['call', 'code'], registers,
+		});
 		collectDefaultMetrics({register: this.registry});
 	}
 
--- a/apps/valelead-daemon/src/sidecar/engine-client.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-client.ts
@@ -41,7 +41,7 @@
 			throw new Error(`status ${answer.statusCode}`);
 		}
 
-		return {status: this.#codec.decodeStatus(body.toString('utf8')), upstreamId: this.#codec.decodeUpstreamId(answer.headers)};
+		return {status: this.#codec.decodeStatus(body.toString('utf8')), instanceId: this.#codec.decodeInstanceId(answer.headers)};
 	}
 
 	/** Gives an order. Without an answer its result is unknown: it may have been taken or be carried out later. */
@@ -50,9 +50,9 @@
 			const answer = await this.#call(this.#codec.newOrderCall(terms), ORDER_TIMEOUT_MS);
 			const body = await readBody(answer, MAX_BODY_BYTES);
 			const result = this.#codec.decodeOrderResult(answer.statusCode ?? 0);
-			return {result, upstreamId: this.#codec.decodeUpstreamId(answer.headers), reason: `status ${answer.statusCode} ${body.toString('utf8').slice(0, 200)}`};
+			return {result, instanceId: this.#codec.decodeInstanceId(answer.headers), reason: `status ${answer.statusCode} ${body.toString('utf8').slice(0, 200)}`};
 		} catch (error) {
-			return {result: ORDER_RESULT.Unknown, upstreamId: '', reason: (error as Error).message};
+			return {result: ORDER_RESULT.Unknown, instanceId: '', reason: (error as Error).message};
 		}
 	}
 
--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -3,8 +3,9 @@
 	type Capacity, type EngineOrder, type Holdings, type OrderResultValue, type UnitNeed, type EngineCopies, ORDER_KIND, ORDER_RESULT,
 	getLoadMs, getLoadValue, getNextStep, getWaits, isStoreLoad, mutateCopyLoad, getWantedMs, mutateUse, mutateWanted, newResidencyState,
 } from '@valelead/residency';
-import type {Upstream} from '@valelead/discovery';
+import type {Run, Upstream} from '@valelead/discovery';
 import type {EngineStatus} from '../adapter/engine-status.js';
+import {KnownRun} from './known-run.js';
 import {KnownStatus} from './known-status.js';
 import type {KeeperParts} from './keeper-parts.js';
 import {LoadDelayLog} from './load-delay-log.js';
@@ -16,12 +17,11 @@
 import {SummaryPublisher} from './summary-publisher.js';
 import {ToldNeeds} from './told-needs.js';
 import {TurnSchedule} from './turn-schedule.js';
+import {UnansweredOrders} from './unanswered-orders.js';
+import {UnloadNotice} from './unload-notice.js';
 import type {EngineSummary} from './engine-summary.js';
 import type {LoadInProgress} from './load-in-progress.js';
 
-/** Between the word that a model goes and the order: gateways stop sending for it, in milliseconds. */
-const NOTICE_MS = 30;
-
 /** Gives the engine the orders that its gateways' needs call for, one after the other, from its newest state. */
 export class EngineKeeper {
 	readonly #parts: KeeperParts;
@@ -33,10 +33,15 @@
 	readonly #delays: LoadDelayLog;
 	readonly #reach: ReachLog;
 	#capacity: Capacity | undefined;
-	#upstreamId = '';
+	readonly #run = new KnownRun({
+		onChange: () => {
+			this.#forgetRun();
+		},
+	});
+
+	readonly #unanswered = new UnansweredOrders();
 	readonly #known = new KnownStatus();
-	/** What is announced to go, and since when. */
-	#leaving: {readonly order: EngineOrder; readonly since: number} | undefined;
+	readonly #leaving: UnloadNotice;
 	/** The load in progress, and when it is expected to end. */
 	#loading: LoadInProgress | undefined;
 	/** From when on orders may be given, in monotonic milliseconds. */
@@ -49,6 +54,7 @@
 		this.#turns = new TurnSchedule({
 			timers: parts.timers, clock: parts.clock, leastMs: parts.polls.leastMs, takeTurn: async () => this.#turn(),
 		});
+		this.#leaving = new UnloadNotice(parts.clock);
 		this.#prefetcher = new Prefetcher(parts);
 		this.#delays = new LoadDelayLog(parts);
 		this.#reach = new ReachLog(parts.logger);
@@ -84,17 +90,18 @@
 		this.#turns.wake();
 	}
 
-	setUpstreamId(upstreamId: string): void {
-		if (upstreamId !== '' && upstreamId !== this.#upstreamId) {
-			this.#upstreamId = upstreamId;
-			this.#known.reset();
+	/** Learns which run of the engine announced itself; an earlier one than is known changes nothing. */
+	setRun(run: Run): void {
+		const before = this.#run.id;
+		this.#run.take(run);
+		if (this.#run.id !== before) {
 			this.#turns.wake();
 		}
 	}
 
 	/** Takes what the engine announced, for engines on other machines: it may show the end of an order sooner than their state. */
 	setAnnounced(upstream: Upstream): void {
-		if (upstream.id === this.#upstreamId && this.#known.takeAnnounced(upstream, this.#parts.clock.now())) {
+		if (upstream.id === this.#run.id && this.#known.takeAnnounced(upstream, this.#parts.clock.now())) {
 			this.#loading = undefined;
 			this.#turns.wake();
 		}
@@ -102,7 +109,7 @@
 
 	/** Learns what the engines of the service keep, this one among them. */
 	setEngines(engines: readonly EngineCopies[]): void {
-		this.#prefetcher.setEngines(engines, this.#upstreamId);
+		this.#prefetcher.setEngines(engines, this.#run.id);
 	}
 
 	/** Calls back with the summary whenever it changes. */
@@ -129,25 +136,34 @@
 
 	get summary(): EngineSummary | undefined {
 		const status = this.#known.value;
-		if (!status || this.#upstreamId === '') {
+		if (!status || this.#run.id === '') {
 			return undefined;
 		}
 
 		return newEngineSummary({
-			upstreamId: this.#upstreamId,
+			upstreamId: this.#run.id,
 			status,
 			capacity: this.#capacity,
 			holdings: this.#getHoldings(status),
 			needs: this.#getNeeds(),
-			leaving: this.#leaving?.order,
+			leaving: this.#leaving.order,
 			loading: this.#loading,
 			getWantedMs: model => getWantedMs(this.#residency, model),
 			now: this.#parts.clock.now(),
 		});
 	}
 
+	/** What was known of the run before ends with it: the next one holds nothing of it and counts its orders anew. */
+	#forgetRun(): void {
+		this.#known.reset();
+		this.#leaving.end();
+		this.#loading = undefined;
+		this.#askedAt = Number.NEGATIVE_INFINITY;
+	}
+
 	#getHoldings(status: EngineStatus): Holdings {
-		return newHoldings(status, this.#prefetcher.replicated);
+		const lateLoads = this.#unanswered.getPossible(this.#run.id, status.orderSequence, this.#parts.clock.now());
+		return newHoldings(status, this.#prefetcher.replicated, lateLoads);
 	}
 
 	#getNeeds(): UnitNeed[] {
@@ -175,11 +191,12 @@
 			return isBusy || pending.length > 0 ? this.#getBusyMs() : this.#getRestMs();
 		}
 
-		if (order.kind === ORDER_KIND.Unload && !this.#isNoticed(order)) {
-			return NOTICE_MS;
+		const noticeMs = order.kind === ORDER_KIND.Unload ? this.#giveNotice(order) : 0;
+		if (noticeMs > 0) {
+			return noticeMs;
 		}
 
-		this.#leaving = undefined;
+		this.#leaving.end();
 		const result = await this.#order(order);
 		if (result === ORDER_RESULT.Conflict) {
 			return polls.adapterMs;
@@ -208,12 +225,11 @@
 	async #refresh(): Promise<EngineStatus | undefined> {
 		try {
 			this.#askedAt = this.#parts.clock.now();
-			const {status, upstreamId} = await this.#parts.client.getStatus();
-			this.#upstreamId = upstreamId === '' ? this.#upstreamId : upstreamId;
-			this.#reach.note(true, this.#upstreamId, '');
-			return status;
+			const reply = await this.#parts.client.getStatus();
+			this.#reach.note(true, this.#run.id, '');
+			return this.#run.takeAnswer(reply) ? reply.status : undefined;
 		} catch (error) {
-			this.#reach.note(false, this.#upstreamId, (error as Error).message);
+			this.#reach.note(false, this.#run.id, (error as Error).message);
 			return undefined;
 		}
 	}
@@ -221,13 +237,13 @@
 	#decide(): EngineOrder | undefined {
 		const now = this.#parts.clock.now();
 		const mayOrder = now >= this.#startsAt && now < (this.#parts.getOrdersEnd?.() ?? Number.POSITIVE_INFINITY);
-		if (!this.#capacity || this.#upstreamId === '' || !mayOrder) {
+		if (!this.#capacity || this.#run.id === '' || !mayOrder) {
 			return undefined;
 		}
 
 		const needs = this.#getNeeds();
 		mutateWanted(this.#residency, needs, now);
-		const fetched = this.#prefetcher.getNeeds(this.#upstreamId, [...this.#capacity.models.keys()]);
+		const fetched = this.#prefetcher.getNeeds(this.#run.id, [...this.#capacity.models.keys()]);
 		const holdings = this.#getHoldings(this.#known.value!);
 		const step = getNextStep(this.#residency, this.#capacity, holdings, [...needs, ...fetched], now);
 		switch (step.kind) {
@@ -237,7 +253,7 @@
 
 			case 'delay': {
 				this.#delays.note(step.load, {
-					upstreamId: this.#upstreamId, capacity: this.#capacity, holdings, needs, wantedMs: getWantedMs(this.#residency, step.load.model),
+					upstreamId: this.#run.id, capacity: this.#capacity, holdings, needs, wantedMs: getWantedMs(this.#residency, step.load.model),
 				});
 				return undefined;
 			}
@@ -252,53 +268,60 @@
 		}
 	}
 
-	/** Whether gateways were told of the order long enough ago; tells them if not. */
-	#isNoticed(order: EngineOrder): boolean {
-		const now = this.#parts.clock.now();
-		const isSame = this.#leaving?.order.model === order.model && this.#leaving.order.adapter === order.adapter;
-		if (!isSame) {
-			this.#leaving = {order, since: now};
+	/** Tells gateways of an unload; returns when to look again whether it may be ordered, in milliseconds. */
+	#giveNotice(order: EngineOrder): number {
+		if (this.#leaving.begin(order)) {
 			this.#publisher.publish();
-			return false;
 		}
 
-		return now - this.#leaving!.since >= NOTICE_MS;
+		return this.#leaving.waitMs;
 	}
 
 	async #order(order: EngineOrder): Promise<OrderResultValue> {
-		const expectedSequence = this.#known.value!.orderSequence;
+		const status = this.#known.value!;
+		const expectedSequence = status.orderSequence;
 		const startedAt = this.#parts.clock.now();
+		const runId = this.#run.id;
 		const reply = await this.#parts.client.order({
-			order, upstreamId: this.#upstreamId, expectedSequence, holder: this.#parts.holder, fence: this.#parts.fence,
+			order, instanceId: this.#run.instanceId, expectedSequence, holder: this.#parts.holder, fence: this.#parts.fence,
 		});
 		this.#parts.logger.info(newOrderRecord(order, reply, {
-			upstreamId: this.#upstreamId,
+			upstreamId: runId,
 			expectedSequence,
 			tookMs: this.#parts.clock.now() - startedAt,
 			capacity: this.#capacity!,
-			holdings: this.#getHoldings(this.#known.value!),
+			holdings: this.#getHoldings(status),
 			needs: this.#getNeeds(),
 			residency: this.#residency,
 		}), 'engine ordered');
+		if (reply.result === ORDER_RESULT.Unknown) {
+			this.#unanswered.note(order, runId, expectedSequence, startedAt);
+		}
+
+		if (runId !== this.#run.id) {
+			// Another run of the engine became known meanwhile, which the order does not concern.
+			return ORDER_RESULT.OtherEngine;
+		}
+
 		const isLoad = order.kind === ORDER_KIND.Load && order.adapter === '' && reply.result === ORDER_RESULT.Accepted;
-		this.#loading = isLoad ? this.#noteLoad(order.model, startedAt) : undefined;
+		this.#loading = isLoad ? this.#noteLoad(order.model, status, startedAt) : undefined;
 		if (reply.result === ORDER_RESULT.Accepted) {
 			this.#known.noteTaken(order, expectedSequence, startedAt);
 		} else {
 			this.#askedAt = Number.NEGATIVE_INFINITY;
 		}
 
-		if (reply.result === ORDER_RESULT.OtherEngine) {
-			this.#upstreamId = reply.upstreamId;
+		if (reply.result === ORDER_RESULT.OtherEngine && reply.instanceId !== '') {
+			this.#run.take({instanceId: reply.instanceId, bornAt: 0});
 		}
 
 		return reply.result;
 	}
 
 	/** The load that has begun. What loads from copies count decides later whether one from the weight store may begin. */
-	#noteLoad(model: string, startedAt: number): LoadInProgress {
+	#noteLoad(model: string, status: EngineStatus, startedAt: number): LoadInProgress {
 		const capacity = this.#capacity!;
-		const holdings = this.#getHoldings(this.#known.value!);
+		const holdings = this.#getHoldings(status);
 		const loadMs = getLoadMs(capacity, holdings, model);
 		if (!isStoreLoad(capacity, holdings, model)) {
 			mutateCopyLoad(this.#residency, getLoadValue(getWaits(this.#getNeeds(), model), loadMs), startedAt);
--- a/apps/valelead-daemon/src/sidecar/known-status.ts
+++ b/apps/valelead-daemon/src/sidecar/known-status.ts
@@ -42,8 +42,9 @@
 		return this.#status !== undefined && this.#status.orderSequence >= (this.#taken?.sequence ?? 0);
 	}
 
-	/** Forgets the last order: another run of the engine knows nothing of it. */
+	/** Forgets all: another run of the engine holds and knows nothing of before. */
 	reset(): void {
+		this.#status = undefined;
 		this.#taken = undefined;
 		this.#isDone = false;
 	}
--- a/apps/valelead-daemon/src/sidecar/new-holdings.ts
+++ b/apps/valelead-daemon/src/sidecar/new-holdings.ts
@@ -1,12 +1,14 @@
-import type {Holdings} from '@valelead/residency';
+import type {EngineOrder, Holdings} from '@valelead/residency';
 import type {EngineStatus} from '../adapter/engine-status.js';
 
 /**
  * What an engine holds, with the adapters that are on their way.
  * @param replicated - Models that other engines hold as well.
+ * @param lateLoads - Loads that orders to an earlier run may still begin.
  */
-export const newHoldings = ({models, pending, isBusy, copiesInMemory, copiesOnDisk}: EngineStatus, replicated: ReadonlySet<string>): Holdings => ({
+export const newHoldings = ({models, pending, isBusy, copiesInMemory, copiesOnDisk}: EngineStatus, replicated: ReadonlySet<string>, lateLoads: readonly EngineOrder[]): Holdings => ({
 	isBusy,
+	lateLoads,
 	replicated,
 	copiesInMemory,
 	copiesOnDisk,
--- a/apps/valelead-daemon/src/sidecar/order-reply.ts
+++ b/apps/valelead-daemon/src/sidecar/order-reply.ts
@@ -4,7 +4,7 @@
 export type OrderReply = {
 	readonly result: OrderResultValue;
 	/** The engine's own id where it told it, or empty. */
-	readonly upstreamId: string;
+	readonly instanceId: string;
 	/** Why there is no clear answer, or empty. */
 	readonly reason: string;
 };
--- a/apps/valelead-daemon/src/sidecar/start-sidecar.ts
+++ b/apps/valelead-daemon/src/sidecar/start-sidecar.ts
@@ -46,7 +46,10 @@
 		},
 		onDirectory(upstreams) {
 			keeper.setEngines(newEngineCopies(upstreams, settings.service));
-			keeper.setUpstreamId(upstreams.findLast(upstream => upstream.address === settings.engine)?.id ?? '');
+			const engine = upstreams.findLast(upstream => upstream.address === settings.engine);
+			if (engine) {
+				keeper.setRun(engine);
+			}
 		},
 	});
 	const server = new GrpcServer([{definition: newServiceDefinition(Residency), implementation: newResidencyService(() => keeper)}]);
--- a/apps/valelead-daemon/tests/known-status.steps.ts
+++ b/apps/valelead-daemon/tests/known-status.steps.ts
@@ -14,7 +14,7 @@
 const tell = (world: StatusWorld, now: number, orderSequence: number, isBusy: boolean): void => {
 	const models = newModels('a');
 	const status = {
-		models, pending: [], isBusy, orderSequence, queued: 0, active: 0, cacheUsedTokens: 0, cacheTokens: 1, copiesInMemory: [], copiesOnDisk: [],
+		bornAt: 0, models, pending: [], isBusy, orderSequence, queued: 0, active: 0, cacheUsedTokens: 0, cacheTokens: 1, copiesInMemory: [], copiesOnDisk: [],
 	};
 	world.isDecidable = world.known.take(status, now);
 };
--- a/apps/valelead-lab/src/lab-engine.ts
+++ b/apps/valelead-lab/src/lab-engine.ts
@@ -64,7 +64,7 @@
 		}
 
 		this.keeper.setCapacity(newCapacity(parts.table, LAB_NAMES.service));
-		this.keeper.setUpstreamId(parts.id);
+		this.keeper.setRun({instanceId: parts.id, bornAt: 0});
 		this.keeper.start();
 	}
 
@@ -104,6 +104,8 @@
 		this.#sequence += 1;
 		return {
 			id: this.id,
+			instanceId: this.id,
+			bornAt: 0,
 			service: LAB_NAMES.service,
 			address: this.address,
 			dataCentre: LAB_NAMES.dataCentre,
@@ -124,6 +126,7 @@
 
 	#getStatus(): EngineStatus {
 		return {
+			bornAt: 0,
 			models: this.#getModels(),
 			pending: [],
 			isBusy: this.engine.isBusy,
@@ -145,10 +148,10 @@
 	#newPort(): EnginePort {
 		return {
 			getStatus: async () => this.#call(() => ({
-				upstreamId: this.id,
+				instanceId: this.id,
 				status: this.#told.at(0)?.status ?? this.#getStatus(),
 			})),
-			order: async terms => this.#call(() => ({result: this.#order(terms), upstreamId: this.id, reason: ''})),
+			order: async terms => this.#call(() => ({result: this.#order(terms), instanceId: this.id, reason: ''})),
 		};
 	}
 
--- a/packages/common/src/result-code.ts
+++ b/packages/common/src/result-code.ts
@@ -38,6 +38,7 @@
 	UpstreamUnreachable: 3008,
 	UpstreamSilent: 3009,
 	InvalidAnswer: 3010,
+	UnroutedService: 3011,
 	NotLeader: 4001,
 	RevisionConflict: 4002,
 	AlreadyExists: 4003,
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -1,6 +1,10 @@
 export {UPSTREAM_STATE} from './upstream-state.js';
 export type {UpstreamStateValue} from './upstream-state-value.js';
 export type {LoadedModel} from './loaded-model.js';
+export type {Run} from './run.js';
+export {getRunId} from './get-run-id.js';
+export {getNewestRun} from './get-newest-run.js';
+export {isOlderRun} from './is-older-run.js';
 export type {Upstream} from './upstream.js';
 export type {Directory} from './directory.js';
 export type {DirectoryEntry} from './directory-entry.js';
--- a/packages/discovery/src/mutate-departure.ts
+++ b/packages/discovery/src/mutate-departure.ts
@@ -1,11 +1,19 @@
 import {UPSTREAM_STATE} from './upstream-state.js';
+import {getNewestRun} from './get-newest-run.js';
+import {getRunId} from './get-run-id.js';
 import {mutateEntry} from './mutate-entry.js';
 import type {Directory} from './directory.js';
+import type {Run} from './run.js';
+import type {Upstream} from './upstream.js';
 
-const UNKNOWN = {
+const newUnknown = ({instanceId, bornAt}: Run): Upstream => ({
+	id: getRunId({instanceId, bornAt}),
+	instanceId,
+	bornAt,
 	service: '',
 	address: '',
 	dataCentre: '',
+	state: UPSTREAM_STATE.Gone,
 	slots: 0,
 	sequence: 0,
 	models: [],
@@ -13,11 +21,17 @@
 	copiesOnDisk: [],
 	remainingMs: 0,
 	keeperAddress: '',
-};
+});
 
-/** Takes an upstream's word that it leaves. Its id never comes back. */
-export const mutateDeparture = (directory: Directory, id: string, now: number): void => {
-	const known = directory.entries.get(id)?.upstream;
-	mutateEntry(directory, {...(known ?? {...UNKNOWN, id}), state: UPSTREAM_STATE.Gone}, now);
-	directory.entries.get(id)!.isReplaced = false;
+/**
+ * Takes an upstream's word that a run of it leaves, which never comes back; the upstream may start again as another run. Without the
+ * time of its start, the newest known run is meant.
+ */
+export const mutateDeparture = (directory: Directory, {instanceId, bornAt}: Run, now: number): void => {
+	const newest = getNewestRun(directory, instanceId);
+	const run = {instanceId, bornAt: bornAt === 0 ? newest?.bornAt ?? 0 : bornAt};
+	const known = directory.entries.get(getRunId(run))?.upstream;
+	const upstream = {...(known ?? newUnknown(run)), state: UPSTREAM_STATE.Gone};
+	mutateEntry(directory, upstream, now);
+	directory.entries.get(upstream.id)!.isReplaced = false;
 };
--- a/packages/discovery/src/mutate-directory-copy.ts
+++ b/packages/discovery/src/mutate-directory-copy.ts
@@ -1,28 +1,37 @@
 import {UPSTREAM_STATE} from './upstream-state.js';
+import {isOlderRun} from './is-older-run.js';
 import type {DirectoryChange} from './directory-change.js';
 import type {DirectoryCopy} from './directory-copy.js';
 import type {Upstream} from './upstream.js';
 
 /**
- * Drops the runs before at an upstream's address. The leader says so of those that it knows; one that was elected since does not know
- * them, and requests for them would be refused at the address until they are given up as unconfirmed.
+ * Drops the runs that an upstream replaces: earlier ones of it, and those at its address. The leader says so of those that it knows; one
+ * that was elected since does not know them, and requests for them would be refused until they are given up as unconfirmed.
  */
-const mutateReplaced = (copy: DirectoryCopy, {id, address}: Upstream): void => {
-	for (const [otherId, {upstream, unconfirmedSince}] of copy.upstreams) {
-		if (otherId !== id && upstream.address === address && unconfirmedSince !== undefined) {
-			copy.upstreams.delete(otherId);
+const mutateReplaced = (copy: DirectoryCopy, next: Upstream): void => {
+	for (const [id, {upstream, unconfirmedSince}] of copy.upstreams) {
+		const wasThere = upstream.address === next.address && unconfirmedSince !== undefined;
+		if (id !== next.id && (wasThere || isOlderRun(upstream, next))) {
+			copy.upstreams.delete(id);
 		}
 	}
 };
 
+/** Whether a later run of the upstream is known: a leader that was elected since may have heard only of an earlier one. */
+const isPast = (copy: DirectoryCopy, upstream: Upstream): boolean => [...copy.upstreams.values()].some(known => isOlderRun(upstream, known.upstream));
+
 const mutateUpstream = (copy: DirectoryCopy, upstream: Upstream): boolean => {
-	const known = copy.upstreams.get(upstream.id)?.upstream;
-	const isOlder = known !== undefined && upstream.sequence < known.sequence && upstream.state !== UPSTREAM_STATE.Gone;
-	const isLeaving = known?.state === UPSTREAM_STATE.Draining && upstream.state === UPSTREAM_STATE.Ready;
 	if (upstream.state === UPSTREAM_STATE.Gone) {
 		return copy.upstreams.delete(upstream.id);
 	}
 
+	if (isPast(copy, upstream)) {
+		return false;
+	}
+
+	const known = copy.upstreams.get(upstream.id)?.upstream;
+	const isOlder = known !== undefined && upstream.sequence < known.sequence;
+	const isLeaving = known?.state === UPSTREAM_STATE.Draining && upstream.state === UPSTREAM_STATE.Ready;
 	mutateReplaced(copy, upstream);
 	copy.upstreams.set(upstream.id, {upstream: isOlder || isLeaving ? known : upstream, unconfirmedSince: undefined});
 	return true;
--- a/packages/discovery/src/mutate-entry.ts
+++ b/packages/discovery/src/mutate-entry.ts
@@ -1,9 +1,33 @@
 import {UPSTREAM_STATE} from './upstream-state.js';
+import {getNewestRun} from './get-newest-run.js';
+import {isOlderRun} from './is-older-run.js';
 import type {Directory} from './directory.js';
 import type {Upstream} from './upstream.js';
 
 const isSame = (left: Upstream, right: Upstream): boolean => JSON.stringify({...left, sequence: 0, remainingMs: 0}) === JSON.stringify({...right, sequence: 0, remainingMs: 0});
 
+/** Whether an upstream that is there shows that a run has ended: it is an earlier run of it, or was at its address. */
+const isReplacedBy = (run: Upstream, next: Upstream): boolean =>
+	run.id !== next.id && run.state !== UPSTREAM_STATE.Gone && (run.address === next.address || isOlderRun(run, next));
+
+const mutateReplaced = (directory: Directory, next: Upstream): void => {
+	for (const entry of directory.entries.values()) {
+		if (isReplacedBy(entry.upstream, next)) {
+			directory.version += 1;
+			entry.upstream = {...entry.upstream, state: UPSTREAM_STATE.Gone};
+			entry.version = directory.version;
+			entry.isReplaced = true;
+		}
+	}
+};
+
+const mutateNewestRun = (directory: Directory, upstream: Upstream): void => {
+	const newest = getNewestRun(directory, upstream.instanceId);
+	if (newest === undefined || isOlderRun(newest, upstream)) {
+		directory.newestRuns.set(upstream.instanceId, upstream.id);
+	}
+};
+
 /** Stores what is known of an upstream; only a change that followers must learn raises the version. */
 export const mutateEntry = (directory: Directory, upstream: Upstream, now: number): void => {
 	const known = directory.entries.get(upstream.id);
@@ -14,20 +38,11 @@
 	}
 
 	directory.version += 1;
+	mutateNewestRun(directory, upstream);
 	directory.entries.set(upstream.id, {
 		upstream, heardAt: now, version: directory.version, isReplaced: false,
 	});
-	if (upstream.state === UPSTREAM_STATE.Gone) {
-		return;
-	}
-
-	for (const entry of directory.entries.values()) {
-		const isReplaced = entry.upstream.address === upstream.address && entry.upstream.id !== upstream.id && entry.upstream.state !== UPSTREAM_STATE.Gone;
-		if (isReplaced) {
-			directory.version += 1;
-			entry.upstream = {...entry.upstream, state: UPSTREAM_STATE.Gone};
-			entry.version = directory.version;
-			entry.isReplaced = true;
-		}
+	if (upstream.state !== UPSTREAM_STATE.Gone) {
+		mutateReplaced(directory, upstream);
 	}
 };
--- a/packages/discovery/src/mutate-silent.ts
+++ b/packages/discovery/src/mutate-silent.ts
@@ -14,6 +14,9 @@
 		const silentMs = now - heardAt;
 		if (!isUsable && silentMs > KEEP_GONE_MS) {
 			directory.entries.delete(id);
+			if (directory.newestRuns.get(upstream.instanceId) === id) {
+				directory.newestRuns.delete(upstream.instanceId);
+			}
 		} else if (isUsable && silentMs > silenceMs) {
 			lost.push(upstream);
 		}
--- a/packages/discovery/src/upstream.ts
+++ b/packages/discovery/src/upstream.ts
@@ -1,9 +1,10 @@
 import type {LoadedModel} from './loaded-model.js';
+import type {Run} from './run.js';
 import type {UpstreamStateValue} from './upstream-state-value.js';
 
 /** One run of an upstream, as its last announcement told. */
-export type Upstream = {
-	/** New at each start. */
+export type Upstream = Run & {
+	/** Names the run (`getRunId`); new at each start. */
 	readonly id: string;
 	readonly service: string;
 	/** IP number and port. */
@@ -12,7 +13,7 @@
 	readonly state: UpstreamStateValue;
 	/** Requests that it works on at once. */
 	readonly slots: number;
-	/** Rises with every announcement; an older one that arrives late is recognised by it. */
+	/** Rises with every announcement of the run; an older one that arrives late is recognised by it. */
 	readonly sequence: number;
 	readonly models: readonly LoadedModel[];
 	readonly copiesInMemory: readonly string[];
--- a/packages/discovery/tests/discovery.feature
+++ b/packages/discovery/tests/discovery.feature
@@ -73,3 +73,53 @@
   Scenario: Random announcements in any order end as in their right order
     When 300 shuffled histories of announcements are tried
     Then each ends in the state of its newest announcement
+
+  Scenario: An upstream that starts again under its id is heard at once
+    Given upstream "a" born at 1000 announced itself as "ready" with sequence 50
+    When upstream "a" born at 2000 announces itself as "ready" with sequence 1
+    Then the run of "a" born at 2000 is "ready"
+    And the run of "a" born at 1000 is "gone"
+    And followers learn 2 changes since then
+
+  Scenario: What was drained or left under an id does not weigh on the next run
+    Given upstream "a" born at 1000 announced itself as "draining" with sequence 50
+    When upstream "a" born at 2000 announces itself as "ready" with sequence 1
+    Then the run of "a" born at 2000 is "ready"
+    When the run of "a" born at 2000 departs
+    And upstream "a" born at 3000 announces itself as "ready" with sequence 1
+    Then the run of "a" born at 3000 is "ready"
+
+  Scenario: A late announcement of an earlier run changes nothing
+    Given upstream "a" born at 2000 announced itself as "ready" with sequence 1
+    When upstream "a" born at 1000 announces itself as "draining" with sequence 50
+    Then the run of "a" born at 2000 is "ready"
+    And the run of "a" born at 1000 is unknown
+
+  Scenario: An announcement of an earlier run that was taken for the newest is not believed again
+    Given upstream "a" born at 1000 announced itself as "ready" with sequence 50
+    When upstream "a" born at 2000 announces itself as "ready" with sequence 1
+    And upstream "a" born at 1000 announces itself as "ready" with sequence 51
+    Then the run of "a" born at 1000 is "gone"
+    And the run of "a" born at 2000 is "ready"
+
+  Scenario: A late departure of an earlier run takes nothing away
+    Given upstream "a" born at 2000 announced itself as "ready" with sequence 1
+    When the run of "a" born at 1000 departs
+    Then the run of "a" born at 2000 is "ready"
+
+  Scenario: A departure that names no run is of the newest one
+    Given upstream "a" born at 1000 announced itself as "ready" with sequence 50
+    When upstream "a" born at 2000 announces itself as "ready" with sequence 1
+    And upstream "a" departs
+    Then the run of "a" born at 2000 is "gone"
+
+  Scenario: A new leader that heard only an earlier run does not bring it back at a follower
+    Given a follower that holds the run of "a" born at 2000
+    When leader "two" tells it of the run of "a" born at 1000
+    Then the follower holds "a@2000"
+    When leader "two" tells it of the run of "a" born at 3000
+    Then the follower holds "a@3000"
+
+  Scenario: Random announcements of several runs end in the newest run's newest state
+    When 300 shuffled histories of announcements of several runs are tried
+    Then each ends in the state of its newest announcement
--- a/packages/discovery/tests/discovery.steps.ts
+++ b/packages/discovery/tests/discovery.steps.ts
@@ -2,7 +2,8 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import * as fc from 'fast-check';
 import {
-	type Directory, type DirectoryCopy, type Upstream, type UpstreamStateValue, UPSTREAM_STATE, getChangesSince, mutateAnnouncement, mutateDeparture, mutateDirectoryCopy, mutateSilent, mutateUnconfirmed, newDirectory, newDirectoryCopy,
+	type Directory, type DirectoryCopy, type Upstream, type UpstreamStateValue, UPSTREAM_STATE, getChangesSince,
+	getRunId, mutateAnnouncement, mutateDeparture, mutateDirectoryCopy, mutateSilent, mutateUnconfirmed, newDirectory, newDirectoryCopy,
 } from '@valelead/discovery';
 
 type DiscoveryWorld = {
@@ -17,7 +18,11 @@
 const GRACE_MS = 8000;
 
 const newUpstream = (id: string, state: UpstreamStateValue, sequence: number, address = `10.0.0.9:${id.codePointAt(0)}`): Upstream => ({
-	id, service: 's', address, dataCentre: 'd', state, slots: 1, sequence, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0, keeperAddress: '',
+	id, instanceId: id, bornAt: 0, service: 's', address, dataCentre: 'd', state, slots: 1, sequence, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0, keeperAddress: '',
+});
+
+const newRun = (instanceId: string, bornAt: number, state: UpstreamStateValue, sequence: number): Upstream => ({
+	...newUpstream(getRunId({instanceId, bornAt}), state, sequence), instanceId, bornAt,
 });
 
 const announce = (world: DiscoveryWorld, id: string, state: string, sequence: number): void => {
@@ -37,7 +42,29 @@
 });
 
 When('upstream {string} departs', function (this: DiscoveryWorld, id: string) {
-	mutateDeparture(this.directory!, id, 0);
+	mutateDeparture(this.directory!, {instanceId: id, bornAt: 0}, 0);
+});
+
+const announceRun = function (this: DiscoveryWorld, id: string, bornAt: number, state: string, sequence: number): void {
+	this.directory ??= newDirectory();
+	this.before = this.directory.version;
+	mutateAnnouncement(this.directory, newRun(id, bornAt, state as UpstreamStateValue, sequence), 0);
+};
+
+Given('upstream {string} born at {int} announced itself as {string} with sequence {int}', announceRun);
+
+When('upstream {string} born at {int} announces itself as {string} with sequence {int}', announceRun);
+
+When('the run of {string} born at {int} departs', function (this: DiscoveryWorld, instanceId: string, bornAt: number) {
+	mutateDeparture(this.directory!, {instanceId, bornAt}, 0);
+});
+
+Then('the run of {string} born at {int} is {string}', function (this: DiscoveryWorld, instanceId: string, bornAt: number, state: string) {
+	assert.equal(this.directory!.entries.get(getRunId({instanceId, bornAt}))?.upstream.state, state);
+});
+
+Then('the run of {string} born at {int} is unknown', function (this: DiscoveryWorld, instanceId: string, bornAt: number) {
+	assert.equal(this.directory!.entries.has(getRunId({instanceId, bornAt})), false);
 });
 
 When('{int} ms pass in silence', function (this: DiscoveryWorld, milliseconds: number) {
@@ -79,6 +106,16 @@
 	tell(this, epoch, true, [newUpstream(id, UPSTREAM_STATE.Ready, 1, this.copy.upstreams.get(other)!.upstream.address)]);
 });
 
+Given('a follower that holds the run of {string} born at {int}', function (this: DiscoveryWorld, instanceId: string, bornAt: number) {
+	this.copy = newDirectoryCopy();
+	this.version = 0;
+	tell(this, 'one', true, [newRun(instanceId, bornAt, UPSTREAM_STATE.Ready, 1)]);
+});
+
+When('leader {string} tells it of the run of {string} born at {int}', function (this: DiscoveryWorld, epoch: string, instanceId: string, bornAt: number) {
+	tell(this, epoch, true, [newRun(instanceId, bornAt, UPSTREAM_STATE.Ready, 9)]);
+});
+
 When('{int} ms pass without more', function (this: DiscoveryWorld, milliseconds: number) {
 	mutateUnconfirmed(this.copy, GRACE_MS, milliseconds);
 });
@@ -109,3 +146,18 @@
 });
 
 Then('each ends in the state of its newest announcement', () => undefined);
+
+When('{int} shuffled histories of announcements of several runs are tried', (count: number) => {
+	const announcement = fc.record({bornAt: fc.integer({min: 1, max: 3}), sequence: fc.integer({min: 1, max: 5})});
+	fc.assert(fc.property(fc.array(announcement, {minLength: 1, maxLength: 12}), history => {
+		const directory = newDirectory();
+		for (const {bornAt, sequence} of history) {
+			mutateAnnouncement(directory, newRun('a', bornAt, UPSTREAM_STATE.Ready, sequence), 0);
+		}
+
+		const newestBirth = Math.max(...history.map(({bornAt}) => bornAt));
+		const newestSequence = Math.max(...history.filter(({bornAt}) => bornAt === newestBirth).map(({sequence}) => sequence));
+		const usable = [...directory.entries.values()].filter(({upstream}) => upstream.state === UPSTREAM_STATE.Ready).map(({upstream}) => upstream);
+		assert.deepEqual(usable.map(({bornAt, sequence}) => ({bornAt, sequence})), [{bornAt: newestBirth, sequence: newestSequence}]);
+	}), {numRuns: count, seed: 11});
+});
--- a/packages/residency/src/get-adapter-order.ts
+++ b/packages/residency/src/get-adapter-order.ts
@@ -37,7 +37,8 @@
 		return undefined;
 	}
 
-	const count = holdings.models.reduce((sum, model) => sum + model.adapters.length, 0);
+	const lateCount = holdings.lateLoads.filter(({adapter}) => adapter !== '').length;
+	const count = holdings.models.reduce((sum, model) => sum + model.adapters.length, lateCount);
 	const hasMemory = getUsedMemory(capacity, holdings) + size.adapterMemory <= capacity.weightMemory;
 	if (count < capacity.adapterSlots && hasMemory) {
 		return {kind: ORDER_KIND.Load, model: wanted.model, adapter: wanted.adapter};
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -72,6 +72,7 @@
 		replicated: new Set(),
 		copiesInMemory: [],
 		copiesOnDisk: copies,
+		lateLoads: [],
 		models: split(held).map(text => ({name: text.split('+')[0], adapters: text.split('+').slice(1)})),
 	};
 };
@@ -177,6 +178,7 @@
 		replicated: fc.constant(new Set<string>()),
 		copiesInMemory: fc.subarray(MODELS),
 		copiesOnDisk: fc.subarray(MODELS),
+		lateLoads: fc.constant([]),
 	});
 	const need = fc.record({
 		model: fc.constantFrom(...MODELS),
