Tell what engines hold together, once encoded, and everything else at once

Cause: each swap of a model at any engine was pushed to every follower, encoded anew for each. Now only what is urgent (who is there, draining, where it is reached, who orders it) is pushed; holdings go with the reply to a follower's next report, at most once a second, encoded once for all that know the same; copies on disk only when they changed. The process that orders an engine from another machine still hears at once. Pushes leave room for calls after each 32.

Ruled out: the comparison of announcements and the waits for followers, which hardly show in the profile.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -1,12 +1,13 @@
-import {create} from '@bufbuild/protobuf';
+import {create, toBinary} from '@bufbuild/protobuf';
 import {
 	type Clock, Coalescer, SYSTEM_CLOCK, type TimerService,
 } from '@valelead/common';
-import {type Upstream, getChangesSince} from '@valelead/discovery';
+import type {Upstream} from '@valelead/discovery';
 import {
-	type FollowerReport, type SessionReport, type SessionUpdate, HeldLeaseSchema, SessionUpdateSchema, UpstreamRecordSchema,
+	type FollowerReport, type HeldLease, type SessionReport, type SessionUpdate, DirectoryDeltaSchema, HeldLeaseSchema, SessionUpdateSchema, UpstreamRecordSchema,
 } from '@valelead/protocol';
 import type {ServerDuplexStream} from '@grpc/grpc-js';
+import {DirectoryNews} from './directory-news.js';
 import type {OrderLeases} from './order-leases.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 import type {Voter} from './voter.js';
@@ -39,7 +40,7 @@
 
 type SessionsParts = {
 	readonly voter: Voter;
-	readonly registry: UpstreamRegistry;
+	readonly registry: Pick<UpstreamRegistry, 'epoch' | 'directory'>;
 	readonly leases: OrderLeases;
 	readonly timers: TimerService;
 	readonly clock?: Clock;
@@ -65,6 +66,15 @@
 /** A follower that reports again within this time gets no reply unless there is news, in milliseconds. */
 const REPLY_MS = 100;
 
+/** How often the gateways that share budgets are counted, in milliseconds: often against the time that one may be silent. */
+const COUNT_MS = 250;
+
+/** Followers that are sent news in one turn of the loop. Calls of operators and engines wait no longer than these take, some milliseconds. */
+const PUSHES_A_TURN = 32;
+
+/** Between two such turns, in milliseconds: the least after which a timer fires in a turn of its own. */
+const TURN_GAP_MS = 1;
+
 const GATEWAY_ROLE = 'gateway';
 const SIDECAR_ROLE = 'sidecar';
 
@@ -78,26 +88,31 @@
 /** Sends routing and directory to the gateways and sidecars that follow this voter while it leads. */
 export class FollowerSessions {
 	readonly #voter: Voter;
-	readonly #registry: UpstreamRegistry;
+	readonly #news: DirectoryNews;
 	readonly #leases: OrderLeases;
 	readonly #timers: TimerService;
 	readonly #clock: Clock;
 	readonly #sessions = new Map<SessionStream, FollowerSession>();
 	readonly #waiters = new Set<Waiter>();
 	readonly #pushes: Coalescer;
+	#gatewayCount = 0;
 
 	constructor({voter, registry, leases, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
 		this.#voter = voter;
-		this.#registry = registry;
 		this.#leases = leases;
 		this.#timers = timers;
 		this.#clock = clock;
+		this.#news = new DirectoryNews({registry, timers, clock});
 		this.#pushes = new Coalescer(timers, COALESCE_MS, () => {
 			this.#push();
 		});
 	}
 
 	start(): void {
+		this.#news.start();
+		this.#timers.repeat(COUNT_MS, now => {
+			this.#countGateways(now);
+		});
 		this.#voter.machine.subscribe(() => {
 			this.pushSoon();
 		});
@@ -139,6 +154,25 @@
 		this.#pushes.schedule();
 	}
 
+	/**
+	 * Tells the process that gives an engine its orders what the engine announced, at once: it waits for the end of its last order. Others
+	 * hear of it with what else changes.
+	 */
+	tellHolder(upstream: Upstream): void {
+		const {epoch} = this.#news.progress;
+		const holder = this.#leases.getHolder(upstream.address);
+		for (const session of this.#sessions.values()) {
+			if (session.vm === holder && session.sent.epoch === epoch) {
+				const delta = create(DirectoryDeltaSchema, {
+					epoch, version: session.sent.directoryVersion, isWhole: false, upstreams: [create(UpstreamRecordSchema, {...upstream, areDiskCopiesUnchanged: false} as never)],
+				});
+				session.stream.write(create(SessionUpdateSchema, {
+					sentAt: session.sentAt, isCurrent: true, directory: toBinary(DirectoryDeltaSchema, delta), gatewayCount: this.#gatewayCount, leases: this.#newLeases(session),
+				}));
+			}
+		}
+	}
+
 	/**
 	 * Resolves once every follower that is heard holds the present routing and directory, or after a short while. What is
 	 * acknowledged after it is obeyed even if this voter dies with its acknowledgement.
@@ -161,8 +195,7 @@
 	}
 
 	get #progress(): Progress {
-		const {epoch, directory} = this.#registry;
-		return {routingVersion: this.#voter.machine.routing?.version ?? 0, epoch, directoryVersion: directory.version};
+		return {routingVersion: this.#voter.machine.routing?.version ?? 0, ...this.#news.progress};
 	}
 
 	#isSettled(target: Progress): boolean {
@@ -213,11 +246,23 @@
 			return;
 		}
 
-		for (const session of this.#sessions.values()) {
+		const behind = [...this.#sessions.values()].filter(session => this.#hasNews(session));
+		this.#pushTo(behind);
+	}
+
+	/** Sends news to some sessions at a time, so that calls which came meanwhile are answered between them. */
+	#pushTo(sessions: readonly FollowerSession[]): void {
+		for (const session of sessions.slice(0, PUSHES_A_TURN)) {
 			if (this.#hasNews(session)) {
 				this.#send(session);
 			}
 		}
+
+		if (sessions.length > PUSHES_A_TURN) {
+			this.#timers.after(TURN_GAP_MS, () => {
+				this.#pushTo(sessions.slice(PUSHES_A_TURN));
+			});
+		}
 	}
 
 	#hasNews(session: FollowerSession): boolean {
@@ -226,35 +271,28 @@
 
 	#send(session: FollowerSession): void {
 		const {routing} = this.#voter.machine;
-		const {epoch, directory} = this.#registry;
-		const isWhole = session.sent.epoch !== epoch;
+		const target = this.#progress;
 		const hasRouting = routing !== undefined && routing.version > session.sent.routingVersion;
 		session.stream.write(create(SessionUpdateSchema, {
 			sentAt: session.sentAt,
 			isCurrent: true,
 			...(hasRouting && {routing}),
-			directory: {
-				epoch,
-				version: directory.version,
-				isWhole,
-				upstreams: this.#getUpstreams(session, isWhole).map(upstream => create(UpstreamRecordSchema, upstream as never)),
-				gatewayCount: this.#countGateways(),
-			},
+			directory: this.#news.getDelta(session.sent),
+			gatewayCount: this.#gatewayCount,
 			voterAddresses: this.#voter.node!.voters.map(voter => voter.address),
 			isReportWanted: this.#waiters.size > 0,
-			leases: this.#leases.getGrants(session.vm).map(lease => create(HeldLeaseSchema, lease)),
+			leases: this.#newLeases(session),
 			ordersFromMs: session.role === SIDECAR_ROLE ? this.#leases.getSidecarDelayMs([...session.attended]) : 0,
 		}));
 		session.repliedAt = this.#clock.now();
-		session.sent = {routingVersion: Math.max(session.sent.routingVersion, routing?.version ?? 0), epoch, directoryVersion: directory.version};
+		session.sent = {...target, routingVersion: Math.max(session.sent.routingVersion, target.routingVersion)};
 	}
 
-	#getUpstreams(session: FollowerSession, isWhole: boolean): Upstream[] {
-		return getChangesSince(this.#registry.directory, isWhole ? 0 : session.sent.directoryVersion);
+	#newLeases({vm}: FollowerSession): HeldLease[] {
+		return this.#leases.getGrants(vm).map(lease => create(HeldLeaseSchema, lease));
 	}
 
-	#countGateways(): number {
-		const now = this.#clock.now();
-		return [...this.#sessions.values()].filter(session => session.role === GATEWAY_ROLE && now - session.heardAt < GATEWAY_SILENCE_MS).length;
+	#countGateways(now: number): void {
+		this.#gatewayCount = [...this.#sessions.values()].filter(session => session.role === GATEWAY_ROLE && now - session.heardAt < GATEWAY_SILENCE_MS).length;
 	}
 }
--- a/apps/valelead-daemon/src/control/order-leases.ts
+++ b/apps/valelead-daemon/src/control/order-leases.ts
@@ -75,6 +75,11 @@
 			: [];
 	}
 
+	/** The VM whose process gives an engine its orders in place of a sidecar; undefined where none does. */
+	getHolder(address: string): string | undefined {
+		return this.#getState()?.leases.get(address)?.vm;
+	}
+
 	/** How long the sidecars of these engines leave them to others, in milliseconds. */
 	getSidecarDelayMs(addresses: readonly string[]): number {
 		const {clock, settings} = this.#parts;
--- a/apps/valelead-daemon/src/control/upstream-registry.ts
+++ b/apps/valelead-daemon/src/control/upstream-registry.ts
@@ -16,7 +16,10 @@
 	readonly logger: Logger;
 	/** How often upstreams announce themselves, in milliseconds. */
 	readonly announceMs: number;
+	/** Hears of changes that followers must learn at once. */
 	readonly onChange: () => void;
+	/** Hears of an engine that holds something else than before and is ordered from another machine. */
+	readonly onHoldings: (upstream: Upstream) => void;
 };
 
 /** An upstream that missed this many announcements counts as silent. */
@@ -58,9 +61,15 @@
 	announce(upstream: Upstream): boolean {
 		const known = this.directory.entries.get(upstream.id)?.upstream;
 		this.#check(upstream, known);
+		const {version} = this.#directory;
+		const keeperAddress = this.#keepers.get(upstream.address) ?? '';
 		this.#change(() => {
-			mutateAnnouncement(this.#directory, {...upstream, keeperAddress: this.#keepers.get(upstream.address) ?? ''}, this.#parts.clock.now());
+			mutateAnnouncement(this.#directory, {...upstream, keeperAddress}, this.#parts.clock.now());
 		});
+		if (keeperAddress !== '' && this.#directory.version !== version) {
+			this.#parts.onHoldings({...upstream, keeperAddress});
+		}
+
 		if (known?.state !== upstream.state) {
 			this.#log(upstream, upstream.state);
 		}
@@ -112,9 +121,9 @@
 	}
 
 	#change(mutate: () => void): void {
-		const before = this.#directory.version;
+		const before = this.#directory.urgentVersion;
 		mutate();
-		if (this.#directory.version !== before) {
+		if (this.#directory.urgentVersion !== before) {
 			this.#parts.onChange();
 		}
 	}
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -48,6 +48,9 @@
 		onChange() {
 			followers.pushSoon();
 		},
+		onHoldings(upstream) {
+			followers.tellHolder(upstream);
+		},
 	});
 	const leases = new OrderLeases({
 		voter, registry, getEngineServices: () => services.names?.engines ?? new Set(), settings, timers, clock: SYSTEM_CLOCK, logger,
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -1,10 +1,10 @@
-import {create} from '@bufbuild/protobuf';
+import {create, fromBinary} from '@bufbuild/protobuf';
 import {type Clock, type TimerService, ValeleadError} from '@valelead/common';
 import {
-	type DirectoryCopy, type Upstream, mutateDirectoryCopy, mutateUnconfirmed, newDirectoryCopy,
+	type DirectoryCopy, type Upstream, type UpstreamChange, mutateDirectoryCopy, mutateUnconfirmed, newDirectoryCopy,
 } from '@valelead/discovery';
 import {
-	type ChannelPool, type DirectoryDelta, type RoutingRecord, type SessionReport, type SessionUpdate, FollowerReportSchema, HeldLeaseSchema, LeaderCalls, SessionReportSchema,
+	type ChannelPool, type DirectoryDelta, type RoutingRecord, type SessionReport, type SessionUpdate, DirectoryDeltaSchema, FollowerReportSchema, HeldLeaseSchema, LeaderCalls, SessionReportSchema,
 } from '@valelead/protocol';
 import {type RouteTable, newRouteTable} from '@valelead/routing';
 import type {Logger} from 'pino';
@@ -130,8 +130,9 @@
 		this.#heardAt = this.#parts.clock.now();
 		this.#leader.learn(update.voterAddresses);
 		this.#parts.duties.take({leases: update.leases, ordersFromMs: update.ordersFromMs, reportedAt: update.sentAt});
-		if (update.directory) {
-			this.#takeDirectory(update.directory);
+		this.#noteGateways(update.gatewayCount);
+		if (update.directory.length > 0) {
+			this.#takeDirectory(fromBinary(DirectoryDeltaSchema, update.directory));
 		}
 
 		if (update.isReportWanted) {
@@ -161,8 +162,7 @@
 	}
 
 	#takeDirectory(delta: DirectoryDelta): void {
-		const upstreams = delta.upstreams as unknown as readonly Upstream[];
-		this.#noteGateways(delta.gatewayCount);
+		const upstreams = delta.upstreams as unknown as readonly UpstreamChange[];
 		if (mutateDirectoryCopy(this.#copy, {...delta, upstreams}, this.#parts.clock.now())) {
 			this.#publishDirectory();
 		}
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -5,6 +5,7 @@
 import {
 	type ChannelPool, type SessionReport, type SessionUpdate, FollowerReportSchema, LeaderCalls, RoutingRecordSchema, SessionReportSchema, SessionUpdateSchema,
 } from '@valelead/protocol';
+import {newDirectory} from '@valelead/discovery';
 import {pino} from 'pino';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
@@ -201,10 +202,10 @@
 	this.committed = {version: 1, document: ''};
 	this.streams = new Map([first, second].map(vm => [vm, new FakeStream()]));
 	const voter = {node: {isCurrentLeader: true, voters: []}, machine: {routing: this.committed, subscribe: ignore}};
-	const registry = {epoch: 'e', directory: {version: 0, entries: new Map()}};
+	const registry = {epoch: 'e', directory: newDirectory()};
 	const leases = {note: ignore, getGrants: () => [], getSidecarDelayMs: () => 0};
 	this.sessions = new FollowerSessions({
-		voter: voter as never, registry: registry as never, leases: leases as never, timers: this.timers, clock: this.clock,
+		voter: voter as never, registry, leases: leases as never, timers: this.timers, clock: this.clock,
 	});
 	for (const vm of this.streams.keys()) {
 		report(this, vm, 1);
--- a/apps/valelead-daemon/tests/order-leases.steps.ts
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -62,7 +62,7 @@
 		logger: pino({level: 'silent'}),
 	});
 	this.sessions = new FollowerSessions({
-		voter: voter as never, registry: registry as never, leases: this.leases, timers: this.timers, clock,
+		voter: voter as never, registry, leases: this.leases, timers: this.timers, clock,
 	});
 	this.stream = {on: ignore, write: () => true};
 	this.leases.start();
--- a/packages/discovery/src/directory-change.ts
+++ b/packages/discovery/src/directory-change.ts
@@ -1,4 +1,4 @@
-import type {Upstream} from './upstream.js';
+import type {UpstreamChange} from './upstream-change.js';
 
 /** What a follower is told of the directory. */
 export type DirectoryChange = {
@@ -7,5 +7,5 @@
 	readonly version: number;
 	/** Whether all upstreams are listed, or those that changed. */
 	readonly isWhole: boolean;
-	readonly upstreams: readonly Upstream[];
+	readonly upstreams: readonly UpstreamChange[];
 };
--- a/packages/discovery/src/directory-entry.ts
+++ b/packages/discovery/src/directory-entry.ts
@@ -7,6 +7,8 @@
 	heardAt: number;
 	/** The directory's version at the last change that followers must learn. */
 	version: number;
+	/** The directory's version at the last change of the copies on its disk. */
+	diskCopiesVersion: number;
 	/** Whether it counts as gone only because another run announced itself at its address. */
 	isReplaced: boolean;
 };
--- a/packages/discovery/src/get-changes-since.ts
+++ b/packages/discovery/src/get-changes-since.ts
@@ -1,8 +1,10 @@
 import type {Directory} from './directory.js';
-import type {Upstream} from './upstream.js';
+import type {UpstreamChange} from './upstream-change.js';
 
-/** The upstreams that changed after a version, in the order of their changes. */
-export const getChangesSince = (directory: Directory, version: number): Upstream[] => [...directory.entries.values()]
+/** The upstreams that changed after a version, in the order of their changes; 0 gives all of them. */
+export const getChangesSince = (directory: Directory, version: number): UpstreamChange[] => [...directory.entries.values()]
 	.filter(entry => entry.version > version)
 	.sort((left, right) => left.version - right.version)
-	.map(entry => entry.upstream);
+	.map(({upstream, diskCopiesVersion}) => diskCopiesVersion > version
+		? {...upstream, areDiskCopiesUnchanged: false}
+		: {...upstream, copiesOnDisk: [], areDiskCopiesUnchanged: true});
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -5,6 +5,7 @@
 export {getRunId} from './get-run-id.js';
 export {getNewestRun} from './get-newest-run.js';
 export {isOlderRun} from './is-older-run.js';
+export type {UpstreamChange} from './upstream-change.js';
 export type {Upstream} from './upstream.js';
 export type {Directory} from './directory.js';
 export type {DirectoryEntry} from './directory-entry.js';
--- a/packages/discovery/src/mutate-directory-copy.ts
+++ b/packages/discovery/src/mutate-directory-copy.ts
@@ -3,6 +3,7 @@
 import type {DirectoryChange} from './directory-change.js';
 import type {DirectoryCopy} from './directory-copy.js';
 import type {Upstream} from './upstream.js';
+import type {UpstreamChange} from './upstream-change.js';
 
 /**
  * Drops the runs that an upstream replaces: earlier ones of it, and those at its address. The leader says so of those that it knows; one
@@ -20,7 +21,12 @@
 /** Whether a later run of the upstream is known: a leader that was elected since may have heard only of an earlier one. */
 const isPast = (copy: DirectoryCopy, upstream: Upstream): boolean => [...copy.upstreams.values()].some(known => isOlderRun(upstream, known.upstream));
 
-const mutateUpstream = (copy: DirectoryCopy, upstream: Upstream): boolean => {
+/** What the follower knows of the upstream from now on. */
+const getWhole = (copy: DirectoryCopy, {areDiskCopiesUnchanged, ...upstream}: UpstreamChange): Upstream =>
+	areDiskCopiesUnchanged ? {...upstream, copiesOnDisk: copy.upstreams.get(upstream.id)?.upstream.copiesOnDisk ?? []} : upstream;
+
+const mutateUpstream = (copy: DirectoryCopy, change: UpstreamChange): boolean => {
+	const upstream = getWhole(copy, change);
 	if (upstream.state === UPSTREAM_STATE.Gone) {
 		return copy.upstreams.delete(upstream.id);
 	}
--- a/packages/discovery/src/mutate-entry.ts
+++ b/packages/discovery/src/mutate-entry.ts
@@ -4,7 +4,14 @@
 import type {Directory} from './directory.js';
 import type {Upstream} from './upstream.js';
 
-const isSame = (left: Upstream, right: Upstream): boolean => JSON.stringify({...left, sequence: 0, remainingMs: 0}) === JSON.stringify({...right, sequence: 0, remainingMs: 0});
+/** What changes with each announcement, and is no news. */
+const PASSING = {sequence: 0, remainingMs: 0};
+
+const HOLDINGS = {models: [], copiesInMemory: [], copiesOnDisk: []};
+
+const isSame = (left: Upstream, right: Upstream): boolean => JSON.stringify({...left, ...PASSING}) === JSON.stringify({...right, ...PASSING});
+
+const isSameButHoldings = (left: Upstream, right: Upstream): boolean => isSame({...left, ...HOLDINGS}, {...right, ...HOLDINGS});
 
 /** Whether an upstream that is there shows that a run has ended: it is an earlier run of it, or was at its address. */
 const isReplacedBy = (run: Upstream, next: Upstream): boolean =>
@@ -14,6 +21,7 @@
 	for (const entry of directory.entries.values()) {
 		if (isReplacedBy(entry.upstream, next)) {
 			directory.version += 1;
+			directory.urgentVersion = directory.version;
 			entry.upstream = {...entry.upstream, state: UPSTREAM_STATE.Gone};
 			entry.version = directory.version;
 			entry.isReplaced = true;
@@ -38,9 +46,14 @@
 	}
 
 	directory.version += 1;
+	if (!known || !isSameButHoldings(known.upstream, upstream)) {
+		directory.urgentVersion = directory.version;
+	}
+
 	mutateNewestRun(directory, upstream);
+	const hasDisk = known !== undefined && JSON.stringify(known.upstream.copiesOnDisk) === JSON.stringify(upstream.copiesOnDisk);
 	directory.entries.set(upstream.id, {
-		upstream, heardAt: now, version: directory.version, isReplaced: false,
+		upstream, heardAt: now, version: directory.version, diskCopiesVersion: hasDisk ? known.diskCopiesVersion : directory.version, isReplaced: false,
 	});
 	if (upstream.state !== UPSTREAM_STATE.Gone) {
 		mutateReplaced(directory, upstream);
--- a/packages/discovery/src/new-directory.ts
+++ b/packages/discovery/src/new-directory.ts
@@ -1,4 +1,6 @@
 import type {Directory} from './directory.js';
 
 /** A directory without upstreams. */
-export const newDirectory = (): Directory => ({entries: new Map(), newestRuns: new Map(), version: 0});
+export const newDirectory = (): Directory => ({
+	entries: new Map(), newestRuns: new Map(), version: 0, urgentVersion: 0,
+});
--- a/packages/discovery/tests/discovery.steps.ts
+++ b/packages/discovery/tests/discovery.steps.ts
@@ -82,7 +82,7 @@
 const tell = (world: DiscoveryWorld, epoch: string, isWhole: boolean, upstreams: readonly Upstream[]): void => {
 	world.version += 1;
 	mutateDirectoryCopy(world.copy, {
-		epoch, version: world.version, isWhole, upstreams,
+		epoch, version: world.version, isWhole, upstreams: upstreams.map(upstream => ({...upstream, areDiskCopiesUnchanged: false})),
 	}, 0);
 };
 
