Call for replicas by half of an engine's slots, and log what a refusal rests on

Hypothesis: 16 requests a replica, measured with 64 slots, queue inside engines of 12 slots. Engines of 32 slots and more keep 16. An order's line names the source of a load, a refusal's line how many engines could load the model.

--- a/apps/valelead-daemon/src/gateway/engine-fleet.ts
+++ b/apps/valelead-daemon/src/gateway/engine-fleet.ts
@@ -64,18 +64,18 @@
 
 	/** For each model of a service, the engines that hold it without need. */
 	#getSpareReplicas(): ReadonlyMap<string, ReadonlySet<string>> {
-		const holders = new Map<string, {readonly replicas: Replica[]; inProgress: number}>();
+		const holders = new Map<string, {readonly replicas: Replica[]; readonly slots: number; inProgress: number}>();
 		for (const {upstream, models, inProgressByModel, copiesOnDisk} of this.#views.values()) {
 			for (const {name} of models) {
 				const key = getTarget(upstream.service, name, '');
-				const known = holders.get(key) ?? {replicas: [], inProgress: 0};
+				const known = holders.get(key) ?? {replicas: [], inProgress: 0, slots: upstream.slots};
 				known.replicas.push({upstreamId: upstream.id, copies: copiesOnDisk.length});
 				known.inProgress += inProgressByModel.get(name) ?? 0;
 				holders.set(key, known);
 			}
 		}
 
-		return new Map([...holders].map(([key, {replicas, inProgress}]) => [key, getSpareReplicas(key, replicas, inProgress)]));
+		return new Map([...holders].map(([key, {replicas, inProgress, slots}]) => [key, getSpareReplicas(key, replicas, inProgress, slots)]));
 	}
 
 	#newView(upstream: Upstream): EngineView {
@@ -95,11 +95,13 @@
 	}
 
 	#newEndpoint({upstream, inProgress}: EngineView, gatewayCount: number, ownCount: number): AdmissionEndpoint {
+		const others = Math.max(0, inProgress - ownCount);
+		const share = Math.max(LEAST_PLACES, Math.ceil(upstream.slots * PLACES_PER_SLOT / gatewayCount));
 		return {
 			vm: upstream.id,
 			dataCentre: upstream.dataCentre,
-			places: Math.max(LEAST_PLACES, Math.ceil(upstream.slots * PLACES_PER_SLOT / gatewayCount)),
-			othersInProgress: Math.max(0, inProgress - ownCount),
+			places: share,
+			othersInProgress: others,
 		};
 	}
 
--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -157,6 +157,11 @@
 		return this.#sites.get(target)?.upstreamId;
 	}
 
+	/** How many usable engines keep a copy of a unit's model, or have it in their queue: what a forecast rests on. */
+	getSourceCount(demand: Demand): number {
+		return this.#loadSites.getAll(demand).filter(site => site.hasDiskCopy || site.hasMemoryCopy || site.remainingMs !== undefined).length;
+	}
+
 	/**
 	 * Until a unit is loaded somewhere at the soonest, in milliseconds; undefined while the engines are not all known. Where
 	 * the chosen engine is expected to have it before the caller leaves, the others are not looked at.
@@ -181,7 +186,7 @@
 		const views = [...this.#parts.getViews().values()].filter(view => view.upstream.service === service);
 		const held = views.filter(view => view.models.some(other => other.name === model));
 		const inProgress = held.reduce((sum, view) => sum + (view.inProgressByModel.get(model) ?? 0), 0);
-		const wished = getWishedReplicas(inProgress + getWaiting(views, model, waiting));
+		const wished = getWishedReplicas(inProgress + getWaiting(views, model, waiting), views[0]?.upstream.slots ?? 1);
 		// Where no engine holds the model, the waiting requests have wished for the first one.
 		const missing = wished - Math.max(1, held.length);
 		if (inProgress >= BUSY_REQUESTS && needsCarrier(views, held)) {
--- a/apps/valelead-lab/tests/patterns.feature
+++ b/apps/valelead-lab/tests/patterns.feature
@@ -16,7 +16,7 @@
   Scenario: Where most models are rare and many have no copy, fetches leave time for swaps
     When the pattern "remote-rare" is played with seeds 1 to 2
     Then at least 0.30 of the "rare" requests are in time
-    And at least 0.80 of the "interactive" requests are in time
+    And at least 0.90 of the "interactive" requests are in time
     And at most 0.17 of all requests are not served
 
   Scenario: Engines that join without copies carry the busy models
--- a/packages/residency/tests/residency.feature
+++ b/packages/residency/tests/residency.feature
@@ -104,6 +104,17 @@
     Then together they fetch 2 different models with 2 loads at once
     And together they fetch 3 different models with 4 loads at once
 
+  Scenario Outline: A replica on an engine with few slots takes fewer requests
+    Given replicas "one, two, three, four" of a model on engines of 12 slots
+    When <count> requests are in progress
+    Then <spare> of the replicas are spare, the same in any order
+
+    Examples:
+      | count | spare |
+      | 6     | 3     |
+      | 7     | 2     |
+      | 24    | 0     |
+
   Scenario Outline: A model's requests keep to as many replicas as they call for
     Given replicas "one, two, three, four" of a model
     When <count> requests are in progress
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -9,6 +9,7 @@
 
 type ResidencyWorld = {
 	replicas: Replica[];
+	slots: number;
 	capacity: Capacity;
 	holdings: Holdings;
 	state: ReturnType<typeof newResidencyState>;
@@ -232,7 +233,13 @@
 	assert.equal(new Set(fetched).size, count);
 });
 
+Given('replicas {string} of a model on engines of {int} slots', function (this: ResidencyWorld, names: string, slots: number) {
+	this.slots = slots;
+	this.models = split(names);
+});
+
 Given('replicas {string} of a model', function (this: ResidencyWorld, ids: string) {
+	this.slots = 64;
 	this.models = split(ids);
 });
 
@@ -242,14 +249,14 @@
 
 Then('{int} of the replicas are spare, the same in any order', function (this: ResidencyWorld, count: number) {
 	const replicas = this.models.map(upstreamId => ({upstreamId, copies: 10}));
-	const spare = getSpareReplicas('m', replicas, this.inProgress);
+	const spare = getSpareReplicas('m', replicas, this.inProgress, this.slots);
 	assert.equal(spare.size, count);
-	assert.deepEqual(getSpareReplicas('m', [...replicas].reverse(), this.inProgress), spare);
+	assert.deepEqual(getSpareReplicas('m', [...replicas].reverse(), this.inProgress, this.slots), spare);
 });
 
 Then('with few copies on {string} the others are spare', function (this: ResidencyWorld, short: string) {
 	const replicas = this.models.map(upstreamId => ({upstreamId, copies: upstreamId === short ? 2 : 10}));
-	assert.deepEqual([...getSpareReplicas('m', replicas, 1)].sort(), this.models.filter(id => id !== short).sort());
+	assert.deepEqual([...getSpareReplicas('m', replicas, 1, 64)].sort(), this.models.filter(id => id !== short).sort());
 });
 
 When('requests for {string} come for {int} ms, each answered from a copy in time, while {int} request waits for {string}', function (this: ResidencyWorld, other: string, lengthMs: number, count: number, unit: string) {
