--- a/apps/valelead-cli/src/wait-until-in-force.ts
+++ b/apps/valelead-cli/src/wait-until-in-force.ts
@@ -1,3 +1,4 @@
+import {SYSTEM_CLOCK} from '@valelead/common';
 import type {Connection} from './connection.js';
 
 const POLL_MS = 50;
@@ -5,9 +6,9 @@
 
 /** Waits until every live entry has the revision, with a line for each step. Returns whether all have it. */
 export const waitUntilInForce = async (connection: Connection, revision: number, printProgress: (text: string) => void): Promise<boolean> => {
-	const endsAt = Date.now() + LIMIT_MS;
+	const endsAt = SYSTEM_CLOCK.now() + LIMIT_MS;
 	let shown = -1;
-	while (Date.now() < endsAt) {
+	while (SYSTEM_CLOCK.now() < endsAt) {
 		const {rows} = await connection.query({
 			kind: 'show', listing: 'entries', conditions: [], order: [],
 		});
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -38,8 +38,11 @@
 /** The balancer asks for readiness each second and takes two misses; new connections still come until then. */
 const BALANCER_MS = 2500;
 
-/** Requests in progress are broken off when this part of the platform's grace has passed. */
-const GRACE_SHARE = 0.92;
+/**
+ * What is left of the platform's grace when requests in progress are broken off, in milliseconds: closing and writing the last log lines
+ * take some twenty. All the rest goes to streams that were begun before the stop signal.
+ */
+const END_RESERVE_MS = 250;
 
 const IDLE_POLL_MS = 50;
 
@@ -135,7 +138,7 @@
 	/** Fails readiness, ends connections after their answers, and waits for what is in progress. */
 	async stop(): Promise<void> {
 		const {settings, timers, logger} = this.#parts;
-		const endsAt = SYSTEM_CLOCK.now() + (settings.graceSeconds * MS_PER_SECOND * GRACE_SHARE);
+		const endsAt = SYSTEM_CLOCK.now() + (settings.graceSeconds * MS_PER_SECOND) - END_RESERVE_MS;
 		this.#isStopping = true;
 		await timers.wait(Math.min(BALANCER_MS, settings.graceSeconds * MS_PER_SECOND / 2));
 		this.#server.close();
--- /dev/null
+++ b/apps/valelead-daemon/tests/leader-calls.steps.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {TimerService, ValeleadError} from '@valelead/common';
+import {VirtualClock} from '@valelead/emulator';
+import {type ChannelPool, Control, LeaderCalls} from '@valelead/protocol';
+
+type CallsWorld = {
+	clock: VirtualClock;
+	calls: LeaderCalls;
+	endedAt: number | undefined;
+	realNow: (() => number) | undefined;
+};
+
+const LIMIT_MS = 20_000;
+
+Given('a voter that answers nothing', function (this: CallsWorld) {
+	this.clock = new VirtualClock();
+	const silent = {unary: async () => new Promise(() => undefined)};
+	const pool = {get: () => silent, reset: () => undefined};
+	this.calls = new LeaderCalls(pool as unknown as ChannelPool, ['a', 'b'], new TimerService(this.clock, this.clock), this.clock);
+});
+
+When('a call with {int} ms is made and the time of day steps by {int} ms', async function (this: CallsWorld, timeoutMs: number, stepMs: number) {
+	const realNow = Date.now;
+	this.realNow = realNow;
+	const call = async (): Promise<void> => {
+		try {
+			await this.calls.call(Control.method.execute, {} as never, timeoutMs);
+		} catch (error) {
+			assert.ok(error instanceof ValeleadError);
+			this.endedAt = this.clock.now();
+		}
+	};
+
+	void call();
+	Date.now = () => realNow() + stepMs;
+	await this.clock.runUntil(LIMIT_MS);
+});
+
+After(function (this: CallsWorld) {
+	Date.now = this.realNow ?? Date.now;
+});
+
+Then('the call ends between {int} ms and {int} ms', function (this: CallsWorld, least: number, most: number) {
+	assert.ok(this.endedAt !== undefined && this.endedAt >= least && this.endedAt <= most, String(this.endedAt));
+});
--- a/packages/protocol/src/leader-calls.ts
+++ b/packages/protocol/src/leader-calls.ts
@@ -1,5 +1,7 @@
 import type {DescMessage, DescMethodUnary, MessageShape} from '@bufbuild/protobuf';
-import {RESULT_CODE, type TimerService, ValeleadError} from '@valelead/common';
+import {
+	type Clock, RESULT_CODE, SYSTEM_CLOCK, type TimerService, ValeleadError,
+} from '@valelead/common';
 import type {ChannelPool} from './channel-pool.js';
 
 /** What every reply of a voter says. */
@@ -18,13 +20,15 @@
 	readonly #pool: ChannelPool;
 	#addresses: readonly string[];
 	readonly #timers: TimerService;
+	readonly #clock: Clock;
 	#next = 0;
 	#leader: string | undefined;
 
-	constructor(pool: ChannelPool, addresses: readonly string[], timers: TimerService) {
+	constructor(pool: ChannelPool, addresses: readonly string[], timers: TimerService, clock: Clock = SYSTEM_CLOCK) {
 		this.#pool = pool;
 		this.#addresses = addresses;
 		this.#timers = timers;
+		this.#clock = clock;
 	}
 
 	/** The address to try next. */
@@ -49,9 +53,9 @@
 
 	/** Repeats the call until a leader answers it or the time is over. The call must be idempotent. */
 	async call<Input extends DescMessage, Output extends DescMessage>(method: DescMethodUnary<Input, Output>, request: MessageShape<Input>, timeoutMs: number): Promise<MessageShape<Output> & ControlReply> {
-		const endsAt = Date.now() + timeoutMs;
-		while (Date.now() < endsAt) {
-			const reply = await this.#try(method, request, endsAt - Date.now());
+		const endsAt = this.#clock.now() + timeoutMs;
+		while (this.#clock.now() < endsAt) {
+			const reply = await this.#try(method, request, endsAt - this.#clock.now());
 			if (reply && reply.code !== RESULT_CODE.NotLeader) {
 				return reply;
 			}
@@ -66,9 +70,16 @@
 	async #try<Input extends DescMessage, Output extends DescMessage>(method: DescMethodUnary<Input, Output>, request: MessageShape<Input>, timeoutMs: number): Promise<(MessageShape<Output> & ControlReply) | undefined> {
 		const attemptMs = Math.min(timeoutMs, ATTEMPT_MS);
 		try {
-			return await this.#pool.get(this.address).unary(method, request, attemptMs) as MessageShape<Output> & ControlReply;
+			// The library measures its deadline by the time of day, which may step; the wait beside it does not.
+			const answer = this.#pool.get(this.address).unary(method, request, attemptMs) as Promise<MessageShape<Output> & ControlReply>;
+			return await Promise.race([answer, this.#waitInVain(attemptMs)]);
 		} catch {
 			return undefined;
 		}
 	}
+
+	async #waitInVain(attemptMs: number): Promise<undefined> {
+		await this.#timers.wait(attemptMs);
+		return undefined;
+	}
 }
