--- a/apps/valelead-daemon/tests/leader-calls.steps.ts
+++ b/apps/valelead-daemon/tests/leader-calls.steps.ts
@@ -1,9 +1,14 @@
 import assert from 'node:assert/strict';
-import {After, Given, Then, When} from '@cucumber/cucumber';
+import {
+	After, Given, Then, When,
+} from '@cucumber/cucumber';
 import {TimerService, ValeleadError} from '@valelead/common';
 import {VirtualClock} from '@valelead/emulator';
 import {type ChannelPool, Control, LeaderCalls} from '@valelead/protocol';
 
+/** Never calls back. */
+const ignore = (): void => undefined;
+
 type CallsWorld = {
 	clock: VirtualClock;
 	calls: LeaderCalls;
@@ -15,7 +20,7 @@
 
 Given('a voter that answers nothing', function (this: CallsWorld) {
 	this.clock = new VirtualClock();
-	const silent = {unary: async () => new Promise(() => undefined)};
+	const silent = {unary: async () => new Promise(ignore)};
 	const pool = {get: () => silent, reset: () => undefined};
 	this.calls = new LeaderCalls(pool as unknown as ChannelPool, ['a', 'b'], new TimerService(this.clock, this.clock), this.clock);
 });
