--- a/apps/valelead-daemon/src/sidecar/summary-publisher.ts
+++ b/apps/valelead-daemon/src/sidecar/summary-publisher.ts
@@ -21,6 +21,10 @@
 /** A small change is told after this time, in milliseconds, or together with a larger one. */
 const SMALL_CHANGE_MS = 1000;
 
+/** What followers are told of at once where it changes. */
+const getOffer = ({upstreamId, loads, copiesOnDisk, models}: EngineSummary): unknown[] =>
+	[upstreamId, loads.map(load => load.model), copiesOnDisk, models.map(({name, version, adapters}) => [name, version, adapters])];
+
 /** Tells followers what the engine offers: at once where that changes, and some time later where only counts do. */
 export class SummaryPublisher {
 	readonly #parts: PublisherParts;
@@ -49,7 +53,7 @@
 	/** What is offered, loading or kept may have changed. */
 	publish(): void {
 		const summary = this.#parts.getSummary();
-		const offer = JSON.stringify(summary && [summary.upstreamId, summary.loads.map(load => load.model), summary.copiesOnDisk, summary.models.map(model => [model.name, model.version, model.adapters])]);
+		const offer = JSON.stringify(summary && getOffer(summary));
 		if (offer === this.#toldOffer) {
 			this.publishSoon();
 			return;
--- a/apps/valelead-daemon/tests/engine-knowledge.steps.ts
+++ b/apps/valelead-daemon/tests/engine-knowledge.steps.ts
@@ -21,7 +21,20 @@
 
 const newView = (id: string, hasKeeper: boolean): EngineView => ({
 	upstream: {
-		id, instanceId: id, bornAt: 0, service: SERVICE, address: id, dataCentre: 'z', state: UPSTREAM_STATE.Ready, slots: 64, sequence: 1, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0, keeperAddress: '',
+		id,
+		instanceId: id,
+		bornAt: 0,
+		service: SERVICE,
+		address: id,
+		dataCentre: 'z',
+		state: UPSTREAM_STATE.Ready,
+		slots: 64,
+		sequence: 1,
+		models: [],
+		copiesInMemory: [],
+		copiesOnDisk: [],
+		remainingMs: 0,
+		keeperAddress: '',
 	},
 	models: [],
 	inProgressByModel: new Map(),
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -33,7 +33,20 @@
 
 const newView = (id: string, held: readonly string[], copies: readonly string[], inProgress: ReadonlyMap<string, number> = new Map()): EngineView => ({
 	upstream: {
-		id, instanceId: id, bornAt: 0, service: SERVICE, address: '127.0.0.1:1', dataCentre: 'z', state: UPSTREAM_STATE.Ready, slots: 64, sequence: 1, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0, keeperAddress: '',
+		id,
+		instanceId: id,
+		bornAt: 0,
+		service: SERVICE,
+		address: '127.0.0.1:1',
+		dataCentre: 'z',
+		state: UPSTREAM_STATE.Ready,
+		slots: 64,
+		sequence: 1,
+		models: [],
+		copiesInMemory: [],
+		copiesOnDisk: [],
+		remainingMs: 0,
+		keeperAddress: '',
 	},
 	models: held.map(name => ({name, version: 1, adapters: []})),
 	inProgressByModel: inProgress,
--- a/apps/valelead-daemon/tests/order-leases.steps.ts
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -41,7 +41,20 @@
 	this.node = {isCurrentLeader: true, term, voters: []};
 	this.directory = newDirectory();
 	mutateAnnouncement(this.directory, {
-		id: engine, instanceId: engine, bornAt: 0, service: SERVICE, address: engine, dataCentre: 'z', state: UPSTREAM_STATE.Ready, slots: 1, sequence: 1, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0, keeperAddress: '',
+		id: engine,
+		instanceId: engine,
+		bornAt: 0,
+		service: SERVICE,
+		address: engine,
+		dataCentre: 'z',
+		state: UPSTREAM_STATE.Ready,
+		slots: 1,
+		sequence: 1,
+		models: [],
+		copiesInMemory: [],
+		copiesOnDisk: [],
+		remainingMs: 0,
+		keeperAddress: '',
 	}, 0);
 	const voter = {node: this.node, machine: {routing: undefined, subscribe: ignore}};
 	const registry = {
--- a/apps/valelead-lab/src/format-figures.ts
+++ b/apps/valelead-lab/src/format-figures.ts
@@ -26,8 +26,10 @@
 
 /** The mean figures of several plays of a pattern as text, with the paired difference to earlier plays of the same seeds. */
 export const formatFigures = (name: string, plays: readonly PlayFigures[], before: readonly PlayFigures[] | undefined): string => {
-	const head = `${name}: credit ${getMean(plays.map(figures => figures.credit)).toFixed(3)} price ${getMean(plays.map(figures => figures.price)).toFixed(3)} unserved ${getMean(plays.map(figures => figures.unserved)).toFixed(3)}`
-		+ ` loads from copies ${getMean(plays.map(figures => figures.copyLoads)).toFixed(1)} from the store ${getMean(plays.map(figures => figures.storeLoads)).toFixed(1)}, orders refused ${getMean(plays.map(figures => figures.refusedOrders)).toFixed(1)}\n`;
+	const format = (getFigure: (figures: PlayFigures) => number, digits: number): string => getMean(plays.map(figures => getFigure(figures))).toFixed(digits);
+	const shares = `credit ${format(({credit}) => credit, 3)} price ${format(({price}) => price, 3)} unserved ${format(({unserved}) => unserved, 3)}`;
+	const loads = `loads from copies ${format(({copyLoads}) => copyLoads, 1)} from the store ${format(({storeLoads}) => storeLoads, 1)}`;
+	const head = `${name}: ${shares} ${loads}, orders refused ${format(({refusedOrders}) => refusedOrders, 1)}\n`;
 	const classes = Object.keys(plays[0]?.classes ?? {}).map(className => formatClass(className, plays)).join('');
 	return `${head}${classes}${before ? formatDifference(plays, before) : ''}`;
 };
--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -15,6 +15,7 @@
 	type SessionReport, type SessionUpdate, Channel, Control, SessionReportSchema, SessionUpdateSchema,
 } from '@valelead/protocol';
 import {fitLine} from './fit-line.js';
+import {formatRow} from './format-row.js';
 
 type SessionStream = ClientDuplexStream<SessionReport, SessionUpdate>;
 
@@ -54,7 +55,16 @@
 	report: {
 		case: 'agent',
 		value: {
-			vm: `vm-${index}`, sentAt: performance.now(), dataCentre: 'dc-1', address: `10.0.0.1:${index}`, incarnation: `${FIRST_START_MS}-x`, upstreamIncarnation: 'one', memoryBytes: 64 * GIB, capacity: 16, cached: Array.from({length: 20}, (_, model) => `model-${model}@v1`), units: [],
+			vm: `vm-${index}`,
+			sentAt: performance.now(),
+			dataCentre: 'dc-1',
+			address: `10.0.0.1:${index}`,
+			incarnation: `${FIRST_START_MS}-x`,
+			upstreamIncarnation: 'one',
+			memoryBytes: 64 * GIB,
+			capacity: 16,
+			cached: Array.from({length: 20}, (_, model) => `model-${model}@v1`),
+			units: [],
 		},
 	},
 });
@@ -138,7 +148,16 @@
 
 	const cpu = fit(point => point.cpuUs);
 	const memory = fit(point => point.residentMb * 1024);
-	say(`SLOPE role=${role} per=${per} bytes=${fit(point => point.bytes).text} cpu_us=${cpu.text} messages=${fit(point => point.messages).text} resident_kb=${memory.text} residual_cpu=${cpu.residual} residual_resident=${memory.residual}`);
+	say(formatRow('SLOPE', {
+		role,
+		per,
+		bytes: fit(point => point.bytes).text,
+		cpu_us: cpu.text,
+		messages: fit(point => point.messages).text,
+		resident_kb: memory.text,
+		residual_cpu: cpu.residual,
+		residual_resident: memory.residual,
+	}));
 };
 
 /** What one more model, team or grant costs in the replicated state. */
@@ -162,7 +181,16 @@
 	const cpu = fitLine(points.map(point => ({x: point.count, y: point.cpuUs})));
 	const bytes = fitLine(points.map(point => ({x: point.count, y: point.bytes})));
 	const heap = fitLine(points.map(point => ({x: point.count, y: point.heap})));
-	say(`SLOPE role=state per=${per} bytes=${bytes.slope.toFixed(0)} cpu_us=${cpu.slope.toFixed(1)} messages=0 heap_bytes=${heap.slope.toFixed(0)} residual_cpu=${cpu.residual.toFixed(3)} residual_bytes=${bytes.residual.toFixed(3)}`);
+	say(formatRow('SLOPE', {
+		role: 'state',
+		per,
+		bytes: bytes.slope.toFixed(0),
+		cpu_us: cpu.slope.toFixed(1),
+		messages: '0',
+		heap_bytes: heap.slope.toFixed(0),
+		residual_cpu: cpu.residual.toFixed(3),
+		residual_bytes: bytes.residual.toFixed(3),
+	}));
 };
 
 /** What one change of the configuration costs the leader while many entries follow. */
--- a/bench/leader.ts
+++ b/bench/leader.ts
@@ -16,6 +16,7 @@
 } from '@valelead/protocol';
 import {ChannelCredentials} from '@grpc/grpc-js';
 import {Program, getFreePorts} from '@valelead/fakes';
+import {formatRow} from './format-row.js';
 
 type Size = {
 	readonly followers: number;
@@ -278,7 +279,7 @@
 	const {messages, bytes, answered, failed} = load.traffic;
 	const seconds = MEASURE_MS / 1000;
 	const core = (await getCpuMs(program.pid) - cpuBefore) / MEASURE_MS;
-	const figures = {
+	say(formatRow('LEADER', {
 		followers: size.followers,
 		engines: size.engines,
 		core: core.toFixed(3),
@@ -287,8 +288,7 @@
 		'answer p50 ms': getQuantile(answered, 0.5).toFixed(1),
 		'answer p99 ms': getQuantile(answered, 0.99).toFixed(1),
 		failed: `${failed} of ${answered.length + failed}`,
-	};
-	say(`LEADER ${Object.entries(figures).map(([name, value]) => `${name}=${value}`).join(' ')}`);
+	}));
 }
 
 load.close();
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -6,6 +6,7 @@
 import process from 'node:process';
 import {performance} from 'node:perf_hooks';
 import {Installation} from '@valelead/fakes';
+import {formatRow} from './format-row.js';
 
 type Target = {
 	readonly port: number;
@@ -124,7 +125,15 @@
 		const throughMeasured = summarize(throughSamples);
 		say(`PATH concurrent=${concurrent} direct ${toText(directMeasured)}`);
 		say(`PATH concurrent=${concurrent} through ${toText(throughMeasured)}`);
-		say(`PATH concurrent=${concurrent} added_p50=${(throughMeasured.p50 - directMeasured.p50).toFixed(2)}ms p50/direct=${(throughMeasured.p50 / directMeasured.p50).toFixed(2)} p99/direct=${(throughMeasured.p99 / directMeasured.p99).toFixed(2)} rps/direct=${(throughMeasured.perSecond / directMeasured.perSecond).toFixed(2)} entry_cpu=${cpu[0].toFixed(2)}ms agent_cpu=${cpu[1].toFixed(2)}ms`);
+		say(formatRow('PATH', {
+			concurrent,
+			added_p50: `${(throughMeasured.p50 - directMeasured.p50).toFixed(2)}ms`,
+			'p50/direct': (throughMeasured.p50 / directMeasured.p50).toFixed(2),
+			'p99/direct': (throughMeasured.p99 / directMeasured.p99).toFixed(2),
+			'rps/direct': (throughMeasured.perSecond / directMeasured.perSecond).toFixed(2),
+			entry_cpu: `${cpu[0].toFixed(2)}ms`,
+			agent_cpu: `${cpu[1].toFixed(2)}ms`,
+		}));
 	}
 
 	const programs = [...installation.entries.map((part, index) => ({name: `entry-${index + 1}`, pid: part.program.pid})), {name: 'agent', pid: engine.agent.pid}];
--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -9,6 +9,7 @@
 import type {Policy} from './policy/policy.js';
 import type {ReplayResult} from './policy/replay-result.js';
 import type {Trace} from './policy/trace.js';
+import {formatRow} from './format-row.js';
 
 const SHAPES = ['daily', 'bursts', 'holiday', 'slow-store', 'reclaim', 'flood'] as const;
 const FIXED_KEEP_MS = 300_000;
@@ -69,11 +70,26 @@
 	];
 };
 
+const formatSeconds = (milliseconds: number): string => `${(milliseconds / 1000).toFixed(1)}s`;
+
 const toLine = (trace: Trace, policy: Policy, result: ReplayResult): string => {
 	const cold = [...result.coldWaits.values()].flat();
-	const classes = [...result.coldWaits].map(([name, waits]) => `${name}_p99=${(getQuantile(waits, 0.99) / 1000).toFixed(1)}s`);
 	const refused = [...result.refused.values()].reduce((sum, count) => sum + count, 0);
-	return `POLICY trace=${trace.name} policy=${policy.name} cold=${cold.length} p50=${(getQuantile(cold, 0.5) / 1000).toFixed(1)}s p99=${(getQuantile(cold, 0.99) / 1000).toFixed(1)}s worst=${(getQuantile(cold, 1) / 1000).toFixed(1)}s ${classes.join(' ')} idle=${result.idleHours.toFixed(2)}h loading=${result.loadingHours.toFixed(2)}h loads=${result.loads} served=${result.served} refused=${refused} cost=${result.cost.toFixed(0)}`;
+	return formatRow('POLICY', {
+		trace: trace.name,
+		policy: policy.name,
+		cold: cold.length,
+		p50: formatSeconds(getQuantile(cold, 0.5)),
+		p99: formatSeconds(getQuantile(cold, 0.99)),
+		worst: formatSeconds(getQuantile(cold, 1)),
+		...Object.fromEntries([...result.coldWaits].map(([name, waits]) => [`${name}_p99`, formatSeconds(getQuantile(waits, 0.99))])),
+		idle: `${result.idleHours.toFixed(2)}h`,
+		loading: `${result.loadingHours.toFixed(2)}h`,
+		loads: result.loads,
+		served: result.served,
+		refused,
+		cost: result.cost.toFixed(0),
+	});
 };
 
 /** The 99th percentile of waits of all teams but the first, which is the one that floods. */
@@ -96,7 +112,15 @@
 		const getP99 = (result: ReplayResult): number => getQuantile([...result.coldWaits.values()].flat(), 0.99);
 		const others = getOthersWait(own);
 		quiet = shape === 'daily' ? others : quiet;
-		const flood = shape === 'flood' ? ` others_p99/quiet=${(others / quiet).toFixed(2)}` : '';
-		say(`RESULT trace=${trace.name} cost/fixed=${getRatio('fixed', getCost)} cost/on-demand=${getRatio('on-demand', getCost)} cost/warm=${getRatio('warm', getCost)} cost/bound=${getRatio('bound', getCost)} p99/fixed=${getRatio('fixed', getP99)} idle/fixed=${getRatio('fixed', result => result.idleHours)}${flood}`);
+		say(formatRow('RESULT', {
+			trace: trace.name,
+			'cost/fixed': getRatio('fixed', getCost),
+			'cost/on-demand': getRatio('on-demand', getCost),
+			'cost/warm': getRatio('warm', getCost),
+			'cost/bound': getRatio('bound', getCost),
+			'p99/fixed': getRatio('fixed', getP99),
+			'idle/fixed': getRatio('fixed', result => result.idleHours),
+			...(shape === 'flood' && {'others_p99/quiet': (others / quiet).toFixed(2)}),
+		}));
 	}
 }
--- a/bench/policy/replay-trace.ts
+++ b/bench/policy/replay-trace.ts
@@ -290,13 +290,29 @@
 		}
 
 		return {
-			key, base: '', memoryBytes: getMemoryBytes(key), freeReplicas: 2 - held, minReplicas: 0, isStopped: false, waiting: queue.length, waitingWeight, mostRemainingMs, arrivals: this.#arrivals.get(key) ?? 0,
+			key,
+			base: '',
+			memoryBytes: getMemoryBytes(key),
+			freeReplicas: 2 - held,
+			minReplicas: 0,
+			isStopped: false,
+			waiting: queue.length,
+			waitingWeight,
+			mostRemainingMs,
+			arrivals: this.#arrivals.get(key) ?? 0,
 		};
 	}
 
 	#newReplica(replica: Loaded, now: number): PlacementReplica {
 		return {
-			grantId: replica.grantId, unit: replica.unit, vm: replica.vm, memoryBytes: replica.memoryBytes, isReady: replica.readyAt <= now, isRevoking: replica.isRevoking, inProgress: replica.inProgress, idleMs: replica.inProgress > 0 ? 0 : Math.max(0, now - Math.max(replica.lastUsedAt, replica.readyAt)),
+			grantId: replica.grantId,
+			unit: replica.unit,
+			vm: replica.vm,
+			memoryBytes: replica.memoryBytes,
+			isReady: replica.readyAt <= now,
+			isRevoking: replica.isRevoking,
+			inProgress: replica.inProgress,
+			idleMs: replica.inProgress > 0 ? 0 : Math.max(0, now - Math.max(replica.lastUsedAt, replica.readyAt)),
 		};
 	}
 
--- a/packages/admission/src/admission-event.ts
+++ b/packages/admission/src/admission-event.ts
@@ -15,5 +15,12 @@
 	| {readonly kind: 'endpoints'; readonly endpoints: ReadonlyMap<string, readonly AdmissionEndpoint[]>}
 	| {readonly kind: 'started'; readonly requestId: string; readonly attemptId: string}
 	| {readonly kind: 'finished'; readonly requestId: string; readonly attemptId: string}
-	| {readonly kind: 'failed'; readonly requestId: string; readonly attemptId: string; readonly code: ResultCodeValue; readonly outcome: OutcomeValue; /** Uniform in [0, 1). */ readonly jitter: number}
+	| {
+		readonly kind: 'failed';
+		readonly requestId: string;
+		readonly attemptId: string;
+		readonly code: ResultCodeValue;
+		readonly outcome: OutcomeValue;
+		/** Uniform in [0, 1). */ readonly jitter: number;
+	}
 	| {readonly kind: 'tick'};
--- a/packages/admission/src/get-retry-tokens.ts
+++ b/packages/admission/src/get-retry-tokens.ts
@@ -6,4 +6,5 @@
 const INITIAL_TOKENS = 1;
 
 /** Retries that the budget of a request has left. */
-export const getRetryTokens = (state: AdmissionState, settings: AdmissionSettings, ticket: Ticket): number => state.retryTokens.get(ticket.budget ?? '') ?? settings.initialRetryTokens ?? INITIAL_TOKENS;
+export const getRetryTokens = (state: AdmissionState, settings: AdmissionSettings, ticket: Ticket): number =>
+	state.retryTokens.get(ticket.budget ?? '') ?? settings.initialRetryTokens ?? INITIAL_TOKENS;
--- a/packages/admission/src/mutate-refused.ts
+++ b/packages/admission/src/mutate-refused.ts
@@ -9,7 +9,13 @@
  * Ends a request with a refusal. What was dispatched and not refused by its agent may have run.
  * @param retryAfterMs - When the caller should come back, in milliseconds; once the present queue is served where it is not known better.
  */
-export const mutateRefused = (state: AdmissionState, record: RequestRecord, code: ResultCodeValue, outcome: OutcomeValue, retryAfterMs = getRetryAfterMs(state, record.ticket.target)): AdmissionEffect[] => {
+export const mutateRefused = (
+	state: AdmissionState,
+	record: RequestRecord,
+	code: ResultCodeValue,
+	outcome: OutcomeValue,
+	retryAfterMs = getRetryAfterMs(state, record.ticket.target),
+): AdmissionEffect[] => {
 	const {requestId} = record.ticket;
 	const effects: AdmissionEffect[] = [];
 	if (record.state !== 'waiting') {
--- a/packages/admission/tests/admission.steps.ts
+++ b/packages/admission/tests/admission.steps.ts
@@ -39,7 +39,15 @@
 			kind: 'arrive',
 			limits: LIMITS,
 			ticket: {
-				requestId: `${team}-${world.nextId}`, team, teamWeight: weight, className: 'c', classWeight: 1, target: TARGET, arrivedAt: world.now, deadlineAt: world.now + 100_000, isRepeatable: true,
+				requestId: `${team}-${world.nextId}`,
+				team,
+				teamWeight: weight,
+				className: 'c',
+				classWeight: 1,
+				target: TARGET,
+				arrivedAt: world.now,
+				deadlineAt: world.now + 100_000,
+				isRepeatable: true,
 			},
 		});
 	}
@@ -75,7 +83,14 @@
 	serve(this, 11);
 });
 
-When('teams {string} of weight {int} and {string} of weight {int} each have {int} requests waiting', function (this: AdmissionWorld, heavy: string, heavyWeight: number, light: string, lightWeight: number, count: number) {
+When('teams {string} of weight {int} and {string} of weight {int} each have {int} requests waiting', function (
+	this: AdmissionWorld,
+	heavy: string,
+	heavyWeight: number,
+	light: string,
+	lightWeight: number,
+	count: number,
+) {
 	arrive(this, heavy, heavyWeight, count);
 	arrive(this, light, lightWeight, count);
 	serve(this, 20);
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -52,7 +52,17 @@
 		kind: 'arrive',
 		limits: LIMITS,
 		ticket: {
-			requestId: String(direct.nextId), team: '', teamWeight: 1, className: 'c', classWeight: 1, target: TARGET, arrivedAt: direct.now, deadlineAt: direct.now + 10_000, isRepeatable: true, maxAttempts: 4, ...ticket,
+			requestId: String(direct.nextId),
+			team: '',
+			teamWeight: 1,
+			className: 'c',
+			classWeight: 1,
+			target: TARGET,
+			arrivedAt: direct.now,
+			deadlineAt: direct.now + 10_000,
+			isRepeatable: true,
+			maxAttempts: 4,
+			...ticket,
 		},
 	});
 };
@@ -72,7 +82,19 @@
 	this.direct = {
 		state: newAdmissionState(),
 		settings: {
-			maxAttempts: 4, retryShare: 0, maxRetryTokens: retries, initialRetryTokens: retries, isRefusalBudgeted: true, ejectAfter: 3, ejectMs: 1000, maxEjectMs: 8000, avoidMs: 0, creditMarginMs: 0, unansweredMs: 700, darkMs: 1500, dataCentre: 'dc',
+			maxAttempts: 4,
+			retryShare: 0,
+			maxRetryTokens: retries,
+			initialRetryTokens: retries,
+			isRefusalBudgeted: true,
+			ejectAfter: 3,
+			ejectMs: 1000,
+			maxEjectMs: 8000,
+			avoidMs: 0,
+			creditMarginMs: 0,
+			unansweredMs: 700,
+			darkMs: 1500,
+			dataCentre: 'dc',
 		},
 		now: 0,
 		nextId: 0,
@@ -98,7 +120,9 @@
 });
 
 When('{string} refuses connections and {int} requests arrive', function (this: DirectWorld, vm: string, count: number) {
-	this.direct.react = dispatch => dispatch.vm === vm ? newFailure(dispatch, RESULT_CODE.UpstreamUnreachable, OUTCOME.NotRun) : {kind: 'finished', requestId: dispatch.requestId, attemptId: dispatch.attemptId};
+	this.direct.react = dispatch => dispatch.vm === vm
+		? newFailure(dispatch, RESULT_CODE.UpstreamUnreachable, OUTCOME.NotRun)
+		: {kind: 'finished', requestId: dispatch.requestId, attemptId: dispatch.attemptId};
 	arriveMany(this, count);
 });
 
--- a/packages/common/src/result-details.ts
+++ b/packages/common/src/result-details.ts
@@ -45,7 +45,12 @@
 	[RESULT_CODE.UpstreamUnreachable]: newDetail('UpstreamUnreachable', 503, 'No connection to the upstream could be made, so the request was not sent.', 'Retry after the stated time.'),
 	[RESULT_CODE.UpstreamSilent]: newDetail('UpstreamSilent', 504, 'The upstream took the request and did not begin an answer for too long.', 'Retry if the request is idempotent.'),
 	[RESULT_CODE.InvalidAnswer]: newDetail('InvalidAnswer', 502, 'The upstream sent bytes that are not the answer to the request.', 'Retry if the request is idempotent.'),
-	[RESULT_CODE.UnroutedService]: newDetail('UnroutedService', 422, 'An upstream announced itself for a service that the routing does not name.', 'Check the upstream\'s service, or send the routing that names it first.'),
+	[RESULT_CODE.UnroutedService]: newDetail(
+		'UnroutedService',
+		422,
+		'An upstream announced itself for a service that the routing does not name.',
+		'Check the upstream\'s service, or send the routing that names it first.',
+	),
 	[RESULT_CODE.NotLeader]: newDetail('NotLeader', 503, 'The voter is not the leader.', 'Ask the leader named in the reply.'),
 	[RESULT_CODE.RevisionConflict]: newDetail('RevisionConflict', 409, 'The configuration changed since the expected revision.', 'Read it again and decide anew.'),
 	[RESULT_CODE.AlreadyExists]: newDetail('AlreadyExists', 409, 'An object of this name exists.', 'Use alter, or another name.'),
--- a/packages/protocol/src/leader-calls.ts
+++ b/packages/protocol/src/leader-calls.ts
@@ -52,7 +52,12 @@
 	}
 
 	/** Repeats the call until a leader answers it or the time is over. The call must be idempotent. */
-	async call<Input extends DescMessage, Output extends DescMessage>(method: DescMethodUnary<Input, Output>, request: MessageShape<Input>, timeoutMs: number): Promise<MessageShape<Output> & ControlReply> {
+	async call<Input extends DescMessage, Output extends DescMessage>(
+		method: DescMethodUnary<Input,
+			Output>,
+		request: MessageShape<Input>,
+		timeoutMs: number,
+	): Promise<MessageShape<Output> & ControlReply> {
 		const endsAt = this.#clock.now() + timeoutMs;
 		while (this.#clock.now() < endsAt) {
 			const reply = await this.#try(method, request, endsAt - this.#clock.now());
@@ -67,7 +72,12 @@
 		throw new ValeleadError('No leader answered in time', {code: RESULT_CODE.NoQuorum});
 	}
 
-	async #try<Input extends DescMessage, Output extends DescMessage>(method: DescMethodUnary<Input, Output>, request: MessageShape<Input>, timeoutMs: number): Promise<(MessageShape<Output> & ControlReply) | undefined> {
+	async #try<Input extends DescMessage, Output extends DescMessage>(
+		method: DescMethodUnary<Input,
+			Output>,
+		request: MessageShape<Input>,
+		timeoutMs: number,
+	): Promise<(MessageShape<Output> & ControlReply) | undefined> {
 		const attemptMs = Math.min(timeoutMs, ATTEMPT_MS);
 		try {
 			// The library measures its deadline by the time of day, which may step; the wait beside it does not.
--- a/packages/residency/tests/residency.steps.ts
+++ b/packages/residency/tests/residency.steps.ts
@@ -4,7 +4,10 @@
 } from '@cucumber/cucumber';
 import * as fc from 'fast-check';
 import {
-	type Capacity, type Replica, type EngineCopies, type EngineOrder, type Holdings, type LoadSite, type UnitNeed, ORDER_KIND, getBalancingFetch, getClassWeight, getLoadSite, getNextStep, getPrefetch, getFetchers, getSpareReplicas, getUnitName, mutateCopyLoad, mutateWanted, newResidencyState,
+	type Capacity, type Replica, type EngineCopies, type EngineOrder, type Holdings, type LoadSite,
+	type UnitNeed, ORDER_KIND, getBalancingFetch, getClassWeight, getLoadSite, getNextStep,
+	getPrefetch, getFetchers, getSpareReplicas, getUnitName, mutateCopyLoad, mutateWanted,
+	newResidencyState,
 } from '@valelead/residency';
 
 type ResidencyWorld = {
@@ -62,7 +65,13 @@
 
 const format = (order: EngineOrder | undefined): string => order ? `${order.kind} ${getUnitName(order.model, order.adapter)}` : '';
 
-Given('an engine of {int} units of memory and {int} adapter slots, with models of {int} units and adapters of {int} unit', function (this: ResidencyWorld, memory: number, slots: number, model: number, adapter: number) {
+Given('an engine of {int} units of memory and {int} adapter slots, with models of {int} units and adapters of {int} unit', function (
+	this: ResidencyWorld,
+	memory: number,
+	slots: number,
+	model: number,
+	adapter: number,
+) {
 	this.capacity = newCapacity(memory, slots, model, adapter);
 	this.state = newResidencyState();
 	this.needs = [];
@@ -259,7 +268,13 @@
 	assert.deepEqual([...getSpareReplicas('m', replicas, 1, 64)].sort(), this.models.filter(id => id !== short).sort());
 });
 
-When('requests for {string} come for {int} ms, each answered from a copy in time, while {int} request waits for {string}', function (this: ResidencyWorld, other: string, lengthMs: number, count: number, unit: string) {
+When('requests for {string} come for {int} ms, each answered from a copy in time, while {int} request waits for {string}', function (
+	this: ResidencyWorld,
+	other: string,
+	lengthMs: number,
+	count: number,
+	unit: string,
+) {
 	for (let now = 0; now <= lengthMs; now += ARRIVAL_MS) {
 		this.needs = [newNeed(unit, count, 0, OBJECTIVE_MS - now), newNeed(other, 1, 0, FAR_MS)];
 		mutateWanted(this.state, [newNeed(unit, count, 0, OBJECTIVE_MS - now)], now);
--- a/tests/failures.steps.ts
+++ b/tests/failures.steps.ts
@@ -177,14 +177,18 @@
 	}
 };
 
+/** Tokens of the streams that go on meanwhile; the long ones last until they are cut off. */
+const SHORT_STREAM = 40;
+const LONG_STREAM = 400;
+
 /** Ends and starts every daemon, one after another, while requests go on. */
-const restartAll = async (world: InstallationWorld, end: (program: Program) => Promise<void>): Promise<HttpAnswer[]> => {
+const restartAll = async (world: InstallationWorld, tokens: number, end: (program: Program) => Promise<void>): Promise<HttpAnswer[]> => {
 	const {entries, engines, services} = world.installation;
 	await askTokens(world, 0, 2);
 	const cut: HttpAnswer = {
 		status: 0, headers: {}, text: 'connection lost', isComplete: false,
 	};
-	const streams = keepAsking(async () => orElse(askTokens(world, await pickEntry(world), 40), cut));
+	const streams = keepAsking(async () => orElse(askTokens(world, await pickEntry(world), tokens), cut));
 	const holds = keepAsking(async count => orElse(world.installation.callService(await pickEntry(world), world.key, 'holds/reserve', `hold-${count}`, `hold-${count}`), cut));
 	for (const program of [...entries.map(entry => entry.program), ...engines.map(engine => engine.agent), ...services.map(service => service.agent)]) {
 		await end(program);
@@ -195,17 +199,36 @@
 	return [...await streams.stop(), ...await holds.stop()];
 };
 
+/** Waits until the engine beside an agent works on a request, where requests go there, so that the agent's end cuts it off. */
+const waitForRequest = async (world: InstallationWorld, program: Program): Promise<void> => {
+	const index = world.installation.engines.findIndex(({agent}) => agent === program);
+	if (index === -1) {
+		return;
+	}
+
+	const {ran} = await getBooks(world, index);
+	if (ran.length > 0) {
+		await world.installation.waitFor('a request in progress', async () => {
+			const books = await getBooks(world, index);
+			return books.inProgress > 0;
+		});
+	}
+};
+
 const isCut = (answer: HttpAnswer): boolean => answer.status === 0 || (answer.status === 200 && (!answer.isComplete || answer.text.includes('event: error')));
 
 When('every daemon is stopped as planned and started again while holds and streams go on', async function (this: InstallationWorld) {
-	this.answers = await restartAll(this, async program => {
+	this.answers = await restartAll(this, SHORT_STREAM, async program => {
 		program.signal('SIGTERM');
 		assert.equal(await program.exited(), 0);
 	});
 });
 
 When('every daemon is killed and started again while holds and streams go on', async function (this: InstallationWorld) {
-	this.answers = await restartAll(this, async program => program.kill());
+	this.answers = await restartAll(this, LONG_STREAM, async program => {
+		await waitForRequest(this, program);
+		await program.kill();
+	});
 });
 
 Then('a request in progress was cut off', function (this: InstallationWorld) {
--- a/tests/requests/fake-entry.ts
+++ b/tests/requests/fake-entry.ts
@@ -184,7 +184,15 @@
 		this.#take({
 			kind: 'arrive',
 			ticket: {
-				requestId: request.requestId, team: request.team, teamWeight: 1, className: 'default', classWeight: 1, target: request.target, arrivedAt, deadlineAt: arrivedAt + request.deadlineMs, isRepeatable,
+				requestId: request.requestId,
+				team: request.team,
+				teamWeight: 1,
+				className: 'default',
+				classWeight: 1,
+				target: request.target,
+				arrivedAt,
+				deadlineAt: arrivedAt + request.deadlineMs,
+				isRepeatable,
 			},
 			limits: LIMITS,
 		});
