--- a/apps/valelead-daemon/src/sidecar/engine-keeper.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-keeper.ts
@@ -10,10 +10,11 @@
 import type {KeeperParts} from './keeper-parts.js';
 import {LoadDelayLog} from './load-delay-log.js';
 import {Prefetcher} from './prefetcher.js';
+import {getBusyMs} from './get-busy-ms.js';
 import {newOrderRecord} from './new-order-record.js';
 import {newEngineSummary} from './new-engine-summary.js';
 import {newHoldings} from './new-holdings.js';
-import {ReachLog} from './reach-log.js';
+import {StatusReader} from './status-reader.js';
 import {SummaryPublisher} from './summary-publisher.js';
 import {ToldNeeds} from './told-needs.js';
 import {TurnSchedule} from './turn-schedule.js';
@@ -31,7 +32,7 @@
 	readonly #prefetcher: Prefetcher;
 	readonly #publisher: SummaryPublisher;
 	readonly #delays: LoadDelayLog;
-	readonly #reach: ReachLog;
+	readonly #reader: StatusReader;
 	#capacity: Capacity | undefined;
 	readonly #run = new KnownRun({
 		onChange: () => {
@@ -46,7 +47,6 @@
 	#loading: LoadInProgress | undefined;
 	/** From when on orders may be given, in monotonic milliseconds. */
 	#startsAt = Number.NEGATIVE_INFINITY;
-	#askedAt = Number.NEGATIVE_INFINITY;
 	readonly #stopListeners = new Set<() => void>();
 
 	constructor(parts: KeeperParts) {
@@ -57,7 +57,7 @@
 		this.#leaving = new UnloadNotice(parts.clock);
 		this.#prefetcher = new Prefetcher(parts);
 		this.#delays = new LoadDelayLog(parts);
-		this.#reach = new ReachLog(parts.logger);
+		this.#reader = new StatusReader({...parts, run: this.#run});
 		this.#publisher = new SummaryPublisher({...parts, getSummary: () => this.summary});
 	}
 
@@ -158,7 +158,7 @@
 		this.#known.reset();
 		this.#leaving.end();
 		this.#loading = undefined;
-		this.#askedAt = Number.NEGATIVE_INFINITY;
+		this.#reader.expire();
 	}
 
 	#getHoldings(status: EngineStatus): Holdings {
@@ -174,7 +174,7 @@
 	async #turn(): Promise<number> {
 		const {polls} = this.#parts;
 		if (!this.#isFresh()) {
-			const status = await this.#refresh();
+			const status = await this.#reader.read();
 			if (!status || this.#turns.isStopped) {
 				return polls.idleMs;
 			}
@@ -205,11 +205,8 @@
 		return order.adapter === '' ? this.#getBusyMs() : polls.adapterMs;
 	}
 
-	/** Until the engine is asked again while it carries out an order: an unload may end at any moment, a load when it is expected to. */
 	#getBusyMs(): number {
-		const {busyMs, endingMs} = this.#parts.polls;
-		const remainingMs = this.#loading ? this.#loading.endsAt - this.#parts.clock.now() : 0;
-		return Math.min(busyMs, Math.max(endingMs, remainingMs - endingMs));
+		return getBusyMs(this.#parts.polls, this.#loading, this.#parts.clock.now());
 	}
 
 	#getRestMs(): number {
@@ -218,20 +215,7 @@
 
 	/** Whether the engine need not be asked before the next decision. */
 	#isFresh(): boolean {
-		return this.#known.isCurrent && this.#parts.clock.now() - this.#askedAt < this.#parts.polls.freshMs;
-	}
-
-	/** Asks the engine for its state; undefined where it does not answer. */
-	async #refresh(): Promise<EngineStatus | undefined> {
-		try {
-			this.#askedAt = this.#parts.clock.now();
-			const reply = await this.#parts.client.getStatus();
-			this.#reach.note(true, this.#run.id, '');
-			return this.#run.takeAnswer(reply) ? reply.status : undefined;
-		} catch (error) {
-			this.#reach.note(false, this.#run.id, (error as Error).message);
-			return undefined;
-		}
+		return this.#known.isCurrent && this.#reader.ageMs < this.#parts.polls.freshMs;
 	}
 
 	#decide(): EngineOrder | undefined {
@@ -308,7 +292,7 @@
 		if (reply.result === ORDER_RESULT.Accepted) {
 			this.#known.noteTaken(order, expectedSequence, startedAt);
 		} else {
-			this.#askedAt = Number.NEGATIVE_INFINITY;
+			this.#reader.expire();
 		}
 
 		if (reply.result === ORDER_RESULT.OtherEngine && reply.instanceId !== '') {
