--- a/apps/valelead-daemon/tests/directory-news.steps.ts
+++ b/apps/valelead-daemon/tests/directory-news.steps.ts
@@ -10,6 +10,7 @@
 import {pino} from 'pino';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
+import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {FollowerSessions, UpstreamRegistry} from 'valelead-daemon';
 
 /** A follower at the other end of its stream. */
@@ -40,21 +41,8 @@
 const SETTLE_MS = 3000;
 const STEP_MS = 1;
 
-const newEngine = (index: number): Upstream => ({
-	id: `i-${index}`,
-	instanceId: `i-${index}`,
-	bornAt: 0,
-	service: 'llm',
-	address: `10.0.0.${index}:80`,
-	dataCentre: 'z',
-	state: UPSTREAM_STATE.Ready,
-	slots: 12,
-	sequence: 1,
-	models: [{name: 'm0', version: 1, adapters: []}],
-	copiesInMemory: [],
-	copiesOnDisk: [`m${index}`],
-	remainingMs: 0,
-	keeperAddress: '',
+const newEngine = (index: number): Upstream => newUpstream(`i-${index}`, {
+	address: `10.0.0.${index}:80`, models: [{name: 'm0', version: 1, adapters: []}], copiesOnDisk: [`m${index}`],
 });
 
 const takeUpdate = (world: NewsWorld, follower: FakeFollower, update: SessionUpdate): void => {
--- a/apps/valelead-daemon/tests/engine-fleet.steps.ts
+++ b/apps/valelead-daemon/tests/engine-fleet.steps.ts
@@ -3,6 +3,7 @@
 import {Given, Then} from '@cucumber/cucumber';
 import {type Upstream, UPSTREAM_STATE} from '@valelead/discovery';
 import {EngineReportSchema} from '@valelead/protocol';
+import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {EngineFleet} from 'valelead-daemon';
 
 type FleetWorld = {
@@ -16,23 +17,6 @@
 const ADDRESS = '10.0.0.1:80';
 const TABLE = {services: new Map()};
 
-const newEngine = (slots: number): Upstream => ({
-	id: ENGINE,
-	instanceId: ENGINE,
-	bornAt: 0,
-	service: 's',
-	address: ADDRESS,
-	dataCentre: 'z',
-	state: UPSTREAM_STATE.Ready,
-	slots,
-	sequence: 1,
-	models: [],
-	copiesInMemory: [],
-	copiesOnDisk: [],
-	remainingMs: 0,
-	keeperAddress: '',
-});
-
 Given('{int} gateways and an engine of {int} slots with {int} requests of others in progress', function (this: FleetWorld, gateways: number, slots: number, others: number) {
 	Object.assign(this, {
 		gateways, slots, others, own: 0,
@@ -51,7 +35,7 @@
 
 Then('a gateway has {int} place(s) there', function (this: FleetWorld, places: number) {
 	const fleet = new EngineFleet();
-	fleet.setUpstreams([newEngine(this.slots)]);
+	fleet.setUpstreams([newUpstream(ENGINE, {address: ADDRESS, slots: this.slots})]);
 	if (this.others !== undefined) {
 		fleet.setReport(ADDRESS, create(EngineReportSchema, {upstreamId: ENGINE, inProgress: this.others + this.own}));
 	}
--- a/apps/valelead-daemon/tests/engine-knowledge.steps.ts
+++ b/apps/valelead-daemon/tests/engine-knowledge.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {UPSTREAM_STATE} from '@valelead/discovery';
+import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {type EngineView, EngineKnowledge} from 'valelead-daemon';
 
 /** A change of the engines that are known. */
@@ -20,22 +21,7 @@
 const split = (text: string): string[] => text.split(', ');
 
 const newView = (id: string, hasKeeper: boolean): EngineView => ({
-	upstream: {
-		id,
-		instanceId: id,
-		bornAt: 0,
-		service: SERVICE,
-		address: id,
-		dataCentre: 'z',
-		state: UPSTREAM_STATE.Ready,
-		slots: 64,
-		sequence: 1,
-		models: [],
-		copiesInMemory: [],
-		copiesOnDisk: [],
-		remainingMs: 0,
-		keeperAddress: '',
-	},
+	upstream: newUpstream(id, {service: SERVICE}),
 	models: [],
 	inProgressByModel: new Map(),
 	loads: [],
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {UPSTREAM_STATE} from '@valelead/discovery';
+import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {
 	type Demand, type EngineView, type GatewayRequest, type SiteChange, LoadPlanner, newDemand,
 } from 'valelead-daemon';
@@ -32,22 +33,7 @@
 const split = (text: string): string[] => text.split(', ').filter(Boolean);
 
 const newView = (id: string, held: readonly string[], copies: readonly string[], inProgress: ReadonlyMap<string, number> = new Map()): EngineView => ({
-	upstream: {
-		id,
-		instanceId: id,
-		bornAt: 0,
-		service: SERVICE,
-		address: '127.0.0.1:1',
-		dataCentre: 'z',
-		state: UPSTREAM_STATE.Ready,
-		slots: 64,
-		sequence: 1,
-		models: [],
-		copiesInMemory: [],
-		copiesOnDisk: [],
-		remainingMs: 0,
-		keeperAddress: '',
-	},
+	upstream: newUpstream(id, {service: SERVICE, address: '127.0.0.1:1'}),
 	models: held.map(name => ({name, version: 1, adapters: []})),
 	inProgressByModel: inProgress,
 	loads: [],
--- a/apps/valelead-daemon/tests/order-leases.steps.ts
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -9,6 +9,7 @@
 import {pino} from 'pino';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
+import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {FollowerSessions, OrderLeases} from 'valelead-daemon';
 
 type LeasesWorld = {
@@ -40,22 +41,7 @@
 	this.timers = newVirtualTimers(this.time);
 	this.node = {isCurrentLeader: true, term, voters: []};
 	this.directory = newDirectory();
-	mutateAnnouncement(this.directory, {
-		id: engine,
-		instanceId: engine,
-		bornAt: 0,
-		service: SERVICE,
-		address: engine,
-		dataCentre: 'z',
-		state: UPSTREAM_STATE.Ready,
-		slots: 1,
-		sequence: 1,
-		models: [],
-		copiesInMemory: [],
-		copiesOnDisk: [],
-		remainingMs: 0,
-		keeperAddress: '',
-	}, 0);
+	mutateAnnouncement(this.directory, newUpstream(engine, {service: SERVICE}), 0);
 	const voter = {node: this.node, machine: {routing: undefined, subscribe: ignore}};
 	const registry = {
 		epoch: 'e',
--- a/packages/discovery/tests/discovery.steps.ts
+++ b/packages/discovery/tests/discovery.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import * as fc from 'fast-check';
+import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {
 	type Directory, type DirectoryCopy, type Upstream, type UpstreamStateValue, UPSTREAM_STATE, getChangesSince,
 	getRunId, mutateAnnouncement, mutateDeparture, mutateDirectoryCopy, mutateSilent, mutateUnconfirmed, newDirectory, newDirectoryCopy,
@@ -17,18 +18,16 @@
 const SILENCE_MS = 5000;
 const GRACE_MS = 8000;
 
-const newUpstream = (id: string, state: UpstreamStateValue, sequence: number, address = `10.0.0.9:${id.codePointAt(0)}`): Upstream => ({
-	id, instanceId: id, bornAt: 0, service: 's', address, dataCentre: 'd', state, slots: 1, sequence, models: [], copiesInMemory: [], copiesOnDisk: [], remainingMs: 0, keeperAddress: '',
-});
+const newAnnounced = (id: string, state: UpstreamStateValue, sequence: number, address = `10.0.0.9:${id.codePointAt(0)}`): Upstream => newUpstream(id, {state, sequence, address});
 
 const newRun = (instanceId: string, bornAt: number, state: UpstreamStateValue, sequence: number): Upstream => ({
-	...newUpstream(getRunId({instanceId, bornAt}), state, sequence), instanceId, bornAt,
+	...newAnnounced(getRunId({instanceId, bornAt}), state, sequence), instanceId, bornAt,
 });
 
 const announce = (world: DiscoveryWorld, id: string, state: string, sequence: number): void => {
 	world.directory ??= newDirectory();
 	world.before = world.directory.version;
-	mutateAnnouncement(world.directory, newUpstream(id, state as UpstreamStateValue, sequence, world.addresses?.get(id)), 0);
+	mutateAnnouncement(world.directory, newAnnounced(id, state as UpstreamStateValue, sequence, world.addresses?.get(id)), 0);
 };
 
 Given('upstream {string} at {string} announced itself as {string} with sequence {int}', function (this: DiscoveryWorld, id: string, address: string, state: string, sequence: number) {
@@ -86,7 +85,7 @@
 	}, 0);
 };
 
-const newReady = (ids: string): Upstream[] => ids.split(', ').map(id => newUpstream(id, UPSTREAM_STATE.Ready, 1));
+const newReady = (ids: string): Upstream[] => ids.split(', ').map(id => newAnnounced(id, UPSTREAM_STATE.Ready, 1));
 
 Given('a follower that holds upstreams {string} of leader {string}', function (this: DiscoveryWorld, ids: string, epoch: string) {
 	this.copy = newDirectoryCopy();
@@ -99,11 +98,11 @@
 });
 
 When('leader {string} tells it that {string} is {string}', function (this: DiscoveryWorld, epoch: string, id: string, state: string) {
-	tell(this, epoch, false, [newUpstream(id, state as UpstreamStateValue, 2)]);
+	tell(this, epoch, false, [newAnnounced(id, state as UpstreamStateValue, 2)]);
 });
 
 When('leader {string} tells it of upstream {string} at the address of {string}', function (this: DiscoveryWorld, epoch: string, id: string, other: string) {
-	tell(this, epoch, true, [newUpstream(id, UPSTREAM_STATE.Ready, 1, this.copy.upstreams.get(other)!.upstream.address)]);
+	tell(this, epoch, true, [newAnnounced(id, UPSTREAM_STATE.Ready, 1, this.copy.upstreams.get(other)!.upstream.address)]);
 });
 
 Given('a follower that holds the run of {string} born at {int}', function (this: DiscoveryWorld, instanceId: string, bornAt: number) {
@@ -137,7 +136,7 @@
 		const directory = newDirectory();
 		for (const sequence of order) {
 			const state = sequence <= readyCount ? UPSTREAM_STATE.Ready : UPSTREAM_STATE.Draining;
-			mutateAnnouncement(directory, newUpstream('a', state, sequence), 0);
+			mutateAnnouncement(directory, newAnnounced('a', state, sequence), 0);
 		}
 
 		const expected = readyCount === order.length ? UPSTREAM_STATE.Ready : UPSTREAM_STATE.Draining;
