--- a/apps/valelead-daemon/tests/engine-fleet.steps.ts
+++ b/apps/valelead-daemon/tests/engine-fleet.steps.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {create} from '@bufbuild/protobuf';
 import {Given, Then} from '@cucumber/cucumber';
-import {type Upstream, UPSTREAM_STATE} from '@valelead/discovery';
 import {EngineReportSchema} from '@valelead/protocol';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {EngineFleet} from 'valelead-daemon';
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {UPSTREAM_STATE} from '@valelead/discovery';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {
 	type Demand, type EngineView, type GatewayRequest, type SiteChange, LoadPlanner, newDemand,
--- a/apps/valelead-daemon/tests/order-leases.steps.ts
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -3,7 +3,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {TimerService} from '@valelead/common';
 import {
-	type Directory, UPSTREAM_STATE, mutateAnnouncement, mutateKeeper, newDirectory,
+	type Directory, mutateAnnouncement, mutateKeeper, newDirectory,
 } from '@valelead/discovery';
 import {FollowerReportSchema, HeldLeaseSchema} from '@valelead/protocol';
 import {pino} from 'pino';
