Rank engines by copies, encode deltas and find the run that leaves in one place each

Read again as a whole: getFetchers and getSpareReplicas ranked engines by two copies of one loop; a delta was encoded in two classes, with the progress typed in both and a clock that nobody read; the registry found the run that departs beside mutateDeparture, which now returns it, so that the log line of a late departure names that run and not the newest one. How many engines could load a model is counted only for requests that are given up, not at each telling for every one that waits in vain beside a served target.

--- a/apps/valelead-daemon/src/control/directory-news.ts
+++ b/apps/valelead-daemon/src/control/directory-news.ts
@@ -1,20 +1,13 @@
 import {create, toBinary} from '@bufbuild/protobuf';
-import {type Clock, type TimerService} from '@valelead/common';
-import {getChangesSince} from '@valelead/discovery';
+import type {TimerService} from '@valelead/common';
+import {type Upstream, type UpstreamChange, getChangesSince} from '@valelead/discovery';
 import {DirectoryDeltaSchema, UpstreamRecordSchema} from '@valelead/protocol';
+import type {DirectoryProgress} from './directory-progress.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 
-/** How far somebody knows the directory. */
-type DirectoryProgress = {
-	/** The leadership that the directory belongs to. */
-	readonly epoch: string;
-	readonly directoryVersion: number;
-};
-
 type NewsParts = {
 	readonly registry: Pick<UpstreamRegistry, 'epoch' | 'directory'>;
 	readonly timers: TimerService;
-	readonly clock: Clock;
 };
 
 /**
@@ -24,6 +17,11 @@
  */
 const HOLDINGS_MS = 1000;
 
+/** @param progress - What a follower knows once it has taken the delta. */
+const encodeDelta = ({epoch, directoryVersion}: DirectoryProgress, isWhole: boolean, upstreams: readonly UpstreamChange[]): Uint8Array => toBinary(DirectoryDeltaSchema, create(DirectoryDeltaSchema, {
+	epoch, version: directoryVersion, isWhole, upstreams: upstreams.map(upstream => create(UpstreamRecordSchema, upstream as never)),
+}));
+
 /**
  * What followers are told of the directory. They all get the same few deltas, between the versions that were made public, so that each is
  * encoded once and not once for each follower.
@@ -60,11 +58,16 @@
 		const isWhole = known.epoch !== epoch;
 		const since = isWhole ? 0 : known.directoryVersion;
 		const key = `${isWhole} ${since}`;
-		const encoded = this.#encoded.get(key) ?? this.#encode(epoch, directoryVersion, isWhole, since);
+		const encoded = this.#encoded.get(key) ?? encodeDelta({epoch, directoryVersion}, isWhole, getChangesSince(this.#parts.registry.directory, since));
 		this.#encoded.set(key, encoded);
 		return encoded;
 	}
 
+	/** What one upstream announced, for a follower that learns nothing else with it. */
+	getSingleDelta(known: DirectoryProgress, upstream: Upstream): Uint8Array {
+		return encodeDelta(known, false, [{...upstream, areDiskCopiesUnchanged: false}]);
+	}
+
 	/** Names what is known now, for the followers; what was encoded before ends with it. */
 	#publish(): void {
 		const {epoch, directory} = this.#parts.registry;
@@ -74,11 +77,4 @@
 			this.#encoded.clear();
 		}
 	}
-
-	#encode(epoch: string, version: number, isWhole: boolean, since: number): Uint8Array {
-		const upstreams = getChangesSince(this.#parts.registry.directory, since).map(upstream => create(UpstreamRecordSchema, upstream as never));
-		return toBinary(DirectoryDeltaSchema, create(DirectoryDeltaSchema, {
-			epoch, version, isWhole, upstreams,
-		}));
-	}
 }
--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -1,13 +1,14 @@
-import {create, toBinary} from '@bufbuild/protobuf';
+import {create} from '@bufbuild/protobuf';
 import {
 	type Clock, Coalescer, SYSTEM_CLOCK, type TimerService,
 } from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import {
-	type FollowerReport, type HeldLease, type SessionReport, type SessionUpdate, DirectoryDeltaSchema, HeldLeaseSchema, SessionUpdateSchema, UpstreamRecordSchema,
+	type FollowerReport, type HeldLease, type SessionReport, type SessionUpdate, HeldLeaseSchema, SessionUpdateSchema,
 } from '@valelead/protocol';
 import type {ServerDuplexStream} from '@grpc/grpc-js';
 import {DirectoryNews} from './directory-news.js';
+import type {DirectoryProgress} from './directory-progress.js';
 import type {OrderLeases} from './order-leases.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 import type {Voter} from './voter.js';
@@ -15,11 +16,8 @@
 type SessionStream = ServerDuplexStream<SessionReport, SessionUpdate>;
 
 /** What a follower holds of the routing and the directory. */
-type Progress = {
+type Progress = DirectoryProgress & {
 	readonly routingVersion: number;
-	/** The leadership that the directory belongs to. */
-	readonly epoch: string;
-	readonly directoryVersion: number;
 };
 
 type FollowerSession = {
@@ -102,7 +100,7 @@
 		this.#leases = leases;
 		this.#timers = timers;
 		this.#clock = clock;
-		this.#news = new DirectoryNews({registry, timers, clock});
+		this.#news = new DirectoryNews({registry, timers});
 		this.#pushes = new Coalescer(timers, COALESCE_MS, () => {
 			this.#push();
 		});
@@ -163,11 +161,9 @@
 		const holder = this.#leases.getHolder(upstream.address);
 		for (const session of this.#sessions.values()) {
 			if (session.vm === holder && session.sent.epoch === epoch) {
-				const delta = create(DirectoryDeltaSchema, {
-					epoch, version: session.sent.directoryVersion, isWhole: false, upstreams: [create(UpstreamRecordSchema, {...upstream, areDiskCopiesUnchanged: false} as never)],
-				});
+				const directory = this.#news.getSingleDelta(session.sent, upstream);
 				session.stream.write(create(SessionUpdateSchema, {
-					sentAt: session.sentAt, isCurrent: true, directory: toBinary(DirectoryDeltaSchema, delta), gatewayCount: this.#gatewayCount, leases: this.#newLeases(session),
+					sentAt: session.sentAt, isCurrent: true, directory, gatewayCount: this.#gatewayCount, leases: this.#newLeases(session),
 				}));
 			}
 		}
--- a/apps/valelead-daemon/src/control/upstream-registry.ts
+++ b/apps/valelead-daemon/src/control/upstream-registry.ts
@@ -2,7 +2,7 @@
 	type Clock, RESULT_CODE, type TimerService, ValeleadError,
 } from '@valelead/common';
 import {
-	type Directory, type Run, type Upstream, UPSTREAM_STATE, getNewestRun, getRunId, mutateAnnouncement, mutateDeparture, mutateKeeper, mutateSilent, newDirectory,
+	type Directory, type Run, type Upstream, UPSTREAM_STATE, getNewestRun, mutateAnnouncement, mutateDeparture, mutateKeeper, mutateSilent, newDirectory,
 } from '@valelead/discovery';
 import type {Logger} from 'pino';
 import type {Voter} from './voter.js';
@@ -90,9 +90,10 @@
 	}
 
 	depart(run: Run): void {
-		const known = this.directory.entries.get(getRunId(run))?.upstream ?? getNewestRun(this.directory, run.instanceId);
+		this.#checkTerm();
+		let known: Upstream | undefined;
 		this.#change(() => {
-			mutateDeparture(this.#directory, run, this.#parts.clock.now());
+			known = mutateDeparture(this.#directory, run, this.#parts.clock.now());
 		});
 		if (known) {
 			this.#log(known, 'gone');
--- a/apps/valelead-daemon/src/gateway/demand-reporter.ts
+++ b/apps/valelead-daemon/src/gateway/demand-reporter.ts
@@ -14,7 +14,7 @@
 	readonly getRequests: () => Iterable<GatewayRequest>;
 	readonly isWaiting: (request: GatewayRequest) => boolean;
 	/** Refuses a waiting request whose unit is loaded only when its caller has left; false where it may be served all the same. */
-	readonly giveUp: (request: GatewayRequest, forecastMs: number, sourceCount: number) => boolean;
+	readonly giveUp: (request: GatewayRequest, forecastMs: number, getSourceCount: () => number) => boolean;
 };
 
 /** How long changes of demand wait for others to be told with them, in milliseconds. */
@@ -61,7 +61,7 @@
 		for (const {request, demand} of waiting) {
 			request.awaitedUpstreamId = planner.getSite(request.target) ?? '';
 			const forecastMs = planner.getForecastMs(demand);
-			if (forecastMs !== undefined && isHopeless(demand, forecastMs, now) && giveUp(request, forecastMs, planner.getSourceCount(demand))) {
+			if (forecastMs !== undefined && isHopeless(demand, forecastMs, now) && giveUp(request, forecastMs, () => planner.getSourceCount(demand))) {
 				this.#returns.add(demand, now + forecastMs);
 			}
 		}
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -92,7 +92,7 @@
 			residency: parts.residency,
 			getRequests: () => this.#requests.values(),
 			isWaiting: request => this.#state.requests.get(request.id)?.state === 'waiting',
-			giveUp: (request, forecastMs, sourceCount) => this.#giveUp(request, forecastMs, sourceCount),
+			giveUp: (request, forecastMs, getSourceCount) => this.#giveUp(request, forecastMs, getSourceCount),
 		});
 		this.#refreshes = new Coalescer(parts.timers, REFRESH_COALESCE_MS, () => {
 			this.refresh();
@@ -167,7 +167,7 @@
 	}
 
 	/** Ends a request that waits for a model which will be loaded too late for it; its caller is told when to come back. */
-	#giveUp(request: GatewayRequest, forecastMs: number, sourceCount: number): boolean {
+	#giveUp(request: GatewayRequest, forecastMs: number, getSourceCount: () => number): boolean {
 		const isServed = (this.#state.endpoints.get(request.target)?.length ?? 0) > 0;
 		if (isServed) {
 			return false;
@@ -181,7 +181,7 @@
 			awaitedUpstreamId: request.awaitedUpstreamId,
 			forecastMs: Math.round(forecastMs),
 			waitedMs: Math.round(waitedMs),
-			sourceCount,
+			sourceCount: getSourceCount(),
 			callerPatienceMs: request.route.callerPatienceMs,
 		}, 'request given up');
 		this.#take({
--- a/packages/discovery/src/mutate-departure.ts
+++ b/packages/discovery/src/mutate-departure.ts
@@ -25,13 +25,14 @@
 
 /**
  * Takes an upstream's word that a run of it leaves, which never comes back; the upstream may start again as another run. Without the
- * time of its start, the newest known run is meant.
+ * time of its start, the newest known run is meant. Returns what was known of the run.
  */
-export const mutateDeparture = (directory: Directory, {instanceId, bornAt}: Run, now: number): void => {
+export const mutateDeparture = (directory: Directory, {instanceId, bornAt}: Run, now: number): Upstream | undefined => {
 	const newest = getNewestRun(directory, instanceId);
 	const run = {instanceId, bornAt: bornAt === 0 ? newest?.bornAt ?? 0 : bornAt};
 	const known = directory.entries.get(getRunId(run))?.upstream;
 	const upstream = {...(known ?? newUnknown(run)), state: UPSTREAM_STATE.Gone};
 	mutateEntry(directory, upstream, now);
 	directory.entries.get(upstream.id)!.isReplaced = false;
+	return known;
 };
--- a/packages/residency/src/get-fetchers.ts
+++ b/packages/residency/src/get-fetchers.ts
@@ -1,5 +1,5 @@
 import {getHash} from './get-hash.js';
-import {isShortOfCopies} from './is-short-of-copies.js';
+import {getRankedByCopies} from './get-ranked-by-copies.js';
 import type {Replica} from './replica.js';
 
 /**
@@ -16,10 +16,7 @@
  * others in the view of all gateways.
  */
 export const getFetchers = (engines: readonly Replica[]): ReadonlySet<string> => {
-	const mostCopies = Math.max(...engines.map(engine => engine.copies));
-	const ranked = engines
-		.map(({upstreamId, copies}) => ({upstreamId, isShort: isShortOfCopies(copies, mostCopies), hash: getHash(upstreamId)}))
-		.sort((left, right) => (Number(right.isShort) - Number(left.isShort)) || (left.hash - right.hash));
+	const ranked = getRankedByCopies(engines, getHash);
 	const shortCount = ranked.filter(engine => engine.isShort).length;
 	const count = Math.max(shortCount, Math.ceil(ranked.length * FETCHER_SHARE));
 	return new Set(ranked.slice(0, count).map(engine => engine.upstreamId));
--- a/packages/residency/src/get-spare-replicas.ts
+++ b/packages/residency/src/get-spare-replicas.ts
@@ -1,6 +1,6 @@
 import {getHash} from './get-hash.js';
+import {getRankedByCopies} from './get-ranked-by-copies.js';
 import {getWishedReplicas} from './get-wished-replicas.js';
-import {isShortOfCopies} from './is-short-of-copies.js';
 import type {Replica} from './replica.js';
 
 /**
@@ -9,9 +9,6 @@
  * load more of the models that are asked for now and then. The order is the same in every gateway.
  */
 export const getSpareReplicas = (model: string, replicas: readonly Replica[], inProgress: number, slots: number): ReadonlySet<string> => {
-	const mostCopies = Math.max(...replicas.map(replica => replica.copies));
-	const ranked = replicas
-		.map(({upstreamId, copies}) => ({upstreamId, isShort: isShortOfCopies(copies, mostCopies), hash: getHash(`${model} ${upstreamId}`)}))
-		.sort((left, right) => (Number(right.isShort) - Number(left.isShort)) || (right.hash - left.hash));
+	const ranked = getRankedByCopies(replicas, upstreamId => -getHash(`${model} ${upstreamId}`));
 	return new Set(ranked.slice(getWishedReplicas(inProgress, slots)).map(replica => replica.upstreamId));
 };
