Tell what a quorum bears, which of its voters are heard, and who began with an empty disk

A voter without a leader now says which voters it counts, which of them it hears and how many it needs; the leader says how many losses at once its voters bear beside what the settings state, in a line at each change and in four metrics. A controller whose data folder was empty says so. None of this could be told from the logs of a quorum that did not come back. No decision changes.

--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -178,6 +178,7 @@
 
 		const identity = {id: randomUUID(), vm: this.#parts.vm};
 		await writeSynced(file, JSON.stringify(identity));
+		this.#parts.logger.info({event: 'identity-made', voterId: identity.id, mayForm: this.#parts.mayForm !== false}, 'the data folder was empty; the voter begins under a new identity');
 		return identity;
 	}
 
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -9,10 +9,12 @@
 import {newVoter} from '../control/new-voter.js';
 import {OrderLeases} from '../control/order-leases.js';
 import {QuarantineRegistry} from '../control/quarantine-registry.js';
+import {QuorumWatch} from '../control/quorum-watch.js';
 import {RoutedServices} from '../control/routed-services.js';
 import {UpstreamRegistry} from '../control/upstream-registry.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
 import {Metrics} from '../metrics/metrics.js';
+import {setQuorumMetrics} from '../metrics/set-quorum-metrics.js';
 import type {ControllerSettings} from '../settings/controller-settings.js';
 import type {Stoppable} from '../stoppable.js';
 import {newChannelCredentials} from '../tls/new-channel-credentials.js';
@@ -38,6 +40,9 @@
 		timers,
 		pool,
 	});
+	const quorum = new QuorumWatch({
+		voter, faultTolerance: settings.faultTolerance, clock: SYSTEM_CLOCK, timers, logger,
+	});
 	const services = new RoutedServices({getRouting: () => voter.machine.routing, decodeRouting: adapter.control.decodeRouting, logger});
 	const registry: UpstreamRegistry = new UpstreamRegistry({
 		voter,
@@ -92,6 +97,7 @@
 	});
 	await server.listen(`${settings.listenHost ?? settings.host}:${settings.peerPort}`, newServerCredentials(settings.tls));
 	await voter.open();
+	quorum.start();
 	leader.start();
 	sessions.start();
 	registry.start();
@@ -106,6 +112,7 @@
 		refreshMetrics() {
 			metrics.revision.set(voter.machine.routing?.version ?? 0);
 			metrics.unattendedEngines.set(leases.unattendedCount);
+			setQuorumMetrics(metrics, quorum.view, settings.faultTolerance);
 		},
 	});
 	logger.info({event: 'started', control: settings.control}, 'controller started');
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -23,6 +23,12 @@
 	readonly revision: Gauge;
 	/** Engines that nobody gives orders to; set by the leader. */
 	readonly unattendedEngines: Gauge;
+	/** Voters of the quorum, those of them that are heard, and the losses at once that they bear, as this voter knows. */
+	readonly voters: Gauge;
+	readonly heardVoters: Gauge;
+	readonly borneLosses: Gauge;
+	/** Losses at once that the settings state. */
+	readonly faultTolerance: Gauge;
 	/** Upstreams that crashed under requests of this gateway. */
 	readonly crashedUpstreams: Counter;
 	/** Requests that this gateway keeps from upstreams. */
@@ -47,6 +53,10 @@
 		this.configurationAge = new Gauge({name: 'valelead_configuration_age_seconds', help: 'Time since the leader last confirmed the configuration.', registers});
 		this.revision = new Gauge({name: 'valelead_revision', help: 'The revision of the configuration in force.', registers});
 		this.unattendedEngines = new Gauge({name: 'valelead_unattended_engines', help: 'Engines that announce themselves and that no process gives orders to, as the leader knows.', registers});
+		this.voters = new Gauge({name: 'valelead_quorum_voters', help: 'Voters of the quorum.', registers});
+		this.heardVoters = new Gauge({name: 'valelead_quorum_heard_voters', help: 'Voters of the quorum that this voter has heard lately, itself included.', registers});
+		this.borneLosses = new Gauge({name: 'valelead_quorum_borne_losses', help: 'Voters that may be lost at once while the rest is a majority.', registers});
+		this.faultTolerance = new Gauge({name: 'valelead_quorum_fault_tolerance', help: 'Losses at once that the settings state.', registers});
 		this.refusedControlCalls = new Counter({
 			name: 'valelead_refused_control_calls_total', help: 'Calls of operators and upstreams that were refused, by call and result code.', labelNames: ['call', 'code'], registers,
 		});
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -19,6 +19,14 @@
 	.annotate({description})
 	.pipe(Schema.withDecodingDefaultKey(Effect.succeed(value)));
 
+/** More voters than such a tolerance needs would be slower to agree than any installation asks for. */
+const MAX_LOSSES = 8;
+
+const FAULT_TOLERANCE = Schema.Int
+	.check(Schema.isBetween({minimum: 0, maximum: MAX_LOSSES}))
+	.annotate({description: 'VMs with a disk that may be lost at once while all that was acknowledged is kept and the quorum goes on. It takes two voters for each and one more.'})
+	.pipe(Schema.withDecodingDefaultKey(Effect.succeed(1)));
+
 const TLS = Schema.Struct({
 	certificateFile: Schema.String,
 	keyFile: Schema.String,
@@ -49,6 +57,7 @@
 const VOTER = Schema.Struct({
 	listen: ADDRESS,
 	dataFolder: Schema.String,
+	faultTolerance: FAULT_TOLERANCE,
 	electionTimeoutMs: getMilliseconds(500, 'The shortest election timeout; the longest is twice this.'),
 	consensusHeartbeatMs: getMilliseconds(100, 'How often a leader sends to the other voters.'),
 	snapshotEvery: getNumber(5000, 'Log entries after which a snapshot is taken.'),
@@ -131,6 +140,7 @@
 	control: ADDRESS.annotate({description: 'Where operators and upstreams reach the control interface.'}),
 	operatorKeyFile: Schema.optionalKey(Schema.String),
 	dataFolder: Schema.String,
+	faultTolerance: FAULT_TOLERANCE,
 	mayForm: Schema.Boolean.annotate({description: 'Whether this is the first start of the installation; only then a quorum is formed.'}),
 	announceMs: getMilliseconds(2000, 'How often upstreams announce themselves.'),
 	electionTimeoutMs: getMilliseconds(700, 'The shortest election timeout; the longest is twice this.'),
--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -15,6 +15,7 @@
 import type {ConsensusTransport} from './consensus-transport.js';
 import type {MessageTarget} from './message-target.js';
 import type {LogStorage} from './log-storage.js';
+import type {QuorumView} from './quorum-view.js';
 import type {StateMachine} from './state-machine.js';
 import type {StoredLog} from './stored-log.js';
 import type {PersistEffect} from './persist-effect.js';
@@ -62,6 +63,8 @@
 	readonly #state: ConsensusState;
 	readonly #proposals = new Map<string, Proposal>();
 	readonly #senders = new Map<string, MessageTarget>();
+	/** When a member was last heard, by its id. */
+	readonly #heardAt = new Map<string, number>();
 	#pending: ConsensusEffect[] = [];
 	#flushing: Promise<void> | undefined;
 	#isStopped = false;
@@ -138,6 +141,7 @@
 	/** Takes a message. The sender's address is kept for the answer, as it may not be a known voter yet. */
 	receive(from: MessageTarget, message: ConsensusMessage): void {
 		this.#senders.set(from.id, from);
+		this.#heardAt.set(from.id, this.#parts.clock.now());
 		this.#take({kind: 'message', from: from.id, message});
 	}
 
@@ -164,6 +168,17 @@
 		return this.isCurrentLeader ? getReducedVoters(this.#state, silenceMs, this.#parts.clock.now()) : undefined;
 	}
 
+	/** @param silenceMs - A member that said nothing for longer does not count as heard. */
+	getView(silenceMs: number): QuorumView {
+		const {selfId, term} = this.#state;
+		const now = this.#parts.clock.now();
+		const voters = this.#state.voters.filter(voter => !voter.isLearner);
+		const heard = voters.filter(({id}) => id === selfId || now - (this.#heardAt.get(id) ?? Number.NEGATIVE_INFINITY) <= silenceMs);
+		return {
+			voters, heard, term, leader: this.leader, isLeader: this.isLeader,
+		};
+	}
+
 	/** Whether a member holds everything that is committed. */
 	isCaughtUp(id: string): boolean {
 		return this.#getMatch(id) >= this.#state.commitIndex;
