Follow the word of a voter on who leads when a controller with an empty disk asks to be let in

Callers saw nothing at first: the quorum went on without the two controllers that had lost their disks, and the next two losses, each within what the settings state, ended it. A controller with an empty disk asked only those that the settings name, and dropped their answer that another one leads. As long as the voters were the controllers of the settings, one of them always led. It now asks whoever is named, each one once. Ruled out: a learner that does not catch up (no change of voters was ever asked for).

--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -9,7 +9,7 @@
 	type FormationDecision, type FoundVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormation, getNextMembership,
 } from '@valelead/consensus';
 import {
-	type ChannelPool, Consensus, IdentifyRequestSchema, JoinRequestSchema,
+	type ChannelPool, type JoinReply, Consensus, IdentifyRequestSchema, JoinRequestSchema,
 } from '@valelead/protocol';
 import type {
 	ClaimCommand, ClaimResult, CommandResult, Proposal,
@@ -291,19 +291,31 @@
 		}
 	}
 
+	/** Only the leader lets a voter in, and may be a controller that the settings do not name: whoever is asked says where it is. */
 	async #askToJoin(): Promise<void> {
-		const addresses = new Set([this.leaderAddress, ...this.#parts.controlAddresses]);
-		addresses.delete('');
-		addresses.delete(this.#parts.settings.listen);
-		for (const address of addresses) {
-			try {
-				const reply = await this.#parts.pool.get(address).unary(Consensus.method.join, create(JoinRequestSchema, {voter: this.record}), CALL_TIMEOUT_MS);
-				if (reply.code === RESULT_CODE.Ok) {
-					return;
-				}
-			} catch {
-				// Another voter may answer.
+		const open = [this.leaderAddress, ...this.#parts.controlAddresses];
+		const asked = new Set(['', this.#parts.settings.listen]);
+		for (let address = open.shift(); address !== undefined; address = open.shift()) {
+			if (asked.has(address)) {
+				continue;
+			}
+
+			asked.add(address);
+			const reply = await this.#join(address);
+			if (reply?.code === RESULT_CODE.Ok) {
+				return;
 			}
+
+			open.unshift(reply?.leaderAddress ?? '');
+		}
+	}
+
+	async #join(address: string): Promise<JoinReply | undefined> {
+		try {
+			return await this.#parts.pool.get(address).unary(Consensus.method.join, create(JoinRequestSchema, {voter: this.record}), CALL_TIMEOUT_MS);
+		} catch {
+			// Another voter may answer.
+			return undefined;
 		}
 	}
 }
