Give every entry VM with a disk a vote, so that the quorum bears the losses that the settings state

Callers got 503 with 2013 without end, and operators could not read back what had been acknowledged, once two controllers had lost their disks at the same time: one controller ran in each of three data centres, three voters bear one loss, and the settings state two.

Controllers without a disk stand by: no vote, no copy, no log; they find the leader when asked and send callers to it, also where the settings of a process name only such controllers.

This holds as a majority of 2f + 1 voters is left after f losses and shares a voter with each majority that acknowledged. Ruled out: a voter that kept its disk and withholds its vote, and a log that cannot be read (the survivor starts, asks for votes and has one of three).

--- /dev/null
+++ b/apps/valelead-daemon/src/control/controller-peers.ts
@@ -0,0 +1,111 @@
+import {create} from '@bufbuild/protobuf';
+import {RESULT_CODE} from '@valelead/common';
+import type {FoundVoter, Voter as VoterRecord} from '@valelead/consensus';
+import {
+	type ChannelPool, type IdentifyReply, type JoinReply, Consensus, IdentifyRequestSchema, JoinRequestSchema,
+} from '@valelead/protocol';
+
+type PeersParts = {
+	readonly vm: string;
+	/** Where this voter is reached itself. */
+	readonly ownAddress: string;
+	/** Controllers that the settings name. */
+	readonly addresses: readonly string[];
+	readonly pool: Pick<ChannelPool, 'get'>;
+};
+
+const CALL_TIMEOUT_MS = 1000;
+
+const toFoundVoter = (address: string, {id, vm, isFormed, isStandby, formation}: IdentifyReply): FoundVoter => ({
+	voter: {
+		id, vm, address, isLearner: false,
+	},
+	canVote: !isStandby,
+	isFormed,
+	formation,
+});
+
+/** The other controllers, as a voter reaches them to form a quorum or to join one. */
+export class ControllerPeers {
+	readonly #parts: PeersParts;
+	#configured: readonly string[];
+	/** Voters that controllers without a disk named. The settings may name only such controllers. */
+	#named: readonly string[] = [];
+
+	constructor(parts: PeersParts) {
+		this.#parts = parts;
+		this.#configured = parts.addresses;
+	}
+
+	/** Controllers that the settings name, this one included where it is among them. */
+	get configured(): readonly string[] {
+		return this.#configured;
+	}
+
+	/** Takes the controllers that changed settings name. */
+	configure(addresses: readonly string[]): void {
+		this.#configured = addresses;
+	}
+
+	/** The controllers of the settings that answer, and those among the voters that they name which belong to a quorum. */
+	async find(): Promise<FoundVoter[]> {
+		const configured = await this.#identify(this.#configured);
+		const named = await this.#identify(this.#named.filter(address => !this.#configured.includes(address)));
+		return [...configured, ...named.filter(peer => peer.isFormed)];
+	}
+
+	/** Asks to be let into the quorum. Only the leader lets a voter in, and may be a controller that the settings do not name: whoever is asked says where it is. */
+	async askToJoin(record: VoterRecord, leaderAddress: string): Promise<void> {
+		const open = [leaderAddress, ...this.#configured, ...this.#named];
+		const asked = new Set(['', this.#parts.ownAddress]);
+		for (let address = open.shift(); address !== undefined; address = open.shift()) {
+			if (asked.has(address)) {
+				continue;
+			}
+
+			asked.add(address);
+			const reply = await this.#join(address, record);
+			if (reply?.code === RESULT_CODE.Ok) {
+				return;
+			}
+
+			open.unshift(reply?.leaderAddress ?? '');
+		}
+	}
+
+	/** Tells controllers of the settings that are no voters where this one is: processes that start later may be told of them only. */
+	async tellOthers(voterAddresses: readonly string[]): Promise<void> {
+		await this.#identify(this.#configured.filter(address => !voterAddresses.includes(address)));
+	}
+
+	async #identify(addresses: readonly string[]): Promise<FoundVoter[]> {
+		const others = addresses.filter(address => address !== this.#parts.ownAddress);
+		const found = await Promise.all(others.map(async address => this.#identifyOne(address)));
+		return found.filter(peer => peer !== undefined);
+	}
+
+	async #identifyOne(address: string): Promise<FoundVoter | undefined> {
+		const {vm, ownAddress, pool} = this.#parts;
+		try {
+			const reply = await pool.get(address).unary(Consensus.method.identify, create(IdentifyRequestSchema, {vm, address: ownAddress}), CALL_TIMEOUT_MS);
+			if (reply.isStandby) {
+				this.#named = reply.voterAddresses;
+			}
+
+			// A voter that is still opening its disk has no id yet.
+			return reply.id === '' && !reply.isStandby ? undefined : toFoundVoter(address, reply);
+		} catch {
+			// It is asked again, or others are.
+			return undefined;
+		}
+	}
+
+	async #join(address: string, voter: VoterRecord): Promise<JoinReply | undefined> {
+		try {
+			return await this.#parts.pool.get(address).unary(Consensus.method.join, create(JoinRequestSchema, {voter}), CALL_TIMEOUT_MS);
+		} catch {
+			// Another voter may answer.
+			return undefined;
+		}
+	}
+}
--- a/apps/valelead-daemon/src/control/new-consensus-service.ts
+++ b/apps/valelead-daemon/src/control/new-consensus-service.ts
@@ -31,8 +31,9 @@
 		const {id, vm} = voter.record;
 		const formation = [...(voter.node?.formation ?? [])];
 		const isFormed = voter.node !== undefined;
+		const voterAddresses = (voter.node?.voters ?? []).map(({address}) => address);
 		reply(null, create(IdentifyReplySchema, {
-			id, vm, formation, isFormed,
+			id, vm, formation, isFormed, leaderAddress: getLeaderAddress(voter), voterAddresses,
 		}));
 	},
 	async join(call: ServerUnaryCall<JoinRequest, unknown>, reply: sendUnaryData<unknown>) {
@@ -41,6 +42,9 @@
 	},
 });
 
+/** A leader that is not sure of its lease names nobody. */
+const getLeaderAddress = ({node, leaderAddress}: Voter): string => node?.isLeader && !node.isCurrentLeader ? '' : leaderAddress;
+
 const admit = async (voter: Voter, request: JoinRequest): Promise<number> => {
 	if (!voter.node?.isCurrentLeader || !request.voter) {
 		return RESULT_CODE.NotLeader;
--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -1,16 +1,13 @@
 import {randomUUID} from 'node:crypto';
 import {mkdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
-import {create} from '@bufbuild/protobuf';
 import {
 	type TimerService, RESULT_CODE, SYSTEM_CLOCK, SYSTEM_SUSPENSIONS, ValeleadError,
 } from '@valelead/common';
 import {
 	type FormationDecision, type FoundVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormation, getNextMembership,
 } from '@valelead/consensus';
-import {
-	type ChannelPool, type JoinReply, Consensus, IdentifyRequestSchema, JoinRequestSchema,
-} from '@valelead/protocol';
+import type {ChannelPool} from '@valelead/protocol';
 import type {
 	ClaimCommand, ClaimResult, CommandResult, Proposal,
 } from '@valelead/intent';
@@ -18,6 +15,7 @@
 import type {StoredRouting} from './stored-routing.js';
 import type {VoterTerms} from './voter-terms.js';
 import {ControlMachine} from './control-machine.js';
+import {ControllerPeers} from './controller-peers.js';
 import {GrpcTransport} from './grpc-transport.js';
 import {writeSynced} from './write-synced.js';
 
@@ -45,9 +43,11 @@
 };
 
 const FORMATION_POLL_MS = 200;
-const CALL_TIMEOUT_MS = 1000;
 const JOIN_POLL_MS = 300;
 
+/** How often the leader tells controllers that are no voters where it is, in milliseconds: soon against the time that a process takes to start. */
+const TELL_MS = 2000;
+
 /** A voter is let go after this silence where the others are better off without it, in milliseconds. */
 const SILENT_VOTER_MS = 2000;
 
@@ -56,15 +56,20 @@
 	readonly machine = new ControlMachine();
 	readonly #parts: VoterParts;
 	readonly #storage: FileStorage;
+	readonly #peers: ControllerPeers;
 	#identity: Identity | undefined;
 	#node: ConsensusNode | undefined;
 	#claims: PendingClaim[] = [];
 	#isClaiming = false;
 	#isStopped = false;
+	#toldAt = Number.NEGATIVE_INFINITY;
 
 	constructor(parts: VoterParts) {
 		this.#parts = parts;
 		this.#storage = new FileStorage(parts.settings.dataFolder);
+		this.#peers = new ControllerPeers({
+			vm: parts.vm, ownAddress: parts.settings.listen, addresses: parts.controlAddresses, pool: parts.pool,
+		});
 	}
 
 	get node(): ConsensusNode | undefined {
@@ -82,6 +87,11 @@
 		return this.#node?.leader?.address ?? '';
 	}
 
+	/** Takes the controllers that changed settings name. */
+	configure(addresses: readonly string[]): void {
+		this.#peers.configure(addresses);
+	}
+
 	/** Loads what the disk holds; without anything, a new identity is made and synced before it is shown to anyone. */
 	async open(): Promise<void> {
 		await mkdir(this.#parts.settings.dataFolder, {recursive: true});
@@ -211,10 +221,8 @@
 	/** With an empty disk: forms the first quorum with all voters, or joins the one that exists. */
 	async #form(): Promise<void> {
 		while (!this.#node && !this.#isStopped) {
-			const others = this.#parts.controlAddresses.filter(address => address !== this.#parts.settings.listen);
-			const found = await Promise.all(others.map(async address => this.#identify(address)));
-			const peers = found.filter(peer => peer !== undefined);
-			const decision = getFormation(this.record, this.#parts.controlAddresses.length, peers);
+			const peers = await this.#peers.find();
+			const decision = getFormation(this.record, this.#peers.configured.length, peers);
 			if (decision.kind !== 'wait' && this.#isAllowed(decision, peers)) {
 				const voters = decision.kind === 'form' ? decision.voters : [];
 				const stored: StoredLog = {
@@ -240,27 +248,8 @@
 			return true;
 		}
 
-		const {mayForm, controlAddresses, settings} = this.#parts;
-		return mayForm !== false && controlAddresses.includes(settings.listen);
-	}
-
-	async #identify(address: string): Promise<FoundVoter | undefined> {
-		try {
-			const reply = await this.#parts.pool.get(address).unary(Consensus.method.identify, create(IdentifyRequestSchema, {vm: this.#parts.vm}), CALL_TIMEOUT_MS);
-			if (reply.id === '') {
-				return undefined;
-			}
-
-			return {
-				voter: {
-					id: reply.id, vm: reply.vm, address, isLearner: false,
-				},
-				isFormed: reply.isFormed,
-				formation: reply.formation,
-			};
-		} catch {
-			return undefined;
-		}
+		const {mayForm, settings} = this.#parts;
+		return mayForm !== false && this.#peers.configured.includes(settings.listen);
 	}
 
 	/** A voter that the quorum does not count asks to be let in until it is. */
@@ -269,10 +258,19 @@
 			await this.#parts.timers.wait(JOIN_POLL_MS);
 			const own = this.#node?.voters.find(voter => voter.id === this.record.id);
 			if (this.#node && (!own || own.isLearner)) {
-				await this.#askToJoin();
+				await this.#peers.askToJoin(this.record, this.leaderAddress);
 			}
 
 			await this.#dropSilent();
+			void this.#tellOthers();
+		}
+	}
+
+	async #tellOthers(): Promise<void> {
+		const now = SYSTEM_CLOCK.now();
+		if (this.#node?.isCurrentLeader && now - this.#toldAt >= TELL_MS) {
+			this.#toldAt = now;
+			await this.#peers.tellOthers(this.#node.voters.map(voter => voter.address));
 		}
 	}
 
@@ -290,32 +288,4 @@
 			this.#parts.logger.info({event: 'voters-kept', reason: (error as Error).message}, 'a silent voter could not be removed yet');
 		}
 	}
-
-	/** Only the leader lets a voter in, and may be a controller that the settings do not name: whoever is asked says where it is. */
-	async #askToJoin(): Promise<void> {
-		const open = [this.leaderAddress, ...this.#parts.controlAddresses];
-		const asked = new Set(['', this.#parts.settings.listen]);
-		for (let address = open.shift(); address !== undefined; address = open.shift()) {
-			if (asked.has(address)) {
-				continue;
-			}
-
-			asked.add(address);
-			const reply = await this.#join(address);
-			if (reply?.code === RESULT_CODE.Ok) {
-				return;
-			}
-
-			open.unshift(reply?.leaderAddress ?? '');
-		}
-	}
-
-	async #join(address: string): Promise<JoinReply | undefined> {
-		try {
-			return await this.#parts.pool.get(address).unary(Consensus.method.join, create(JoinRequestSchema, {voter: this.record}), CALL_TIMEOUT_MS);
-		} catch {
-			// Another voter may answer.
-			return undefined;
-		}
-	}
 }
--- /dev/null
+++ b/apps/valelead-daemon/src/controller/control-reply.ts
@@ -0,0 +1,6 @@
+/** An answer of the control interface. */
+export type ControlReply = {
+	readonly status: number;
+	readonly body: string;
+	readonly location?: string;
+};
--- a/apps/valelead-daemon/src/controller/control-server.ts
+++ b/apps/valelead-daemon/src/controller/control-server.ts
@@ -16,7 +16,11 @@
 import {withTimeout} from '../with-timeout.js';
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
+import type {ControlReply} from './control-reply.js';
+import {newRedirect} from './new-redirect.js';
+import {newRefusal} from './new-refusal.js';
 import type {RefusalLog} from './refusal-log.js';
+import {writeReply} from './write-reply.js';
 
 type ControlServerParts = {
 	readonly codec: ControlCodec;
@@ -31,19 +35,13 @@
 	readonly onRefusal: (call: ControlCall, code: ResultCodeValue) => void;
 };
 
-type Reply = {
-	readonly status: number;
-	readonly body: string;
-	readonly location?: string;
-};
-
 /** The largest body that is read, in bytes; a whole configuration must fit. */
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
 /** How long a commit may take before the caller is told to try again, in milliseconds. Callers wait one second or more. */
 const COMMIT_TIMEOUT_MS = 3000;
 
-const OK: Reply = {status: 200, body: '{}'};
+const OK: ControlReply = {status: 200, body: '{}'};
 
 /** Serves operators and upstreams. Only the leader answers; the other voters redirect to it. */
 export class ControlServer {
@@ -72,19 +70,14 @@
 		try {
 			const body = await readBody(message, MAX_BODY_BYTES);
 			const reply = this.#getRedirect(call, message.url ?? '') ?? await this.#carryOut(call, body.toString('utf8'));
-			this.#write(response, reply);
+			writeReply(response, reply);
 		} catch (error) {
-			this.#write(response, this.#newFailure(call, error));
+			writeReply(response, this.#newFailure(call, error));
 		}
 	}
 
-	#write(response: ServerResponse, reply: Reply): void {
-		response.writeHead(reply.status, {'content-type': 'application/json', ...(reply.location !== undefined && {location: reply.location})});
-		response.end(reply.body);
-	}
-
 	/** Where another voter leads, its address; without a leader, a refusal that asks to come back. */
-	#getRedirect(call: ControlCall, url: string): Reply | undefined {
+	#getRedirect(call: ControlCall, url: string): ControlReply | undefined {
 		const {voter, address} = this.#parts;
 		if (call.kind === 'unknown' || voter.node?.isCurrentLeader) {
 			return undefined;
@@ -92,13 +85,13 @@
 
 		const leader = voter.leaderAddress;
 		if (leader === '' || voter.node?.isLeader) {
-			return this.#newRefusal(RESULT_CODE.NotLeader, 'No voter is known to lead');
+			return newRefusal(RESULT_CODE.NotLeader, 'No voter is known to lead');
 		}
 
-		return {status: 307, body: '{}', location: `http://${getHost(leader)}:${getPort(address)}${url}`};
+		return newRedirect(leader, address, url);
 	}
 
-	async #carryOut(call: ControlCall, body: string): Promise<Reply> {
+	async #carryOut(call: ControlCall, body: string): Promise<ControlReply> {
 		switch (call.kind) {
 			case 'replaceRouting': {
 				return this.#replace(body);
@@ -121,12 +114,12 @@
 			}
 
 			default: {
-				return this.#newRefusal(RESULT_CODE.UnknownPath, RESULT_DETAILS[RESULT_CODE.UnknownPath].meaning);
+				return newRefusal(RESULT_CODE.UnknownPath, RESULT_DETAILS[RESULT_CODE.UnknownPath].meaning);
 			}
 		}
 	}
 
-	async #replace(document: string): Promise<Reply> {
+	async #replace(document: string): Promise<ControlReply> {
 		const {codec, voter, logger} = this.#parts;
 		const routing = codec.decodeRouting(document);
 		const faults = getRoutingFaults(routing);
@@ -157,24 +150,20 @@
 		);
 	}
 
-	#read(): Reply {
+	#read(): ControlReply {
 		const {voter} = this.#parts;
 		const {routing} = voter.machine;
 		if (!voter.node?.canRead || !routing) {
-			return this.#newRefusal(RESULT_CODE.NotLeader, 'This voter cannot be sure of the newest configuration');
+			return newRefusal(RESULT_CODE.NotLeader, 'This voter cannot be sure of the newest configuration');
 		}
 
 		return {status: 200, body: routing.document};
 	}
 
-	#newFailure(call: ControlCall, error: unknown): Reply {
+	#newFailure(call: ControlCall, error: unknown): ControlReply {
 		const code = error instanceof ValeleadError ? error.code : RESULT_CODE.Internal;
 		this.#parts.refusals.note(call, code, (error as Error).message);
 		this.#parts.onRefusal(call, code);
-		return this.#newRefusal(code, (error as Error).message);
-	}
-
-	#newRefusal(code: ValeleadError['code'], message: string): Reply {
-		return {status: RESULT_DETAILS[code].status, body: JSON.stringify({code, message})};
+		return newRefusal(code, (error as Error).message);
 	}
 }
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -15,7 +15,7 @@
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
 import {Metrics} from '../metrics/metrics.js';
 import {setQuorumMetrics} from '../metrics/set-quorum-metrics.js';
-import type {ControllerSettings} from '../settings/controller-settings.js';
+import type {VotingControllerSettings} from '../settings/voting-controller-settings.js';
 import type {Stoppable} from '../stoppable.js';
 import {newChannelCredentials} from '../tls/new-channel-credentials.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
@@ -27,7 +27,7 @@
 const LEASE_MS = 2000;
 
 /** Starts a controller: a voter that serves operators, upstreams and followers while it leads. */
-export const startController = async (settings: ControllerSettings, logger: Logger, adapter: Adapter): Promise<Stoppable> => {
+export const startController = async (settings: VotingControllerSettings, logger: Logger, adapter: Adapter): Promise<Stoppable> => {
 	const metrics = new Metrics();
 	const timers = new TimerService(SYSTEM_CLOCK);
 	const pool = new ChannelPool(newChannelCredentials(settings.tls));
@@ -130,5 +130,10 @@
 		stopNow() {
 			control.close();
 		},
+		reload(next) {
+			if (next.role === 'controller') {
+				voter.configure(getPeerAddresses(next));
+			}
+		},
 	};
 };
--- a/apps/valelead-daemon/src/run-daemon.ts
+++ b/apps/valelead-daemon/src/run-daemon.ts
@@ -13,6 +13,7 @@
 import {tryLoadSettings} from './settings/try-load-settings.js';
 import type {Settings} from './settings/settings.js';
 import {startSidecar} from './sidecar/start-sidecar.js';
+import {startStandby} from './standby/start-standby.js';
 import type {Stoppable} from './stoppable.js';
 
 const requireAdapter = (adapter: Adapter | undefined, settings: Settings): Adapter => {
@@ -42,7 +43,9 @@
 		}
 
 		case 'controller': {
-			return startController(settings, logger, requireAdapter(adapter, settings));
+			const {dataFolder} = settings;
+			const platform = requireAdapter(adapter, settings);
+			return dataFolder === undefined ? startStandby(settings, logger, platform) : startController({...settings, dataFolder}, logger, platform);
 		}
 
 		default: {
@@ -69,20 +72,33 @@
 	process.on('SIGINT', take);
 });
 
-/** Settings are read at the start; a changed file is checked and logged, and takes effect at the next start. */
-const watchReload = (file: string, logger: Logger): void => {
-	process.on('SIGHUP', () => {
-		const settings = tryLoadSettings(file, logger);
-		logger.info({event: 'reload', settingsFile: file, isValid: settings !== undefined}, 'settings file read again; it takes effect at the next start');
-	});
+/** A changed file is checked and logged. The part takes what it can while it runs, such as the controllers to ask; the rest takes effect at the next start. */
+const takeReload = (file: string, logger: Logger, running: Stoppable | undefined): void => {
+	const settings = tryLoadSettings(file, logger);
+	logger.info({event: 'reload', settingsFile: file, isValid: settings !== undefined}, 'settings file read again; what is not taken now takes effect at the next start');
+	if (settings) {
+		running?.reload?.(settings);
+	}
+};
+
+type ProgramParts = {
+	readonly file: string;
+	readonly settings: Settings;
+	readonly logger: Logger;
+	readonly adapter: Adapter | undefined;
 };
 
 /** The daemon from its start to its planned stop. */
-const newProgram = (settings: Settings, logger: Logger, adapter: Adapter | undefined): Effect.Effect<void, unknown> => Effect.scoped(Effect.gen(function * () {
+const newProgram = ({file, settings, logger, adapter}: ProgramParts): Effect.Effect<void, unknown> => Effect.scoped(Effect.gen(function * () {
+	const part: {running?: Stoppable} = {};
+	process.on('SIGHUP', () => {
+		takeReload(file, logger, part.running);
+	});
 	const running = yield * Effect.acquireRelease(
 		Effect.tryPromise({try: async () => start(settings, logger, adapter), catch: error => error}),
-		part => Effect.promise(async () => part.stop()),
+		started => Effect.promise(async () => started.stop()),
 	);
+	part.running = running;
 	yield * waitForStop(running, logger);
 }));
 
@@ -90,9 +106,10 @@
 export const runDaemon = async (file: string, adapter?: Adapter): Promise<void> => {
 	const settings = loadOrExit(file);
 	const logger = newLogger(settings.logLevel, {vm: settings.vm, role: settings.role});
-	watchReload(file, logger);
 	try {
-		await Effect.runPromise(newProgram(settings, logger, adapter));
+		await Effect.runPromise(newProgram({
+			file, settings, logger, adapter,
+		}));
 		logger.info({event: 'stopped'}, 'stopped');
 		exitWithLogs(logger, 0);
 	} catch (error) {
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -139,7 +139,7 @@
 	listenHost: LISTEN_HOST,
 	control: ADDRESS.annotate({description: 'Where operators and upstreams reach the control interface.'}),
 	operatorKeyFile: Schema.optionalKey(Schema.String),
-	dataFolder: Schema.String,
+	dataFolder: Schema.optionalKey(Schema.String.annotate({description: 'Left out on a VM without a disk: the controller then has no vote and sends callers to the leader.'})),
 	faultTolerance: FAULT_TOLERANCE,
 	mayForm: Schema.Boolean.annotate({description: 'Whether this is the first start of the installation; only then a quorum is formed.'}),
 	announceMs: getMilliseconds(2000, 'How often upstreams announce themselves.'),
--- /dev/null
+++ b/apps/valelead-daemon/src/standby/new-standby-control-service.ts
@@ -0,0 +1,41 @@
+import {create} from '@bufbuild/protobuf';
+import {RESULT_CODE, RESULT_DETAILS} from '@valelead/common';
+import {
+	type SessionReport, type SessionUpdate, ClaimReplySchema, ExecuteReplySchema, QueryReplySchema, SessionUpdateSchema,
+} from '@valelead/protocol';
+import type {
+	sendUnaryData, ServerDuplexStream, UntypedServiceImplementation,
+} from '@grpc/grpc-js';
+import type {LeaderFinder} from './leader-finder.js';
+
+const REFUSAL = {code: RESULT_CODE.NotLeader, message: RESULT_DETAILS[RESULT_CODE.NotLeader].meaning};
+
+/** Sends operators and followers to the leader, as a voter that does not lead. */
+export const newStandbyControlService = (finder: LeaderFinder): UntypedServiceImplementation => ({
+	session(stream: ServerDuplexStream<SessionReport, SessionUpdate>) {
+		let isOpen = true;
+		const end = (): void => {
+			isOpen = false;
+			stream.end();
+		};
+
+		stream.on('data', async () => {
+			const leaderAddress = await finder.find();
+			if (isOpen) {
+				stream.write(create(SessionUpdateSchema, {isCurrent: false, leaderAddress}));
+			}
+		});
+		stream.on('end', end);
+		stream.on('error', end);
+		stream.on('cancelled', end);
+	},
+	async execute(_call: unknown, reply: sendUnaryData<unknown>) {
+		reply(null, create(ExecuteReplySchema, {...REFUSAL, leaderAddress: await finder.find()}));
+	},
+	async query(_call: unknown, reply: sendUnaryData<unknown>) {
+		reply(null, create(QueryReplySchema, {...REFUSAL, leaderAddress: await finder.find()}));
+	},
+	async claim(_call: unknown, reply: sendUnaryData<unknown>) {
+		reply(null, create(ClaimReplySchema, {code: REFUSAL.code, leaderAddress: await finder.find()}));
+	},
+});
--- /dev/null
+++ b/apps/valelead-daemon/src/standby/standby-server.ts
@@ -0,0 +1,60 @@
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {RESULT_CODE, RESULT_DETAILS} from '@valelead/common';
+import type {ControlCodec} from '../adapter/control-codec.js';
+import type {ControlReply} from '../controller/control-reply.js';
+import {newRedirect} from '../controller/new-redirect.js';
+import {newRefusal} from '../controller/new-refusal.js';
+import {writeReply} from '../controller/write-reply.js';
+import {getHost} from '../get-host.js';
+import {getPort} from '../get-port.js';
+import type {LeaderFinder} from './leader-finder.js';
+
+type ServerParts = {
+	readonly codec: Pick<ControlCodec, 'decodeCall'>;
+	readonly finder: LeaderFinder;
+	/** IP number and port of this server. */
+	readonly address: string;
+};
+
+/** The control interface of a controller without a disk: sends operators and upstreams to the leader. */
+export class StandbyServer {
+	readonly #parts: ServerParts;
+	readonly #server: Server;
+
+	constructor(parts: ServerParts) {
+		this.#parts = parts;
+		this.#server = createServer((message, response) => {
+			// The body is for the leader.
+			message.resume();
+			void this.#answer(message, response);
+		});
+	}
+
+	async listen(): Promise<void> {
+		const {address} = this.#parts;
+		this.#server.listen(getPort(address), getHost(address));
+		await once(this.#server, 'listening');
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	async #answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		writeReply(response, await this.#getReply(message.method ?? '', message.url ?? ''));
+	}
+
+	async #getReply(method: string, url: string): Promise<ControlReply> {
+		const {codec, finder, address} = this.#parts;
+		if (codec.decodeCall(method, url).kind === 'unknown') {
+			return newRefusal(RESULT_CODE.UnknownPath, RESULT_DETAILS[RESULT_CODE.UnknownPath].meaning);
+		}
+
+		const leader = await finder.find();
+		return leader === '' ? newRefusal(RESULT_CODE.NotLeader, 'No voter is known to lead') : newRedirect(leader, address, url);
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/standby/start-standby.ts
@@ -0,0 +1,62 @@
+import {SYSTEM_CLOCK, TimerService} from '@valelead/common';
+import {
+	ChannelPool, Consensus, Control, newServiceDefinition,
+} from '@valelead/protocol';
+import type {Logger} from 'pino';
+import type {Adapter} from '../adapter/adapter.js';
+import {startAdminServer} from '../admin-server.js';
+import {getPeerAddresses} from '../follower/get-peer-addresses.js';
+import {GrpcServer} from '../grpc-server.js';
+import {Metrics} from '../metrics/metrics.js';
+import type {ControllerSettings} from '../settings/controller-settings.js';
+import type {Stoppable} from '../stoppable.js';
+import {newChannelCredentials} from '../tls/new-channel-credentials.js';
+import {newServerCredentials} from '../tls/new-server-credentials.js';
+import {LeaderFinder} from './leader-finder.js';
+import {newStandbyConsensusService} from './new-standby-consensus-service.js';
+import {newStandbyControlService} from './new-standby-control-service.js';
+import {StandbyServer} from './standby-server.js';
+
+/**
+ * Starts a controller on a VM without a disk. A vote, or a copy of the log, that ends with its process is worth nothing when power is lost, so it
+ * has neither: whoever asks it is sent to the leader.
+ */
+export const startStandby = async (settings: ControllerSettings, logger: Logger, adapter: Adapter): Promise<Stoppable> => {
+	const metrics = new Metrics();
+	const timers = new TimerService(SYSTEM_CLOCK);
+	const pool = new ChannelPool(newChannelCredentials(settings.tls));
+	const finder = new LeaderFinder({
+		vm: settings.vm, ownAddress: `${settings.host}:${settings.peerPort}`, addresses: getPeerAddresses(settings), pool, clock: SYSTEM_CLOCK, timers, logger,
+	});
+	const server = new GrpcServer([
+		{definition: newServiceDefinition(Consensus), implementation: newStandbyConsensusService(settings.vm, finder)},
+		{definition: newServiceDefinition(Control), implementation: newStandbyControlService(finder)},
+	]);
+	const control = new StandbyServer({codec: adapter.control, finder, address: settings.control});
+	await server.listen(`${settings.listenHost ?? settings.host}:${settings.peerPort}`, newServerCredentials(settings.tls));
+	await control.listen();
+	const admin = await startAdminServer({
+		...settings.admin,
+		metrics,
+		getUnreadyReason: () => undefined,
+		refreshMetrics: () => undefined,
+	});
+	logger.info({event: 'started', control: settings.control, isStandby: true}, 'controller started without a data folder; it sends callers to the leader');
+	return {
+		async stop() {
+			control.close();
+			server.stop();
+			admin.close();
+			pool.close();
+			timers.stop();
+		},
+		stopNow() {
+			control.close();
+		},
+		reload(next) {
+			if (next.role === 'controller') {
+				finder.configure(getPeerAddresses(next));
+			}
+		},
+	};
+};
--- a/packages/consensus/src/get-formation.ts
+++ b/packages/consensus/src/get-formation.ts
@@ -5,7 +5,8 @@
 /**
  * Decides how a voter with an empty disk starts. A quorum is formed only when every configured
  * voter is reached and none has one, so a lost disk never leads to a second quorum. A voter that a
- * formed quorum does not know joins it under its new identity.
+ * formed quorum does not know joins it under its new identity. Controllers without a disk are reached
+ * as the others are, and get no vote: what they hold ends with their process.
  */
 export const getFormation = (self: Voter, expectedCount: number, peers: readonly FoundVoter[]): FormationDecision => {
 	const formed = peers.find(peer => peer.isFormed);
@@ -18,6 +19,6 @@
 		return {kind: 'wait'};
 	}
 
-	const voters = [self, ...peers.map(peer => peer.voter)].sort((left, right) => left.vm < right.vm ? -1 : 1);
+	const voters = [self, ...peers.filter(peer => peer.canVote).map(peer => peer.voter)].sort((left, right) => left.vm < right.vm ? -1 : 1);
 	return {kind: 'form', voters};
 };
