Let silent voters go down to a number of voters that is given

The least number was 3, which bears one loss; where settings state that f losses must be borne, 2f + 1 voters are needed.

--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -163,9 +163,9 @@
 		}
 	}
 
-	/** The voters without one that was silent for too long, where they are better off without it. */
-	getReducedVoters(silenceMs: number): readonly Voter[] | undefined {
-		return this.isCurrentLeader ? getReducedVoters(this.#state, silenceMs, this.#parts.clock.now()) : undefined;
+	/** The voters without one that was silent for too long, where they are better off without it and not fewer than the least number. */
+	getReducedVoters(silenceMs: number, leastVoters: number): readonly Voter[] | undefined {
+		return this.isCurrentLeader ? getReducedVoters(this.#state, silenceMs, this.#parts.clock.now(), leastVoters) : undefined;
 	}
 
 	/** @param silenceMs - A member that said nothing for longer does not count as heard. */
--- a/packages/consensus/src/get-reduced-voters.ts
+++ b/packages/consensus/src/get-reduced-voters.ts
@@ -1,9 +1,6 @@
 import type {ConsensusState} from './consensus-state.js';
 import type {Voter} from './voter.js';
 
-/** A quorum of fewer voters could not bear the loss of one. */
-const LEAST_VOTERS = 3;
-
 const isSilent = (state: ConsensusState, voter: Voter, silenceMs: number, now: number): boolean => {
 	const ackedSentAt = state.peers.get(voter.id)?.ackedSentAt ?? Number.NEGATIVE_INFINITY;
 	return voter.id !== state.selfId && now - Math.max(ackedSentAt, state.leaderSince) > silenceMs;
@@ -12,12 +9,14 @@
 /**
  * The voters without one that was silent for too long, where that lets fewer voters form a majority: an even number
  * of voters bears no more losses than one voter less. A voter that comes back joins again. Undefined where all stay.
+ * @param leastVoters - 2f + 1 for f losses that must be borne: what is left must still bear the losses that the settings
+ * state, as the voter that was let go may stay away for good.
  */
-export const getReducedVoters = (state: ConsensusState, silenceMs: number, now: number): readonly Voter[] | undefined => {
+export const getReducedVoters = (state: ConsensusState, silenceMs: number, now: number, leastVoters: number): readonly Voter[] | undefined => {
 	const silent = state.voters.filter(voter => isSilent(state, voter, silenceMs, now));
 	const learner = silent.find(voter => voter.isLearner);
 	const count = state.voters.filter(voter => !voter.isLearner).length;
-	const isReducible = count > LEAST_VOTERS && count % 2 === 0;
+	const isReducible = count > leastVoters && count % 2 === 0;
 	const removed = learner ?? (isReducible ? silent[0] : undefined);
 	return removed && state.voters.filter(voter => voter.id !== removed.id);
 };
--- a/packages/consensus/tests/node.feature
+++ b/packages/consensus/tests/node.feature
@@ -9,16 +9,21 @@
 
   Scenario Outline: A silent voter is let go only where the others are better off
     Given a leader with <voters> voters and <learners> learner, of which "<silent>" was silent for long
-    Then <kept> members are kept
+    Then <kept> members are kept where <losses> losses must be borne
 
     Examples:
-      | voters | learners | silent    | kept |
-      | 4      | 0        | a voter   | 3    |
-      | 3      | 0        | a voter   | 3    |
-      | 5      | 0        | a voter   | 5    |
-      | 6      | 0        | a voter   | 5    |
-      | 3      | 1        | a learner | 3    |
-      | 4      | 0        | nobody    | 4    |
+      | voters | learners | silent    | losses | kept |
+      | 4      | 0        | a voter   | 1      | 3    |
+      | 3      | 0        | a voter   | 1      | 3    |
+      | 5      | 0        | a voter   | 1      | 5    |
+      | 6      | 0        | a voter   | 1      | 5    |
+      | 3      | 1        | a learner | 1      | 3    |
+      | 4      | 0        | nobody    | 1      | 4    |
+      | 6      | 0        | a voter   | 2      | 5    |
+      | 4      | 0        | a voter   | 2      | 4    |
+      | 5      | 0        | a voter   | 2      | 5    |
+      | 8      | 0        | a voter   | 2      | 7    |
+      | 6      | 1        | a learner | 2      | 6    |
 
   Scenario: A lease from before a restart is honoured from the start of the process on, and no longer
     Then a voter whose process started at 0 ms grants a vote that is asked for at 40 ms: no
--- a/packages/consensus/tests/node.steps.ts
+++ b/packages/consensus/tests/node.steps.ts
@@ -98,7 +98,7 @@
 });
 
 Given('a leader with {int} voters and {int} learner, of which {string} was silent for long', function (this: NodeWorld, voters: number, learners: number, silent: string) {
-	const ids = [...'abcdef'];
+	const ids = [...'abcdefgh'];
 	this.voters = [
 		...ids.slice(0, voters).map(id => newVoter(id)),
 		...Array.from({length: learners}, () => newVoter('z', true)),
@@ -106,7 +106,7 @@
 	this.silent = silent;
 });
 
-Then('{int} members are kept', function (this: NodeWorld, count: number) {
+Then('{int} members are kept where {int} losses must be borne', function (this: NodeWorld, count: number, losses: number) {
 	const state = newConsensusState(newStored(this.voters), SETTINGS, 0);
 	mutateConsensus(state, SETTINGS, {kind: 'tick', jitter: 0}, 1);
 	state.role = 'leader';
@@ -119,7 +119,7 @@
 		state.peers.get(lastId)!.ackedSentAt = 0;
 	}
 
-	const kept = getReducedVoters(state, SILENCE_MS, LONG_MS) ?? this.voters;
+	const kept = getReducedVoters(state, SILENCE_MS, LONG_MS, (2 * losses) + 1) ?? this.voters;
 	assert.equal(kept.length, count);
 	assert.equal(kept.some(voter => voter.id === lastId), count === this.voters.length);
 });
