Let silent voters go only while what is left bears the losses that the settings state

The least number was 3 whatever the settings state: five voters that were four while an identity was replaced let another one go and stayed below what a loss of two takes.

--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -5,7 +5,7 @@
 	type TimerService, RESULT_CODE, SYSTEM_CLOCK, SYSTEM_SUSPENSIONS, ValeleadError,
 } from '@valelead/common';
 import {
-	type FormationDecision, type FoundVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormation, getNextMembership,
+	type FormationDecision, type FoundVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormation, getLeastVoters, getNextMembership,
 } from '@valelead/consensus';
 import type {ChannelPool} from '@valelead/protocol';
 import type {
@@ -51,9 +51,6 @@
 /** A voter is let go after this silence where the others are better off without it, in milliseconds. */
 const SILENT_VOTER_MS = 2000;
 
-/** Silent voters are let go down to this number: fewer could not bear the loss of one. */
-const LEAST_VOTERS = 3;
-
 /** One member of the control quorum: its identity and log on the disk, and the state they drive. */
 export class Voter {
 	readonly machine = new ControlMachine();
@@ -279,7 +276,7 @@
 
 	/** As leader, lets a voter go that is not heard of, where the others are better off without it. */
 	async #dropSilent(): Promise<void> {
-		const voters = this.#node?.getReducedVoters(SILENT_VOTER_MS, LEAST_VOTERS);
+		const voters = this.#node?.getReducedVoters(SILENT_VOTER_MS, getLeastVoters(this.#parts.settings.faultTolerance));
 		if (!voters) {
 			return;
 		}
