Let a voter that was let go for silence ask to be let in again

Operators saw five of six voters for good after a controller had been down for 4 s: the disk was wasted, and with eight voters the next one that was silent could go too. A gateway that was sent to it got no leader named for 2 s.

Cause: a voter asked to join only where its own log does not list it. The entry that lets it go is not sent to it, so its log listed it for ever.

A voter that heard no leader for three election timeouts now asks as well, at the pace of other askers (each 300 ms, one call after the other). The leader answers a member with Ok and changes nothing (getNextMembership has no step for it), so a quorum that has merely no leader, or a voter that is cut off from a leader that counts it, is not disturbed: asking carries no term and no vote.

Ruled out: keeping the peer until it has the entry that removes it (a voter that never returns would be written to for ever), and a word of non-membership in the reply to a pre-vote (any voter with an old log would say so of a newer member).

--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -48,6 +48,12 @@
 /** How often the leader tells controllers that are no voters where it is, in milliseconds: soon against the time that a process takes to start. */
 const TELL_MS = 2000;
 
+/**
+ * Election timeouts without a word from a leader after which a voter may have been let go; an election that isn't split
+ * takes fewer, so a quorum that only changes its leader isn't asked.
+ */
+const LONELY_ELECTIONS = 3;
+
 /** A voter is let go after this silence where the others are better off without it, in milliseconds. */
 const SILENT_VOTER_MS = 2000;
 
@@ -141,6 +147,19 @@
 		}
 	}
 
+	/**
+	 * Its own log doesn't tell a voter that it was let go, as that entry is sent to those that stay; but no leader writes to
+	 * it any more. A leader that still counts it says so and changes nothing.
+	 */
+	get #isOutside(): boolean {
+		if (!this.#node) {
+			return false;
+		}
+
+		const own = this.#node.voters.find(voter => voter.id === this.record.id);
+		return !own || own.isLearner || this.#node.leaderlessMs > LONELY_ELECTIONS * this.#parts.settings.electionTimeoutMs;
+	}
+
 	async #commitClaims(): Promise<void> {
 		this.#isClaiming = true;
 		while (this.#claims.length > 0) {
@@ -252,12 +271,11 @@
 		return mayForm !== false && this.#peers.configured.includes(settings.listen);
 	}
 
-	/** A voter that the quorum does not count asks to be let in until it is. */
+	/** A voter that the quorum does not count, or may not count any more, asks to be let in until it is. */
 	async #keepMembership(): Promise<void> {
 		while (!this.#isStopped) {
 			await this.#parts.timers.wait(JOIN_POLL_MS);
-			const own = this.#node?.voters.find(voter => voter.id === this.record.id);
-			if (this.#node && (!own || own.isLearner)) {
+			if (this.#isOutside) {
 				await this.#peers.askToJoin(this.record, this.leaderAddress);
 			}
 
--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -121,6 +121,11 @@
 		return this.#state.voters.find(voter => voter.id === this.#state.leaderId);
 	}
 
+	/** How long no leader was heard, in milliseconds; a leader hears itself. */
+	get leaderlessMs(): number {
+		return this.isLeader ? 0 : this.#parts.clock.now() - this.#state.leaderContactAt;
+	}
+
 	get isLeader(): boolean {
 		return this.#state.role === 'leader';
 	}
