Show that a learner that has just joined is let go as silent

Operators saw a controller with an empty disk let in, let go 33 ms later, and let in again: half a second more below the voters that are needed.

--- a/packages/consensus/tests/membership.steps.ts
+++ b/packages/consensus/tests/membership.steps.ts
@@ -1,7 +1,15 @@
 import assert from 'node:assert/strict';
-import {Then} from '@cucumber/cucumber';
+import {Given, Then, When} from '@cucumber/cucumber';
 import {newRandom} from '../../../tests/support/new-random.js';
 import {FakeQuorum} from './fake-quorum.js';
+import {QUORUM_SETTINGS} from './quorum-settings.js';
+import {type ConsensusState, getReducedVoters, mutateConsensus} from '@valelead/consensus';
+
+type MembershipWorld = {
+	quorum: FakeQuorum;
+	state: ConsensusState;
+	joinedAt: number;
+};
 
 const FORM_MS = 1500;
 const SILENT_MS = 2000;
@@ -55,3 +63,36 @@
 		checkReturn(seed, size);
 	}
 });
+
+Given('a leader that has led {int} voters for {int} ms', function (this: MembershipWorld, count: number, ms: number) {
+	this.quorum = new FakeQuorum(1, 'none', count);
+	this.quorum.advance(ms);
+	this.state = this.quorum.leader!.state;
+});
+
+When('a learner joins', function (this: MembershipWorld) {
+	const learner = {
+		id: 'learner', vm: 'learner', address: 'learner', isLearner: true,
+	};
+	this.joinedAt = this.quorum.now;
+	mutateConsensus(this.state, QUORUM_SETTINGS, {kind: 'configure', proposalId: 'join', voters: [...this.state.voters, learner]}, this.joinedAt);
+	assert.ok(this.state.voters.some(({id}) => id === learner.id));
+});
+
+const getLetGo = ({state, joinedAt}: MembershipWorld, laterMs: number, silenceMs: number): string[] => {
+	const now = joinedAt + laterMs;
+	for (const [id, progress] of state.peers) {
+		progress.ackedSentAt = id === 'learner' ? progress.ackedSentAt : now;
+	}
+
+	const kept = getReducedVoters(state, silenceMs, now, state.voters.length) ?? state.voters;
+	return state.voters.filter(voter => !kept.includes(voter)).map(({id}) => id);
+};
+
+Then('{int} ms later nobody is let go as silent for {int} ms', function (this: MembershipWorld, laterMs: number, silenceMs: number) {
+	assert.deepEqual(getLetGo(this, laterMs, silenceMs), []);
+});
+
+Then('{int} ms later the learner is let go as silent for {int} ms', function (this: MembershipWorld, laterMs: number, silenceMs: number) {
+	assert.deepEqual(getLetGo(this, laterMs, silenceMs), ['learner']);
+});
