Count a learner's silence from when it joined

Cause: a member without an answer counted as silent since the leader took office. The leader now notes when it began to send to a member, and silence counts from then.

Ruled out: looking less often (a slow first answer would still be too late), and leaving learners alone (one that is gone for good would stay). The test's hand-made peers name the new field; what they check is as before.

--- a/packages/consensus/src/get-reduced-voters.ts
+++ b/packages/consensus/src/get-reduced-voters.ts
@@ -2,8 +2,13 @@
 import type {Voter} from './voter.js';
 
 const isSilent = (state: ConsensusState, voter: Voter, silenceMs: number, now: number): boolean => {
-	const ackedSentAt = state.peers.get(voter.id)?.ackedSentAt ?? Number.NEGATIVE_INFINITY;
-	return voter.id !== state.selfId && now - Math.max(ackedSentAt, state.leaderSince) > silenceMs;
+	const progress = state.peers.get(voter.id);
+	if (voter.id === state.selfId || !progress) {
+		return false;
+	}
+
+	// A member that has just joined has not been silent for as long as the leader leads.
+	return now - Math.max(progress.ackedSentAt, progress.joinedAt, state.leaderSince) > silenceMs;
 };
 
 /**
--- a/packages/consensus/src/mutate-configuration.ts
+++ b/packages/consensus/src/mutate-configuration.ts
@@ -3,6 +3,7 @@
 import {mutateAppend} from './mutate-append.js';
 import {newAppendRequests} from './new-append-requests.js';
 import {newRejection} from './new-rejection.js';
+import {newPeerProgress} from './new-peer-progress.js';
 import {LOG_ENTRY_KIND} from './log-entry-kind.js';
 import type {ConsensusEffect} from './consensus-effect.js';
 import type {ConsensusState} from './consensus-state.js';
@@ -33,7 +34,7 @@
 	state.proposals.set(getLastIndex(state), proposalId);
 	for (const voter of voters) {
 		if (voter.id !== state.selfId && !state.peers.has(voter.id)) {
-			state.peers.set(voter.id, {nextIndex: getLastIndex(state) + 1, matchIndex: 0, ackedSentAt: Number.NEGATIVE_INFINITY});
+			state.peers.set(voter.id, newPeerProgress(getLastIndex(state), now));
 		}
 	}
 
--- a/packages/consensus/src/mutate-leader.ts
+++ b/packages/consensus/src/mutate-leader.ts
@@ -1,6 +1,7 @@
 import {getLastIndex} from './get-last-index.js';
 import {mutateAppend} from './mutate-append.js';
 import {newAppendRequests} from './new-append-requests.js';
+import {newPeerProgress} from './new-peer-progress.js';
 import {LOG_ENTRY_KIND} from './log-entry-kind.js';
 import type {ConsensusEffect} from './consensus-effect.js';
 import type {ConsensusSettings} from './consensus-settings.js';
@@ -15,7 +16,7 @@
 	state.peers = new Map();
 	for (const voter of state.voters) {
 		if (voter.id !== state.selfId) {
-			state.peers.set(voter.id, {nextIndex: getLastIndex(state) + 1, matchIndex: 0, ackedSentAt: Number.NEGATIVE_INFINITY});
+			state.peers.set(voter.id, newPeerProgress(getLastIndex(state), now));
 		}
 	}
 
--- a/packages/consensus/src/peer-progress.ts
+++ b/packages/consensus/src/peer-progress.ts
@@ -4,4 +4,6 @@
 	matchIndex: number;
 	/** The leader's time of sending the newest message that was answered. */
 	ackedSentAt: number;
+	/** When this leader began to send to it. */
+	joinedAt: number;
 };
--- a/packages/consensus/tests/node.steps.ts
+++ b/packages/consensus/tests/node.steps.ts
@@ -111,7 +111,9 @@
 	mutateConsensus(state, SETTINGS, {kind: 'tick', jitter: 0}, 1);
 	state.role = 'leader';
 	for (const {id} of this.voters.slice(1)) {
-		state.peers.set(id, {nextIndex: 1, matchIndex: 0, ackedSentAt: LONG_MS});
+		state.peers.set(id, {
+			nextIndex: 1, matchIndex: 0, ackedSentAt: LONG_MS, joinedAt: 0,
+		});
 	}
 
 	const lastId = this.silent === 'a learner' ? 'z' : this.voters.at(-1)!.id;
