Show that a lost identity leaving first bears more than the new one voting first

Asked: five voters are four for some 0.3 s while an identity is replaced; would the other order bear more? No: counted over every set of further losses, both orders bear the same number of losses after each step (3, 4, 5, 6 and 8 voters, one and two lost), and leaving first bears more of the sets, as nobody depends on the new identity before it votes. The order stays; a reason stands beside it.

--- a/packages/consensus/tests/membership.feature
+++ b/packages/consensus/tests/membership.feature
@@ -20,3 +20,21 @@
     Then 300 ms later nobody is let go as silent for 2000 ms
     And 1900 ms later nobody is let go as silent for 2000 ms
     And 2100 ms later the learner is let go as silent for 2000 ms
+
+  # Voters that lost their disks at once are replaced one after the other. After each step, from the loss on: the further losses that are borne, whichever
+  # they are, and how many sets of further lost members leave a majority. The old identity is dead and the new one is as likely lost as any other member.
+  Scenario Outline: A lost identity leaves before the one that replaces it votes, as that bears more
+    Given <voters> voters of which <lost> have lost their disks at once
+    Then these losses are borne after each step if the old one leaves first "<leaves first>", if the new one votes first "<votes first>"
+    And the order in use is the one where the old one leaves first, and bears at least as much after each step
+
+    Examples:
+      | voters | lost | leaves first                         | votes first                          |
+      | 3      | 1    | 0:1 0:2 0:2 1:4                      | 0:1 0:2 0:1 1:4                      |
+      | 4      | 1    | 0:1 0:2 1:8 1:5                      | 0:1 0:2 1:5 1:5                      |
+      | 5      | 1    | 1:5 1:10 1:10 2:16                   | 1:5 1:10 1:6 2:16                    |
+      | 6      | 1    | 1:6 1:12 2:32 2:22                   | 1:6 1:12 2:22 2:22                   |
+      | 8      | 1    | 2:29 2:58 3:128 3:93                 | 2:29 2:58 3:93 3:93                  |
+      | 5      | 2    | 0:1 0:2 0:2 1:5 1:10 1:10 2:16       | 0:1 0:2 0:1 1:5 1:10 1:6 2:16        |
+      | 6      | 2    | 0:1 0:2 1:10 1:6 1:12 2:32 2:22      | 0:1 0:2 1:6 1:6 1:12 2:22 2:22       |
+      | 8      | 2    | 1:7 1:14 2:44 2:29 2:58 3:128 3:93   | 1:7 1:14 2:29 2:29 2:58 3:93 3:93    |
--- a/packages/consensus/tests/membership.steps.ts
+++ b/packages/consensus/tests/membership.steps.ts
@@ -2,13 +2,18 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {newRandom} from '../../../tests/support/new-random.js';
 import {FakeQuorum} from './fake-quorum.js';
+import {getBorneSets} from './get-borne-sets.js';
 import {QUORUM_SETTINGS} from './quorum-settings.js';
-import {type ConsensusState, getReducedVoters, mutateConsensus} from '@valelead/consensus';
+import {
+	type ConsensusState, type Voter, getNextMembership, getReducedVoters, mutateConsensus,
+} from '@valelead/consensus';
 
 type MembershipWorld = {
 	quorum: FakeQuorum;
 	state: ConsensusState;
 	joinedAt: number;
+	voters: Voter[];
+	lost: number;
 };
 
 const FORM_MS = 1500;
@@ -96,3 +101,65 @@
 Then('{int} ms later the learner is let go as silent for {int} ms', function (this: MembershipWorld, laterMs: number, silenceMs: number) {
 	assert.deepEqual(getLetGo(this, laterMs, silenceMs), ['learner']);
 });
+
+const newMember = (vm: string, generation: string): Voter => ({
+	id: `${vm}${generation}`, vm, address: vm, isLearner: false,
+});
+
+type NextStep = typeof getNextMembership;
+
+/** The order that is not in use: the new identity votes before the old one leaves. */
+const getVotesFirst: NextStep = (voters, wished) => {
+	const known = voters.find(({id}) => id === wished.id);
+	if (!known) {
+		return [...voters, {...wished, isLearner: true}];
+	}
+
+	if (known.isLearner) {
+		return voters.map(voter => voter.id === wished.id ? wished : voter);
+	}
+
+	const rest = voters.filter(({vm, id}) => vm !== wished.vm || id === wished.id);
+	return rest.length < voters.length ? rest : undefined;
+};
+
+/** All configurations from the loss on. */
+const getSteps = ({voters, lost}: MembershipWorld, getNext: NextStep): Array<readonly Voter[]> => {
+	const steps: Array<readonly Voter[]> = [voters];
+	for (const {vm} of voters.slice(0, lost)) {
+		const wished = newMember(vm, '-new');
+		let next = getNext(steps.at(-1)!, wished, true);
+		while (next) {
+			steps.push(next);
+			next = getNext(next, wished, true);
+		}
+	}
+
+	return steps;
+};
+
+const getBorneAfter = (world: MembershipWorld, getNext: NextStep): Array<ReturnType<typeof getBorneSets>> => {
+	const dead = new Set(world.voters.slice(0, world.lost).map(({id}) => id));
+	return getSteps(world, getNext).map(members => getBorneSets(members, dead));
+};
+
+const getText = (borne: ReturnType<typeof getBorneAfter>): string => borne.map(({losses, sets}) => `${losses}:${sets}`).join(' ');
+
+Given('{int} voters of which {int} have lost their disks at once', function (this: MembershipWorld, count: number, lost: number) {
+	this.voters = Array.from({length: count}, (_, index) => newMember(`vm-${index}`, ''));
+	this.lost = lost;
+});
+
+Then('these losses are borne after each step if the old one leaves first {string}, if the new one votes first {string}', function (this: MembershipWorld, leavesFirst: string, votesFirst: string) {
+	assert.equal(getText(getBorneAfter(this, getNextMembership)), leavesFirst);
+	assert.equal(getText(getBorneAfter(this, getVotesFirst)), votesFirst);
+});
+
+Then('the order in use is the one where the old one leaves first, and bears at least as much after each step', function (this: MembershipWorld) {
+	const used = getBorneAfter(this, getNextMembership);
+	const other = getBorneAfter(this, getVotesFirst);
+	assert.equal(used.length, other.length);
+	for (const [step, {losses, sets}] of used.entries()) {
+		assert.ok(losses >= other[step].losses && sets >= other[step].sets, `after step ${step}`);
+	}
+});
