Acknowledge an operator's change once the quorum bears the stated losses

Operators lost a change that was acknowledged in the first second of an installation: three controllers had formed the quorum, the other three were not let in yet, two disks were lost and no voter ever led again, though the settings state two losses.

Cause: the answer followed the commit, and a majority of three voters bears one loss. The answer now waits until 2f + 1 voters are committed, as long as the quorum may still grow: 2 s from when the leader took office or the last member joined, 3 s for one answer at most. An installation that simply has fewer voters is held up for 2 s after a change of leader and not after that, and the warning quorum tells of it. Also an attempt that is made again after the commit waits.

Ruled out: waiting for f + 1 copies. With 2f voters a majority is f + 1 copies already, and with fewer than 2f + 1 voters the loss of f ends the quorum whoever holds copies, so copies save nothing by themselves (shown for 1 to 4 losses). Ruled out: the commit rule. It would hold up a new leader's first entry, and with it leases, claims and those that join, where only the word given to operators is too early.

--- a/apps/valelead-daemon/src/control/new-control-service.ts
+++ b/apps/valelead-daemon/src/control/new-control-service.ts
@@ -55,11 +55,13 @@
 			return this.#tryOut(commands);
 		}
 
-		return this.#parts.voter.propose({
+		const result = await this.#parts.voter.propose({
 			commandId: request.commandId,
 			...(request.expectedRevision !== undefined && {expectedRevision: request.expectedRevision}),
 			commands,
 		});
+		await this.#parts.voter.waitForVoters();
+		return result;
 	}
 
 	query(request: QueryRequest): string {
--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -54,6 +54,13 @@
  */
 const LONELY_ELECTIONS = 3;
 
+/** A quorum that is too small is expected to grow for this long after it was formed, or after its last member joined, in milliseconds: joining takes some 0.3 s. */
+const GROWTH_MS = 2000;
+const GROWTH_POLL_MS = 20;
+
+/** An acknowledgement is held no longer for a quorum that grows, in milliseconds: members may come and go without end. */
+const MOST_HELD_MS = 3000;
+
 /** A voter is let go after this silence where the others are better off without it, in milliseconds. */
 const SILENT_VOTER_MS = 2000;
 
@@ -128,6 +135,21 @@
 		await this.#propose({kind: 'routing', at: SYSTEM_CLOCK.wallNow(), ...routing});
 	}
 
+	/**
+	 * Resolves once the quorum bears the losses that the settings state, or does not grow any more. Before that they end the quorum, whoever holds copies;
+	 * so an operator's change is acknowledged after it, while leases, elections and those that join rest on the commit alone and never wait.
+	 */
+	async waitForVoters(): Promise<void> {
+		const leastVoters = getLeastVoters(this.#parts.settings.faultTolerance);
+		const endsAt = SYSTEM_CLOCK.now() + MOST_HELD_MS;
+		while (this.#node?.isGrowing(leastVoters, GROWTH_MS) && SYSTEM_CLOCK.now() < endsAt) {
+			await this.#parts.timers.wait(GROWTH_POLL_MS);
+			if (!this.#node.isLeader) {
+				throw new ValeleadError('Another voter leads now', {code: RESULT_CODE.NotLeader});
+			}
+		}
+	}
+
 	/** Commits a claim command, together with those that arrive while one commit is under way. */
 	async claim(command: ClaimCommand): Promise<ClaimResult> {
 		return new Promise((resolve, reject) => {
--- a/apps/valelead-daemon/src/controller/control-server.ts
+++ b/apps/valelead-daemon/src/controller/control-server.ts
@@ -133,6 +133,8 @@
 		}
 
 		const committedAt = SYSTEM_CLOCK.now();
+		// An earlier attempt may have committed it and not waited to the end.
+		await voter.waitForVoters();
 		await this.#parts.followers.settle();
 		logger.info({
 			event: 'routing-accepted', version: routing.version, before, routes: routing.routes.length, code: RESULT_CODE.Ok, settledMs: Math.round(SYSTEM_CLOCK.now() - committedAt),
--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -4,6 +4,7 @@
 import {getLastIndex} from './get-last-index.js';
 import {getLeaseEnd} from './get-lease-end.js';
 import {getReducedVoters} from './get-reduced-voters.js';
+import {isGrowing} from './is-growing.js';
 import {isPersistEffect} from './is-persist-effect.js';
 import {mutateConsensus} from './mutate-consensus.js';
 import {newConsensusState} from './new-consensus-state.js';
@@ -173,6 +174,11 @@
 		return this.isCurrentLeader ? getReducedVoters(this.#state, silenceMs, this.#parts.clock.now(), leastVoters) : undefined;
 	}
 
+	/** Whether this leader has fewer voters than the least number, and others joined within the growth time. */
+	isGrowing(leastVoters: number, growthMs: number): boolean {
+		return isGrowing(this.#state, leastVoters, growthMs, this.#parts.clock.now());
+	}
+
 	/** @param silenceMs - A member that said nothing for longer does not count as heard. */
 	getView(silenceMs: number): QuorumView {
 		const {selfId, term} = this.#state;
--- a/packages/consensus/tests/membership.feature
+++ b/packages/consensus/tests/membership.feature
@@ -38,3 +38,21 @@
       | 5      | 2    | 0:1 0:2 0:2 1:5 1:10 1:10 2:16       | 0:1 0:2 0:1 1:5 1:10 1:6 2:16        |
       | 6      | 2    | 0:1 0:2 1:10 1:6 1:12 2:32 2:22      | 0:1 0:2 1:6 1:6 1:12 2:22 2:22       |
       | 8      | 2    | 1:7 1:14 2:44 2:29 2:58 3:128 3:93   | 1:7 1:14 2:29 2:29 2:58 3:93 3:93    |
+
+  # Why an acknowledgement waits for voters and not for copies.
+  Scenario: With fewer voters than the stated losses need these losses end the quorum, however many copies there are
+    Then up to 4 losses are borne by twice as many voters and one more, and by no fewer
+
+  Scenario Outline: An acknowledgement waits for voters only where they may still come
+    Given a leader of <voters> voters, the last of which joined <ms> ms ago
+    Then it waits for more where <losses> losses must be borne: <waits>
+
+    Examples:
+      | voters | losses | ms   | waits |
+      | 3      | 2      | 100  | yes   |
+      | 4      | 2      | 1900 | yes   |
+      | 3      | 2      | 2100 | no    |
+      | 4      | 2      | 2100 | no    |
+      | 5      | 2      | 100  | no    |
+      | 3      | 1      | 100  | no    |
+      | 1      | 2      | 2100 | no    |
--- a/packages/consensus/tests/membership.steps.ts
+++ b/packages/consensus/tests/membership.steps.ts
@@ -5,7 +5,7 @@
 import {getBorneSets} from './get-borne-sets.js';
 import {QUORUM_SETTINGS} from './quorum-settings.js';
 import {
-	type ConsensusState, type Voter, getNextMembership, getReducedVoters, mutateConsensus,
+	type ConsensusState, type Voter, getLeastVoters, getNextMembership, getReducedVoters, isGrowing, mutateConsensus,
 } from '@valelead/consensus';
 
 type MembershipWorld = {
@@ -20,6 +20,8 @@
 const SILENT_MS = 2000;
 const ENTRY_MS = 50;
 const MOST_ENTRIES = 5;
+const LONG_MS = 5000;
+const GROWTH_MS = 2000;
 
 const proposeSome = (quorum: FakeQuorum, count: number): void => {
 	for (let entry = 0; entry < count; entry += 1) {
@@ -163,3 +165,27 @@
 		assert.ok(losses >= other[step].losses && sets >= other[step].sets, `after step ${step}`);
 	}
 });
+
+Then('up to {int} losses are borne by twice as many voters and one more, and by no fewer', (most: number) => {
+	for (let losses = 1; losses <= most; losses += 1) {
+		for (let count = 1; count <= (2 * losses) + 1; count += 1) {
+			const voters = Array.from({length: count}, (_, index) => newMember(`vm-${index}`, ''));
+			assert.equal(getBorneSets(voters, new Set()).losses >= losses, count > 2 * losses, `${count} voters, ${losses} losses`);
+		}
+	}
+});
+
+Given('a leader of {int} voters, the last of which joined {int} ms ago', function (this: MembershipWorld, count: number, ms: number) {
+	this.quorum = new FakeQuorum(1, 'none', count);
+	this.quorum.advance(LONG_MS);
+	this.state = this.quorum.leader!.state;
+	this.joinedAt = this.quorum.now - ms;
+	this.state.leaderSince = Math.min(this.state.leaderSince, this.joinedAt);
+	for (const progress of this.state.peers.values()) {
+		progress.joinedAt = this.joinedAt;
+	}
+});
+
+Then('it waits for more where {int} losses must be borne: {word}', function (this: MembershipWorld, losses: number, isWaiting: string) {
+	assert.equal(isGrowing(this.state, getLeastVoters(losses), GROWTH_MS, this.quorum.now), isWaiting === 'yes');
+});
