--- /dev/null
+++ b/packages/consensus/tests/get-election-ms.ts
@@ -0,0 +1,41 @@
+import {newRandom} from '../../../tests/support/new-random.js';
+import {FakeQuorum} from './fake-quorum.js';
+
+type Loss = {
+	readonly voters: number;
+	/** Voters that are lost at once, the leader among them. */
+	readonly dead: number;
+	/** The longest time that a message takes between voters. */
+	readonly delayMs: number;
+};
+
+const FORM_MS = 2000;
+const STEP_MS = 10;
+const PHASE_STEPS = 10;
+const LIMIT_MS = 20_000;
+
+/** The time without a leader after voters were lost at once, in milliseconds. */
+export const getElectionMs = (seed: number, {voters, dead, delayMs}: Loss): number => {
+	const random = newRandom(seed);
+	const quorum = new FakeQuorum(seed, 'none', voters);
+	quorum.delayMs = delayMs;
+	// The loss falls anywhere between two heartbeats.
+	quorum.advance(FORM_MS + (STEP_MS * Math.floor(random() * PHASE_STEPS)));
+	while (!quorum.leader) {
+		quorum.advance(STEP_MS);
+	}
+
+	const first = quorum.leaderIndex;
+	const others = quorum.voters.filter((_voter, index) => index !== first).map(voter => ({voter, order: random()})).sort((left, right) => left.order - right.order);
+	const lost = [quorum.voters[first], ...others.slice(0, dead - 1).map(({voter}) => voter)];
+	for (const voter of lost) {
+		voter.crash();
+	}
+
+	const lostAt = quorum.now;
+	while (!quorum.leader && quorum.now - lostAt < LIMIT_MS) {
+		quorum.advance(STEP_MS);
+	}
+
+	return quorum.now - lostAt;
+};
