--- a/packages/consensus/src/consensus-state.ts
+++ b/packages/consensus/src/consensus-state.ts
@@ -22,6 +22,8 @@
 	leaderId: string | undefined;
 	leaderContactAt: number;
 	electionDueAt: number;
+	/** Uniform in [0, 1), anew with each tick. */
+	jitter: number;
 	heartbeatDueAt: number;
 	/** Answers to messages that were sent earlier confirm no lease, as more time may have passed since than the clock shows. */
 	confirmedFrom: number;
--- a/packages/consensus/src/mutate-tick.ts
+++ b/packages/consensus/src/mutate-tick.ts
@@ -26,6 +26,7 @@
 
 /** Sends heartbeats, steps down without a quorum, or starts an election. */
 export const mutateTick = (state: ConsensusState, settings: ConsensusSettings, now: number, jitter: number): ConsensusEffect[] => {
+	state.jitter = jitter;
 	if (state.role !== 'leader') {
 		return now >= state.electionDueAt ? mutateElection(state, settings, now, jitter) : [];
 	}
--- a/packages/consensus/src/new-consensus-state.ts
+++ b/packages/consensus/src/new-consensus-state.ts
@@ -27,6 +27,7 @@
 		leaderId: undefined,
 		leaderContactAt: startedAt,
 		electionDueAt: startedAt + (settings.electionTimeoutMs * 1.5),
+		jitter: 0,
 		heartbeatDueAt: startedAt,
 		confirmedFrom: startedAt,
 		leaderSince: startedAt,
