Show that a planned stop hands over to a voter that is gone

Found by reading: a voter that died since the last commit has followed as far as the others, and was asked to take over if it came first in the list.

--- /dev/null
+++ b/packages/consensus/tests/hand-over.steps.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import {setImmediate as turn} from 'node:timers/promises';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
+import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {QUORUM_SETTINGS} from './quorum-settings.js';
+import {type ConsensusMessage, type Voter, ConsensusNode} from '@valelead/consensus';
+
+type HandOverWorld = {
+	time: VirtualTime;
+	node: ConsensusNode;
+	gone: readonly string[];
+	/** Who was asked to take over. */
+	asked: string;
+};
+
+const STEP_MS = 10;
+const FORM_MS = 1500;
+
+const newVoter = (id: string): Voter => ({
+	id, vm: id, address: id, isLearner: false,
+});
+
+/** What a voter answers that agrees to everything. */
+const getAnswer = (message: ConsensusMessage): ConsensusMessage | undefined => {
+	switch (message.kind) {
+		case 'voteRequest': {
+			return {
+				kind: 'voteReply', term: message.term, isPreVote: message.isPreVote, isGranted: true,
+			};
+		}
+
+		case 'appendRequest': {
+			return {
+				kind: 'appendReply', term: message.term, isSuccess: true, matchIndex: message.previousIndex + message.entries.length, sentAt: message.sentAt,
+			};
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+};
+
+const advance = async (time: VirtualTime, ms: number): Promise<void> => {
+	for (let passed = 0; passed < ms; passed += STEP_MS) {
+		time.advance(STEP_MS);
+		await turn();
+	}
+};
+
+const send = (world: HandOverWorld, to: string, message: ConsensusMessage): void => {
+	if (message.kind === 'timeoutNow') {
+		world.asked = to;
+	}
+
+	const answer = getAnswer(message);
+	if (answer && !world.gone.includes(to)) {
+		world.time.after(1, () => {
+			world.node.receive({id: to, address: to}, answer);
+		});
+	}
+};
+
+Given('a leader {string} with voters {string}, all of which have followed as far', async function (this: HandOverWorld, leader: string, others: string) {
+	this.time = new VirtualTime();
+	this.gone = [];
+	this.asked = 'nobody';
+	const voters = [leader, ...others.split(' ')].map(id => newVoter(id));
+	this.node = new ConsensusNode({
+		id: leader,
+		vm: leader,
+		hardState: {term: 0, votedFor: undefined},
+		snapshot: {
+			index: 0, term: 0, voters, data: '',
+		},
+		entries: [],
+	}, {
+		settings: QUORUM_SETTINGS,
+		clock: {now: () => this.time.now, wallNow: () => this.time.now},
+		suspensions: {resumedAt: Number.NEGATIVE_INFINITY},
+		processStartedAt: 0,
+		timers: newVirtualTimers(this.time),
+		storage: {
+			load: async () => undefined, create: async () => undefined, persist: async () => undefined, close: async () => undefined,
+		},
+		transport: {
+			send: (_from, to, message) => {
+				send(this, to.id, message);
+			},
+		},
+		machine: {apply: () => undefined, restore: () => undefined, save: () => ''},
+		onFailure(error) {
+			throw error;
+		},
+		snapshotEvery: 1000,
+		random: () => 0,
+	});
+	this.node.start();
+	await advance(this.time, FORM_MS);
+	assert.ok(this.node.isCurrentLeader);
+});
+
+When('{string} are gone for {int} ms and the leader hands over', async function (this: HandOverWorld, gone: string, ms: number) {
+	this.gone = gone.split(' ');
+	await advance(this.time, ms);
+	assert.ok(this.node.isLeader);
+	this.node.transfer();
+	await advance(this.time, STEP_MS);
+	await this.node.stop();
+});
+
+Then('the voter that is asked to take over is {string}', function (this: HandOverWorld, asked: string) {
+	assert.equal(this.asked, asked);
+});
