Hand over only to a voter that is heard

Cause: the voter that had followed furthest was taken, and one that died since the last commit ties with the others. Now only those that answered a message of the last election timeout count; heartbeats come several times in one. Where none did, nothing is handed over, as no other voter could win. Ruled out: trying the next one after a hand-over failed (the process stops 300 ms after the first).

--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -4,6 +4,7 @@
 import {getLastIndex} from './get-last-index.js';
 import {getLeaseEnd} from './get-lease-end.js';
 import {getReducedVoters} from './get-reduced-voters.js';
+import {getSuccessor} from './get-successor.js';
 import {isGrowing} from './is-growing.js';
 import {isPersistEffect} from './is-persist-effect.js';
 import {mutateConsensus} from './mutate-consensus.js';
@@ -160,10 +161,9 @@
 		return this.#propose(proposalId => ({kind: 'configure', proposalId, voters}));
 	}
 
-	/** Hands leadership to the voter that has followed furthest. */
+	/** Hands leadership to the voter that has followed furthest among those that are heard. */
 	transfer(): void {
-		const followers = this.#state.voters.filter(voter => !voter.isLearner && voter.id !== this.#state.selfId);
-		const target = followers.sort((left, right) => this.#getMatch(right.id) - this.#getMatch(left.id))[0];
+		const target = getSuccessor(this.#state, this.#parts.settings, this.#parts.clock.now());
 		if (target) {
 			this.#take({kind: 'transfer', to: target.id});
 		}
