--- a/packages/consensus/tests/membership.feature
+++ b/packages/consensus/tests/membership.feature
@@ -56,3 +56,20 @@
       | 5      | 2      | 100  | no    |
       | 3      | 1      | 100  | no    |
       | 1      | 2      | 2100 | no    |
+
+  Scenario Outline: Who asks to be let in
+    Given members "<members>" of VMs of the same letter, learners with a question mark
+    Then "<asking>", caught up: <is caught up>, is let in by "<next>"
+
+    Examples:
+      | members     | asking | is caught up | next          |
+      | a1 b1 c1    | b1     | yes          | nothing       |
+      | a1 b1 c1    | b1     | no           | nothing       |
+      | a1 c1       | b1     | no           | a1 c1 b1?     |
+      | a1 c1       | b1     | yes          | a1 c1 b1?     |
+      | a1 c1 b1?   | b1     | no           | nothing       |
+      | a1 c1 b1?   | b1     | yes          | a1 c1 b1      |
+      | a1 b1 c1    | b2     | no           | a1 b1 c1 b2?  |
+      | a1 b1 c1 b2? | b2    | no           | nothing       |
+      | a1 b1 c1 b2? | b2    | yes          | a1 c1 b2?     |
+      | a1 c1 b2    | b1     | no           | a1 c1 b2 b1?  |
--- a/packages/consensus/tests/membership.steps.ts
+++ b/packages/consensus/tests/membership.steps.ts
@@ -189,3 +189,14 @@
 Then('it waits for more where {int} losses must be borne: {word}', function (this: MembershipWorld, losses: number, isWaiting: string) {
 	assert.equal(isGrowing(this.state, getLeastVoters(losses), GROWTH_MS, this.quorum.now), isWaiting === 'yes');
 });
+
+const toMember = (text: string): Voter => ({...newMember(text[0], text[1]), isLearner: text.endsWith('?')});
+
+Given('members {string} of VMs of the same letter, learners with a question mark', function (this: MembershipWorld, members: string) {
+	this.voters = members.split(' ').map(text => toMember(text));
+});
+
+Then('{string}, caught up: {word}, is let in by {string}', function (this: MembershipWorld, asking: string, isCaughtUp: string, next: string) {
+	const members = getNextMembership(this.voters, toMember(asking), isCaughtUp === 'yes');
+	assert.equal(members?.map(({id, isLearner}) => `${id}${isLearner ? '?' : ''}`).join(' ') ?? 'nothing', next);
+});
