Take a follower's first routing only from a leader

Callers were served by routes that operators had dropped, for half a second after all processes were killed and without end where the quorum was lost.

A voter that does not lead now passes a routing on only to followers that have one, and those take no older one: what was accepted never reverts, and the first comes under a lease, so it is not older than any acknowledgement. A leader that dies with its acknowledgement is covered as before, by voters that lead running followers further. The check stands at the voter: one at the follower would leave the voter believing that its routing was taken, and silent about it once it leads.

Ruled out: the order in which gateways take routings (by version, as before), and the leader's lease.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -237,10 +237,13 @@
 		}
 	}
 
-	/** Names the leader, and passes on what this voter knows to be committed. */
+	/**
+	 * Names the leader, and passes on what this voter knows to be committed. Any voter may be behind what was acknowledged, so the first routing of a
+	 * follower comes from a leader; one that has a routing is only ever led further.
+	 */
 	#redirect(session: FollowerSession): void {
 		const {routing} = this.#voter.machine;
-		const isNewer = routing !== undefined && routing.version > session.sent.routingVersion;
+		const isNewer = session.confirmed.routingVersion > 0 && routing !== undefined && routing.version > session.sent.routingVersion;
 		session.stream.write(create(SessionUpdateSchema, {
 			isCurrent: false, leaderAddress: this.#voter.leaderAddress, ...(isNewer && {routing}), ...this.#newQuarantine(session),
 		}));
