Tell followers nothing that may be older than what was acknowledged

A gateway that started in the milliseconds in which a new leader's state was behind its log got an older routing; one whose session went to a voter that had just started got quarantines that were released since, and refused those requests for their whole time.

A voter passes routing and quarantine on once it has taken an entry of the current term and all that leaders told it to be committed since its start (ConsensusNode.isInformed): all that was acknowledged before lies behind that entry. Later states only grow, so it stays.

Ruled out: asking for the whole of canRead before the answer to a report (a follower would be sent away for the time of each write).

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -201,6 +201,11 @@
 		return {routingVersion: this.#voter.machine.routing?.version ?? 0, ...this.#news.progress};
 	}
 
+	/** What followers may be told: no routing while the state is behind the log, as a newer one may have been acknowledged. */
+	get #tellable(): Progress {
+		return {...this.#progress, ...(!this.#voter.node?.canRead && {routingVersion: 0})};
+	}
+
 	#isSettled(target: Progress): boolean {
 		const now = this.#clock.now();
 		return [...this.#sessions.values()].every(session => now - session.heardAt > FOLLOWER_SILENCE_MS || !isBehind(session.confirmed, target));
@@ -232,20 +237,31 @@
 		}
 
 		this.#quarantine.note(report);
-		if (now - session.repliedAt > REPLY_MS || this.#hasNews(session)) {
+		if (now - session.repliedAt > REPLY_MS || this.#hasNews(session, this.#tellable)) {
 			this.#send(session);
 		}
+
+		this.#pushOnceReadable();
+	}
+
+	/** A state that is behind its log holds all within the time of a write to the disk; nothing else tells when. */
+	#pushOnceReadable(): void {
+		if (!this.#voter.node?.canRead) {
+			this.pushSoon();
+		}
 	}
 
 	/**
 	 * Names the leader, and passes on what this voter knows to be committed. Any voter may be behind what was acknowledged, so the first routing of a
-	 * follower comes from a leader; one that has a routing is only ever led further.
+	 * follower comes from a leader; one that has a routing is only ever led further. A quarantine has no version that would tell it from an older one, so
+	 * one that was read from the disk is kept back until a leader has brought it up to date.
 	 */
 	#redirect(session: FollowerSession): void {
-		const {routing} = this.#voter.machine;
-		const isNewer = session.confirmed.routingVersion > 0 && routing !== undefined && routing.version > session.sent.routingVersion;
+		const {node, machine: {routing}, leaderAddress} = this.#voter;
+		const isInformed = node?.isInformed === true;
+		const isNewer = isInformed && session.confirmed.routingVersion > 0 && routing !== undefined && routing.version > session.sent.routingVersion;
 		session.stream.write(create(SessionUpdateSchema, {
-			isCurrent: false, leaderAddress: this.#voter.leaderAddress, ...(isNewer && {routing}), ...this.#newQuarantine(session),
+			isCurrent: false, leaderAddress, ...(isNewer && {routing}), ...(isInformed && this.#newQuarantine(session)),
 		}));
 		session.sent = isNewer ? {...session.sent, routingVersion: routing.version} : session.sent;
 	}
@@ -255,14 +271,17 @@
 			return;
 		}
 
-		const behind = [...this.#sessions.values()].filter(session => this.#hasNews(session));
+		const target = this.#tellable;
+		const behind = [...this.#sessions.values()].filter(session => this.#hasNews(session, target));
 		this.#pushTo(behind);
+		this.#pushOnceReadable();
 	}
 
 	/** Sends news to some sessions at a time, so that calls which came meanwhile are answered between them. */
 	#pushTo(sessions: readonly FollowerSession[]): void {
+		const target = this.#tellable;
 		for (const session of sessions.slice(0, PUSHES_A_TURN)) {
-			if (this.#hasNews(session)) {
+			if (this.#hasNews(session, target)) {
 				this.#send(session);
 			}
 		}
@@ -274,14 +293,14 @@
 		}
 	}
 
-	#hasNews(session: FollowerSession): boolean {
-		return isBehind(session.sent, this.#progress) || this.#isQuarantineBehind(session);
+	#hasNews(session: FollowerSession, target: Progress): boolean {
+		return isBehind(session.sent, target) || this.#isQuarantineBehind(session);
 	}
 
 	#send(session: FollowerSession): void {
 		const {routing} = this.#voter.machine;
-		const target = this.#progress;
-		const hasRouting = routing !== undefined && routing.version > session.sent.routingVersion;
+		const target = this.#tellable;
+		const hasRouting = routing !== undefined && target.routingVersion > session.sent.routingVersion;
 		session.stream.write(create(SessionUpdateSchema, {
 			sentAt: session.sentAt,
 			isCurrent: true,
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -77,3 +77,11 @@
     When the voter has taken what a leader committed
     And "g1" reports as before
     Then "g1" was sent the quarantine and the newer routing
+
+  Scenario: A voter knows what was acknowledged before its start once it holds what a leader tells to be committed
+    Given a voter that starts from its disk with 4 entries, of which its last snapshot holds 2
+    Then the voter has applied up to entry 2 and does not know what was acknowledged
+    When its leader tells that 6 entries are committed
+    Then the voter has applied up to entry 4 and does not know what was acknowledged
+    When its leader sends the entries from 5 to 6
+    Then the voter has applied up to entry 6 and knows what was acknowledged
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
+import {setImmediate} from 'node:timers/promises';
 import {create} from '@bufbuild/protobuf';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {type Clock, type TimerService} from '@valelead/common';
+import {
+	type LogEntry, type Voter, ConsensusNode, LOG_ENTRY_KIND,
+} from '@valelead/consensus';
 import {
 	type ChannelPool, type SessionReport, type SessionUpdate, FollowerReportSchema, LeaderCalls, QuarantineListSchema, RoutingRecordSchema, SessionReportSchema, SessionUpdateSchema,
 } from '@valelead/protocol';
@@ -29,6 +33,10 @@
 	isSettled: boolean;
 	committed: {version: number; document: string};
 	node: {isCurrentLeader: boolean; canRead: boolean; isInformed: boolean; voters: readonly never[]};
+	/** A voter that started from its disk, the last entry that its state holds, and how many it was told to be committed. */
+	started: ConsensusNode;
+	applied: number;
+	told: number;
 };
 
 const HEARTBEAT_MS = 500;
@@ -311,3 +319,73 @@
 	assert.equal(sent.at(-1)?.routing?.version, NEW_VERSION);
 	assert.equal(sent.at(-1)?.isReportWanted, true);
 });
+
+/** The term in which everything here was written, before and after the restart. */
+const TERM = 3;
+
+const MEMBERS: readonly Voter[] = ['a', 'b', 'c'].map(id => ({
+	id, vm: id, address: id, isLearner: false,
+}));
+
+const newEntries = (first: number, last: number): LogEntry[] => Array.from({length: last - first + 1}, (_value, position) => ({
+	index: first + position, term: TERM, kind: LOG_ENTRY_KIND.Command, data: '',
+}));
+
+Given('a voter that starts from its disk with {int} entries, of which its last snapshot holds {int}', function (this: FollowerWorld, entries: number, held: number) {
+	newWorld(this);
+	this.applied = held;
+	const take = (index: number): void => {
+		this.applied = index;
+	};
+
+	this.started = new ConsensusNode({
+		id: 'a',
+		vm: 'a',
+		hardState: {term: TERM, votedFor: undefined},
+		snapshot: {
+			index: held, term: TERM, voters: MEMBERS, data: 'snapshot',
+		},
+		entries: newEntries(held + 1, entries),
+	}, {
+		settings: {heartbeatMs: 200, electionTimeoutMs: 700},
+		clock: this.clock,
+		suspensions: {resumedAt: Number.NEGATIVE_INFINITY},
+		processStartedAt: 0,
+		timers: this.timers,
+		storage: {
+			load: async () => undefined, create: async () => undefined, persist: async () => undefined, close: async () => undefined,
+		},
+		transport: {send: ignore},
+		machine: {apply: take, restore: take, save: () => ''},
+		onFailure(error) {
+			throw error;
+		},
+		snapshotEvery: 1000,
+		random: () => 0,
+	});
+});
+
+const tell = async (world: FollowerWorld, previousIndex: number, entries: readonly LogEntry[], commitIndex: number): Promise<void> => {
+	world.started.receive({id: 'b', address: 'b'}, {
+		kind: 'appendRequest', term: TERM, previousIndex, previousTerm: TERM, entries, commitIndex, sentAt: 0,
+	});
+	// The write to the disk.
+	await setImmediate();
+};
+
+When('its leader tells that {int} entries are committed', async function (this: FollowerWorld, commitIndex: number) {
+	this.told = commitIndex;
+	await tell(this, this.applied + 2, [], commitIndex);
+});
+
+When('its leader sends the entries from {int} to {int}', async function (this: FollowerWorld, first: number, last: number) {
+	await tell(this, first - 1, newEntries(first, last), this.told);
+});
+
+Then('the voter has applied up to entry {int} and does not know what was acknowledged', function (this: FollowerWorld, index: number) {
+	assert.deepEqual([this.applied, this.started.isInformed], [index, false]);
+});
+
+Then('the voter has applied up to entry {int} and knows what was acknowledged', function (this: FollowerWorld, index: number) {
+	assert.deepEqual([this.applied, this.started.isInformed], [index, true]);
+});
--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -73,6 +73,9 @@
 	#nextProposal = 1;
 	/** The last entry that the state machine has taken; it follows the commit index after the disk. */
 	#machineIndex = 0;
+	/** The highest index that a leader has told to be committed since this process started. */
+	#toldIndex = 0;
+	#isInformed = false;
 	#resumedAt = Number.NEGATIVE_INFINITY;
 	#ticks: TimerSubscription | undefined;
 
@@ -145,10 +148,19 @@
 		return this.isCurrentLeader && this.#machineIndex >= this.#state.appliedIndex;
 	}
 
+	/**
+	 * Whether the state machine holds what was acknowledged before this process started, as far as the leaders that it heard since know: it has taken an
+	 * entry of the current term, behind which all earlier ones are, and all that was told to be committed. Later states only grow.
+	 */
+	get isInformed(): boolean {
+		return this.#isInformed;
+	}
+
 	/** Takes a message. The sender's address is kept for the answer, as it may not be a known voter yet. */
 	receive(from: MessageTarget, message: ConsensusMessage): void {
 		this.#senders.set(from.id, from);
 		this.#heardAt.set(from.id, this.#parts.clock.now());
+		this.#toldIndex = message.kind === 'appendRequest' ? Math.max(this.#toldIndex, message.commitIndex) : this.#toldIndex;
 		this.#take({kind: 'message', from: from.id, message});
 	}
 
@@ -312,6 +324,7 @@
 				}
 
 				this.#machineIndex = effect.entry.index;
+				this.#isInformed ||= effect.entry.term === this.#state.term && effect.entry.index >= this.#toldIndex;
 
 				break;
 			}
