Remember each voter that fell silent for its time, not the last one only

With the leader and another voter dead at once, some gateways stayed without a leader for half a second longer than others: passing over the second voter they forgot the first, and trusted it again on the word of a voter that had not noticed, or met it again in the list.

Silent voters are kept by address, each for DISTRUST_MS, in the list too, and are forgotten once they speak. DISTRUST_MS stays 1 s: a voter names a dead leader for two election timeouts (1.4 s), and the leader is given up 0.5 s after its death at the earliest, so 0.9 s and a tick are left. If all fell silent, the next one is tried none the less.

Without a leader after the leader and another voter died at once, counted from the constants: before, 0.5 to 1.0 s to give the leader up, 0.7 s for the other one, 0.7 s for the leader again where it is still named then, and 0.7 s for each of the two that the list brings again; now 0.5 to 1.0 s and 0.7 s, each once, so 1.7 s at most, or the election and 0.15 s where that takes longer. Not measured with real processes here.

--- a/apps/valelead-daemon/src/session-client.ts
+++ b/apps/valelead-daemon/src/session-client.ts
@@ -39,8 +39,9 @@
 const LEADERLESS_MS = 2000;
 
 /**
- * How long a leader that fell silent is not followed on the word of another voter, in milliseconds. That voter believes
- * in a dead leader for an election timeout; longer distrust would keep this process from a leader that only stood still.
+ * How long a voter that fell silent is not followed on the word of another one, in milliseconds. That one believes in a dead leader for two election
+ * timeouts, 1.4 s, and the leader is given up half a second after its death at the earliest: 0.9 s are left, and a tick. Longer distrust would keep this
+ * process from a leader that only stood still.
  */
 const DISTRUST_MS = 1000;
 
@@ -51,8 +52,8 @@
 	#heardAt = 0;
 	#connectedAt = 0;
 	#address = '';
-	/** The leader that fell silent last, and when it was given up. */
-	#silent = {address: '', since: Number.NEGATIVE_INFINITY};
+	/** Voters that fell silent, and when each was given up: several may be lost at once. */
+	readonly #silent = new Map<string, number>();
 	readonly #reports: Coalescer;
 	readonly #questions: Coalescer;
 	#isStopped = false;
@@ -98,7 +99,7 @@
 	/** Leaves a voter that answers nothing, and its connection, for the next one. */
 	#giveUp(stream: SessionStream, now: number): void {
 		this.#parts.logger.warn({event: 'leader-silent', address: this.#address, silentMs: Math.round(now - this.#heardAt)}, 'leader silent, trying another voter');
-		this.#silent = {address: this.#address, since: now};
+		this.#silent.set(this.#address, now);
 		this.#parts.leader.redirect('');
 		this.#parts.pool.reset(this.#address);
 		this.#leave(stream);
@@ -117,6 +118,7 @@
 		}
 
 		const {leader, pool, timers, clock} = this.#parts;
+		this.#passOverSilent();
 		const {address} = leader;
 		const stream = pool.get(address).bidiStream(Control.method.session);
 		this.#stream = stream;
@@ -145,9 +147,23 @@
 		});
 	}
 
+	/** Goes on in the list to a voter that did not fall silent lately, if there is one. */
+	#passOverSilent(): void {
+		const {leader, clock} = this.#parts;
+		const now = clock.now();
+		for (let tried = 0; tried < leader.count && this.#isDistrusted(leader.address, now); tried += 1) {
+			leader.redirect('');
+		}
+	}
+
+	#isDistrusted(address: string, now: number): boolean {
+		return now - (this.#silent.get(address) ?? Number.NEGATIVE_INFINITY) < DISTRUST_MS;
+	}
+
 	#take(stream: SessionStream, address: string, update: SessionUpdate): void {
 		const now = this.#parts.clock.now();
 		this.#heardAt = now;
+		this.#silent.delete(address);
 		const hasNews = update.routing !== undefined || update.quarantine !== undefined;
 		if (update.isCurrent || hasNews) {
 			this.#parts.onUpdate(update);
@@ -158,8 +174,7 @@
 		}
 
 		const {leaderAddress} = update;
-		const isDistrusted = leaderAddress === this.#silent.address && now - this.#silent.since < DISTRUST_MS;
-		if (leaderAddress !== '' && leaderAddress !== address && !isDistrusted) {
+		if (leaderAddress !== '' && leaderAddress !== address && !this.#isDistrusted(leaderAddress, now)) {
 			this.#parts.leader.redirect(leaderAddress);
 			this.#leave(stream);
 			this.#connect();
--- a/packages/protocol/src/leader-calls.ts
+++ b/packages/protocol/src/leader-calls.ts
@@ -36,6 +36,11 @@
 		return this.#leader ?? this.#addresses[this.#next % this.#addresses.length];
 	}
 
+	/** How many addresses are tried in turn. */
+	get count(): number {
+		return this.#addresses.length;
+	}
+
 	/** Learns where the voters are now. */
 	learn(addresses: readonly string[]): void {
 		if (addresses.length > 0) {
