Ask the next voter at once where one says that it is outside of the quorum

Gateways, sidecars, entries and agents that start had no leader for 2 s for each voter before the others that belongs to no quorum: wiped and waiting, let go, or cut off. A voter that names no leader was asked for 2 s, as an election might be under way.

A voter now says in its update that it can have no word of a leader soon: it has no quorum, is not counted or only let in, or has named none for longer than an election takes (LeaderWatch; it stops naming one after two election timeouts, and has as long after its start). Controllers without a disk say so when the controllers that they know name none. Voters of before send no such word and are asked for 2 s as before.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -9,6 +9,7 @@
 import type {ServerDuplexStream} from '@grpc/grpc-js';
 import {DirectoryNews} from './directory-news.js';
 import type {DirectoryProgress} from './directory-progress.js';
+import type {LeaderWatch} from './leader-watch.js';
 import type {OrderLeases} from './order-leases.js';
 import type {QuarantineRegistry} from './quarantine-registry.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
@@ -44,6 +45,7 @@
 	readonly registry: Pick<UpstreamRegistry, 'epoch' | 'directory'>;
 	readonly leases: OrderLeases;
 	readonly quarantine: QuarantineRegistry;
+	readonly watch: Pick<LeaderWatch, 'isOutside'>;
 	readonly timers: TimerService;
 	readonly clock?: Clock;
 };
@@ -93,6 +95,7 @@
 	readonly #news: DirectoryNews;
 	readonly #leases: OrderLeases;
 	readonly #quarantine: QuarantineRegistry;
+	readonly #watch: Pick<LeaderWatch, 'isOutside'>;
 	readonly #timers: TimerService;
 	readonly #clock: Clock;
 	readonly #sessions = new Map<SessionStream, FollowerSession>();
@@ -100,10 +103,11 @@
 	readonly #pushes: Coalescer;
 	#gatewayCount = 0;
 
-	constructor({voter, registry, leases, quarantine, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
+	constructor({voter, registry, leases, quarantine, watch, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
 		this.#voter = voter;
 		this.#leases = leases;
 		this.#quarantine = quarantine;
+		this.#watch = watch;
 		this.#timers = timers;
 		this.#clock = clock;
 		this.#news = new DirectoryNews({registry, timers});
@@ -261,7 +265,7 @@
 		const isInformed = node?.isInformed === true;
 		const isNewer = isInformed && session.confirmed.routingVersion > 0 && routing !== undefined && routing.version > session.sent.routingVersion;
 		session.stream.write(create(SessionUpdateSchema, {
-			isCurrent: false, leaderAddress, ...(isNewer && {routing}), ...(isInformed && this.#newQuarantine(session)),
+			isCurrent: false, leaderAddress, isOutside: this.#watch.isOutside, ...(isNewer && {routing}), ...(isInformed && this.#newQuarantine(session)),
 		}));
 		session.sent = isNewer ? {...session.sent, routingVersion: routing.version} : session.sent;
 	}
--- a/apps/valelead-daemon/src/control/new-control-plane.ts
+++ b/apps/valelead-daemon/src/control/new-control-plane.ts
@@ -12,6 +12,7 @@
 import {Sessions} from './sessions.js';
 import type {ControlPlane} from './control-plane.js';
 import type {FollowerSessions} from './follower-sessions.js';
+import type {LeaderWatch} from './leader-watch.js';
 import type {Voter} from './voter.js';
 
 type ControlPlaneParts = {
@@ -22,6 +23,7 @@
 	readonly operatorKeyFile: string | undefined;
 	/** Sessions with gateways and sidecars, where the voter serves these. */
 	readonly followers?: FollowerSessions;
+	readonly watch: LeaderWatch;
 	readonly timers: TimerService;
 	readonly logger: Logger;
 };
@@ -29,12 +31,14 @@
 /** The services of a voter; nothing listens or runs yet. */
 export const newControlPlane = (parts: ControlPlaneParts): ControlPlane => {
 	const {
-		voter, membership, policy, operatorKeyFile, followers, timers, logger,
+		voter, membership, policy, operatorKeyFile, followers, watch, timers, logger,
 	} = parts;
 	const leader = new Leader({
 		voter, membership, policy, timers, logger,
 	});
-	const sessions = new Sessions(voter, leader, timers, followers);
+	const sessions = new Sessions({
+		voter, leader, watch, timers, followers,
+	});
 	const initialOperatorHash = operatorKeyFile === undefined ? '' : hashKey(readFileSync(operatorKeyFile, 'utf8').trim());
 	const server = new GrpcServer([
 		{definition: newServiceDefinition(Consensus), implementation: newConsensusService(voter)},
--- a/apps/valelead-daemon/src/control/sessions.ts
+++ b/apps/valelead-daemon/src/control/sessions.ts
@@ -10,6 +10,7 @@
 import {newOrders} from './new-orders.js';
 import type {FollowerSessions} from './follower-sessions.js';
 import type {Leader} from './leader.js';
+import type {LeaderWatch} from './leader-watch.js';
 import type {Voter} from './voter.js';
 
 type SessionStream = ServerDuplexStream<SessionReport, SessionUpdate>;
@@ -26,6 +27,14 @@
 	report: VmReport | undefined;
 };
 
+type SessionsParts = {
+	readonly voter: Voter;
+	readonly leader: Leader;
+	readonly watch: LeaderWatch;
+	readonly timers: TimerService;
+	readonly followers: FollowerSessions | undefined;
+};
+
 /** The longest time that a change of the endpoints waits for others, in milliseconds. */
 const COALESCE_MS = 5;
 
@@ -35,16 +44,18 @@
 export class Sessions {
 	readonly #voter: Voter;
 	readonly #leader: Leader;
+	readonly #watch: LeaderWatch;
 	readonly #timers: TimerService;
 	readonly #followers: FollowerSessions | undefined;
 	readonly #sessions = new Set<Session>();
 	readonly #endpoints = new EndpointTable();
 	readonly #pushes: Coalescer;
 
-	constructor(voter: Voter, leader: Leader, timers: TimerService, followers?: FollowerSessions) {
+	constructor({voter, leader, watch, timers, followers}: SessionsParts) {
 		this.#followers = followers;
 		this.#voter = voter;
 		this.#leader = leader;
+		this.#watch = watch;
 		this.#timers = timers;
 		this.#pushes = new Coalescer(timers, COALESCE_MS, () => {
 			this.#push();
@@ -99,7 +110,7 @@
 		}
 
 		if (!report.case || report.case === 'follower' || !this.#voter.node?.isCurrentLeader) {
-			session.stream.write(create(SessionUpdateSchema, {isCurrent: false, leaderAddress: this.#voter.leaderAddress}));
+			session.stream.write(create(SessionUpdateSchema, {isCurrent: false, leaderAddress: this.#voter.leaderAddress, isOutside: this.#watch.isOutside}));
 			return;
 		}
 
--- a/apps/valelead-daemon/src/control/start-voter.ts
+++ b/apps/valelead-daemon/src/control/start-voter.ts
@@ -1,10 +1,11 @@
-import type {TimerService} from '@valelead/common';
+import {type TimerService, SYSTEM_CLOCK} from '@valelead/common';
 import type {ChannelPool} from '@valelead/protocol';
 import type {Logger} from 'pino';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import type {EntrySettings} from '../settings/entry-settings.js';
 import type {VoterSettings} from '../settings/voter-settings.js';
 import {handOver} from './hand-over.js';
+import {LeaderWatch} from './leader-watch.js';
 import {newControlPlane} from './new-control-plane.js';
 import {newVoter} from './new-voter.js';
 
@@ -24,8 +25,12 @@
 	const voter = newVoter({
 		vm: settings.vm, terms: voterSettings, controlAddresses: settings.controlAddresses, logger, timers, pool,
 	});
+	const watch = new LeaderWatch({
+		voter, electionTimeoutMs: voterSettings.electionTimeoutMs, clock: SYSTEM_CLOCK, timers,
+	});
 	const {leader, sessions, server} = newControlPlane({
 		voter,
+		watch,
 		membership: {leaseMs: voterSettings.leaseMs, assumeLostMs: voterSettings.assumeLostMs},
 		policy: voterSettings.policy,
 		operatorKeyFile: settings.operatorKeyFile,
@@ -34,6 +39,7 @@
 	});
 	await voter.open();
 	await server.listen(voterSettings.listen, newServerCredentials(settings.tls));
+	watch.start();
 	leader.start();
 	sessions.start();
 	return {
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -5,6 +5,7 @@
 import {startAdminServer} from '../admin-server.js';
 import {FollowerSessions} from '../control/follower-sessions.js';
 import {handOver} from '../control/hand-over.js';
+import {LeaderWatch} from '../control/leader-watch.js';
 import {newControlPlane} from '../control/new-control-plane.js';
 import {newVoter} from '../control/new-voter.js';
 import {OrderLeases} from '../control/order-leases.js';
@@ -70,8 +71,11 @@
 			followers.pushSoon();
 		},
 	});
+	const watch = new LeaderWatch({
+		voter, electionTimeoutMs: settings.electionTimeoutMs, clock: SYSTEM_CLOCK, timers,
+	});
 	const followers = new FollowerSessions({
-		voter, registry, leases, quarantine, timers,
+		voter, registry, leases, quarantine, watch, timers,
 	});
 	const {leader, sessions, server} = newControlPlane({
 		voter,
@@ -79,6 +83,7 @@
 		policy: POLICY_DEFAULTS,
 		operatorKeyFile: settings.operatorKeyFile,
 		followers,
+		watch,
 		timers,
 		logger,
 	});
@@ -98,6 +103,7 @@
 	await server.listen(`${settings.listenHost ?? settings.host}:${settings.peerPort}`, newServerCredentials(settings.tls));
 	await voter.open();
 	quorum.start();
+	watch.start();
 	leader.start();
 	sessions.start();
 	registry.start();
--- a/apps/valelead-daemon/src/session-client.ts
+++ b/apps/valelead-daemon/src/session-client.ts
@@ -35,6 +35,12 @@
 /** How soon a voter that names no leader is asked again, in milliseconds. */
 const ASK_AGAIN_MS = 150;
 
+/**
+ * Voters that say that they are outside of the quorum are passed over at once, each one once in this time, in milliseconds: a heartbeat. After that the last
+ * one is asked as any other, as an election may be over soon.
+ */
+const ROUND_MS = 500;
+
 /** A voter that names no leader for this long may be cut off itself, in milliseconds: two of its election timeouts. */
 const LEADERLESS_MS = 2000;
 
@@ -54,6 +60,8 @@
 	#address = '';
 	/** Voters that fell silent, and when each was given up: several may be lost at once. */
 	readonly #silent = new Map<string, number>();
+	/** When the present round through voters outside of the quorum began, and how many were passed over in it. */
+	#round = {since: Number.NEGATIVE_INFINITY, passed: 0};
 	readonly #reports: Coalescer;
 	readonly #questions: Coalescer;
 	#isStopped = false;
@@ -181,6 +189,13 @@
 			return;
 		}
 
+		if (update.isOutside && leaderAddress === '' && this.#mayPassOver(now)) {
+			this.#parts.leader.redirect('');
+			this.#leave(stream);
+			this.#connect();
+			return;
+		}
+
 		if (now - this.#connectedAt > LEADERLESS_MS) {
 			this.#parts.leader.redirect('');
 			this.#reconnect(stream);
@@ -191,6 +206,16 @@
 		this.#questions.schedule();
 	}
 
+	/** Whether a round through all voters is not over yet, or the next one is due. */
+	#mayPassOver(now: number): boolean {
+		if (now - this.#round.since > ROUND_MS) {
+			this.#round = {since: now, passed: 0};
+		}
+
+		this.#round.passed += 1;
+		return this.#round.passed < this.#parts.leader.count;
+	}
+
 	#leave(stream: SessionStream): void {
 		this.#stream = undefined;
 		stream.cancel();
--- a/apps/valelead-daemon/src/standby/new-standby-control-service.ts
+++ b/apps/valelead-daemon/src/standby/new-standby-control-service.ts
@@ -22,7 +22,8 @@
 		stream.on('data', async () => {
 			const leaderAddress = await finder.find();
 			if (isOpen) {
-				stream.write(create(SessionUpdateSchema, {isCurrent: false, leaderAddress}));
+				// It has just asked all others that it knows.
+				stream.write(create(SessionUpdateSchema, {isCurrent: false, leaderAddress, isOutside: leaderAddress === ''}));
 			}
 		});
 		stream.on('end', end);
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -112,3 +112,20 @@
     Then the follower has opened between 20 and 70 sessions
     When "a" leads from now on
     Then the follower has a session at "a" within 700 ms of the start
+
+  Scenario Outline: A voter says that it is outside where it can have no word of a leader soon
+    Given a voter "<which>" that started, with an election timeout of 700 ms
+    When it follows a leader for <following> ms and none for the next <leaderless> ms
+    Then it says that it is outside: <word>
+
+    Examples:
+      | which                   | following | leaderless | word |
+      | without a quorum        | 0         | 0          | yes  |
+      | that no quorum counts   | 0         | 0          | yes  |
+      | that is let in          | 0         | 0          | yes  |
+      | that is let in          | 500       | 0          | no   |
+      | that its quorum counts  | 0         | 1300       | no   |
+      | that its quorum counts  | 0         | 1500       | yes  |
+      | that its quorum counts  | 5000      | 0          | no   |
+      | that its quorum counts  | 5000      | 250        | no   |
+      | that its quorum counts  | 5000      | 400        | yes  |
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -14,7 +14,7 @@
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
-import {FollowerSessions, SessionClient} from 'valelead-daemon';
+import {FollowerSessions, LeaderWatch, SessionClient} from 'valelead-daemon';
 
 /** What a voter of the test answers to a report, or undefined while it is silent. */
 type VoterRule = () => Partial<SessionUpdate> | undefined;
@@ -39,6 +39,9 @@
 	started: ConsensusNode;
 	applied: number;
 	told: number;
+	/** A voter whose word on its leader is looked at. */
+	watched: {leaderAddress: string; readonly record: {readonly id: string}; readonly node: {readonly voters: readonly Voter[]} | undefined};
+	watch: LeaderWatch;
 };
 
 const HEARTBEAT_MS = 500;
@@ -247,7 +250,7 @@
 	const registry = {epoch: 'e', directory: newDirectory()};
 	const leases = {note: ignore, getGrants: () => [], getSidecarDelayMs: () => 0};
 	world.sessions = new FollowerSessions({
-		voter: voter as never, registry, leases: leases as never, quarantine, timers: world.timers, clock: world.clock,
+		voter: voter as never, registry, leases: leases as never, quarantine, watch: {isOutside: false}, timers: world.timers, clock: world.clock,
 	});
 };
 
@@ -445,3 +448,31 @@
 Then('the follower has opened between {int} and {int} sessions', function (this: FollowerWorld, least: number, most: number) {
 	assert.ok(this.opened >= least && this.opened <= most, String(this.opened));
 });
+
+const COUNTS: Readonly<Record<string, {readonly voters: readonly Voter[]} | undefined>> = {
+	'without a quorum': undefined,
+	'that no quorum counts': {voters: MEMBERS.slice(1)},
+	'that is let in': {voters: [{...MEMBERS[0], isLearner: true}, ...MEMBERS.slice(1)]},
+	'that its quorum counts': {voters: MEMBERS},
+};
+
+Given('a voter {string} that started, with an election timeout of {int} ms', function (this: FollowerWorld, which: string, timeoutMs: number) {
+	newWorld(this);
+	assert.ok(which in COUNTS);
+	this.watched = {leaderAddress: '', record: {id: MEMBERS[0].id}, node: COUNTS[which]};
+	this.watch = new LeaderWatch({
+		voter: this.watched as never, electionTimeoutMs: timeoutMs, clock: this.clock, timers: this.timers,
+	});
+	this.watch.start();
+});
+
+When('it follows a leader for {int} ms and none for the next {int} ms', function (this: FollowerWorld, followingMs: number, leaderlessMs: number) {
+	this.watched.leaderAddress = followingMs > 0 ? 'b' : '';
+	this.time.advance(followingMs);
+	this.watched.leaderAddress = leaderlessMs > 0 ? '' : this.watched.leaderAddress;
+	this.time.advance(leaderlessMs);
+});
+
+Then('it says that it is outside: {word}', function (this: FollowerWorld, word: string) {
+	assert.equal(this.watch.isOutside, word === 'yes');
+});
