--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -104,6 +104,16 @@
     When a follower starts with "a"
     Then the follower has a session at "c" within 50 ms of the start
 
+  # Seen with real processes (trial): a gateway went from the second of three voters to the first again, and stayed 0.6 s at one without a quorum, though the
+  # third named the leader. Cause: a session that a follower leaves ends with an error after that, which counted as one of the next session's and moved the
+  # follower on in the list once more. Proof: the stand-in's sessions end in the same way, and each second voter is left out.
+  Scenario: A follower leaves out no voter of the list
+    Given voters "a", "b", "c" and "d", of which "d" leads and is not in the list
+    And "a" and "b" name no leader and say that they are outside
+    When a follower starts with "a"
+    Then the follower has a session at "d" within 50 ms of the start
+    And it asked "a", "b", "c" and "d", each once
+
   Scenario: A follower asks voters that all are outside once a heartbeat, and finds the one that leads at last
     Given voters "a", "b" and "c", of which "c" leads
     And "a", "b" and "c" name no leader and say that they are outside
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -24,8 +24,10 @@
 	timers: TimerService;
 	clock: Clock;
 	voters: Map<string, VoterRule>;
-	/** Sessions that the follower opened. */
-	opened: number;
+	/** Where the follower opened sessions. */
+	opened: string[];
+	/** A voter that the follower's settings do not name. */
+	unlisted: string;
 	leaderAddress: string;
 	routingVersion: number;
 	current: {at: number; address: string} | undefined;
@@ -68,6 +70,7 @@
 	readonly #time: VirtualTime;
 	readonly #getAnswer: () => Partial<SessionUpdate> | undefined;
 	#onData: (update: SessionUpdate) => void = ignore;
+	#onError: () => void = ignore;
 	#isOpen = true;
 
 	constructor(time: VirtualTime, getAnswer: () => Partial<SessionUpdate> | undefined) {
@@ -78,6 +81,8 @@
 	on(event: string, listener: (update: SessionUpdate) => void): void {
 		if (event === 'data') {
 			this.#onData = listener;
+		} else if (event === 'error') {
+			this.#onError = listener as () => void;
 		}
 	}
 
@@ -91,8 +96,12 @@
 		return true;
 	}
 
+	/** Ends with an error after a moment, as the library's streams do. */
 	cancel(): void {
 		this.#isOpen = false;
+		this.#time.after(0, () => {
+			this.#onError();
+		});
 	}
 
 	end(): void {
@@ -107,7 +116,8 @@
 	world.voters = new Map();
 	world.routingVersion = 1;
 	world.current = undefined;
-	world.opened = 0;
+	world.opened = [];
+	world.unlisted = '';
 };
 
 const LOGGER = pino({level: 'silent'});
@@ -116,7 +126,7 @@
 const newPool = (world: FollowerWorld): ChannelPool => {
 	const get = (address: string) => ({
 		bidiStream() {
-			world.opened += 1;
+			world.opened.push(address);
 			return new FakeSession(world.time, () => {
 				const answer = world.voters.get(address)?.();
 				return answer && {voterAddresses: [...world.voters.keys()], ...answer};
@@ -128,7 +138,7 @@
 
 const startFollower = (world: FollowerWorld, first: string): void => {
 	const pool = newPool(world);
-	const leader = new LeaderCalls(pool, [first, ...[...world.voters.keys()].filter(address => address !== first)], world.timers);
+	const leader = new LeaderCalls(pool, [first, ...[...world.voters.keys()].filter(address => address !== first && address !== world.unlisted)], world.timers);
 	const client = new SessionClient({
 		pool,
 		leader,
@@ -446,7 +456,7 @@
 });
 
 Then('the follower has opened between {int} and {int} sessions', function (this: FollowerWorld, least: number, most: number) {
-	assert.ok(this.opened >= least && this.opened <= most, String(this.opened));
+	assert.ok(this.opened.length >= least && this.opened.length <= most, String(this.opened.length));
 });
 
 const COUNTS: Readonly<Record<string, {readonly voters: readonly Voter[]} | undefined>> = {
@@ -476,3 +486,23 @@
 Then('it says that it is outside: {word}', function (this: FollowerWorld, word: string) {
 	assert.equal(this.watch.isOutside, word === 'yes');
 });
+
+Given('voters {string}, {string}, {string} and {string}, of which {string} leads and is not in the list', function (
+	this: FollowerWorld,
+	first: string,
+	second: string,
+	third: string,
+	fourth: string,
+	leader: string,
+) {
+	newWorld(this);
+	for (const address of [first, second, third, fourth]) {
+		this.voters.set(address, () => ({isCurrent: address === leader, leaderAddress: leader}));
+	}
+
+	this.unlisted = leader;
+});
+
+Then('it asked {string}, {string}, {string} and {string}, each once', function (this: FollowerWorld, ...addresses: string[]) {
+	assert.deepEqual(this.opened, addresses.slice(0, 4));
+});
