Show that addresses of the settings are forgotten once voters were learnt

Found by reading: a process that was cut off while all voters that it had learnt of moved never finds its way back.

--- a/apps/valelead-daemon/tests/leader-calls.steps.ts
+++ b/apps/valelead-daemon/tests/leader-calls.steps.ts
@@ -49,3 +49,30 @@
 Then('the call ends between {int} ms and {int} ms', function (this: CallsWorld, least: number, most: number) {
 	assert.ok(this.endedAt !== undefined && this.endedAt >= least && this.endedAt <= most, String(this.endedAt));
 });
+
+const split = (text: string): string[] => text.split(', ');
+
+Given('calls to the leader with {string} in the settings', function (this: CallsWorld, addresses: string) {
+	this.clock = new VirtualClock();
+	this.calls = new LeaderCalls({} as unknown as ChannelPool, split(addresses), new TimerService(this.clock, this.clock), this.clock);
+});
+
+When('they learn that the voters are {string}', function (this: CallsWorld, addresses: string) {
+	this.calls.learn(split(addresses));
+});
+
+Then('the voters are tried in this order: {string}', function (this: CallsWorld, addresses: string) {
+	const [first, ...others] = split(addresses);
+	// From wherever it stands in the list.
+	for (let tried = 0; this.calls.address !== first && tried < others.length; tried += 1) {
+		this.calls.redirect('');
+	}
+
+	const order = [this.calls.address];
+	for (const _address of others) {
+		this.calls.redirect('');
+		order.push(this.calls.address);
+	}
+
+	assert.deepEqual(order, [first, ...others]);
+});
