Keep the addresses of the settings behind those of learnt voters

A process that was cut off while all voters that it had learnt of moved stayed without a leader until it was started again: what a leader tells of the voters replaced the settings' addresses. They now stay in the list, after the learnt ones and each once, so that they are only asked when none of those answers. What it costs: a round through all is longer by those that are no voters any more.

--- a/packages/protocol/src/leader-calls.ts
+++ b/packages/protocol/src/leader-calls.ts
@@ -18,6 +18,8 @@
 /** Calls the leader, wherever it is: follows the address in a reply, and tries the voters in turn. */
 export class LeaderCalls {
 	readonly #pool: ChannelPool;
+	/** What the settings name. */
+	readonly #configured: readonly string[];
 	#addresses: readonly string[];
 	readonly #timers: TimerService;
 	readonly #clock: Clock;
@@ -26,6 +28,7 @@
 
 	constructor(pool: ChannelPool, addresses: readonly string[], timers: TimerService, clock: Clock = SYSTEM_CLOCK) {
 		this.#pool = pool;
+		this.#configured = addresses;
 		this.#addresses = addresses;
 		this.#timers = timers;
 		this.#clock = clock;
@@ -41,10 +44,10 @@
 		return this.#addresses.length;
 	}
 
-	/** Learns where the voters are now. */
+	/** Learns where the voters are now. Those of the settings are tried after them: all that were learnt may have moved when this process hears again. */
 	learn(addresses: readonly string[]): void {
 		if (addresses.length > 0) {
-			this.#addresses = addresses;
+			this.#addresses = [...new Set([...addresses, ...this.#configured])];
 		}
 	}
 
