--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -32,6 +32,7 @@
 export {encodeCrash} from './follower/encode-crash.js';
 export {FollowerSessions} from './control/follower-sessions.js';
 export {LeaderWatch} from './control/leader-watch.js';
+export {newStandbyControlService} from './standby/new-standby-control-service.js';
 export {UpstreamRegistry} from './control/upstream-registry.js';
 export {OrderLeases} from './control/order-leases.js';
 export {SessionClient} from './session-client.js';
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -139,3 +139,13 @@
       | that its quorum counts  | 5000      | 0          | no   |
       | that its quorum counts  | 5000      | 250        | no   |
       | that its quorum counts  | 5000      | 400        | yes  |
+
+  Scenario Outline: A controller without a disk says that it is outside where it finds no leader
+    Given a controller without a disk that finds the leader "<leader>"
+    When a follower reports to it
+    Then it names the leader "<leader>" and says that it is outside: <word>
+
+    Examples:
+      | leader | word |
+      | b      | no   |
+      |        | yes  |
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -14,7 +14,9 @@
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
-import {FollowerSessions, LeaderWatch, SessionClient} from 'valelead-daemon';
+import {
+	FollowerSessions, LeaderWatch, SessionClient, newStandbyControlService,
+} from 'valelead-daemon';
 
 /** What a voter of the test answers to a report, or undefined while it is silent. */
 type VoterRule = () => Partial<SessionUpdate> | undefined;
@@ -44,6 +46,8 @@
 	/** A voter whose word on its leader is looked at. */
 	watched: {leaderAddress: string; readonly record: {readonly id: string}; readonly node: {readonly voters: readonly Voter[]} | undefined};
 	watch: LeaderWatch;
+	standby: ReturnType<typeof newStandbyControlService>;
+	named: SessionUpdate[];
 };
 
 const HEARTBEAT_MS = 500;
@@ -506,3 +510,25 @@
 Then('it asked {string}, {string}, {string} and {string}, each once', function (this: FollowerWorld, first: string, second: string, third: string, fourth: string) {
 	assert.deepEqual(this.opened, [first, second, third, fourth]);
 });
+
+Given('a controller without a disk that finds the leader {string}', function (this: FollowerWorld, leader: string) {
+	this.standby = newStandbyControlService({find: async () => leader} as never);
+});
+
+When('a follower reports to it', async function (this: FollowerWorld) {
+	let report = ignore;
+	this.named = [];
+	(this.standby.session as unknown as (stream: object) => void)({
+		on(event: string, listener: () => void) {
+			report = event === 'data' ? listener : report;
+		},
+		write: (update: SessionUpdate) => this.named.push(update),
+		end: ignore,
+	});
+	report();
+	await setImmediate();
+});
+
+Then('it names the leader {string} and says that it is outside: {word}', function (this: FollowerWorld, leader: string, word: string) {
+	assert.deepEqual(this.named.map(({leaderAddress, isOutside}) => [leaderAddress, isOutside]), [[leader, word === 'yes']]);
+});
--- a/apps/valelead-daemon/tests/leader-calls.steps.ts
+++ b/apps/valelead-daemon/tests/leader-calls.steps.ts
@@ -69,7 +69,7 @@
 	}
 
 	const order = [this.calls.address];
-	for (const _address of others) {
+	while (order.length <= others.length) {
 		this.calls.redirect('');
 		order.push(this.calls.address);
 	}
