Let the quorum under test have any size, lose several disks at once, and keep its members as the daemon does

A voter asks to be let in where its own state shows no vote, every 300 ms, and the leader lets silent voters go. Once healed, a leader, followers and all votes are asked for within bounds that follow from the settings.

--- a/packages/consensus/tests/fake-quorum.ts
+++ b/packages/consensus/tests/fake-quorum.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {newRandom} from '../../../tests/support/new-random.js';
 import {FakeVoter} from './fake-voter.js';
+import {QUORUM_SETTINGS} from './quorum-settings.js';
 import type {Mutation} from './mutation.js';
+import type {QuorumSite} from './quorum-site.js';
 import {
 	type ConsensusMessage, type LogEntry, type Voter, getNextMembership,
 } from '@valelead/consensus';
@@ -14,12 +16,33 @@
 };
 
 const STEP_MS = 10;
-const ADMIT_MS = 100;
+const JOIN_POLL_MS = 300;
+const JOIN_PHASE_MS = 70;
+const SILENT_VOTER_MS = 2000;
+
+/** A VM that came back with an empty disk counts as lost until it has a vote, at most for this time without any fault. */
+const CATCH_UP_MS = 6000;
+
+/** Elections in a row whose votes are split; of eight voters with random timeouts, more are not to be seen. */
+const SPLIT_ELECTIONS = 6;
+
+/** The first voter stands within two election timeouts after it last heard a leader, and each split election costs at most as much. */
+const ELECTION_BOUND_MS = QUORUM_SETTINGS.electionTimeoutMs * 2 * (1 + SPLIT_ELECTIONS);
+
+/** A change of voters is sent at once and committed by the answers; a lost message costs a heartbeat, and the commit index is learned with the next. */
+const COMMIT_BOUND_MS = QUORUM_SETTINGS.heartbeatMs * 2;
+
+/** A joiner is sent the log in three exchanges at most: where it disagrees, the snapshot, the entries. */
+const COPY_BOUND_MS = QUORUM_SETTINGS.heartbeatMs * 3;
+
+/** Three changes let one VM in: the learner is added, its old identity leaves, it gets its vote. Each waits for one poll. */
+const JOIN_BOUND_MS = (3 * (JOIN_POLL_MS + COMMIT_BOUND_MS)) + COPY_BOUND_MS;
 
 /**
- * Three voters, a network that drops, delays, reorders, duplicates and cuts one way, and an oracle:
+ * Voters, a network that drops, delays, reorders, duplicates and cuts one way, and an oracle:
  * no two voters apply different entries at an index, no term has two leaders, no two voters hold a lease,
- * and whoever holds the lease has every acknowledged command.
+ * and whoever holds the lease has every acknowledged command. Once healed, there is a leader, every voter follows,
+ * and all VMs are voters again.
  */
 export class FakeQuorum {
 	now = 0;
@@ -35,12 +58,16 @@
 	readonly #leaders = new Map<number, string>();
 	#network: Envelope[] = [];
 	#nextId = 1;
-	#admitAt = 0;
+	readonly #site: QuorumSite;
+	/** For each VM, the time that it still counts as lost. */
+	readonly #lostMs: number[];
 
-	constructor(seed: number, mutation: Mutation, size = 3) {
+	constructor(seed: number, mutation: Mutation, site: QuorumSite) {
 		this.#random = newRandom(seed);
 		this.#mutation = mutation;
-		const records = Array.from({length: size}, (_, index) => this.#newRecord(`vm-${index}`));
+		this.#site = site;
+		this.#lostMs = Array.from({length: site.size}, () => 0);
+		const records = Array.from({length: site.size}, (_, index) => this.#newRecord(`vm-${index}`));
 		for (const record of records) {
 			this.voters.push(this.#newVoter(record, records));
 		}
@@ -58,7 +85,8 @@
 			}
 
 			this.#deliver();
-			this.#admit();
+			this.#keepMembership();
+			this.#passCatchUp();
 			this.#check();
 		}
 	}
@@ -79,6 +107,41 @@
 		this.voters[index] = this.#newVoter(record, formation);
 	}
 
+	/** Disks that are lost at the same moment, as far as so many may be. Their VMs are down, and come back empty. */
+	lose(indexes: readonly number[]): void {
+		for (const index of indexes) {
+			if (this.#lostMs[index] > 0 || this.#lostMs.filter(ms => ms > 0).length < this.#site.losses) {
+				this.wipe(index);
+				this.voters[index].crash();
+				this.#lostMs[index] = CATCH_UP_MS;
+			}
+		}
+	}
+
+	/** A process ends and keeps what its disk had taken. */
+	crash(index: number): void {
+		this.voters[index].crash();
+		this.#restartCatchUp();
+	}
+
+	/** All lose power at the same moment, and keep what their disks had taken. */
+	losePower(): void {
+		for (const voter of this.voters) {
+			voter.crash();
+		}
+
+		this.#restartCatchUp();
+	}
+
+	/** Starts those that are down: all, or only those that did not lose their disks. */
+	restart(isWithLost: boolean): void {
+		for (const [index, voter] of this.voters.entries()) {
+			if (!voter.isUp && (isWithLost || this.#lostMs[index] === 0)) {
+				voter.restart(this.now);
+			}
+		}
+	}
+
 	cut(from: number, to: number): void {
 		this.#cuts.add(`${from}>${to}`);
 	}
@@ -91,10 +154,9 @@
 		for (const voter of this.voters) {
 			voter.isDiskSlow = false;
 			voter.thaw(this.now);
-			if (!voter.isUp) {
-				voter.restart(this.now);
-			}
 		}
+
+		this.restart(true);
 	}
 
 	get leader(): FakeVoter | undefined {
@@ -106,12 +168,37 @@
 		return this.voters.findIndex(voter => voter.hasLease(this.now));
 	}
 
-	/** Heals everything and checks that every acknowledged command is applied at every voter. */
+	/** Heals everything and checks that all VMs are voters again and every acknowledged command is applied at every voter. */
 	settle(): void {
 		this.heal();
-		this.advance(6000);
+		this.advance(ELECTION_BOUND_MS);
+		const index = this.leader?.state.commitIndex;
+		assert.ok(index !== undefined, 'a healed quorum has a leader');
+		this.advance(COMMIT_BOUND_MS);
+		for (const voter of this.voters.filter(({record}) => this.#isVoter(record))) {
+			assert.ok(voter.state.commitIndex >= index, `${voter.record.id} follows`);
+		}
+
+		const missing = this.voters.filter(({record}) => !this.#isVoter(record)).length;
+		this.advance((missing * JOIN_BOUND_MS) + COMMIT_BOUND_MS);
+		this.#checkWhole();
+	}
+
+	/** Whether anything but the loss of disks hinders the quorum. */
+	get #isFaulty(): boolean {
+		const isHindered = this.voters.some((voter, index) => voter.isFrozen || voter.isDiskSlow || (!voter.isUp && this.#lostMs[index] === 0));
+		return isHindered || this.#cuts.size > 0 || this.lossShare > 0;
+	}
+
+	#isVoter({id}: Voter): boolean {
+		return this.leader?.state.voters.some(voter => voter.id === id && !voter.isLearner) ?? false;
+	}
+
+	#checkWhole(): void {
 		const {leader} = this;
-		assert.ok(leader, 'a healed quorum has a leader');
+		assert.ok(leader, 'a quorum without faults keeps its leader');
+		const counted = leader.state.voters.map(({id, isLearner}) => isLearner ? `${id} (learner)` : id).sort();
+		assert.deepEqual(counted, this.voters.map(voter => voter.record.id).sort(), 'all VMs are voters');
 		for (const voter of this.voters) {
 			assert.equal(voter.state.commitIndex, leader.state.commitIndex, 'every voter follows');
 		}
@@ -185,27 +272,60 @@
 		}
 	}
 
-	/** The leader lets in a voter that is not yet counted, as the daemon does when it asks to join. */
-	#admit(): void {
-		const {leader} = this;
-		if (!leader || this.now < this.#admitAt) {
+	/** Each voter in turn asks to be let in where it knows of no vote of its own, and lets silent ones go where it leads, as the daemon does. */
+	#keepMembership(): void {
+		for (const [index, voter] of this.voters.entries()) {
+			const isDue = (this.now + (index * JOIN_PHASE_MS)) % JOIN_POLL_MS < STEP_MS;
+			if (isDue && voter.isUp && !voter.isFrozen) {
+				this.#askToJoin(index);
+				this.#dropSilent(voter);
+			}
+		}
+	}
+
+	#askToJoin(index: number): void {
+		const {leader, leaderIndex} = this;
+		const {record, state} = this.voters[index];
+		const own = state.voters.find(voter => voter.id === record.id);
+		const hasVote = own !== undefined && !own.isLearner;
+		if (!leader || hasVote || this.#cuts.has(`${index}>${leaderIndex}`)) {
 			return;
 		}
 
-		this.#admitAt = this.now + ADMIT_MS;
-		for (const {record, isUp, isFrozen} of this.voters) {
-			const known = leader.state.voters.find(voter => voter.id === record.id);
-			const isCut = this.#cuts.has(`${this.#getIndex(record.id)}>${this.#getIndex(leader.record.id)}`);
-			if (!isUp || isFrozen || isCut || (known && !known.isLearner)) {
+		const isCaughtUp = (leader.state.peers.get(record.id)?.matchIndex ?? 0) >= leader.state.commitIndex;
+		this.#configure(leader, getNextMembership(leader.state.voters, record, isCaughtUp));
+	}
+
+	#dropSilent(voter: FakeVoter): void {
+		if (voter.hasLease(this.now)) {
+			this.#configure(voter, voter.getReducedVoters(SILENT_VOTER_MS, (2 * this.#site.losses) + 1, this.now));
+		}
+	}
+
+	#configure(leader: FakeVoter, voters: readonly Voter[] | undefined): void {
+		if (voters) {
+			leader.take({kind: 'configure', proposalId: `c${this.now}`, voters}, this.now);
+		}
+	}
+
+	#restartCatchUp(): void {
+		for (const [index, ms] of this.#lostMs.entries()) {
+			this.#lostMs[index] = ms > 0 ? CATCH_UP_MS : 0;
+		}
+	}
+
+	/** With any fault, such as messages lost, what a joiner needs has no bound: its time begins anew. */
+	#passCatchUp(): void {
+		const {leader} = this;
+		const isFaulty = this.#isFaulty;
+		for (const [index, voter] of this.voters.entries()) {
+			if (this.#lostMs[index] === 0 || !voter.isUp) {
 				continue;
 			}
 
-			const isCaughtUp = (leader.state.peers.get(record.id)?.matchIndex ?? 0) >= leader.state.commitIndex;
-			const next = getNextMembership(leader.state.voters, record, isCaughtUp);
-			if (next) {
-				leader.take({kind: 'configure', proposalId: `c${this.now}`, voters: next}, this.now);
-				return;
-			}
+			const isIn = leader !== undefined && leader.state.votersIndex <= leader.state.commitIndex && this.#isVoter(voter.record);
+			const leftMs = isFaulty ? CATCH_UP_MS : Math.max(0, this.#lostMs[index] - STEP_MS);
+			this.#lostMs[index] = isIn ? 0 : leftMs;
 		}
 	}
 
--- a/packages/consensus/tests/fake-voter.ts
+++ b/packages/consensus/tests/fake-voter.ts
@@ -2,7 +2,8 @@
 import {QUORUM_SETTINGS} from './quorum-settings.js';
 import type {Mutation} from './mutation.js';
 import {
-	type ConsensusEffect, type ConsensusEvent, type ConsensusMessage, type ConsensusState, type LogEntry, type StoredLog, type Voter, getLeaseEnd, isPersistEffect, mutateConsensus, newConsensusState,
+	type ConsensusEffect, type ConsensusEvent, type ConsensusMessage, type ConsensusState, type LogEntry, type StoredLog, type Voter,
+	getLeaseEnd, getReducedVoters, isPersistEffect, mutateConsensus, newConsensusState,
 } from '@valelead/consensus';
 
 type VoterEvents = {
@@ -121,6 +122,10 @@
 		return this.isUp && !this.isFrozen && hasOwnCommit && this.#toOwn(now) < getLeaseEnd(this.state, QUORUM_SETTINGS, this.#toOwn(now));
 	}
 
+	getReducedVoters(silenceMs: number, leastVoters: number, now: number): readonly Voter[] | undefined {
+		return getReducedVoters(this.state, silenceMs, this.#toOwn(now), leastVoters);
+	}
+
 	#toOwn(now: number): number {
 		return now - this.#lostMs;
 	}
--- a/packages/consensus/tests/mutation.ts
+++ b/packages/consensus/tests/mutation.ts
@@ -6,4 +6,5 @@
 	| 'forget lease'
 	| 'ignore lease'
 	| 'ignore suspension'
-	| 'keep identity';
+	| 'keep identity'
+	| 'too few voters';
--- a/packages/consensus/tests/run-quorum-fuzz.ts
+++ b/packages/consensus/tests/run-quorum-fuzz.ts
@@ -9,7 +9,7 @@
 export const runQuorumFuzz = (options: FuzzOptions<Mutation>): FuzzResult => runFuzz({
 	commands: QUORUM_COMMANDS,
 	newReal(seed, mutation: Mutation) {
-		const quorum = new FakeQuorum(seed, mutation);
+		const quorum = new FakeQuorum(seed, mutation, {size: 3, losses: 1});
 		quorum.advance(1000);
 		return quorum;
 	},
