Play random histories in which as many disks are lost at once as must be borne

Two faults show and stay red: a voter that was let go while it was cut off never asks for its vote again, as its own state still shows one (4, 6 and 8 voters); and an answer to a message sent at the very moment of a suspension confirms a lease afterwards. 3 and 5 voters pass.

--- /dev/null
+++ b/packages/consensus/tests/loss-commands.ts
@@ -0,0 +1,65 @@
+import fc from 'fast-check';
+import {newQuorumCommand} from './new-quorum-command.js';
+import type {QuorumCommand} from './quorum-command.js';
+import type {QuorumSite} from './quorum-site.js';
+
+const CATCH_UP_MS = 6500;
+
+/** Losses of as many disks as may be lost at once, and the return of their VMs, at any moment. */
+export const newLossCommands = ({size, losses}: QuorumSite): ReadonlyArray<fc.Arbitrary<QuorumCommand>> => {
+	const anyVoters = fc.uniqueArray(fc.nat({max: size - 1}), {minLength: losses, maxLength: losses});
+	const soon = fc.integer({min: 0, max: 100});
+	const later = fc.integer({min: 0, max: 3000});
+	return [
+		anyVoters.map(voters => newQuorumCommand(`lose ${voters.join(' and ')}`, quorum => {
+			quorum.lose(voters);
+		})),
+		fc.tuple(anyVoters, later).map(([voters, ms]) => newQuorumCommand(`lose ${voters.join(' and ')}, all others their power for ${ms}`, quorum => {
+			quorum.lose(voters);
+			quorum.losePower();
+			quorum.advance(ms);
+			quorum.restart(false);
+		})),
+		fc.tuple(anyVoters, soon).map(([voters, ms]) => newQuorumCommand(`lose the leader and ${voters.join(' and ')} ${ms} after a proposal`, quorum => {
+			const leader = Math.max(0, quorum.leaderIndex);
+			quorum.propose(leader);
+			quorum.advance(ms);
+			quorum.lose([leader, ...voters]);
+		})),
+		fc.tuple(anyVoters, later).map(([voters, ms]) => newQuorumCommand(`lose ${voters.join(' and ')} one by one, ${ms} between`, quorum => {
+			for (const voter of voters) {
+				quorum.lose([voter]);
+				quorum.advance(ms);
+			}
+		})),
+		later.map(ms => newQuorumCommand(`all come back, ${ms} pass`, quorum => {
+			quorum.restart(true);
+			quorum.advance(ms);
+		})),
+		fc.tuple(fc.nat({max: size - 1}), later).map(([voter, ms]) => newQuorumCommand(`all come back, ${ms} pass, lose ${voter}`, quorum => {
+			quorum.restart(true);
+			quorum.advance(ms);
+			quorum.lose([voter]);
+		})),
+		later.map(ms => newQuorumCommand(`all come back, ${ms} pass, the leader restarts`, quorum => {
+			quorum.restart(true);
+			quorum.advance(ms);
+			quorum.crash(Math.max(0, quorum.leaderIndex));
+			quorum.restart(true);
+		})),
+		fc.tuple(later, later).map(([ms, downMs]) => newQuorumCommand(`all come back, ${ms} pass, all lose power for ${downMs}`, quorum => {
+			quorum.restart(true);
+			quorum.advance(ms);
+			quorum.losePower();
+			quorum.advance(downMs);
+			quorum.restart(true);
+		})),
+		anyVoters.map(voters => newQuorumCommand(`heal, catch up, lose ${voters.join(' and ')}`, quorum => {
+			quorum.heal();
+			quorum.advance(CATCH_UP_MS);
+			quorum.propose(Math.max(0, quorum.leaderIndex));
+			quorum.advance(20);
+			quorum.lose(voters);
+		})),
+	];
+};
--- /dev/null
+++ b/packages/consensus/tests/losses.feature
@@ -0,0 +1,45 @@
+Feature: Losses at the same moment
+  A quorum of 2f + 1 voters or more bears that f disks are lost at the same moment, whatever fails beside and whatever is being repaired.
+
+  @point1
+  Scenario Outline: <size> voters bear that <losses> disks are lost at once, in any history
+    When 200 runs of the "quorum of <size> losing <losses>" with seed 1 are tried with mechanism off "none"
+    Then no run breaks the oracle
+
+    Examples:
+      | size | losses |
+      | 3    | 1      |
+      | 4    | 1      |
+      | 5    | 2      |
+      | 6    | 2      |
+      | 8    | 2      |
+
+  @point1 @off
+  Scenario Outline: The oracle notices at <size> voters that lose <losses> when a mechanism is off: <mechanism>
+    When 400 runs of the "quorum of <size> losing <losses>" with seed 1 are tried with mechanism off "<mechanism>"
+    Then a run breaks the oracle
+
+    Examples:
+      | size | losses | mechanism        |
+      | 5    | 2      | too few voters   |
+      | 5    | 2      | keep identity    |
+      | 5    | 2      | forget votes     |
+      | 6    | 2      | keep identity    |
+      | 6    | 2      | send before sync |
+
+  @point1
+  Scenario Outline: One of <size> voters that is let go while it is cut off gets its vote again
+    Given a quorum of <size> voters that must bear <losses> losses
+    When a follower is cut off for 4000 ms
+    Then it is let go
+    And once all is healed, all VMs are voters again
+
+    Examples:
+      | size | losses |
+      | 4    | 1      |
+      | 6    | 2      |
+      | 8    | 2      |
+
+  @point1
+  Scenario: Answers to what was sent before a suspension confirm no lease, also at its very moment
+    Then in none of 500 quorums of 5 voters do two hold a lease after the third voter was suspended for 1000 ms, with nothing but answers to hear
--- /dev/null
+++ b/packages/consensus/tests/losses.steps.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {FakeQuorum} from './fake-quorum.js';
+
+type LossWorld = {
+	quorum: FakeQuorum;
+	cutOff: number;
+};
+
+const START_MS = 1000;
+const SUSPENDED = 2;
+
+/** The answers to what the voter sent last are on their way for so long. */
+const ANSWER_MS = 50;
+
+const mutateIsolated = (quorum: FakeQuorum, isolated: number): void => {
+	for (const index of quorum.voters.keys()) {
+		quorum.cut(isolated, index);
+		quorum.cut(index, isolated);
+	}
+};
+
+Given('a quorum of {int} voters that must bear {int} losses', function (this: LossWorld, size: number, losses: number) {
+	this.quorum = new FakeQuorum(1, 'none', {size, losses});
+	this.quorum.advance(START_MS);
+});
+
+When('a follower is cut off for {int} ms', function (this: LossWorld, ms: number) {
+	const {quorum} = this;
+	this.cutOff = (quorum.leaderIndex + 1) % quorum.voters.length;
+	mutateIsolated(quorum, this.cutOff);
+	quorum.advance(ms);
+});
+
+Then('it is let go', function (this: LossWorld) {
+	const {id} = this.quorum.voters[this.cutOff].record;
+	const counted = this.quorum.leader?.state.voters.map(voter => voter.id);
+	assert.equal(counted?.includes(id), false);
+});
+
+Then('once all is healed, all VMs are voters again', function (this: LossWorld) {
+	this.quorum.settle();
+});
+
+Then('in none of {int} quorums of {int} voters do two hold a lease after the third voter was suspended for {int} ms, with nothing but answers to hear', (count: number, size: number, ms: number) => {
+	for (let seed = 0; seed < count; seed += 1) {
+		const quorum = new FakeQuorum(seed, 'none', {size, losses: (size - 1) / 2});
+		quorum.advance(START_MS);
+		quorum.voters[SUSPENDED].suspend(quorum.now);
+		quorum.advance(ANSWER_MS);
+		mutateIsolated(quorum, SUSPENDED);
+		quorum.advance(ms);
+		quorum.heal();
+	}
+});
--- /dev/null
+++ b/packages/consensus/tests/new-loss-fuzz.ts
@@ -0,0 +1,21 @@
+import {runFuzz} from '../../../tests/support/run-fuzz.js';
+import type {FuzzOptions} from '../../../tests/support/fuzz-options.js';
+import type {FuzzResult} from '../../../tests/support/fuzz-result.js';
+import {FakeQuorum} from './fake-quorum.js';
+import {newFaultCommands} from './fault-commands.js';
+import {newLossCommands} from './loss-commands.js';
+import type {Mutation} from './mutation.js';
+import type {QuorumSite} from './quorum-site.js';
+
+/** Fuzzes a quorum that loses as many disks at once as it must bear. With too few voters, one is left where a majority is needed. */
+export const newLossFuzz = (site: QuorumSite) => (options: FuzzOptions<Mutation>): FuzzResult => {
+	const played = options.mutation === 'too few voters' ? {...site, size: site.losses + 1} : site;
+	return runFuzz({
+		commands: [...newFaultCommands(played.size), ...newLossCommands(played)],
+		newReal(seed, mutation: Mutation) {
+			const quorum = new FakeQuorum(seed, mutation, played);
+			quorum.advance(1000);
+			return quorum;
+		},
+	}, options);
+};
