--- a/packages/consensus/tests/fake-quorum.ts
+++ b/packages/consensus/tests/fake-quorum.ts
@@ -122,7 +122,7 @@
 	/** Disks that are lost at the same moment, as far as so many may be. Their VMs are down, and come back empty. */
 	lose(indexes: readonly number[]): void {
 		for (const index of indexes) {
-			if (this.#lostMs[index] > 0 || this.#lostMs.filter(ms => ms > 0).length < this.#site.losses) {
+			if (this.#lostMs[index] > 0 || this.lostCount < this.#site.losses) {
 				this.wipe(index);
 				this.voters[index].crash();
 				this.#lostMs[index] = CATCH_UP_MS;
@@ -130,6 +130,11 @@
 		}
 	}
 
+	/** How many VMs count as lost. */
+	get lostCount(): number {
+		return this.#lostMs.filter(ms => ms > 0).length;
+	}
+
 	/** A process ends and keeps what its disk had taken. */
 	crash(index: number): void {
 		this.voters[index].crash();
--- a/packages/consensus/tests/loss-commands.ts
+++ b/packages/consensus/tests/loss-commands.ts
@@ -4,6 +4,7 @@
 import type {QuorumSite} from './quorum-site.js';
 
 const CATCH_UP_MS = 6500;
+const STEP_MS = 10;
 
 /** Losses of as many disks as may be lost at once, and the return of their VMs, at any moment. */
 export const newLossCommands = ({size, losses}: QuorumSite): ReadonlyArray<fc.Arbitrary<QuorumCommand>> => {
@@ -54,6 +55,17 @@
 			quorum.advance(downMs);
 			quorum.restart(true);
 		})),
+		fc.array(anyVoters, {minLength: 2, maxLength: 4}).map(rounds => newQuorumCommand(`lose ${rounds.map(voters => voters.join('+')).join(', ')}, each as soon as the last have votes`, quorum => {
+			for (const voters of rounds) {
+				quorum.propose(Math.max(0, quorum.leaderIndex));
+				quorum.advance(20);
+				quorum.lose(voters);
+				quorum.restart(true);
+				for (let ms = 0; ms < CATCH_UP_MS && quorum.lostCount > 0; ms += STEP_MS) {
+					quorum.advance(STEP_MS);
+				}
+			}
+		})),
 		anyVoters.map(voters => newQuorumCommand(`heal, catch up, lose ${voters.join(' and ')}`, quorum => {
 			quorum.heal();
 			quorum.advance(CATCH_UP_MS);
