--- a/packages/consensus/tests/loss-commands.ts
+++ b/packages/consensus/tests/loss-commands.ts
@@ -1,11 +1,28 @@
 import fc from 'fast-check';
 import {newQuorumCommand} from './new-quorum-command.js';
+import type {FakeQuorum} from './fake-quorum.js';
 import type {QuorumCommand} from './quorum-command.js';
 import type {QuorumSite} from './quorum-site.js';
 
 const CATCH_UP_MS = 6500;
 const STEP_MS = 10;
 
+/** Lets all come back and waits for so many changes of voters, with a command after each, in which joiners are let in. */
+const mutateUntilChanged = (quorum: FakeQuorum, changes: number): void => {
+	quorum.restart(true);
+	let index = quorum.leader?.state.votersIndex;
+	let left = changes;
+	for (let ms = 0; ms < CATCH_UP_MS && left > 0; ms += STEP_MS) {
+		quorum.advance(STEP_MS);
+		const next = quorum.leader?.state.votersIndex ?? index;
+		if (next !== index) {
+			index = next;
+			left -= 1;
+			quorum.propose(quorum.leaderIndex);
+		}
+	}
+};
+
 /** Losses of as many disks as may be lost at once, and the return of their VMs, at any moment. */
 export const newLossCommands = ({size, losses}: QuorumSite): ReadonlyArray<fc.Arbitrary<QuorumCommand>> => {
 	const anyVoters = fc.uniqueArray(fc.nat({max: size - 1}), {minLength: losses, maxLength: losses});
@@ -66,6 +83,30 @@
 				}
 			}
 		})),
+		fc.tuple(fc.integer({min: 1, max: 5}), soon, anyVoters).map(([changes, ms, voters]) => newQuorumCommand(`lose ${voters.join(' and ')} ${ms} after ${changes} changes of voters`, quorum => {
+			mutateUntilChanged(quorum, changes);
+			quorum.advance(ms);
+			quorum.lose(voters);
+		})),
+		fc.tuple(fc.integer({min: 1, max: 5}), soon).map(([changes, ms]) => newQuorumCommand(`lose the leader ${ms} after ${changes} changes of voters`, quorum => {
+			mutateUntilChanged(quorum, changes);
+			quorum.advance(ms);
+			quorum.lose([Math.max(0, quorum.leaderIndex)]);
+		})),
+		fc.tuple(fc.integer({min: 1, max: 5}), soon, anyVoters).map(([changes, ms, voters]) => newQuorumCommand(`all lose power, ${voters.join('+')} disks, ${ms} after ${changes} changes`, quorum => {
+			mutateUntilChanged(quorum, changes);
+			quorum.advance(ms);
+			quorum.lose(voters);
+			quorum.losePower();
+			quorum.restart(false);
+		})),
+		fc.tuple(fc.integer({min: 1, max: 5}), soon, fc.nat({max: size - 1})).map(([changes, ms, voter]) => newQuorumCommand(`cut the leader from ${voter} ${ms} after ${changes} changes`, quorum => {
+			mutateUntilChanged(quorum, changes);
+			quorum.advance(ms);
+			const leader = Math.max(0, quorum.leaderIndex);
+			quorum.cut(leader, voter);
+			quorum.cut(voter, leader);
+		})),
 		anyVoters.map(voters => newQuorumCommand(`heal, catch up, lose ${voters.join(' and ')}`, quorum => {
 			quorum.heal();
 			quorum.advance(CATCH_UP_MS);
