Keep the history in which voters that formed with different sets are left without a quorum

VM 2 counts the new identity of VM 1, VMs 3 and 4 count the lost one, VM 1 counts nobody. Two more losses leave VMs 3 and 4 with three of five votes missing.

--- a/packages/consensus/tests/losses.feature
+++ b/packages/consensus/tests/losses.feature
@@ -64,3 +64,11 @@
       | 3    | 1      |
       | 5    | 2      |
       | 8    | 2      |
+
+  @point1
+  Scenario: Voters that formed with different sets of voters still find a leader after the next losses
+    Given 5 VMs with empty disks that must bear 2 losses, from seed 6
+    When disks 0 and 1 are lost after 70 ms and their VMs come back at once
+    And all lose power for 1351 ms after 1311 ms
+    And disk 0 is lost after 801 ms, and disk 2 after 60 ms more
+    Then once all is healed, all VMs are voters again
--- a/packages/consensus/tests/losses.steps.ts
+++ b/packages/consensus/tests/losses.steps.ts
@@ -62,3 +62,31 @@
 		quorum.settle();
 	}
 });
+
+Given('{int} VMs with empty disks that must bear {int} losses, from seed {int}', function (this: LossWorld, size: number, losses: number, seed: number) {
+	this.quorum = new FakeQuorum(seed, 'none', {size, losses, isForming: true});
+});
+
+When('disks {int} and {int} are lost after {int} ms and their VMs come back at once', function (this: LossWorld, first: number, second: number, ms: number) {
+	const {quorum} = this;
+	quorum.advance(ms);
+	quorum.lose([first, second]);
+	quorum.voters[second].isDiskSlow = true;
+	quorum.restart(true);
+});
+
+When('all lose power for {int} ms after {int} ms', function (this: LossWorld, downMs: number, backMs: number) {
+	const {quorum} = this;
+	quorum.advance(backMs);
+	quorum.losePower();
+	quorum.advance(downMs);
+	quorum.restart(true);
+});
+
+When('disk {int} is lost after {int} ms, and disk {int} after {int} ms more', function (this: LossWorld, first: number, firstMs: number, second: number, secondMs: number) {
+	const {quorum} = this;
+	quorum.advance(firstMs);
+	quorum.lose([first]);
+	quorum.advance(secondMs);
+	quorum.lose([second, first]);
+});
