Keep the history in which no member of the first quorum knows its voters any more

A VM that came back empty joins and is 'formed' with no voters; members of the formation that look at it first take that for a quorum that does not know them, and start without voters too. The one that knows them is lost then.

--- a/packages/consensus/tests/losses.feature
+++ b/packages/consensus/tests/losses.feature
@@ -72,3 +72,10 @@
     And all lose power for 1351 ms after 1311 ms
     And disk 0 is lost after 801 ms, and disk 2 after 60 ms more
     Then once all is healed, all VMs are voters again
+
+  @point1
+  Scenario: Members that started before they knew any voters still find a leader when one that knew them is lost
+    Given 5 VMs with empty disks that must bear 2 losses, from seed 806
+    When disk 0 is lost after 270 ms and its VM comes back 10 ms later
+    And the first VM that knows the voters loses its disk once all but one have started
+    Then once all is healed, all VMs are voters again
--- a/packages/consensus/tests/losses.steps.ts
+++ b/packages/consensus/tests/losses.steps.ts
@@ -8,6 +8,7 @@
 };
 
 const START_MS = 1000;
+const STEP_MS = 10;
 const SUSPENDED = 2;
 
 /** The answers to what the voter sent last are on their way for so long. */
@@ -90,3 +91,19 @@
 	quorum.advance(secondMs);
 	quorum.lose([second, first]);
 });
+
+When('disk {int} is lost after {int} ms and its VM comes back {int} ms later', function (this: LossWorld, index: number, lostMs: number, downMs: number) {
+	this.quorum.advance(lostMs);
+	this.quorum.lose([index]);
+	this.quorum.advance(downMs);
+	this.quorum.restart(true);
+});
+
+When('the first VM that knows the voters loses its disk once all but one have started', function (this: LossWorld) {
+	const {quorum} = this;
+	while (quorum.voters.filter(voter => voter.isFormed).length < quorum.voters.length - 1) {
+		quorum.advance(STEP_MS);
+	}
+
+	quorum.lose([quorum.voters.findIndex(voter => voter.state.voters.length > 0)]);
+});
