Keep the history in which a second quorum forms beside the first

Red: two leaders in term 1, and what the first one acknowledged is not held by the second. The last VM mixes an old answer (VM 1 has not started) with a new one (VM 0 came back empty), and forms with the new identity of VM 0, whose vote and its own are a majority of that set.

--- a/packages/consensus/tests/losses.feature
+++ b/packages/consensus/tests/losses.feature
@@ -79,3 +79,9 @@
     When disk 0 is lost after 270 ms and its VM comes back 10 ms later
     And the first VM that knows the voters loses its disk once all but one have started
     Then once all is healed, all VMs are voters again
+
+  @point1
+  Scenario: What the first leader acknowledged holds when it is lost while the last VM still looks for a quorum
+    Given 3 VMs with empty disks that must bear 1 losses, from seed 13
+    When the first leader acknowledges a command, loses its disk, and its VM comes back at once
+    Then once all is healed, all VMs are voters again
--- a/packages/consensus/tests/losses.steps.ts
+++ b/packages/consensus/tests/losses.steps.ts
@@ -107,3 +107,17 @@
 
 	quorum.lose([quorum.voters.findIndex(voter => voter.state.voters.length > 0)]);
 });
+
+When('the first leader acknowledges a command, loses its disk, and its VM comes back at once', function (this: LossWorld) {
+	const {quorum} = this;
+	while (!quorum.leader) {
+		quorum.advance(STEP_MS);
+	}
+
+	const leader = quorum.leaderIndex;
+	quorum.propose(leader);
+	quorum.advance(2 * STEP_MS);
+	assert.equal(quorum.acknowledged.size, 1);
+	quorum.lose([leader]);
+	quorum.restart(true);
+});
