--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -48,12 +48,6 @@
 /** How often the leader tells controllers that are no voters where it is, in milliseconds: soon against the time that a process takes to start. */
 const TELL_MS = 2000;
 
-/**
- * Election timeouts without a word from a leader after which a voter may have been let go; an election that isn't split
- * takes fewer, so a quorum that only changes its leader isn't asked.
- */
-const LONELY_ELECTIONS = 3;
-
 /** A quorum that is too small is expected to grow for this long after it was formed, or after its last member joined, in milliseconds: joining takes some 0.3 s. */
 const GROWTH_MS = 2000;
 const GROWTH_POLL_MS = 20;
@@ -169,19 +163,6 @@
 		}
 	}
 
-	/**
-	 * Its own log doesn't tell a voter that it was let go, as that entry is sent to those that stay; but no leader writes to
-	 * it any more. A leader that still counts it says so and changes nothing.
-	 */
-	get #isOutside(): boolean {
-		if (!this.#node) {
-			return false;
-		}
-
-		const own = this.#node.voters.find(voter => voter.id === this.record.id);
-		return !own || own.isLearner || this.#node.leaderlessMs > LONELY_ELECTIONS * this.#parts.settings.electionTimeoutMs;
-	}
-
 	async #commitClaims(): Promise<void> {
 		this.#isClaiming = true;
 		while (this.#claims.length > 0) {
@@ -297,7 +278,7 @@
 	async #keepMembership(): Promise<void> {
 		while (!this.#isStopped) {
 			await this.#parts.timers.wait(JOIN_POLL_MS);
-			if (this.#isOutside) {
+			if (this.#node?.isAskingToJoin) {
 				await this.#peers.askToJoin(this.record, this.leaderAddress);
 			}
 
--- a/packages/consensus/src/consensus-node.ts
+++ b/packages/consensus/src/consensus-node.ts
@@ -5,6 +5,7 @@
 import {getLeaseEnd} from './get-lease-end.js';
 import {getReducedVoters} from './get-reduced-voters.js';
 import {getSuccessor} from './get-successor.js';
+import {isAskingToJoin} from './is-asking-to-join.js';
 import {isGrowing} from './is-growing.js';
 import {isPersistEffect} from './is-persist-effect.js';
 import {mutateConsensus} from './mutate-consensus.js';
@@ -126,9 +127,9 @@
 		return this.#state.voters.find(voter => voter.id === this.#state.leaderId);
 	}
 
-	/** How long no leader was heard, in milliseconds; a leader hears itself. */
-	get leaderlessMs(): number {
-		return this.isLeader ? 0 : this.#parts.clock.now() - this.#state.leaderContactAt;
+	/** Whether this voter has no vote, or may have none any more, and should ask to be let in. */
+	get isAskingToJoin(): boolean {
+		return isAskingToJoin(this.#state, this.#parts.settings, this.#parts.clock.now());
 	}
 
 	get isLeader(): boolean {
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -29,6 +29,7 @@
 export type {FormationDecision} from './formation-decision.js';
 export {getNextMembership} from './get-next-membership.js';
 export {getReducedVoters} from './get-reduced-voters.js';
+export {isAskingToJoin} from './is-asking-to-join.js';
 export {isGrowing} from './is-growing.js';
 export {getLeastVoters} from './get-least-voters.js';
 export {getBorneLosses} from './get-borne-losses.js';
--- a/packages/consensus/tests/fake-formation.ts
+++ b/packages/consensus/tests/fake-formation.ts
@@ -15,7 +15,9 @@
 const getFound = (voter: FakeVoter): FoundVoter => {
 	const {snapshot, voters} = voter.state;
 	const formation = snapshot.voters.length > 0 ? snapshot.voters : voters;
-	return {voter: voter.record, isFormed: voter.isFormed, formation: voter.isFormed ? formation : []};
+	return {
+		voter: voter.record, canVote: true, isFormed: voter.isFormed, formation: voter.isFormed ? formation : [],
+	};
 };
 
 /** VMs with empty disks that ask each other who they are, as the daemon does, each answer at its own time. */
--- a/packages/consensus/tests/fake-quorum.ts
+++ b/packages/consensus/tests/fake-quorum.ts
@@ -294,7 +294,7 @@
 		}
 	}
 
-	/** Each voter in turn asks to be let in where it knows of no vote of its own, and lets silent ones go where it leads, as the daemon does. */
+	/** Each voter in turn asks to be let in where it has no vote, or may have none, and lets silent ones go where it leads, as the daemon does. */
 	#keepMembership(): void {
 		for (const [index, voter] of this.voters.entries()) {
 			const isDue = (this.now + (index * JOIN_PHASE_MS)) % JOIN_POLL_MS < STEP_MS;
@@ -307,10 +307,8 @@
 
 	#askToJoin(index: number): void {
 		const {leader, leaderIndex} = this;
-		const {record, state} = this.voters[index];
-		const own = state.voters.find(voter => voter.id === record.id);
-		const hasVote = own !== undefined && !own.isLearner;
-		if (!leader || hasVote || this.#cuts.has(`${index}>${leaderIndex}`)) {
+		const {record} = this.voters[index];
+		if (!leader || !this.voters[index].isAskingToJoin(this.now) || this.#cuts.has(`${index}>${leaderIndex}`)) {
 			return;
 		}
 
--- a/packages/consensus/tests/fake-voter.ts
+++ b/packages/consensus/tests/fake-voter.ts
@@ -3,7 +3,7 @@
 import type {Mutation} from './mutation.js';
 import {
 	type ConsensusEffect, type ConsensusEvent, type ConsensusMessage, type ConsensusState, type LogEntry, type StoredLog, type Voter,
-	getLeaseEnd, getReducedVoters, isPersistEffect, mutateConsensus, newConsensusState,
+	getLeaseEnd, isAskingToJoin, getReducedVoters, isPersistEffect, mutateConsensus, newConsensusState,
 } from '@valelead/consensus';
 
 type VoterEvents = {
@@ -118,6 +118,10 @@
 		}
 	}
 
+	isAskingToJoin(now: number): boolean {
+		return isAskingToJoin(this.state, QUORUM_SETTINGS, this.#toOwn(now));
+	}
+
 	hasLease(now: number): boolean {
 		const entry = this.state.log[this.state.commitIndex - this.state.snapshot.index - 1];
 		const hasOwnCommit = (entry?.term ?? this.state.snapshot.term) === this.state.term;
--- a/packages/consensus/tests/get-election-ms.ts
+++ b/packages/consensus/tests/get-election-ms.ts
@@ -17,7 +17,7 @@
 /** The time without a leader after voters were lost at once, in milliseconds. */
 export const getElectionMs = (seed: number, {voters, dead, delayMs}: Loss): number => {
 	const random = newRandom(seed);
-	const quorum = new FakeQuorum(seed, 'none', voters);
+	const quorum = new FakeQuorum(seed, 'none', {size: voters, losses: dead});
 	quorum.delayMs = delayMs;
 	// The loss falls anywhere between two heartbeats.
 	quorum.advance(FORM_MS + (STEP_MS * Math.floor(random() * PHASE_STEPS)));
--- a/packages/consensus/tests/membership.steps.ts
+++ b/packages/consensus/tests/membership.steps.ts
@@ -5,7 +5,7 @@
 import {getBorneSets} from './get-borne-sets.js';
 import {QUORUM_SETTINGS} from './quorum-settings.js';
 import {
-	type ConsensusState, type Voter, getLeastVoters, getNextMembership, getReducedVoters, isGrowing, mutateConsensus,
+	type ConsensusState, type Voter, getBorneLosses, getLeastVoters, getNextMembership, getReducedVoters, isGrowing, mutateConsensus,
 } from '@valelead/consensus';
 
 type MembershipWorld = {
@@ -43,7 +43,7 @@
 
 const checkReturn = (seed: number, size: number): void => {
 	const random = newRandom(seed);
-	const quorum = new FakeQuorum(seed, 'none', size);
+	const quorum = new FakeQuorum(seed, 'none', {size, losses: getBorneLosses(size)});
 	quorum.advance(FORM_MS);
 	proposeSome(quorum, Math.floor(random() * MOST_ENTRIES));
 	const position = (quorum.leaderIndex + 1 + Math.floor(random() * (size - 1))) % size;
@@ -72,7 +72,7 @@
 });
 
 Given('a leader that has led {int} voters for {int} ms', function (this: MembershipWorld, count: number, ms: number) {
-	this.quorum = new FakeQuorum(1, 'none', count);
+	this.quorum = new FakeQuorum(1, 'none', {size: count, losses: getBorneLosses(count)});
 	this.quorum.advance(ms);
 	this.state = this.quorum.leader!.state;
 });
@@ -176,7 +176,7 @@
 });
 
 Given('a leader of {int} voters, the last of which joined {int} ms ago', function (this: MembershipWorld, count: number, ms: number) {
-	this.quorum = new FakeQuorum(1, 'none', count);
+	this.quorum = new FakeQuorum(1, 'none', {size: count, losses: getBorneLosses(count)});
 	this.quorum.advance(LONG_MS);
 	this.state = this.quorum.leader!.state;
 	this.joinedAt = this.quorum.now - ms;
