Confirm no lease by what may have been sent before a suspension

Two voters could hold a lease at once, and both answer reads: a suspended process's clock stands still, so messages from before and after it may bear the same time, and answers to the earlier ones confirmed the lease of a leader that had been replaced meanwhile.

--- a/packages/consensus/src/mutate-consensus.ts
+++ b/packages/consensus/src/mutate-consensus.ts
@@ -14,7 +14,6 @@
 import {mutateTick} from './mutate-tick.js';
 import {mutateVoteReply} from './mutate-vote-reply.js';
 import {mutateVoteRequest} from './mutate-vote-request.js';
-import {newAppendRequests} from './new-append-requests.js';
 import type {ConsensusEffect} from './consensus-effect.js';
 import type {ConsensusEvent} from './consensus-event.js';
 import type {ConsensusMessage} from './consensus-message.js';
@@ -53,10 +52,14 @@
 	return mutateCandidate(state, settings, now, true);
 };
 
-/** The lease that was held may be over, and another voter may lead: it counts again once a majority answers what is sent from now on. */
+/**
+ * The lease that was held may be over, and another voter may lead: it counts again once a majority answers what is sent after this moment. What was sent
+ * at this very moment, on a clock that stood still, may be from before; so the next heartbeat goes with the next tick.
+ */
 const mutateResumed = (state: ConsensusState, now: number): ConsensusEffect[] => {
 	state.confirmedFrom = now;
-	return state.role === 'leader' ? newAppendRequests(state, now) : [];
+	state.heartbeatDueAt = now;
+	return [];
 };
 
 const mutateCompaction = (state: ConsensusState, index: number, data: string): ConsensusEffect[] => {
