Form the first quorum only where all would form the same one

Two quorums beside each other (two leaders in one term, an acknowledged command gone) where a disk was lost while the first quorum formed: a VM formed one on what it alone had seen, at moments that differ. For the same reason voters counted different members, and nothing settled it. Controllers without a quorum now tell the voters that they would form one with, and it is formed only where all tell the same.

It holds as what a voter tells only moves on: identities change in one direction, each look begins after the one before, and whoever belongs to a quorum tells of that one. So two sets would need a voter with its disk whole that went back. The first start takes one look more, 200 ms.

--- a/apps/valelead-daemon/src/control/controller-peers.ts
+++ b/apps/valelead-daemon/src/control/controller-peers.ts
@@ -16,12 +16,13 @@
 
 const CALL_TIMEOUT_MS = 1000;
 
-const toFoundVoter = (address: string, {id, vm, isFormed, isStandby, formation}: IdentifyReply): FoundVoter => ({
+const toFoundVoter = (address: string, {id, vm, isFormed, isStandby, proposal, formation}: IdentifyReply): FoundVoter => ({
 	voter: {
 		id, vm, address, isLearner: false,
 	},
 	canVote: !isStandby,
 	isFormed,
+	proposal,
 	formation,
 });
 
--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -69,6 +69,7 @@
 	#claims: PendingClaim[] = [];
 	#isClaiming = false;
 	#isStopped = false;
+	#proposal: readonly string[] = [];
 	#toldAt = Number.NEGATIVE_INFINITY;
 
 	constructor(parts: VoterParts) {
@@ -89,6 +90,11 @@
 		};
 	}
 
+	/** The ids of the voters that it would form a quorum with, while it belongs to none. */
+	get proposal(): readonly string[] {
+		return this.#proposal;
+	}
+
 	/** The address of the leader as this voter knows it, or empty. */
 	get leaderAddress(): string {
 		return this.#node?.leader?.address ?? '';
@@ -260,6 +266,7 @@
 				return;
 			}
 
+			this.#proposal = decision.kind === 'wait' ? decision.proposal : this.#proposal;
 			await this.#parts.timers.wait(FORMATION_POLL_MS);
 		}
 	}
--- a/packages/consensus/src/found-voter.ts
+++ b/packages/consensus/src/found-voter.ts
@@ -7,6 +7,8 @@
 	readonly canVote: boolean;
 	/** Whether the peer belongs to a quorum. */
 	readonly isFormed: boolean;
+	/** While it belongs to none: the ids of the voters that it would form one with. */
+	readonly proposal: readonly string[];
 	/** The voters of that quorum as far as the peer knows them. */
 	readonly formation: readonly Voter[];
 };
--- a/packages/consensus/tests/fake-formation.ts
+++ b/packages/consensus/tests/fake-formation.ts
@@ -12,11 +12,11 @@
 const FORMATION_POLL_MS = 200;
 const CALL_TIMEOUT_MS = 1000;
 
-const getFound = (voter: FakeVoter): FoundVoter => {
+const getFound = (voter: FakeVoter, proposal: readonly string[]): FoundVoter => {
 	const {snapshot, voters} = voter.state;
 	const formation = snapshot.voters.length > 0 ? snapshot.voters : voters;
 	return {
-		voter: voter.record, canVote: true, isFormed: voter.isFormed, formation: voter.isFormed ? formation : [],
+		voter: voter.record, canVote: true, isFormed: voter.isFormed, proposal, formation: voter.isFormed ? formation : [],
 	};
 };
 
@@ -25,6 +25,8 @@
 	readonly #random: () => number;
 	readonly #onFormed: (index: number, voters: readonly Voter[]) => void;
 	readonly #polls = new Map<number, Poll>();
+	/** What each voter would form, by its id. */
+	readonly #proposals = new Map<string, readonly string[]>();
 
 	/** @param onFormed - A VM starts with these voters; with none, it waits to be let in. */
 	constructor(random: () => number, onFormed: (index: number, voters: readonly Voter[]) => void) {
@@ -64,7 +66,7 @@
 				poll.lookAt.delete(other);
 				const {isUp, isFrozen} = voters[other];
 				if (isUp && !isFrozen && isReached(index, other) && isReached(other, index)) {
-					poll.found.push(getFound(voters[other]));
+					poll.found.push(getFound(voters[other], this.#proposals.get(voters[other].record.id) ?? []));
 				}
 			}
 		}
@@ -77,8 +79,11 @@
 
 	#decide(index: number, poll: Poll, voters: readonly FakeVoter[]): void {
 		const decision = getFormation(voters[index].record, voters.length, poll.found);
-		if (decision.kind !== 'wait') {
-			this.#onFormed(index, decision.kind === 'form' ? decision.voters : []);
+		if (decision.kind === 'wait') {
+			this.#proposals.set(poll.id, decision.proposal);
+			return;
 		}
+
+		this.#onFormed(index, decision.kind === 'form' ? decision.voters : []);
 	}
 }
