Leave dead voters out while the others elect, and stay with a voter that takes part

With the leader and another voter dead, gateways came to the next leader 0.7 to 1.4 s after its first acknowledgement where the election split: voters that named no leader for 0.3 s said that they are outside, and sent followers round the list to the dead ones, at 0.7 s each.

A voter that fell silent is left out of the list for 5 s; on the word of others it is followed after 1 s as before. A voter that its quorum counts says that it is outside only once it has named no leader for two election timeouts more, as an election that splits once takes that long. So one that is cut off holds up whoever asks it until 2.8 s after its last word of a leader; one without a quorum, as seen after lost disks, at no time.

--- a/apps/valelead-daemon/src/control/leader-watch.ts
+++ b/apps/valelead-daemon/src/control/leader-watch.ts
@@ -13,22 +13,18 @@
 /** How often the voter is looked at, in milliseconds: often against an election timeout. */
 const LOOK_MS = 100;
 
-/**
- * An election takes some times less, in milliseconds. A voter names a leader until it has not heard it for two election timeouts; whoever asks it in the
- * moment after that need not go round.
- */
-const ELECTION_MS = 300;
-
 /** Tells whether a voter can have no word of a leader soon, so that who asks for one had better ask others. */
 export class LeaderWatch {
 	readonly #parts: WatchParts;
-	/** Until when a voter that names no leader is still hoped to. */
+	/**
+	 * Until when a voter that names no leader is still hoped to: an election that splits once takes up to two election timeouts, and all voters of the quorum
+	 * learn of its end at once, so whoever asks one of them need not go round meanwhile.
+	 */
 	#hopedUntil: number;
 
 	constructor(parts: WatchParts) {
 		this.#parts = parts;
-		// A quorum that starts anew has not elected before.
-		this.#hopedUntil = parts.clock.now() + (parts.electionTimeoutMs * 2);
+		this.#hopedUntil = parts.clock.now() + (2 * parts.electionTimeoutMs);
 	}
 
 	start(): void {
@@ -51,8 +47,9 @@
 	}
 
 	#look(now: number): void {
-		if (this.#parts.voter.leaderAddress !== '') {
-			this.#hopedUntil = Math.max(this.#hopedUntil, now + ELECTION_MS);
+		const {voter, electionTimeoutMs} = this.#parts;
+		if (voter.leaderAddress !== '') {
+			this.#hopedUntil = now + (2 * electionTimeoutMs);
 		}
 	}
 }
--- a/apps/valelead-daemon/src/session-client.ts
+++ b/apps/valelead-daemon/src/session-client.ts
@@ -51,6 +51,12 @@
  */
 const DISTRUST_MS = 1000;
 
+/**
+ * How long a voter that fell silent is left out when the list is gone through, in milliseconds: elections that split some times are over by then. Each dead
+ * voter that is tried costs the time for a first word, and one that came back is named by others.
+ */
+const LEFT_OUT_MS = 5000;
+
 /** Keeps a session with the leader: reports at each heartbeat and at once when asked, and finds a new leader. */
 export class SessionClient {
 	readonly #parts: SessionParts;
@@ -161,14 +167,18 @@
 	/** Goes on in the list to a voter that did not fall silent lately, if there is one. */
 	#passOverSilent(): void {
 		const {leader, clock} = this.#parts;
+		if (leader.isNamed) {
+			return;
+		}
+
 		const now = clock.now();
-		for (let tried = 0; tried < leader.count && this.#isDistrusted(leader.address, now); tried += 1) {
+		for (let tried = 0; tried < leader.count && this.#wasSilent(leader.address, now); tried += 1) {
 			leader.redirect('');
 		}
 	}
 
-	#isDistrusted(address: string, now: number): boolean {
-		return now - (this.#silent.get(address) ?? Number.NEGATIVE_INFINITY) < DISTRUST_MS;
+	#wasSilent(address: string, now: number, withinMs = LEFT_OUT_MS): boolean {
+		return now - (this.#silent.get(address) ?? Number.NEGATIVE_INFINITY) < withinMs;
 	}
 
 	#take(stream: SessionStream, address: string, update: SessionUpdate): void {
@@ -185,7 +195,7 @@
 		}
 
 		const {leaderAddress} = update;
-		if (leaderAddress !== '' && leaderAddress !== address && !this.#isDistrusted(leaderAddress, now)) {
+		if (leaderAddress !== '' && leaderAddress !== address && !this.#wasSilent(leaderAddress, now, DISTRUST_MS)) {
 			this.#parts.leader.redirect(leaderAddress);
 			this.#leave(stream);
 			this.#connect();
--- a/packages/protocol/src/leader-calls.ts
+++ b/packages/protocol/src/leader-calls.ts
@@ -39,6 +39,11 @@
 		return this.#leader ?? this.#addresses[this.#next % this.#addresses.length];
 	}
 
+	/** Whether the address to try next is the leader by somebody's word, and not the next one of the list. */
+	get isNamed(): boolean {
+		return this.#leader !== undefined;
+	}
+
 	/** How many addresses are tried in turn. */
 	get count(): number {
 		return this.#addresses.length;
