Show how the leader is found and a quorum is formed where some of the controllers have no disk

The finder and the voter's view of its peers were tested only through whole installations; they are now tested without a network, the finder in virtual time. getFormation gets its cases with controllers that cannot vote.

--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -68,3 +68,5 @@
 export {ExpectedReturns} from './gateway/expected-returns.js';
 export {EngineKnowledge} from './gateway/engine-knowledge.js';
 export {isHopeless} from './gateway/is-hopeless.js';
+export {ControllerPeers} from './control/controller-peers.js';
+export {LeaderFinder} from './standby/leader-finder.js';
--- a/packages/consensus/tests/node.steps.ts
+++ b/packages/consensus/tests/node.steps.ts
@@ -2,7 +2,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {SYSTEM_CLOCK, SYSTEM_SUSPENSIONS, TimerService} from '@valelead/common';
 import {
-	type ConsensusSettings, type LogStorage, type StoredLog, type Voter, ConsensusNode, getReducedVoters, mutateConsensus, newConsensusState,
+	type ConsensusSettings, type LogStorage, type StoredLog, type FormationDecision, type FoundVoter, type Voter, ConsensusNode, getFormation, getReducedVoters, mutateConsensus, newConsensusState,
 } from '@valelead/consensus';
 
 type NodeWorld = {
@@ -12,6 +12,9 @@
 	events: string[];
 	voters: Voter[];
 	silent: string;
+	named: number;
+	self: Voter;
+	decision: FormationDecision;
 };
 
 const SETTINGS: ConsensusSettings = {heartbeatMs: 20, electionTimeoutMs: 50};
@@ -138,3 +141,38 @@
 	assert.ok(effect?.kind === 'send' && effect.message.kind === 'voteReply');
 	assert.equal(effect.message.isGranted, isGranted === 'yes');
 });
+
+const split = (text: string): string[] => text === '' ? [] : text.split(', ');
+
+Given('settings that name {int} controllers, and a voter {string} among them that looks for the others', function (this: NodeWorld, named: number, self: string) {
+	this.named = named;
+	this.self = newVoter(self);
+});
+
+When('it reaches {string} without a quorum, {string} without a disk and {string} with a quorum that counts {string}', function (
+	this: NodeWorld,
+	voters: string,
+	standbys: string,
+	formed: string,
+	counted: string,
+) {
+	const formation = split(counted).map(id => newVoter(id));
+	const peers: FoundVoter[] = [
+		...split(standbys).map(id => ({
+			voter: newVoter(id), canVote: false, isFormed: false, formation: [],
+		})),
+		...split(voters).map(id => ({
+			voter: newVoter(id), canVote: true, isFormed: false, formation: [],
+		})),
+		...split(formed).map(id => ({
+			voter: newVoter(id), canVote: true, isFormed: true, formation,
+		})),
+	];
+	this.decision = getFormation(this.self, this.named, peers);
+});
+
+Then(/^it is to (wait|join|form .+)$/, function (this: NodeWorld, text: string) {
+	const {decision} = this;
+	const voters = decision.kind === 'form' ? ` ${decision.voters.map(({id}) => id).join(', ')}` : '';
+	assert.equal(`${decision.kind}${voters}`, text);
+});
