Take only a voter's word on who leads

Callers were sent to a dead leader for as long as nobody led, where the settings of controllers without a disk name such controllers: each one answered the others with the leader that it had found last, and took their answer for news. A controller without a disk now names the controllers that it knows, and not who leads. A finder asks those at once that it is told of, so that it still finds the leader in one search.

--- a/apps/valelead-daemon/src/standby/leader-finder.ts
+++ b/apps/valelead-daemon/src/standby/leader-finder.ts
@@ -33,6 +33,9 @@
 /** Named controllers that are remembered: some times more than an installation has; what anyone may name is bounded. */
 const MAX_ADDRESSES = 64;
 
+/** Controllers that one search asks: those that are remembered, those of the settings and those that they name. */
+const MAX_ASKED = 2 * MAX_ADDRESSES;
+
 /** Finds the leader for a process that is not a voter, by asking controllers when somebody wants to know. */
 export class LeaderFinder {
 	readonly #parts: FinderParts;
@@ -49,11 +52,6 @@
 		this.#configured = parts.addresses;
 	}
 
-	/** The leader that was found last, or empty. */
-	get leader(): string {
-		return this.#leader;
-	}
-
 	get addresses(): string[] {
 		const addresses = new Set([...this.#configured, ...this.#learned]);
 		addresses.delete(this.#parts.ownAddress);
@@ -93,15 +91,14 @@
 	}
 
 	async #ask(): Promise<string> {
-		const replies = await Promise.all(this.addresses.map(async address => this.#identify(address)));
-		const found = replies.filter(reply => reply !== undefined);
-		this.learn(found.flatMap(reply => reply.voterAddresses));
+		const asked = new Set([this.#parts.ownAddress]);
+		const found = await this.#identifyAll(this.addresses, asked);
 		// Its own word on who leads is newer than that of the others.
 		const leading = found.find(reply => reply.leaderAddress === reply.address);
 		const leader = leading?.address ?? found.find(reply => reply.leaderAddress !== '')?.leaderAddress ?? '';
 		if (leader !== this.#leader) {
 			this.#parts.logger.info({
-				event: 'leader-named', leader, before: this.#leader, asked: replies.length, answered: found.length, isConfirmed: leading !== undefined,
+				event: 'leader-named', leader, before: this.#leader, asked: asked.size - 1, answered: found.length, isConfirmed: leading !== undefined,
 			}, leader === '' ? 'no controller names a leader' : 'the leader that callers are sent to');
 		}
 
@@ -110,6 +107,21 @@
 		return leader;
 	}
 
+	/** Asks controllers, and at once those that they name: one without a disk names voters only, as what it heard of the leader may be old. */
+	async #identifyAll(addresses: readonly string[], asked: Set<string>): Promise<FoundController[]> {
+		const open = addresses.filter(address => address !== '' && !asked.has(address)).slice(0, MAX_ASKED - asked.size);
+		for (const address of open) {
+			asked.add(address);
+		}
+
+		const found = await Promise.all(open.map(async address => {
+			const reply = await this.#identify(address);
+			this.learn(reply?.voterAddresses ?? []);
+			return reply ? [reply, ...await this.#identifyAll(reply.voterAddresses, asked)] : [];
+		}));
+		return found.flat();
+	}
+
 	async #identify(address: string): Promise<FoundController | undefined> {
 		const {vm, pool, timers} = this.#parts;
 		try {
--- a/apps/valelead-daemon/src/standby/new-standby-consensus-service.ts
+++ b/apps/valelead-daemon/src/standby/new-standby-consensus-service.ts
@@ -8,7 +8,7 @@
 } from '@grpc/grpc-js';
 import type {LeaderFinder} from './leader-finder.js';
 
-/** Answers voters for a controller that is none: it names the controllers and the leader that it knows, and takes no part. */
+/** Answers voters for a controller that is none: it names the controllers that it knows, and takes no part. */
 export const newStandbyConsensusService = (vm: string, finder: LeaderFinder): UntypedServiceImplementation => ({
 	deliver(stream: ServerDuplexStream<ConsensusEnvelope, DeliverReply>) {
 		// A voter that was here before this process lost its disk; what is for it is read and dropped.
@@ -22,9 +22,8 @@
 	},
 	identify({request}: ServerUnaryCall<IdentifyRequest, unknown>, reply: sendUnaryData<unknown>) {
 		finder.learn([request.address]);
-		reply(null, create(IdentifyReplySchema, {
-			vm, isStandby: true, leaderAddress: finder.leader, voterAddresses: finder.addresses,
-		}));
+		// Who leads is for the voters to say: controllers that repeat each other's word never learn that it is outdated.
+		reply(null, create(IdentifyReplySchema, {vm, isStandby: true, voterAddresses: finder.addresses}));
 	},
 	async join(_call: ServerUnaryCall<unknown, unknown>, reply: sendUnaryData<unknown>) {
 		reply(null, create(JoinReplySchema, {code: RESULT_CODE.NotLeader, leaderAddress: await finder.find()}));
