Keep what each controller without a disk named, whichever answers last

A voter with an empty disk could not be found a quorum for as long as a controller without a disk that knows nobody, such as one that has just started, answered after one that names the voters: the last answer replaced the others. What all of them name in one round is now taken together, and a round that names nobody else leaves what was known.

--- a/apps/valelead-daemon/src/control/controller-peers.ts
+++ b/apps/valelead-daemon/src/control/controller-peers.ts
@@ -5,6 +5,12 @@
 	type ChannelPool, type IdentifyReply, type JoinReply, Consensus, IdentifyRequestSchema, JoinRequestSchema,
 } from '@valelead/protocol';
 
+/** A controller that answered. */
+type AnsweringPeer = {
+	readonly address: string;
+	readonly reply: IdentifyReply;
+};
+
 type PeersParts = {
 	readonly vm: string;
 	/** Where this voter is reached itself. */
@@ -16,7 +22,7 @@
 
 const CALL_TIMEOUT_MS = 1000;
 
-const toFoundVoter = (address: string, {id, vm, isFormed, isStandby, proposal, formation}: IdentifyReply): FoundVoter => ({
+const toFoundVoter = ({address, reply: {id, vm, isFormed, isStandby, proposal, formation}}: AnsweringPeer): FoundVoter => ({
 	voter: {
 		id, vm, address, isLearner: false,
 	},
@@ -51,8 +57,9 @@
 	/** The controllers of the settings that answer, and those among the voters that they name which belong to a quorum. */
 	async find(): Promise<FoundVoter[]> {
 		const configured = await this.#identify(this.#configured);
+		this.#noteNamed(configured);
 		const named = await this.#identify(this.#named.filter(address => !this.#configured.includes(address)));
-		return [...configured, ...named.filter(peer => peer.isFormed)];
+		return [...configured.map(peer => toFoundVoter(peer)), ...named.map(peer => toFoundVoter(peer)).filter(peer => peer.isFormed)];
 	}
 
 	/** Asks to be let into the quorum. Only the leader lets a voter in, and may be a controller that the settings do not name: whoever is asked says where it is. */
@@ -76,25 +83,30 @@
 
 	/** Tells controllers of the settings that are no voters where this one is: processes that start later may be told of them only. */
 	async tellOthers(voterAddresses: readonly string[]): Promise<void> {
-		await this.#identify(this.#configured.filter(address => !voterAddresses.includes(address)));
+		this.#noteNamed(await this.#identify(this.#configured.filter(address => !voterAddresses.includes(address))));
 	}
 
-	async #identify(addresses: readonly string[]): Promise<FoundVoter[]> {
+	/** Some may know nobody else since their start; where all do, those that were named before are kept. */
+	#noteNamed(peers: readonly AnsweringPeer[]): void {
+		const known = new Set([this.#parts.ownAddress, ...this.#configured]);
+		const named = new Set(peers.flatMap(({reply}) => reply.isStandby ? reply.voterAddresses : []).filter(address => !known.has(address)));
+		if (named.size > 0) {
+			this.#named = [...named];
+		}
+	}
+
+	async #identify(addresses: readonly string[]): Promise<AnsweringPeer[]> {
 		const others = addresses.filter(address => address !== this.#parts.ownAddress);
 		const found = await Promise.all(others.map(async address => this.#identifyOne(address)));
 		return found.filter(peer => peer !== undefined);
 	}
 
-	async #identifyOne(address: string): Promise<FoundVoter | undefined> {
+	async #identifyOne(address: string): Promise<AnsweringPeer | undefined> {
 		const {vm, ownAddress, pool} = this.#parts;
 		try {
 			const reply = await pool.get(address).unary(Consensus.method.identify, create(IdentifyRequestSchema, {vm, address: ownAddress}), CALL_TIMEOUT_MS);
-			if (reply.isStandby) {
-				this.#named = reply.voterAddresses;
-			}
-
 			// A voter that is still opening its disk has no id yet.
-			return reply.id === '' && !reply.isStandby ? undefined : toFoundVoter(address, reply);
+			return reply.id === '' && !reply.isStandby ? undefined : {address, reply};
 		} catch {
 			// It is asked again, or others are.
 			return undefined;
