Notice changed settings without a signal

Whoever knew only controllers without a disk found no leader for 30 s and more, where the settings had been changed to name these, no signal was sent and they had been started again: the leader went on telling those that its settings named before. Each process now looks at its settings file every second and takes a changed one as on SIGHUP, also one that changed, or was signalled, during its start. Ruled out: the way from such a controller to the leader (with the signal it is found).

--- a/apps/valelead-daemon/src/run-daemon.ts
+++ b/apps/valelead-daemon/src/run-daemon.ts
@@ -1,3 +1,4 @@
+import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {RESULT_CODE, ValeleadError, assertNever} from '@valelead/common';
 import * as Effect from 'effect/Effect';
@@ -72,6 +73,30 @@
 	process.on('SIGINT', take);
 });
 
+/** How often the settings file is looked at, in milliseconds: whoever changes it may send no signal. */
+const FILE_CHECK_MS = 1000;
+
+/** What a file holds, or empty while there is none. */
+const readText = (file: string): string => {
+	try {
+		return readFileSync(file, 'utf8');
+	} catch {
+		return '';
+	}
+};
+
+/** Calls back whenever a file holds something else than before. */
+const watchText = (file: string, before: string, onChange: () => void): NodeJS.Timeout => {
+	let last = before;
+	return setInterval(() => {
+		const text = readText(file);
+		if (text !== last && text !== '') {
+			last = text;
+			onChange();
+		}
+	}, FILE_CHECK_MS);
+};
+
 /** A changed file is checked and logged. The part takes what it can while it runs, such as the controllers to ask; the rest takes effect at the next start. */
 const takeReload = (file: string, logger: Logger, running: Stoppable | undefined): void => {
 	const settings = tryLoadSettings(file, logger);
@@ -83,32 +108,40 @@
 
 type ProgramParts = {
 	readonly file: string;
+	/** What the file held when it was read. */
+	readonly text: string;
 	readonly settings: Settings;
 	readonly logger: Logger;
 	readonly adapter: Adapter | undefined;
 };
 
 /** The daemon from its start to its planned stop. */
-const newProgram = ({file, settings, logger, adapter}: ProgramParts): Effect.Effect<void, unknown> => Effect.scoped(Effect.gen(function * () {
+const newProgram = ({file, text, settings, logger, adapter}: ProgramParts): Effect.Effect<void, unknown> => Effect.scoped(Effect.gen(function * () {
 	const part: {running?: Stoppable} = {};
-	process.on('SIGHUP', () => {
+	const reload = (): void => {
 		takeReload(file, logger, part.running);
-	});
+	};
+
+	process.on('SIGHUP', reload);
 	const running = yield * Effect.acquireRelease(
 		Effect.tryPromise({try: async () => start(settings, logger, adapter), catch: error => error}),
 		started => Effect.promise(async () => started.stop()),
 	);
 	part.running = running;
+	// Also takes what changed during the start.
+	const watch = watchText(file, text, reload);
 	yield * waitForStop(running, logger);
+	clearInterval(watch);
 }));
 
 /** Runs the daemon with a settings file until it is stopped, and ends the process. */
 export const runDaemon = async (file: string, adapter?: Adapter): Promise<void> => {
+	const text = readText(file);
 	const settings = loadOrExit(file);
 	const logger = newLogger(settings.logLevel, {vm: settings.vm, role: settings.role});
 	try {
 		await Effect.runPromise(newProgram({
-			file, settings, logger, adapter,
+			file, text, settings, logger, adapter,
 		}));
 		logger.info({event: 'stopped'}, 'stopped');
 		exitWithLogs(logger, 0);
