--- a/packages/consensus/tests/node.feature
+++ b/packages/consensus/tests/node.feature
@@ -29,19 +29,23 @@
     Then a voter whose process started at 0 ms grants a vote that is asked for at 40 ms: no
     And a voter whose process started at 0 ms grants a vote that is asked for at 60 ms: yes
 
-  Scenario Outline: A quorum is formed by those that can vote, once all that the settings name were reached
+  Scenario Outline: A quorum is formed by those that can vote, once all that the settings name were reached and tell the same
     Given settings that name <named> controllers, and a voter "b" among them that looks for the others
-    When it reaches "<voters>" without a quorum, "<standbys>" without a disk and "<formed>" with a quorum that counts "<counted>"
+    When it reaches "<voters>" without a quorum that would form "<told>", "<standbys>" without a disk and "<formed>" with a quorum that counts "<counted>"
     Then it is to <decision>
 
     Examples:
-      | named | voters | standbys | formed | counted | decision     |
-      | 3     | a, c   |          |        |         | form a, b, c |
-      | 3     | a      | s        |        |         | form a, b    |
-      | 3     | a      |          |        |         | wait         |
-      | 3     |        | s        |        |         | wait         |
-      | 3     |        | s        | c      | a, c    | join         |
-      | 3     | a      | s        | c      | c       | join         |
-      | 3     |        | s, t     | c      | a, c    | join         |
-      | 3     |        |          | c      | a, c    | join         |
-      | 3     |        | s        | c      | b, c    | form b, c    |
+      | named | voters | told    | standbys | formed | counted | decision     |
+      | 3     | a, c   | a, b, c |          |        |         | form a, b, c |
+      | 3     | a, c   |         |          |        |         | wait         |
+      | 3     | a, c   | a, c, d |          |        |         | wait         |
+      | 3     | a, c   | a, b    |          |        |         | wait         |
+      | 3     | a      | a, b    | s        |        |         | form a, b    |
+      | 3     | a      | a, b    |          |        |         | wait         |
+      | 3     |        |         | s        |        |         | wait         |
+      | 3     |        |         | s        | c      | a, c    | join         |
+      | 3     | a      | a, b    | s        | c      | c       | join         |
+      | 3     |        |         | s, t     | c      | a, c    | join         |
+      | 3     |        |         |          | c      | a, c    | join         |
+      | 3     |        |         | s        | c      | b, c    | form b, c    |
+      | 3     | a      | a, b    |          | c      |         | wait         |
--- a/packages/consensus/tests/node.steps.ts
+++ b/packages/consensus/tests/node.steps.ts
@@ -149,9 +149,10 @@
 	this.self = newVoter(self);
 });
 
-When('it reaches {string} without a quorum, {string} without a disk and {string} with a quorum that counts {string}', function (
+When('it reaches {string} without a quorum that would form {string}, {string} without a disk and {string} with a quorum that counts {string}', function (
 	this: NodeWorld,
 	voters: string,
+	told: string,
 	standbys: string,
 	formed: string,
 	counted: string,
@@ -159,13 +160,13 @@
 	const formation = split(counted).map(id => newVoter(id));
 	const peers: FoundVoter[] = [
 		...split(standbys).map(id => ({
-			voter: newVoter(id), canVote: false, isFormed: false, formation: [],
+			voter: newVoter(id), canVote: false, isFormed: false, proposal: [], formation: [],
 		})),
 		...split(voters).map(id => ({
-			voter: newVoter(id), canVote: true, isFormed: false, formation: [],
+			voter: newVoter(id), canVote: true, isFormed: false, proposal: split(told), formation: [],
 		})),
 		...split(formed).map(id => ({
-			voter: newVoter(id), canVote: true, isFormed: true, formation,
+			voter: newVoter(id), canVote: true, isFormed: true, proposal: [], formation,
 		})),
 	];
 	this.decision = getFormation(this.self, this.named, peers);
