--- a/apps/valelead-daemon/src/run-daemon.ts
+++ b/apps/valelead-daemon/src/run-daemon.ts
@@ -1,6 +1,8 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
-import {RESULT_CODE, ValeleadError, assertNever} from '@valelead/common';
+import {
+	RESULT_CODE, SYSTEM_CLOCK, TimerService, ValeleadError, assertNever,
+} from '@valelead/common';
 import * as Effect from 'effect/Effect';
 import type {Logger} from 'pino';
 import type {Adapter} from './adapter/adapter.js';
@@ -11,6 +13,7 @@
 import {exitWithLogs} from './exit-with-logs.js';
 import {newLogger} from './logger.js';
 import {loadOrExit} from './settings/load-or-exit.js';
+import {SettingsFileWatch} from './settings/settings-file-watch.js';
 import {tryLoadSettings} from './settings/try-load-settings.js';
 import type {Settings} from './settings/settings.js';
 import {startSidecar} from './sidecar/start-sidecar.js';
@@ -73,10 +76,7 @@
 	process.on('SIGINT', take);
 });
 
-/** How often the settings file is looked at, in milliseconds: whoever changes it may send no signal. */
-const FILE_CHECK_MS = 1000;
-
-/** What a file holds, or empty while there is none. */
+/** What the settings file holds, or empty where it cannot be read; loading it says why. */
 const readText = (file: string): string => {
 	try {
 		return readFileSync(file, 'utf8');
@@ -85,18 +85,6 @@
 	}
 };
 
-/** Calls back whenever a file holds something else than before. */
-const watchText = (file: string, before: string, onChange: () => void): NodeJS.Timeout => {
-	let last = before;
-	return setInterval(() => {
-		const text = readText(file);
-		if (text !== last && text !== '') {
-			last = text;
-			onChange();
-		}
-	}, FILE_CHECK_MS);
-};
-
 /** A changed file is checked and logged. The part takes what it can while it runs, such as the controllers to ask; the rest takes effect at the next start. */
 const takeReload = (file: string, logger: Logger, running: Stoppable | undefined): void => {
 	const settings = tryLoadSettings(file, logger);
@@ -128,10 +116,17 @@
 		started => Effect.promise(async () => started.stop()),
 	);
 	part.running = running;
-	// Also takes what changed during the start.
-	const watch = watchText(file, text, reload);
+	const timers = new TimerService(SYSTEM_CLOCK);
+	const watch = new SettingsFileWatch({
+		file, text, timers, logger, onChange: reload,
+	});
+	if (running.reload) {
+		watch.start();
+	}
+
 	yield * waitForStop(running, logger);
-	clearInterval(watch);
+	watch.stop();
+	timers.stop();
 }));
 
 /** Runs the daemon with a settings file until it is stopped, and ends the process. */
