--- a/apps/valelead-daemon/src/control/controller-peers.ts
+++ b/apps/valelead-daemon/src/control/controller-peers.ts
@@ -1,9 +1,10 @@
 import {create} from '@bufbuild/protobuf';
-import {RESULT_CODE} from '@valelead/common';
+import {RESULT_CODE, type TimerService, ValeleadError} from '@valelead/common';
 import type {FoundVoter, Voter as VoterRecord} from '@valelead/consensus';
 import {
 	type ChannelPool, type IdentifyReply, type JoinReply, Consensus, IdentifyRequestSchema, JoinRequestSchema,
 } from '@valelead/protocol';
+import {withTimeout} from '../with-timeout.js';
 
 /** A controller that answered. */
 type AnsweringPeer = {
@@ -18,10 +19,14 @@
 	/** Controllers that the settings name. */
 	readonly addresses: readonly string[];
 	readonly pool: Pick<ChannelPool, 'get'>;
+	readonly timers: TimerService;
 };
 
 const CALL_TIMEOUT_MS = 1000;
 
+/** The leader that is known, those that the settings and others name, and the leader that these name. */
+const JOIN_ROUNDS = 3;
+
 const toFoundVoter = ({address, reply: {id, vm, isFormed, isStandby, proposal, formation}}: AnsweringPeer): FoundVoter => ({
 	voter: {
 		id, vm, address, isLearner: false,
@@ -62,22 +67,25 @@
 		return [...configured.map(peer => toFoundVoter(peer)), ...named.map(peer => toFoundVoter(peer)).filter(peer => peer.isFormed)];
 	}
 
-	/** Asks to be let into the quorum. Only the leader lets a voter in, and may be a controller that the settings do not name: whoever is asked says where it is. */
+	/**
+	 * Asks to be let into the quorum. Only the leader lets a voter in, and may be a controller that the settings do not name: whoever is asked says where it
+	 * is. All are asked at once, as some may be down and answer nothing.
+	 */
 	async askToJoin(record: VoterRecord, leaderAddress: string): Promise<void> {
-		const open = [leaderAddress, ...this.#configured, ...this.#named];
 		const asked = new Set(['', this.#parts.ownAddress]);
-		for (let address = open.shift(); address !== undefined; address = open.shift()) {
-			if (asked.has(address)) {
-				continue;
+		let open = leaderAddress === '' ? this.#known : [leaderAddress];
+		for (let round = 0; round < JOIN_ROUNDS; round += 1) {
+			const addresses = [...new Set(open)].filter(address => !asked.has(address));
+			const replies = await Promise.all(addresses.map(async address => this.#join(address, record)));
+			if (replies.some(reply => reply?.code === RESULT_CODE.Ok)) {
+				return;
 			}
 
-			asked.add(address);
-			const reply = await this.#join(address, record);
-			if (reply?.code === RESULT_CODE.Ok) {
-				return;
+			for (const address of addresses) {
+				asked.add(address);
 			}
 
-			open.unshift(reply?.leaderAddress ?? '');
+			open = [...replies.map(reply => reply?.leaderAddress ?? ''), ...this.#known];
 		}
 	}
 
@@ -95,6 +103,10 @@
 		}
 	}
 
+	get #known(): readonly string[] {
+		return [...this.#configured, ...this.#named];
+	}
+
 	async #identify(addresses: readonly string[]): Promise<AnsweringPeer[]> {
 		const others = addresses.filter(address => address !== this.#parts.ownAddress);
 		const found = await Promise.all(others.map(async address => this.#identifyOne(address)));
@@ -104,7 +116,7 @@
 	async #identifyOne(address: string): Promise<AnsweringPeer | undefined> {
 		const {vm, ownAddress, pool} = this.#parts;
 		try {
-			const reply = await pool.get(address).unary(Consensus.method.identify, create(IdentifyRequestSchema, {vm, address: ownAddress}), CALL_TIMEOUT_MS);
+			const reply = await this.#inTime(pool.get(address).unary(Consensus.method.identify, create(IdentifyRequestSchema, {vm, address: ownAddress}), CALL_TIMEOUT_MS));
 			// A voter that is still opening its disk has no id yet.
 			return reply.id === '' && !reply.isStandby ? undefined : {address, reply};
 		} catch {
@@ -115,10 +127,15 @@
 
 	async #join(address: string, voter: VoterRecord): Promise<JoinReply | undefined> {
 		try {
-			return await this.#parts.pool.get(address).unary(Consensus.method.join, create(JoinRequestSchema, {voter}), CALL_TIMEOUT_MS);
+			return await this.#inTime(this.#parts.pool.get(address).unary(Consensus.method.join, create(JoinRequestSchema, {voter}), CALL_TIMEOUT_MS));
 		} catch {
 			// Another voter may answer.
 			return undefined;
 		}
 	}
+
+	/** The library measures its deadline by the time of day, which may step. */
+	async #inTime<Reply>(call: Promise<Reply>): Promise<Reply> {
+		return withTimeout(call, this.#parts.timers, CALL_TIMEOUT_MS, new ValeleadError('No answer in time', {code: RESULT_CODE.NoQuorum}));
+	}
 }
--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -76,7 +76,7 @@
 		this.#parts = parts;
 		this.#storage = new FileStorage(parts.settings.dataFolder);
 		this.#peers = new ControllerPeers({
-			vm: parts.vm, ownAddress: parts.settings.listen, addresses: parts.controlAddresses, pool: parts.pool,
+			vm: parts.vm, ownAddress: parts.settings.listen, addresses: parts.controlAddresses, pool: parts.pool, timers: parts.timers,
 		});
 	}
 
--- a/apps/valelead-daemon/tests/controller-peers.steps.ts
+++ b/apps/valelead-daemon/tests/controller-peers.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {setTimeout as wait} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {RESULT_CODE} from '@valelead/common';
+import {RESULT_CODE, SYSTEM_CLOCK, TimerService} from '@valelead/common';
 import {type ChannelPool, Consensus} from '@valelead/protocol';
 import {ControllerPeers} from 'valelead-daemon';
 
@@ -50,7 +50,7 @@
 		}),
 	};
 	this.peers = new ControllerPeers({
-		vm: 'self', ownAddress: 'self', addresses: split(addresses), pool: pool as unknown as ChannelPool,
+		vm: 'self', ownAddress: 'self', addresses: split(addresses), pool: pool as unknown as ChannelPool, timers: new TimerService(SYSTEM_CLOCK),
 	});
 });
 
