Wait for conditions where a fixed wait and one look decided, and count tokens in place of parts

- After a frozen agent wakes, a later hold must have passed through it before one looks at what ran; 1.5 s alone could be too short on a busy machine, and then what ran later was missed.
The 1.5 s stay.
- A drained engine must run nothing while 10 further requests are answered, besides the second that was waited: on a busy machine few or none came in that second.
- 'In time' is what the entry took by its own log; same bound.
- An engine is killed, and signals are sent, at the 20th (200th) token: parts hold several tokens where the reader is late, so the 20th part could be behind the end.

--- a/tests/failures.steps.ts
+++ b/tests/failures.steps.ts
@@ -12,6 +12,18 @@
 
 const getBooks = async (world: InstallationWorld, engine: number): Promise<EngineBooks> => world.installation.getBooks(world.installation.engines[engine].port);
 
+/** Calls back once an answer holds so many tokens, however they are cut into parts. */
+const atToken = (count: number, act: () => void): (text: string) => void => {
+	let tokens = 0;
+	return text => {
+		const before = tokens;
+		tokens += [...text.matchAll(/^data: /gmv)].length;
+		if (before < count && tokens >= count) {
+			act();
+		}
+	};
+};
+
 const askTokens = async (world: InstallationWorld, entry: number, tokens: number, onData?: (text: string) => void): Promise<HttpAnswer> => world.installation.complete(entry, world.key, {
 	model: 'alloy', stream: true, max_tokens: tokens, messages: [{role: 'user', content: 'x'}],
 }, onData);
@@ -60,13 +72,26 @@
 	assert.ok(this.installation.engines[0].agent.isRunning);
 });
 
+/** How long the first entry took for a request, by its own log. */
+const getTookMs = async (world: InstallationWorld, requestId: string): Promise<number> => {
+	let tookMs: number | undefined;
+	await world.installation.waitFor('the end of the request in the log', async () => {
+		const log = await world.installation.readLog('entry-1');
+		const lines = log.split('\n').slice(0, -1).filter(text => text.includes('"request-ended"'));
+		const line = lines.map(text => JSON.parse(text) as {requestId: string; tookMs: number}).find(other => other.requestId === requestId);
+		tookMs = line?.tookMs;
+		return tookMs !== undefined;
+	});
+	return tookMs!;
+};
+
 When('the agent of the service freezes and a hold is sent that has 2 seconds', async function (this: InstallationWorld) {
 	await this.control.execute([{kind: 'alterClass', name: 'urgent', deadlineMs: 2000}], {commandId: 'short'});
 	await this.installation.callService(0, this.key, 'holds/reserve', 'warm', 'warm');
 	this.installation.services[0].agent.signal('SIGSTOP');
-	const startedAt = Date.now();
 	this.answers = [await this.installation.callService(0, this.key, 'holds/reserve', 'frozen', 'frozen')];
-	this.tookMs = Date.now() - startedAt;
+	const {request_id: id} = (JSON.parse(this.answers[0].text) as {error: {request_id: string}}).error;
+	this.tookMs = await getTookMs(this, id);
 });
 
 Then('the hold is answered in time', function (this: InstallationWorld) {
@@ -77,6 +102,11 @@
 When('the agent wakes', async function (this: InstallationWorld) {
 	this.installation.services[0].agent.signal('SIGCONT');
 	await wait(1500);
+	// What the agent got while it was frozen lies before this one.
+	await this.installation.waitFor('a hold through the agent', async () => {
+		const answer = await this.installation.callService(0, this.key, 'holds/reserve', 'awake', 'awake');
+		return answer.status === 200;
+	});
 });
 
 Then('what was told "not run" did not run', async function (this: InstallationWorld) {
@@ -105,13 +135,9 @@
 });
 
 When('the engine dies in the middle of a stream of {int} tokens', async function (this: InstallationWorld, tokens: number) {
-	let parts = 0;
-	this.answers = [await askTokens(this, 0, tokens, () => {
-		parts += 1;
-		if (parts === 20) {
-			this.installation.engines[0].upstream.signal('SIGKILL');
-		}
-	})];
+	this.answers = [await askTokens(this, 0, tokens, atToken(20, () => {
+		this.installation.engines[0].upstream.signal('SIGKILL');
+	}))];
 });
 
 Then('the stream ends in an error event and never in {string}', function (this: InstallationWorld, end: string) {
@@ -122,7 +148,7 @@
 });
 
 /** Sends requests one after another until told to stop. */
-const keepAsking = (ask: (count: number) => Promise<HttpAnswer>): {stop: () => Promise<HttpAnswer[]>} => {
+const keepAsking = (ask: (count: number) => Promise<HttpAnswer>): {answers: readonly HttpAnswer[]; stop: () => Promise<HttpAnswer[]>} => {
 	const stopping = new AbortController();
 	const answers: HttpAnswer[] = [];
 	const run = async (): Promise<void> => {
@@ -133,6 +159,7 @@
 
 	const running = run();
 	return {
+		answers,
 		async stop() {
 			stopping.abort();
 			await running;
@@ -151,7 +178,9 @@
 	await wait(4000);
 	const books = await getBooks(this, this.drained);
 	this.ranBefore = books.ran.length;
+	const {length} = load.answers;
 	await wait(1000);
+	await this.installation.waitFor('requests after the drain', async () => load.answers.length >= length + 10);
 	this.answers = await load.stop();
 });
 
@@ -250,14 +279,14 @@
 When('entry {int} gets a stop signal in the middle of a stream of {int} tokens, and then a second one', async function (this: InstallationWorld, entry: number, tokens: number) {
 	const {program} = this.installation.entries[entry - 1];
 	this.stopped = entry - 1;
-	let parts = 0;
-	this.answers = [await askTokens(this, entry - 1, tokens, () => {
-		parts += 1;
-		if (parts === 20) {
-			program.signal('SIGTERM');
-		} else if (parts === 200) {
-			program.signal('SIGTERM');
-		}
+	const stop = (): void => {
+		program.signal('SIGTERM');
+	};
+
+	const [first, second] = [atToken(20, stop), atToken(200, stop)];
+	this.answers = [await askTokens(this, entry - 1, tokens, text => {
+		first(text);
+		second(text);
 	})];
 });
 
