Hold what a session began with until its voter leads, so that no crash is forgotten with a change of leader

Requests under which engines crash went on to engines for some seconds after a change of leader: a gateway tells all the crashes that it holds with the first report of a session, and a voter that did not lead yet dropped it. It is held for the session now and told to the judgement once the voter leads. The scenario with a voter that comes to lead failed before and passes; the long row with changes of leader every few seconds is still red and listed.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -38,6 +38,8 @@
 	quarantineVersion: number;
 	/** What its last report says. */
 	confirmed: Progress;
+	/** Reports of crashes that came while this voter did not lead. */
+	readonly held: FollowerReport[];
 };
 
 type SessionsParts = {
@@ -79,6 +81,9 @@
 /** Between two such turns, in milliseconds: the least after which a timer fires in a turn of its own. */
 const TURN_GAP_MS = 1;
 
+/** Reports of crashes that are held for a session; a follower stays with a voter that does not lead for some reports, and its first one holds all. */
+const MAX_HELD_REPORTS = 16;
+
 const GATEWAY_ROLE = 'gateway';
 const SIDECAR_ROLE = 'sidecar';
 
@@ -145,6 +150,7 @@
 			sent: getProgress(report),
 			quarantineVersion: 0,
 			confirmed: getProgress(report),
+			held: [],
 		};
 		this.#sessions.set(stream, session);
 		const end = (): void => {
@@ -236,11 +242,12 @@
 		this.#leases.note(report, session.attended);
 		this.#resolveWaiters();
 		if (!this.#voter.node?.isCurrentLeader) {
+			this.#hold(session, report);
 			this.#redirect(session);
 			return;
 		}
 
-		this.#quarantine.note(report);
+		this.#noteCrashes(session, report);
 		if (now - session.repliedAt > REPLY_MS || this.#hasNews(session, this.#tellable)) {
 			this.#send(session);
 		}
@@ -248,6 +255,21 @@
 		this.#pushOnceReadable();
 	}
 
+	/** A follower tells all the crashes that it holds with its first report only, and this voter may come to lead while the session lasts. */
+	#hold(session: FollowerSession, report: FollowerReport): void {
+		if (report.crashes.length > 0 && session.held.length < MAX_HELD_REPORTS) {
+			session.held.push(report);
+		}
+	}
+
+	#noteCrashes(session: FollowerSession, report: FollowerReport): void {
+		for (const held of session.held.splice(0)) {
+			this.#quarantine.note(held);
+		}
+
+		this.#quarantine.note(report);
+	}
+
 	/** A state that is behind its log holds all within the time of a write to the disk; nothing else tells when. */
 	#pushOnceReadable(): void {
 		if (!this.#voter.node?.canRead) {
