Let a controller that was started again before there was a quorum tell what it would form, and keep membership in a class of its own

No quorum would ever have been formed where one of the named controllers was killed and started again before that: it may not form one itself, told nothing, and the others waited for it to tell the same as they. Letting voters in and go, telling others where the leader is and waiting for voters stood among a voter's identity, log and claims; they are VoterMembership now, unchanged.

--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -2,10 +2,10 @@
 import {mkdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
 import {
-	type TimerService, RESULT_CODE, SYSTEM_CLOCK, SYSTEM_SUSPENSIONS, ValeleadError,
+	type TimerService, RESULT_CODE, SYSTEM_CLOCK, SYSTEM_SUSPENSIONS, ValeleadError, assertNever,
 } from '@valelead/common';
 import {
-	type FormationDecision, type FoundVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormation, getLeastVoters, getNextMembership,
+	type FormationDecision, type FoundVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormation,
 } from '@valelead/consensus';
 import type {ChannelPool} from '@valelead/protocol';
 import type {
@@ -17,6 +17,7 @@
 import {ControlMachine} from './control-machine.js';
 import {ControllerPeers} from './controller-peers.js';
 import {GrpcTransport} from './grpc-transport.js';
+import {VoterMembership} from './voter-membership.js';
 import {writeSynced} from './write-synced.js';
 
 type VoterParts = {
@@ -43,20 +44,27 @@
 };
 
 const FORMATION_POLL_MS = 200;
-const JOIN_POLL_MS = 300;
 
-/** How often the leader tells controllers that are no voters where it is, in milliseconds: soon against the time that a process takes to start. */
-const TELL_MS = 2000;
+/** A voter that may not form a quorum itself tells the others that it would form theirs, as they wait for all to tell the same. */
+const getProposal = (decision: FormationDecision): readonly string[] => {
+	switch (decision.kind) {
+		case 'wait': {
+			return decision.proposal;
+		}
 
-/** A quorum that is too small is expected to grow for this long after it was formed, or after its last member joined, in milliseconds: joining takes some 0.3 s. */
-const GROWTH_MS = 2000;
-const GROWTH_POLL_MS = 20;
+		case 'form': {
+			return decision.voters.map(({id}) => id);
+		}
 
-/** An acknowledgement is held no longer for a quorum that grows, in milliseconds: members may come and go without end. */
-const MOST_HELD_MS = 3000;
+		case 'join': {
+			return [];
+		}
 
-/** A voter is let go after this silence where the others are better off without it, in milliseconds. */
-const SILENT_VOTER_MS = 2000;
+		default: {
+			return assertNever(decision);
+		}
+	}
+};
 
 /** One member of the control quorum: its identity and log on the disk, and the state they drive. */
 export class Voter {
@@ -64,13 +72,13 @@
 	readonly #parts: VoterParts;
 	readonly #storage: FileStorage;
 	readonly #peers: ControllerPeers;
+	readonly #membership: VoterMembership;
 	#identity: Identity | undefined;
 	#node: ConsensusNode | undefined;
 	#claims: PendingClaim[] = [];
 	#isClaiming = false;
 	#isStopped = false;
 	#proposal: readonly string[] = [];
-	#toldAt = Number.NEGATIVE_INFINITY;
 
 	constructor(parts: VoterParts) {
 		this.#parts = parts;
@@ -78,6 +86,14 @@
 		this.#peers = new ControllerPeers({
 			vm: parts.vm, ownAddress: parts.settings.listen, addresses: parts.controlAddresses, pool: parts.pool, timers: parts.timers,
 		});
+		this.#membership = new VoterMembership({
+			getNode: () => this.#node,
+			getRecord: () => this.record,
+			peers: this.#peers,
+			faultTolerance: parts.settings.faultTolerance,
+			timers: parts.timers,
+			logger: parts.logger,
+		});
 	}
 
 	get node(): ConsensusNode | undefined {
@@ -116,11 +132,12 @@
 			void this.#form();
 		}
 
-		void this.#keepMembership();
+		this.#membership.start();
 	}
 
 	async stop(): Promise<void> {
 		this.#isStopped = true;
+		this.#membership.stop();
 		await this.#node?.stop();
 	}
 
@@ -135,19 +152,9 @@
 		await this.#propose({kind: 'routing', at: SYSTEM_CLOCK.wallNow(), ...routing});
 	}
 
-	/**
-	 * Resolves once the quorum bears the losses that the settings state, or does not grow any more. Before that they end the quorum, whoever holds copies;
-	 * so an operator's change is acknowledged after it, while leases, elections and those that join rest on the commit alone and never wait.
-	 */
+	/** Resolves once the quorum bears the losses that the settings state, or does not grow any more. */
 	async waitForVoters(): Promise<void> {
-		const leastVoters = getLeastVoters(this.#parts.settings.faultTolerance);
-		const endsAt = SYSTEM_CLOCK.now() + MOST_HELD_MS;
-		while (this.#node?.isGrowing(leastVoters, GROWTH_MS) && SYSTEM_CLOCK.now() < endsAt) {
-			await this.#parts.timers.wait(GROWTH_POLL_MS);
-			if (!this.#node.isLeader) {
-				throw new ValeleadError('Another voter leads now', {code: RESULT_CODE.NotLeader});
-			}
-		}
+		await this.#membership.waitForVoters();
 	}
 
 	/** Commits a claim command, together with those that arrive while one commit is under way. */
@@ -162,11 +169,7 @@
 
 	/** As leader, takes the next step of letting a voter in. */
 	async admit(voter: VoterRecord): Promise<void> {
-		const next = this.#node && getNextMembership(this.#node.voters, voter, this.#node.isCaughtUp(voter.id));
-		if (next) {
-			await this.#node!.configure(next);
-			this.#parts.logger.info({event: 'voters-changed', voters: next.map(member => `${member.vm}/${member.id}`)}, 'voters changed');
-		}
+		await this.#membership.admit(voter);
 	}
 
 	async #commitClaims(): Promise<void> {
@@ -266,7 +269,7 @@
 				return;
 			}
 
-			this.#proposal = decision.kind === 'wait' ? decision.proposal : this.#proposal;
+			this.#proposal = getProposal(decision);
 			await this.#parts.timers.wait(FORMATION_POLL_MS);
 		}
 	}
@@ -280,40 +283,4 @@
 		const {mayForm, settings} = this.#parts;
 		return mayForm !== false && this.#peers.configured.includes(settings.listen);
 	}
-
-	/** A voter that the quorum does not count, or may not count any more, asks to be let in until it is. */
-	async #keepMembership(): Promise<void> {
-		while (!this.#isStopped) {
-			await this.#parts.timers.wait(JOIN_POLL_MS);
-			if (this.#node?.isAskingToJoin) {
-				await this.#peers.askToJoin(this.record, this.leaderAddress);
-			}
-
-			await this.#dropSilent();
-			void this.#tellOthers();
-		}
-	}
-
-	async #tellOthers(): Promise<void> {
-		const now = SYSTEM_CLOCK.now();
-		if (this.#node?.isCurrentLeader && now - this.#toldAt >= TELL_MS) {
-			this.#toldAt = now;
-			await this.#peers.tellOthers(this.#node.voters.map(voter => voter.address));
-		}
-	}
-
-	/** As leader, lets a voter go that is not heard of, where the others are better off without it. */
-	async #dropSilent(): Promise<void> {
-		const voters = this.#node?.getReducedVoters(SILENT_VOTER_MS, getLeastVoters(this.#parts.settings.faultTolerance));
-		if (!voters) {
-			return;
-		}
-
-		try {
-			await this.#node!.configure(voters);
-			this.#parts.logger.info({event: 'voters-changed', silentMs: SILENT_VOTER_MS, voters: voters.map(member => `${member.vm}/${member.id}`)}, 'a silent voter was removed');
-		} catch (error) {
-			this.#parts.logger.info({event: 'voters-kept', reason: (error as Error).message}, 'a silent voter could not be removed yet');
-		}
-	}
 }
