--- a/apps/valelead-daemon/tests/controller-peers.feature
+++ b/apps/valelead-daemon/tests/controller-peers.feature
@@ -20,4 +20,5 @@
     Given a voter whose settings name "s1, s2"
     When "s1" is without a disk and names "" after 0 ms
     And a request to be let in at "s1" is answered with leader "v1"
-    Then "s1, v1" are asked to let it in, and the last one does
+    And a request to be let in at "s2" is answered with leader ""
+    Then "s1, s2, v1" are asked to let it in, and the last one does
