Log followers that obey an older routing, and measure for how long they do

routing-accepted says how long an acknowledgement waited and not whom it left behind; routing-in-force says when a follower took a version and not how old it was.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -17,6 +17,7 @@
 import type {OrderLeases} from './order-leases.js';
 import type {QuotaRegistry} from './quota-registry.js';
 import type {QuarantineRegistry} from './quarantine-registry.js';
+import type {RoutingRollout} from './routing-rollout.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 import type {Voter} from './voter.js';
 
@@ -27,6 +28,7 @@
 	readonly quarantine: QuarantineRegistry;
 	readonly quotas: QuotaRegistry;
 	readonly watch: Pick<LeaderWatch, 'isOutside'>;
+	readonly rollout: Pick<RoutingRollout, 'start' | 'noteCommitted' | 'noteConfirmed'>;
 	readonly timers: TimerService;
 	readonly clock?: Clock;
 };
@@ -63,6 +65,7 @@
 	readonly #quarantine: QuarantineRegistry;
 	readonly #quotas: QuotaRegistry;
 	readonly #watch: Pick<LeaderWatch, 'isOutside'>;
+	readonly #rollout: SessionsParts['rollout'];
 	readonly #timers: TimerService;
 	readonly #clock: Clock;
 	readonly #sessions = new Map<FollowerSession['stream'], FollowerSession>();
@@ -71,12 +74,13 @@
 	#gatewayCount = 0;
 	#nextSession = 1;
 
-	constructor({voter, registry, leases, quarantine, quotas, watch, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
+	constructor({voter, registry, leases, quarantine, quotas, watch, rollout, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
 		this.#voter = voter;
 		this.#leases = leases;
 		this.#quarantine = quarantine;
 		this.#quotas = quotas;
 		this.#watch = watch;
+		this.#rollout = rollout;
 		this.#timers = timers;
 		this.#clock = clock;
 		this.#news = new DirectoryNews({registry, timers});
@@ -91,7 +95,9 @@
 		this.#timers.repeat(COUNT_MS, now => {
 			this.#countGateways(now);
 		});
+		this.#rollout.start(() => this.#voter.node?.isCurrentLeader ? [...this.#sessions.values()] : []);
 		this.#voter.machine.subscribe(() => {
+			this.#rollout.noteCommitted(this.#progress.routingVersion);
 			this.pushSoon();
 		});
 	}
@@ -179,6 +185,7 @@
 		const now = this.#clock.now();
 		session.heardAt = now;
 		session.sentAt = report.sentAt;
+		this.#rollout.noteConfirmed(session.role, session.confirmed.routingVersion, report.routingVersion);
 		session.confirmed = getProgress(report);
 		for (const address of report.attendedEngines) {
 			session.attended.add(address);
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -13,6 +13,7 @@
 import {QuarantineRegistry} from '../control/quarantine-registry.js';
 import {QuorumWatch} from '../control/quorum-watch.js';
 import {QuotaRegistry} from '../control/quota-registry.js';
+import {RoutingRollout} from '../control/routing-rollout.js';
 import {UpstreamRegistry} from '../control/upstream-registry.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
 import {Metrics} from '../metrics/metrics.js';
@@ -85,8 +86,16 @@
 	const watch = new LeaderWatch({
 		voter, electionTimeoutMs: settings.electionTimeoutMs, clock: SYSTEM_CLOCK, timers,
 	});
+	const rollout = new RoutingRollout({
+		clock: SYSTEM_CLOCK,
+		timers,
+		logger,
+		onConfirmed(role, lagMs) {
+			metrics.routingLag.observe({role}, lagMs / MS_PER_SECOND);
+		},
+	});
 	const followers = new FollowerSessions({
-		voter, registry, leases, quarantine, quotas, watch, timers,
+		voter, registry, leases, quarantine, quotas, watch, rollout, timers,
 	});
 	const {leader, sessions, server} = newControlPlane({
 		voter,
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -21,6 +21,8 @@
 	readonly results: Counter<RequestLabels | 'code'>;
 	readonly configurationAge: Gauge;
 	readonly revision: Gauge;
+	/** At the leader: for how long followers obeyed an older routing after a newer one was committed. */
+	readonly routingLag: Histogram<'role'>;
 	/** Engines that nobody gives orders to; set by the leader. */
 	readonly unattendedEngines: Gauge;
 	/** Voters of the quorum, those of them that are heard, and the losses at once that they bear, as this voter knows. */
@@ -57,6 +59,13 @@
 		});
 		this.configurationAge = new Gauge({name: 'valelead_configuration_age_seconds', help: 'Time since the leader last confirmed the configuration.', registers});
 		this.revision = new Gauge({name: 'valelead_revision', help: 'The revision of the configuration in force.', registers});
+		this.routingLag = new Histogram({
+			name: 'valelead_routing_lag_seconds',
+			help: 'Time from the commit of a routing until a follower has confirmed it or a newer one.',
+			labelNames: ['role'],
+			buckets: SECONDS_BUCKETS,
+			registers,
+		});
 		this.unattendedEngines = new Gauge({name: 'valelead_unattended_engines', help: 'Engines that announce themselves and that no process gives orders to, as the leader knows.', registers});
 		this.voters = new Gauge({name: 'valelead_quorum_voters', help: 'Voters of the quorum.', registers});
 		this.heardVoters = new Gauge({name: 'valelead_quorum_heard_voters', help: 'Voters of the quorum that this voter has heard lately, itself included.', registers});
--- a/apps/valelead-daemon/src/session-client.ts
+++ b/apps/valelead-daemon/src/session-client.ts
@@ -64,6 +64,9 @@
 	#heardAt = 0;
 	#connectedAt = 0;
 	#address = '';
+	/** When a leader last answered, in any session; when this process started, before the first. */
+	#ledAt: number;
+	#isLed = false;
 	/** Voters that fell silent, and when each was given up: several may be lost at once. */
 	readonly #silent = new Map<string, number>();
 	/** When the present round through voters outside of the quorum began, and how many were passed over in it. */
@@ -75,6 +78,7 @@
 
 	constructor(parts: SessionParts) {
 		this.#parts = parts;
+		this.#ledAt = parts.clock.now();
 		this.#reports = new Coalescer(parts.timers, COALESCE_MS, () => {
 			this.#report();
 		});
@@ -139,6 +143,7 @@
 		this.#address = address;
 		this.#connectedAt = clock.now();
 		this.#heardAt = this.#connectedAt;
+		this.#isLed = false;
 		let isHeard = false;
 		stream.on('data', (update: SessionUpdate) => {
 			isHeard = true;
@@ -191,6 +196,7 @@
 		}
 
 		if (update.isCurrent) {
+			this.#noteLed(now);
 			return;
 		}
 
@@ -219,6 +225,15 @@
 		this.#questions.schedule();
 	}
 
+	#noteLed(now: number): void {
+		if (!this.#isLed) {
+			this.#isLed = true;
+			this.#parts.logger.info({event: 'leader-followed', address: this.#address, leaderlessMs: Math.round(now - this.#ledAt)}, 'a session with the leader has begun');
+		}
+
+		this.#ledAt = now;
+	}
+
 	/** Whether a round through all voters is not over yet, or the next one is due. */
 	#mayPassOver(now: number): boolean {
 		if (now - this.#round.since > ROUND_MS) {
--- a/apps/valelead-daemon/tests/order-leases.steps.ts
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -11,6 +11,7 @@
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
+import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {FollowerSessions, OrderLeases} from 'valelead-daemon';
 
@@ -65,7 +66,7 @@
 		logger: pino({level: 'silent'}),
 	});
 	this.sessions = new FollowerSessions({
-		voter: voter as never, registry, leases: this.leases, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, watch: {isOutside: false}, timers: this.timers, clock,
+		voter: voter as never, registry, leases: this.leases, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: this.timers, clock,
 	});
 	this.stream = {on: ignore, write: () => true};
 	this.leases.start();
