Show a storm of changes piling up in front of a follower, as known red

The leader writes each version to each follower as it is committed, whatever the follower has confirmed: 25 routings in 1.5 s.

--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -171,3 +171,11 @@
       | leader | word |
       | b      | no   |
       |        | yes  |
+
+  # Guards against changes that pile up in front of followers: each of a storm was written to each follower, which then obeyed versions that were seconds old.
+  Scenario: A follower that confirms no routing is sent one a second, and the newest as soon as it has confirmed
+    Given a leader with followers "g1" and "g2"
+    When the versions 2 to 26 are committed 60 ms apart, and "g1" confirms none
+    Then "g1" was sent 2 routings at most
+    When "g1" confirms the last one that it was sent
+    Then the last routing that "g1" was sent is version 26
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -396,6 +396,28 @@
 	assert.equal(sent.at(-1)?.isReportWanted, true);
 });
 
+When('the versions {int} to {int} are committed {int} ms apart, and {string} confirms none', function (this: FollowerWorld, first: number, last: number, gapMs: number, _vm: string) {
+	for (let version = first; version <= last; version += 1) {
+		this.committed.version = version;
+		this.sessions.pushSoon();
+		this.time.advance(gapMs);
+	}
+});
+
+When('{string} confirms the last one that it was sent', function (this: FollowerWorld, vm: string) {
+	report(this, vm, getSentVersions(this, vm).at(-1)!);
+	this.time.advance(STEP_MS);
+});
+
+Then('{string} was sent {int} routings at most', function (this: FollowerWorld, vm: string, limit: number) {
+	const versions = getSentVersions(this, vm);
+	assert.ok(versions.length <= limit, `was sent the versions ${versions.join(', ')}`);
+});
+
+Then('the last routing that {string} was sent is version {int}', function (this: FollowerWorld, vm: string, version: number) {
+	assert.equal(getSentVersions(this, vm).at(-1), version);
+});
+
 /** The term in which everything here was written, before and after the restart. */
 const TERM = 3;
 
