Call whose use a quota counts a subject, as it need not be a team

packages/quota keeps accounts, loans and stocks by a name; nothing in it depends on the name standing for a team.

--- a/apps/valelead-daemon/src/control/quota-registry.ts
+++ b/apps/valelead-daemon/src/control/quota-registry.ts
@@ -2,7 +2,7 @@
 import type {Clock, TimerService} from '@valelead/common';
 import {type QuotaGrant, type QuotaUsage, QuotaGrantSchema} from '@valelead/protocol';
 import {
-	type Loan, type Quota, type QuotaLedger, type QuotaTolerance, getScarceTeams, mutateConfirmedLoans, mutateLoan, mutateLostLoans, mutateQuotas, mutateUsage, newQuotaLedger,
+	type Loan, type Quota, type QuotaLedger, type QuotaTolerance, getScarceSubjects, mutateConfirmedLoans, mutateLoan, mutateLostLoans, mutateQuotas, mutateUsage, newQuotaLedger,
 } from '@valelead/quota';
 
 type RegistryParts = {
@@ -69,7 +69,7 @@
 
 		const now = this.#parts.clock.now();
 		mutateConfirmedLoans(state.ledger, sessionId, now);
-		return create(QuotaGrantSchema, {term: state.term, loans: [...loans], scarceTeams: getScarceTeams(state.ledger, now)});
+		return create(QuotaGrantSchema, {term: state.term, loans: [...loans], scarceSubjects: getScarceSubjects(state.ledger, now)});
 	}
 
 	/** What teams may still use, and what is lent of it. */
--- a/apps/valelead-daemon/src/gateway/quota-gate.ts
+++ b/apps/valelead-daemon/src/gateway/quota-gate.ts
@@ -2,7 +2,7 @@
 	type Clock, type ResultCodeValue, type SuspensionWatch, type TimerService, OUTCOME, type OutcomeValue, RESULT_CODE,
 } from '@valelead/common';
 import {
-	type Loan, type Reservation, type TeamUsage, LOAN_MS, mutateBorrowed, mutateDemand, mutateReserved, mutateSession, mutateSettled, mutateTeamReport, newQuotaStock,
+	type Loan, type Reservation, type SubjectUsage, LOAN_MS, mutateBorrowed, mutateDemand, mutateReserved, mutateSession, mutateSettled, mutateSubjectReport, newQuotaStock,
 } from '@valelead/quota';
 import type {RouteTable} from '@valelead/routing';
 import type {Logger} from 'pino';
@@ -127,16 +127,16 @@
 		}
 	}
 
-	getReport(isFirst: boolean): TeamUsage[] {
+	getReport(isFirst: boolean): SubjectUsage[] {
 		if (isFirst) {
 			mutateSession(this.#stock);
 			this.#askAgain();
 		}
 
 		this.#settleSent();
-		const usages: TeamUsage[] = [];
+		const usages: SubjectUsage[] = [];
 		for (const {name, quota} of this.#parts.getTable()?.teams.values() ?? []) {
-			const usage = quota && mutateTeamReport(this.#stock, name, this.#takeNeeds(name), this.#now);
+			const usage = quota && mutateSubjectReport(this.#stock, name, this.#takeNeeds(name), this.#now);
 			usages.push(...(usage ? [usage] : []));
 		}
 
@@ -144,14 +144,14 @@
 	}
 
 	/** Takes loans; not those that were asked for before a suspension, as nobody knows how long ago that is. */
-	take({term, loans, scarceTeams, reportedAt}: Parameters<QuotaExchange['take']>[0]): void {
+	take({term, loans, scarceSubjects, reportedAt}: Parameters<QuotaExchange['take']>[0]): void {
 		const {suspensions} = this.#parts;
 		if (suspensions.resumedAt >= reportedAt) {
 			return;
 		}
 
 		mutateBorrowed(this.#stock, {
-			term, loans, scarceTeams, validUntil: reportedAt + suspensions.lostMs + LOAN_MS,
+			term, loans, scarceSubjects, validUntil: reportedAt + suspensions.lostMs + LOAN_MS,
 		}, this.#now);
 		if (term !== this.#term) {
 			this.#term = term;
@@ -224,7 +224,7 @@
 		}
 	}
 
-	#takeLoan({team, waitMs}: Loan): void {
+	#takeLoan({subject: team, waitMs}: Loan): void {
 		if (waitMs > 0) {
 			this.#dryUntil.set(team, this.#now + Math.min(waitMs, MOST_DRY_MS));
 		}
@@ -242,7 +242,7 @@
 	#refuseOver(request: GatewayRequest, waitMs: number): void {
 		const {caller: {team, cost}, head} = request;
 		this.#parts.logger.info({
-			event: 'quota-used-up', requestId: head.id, team: team!.name, cost, waitMs: Math.round(waitMs), free: Math.round(this.#stock.current.teams.get(team!.name)?.free ?? 0), term: this.#term,
+			event: 'quota-used-up', requestId: head.id, team: team!.name, cost, waitMs: Math.round(waitMs), free: Math.round(this.#stock.current.subjects.get(team!.name)?.free ?? 0), term: this.#term,
 		}, 'a team has used up its quota');
 		this.#parts.onRefused(request, RESULT_CODE.QuotaExceeded, Math.max(LEAST_RETRY_MS, Math.round(waitMs * (1 + this.#parts.random()))));
 	}
--- a/bench/quota/lent-sharing.ts
+++ b/bench/quota/lent-sharing.ts
@@ -1,6 +1,6 @@
 import {
 	type Quota, type QuotaLedger, type QuotaStock, type QuotaTolerance,
-	LOAN_MS, getScarceTeams, mutateBorrowed, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateLostLoans, mutateQuotas, mutateReserved, mutateSession, mutateSettled, mutateTeamReport,
+	LOAN_MS, getScarceSubjects, mutateBorrowed, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateLostLoans, mutateQuotas, mutateReserved, mutateSession, mutateSettled, mutateSubjectReport,
 	mutateUsage, newQuotaLedger, newQuotaStock,
 } from '@valelead/quota';
 import type {Sharing} from './sharing.js';
@@ -76,7 +76,7 @@
 		this.messages += isRegular ? 0 : MESSAGES_AN_EXCHANGE;
 		const stock = this.#stocks[gateway];
 		const id = `${gateway}.${this.#term}`;
-		const usage = mutateTeamReport(stock, TEAM, needs, now);
+		const usage = mutateSubjectReport(stock, TEAM, needs, now);
 		mutateLostLoans(this.#ledger, now);
 		const told = usage && {...usage, wanted: this.#hasStock ? usage.wanted : 0};
 		if (told) {
@@ -86,7 +86,7 @@
 		const loan = told && mutateLoan(this.#ledger, id, told, now);
 		mutateConfirmedLoans(this.#ledger, id, now);
 		mutateBorrowed(stock, {
-			term: this.#term, loans: loan ? [loan] : [], validUntil: now + LOAN_MS, scarceTeams: getScarceTeams(this.#ledger, now),
+			term: this.#term, loans: loan ? [loan] : [], validUntil: now + LOAN_MS, scarceSubjects: getScarceSubjects(this.#ledger, now),
 		}, now);
 	}
 }
--- a/packages/quota/src/get-brim-now.ts
+++ b/packages/quota/src/get-brim-now.ts
@@ -4,7 +4,7 @@
 import type {Quota} from './quota.js';
 import type {QuotaLedger} from './quota-ledger.js';
 
-/** The most that a team's bucket holds now: less while loans of the leader before may be used still. */
+/** The most that a subject's bucket holds now: less while loans of the leader before may be used still. */
 export const getBrimNow = ({tolerance, startedAt}: QuotaLedger, quota: Quota, now: number): number => {
 	const brim = getBrim(tolerance, quota);
 	return now - startedAt < LOAN_MS ? brim * (1 - LENT_SHARE) : brim;
--- a/packages/quota/src/get-brim.ts
+++ b/packages/quota/src/get-brim.ts
@@ -9,7 +9,7 @@
 /** A bucket below this could never serve a request. */
 const LEAST_BRIM = 1;
 
-/** The most that a team's bucket holds. */
+/** The most that a subject's bucket holds. */
 export const getBrim = ({windowMs, overshoot, slack}: QuotaTolerance, {perSecond, burst}: Quota): number => {
 	const allowed = burst + (perSecond * windowMs / MS_PER_SECOND);
 	return Math.max(LEAST_BRIM, burst + (TOLERANCE_SHARE * ((overshoot * allowed) + slack)));
--- a/packages/quota/src/get-filled-level.ts
+++ b/packages/quota/src/get-filled-level.ts
@@ -1,6 +1,6 @@
-import type {TeamAccount} from './team-account.js';
+import type {SubjectAccount} from './subject-account.js';
 
 const MS_PER_SECOND = 1000;
 
-/** What a team's bucket would hold now if it had no brim. */
-export const getFilledLevel = ({quota, level, levelAt}: TeamAccount, now: number): number => level + (quota.perSecond * (now - levelAt) / MS_PER_SECOND);
+/** What a subject's bucket would hold now if it had no brim. */
+export const getFilledLevel = ({quota, level, levelAt}: SubjectAccount, now: number): number => level + (quota.perSecond * (now - levelAt) / MS_PER_SECOND);
--- a/packages/quota/src/loan.ts
+++ b/packages/quota/src/loan.ts
@@ -1,6 +1,6 @@
-/** What is lent of one team's quota. */
+/** What is lent of one subject's quota. */
 export type Loan = {
-	readonly team: string;
+	readonly subject: string;
 	/** Units. */
 	readonly amount: number;
 	/** Until there is enough for the first request that waits and got none, in milliseconds; 0 where all got theirs. */
--- a/packages/quota/src/mutate-borrowed.ts
+++ b/packages/quota/src/mutate-borrowed.ts
@@ -1,4 +1,4 @@
-import {getTeamStock} from './get-team-stock.js';
+import {getSubjectStock} from './get-subject-stock.js';
 import {mutateSession} from './mutate-session.js';
 import {newLapsedBook} from './new-lapsed-book.js';
 import type {Loan} from './loan.js';
@@ -7,13 +7,13 @@
 /** What a leader tells a borrower: its loans, its term, and until when all of its loans are valid by the borrower's clock. */
 type Grant = {
 	readonly term: number;
-	readonly loans: ReadonlyArray<Pick<Loan, 'team' | 'amount'>>;
+	readonly loans: ReadonlyArray<Pick<Loan, 'subject' | 'amount'>>;
 	readonly validUntil: number;
-	readonly scarceTeams: readonly string[];
+	readonly scarceSubjects: readonly string[];
 };
 
 /** Takes loans, which confirm those of the same leadership that have not ended. */
-export const mutateBorrowed = (stock: QuotaStock, {term, loans, validUntil, scarceTeams}: Grant, now: number): void => {
+export const mutateBorrowed = (stock: QuotaStock, {term, loans, validUntil, scarceSubjects}: Grant, now: number): void => {
 	if (stock.current.term !== term) {
 		mutateSession(stock, term);
 	} else if (now >= stock.current.validUntil) {
@@ -21,8 +21,8 @@
 	}
 
 	stock.current.validUntil = Math.max(stock.current.validUntil, validUntil);
-	stock.scarce = new Set(scarceTeams);
-	for (const {team, amount} of loans) {
-		getTeamStock(stock.current, team).free += amount;
+	stock.scarce = new Set(scarceSubjects);
+	for (const {subject, amount} of loans) {
+		getSubjectStock(stock.current, subject).free += amount;
 	}
 };
--- a/packages/quota/src/mutate-ended.ts
+++ b/packages/quota/src/mutate-ended.ts
@@ -1,6 +1,6 @@
 import {mutateLevel} from './mutate-level.js';
 import type {QuotaLedger} from './quota-ledger.js';
-import type {TeamAccount} from './team-account.js';
+import type {SubjectAccount} from './subject-account.js';
 
 /** Units that are lent no longer, and how many of them count as used. */
 type EndedUnits = {
@@ -8,8 +8,8 @@
 	readonly used: number;
 };
 
-/** Takes units of a team out of what is lent, and those that were used out of its bucket. */
-export const mutateEnded = (ledger: QuotaLedger, account: TeamAccount, {lent, used}: EndedUnits, now: number): void => {
+/** Takes units of a subject out of what is lent, and those that were used out of its bucket. */
+export const mutateEnded = (ledger: QuotaLedger, account: SubjectAccount, {lent, used}: EndedUnits, now: number): void => {
 	mutateLevel(ledger, account, now);
 	account.lent -= lent;
 	account.level = Math.max(0, account.level - used);
--- a/packages/quota/src/mutate-loan.ts
+++ b/packages/quota/src/mutate-loan.ts
@@ -4,8 +4,8 @@
 import {mutateLevel} from './mutate-level.js';
 import type {Loan} from './loan.js';
 import type {QuotaLedger} from './quota-ledger.js';
-import type {TeamAccount} from './team-account.js';
-import type {TeamUsage} from './team-usage.js';
+import type {SubjectAccount} from './subject-account.js';
+import type {SubjectUsage} from './subject-usage.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -26,22 +26,22 @@
 	return {amount, missing: undefined};
 };
 
-const getLoan = (ledger: QuotaLedger, account: TeamAccount, {team, wanted, needs}: TeamUsage, now: number): Loan => {
+const getLoan = (ledger: QuotaLedger, account: SubjectAccount, {subject, wanted, needs}: SubjectUsage, now: number): Loan => {
 	const {quota, level, lent} = account;
 	const brim = getBrimNow(ledger, quota, now);
 	const free = Math.max(0, Math.min(level, brim * LENT_SHARE) - lent);
 	const {amount, missing} = getServedNeeds(needs, free);
 	if (missing !== undefined) {
-		return {team, amount, waitMs: Math.ceil((amount + missing - free) * MS_PER_SECOND / quota.perSecond)};
+		return {subject, amount, waitMs: Math.ceil((amount + missing - free) * MS_PER_SECOND / quota.perSecond)};
 	}
 
 	const spare = isScarce(ledger, account, now) ? 0 : Math.max(0, free - amount - (brim * KEPT_SHARE));
-	return {team, amount: amount + Math.min(wanted, spare), waitMs: 0};
+	return {subject, amount: amount + Math.min(wanted, spare), waitMs: 0};
 };
 
-/** Lends a borrower what it asks for, as far as there is enough; undefined where it asks for nothing or the team has no quota. */
-export const mutateLoan = (ledger: QuotaLedger, borrowerId: string, usage: TeamUsage, now: number): Loan | undefined => {
-	const account = ledger.accounts.get(usage.team);
+/** Lends a borrower what it asks for, as far as there is enough; undefined where it asks for nothing or the subject has no quota. */
+export const mutateLoan = (ledger: QuotaLedger, borrowerId: string, usage: SubjectUsage, now: number): Loan | undefined => {
+	const account = ledger.accounts.get(usage.subject);
 	if (!account || (usage.wanted <= 0 && usage.needs.length === 0)) {
 		return undefined;
 	}
@@ -50,7 +50,7 @@
 	const loan = getLoan(ledger, account, usage, now);
 	const borrower = ledger.borrowers.get(borrowerId) ?? {amounts: new Map<string, number>(), expiresAt: now};
 	ledger.borrowers.set(borrowerId, borrower);
-	borrower.amounts.set(usage.team, (borrower.amounts.get(usage.team) ?? 0) + loan.amount);
+	borrower.amounts.set(usage.subject, (borrower.amounts.get(usage.subject) ?? 0) + loan.amount);
 	account.lent += loan.amount;
 	return loan;
 };
--- a/packages/quota/src/mutate-lost-loans.ts
+++ b/packages/quota/src/mutate-lost-loans.ts
@@ -9,8 +9,8 @@
 		}
 
 		ledger.borrowers.delete(id);
-		for (const [team, amount] of amounts) {
-			const account = ledger.accounts.get(team);
+		for (const [subject, amount] of amounts) {
+			const account = ledger.accounts.get(subject);
 			if (account) {
 				mutateEnded(ledger, account, {lent: amount, used: amount}, now);
 			}
--- a/packages/quota/src/mutate-quotas.ts
+++ b/packages/quota/src/mutate-quotas.ts
@@ -2,10 +2,10 @@
 import type {Quota} from './quota.js';
 import type {QuotaLedger} from './quota-ledger.js';
 
-const mutateQuota = (ledger: QuotaLedger, team: string, quota: Quota, now: number): void => {
-	const account = ledger.accounts.get(team);
+const mutateQuota = (ledger: QuotaLedger, subject: string, quota: Quota, now: number): void => {
+	const account = ledger.accounts.get(subject);
 	if (account === undefined) {
-		ledger.accounts.set(team, {
+		ledger.accounts.set(subject, {
 			quota, level: 0, levelAt: now, lent: 0,
 		});
 		return;
@@ -16,15 +16,15 @@
 	mutateLevel(ledger, account, now);
 };
 
-/** Takes the quotas in force. What is lent stays lent, also of a team that has no quota any more. */
+/** Takes the quotas in force. What is lent stays lent, also of a subject that has no quota any more. */
 export const mutateQuotas = (ledger: QuotaLedger, quotas: ReadonlyMap<string, Quota>, now: number): void => {
-	for (const [team, quota] of quotas) {
-		mutateQuota(ledger, team, quota, now);
+	for (const [subject, quota] of quotas) {
+		mutateQuota(ledger, subject, quota, now);
 	}
 
-	for (const [team, {lent}] of ledger.accounts) {
-		if (!quotas.has(team) && lent <= 0) {
-			ledger.accounts.delete(team);
+	for (const [subject, {lent}] of ledger.accounts) {
+		if (!quotas.has(subject) && lent <= 0) {
+			ledger.accounts.delete(subject);
 		}
 	}
 };
--- a/packages/quota/src/mutate-session.ts
+++ b/packages/quota/src/mutate-session.ts
@@ -1,7 +1,7 @@
 import {newStockBook} from './new-stock-book.js';
 import type {QuotaStock} from './quota-stock.js';
 
-const isEmpty = (stock: QuotaStock): boolean => [...stock.current.teams.values()].every(({free}) => free === 0);
+const isEmpty = (stock: QuotaStock): boolean => [...stock.current.subjects.values()].every(({free}) => free === 0);
 
 /** Begins with another leader, or a new session with the same one, which knows nothing of what was lent before. */
 export const mutateSession = (stock: QuotaStock, term?: number): void => {
--- a/packages/quota/src/mutate-team-report.ts
+++ b/packages/quota/src/mutate-subject-report.ts
@@ -1,16 +1,16 @@
-import {getTeamStock} from './get-team-stock.js';
+import {getSubjectStock} from './get-subject-stock.js';
 import {getWantedStock} from './get-wanted-stock.js';
 import type {QuotaStock} from './quota-stock.js';
-import type {TeamUsage} from './team-usage.js';
+import type {SubjectUsage} from './subject-usage.js';
 
 /** A stock is filled up once it is below this part of what is wanted, and given back above this many times of it. */
 const LOW_SHARE = 0.5;
 const HIGH_FACTOR = 2;
 
-/** What is told of one team in the next report; undefined where there is no news. The amounts count as told. */
-export const mutateTeamReport = (stock: QuotaStock, team: string, needs: readonly number[], now: number): TeamUsage | undefined => {
-	const held = getTeamStock(stock.current, team);
-	const target = getWantedStock(stock, team, now);
+/** What is told of one subject in the next report; undefined where there is no news. The amounts count as told. */
+export const mutateSubjectReport = (stock: QuotaStock, subject: string, needs: readonly number[], now: number): SubjectUsage | undefined => {
+	const held = getSubjectStock(stock.current, subject);
+	const target = getWantedStock(stock, subject, now);
 	if (held.free > target * HIGH_FACTOR) {
 		held.returned += held.free - target;
 		held.free = target;
@@ -26,6 +26,6 @@
 	}
 
 	return {
-		team, used, returned, wanted, needs,
+		subject, used, returned, wanted, needs,
 	};
 };
--- a/packages/quota/src/quota.ts
+++ b/packages/quota/src/quota.ts
@@ -1,6 +1,6 @@
 import type {QuotaUnitValue} from './quota-unit-value.js';
 
-/** What a team may ask over all processes together. */
+/** What may be asked over all processes together, by a subject: whoever is counted under one name, such as a team. */
 export type Quota = {
 	readonly unit: QuotaUnitValue;
 	/** Units a second, in the long run. */
--- a/packages/quota/src/reservation.ts
+++ b/packages/quota/src/reservation.ts
@@ -1,7 +1,7 @@
-import type {TeamStock} from './team-stock.js';
+import type {SubjectStock} from './subject-stock.js';
 
 /** Units that one request has taken from a stock. */
 export type Reservation = {
-	readonly stock: TeamStock;
+	readonly stock: SubjectStock;
 	readonly cost: number;
 };
--- a/packages/quota/src/stock-book.ts
+++ b/packages/quota/src/stock-book.ts
@@ -1,10 +1,10 @@
-import type {TeamStock} from './team-stock.js';
+import type {SubjectStock} from './subject-stock.js';
 
 /** What a process has borrowed in one session with one leader. */
 export type StockBook = {
 	/** The leadership that lent it; -1 before the first loan. */
 	term: number;
-	readonly teams: Map<string, TeamStock>;
+	readonly subjects: Map<string, SubjectStock>;
 	/** Until when it may be used, in the borrower's own milliseconds. */
 	validUntil: number;
 };
--- a/packages/quota/src/team-stock.ts
+++ b/packages/quota/src/subject-stock.ts
@@ -1,5 +1,5 @@
-/** What a process holds of one team's quota, from one session with one leader. */
-export type TeamStock = {
+/** What a process holds of one subject's quota, from one session with one leader. */
+export type SubjectStock = {
 	/** Units that requests may still take. */
 	free: number;
 	/** Units of requests that wait for an upstream. */
--- a/packages/quota/src/team-usage.ts
+++ b/packages/quota/src/subject-usage.ts
@@ -1,6 +1,6 @@
-/** What a process tells of one team since its last report. */
-export type TeamUsage = {
-	readonly team: string;
+/** What a process tells of one subject since its last report. */
+export type SubjectUsage = {
+	readonly subject: string;
 	/** Units that requests have used. */
 	readonly used: number;
 	/** Units that it gives back. */
--- a/packages/quota/tests/model-quotas.ts
+++ b/packages/quota/tests/model-quotas.ts
@@ -1,14 +1,14 @@
 import {
-	type Loan, type Quota, type QuotaLedger, type QuotaStock, type QuotaTolerance, type Reservation, type TeamUsage,
-	LOAN_MS, getScarceTeams, mutateBorrowed, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateLostLoans, mutateQuotas, mutateReserved, mutateSession, mutateSettled, mutateTeamReport, mutateUsage,
-	newQuotaLedger, newQuotaStock,
+	type Loan, type Quota, type QuotaLedger, type QuotaStock, type QuotaTolerance, type Reservation, type SubjectUsage,
+	LOAN_MS, getScarceSubjects, mutateBorrowed, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateLostLoans, mutateQuotas, mutateReserved, mutateSession, mutateSettled,
+	mutateSubjectReport, mutateUsage, newQuotaLedger, newQuotaStock,
 } from '@valelead/quota';
 
 type ModelGateway = {
 	stock: QuotaStock;
 	session: number;
 	/** What the leader answered and has not arrived yet. */
-	pending: {readonly term: number; readonly loans: readonly Loan[]; readonly reportedAt: number; readonly scarceTeams: readonly string[]} | undefined;
+	pending: {readonly term: number; readonly loans: readonly Loan[]; readonly reportedAt: number; readonly scarceSubjects: readonly string[]} | undefined;
 	readonly held: HeldUnits[];
 	needs: number[];
 };
@@ -92,7 +92,7 @@
 		const loan = usage && this.#lend(id, usage);
 		mutateConfirmedLoans(this.#ledger, id, this.now);
 		gateway.pending = {
-			term: this.#term, loans: loan ? [loan] : [], reportedAt: this.now, scarceTeams: getScarceTeams(this.#ledger, this.now),
+			term: this.#term, loans: loan ? [loan] : [], reportedAt: this.now, scarceSubjects: getScarceSubjects(this.#ledger, this.now),
 		};
 	}
 
@@ -147,11 +147,11 @@
 		return Math.max(0, ...uses.map(first => uses.reduce((sum, {at, cost}) => sum + (at >= first.at && at < first.at + spanMs ? cost : 0), 0)));
 	}
 
-	#takeUsage(gateway: ModelGateway, needs: readonly number[]): TeamUsage | undefined {
-		return mutateTeamReport(gateway.stock, TEAM, needs, this.now);
+	#takeUsage(gateway: ModelGateway, needs: readonly number[]): SubjectUsage | undefined {
+		return mutateSubjectReport(gateway.stock, TEAM, needs, this.now);
 	}
 
-	#lend(id: string, usage: TeamUsage): Loan | undefined {
+	#lend(id: string, usage: SubjectUsage): Loan | undefined {
 		mutateUsage(this.#ledger, id, usage, this.now);
 		return mutateLoan(this.#ledger, id, usage, this.now);
 	}
