Read the limits that upstreams name in their answers, and log and count them

No line and no metric said that an upstream had named one. The adapter decodes the header; a gateway writes upstream-limit when what an upstream names changes, and valelead_limited_upstreams counts those that name one. Nothing is decided by it yet.

--- a/apps/valelead-daemon/src/adapter/answer-head.ts
+++ b/apps/valelead-daemon/src/adapter/answer-head.ts
@@ -6,4 +6,6 @@
 	readonly isNotExecuted: boolean;
 	/** Whether another run, or another upstream, is at the address. */
 	readonly isOtherUpstream: boolean;
+	/** The requests a second that the upstream takes from all callers together; undefined where it names no limit. */
+	readonly limitPerSecond: number | undefined;
 };
--- a/apps/valelead-daemon/src/gateway/attempt-terms.ts
+++ b/apps/valelead-daemon/src/gateway/attempt-terms.ts
@@ -6,6 +6,8 @@
 
 /** What an attempt tells its gateway. After onEnd or onFailure nothing more comes. */
 type AttemptEvents = {
+	/** Any answer of the upstream; the requests a second that it takes from all gateways together, undefined where it names no limit. */
+	readonly onLimit: (perSecond: number | undefined) => void;
 	/** The head of the answer; returns whether the answer is wanted. */
 	readonly onHead: (answer: AnswerStart) => boolean;
 	readonly onData: (chunk: Buffer) => void;
--- a/apps/valelead-daemon/src/gateway/attempts.ts
+++ b/apps/valelead-daemon/src/gateway/attempts.ts
@@ -23,6 +23,11 @@
 	readonly getAgent: (upstreamId: string, service: string) => UpstreamAgent;
 	/** An upstream has answered, whatever it said. */
 	readonly onAnswer: (upstreamId: string) => void;
+	/**
+	 * An upstream has answered, and named a limit of requests a second or none.
+	 * @param startedAt - When the answered request was sent, in monotonic milliseconds.
+	 */
+	readonly onLimit: (upstreamId: string, perSecond: number | undefined, startedAt: number) => void;
 	/** A stream has begun. */
 	readonly onStarted: (request: GatewayRequest, attemptId: string) => void;
 	/** The whole answer has come; `passOn` gives its end to the caller. */
@@ -53,6 +58,7 @@
 	send(request: GatewayRequest, sending: Sending): void {
 		const {codec, clock, newAttempt, getAgent} = this.#parts;
 		const {attemptId, upstream, remainingMs} = sending;
+		const startedAt = clock.now();
 		const attempt = newAttempt({
 			requestId: request.head.id,
 			upstreamId: upstream.id,
@@ -65,8 +71,8 @@
 				instanceId: upstream.instanceId, remainingMs, priority: request.caller.rank, team: request.caller.team?.name ?? '', lastEventId: request.lastEventId,
 			}),
 			body: request.body,
-			startedAt: clock.now(),
-			events: this.#newEvents(request, sending),
+			startedAt,
+			events: this.#newEvents(request, sending, startedAt),
 		});
 		this.#sent.set(attemptId, attempt);
 	}
@@ -97,8 +103,11 @@
 		}
 	}
 
-	#newEvents(request: GatewayRequest, {attemptId, upstream}: Sending): AttemptTerms['events'] {
+	#newEvents(request: GatewayRequest, {attemptId, upstream}: Sending, startedAt: number): AttemptTerms['events'] {
 		return {
+			onLimit: perSecond => {
+				this.#parts.onLimit(upstream.id, perSecond, startedAt);
+			},
 			onHead: answer => this.#start(request, {attemptId, upstream}, answer),
 			onData: (chunk: Buffer) => {
 				mutatePart(request, this.#parts.clock.now());
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -164,6 +164,7 @@
 			refreshMetrics: () => {
 				this.#metrics.revision.set(this.#follower.table?.routing.version ?? 0);
 				this.#metrics.configurationAge.set(this.#follower.ageMs / MS_PER_SECOND);
+				this.#metrics.limitedUpstreams.set(this.#dispatcher.limitedCount);
 				this.#metrics.quarantinedRequests.set(this.#dispatcher.quarantinedCount);
 			},
 		});
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -18,6 +18,7 @@
 import {LoadPlanner} from './load-planner.js';
 import {newAttemptEnd} from './new-attempt-end.js';
 import {newTicket} from './new-ticket.js';
+import {UpstreamLimits} from './upstream-limits.js';
 import {UpstreamBook} from './upstream-book.js';
 import type {AttemptEnd} from './attempt-end.js';
 import type {AttemptTerms} from './attempt-terms.js';
@@ -68,6 +69,7 @@
 	readonly #book: UpstreamBook;
 	readonly #demand: DemandReporter;
 	readonly #crashes: CrashGuard;
+	readonly #limits: UpstreamLimits;
 	/** Reports of many sidecars come together, and each refresh looks at all upstreams. */
 	readonly #refreshes: Coalescer;
 
@@ -99,6 +101,7 @@
 			isWaiting: request => this.#state.requests.get(request.id)?.state === 'waiting',
 			giveUp: (request, forecastMs, getSourceCount) => this.#giveUp(request, forecastMs, getSourceCount),
 		});
+		this.#limits = new UpstreamLimits(parts.logger);
 		this.#attempts = this.#newAttempts();
 		this.#crashes = new CrashGuard({
 			...parts,
@@ -123,6 +126,11 @@
 		return this.#crashes.exchange;
 	}
 
+	/** Upstreams that limit the requests that they take. */
+	get limitedCount(): number {
+		return this.#limits.count;
+	}
+
 	get quarantinedCount(): number {
 		return this.#crashes.quarantinedCount;
 	}
@@ -172,6 +180,7 @@
 
 	takeDirectory(upstreams: readonly Upstream[]): void {
 		this.#crashes.setUpstreams(upstreams);
+		this.#limits.retain(new Set(upstreams.map(upstream => upstream.id)));
 		this.#parts.residency.follow(this.#book.setUpstreams(upstreams));
 		this.refresh();
 	}
@@ -207,6 +216,9 @@
 			onAnswer: upstreamId => {
 				this.#book.noteAnswer(upstreamId);
 			},
+			onLimit: (upstreamId, perSecond) => {
+				this.#limits.noteAnswer(upstreamId, perSecond);
+			},
 			onStarted: (request, attemptId) => {
 				this.#take({kind: 'started', requestId: request.id, attemptId});
 			},
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -114,6 +114,11 @@
 		const {codec, requestId, events} = this.#parts;
 		const head = codec.decodeAnswer(answer.statusCode ?? 0, answer.headers);
 		this.#isAnswered = true;
+		// A late answer to another request says nothing of the present.
+		if (head.requestId === requestId && !head.isOtherUpstream) {
+			events.onLimit(head.limitPerSecond);
+		}
+
 		if (head.isNotExecuted) {
 			answer.resume();
 			this.#end(() => {
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -28,7 +28,10 @@
 	}),
 	newUpstreamHeaders: rawHeaders => [...rawHeaders],
 	decodeAnswer: (_status, headers) => ({
-		requestId: String(headers.id), isNotExecuted: headers['not-run'] !== undefined || headers.other !== undefined, isOtherUpstream: headers.other !== undefined,
+		requestId: String(headers.id),
+		isNotExecuted: headers['not-run'] !== undefined || headers.other !== undefined,
+		isOtherUpstream: headers.other !== undefined,
+		limitPerSecond: undefined,
 	}),
 };
 
@@ -76,6 +79,7 @@
 		body: Buffer.alloc(0),
 		startedAt: 0,
 		events: {
+			onLimit: () => undefined,
 			onHead: () => true,
 			onData(chunk) {
 				chunks.push(chunk);
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -40,7 +40,9 @@
 		id: '', deadlineMs: undefined, model: '', adapter: '', promptTokens: 0, maxNewTokens: 0, hasTokenCount: false, isTokenCountValid: true, key: undefined,
 	}),
 	newUpstreamHeaders: () => [],
-	decodeAnswer: () => ({requestId: '', isNotExecuted: false, isOtherUpstream: false}),
+	decodeAnswer: () => ({
+		requestId: '', isNotExecuted: false, isOtherUpstream: false, limitPerSecond: undefined,
+	}),
 };
 
 /** The shipped dispatcher of a gateway over emulated engines. */
