Send a follower one routing at a time, and the newest once it has confirmed

Cause: the leader wrote each version to each follower as it was committed and took it as received; a storm of changes lay in the stream of whoever did not read. Now a follower that has not confirmed a routing within 1 s at the latest is sent no other one, and then the newest; it confirms at once. While one is held back it is not told that its routing is the newest.

--- a/apps/valelead-daemon/src/control/follower-session.ts
+++ b/apps/valelead-daemon/src/control/follower-session.ts
@@ -17,6 +17,8 @@
 	repliedAt: number;
 	/** What it was sent, taken as received: a stream loses nothing while it lasts. */
 	sent: Progress;
+	/** When it was last sent a routing. */
+	routingSentAt: number;
 	/** The version of the quarantine that it was sent; 0 before the first. */
 	quarantineVersion: number;
 	/** What its last report says. */
--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -51,6 +51,12 @@
 /** Between two such turns, in milliseconds: the least after which a timer fires in a turn of its own. */
 const TURN_GAP_MS = 1;
 
+/**
+ * A follower that has not confirmed a routing is sent no other one for this time, in milliseconds. Routings that come faster than a link or a follower takes
+ * them would queue up before it. One that could not be read is never confirmed, so the time has an end.
+ */
+const ROUTING_CONFIRM_MS = 1000;
+
 /** Reports of crashes that are held for a session; a follower stays with a voter that does not lead for some reports, and its first one holds all. */
 const MAX_HELD_REPORTS = 16;
 
@@ -120,6 +126,7 @@
 			sentAt: 0,
 			repliedAt: Number.NEGATIVE_INFINITY,
 			sent: getProgress(report),
+			routingSentAt: Number.NEGATIVE_INFINITY,
 			quarantineVersion: 0,
 			confirmed: getProgress(report),
 			held: [],
@@ -201,7 +208,7 @@
 
 		this.#noteCrashes(session, report);
 		const loans = this.#quotas.note(session.id, report.quotaUsages);
-		if (loans !== undefined || now - session.repliedAt > REPLY_MS || this.#hasNews(session, this.#tellable)) {
+		if (loans !== undefined || now - session.repliedAt > REPLY_MS || this.#hasNews(session)) {
 			this.#send(session, loans);
 		}
 
@@ -242,7 +249,14 @@
 		session.stream.write(create(SessionUpdateSchema, {
 			isCurrent: false, leaderAddress, isOutside: this.#watch.isOutside, ...(isNewer && {routing}), ...(isInformed && this.#newQuarantine(session)),
 		}));
-		session.sent = isNewer ? {...session.sent, routingVersion: routing.version} : session.sent;
+		if (isNewer) {
+			this.#noteRoutingSent(session, routing.version);
+		}
+	}
+
+	#noteRoutingSent(session: FollowerSession, routingVersion: number): void {
+		session.sent = {...session.sent, routingVersion};
+		session.routingSentAt = this.#clock.now();
 	}
 
 	#push(): void {
@@ -250,17 +264,14 @@
 			return;
 		}
 
-		const target = this.#tellable;
-		const behind = [...this.#sessions.values()].filter(session => this.#hasNews(session, target));
-		this.#pushTo(behind);
+		this.#pushTo([...this.#sessions.values()].filter(session => this.#hasNews(session)));
 		this.#pushOnceReadable();
 	}
 
 	/** Sends news to some sessions at a time, so that calls which came meanwhile are answered between them. */
 	#pushTo(sessions: readonly FollowerSession[]): void {
-		const target = this.#tellable;
 		for (const session of sessions.slice(0, PUSHES_A_TURN)) {
-			if (this.#hasNews(session, target)) {
+			if (this.#hasNews(session)) {
 				this.#send(session);
 			}
 		}
@@ -272,14 +283,22 @@
 		}
 	}
 
-	#hasNews(session: FollowerSession, target: Progress): boolean {
-		return isBehind(session.sent, target) || this.#isQuarantineBehind(session);
+	#hasNews(session: FollowerSession): boolean {
+		return isBehind(session.sent, this.#getDue(session)) || this.#isQuarantineBehind(session);
+	}
+
+	/** What a follower is to be told now: no newer routing while the last one is on its way. */
+	#getDue({sent, confirmed, routingSentAt}: FollowerSession): Progress {
+		const target = this.#tellable;
+		const isOnItsWay = sent.routingVersion > confirmed.routingVersion && this.#clock.now() - routingSentAt < ROUTING_CONFIRM_MS;
+		return isOnItsWay ? {...target, routingVersion: Math.min(target.routingVersion, sent.routingVersion)} : target;
 	}
 
 	#send(session: FollowerSession, loans?: readonly Loan[]): void {
 		const {routing} = this.#voter.machine;
-		const target = this.#tellable;
-		const hasRouting = routing !== undefined && target.routingVersion > session.sent.routingVersion;
+		const due = this.#getDue(session);
+		const hasRouting = routing !== undefined && due.routingVersion > session.sent.routingVersion;
+		const isNewest = due.routingVersion === this.#tellable.routingVersion;
 		session.stream.write(create(SessionUpdateSchema, {
 			sentAt: session.sentAt,
 			isCurrent: true,
@@ -287,15 +306,18 @@
 			directory: this.#news.getDelta(session.sent),
 			gatewayCount: this.#gatewayCount,
 			voterAddresses: this.#voter.node!.voters.map(voter => voter.address),
-			isReportWanted: this.#settling.isWaiting,
+			isReportWanted: hasRouting || this.#settling.isWaiting,
 			leases: this.#newLeases(session),
-			isRoutingConfirmed: this.#voter.node!.canRead,
+			isRoutingConfirmed: isNewest && this.#voter.node!.canRead,
 			...(session.role === GATEWAY_ROLE && {quotaGrant: this.#quotas.newGrant(session.id, loans)}),
 			...this.#newQuarantine(session),
 			ordersFromMs: session.role === SIDECAR_ROLE ? this.#leases.getSidecarDelayMs([...session.attended]) : 0,
 		}));
 		session.repliedAt = this.#clock.now();
-		session.sent = {...target, routingVersion: Math.max(session.sent.routingVersion, target.routingVersion)};
+		session.sent = {...due, routingVersion: session.sent.routingVersion};
+		if (hasRouting) {
+			this.#noteRoutingSent(session, due.routingVersion);
+		}
 	}
 
 	#isQuarantineBehind({role, quarantineVersion}: FollowerSession): boolean {
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -179,3 +179,14 @@
     Then "g1" was sent 2 routings at most
     When "g1" confirms the last one that it was sent
     Then the last routing that "g1" was sent is version 26
+
+  # Guards against keys that go on being served: a follower that a newer routing is held back from must not take its own for the newest.
+  Scenario: A follower is not told that its routing is the newest while a newer one is held back
+    Given a leader with followers "g1" and "g2"
+    When the versions 2 to 4 are committed 60 ms apart, and "g1" confirms none
+    And 200 ms pass
+    And "g1" reports as before
+    Then "g1" is told that its routing is the newest: no
+    When "g1" confirms the last one that it was sent
+    Then the last routing that "g1" was sent is version 4
+    And "g1" is told that its routing is the newest: yes
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -418,6 +418,10 @@
 	assert.equal(getSentVersions(this, vm).at(-1), version);
 });
 
+Then('{string} is told that its routing is the newest: {word}', function (this: FollowerWorld, vm: string, word: string) {
+	assert.equal(this.streams.get(vm)!.sent.at(-1)!.isRoutingConfirmed, word === 'yes');
+});
+
 /** The term in which everything here was written, before and after the restart. */
 const TERM = 3;
 
