Keep to the limits that upstreams name, over all gateways together

What callers saw: nothing at first; an engine in need got up to 22 requests in 4 s where it took 15, and an engine that is not left alone falls. Cause: no process read the limit, so every gateway sent as before. The class: what an upstream says of itself in its answers is heard by one gateway and holds for all. Change: a gateway tells the leader what answers name (LimitSighting); the leader tells all limits to all gateways and lends them the requests that they may send, out of the ledger that team quotas have (LimitRegistry). Without a loan nothing is sent to such an upstream: its lane is passed over in admission, what waits goes elsewhere, is loaded elsewhere, is sent in its turn, or is refused at once where its turn comes too late. A lower limit is in force at once; it is raised or ended 1 s after it was last named. A new leader hears of limits from all gateways, and begins with empty accounts as for quotas. Units that are lent in advance are whole where they are requests.

--- a/apps/valelead-daemon/src/control/follower-session.ts
+++ b/apps/valelead-daemon/src/control/follower-session.ts
@@ -21,6 +21,8 @@
 	routingSentAt: number;
 	/** The version of the quarantine that it was sent; 0 before the first. */
 	quarantineVersion: number;
+	/** The version of the limits of upstreams that it was sent; 0 before the first. */
+	limitsVersion: number;
 	/** What its last report says. */
 	confirmed: Progress;
 	/** Reports of crashes that came while this voter did not lead. */
--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -5,7 +5,7 @@
 import type {Upstream} from '@valelead/discovery';
 import type {Loan} from '@valelead/quota';
 import {
-	type FollowerReport, type HeldLease, type QuarantineList, HeldLeaseSchema, SessionUpdateSchema,
+	type FollowerReport, type HeldLease, type QuarantineList, type UpstreamLimits, HeldLeaseSchema, SessionUpdateSchema,
 } from '@valelead/protocol';
 import {DirectoryNews} from './directory-news.js';
 import {SettleQueue} from './settle-queue.js';
@@ -14,6 +14,7 @@
 import type {FollowerSession} from './follower-session.js';
 import type {Progress} from './progress.js';
 import type {LeaderWatch} from './leader-watch.js';
+import type {LimitRegistry} from './limit-registry.js';
 import type {OrderLeases} from './order-leases.js';
 import type {QuotaRegistry} from './quota-registry.js';
 import type {QuarantineRegistry} from './quarantine-registry.js';
@@ -27,12 +28,21 @@
 	readonly leases: OrderLeases;
 	readonly quarantine: QuarantineRegistry;
 	readonly quotas: QuotaRegistry;
+	readonly limits: Pick<LimitRegistry, 'version' | 'note' | 'getList' | 'newGrant'>;
 	readonly watch: Pick<LeaderWatch, 'isOutside'>;
 	readonly rollout: Pick<RoutingRollout, 'start' | 'noteCommitted' | 'noteConfirmed'>;
 	readonly timers: TimerService;
 	readonly clock?: Clock;
 };
 
+/** What a report was lent. */
+type NewLoans = {
+	/** Of teams' quotas. */
+	readonly loans?: readonly Loan[] | undefined;
+	/** Requests to upstreams that limit them. */
+	readonly sends?: readonly Loan[] | undefined;
+};
+
 /** The longest time that a change waits for others to go with it, in milliseconds. */
 const COALESCE_MS = 5;
 
@@ -70,6 +80,7 @@
 	readonly #leases: OrderLeases;
 	readonly #quarantine: QuarantineRegistry;
 	readonly #quotas: QuotaRegistry;
+	readonly #limits: SessionsParts['limits'];
 	readonly #watch: Pick<LeaderWatch, 'isOutside'>;
 	readonly #rollout: SessionsParts['rollout'];
 	readonly #timers: TimerService;
@@ -80,11 +91,12 @@
 	#gatewayCount = 0;
 	#nextSession = 1;
 
-	constructor({voter, registry, leases, quarantine, quotas, watch, rollout, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
+	constructor({voter, registry, leases, quarantine, quotas, limits, watch, rollout, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
 		this.#voter = voter;
 		this.#leases = leases;
 		this.#quarantine = quarantine;
 		this.#quotas = quotas;
+		this.#limits = limits;
 		this.#watch = watch;
 		this.#rollout = rollout;
 		this.#timers = timers;
@@ -128,6 +140,7 @@
 			sent: getProgress(report),
 			routingSentAt: Number.NEGATIVE_INFINITY,
 			quarantineVersion: 0,
+			limitsVersion: 0,
 			confirmed: getProgress(report),
 			held: [],
 		};
@@ -208,8 +221,9 @@
 
 		this.#noteCrashes(session, report);
 		const loans = this.#quotas.note(session.id, report.quotaUsages);
-		if (loans !== undefined || now - session.repliedAt > REPLY_MS || this.#hasNews(session)) {
-			this.#send(session, loans);
+		const sends = this.#limits.note(session.id, report);
+		if (loans !== undefined || sends !== undefined || now - session.repliedAt > REPLY_MS || this.#hasNews(session)) {
+			this.#send(session, {loans, sends});
 		}
 
 		this.#pushOnceReadable();
@@ -284,7 +298,7 @@
 	}
 
 	#hasNews(session: FollowerSession): boolean {
-		return isBehind(session.sent, this.#getDue(session)) || this.#isQuarantineBehind(session);
+		return isBehind(session.sent, this.#getDue(session)) || this.#isQuarantineBehind(session) || this.#isLimitsBehind(session);
 	}
 
 	/** What a follower is to be told now: no newer routing while the last one is on its way. */
@@ -294,7 +308,7 @@
 		return isOnItsWay ? {...target, routingVersion: Math.min(target.routingVersion, sent.routingVersion)} : target;
 	}
 
-	#send(session: FollowerSession, loans?: readonly Loan[]): void {
+	#send(session: FollowerSession, {loans, sends}: NewLoans = {}): void {
 		const {routing} = this.#voter.machine;
 		const due = this.#getDue(session);
 		const hasRouting = routing !== undefined && due.routingVersion > session.sent.routingVersion;
@@ -309,7 +323,8 @@
 			isReportWanted: hasRouting || this.#settling.isWaiting,
 			leases: this.#newLeases(session),
 			isRoutingConfirmed: isNewest && this.#voter.node!.canRead,
-			...(session.role === GATEWAY_ROLE && {quotaGrant: this.#quotas.newGrant(session.id, loans)}),
+			...(session.role === GATEWAY_ROLE && {quotaGrant: this.#quotas.newGrant(session.id, loans), limitGrant: this.#limits.newGrant(session.id, sends)}),
+			...this.#newLimits(session),
 			...this.#newQuarantine(session),
 			ordersFromMs: session.role === SIDECAR_ROLE ? this.#leases.getSidecarDelayMs([...session.attended]) : 0,
 		}));
@@ -320,6 +335,20 @@
 		}
 	}
 
+	#isLimitsBehind({role, limitsVersion}: FollowerSession): boolean {
+		return role === GATEWAY_ROLE && limitsVersion !== this.#limits.version;
+	}
+
+	/** The limits of upstreams for a gateway that does not know the newest. */
+	#newLimits(session: FollowerSession): {upstreamLimits?: UpstreamLimits} {
+		if (!this.#isLimitsBehind(session)) {
+			return {};
+		}
+
+		session.limitsVersion = this.#limits.version;
+		return {upstreamLimits: this.#limits.getList()};
+	}
+
 	#isQuarantineBehind({role, quarantineVersion}: FollowerSession): boolean {
 		return role === GATEWAY_ROLE && quarantineVersion !== this.#quarantine.version;
 	}
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -7,6 +7,7 @@
 import {FollowerSessions} from '../control/follower-sessions.js';
 import {handOver} from '../control/hand-over.js';
 import {LeaderWatch} from '../control/leader-watch.js';
+import {LimitRegistry} from '../control/limit-registry.js';
 import {newControlPlane} from '../control/new-control-plane.js';
 import {newVoter} from '../control/new-voter.js';
 import {OrderLeases} from '../control/order-leases.js';
@@ -83,6 +84,16 @@
 		clock: SYSTEM_CLOCK,
 		timers,
 	});
+	const limits = new LimitRegistry({
+		voter,
+		isAnnounced: upstreamId => registry.directory.entries.has(upstreamId),
+		clock: SYSTEM_CLOCK,
+		timers,
+		logger,
+		onChange() {
+			followers.pushSoon();
+		},
+	});
 	const watch = new LeaderWatch({
 		voter, electionTimeoutMs: settings.electionTimeoutMs, clock: SYSTEM_CLOCK, timers,
 	});
@@ -95,7 +106,7 @@
 		},
 	});
 	const followers = new FollowerSessions({
-		voter, registry, leases, quarantine, quotas, watch, rollout, timers,
+		voter, registry, leases, quarantine, quotas, limits, watch, rollout, timers,
 	});
 	const {leader, sessions, server} = newControlPlane({
 		voter,
@@ -130,6 +141,7 @@
 	leases.start();
 	quarantine.start();
 	quotas.start();
+	limits.start();
 	followers.start();
 	await control.listen();
 	const admin = await startAdminServer({
@@ -139,6 +151,7 @@
 		refreshMetrics() {
 			metrics.revision.set(voter.machine.routing?.version ?? 0);
 			metrics.unattendedEngines.set(leases.unattendedCount);
+			metrics.limitedUpstreams.set(limits.count);
 			setQuotaMetrics(metrics, quotas.levels);
 			setQuorumMetrics(metrics, quorum.view, settings.faultTolerance);
 		},
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -14,9 +14,12 @@
 	FollowerReportSchema,
 	HeldLeaseSchema,
 	LeaderCalls,
+	LimitSightingSchema,
+	type QuotaUsage,
 	QuotaUsageSchema,
 	SessionReportSchema,
 } from '@valelead/protocol';
+import type {SubjectUsage} from '@valelead/quota';
 import {type RouteTable, newRouteTable} from '@valelead/routing';
 import type {Logger} from 'pino';
 import type {ControlCodec} from '../adapter/control-codec.js';
@@ -25,6 +28,7 @@
 import {getPeerAddresses} from './get-peer-addresses.js';
 import type {CrashExchange} from './crash-exchange.js';
 import {encodeCrash} from './encode-crash.js';
+import type {LimitExchange} from './limit-exchange.js';
 import type {OrderDuties} from './order-duties.js';
 import type {QuotaExchange} from './quota-exchange.js';
 
@@ -39,6 +43,7 @@
 	/** Left out by processes that send no requests to upstreams. */
 	readonly crashes?: CrashExchange;
 	readonly quotas?: QuotaExchange;
+	readonly limits?: LimitExchange;
 	/** Hears that the routing here is the newest, as of a time at which this process asked. */
 	readonly onConfirmed?: (askedAt: number) => void;
 	readonly onRouting: (table: RouteTable) => void;
@@ -53,6 +58,8 @@
 
 const CHECK_MS = 1000;
 
+const newQuotaUsage = ({needs, ...usage}: SubjectUsage): QuotaUsage => create(QuotaUsageSchema, {...usage, needs: [...needs]});
+
 /** Keeps the newest routing and the directory of upstreams, as the leader sends them. Neither ever goes back. */
 export class RoutingFollower {
 	readonly #parts: FollowerParts;
@@ -125,6 +132,7 @@
 		const hasNews = isFirst || attendedEngines.length !== this.#toldAttended;
 		this.#toldAttended = attendedEngines.length;
 		const crashReport = this.#parts.crashes?.getReport(isFirst);
+		const limitReport = this.#parts.limits?.getReport(sentAt, isFirst);
 		const value = create(FollowerReportSchema, {
 			vm: settings.vm,
 			sentAt,
@@ -137,7 +145,11 @@
 			leases: leases.map(lease => create(HeldLeaseSchema, lease)),
 			crashes: crashReport?.crashes.map(crash => encodeCrash(crash)) ?? [],
 			served: crashReport?.served.map(fingerprint => Buffer.from(fingerprint, 'hex')) ?? [],
-			quotaUsages: this.#parts.quotas?.getReport(isFirst).map(({needs, ...usage}) => create(QuotaUsageSchema, {...usage, needs: [...needs]})) ?? [],
+			quotaUsages: this.#parts.quotas?.getReport(isFirst).map(usage => newQuotaUsage(usage)) ?? [],
+			limitSightings: limitReport?.sightings.map(({upstreamId, perSecond, at}) => create(LimitSightingSchema, {
+				upstreamId, ...(perSecond !== undefined && {perSecond}), ageMs: sentAt - at,
+			})) ?? [],
+			limitUsages: limitReport?.usages.map(usage => newQuotaUsage(usage)) ?? [],
 		});
 		return create(SessionReportSchema, {report: {case: 'follower', value}});
 	}
@@ -170,7 +182,7 @@
 		}
 	}
 
-	#takeConfirmation({isRoutingConfirmed, quotaGrant, sentAt}: SessionUpdate): void {
+	#takeConfirmation({isRoutingConfirmed, quotaGrant, upstreamLimits, limitGrant, sentAt}: SessionUpdate): void {
 		if (isRoutingConfirmed && !this.#isUnreadable) {
 			this.#parts.onConfirmed?.(sentAt);
 		}
@@ -178,6 +190,10 @@
 		if (quotaGrant) {
 			this.#parts.quotas?.take({...quotaGrant, reportedAt: sentAt});
 		}
+
+		if (upstreamLimits ?? limitGrant) {
+			this.#parts.limits?.take({limits: upstreamLimits, grant: limitGrant, reportedAt: sentAt});
+		}
 	}
 
 	#takeRouting({version, document}: RoutingRecord): void {
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -131,6 +131,10 @@
 			onCrashNews: () => {
 				this.#follower.reportSoon();
 			},
+			onLimitNews: () => {
+				this.#follower.reportSoon();
+			},
+			suspensions: SYSTEM_SUSPENSIONS,
 			onEnd: (request, code, outcome, reason) => {
 				this.#intake.end(request, code, outcome, reason);
 			},
@@ -236,6 +240,12 @@
 					this.#intake.quotas.take(news);
 				},
 			},
+			limits: {
+				getReport: (sentAt, isFirst) => this.#dispatcher.limitExchange.getReport(sentAt, isFirst),
+				take: news => {
+					this.#dispatcher.limitExchange.take(news);
+				},
+			},
 			onConfirmed: askedAt => {
 				this.#confirmation.take(askedAt);
 			},
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, Coalescer, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type TimerService,
+	type Clock, Coalescer, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type SuspensionWatch, type TimerService,
 } from '@valelead/common';
 import {
 	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
@@ -10,6 +10,7 @@
 import type {Logger} from 'pino';
 import type {CallerCodec} from '../adapter/caller-codec.js';
 import type {CrashExchange} from '../follower/crash-exchange.js';
+import type {LimitExchange} from '../follower/limit-exchange.js';
 import {Attempts} from './attempts.js';
 import {CrashGuard} from './crash-guard.js';
 import {DemandReporter} from './demand-reporter.js';
@@ -40,6 +41,9 @@
 	readonly getGatewayCount: () => number;
 	/** Sends a request to an upstream. */
 	readonly newAttempt: (terms: AttemptTerms) => SentAttempt;
+	/** Hears of limits of upstreams that the leader must learn at once, and of requests that wait for them. */
+	readonly onLimitNews: () => void;
+	readonly suspensions: Pick<SuspensionWatch, 'resumedAt' | 'lostMs'>;
 	readonly onEnd: (request: GatewayRequest, code: ResultCodeValue, outcome: OutcomeValue, reason: string) => void;
 };
 
@@ -88,7 +92,8 @@
 			planner: new LoadPlanner({
 				getTable: parts.getTable,
 				getViews: () => this.#book.views,
-				isUsable: upstreamId => this.#isUsable(upstreamId),
+				// Nothing more is loaded where few requests can go; what waits is loaded elsewhere.
+				isUsable: upstreamId => this.#isUsable(upstreamId) && !this.#limits.isLimited(upstreamId),
 				onSiteChange: change => {
 					this.#log.noteMoved(change);
 				},
@@ -101,7 +106,14 @@
 			isWaiting: request => this.#state.requests.get(request.id)?.state === 'waiting',
 			giveUp: (request, forecastMs, getSourceCount) => this.#giveUp(request, forecastMs, getSourceCount),
 		});
-		this.#limits = new UpstreamLimits(parts.logger);
+		this.#limits = new UpstreamLimits({
+			...parts,
+			getWaiting: upstreamId => this.#getWaiting(upstreamId),
+			onNeed: parts.onLimitNews,
+			onChange: () => {
+				this.#take({kind: 'tick'});
+			},
+		});
 		this.#attempts = this.#newAttempts();
 		this.#crashes = new CrashGuard({
 			...parts,
@@ -126,6 +138,11 @@
 		return this.#crashes.exchange;
 	}
 
+	/** Tells the leader of limits that upstreams name, and takes what may be sent to them. */
+	get limitExchange(): LimitExchange {
+		return this.#limits;
+	}
+
 	/** Upstreams that limit the requests that they take. */
 	get limitedCount(): number {
 		return this.#limits.count;
@@ -216,8 +233,8 @@
 			onAnswer: upstreamId => {
 				this.#book.noteAnswer(upstreamId);
 			},
-			onLimit: (upstreamId, perSecond) => {
-				this.#limits.noteAnswer(upstreamId, perSecond);
+			onLimit: (upstreamId, perSecond, startedAt) => {
+				this.#limits.noteAnswer(upstreamId, perSecond, startedAt);
 			},
 			onStarted: (request, attemptId) => {
 				this.#take({kind: 'started', requestId: request.id, attemptId});
@@ -312,9 +329,33 @@
 	}
 
 	#take(event: AdmissionEvent): void {
-		for (const effect of mutateAdmission(this.#state, this.#parts.getSettings(), event, this.#parts.clock.now())) {
+		for (const effect of mutateAdmission(this.#state, this.#getSettings(), event, this.#parts.clock.now())) {
 			this.#carryOut(effect);
 		}
+
+		this.#limits.noteWaiting();
+	}
+
+	#getSettings(): AdmissionSettings {
+		const settings = this.#parts.getSettings();
+		return this.#limits.count === 0 ? settings : {...settings, sendLimits: this.#limits.getSendLimits()};
+	}
+
+	/** Requests that wait and that an upstream could take now. */
+	#getWaiting(upstreamId: string): number {
+		if (!this.#isUsable(upstreamId)) {
+			return 0;
+		}
+
+		const inProgress = this.#state.lanes.get(upstreamId)?.inProgress ?? 0;
+		let count = 0;
+		for (const [target, queue] of this.#state.queues) {
+			const endpoint = this.#state.endpoints.get(target)?.find(({vm}) => vm === upstreamId);
+			const places = endpoint ? (endpoint.places ?? 0) - inProgress : 0;
+			count += Math.min(queue.length, Math.max(0, places));
+		}
+
+		return count;
 	}
 
 	#carryOut(effect: AdmissionEffect): void {
@@ -353,6 +394,7 @@
 			return;
 		}
 
+		this.#limits.noteSent(vm);
 		request.dispatchedAt ??= this.#parts.clock.now();
 		request.upstreamId = vm;
 		request.attempts += 1;
--- a/apps/valelead-daemon/tests/directory-news.steps.ts
+++ b/apps/valelead-daemon/tests/directory-news.steps.ts
@@ -11,6 +11,7 @@
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
+import {NO_LIMITS} from '../../../tests/support/no-limits.js';
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
 import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
@@ -129,7 +130,7 @@
 		note: () => undefined, getGrants: () => [], getSidecarDelayMs: () => 0, getHolder: (address: string) => world.holders.get(address),
 	};
 	world.sessions = new FollowerSessions({
-		voter: voter as never, registry: world.registry, leases: leases as never, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock,
+		voter: voter as never, registry: world.registry, leases: leases as never, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock,
 	});
 	world.sessions.start();
 	world.engines = Array.from({length: engines}, (_, index) => newEngine(index));
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -15,6 +15,7 @@
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
+import {NO_LIMITS} from '../../../tests/support/no-limits.js';
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
 import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
 import {
@@ -269,7 +270,7 @@
 	const registry = {epoch: 'e', directory: newDirectory()};
 	const leases = {note: ignore, getGrants: () => [], getSidecarDelayMs: () => 0};
 	world.sessions = new FollowerSessions({
-		voter: voter as never, registry, leases: leases as never, quotas: NO_QUOTAS, quarantine, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock: world.clock,
+		voter: voter as never, registry, leases: leases as never, quotas: NO_QUOTAS, limits: NO_LIMITS, quarantine, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock: world.clock,
 	});
 };
 
--- a/apps/valelead-daemon/tests/order-leases.steps.ts
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -10,6 +10,7 @@
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
+import {NO_LIMITS} from '../../../tests/support/no-limits.js';
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
 import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
@@ -66,7 +67,7 @@
 		logger: pino({level: 'silent'}),
 	});
 	this.sessions = new FollowerSessions({
-		voter: voter as never, registry, leases: this.leases, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: this.timers, clock,
+		voter: voter as never, registry, leases: this.leases, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: this.timers, clock,
 	});
 	this.stream = {on: ignore, write: () => true};
 	this.leases.start();
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -84,6 +84,9 @@
 			onCrashNews: () => {
 				parts.onCrashNews(this);
 			},
+			// Emulated engines name no limits, and nothing is suspended.
+			onLimitNews: () => undefined,
+			suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
 			onEnd: ({id}) => {
 				this.#calls.delete(id);
 			},
--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -1,3 +1,5 @@
+import type {SendLimit} from './send-limit.js';
+
 /** Limits and timing of an entry. Times in milliseconds. */
 export type AdmissionSettings = {
 	/** Dispatches of one request at most. */
@@ -25,6 +27,8 @@
 	 * where no other one can serve; undefined to not look.
 	 */
 	readonly darkMs?: number;
+	/** The upstreams that limit the requests that they take, by VM; left out where none does. */
+	readonly sendLimits?: ReadonlyMap<string, SendLimit>;
 	/** The data centre of the entry. */
 	readonly dataCentre: string;
 };
--- a/packages/admission/src/get-best-lane.ts
+++ b/packages/admission/src/get-best-lane.ts
@@ -5,6 +5,12 @@
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
 
+type LaneSearch = {
+	readonly target: string;
+	/** Requests that may still be sent to upstreams that limit them, by VM. */
+	readonly sendsLeft: ReadonlyMap<string, number>;
+};
+
 /** Requests in progress that outweigh an upstream in another data centre. */
 const FAR_PENALTY = 2;
 
@@ -36,12 +42,13 @@
  * The agent that gets the next request for a target: the one with least outstanding work as this
  * entry knows it, near ones first. An upstream that failed lately gets one probe at a time.
  */
-export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, target: string, now: number): BestLane | undefined => {
+export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, {target, sendsLeft}: LaneSearch, now: number): BestLane | undefined => {
 	let best: BestLane | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
 	for (const endpoint of state.endpoints.get(target) ?? []) {
 		const lane = endpoint.places === undefined ? state.lanes.get(endpoint.vm) : getLane(state, endpoint.vm);
-		if (!lane || !isUsable(lane, endpoint, target, now)) {
+		const isSpent = (sendsLeft.get(endpoint.vm) ?? 1) < 1;
+		if (!lane || isSpent || !isUsable(lane, endpoint, target, now)) {
 			continue;
 		}
 
--- /dev/null
+++ b/packages/admission/src/get-limited-wait-ms.ts
@@ -0,0 +1,28 @@
+import type {AdmissionSettings} from './admission-settings.js';
+import type {AdmissionState} from './admission-state.js';
+
+const MS_PER_SECOND = 1000;
+
+/** No longer wait is told, in milliseconds: a limit may be 0, and may end at any time. */
+const MOST_WAIT_MS = 60_000;
+
+/**
+ * The least time after which a request that joins a target's queue now can be sent, in milliseconds, where all upstreams of the target limit the requests
+ * that they take; 0 where one does not. Other entries' requests are not counted.
+ */
+export const getLimitedWaitMs = (state: AdmissionState, {sendLimits}: AdmissionSettings, target: string): number => {
+	const limits = (state.endpoints.get(target) ?? []).map(({vm}) => sendLimits?.get(vm));
+	let perSecond = 0;
+	let sends = 0;
+	for (const limit of limits) {
+		if (limit === undefined) {
+			return 0;
+		}
+
+		perSecond += limit.perSecond;
+		sends += limit.sends;
+	}
+
+	const ahead = (state.queues.get(target)?.length ?? 0) + 1 - sends;
+	return limits.length === 0 || ahead <= 0 ? 0 : Math.min(MOST_WAIT_MS, ahead * MS_PER_SECOND / perSecond);
+};
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,6 +3,7 @@
 export type {AdmissionEvent} from './admission-event.js';
 export type {AdmissionSettings} from './admission-settings.js';
 export type {AdmissionState} from './admission-state.js';
+export type {SendLimit} from './send-limit.js';
 export type {TargetDemand} from './target-demand.js';
 export type {Ticket} from './ticket.js';
 export type {TicketLimits} from './ticket-limits.js';
--- a/packages/admission/src/mutate-arrival.ts
+++ b/packages/admission/src/mutate-arrival.ts
@@ -1,5 +1,6 @@
 import {OUTCOME, RESULT_CODE, type ResultCodeValue} from '@valelead/common';
 import {mutateRetryTokens} from './mutate-retry-tokens.js';
+import {getLimitedWaitMs} from './get-limited-wait-ms.js';
 import {getRetryAfterMs} from './get-retry-after-ms.js';
 import {getTeamUsage} from './get-team-usage.js';
 import {getWaitMs} from './get-wait-ms.js';
@@ -10,7 +11,7 @@
 import type {Ticket} from './ticket.js';
 import type {TicketLimits} from './ticket-limits.js';
 
-const getRefusalCode = (state: AdmissionState, ticket: Ticket, limits: TicketLimits, now: number): ResultCodeValue | undefined => {
+const getRefusalCode = (state: AdmissionState, settings: AdmissionSettings, ticket: Ticket, limits: TicketLimits, now: number): ResultCodeValue | undefined => {
 	const usage = getTeamUsage(state, ticket.team);
 	if (usage.waiting >= limits.teamWaiting || usage.inProgress + usage.waiting >= limits.teamInProgress + limits.teamWaiting) {
 		return RESULT_CODE.TeamLimit;
@@ -21,16 +22,17 @@
 	}
 
 	const isServed = (state.endpoints.get(ticket.target)?.length ?? 0) > 0;
-	return isServed && getWaitMs(state, ticket.target) > ticket.deadlineAt - now ? RESULT_CODE.WaitTooLong : undefined;
+	const waitMs = Math.max(getWaitMs(state, ticket.target), getLimitedWaitMs(state, settings, ticket.target));
+	return isServed && waitMs > ticket.deadlineAt - now ? RESULT_CODE.WaitTooLong : undefined;
 };
 
 /** Queues a request, or refuses it at once if a limit is reached or its wait cannot be met. */
 export const mutateArrival = (state: AdmissionState, settings: AdmissionSettings, ticket: Ticket, limits: TicketLimits, now: number): AdmissionEffect[] => {
 	state.arrivals.set(ticket.target, (state.arrivals.get(ticket.target) ?? 0) + 1);
-	const code = getRefusalCode(state, ticket, limits, now);
+	const code = getRefusalCode(state, settings, ticket, limits, now);
 	if (code !== undefined) {
 		return [{
-			kind: 'refuse', requestId: ticket.requestId, code, outcome: OUTCOME.NotRun, retryAfterMs: getRetryAfterMs(state, ticket.target),
+			kind: 'refuse', requestId: ticket.requestId, code, outcome: OUTCOME.NotRun, retryAfterMs: Math.max(getRetryAfterMs(state, ticket.target), getLimitedWaitMs(state, settings, ticket.target)),
 		}];
 	}
 
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -61,6 +61,13 @@
 	return isInTime && getTeamUsage(state, record.ticket.team).inProgress < record.limits.teamInProgress;
 };
 
+const mutateSendsLeft = (sendsLeft: Map<string, number>, vm: string): void => {
+	const left = sendsLeft.get(vm);
+	if (left !== undefined) {
+		sendsLeft.set(vm, left - 1);
+	}
+};
+
 /** Sends what can be sent: for each target, the next request to the best agent, while credits last. */
 export const mutateDispatches = (state: AdmissionState, settings: AdmissionSettings, now: number): AdmissionEffect[] => {
 	const effects: AdmissionEffect[] = [];
@@ -68,8 +75,9 @@
 		lane.credits = lane.credits.filter(credit => credit.expiresAt - settings.creditMarginMs > now);
 	}
 
+	const sendsLeft = new Map([...settings.sendLimits ?? []].map(([vm, {sends}]) => [vm, sends]));
 	for (const target of state.queues.keys()) {
-		let best = getBestLane(state, settings, target, now);
+		let best = getBestLane(state, settings, {target, sendsLeft}, now);
 		while (best) {
 			const record = getNextRequest(state, target, candidate => isAllowed(state, candidate, now));
 			if (!record) {
@@ -77,7 +85,8 @@
 			}
 
 			effects.push(newDispatch(state, record, best, now));
-			best = getBestLane(state, settings, target, now);
+			mutateSendsLeft(sendsLeft, best.vm);
+			best = getBestLane(state, settings, {target, sendsLeft}, now);
 		}
 	}
 
--- /dev/null
+++ b/packages/admission/src/send-limit.ts
@@ -0,0 +1,7 @@
+/** What limits the requests to an upstream that takes only so many from all entries together. */
+export type SendLimit = {
+	/** Requests that this entry may send now. */
+	readonly sends: number;
+	/** Requests a second from all entries together. */
+	readonly perSecond: number;
+};
--- a/packages/quota/src/mutate-loan.ts
+++ b/packages/quota/src/mutate-loan.ts
@@ -2,7 +2,9 @@
 import {LENT_SHARE} from './lent-share.js';
 import {isScarce} from './is-scarce.js';
 import {mutateLevel} from './mutate-level.js';
+import {QUOTA_UNIT} from './quota-unit.js';
 import type {Loan} from './loan.js';
+import type {Quota} from './quota.js';
 import type {QuotaLedger} from './quota-ledger.js';
 import type {SubjectAccount} from './subject-account.js';
 import type {SubjectUsage} from './subject-usage.js';
@@ -26,6 +28,9 @@
 	return {amount, missing: undefined};
 };
 
+/** What is lent for requests to come. A part of a request would serve nobody. */
+const getStock = ({unit}: Quota, amount: number): number => unit === QUOTA_UNIT.Request ? Math.floor(amount) : amount;
+
 const getLoan = (ledger: QuotaLedger, account: SubjectAccount, {subject, wanted, needs}: SubjectUsage, now: number): Loan => {
 	const {quota, level, lent} = account;
 	const brim = getBrimNow(ledger, quota, now);
@@ -36,7 +41,7 @@
 	}
 
 	const spare = isScarce(ledger, account, now) ? 0 : Math.max(0, free - amount - (brim * KEPT_SHARE));
-	return {subject, amount: amount + Math.min(wanted, spare), waitMs: 0};
+	return {subject, amount: amount + getStock(quota, Math.min(wanted, spare)), waitMs: 0};
 };
 
 /** Lends a borrower what it asks for, as far as there is enough; undefined where it asks for nothing or the subject has no quota. */
