Test what gateways and the leader know of limits, the bound over random histories, and that limits are used

Random histories of 4 gateways with lost words, restarts and leaders at 0.1 to 10 a second keep to 1.5 times the limit and 5 more in any 4 s; 9 to 300 gateways under four times the demand use at least 0.9 of what the upstream takes. The admission passes over an upstream whose requests are spent within one turn, and refuses at once what comes too late.

--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -18,6 +18,7 @@
 export type {OrderTerms} from './adapter/order-terms.js';
 export type {UpstreamDispatch} from './adapter/upstream-dispatch.js';
 export {UpstreamAgent} from './gateway/upstream-agent.js';
+export {UpstreamLimits} from './gateway/upstream-limits.js';
 export {UpstreamAttempt} from './gateway/upstream-attempt.js';
 export {EventSplitter} from './gateway/event-splitter.js';
 export {getForwardedHeaders} from './gateway/get-forwarded-headers.js';
--- /dev/null
+++ b/apps/valelead-daemon/tests/limited-upstreams.steps.ts
@@ -0,0 +1,162 @@
+import assert from 'node:assert/strict';
+import {create} from '@bufbuild/protobuf';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {type LimitBook, mutateNamedLimit} from '@valelead/quota';
+import {
+	QuotaGrantSchema, QuotaLoanSchema, UpstreamLimitSchema, UpstreamLimitsSchema,
+} from '@valelead/protocol';
+import {pino} from 'pino';
+import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
+import {UpstreamLimits} from 'valelead-daemon';
+
+type LimitsWorld = {
+	time: VirtualTime;
+	suspensions: {resumedAt: number; lostMs: number};
+	limits: UpstreamLimits;
+	/** How often the leader had to be told at once. */
+	needs: number;
+	reportedAt: number;
+	told: ReturnType<UpstreamLimits['getReport']>['sightings'];
+	/** When the leader named the limit. */
+	namedAt: number;
+	book: LimitBook;
+};
+
+const FIRST_TERM = 1;
+
+const tellLimits = (world: LimitsWorld, entries: ReadonlyArray<readonly [string, number]>, {term = FIRST_TERM, reportedAt = world.reportedAt} = {}): void => {
+	const limits = create(UpstreamLimitsSchema, {
+		term, limits: entries.map(([upstreamId, perSecond]) => create(UpstreamLimitSchema, {upstreamId, perSecond})),
+	});
+	world.limits.take({limits, grant: undefined, reportedAt});
+};
+
+const report = (world: LimitsWorld): void => {
+	world.reportedAt = world.time.now;
+	world.told = world.limits.getReport(world.reportedAt, false).sightings;
+};
+
+Given('a gateway that a leader of term 1 leads', function (this: LimitsWorld) {
+	this.time = new VirtualTime();
+	this.suspensions = {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0};
+	this.needs = 0;
+	this.limits = new UpstreamLimits({
+		clock: {now: () => this.time.now, wallNow: () => this.time.now},
+		suspensions: this.suspensions,
+		timers: newVirtualTimers(this.time),
+		logger: pino({level: 'silent'}),
+		random: () => 0,
+		getWaiting: () => 0,
+		onNeed: () => {
+			this.needs += 1;
+		},
+		onChange: () => undefined,
+	});
+	this.time.advance(100);
+	report(this);
+	tellLimits(this, []);
+	report(this);
+	this.time.advance(1);
+	this.needs = 0;
+});
+
+When('an answer of {string} names a limit of {int}', function (this: LimitsWorld, upstreamId: string, perSecond: number) {
+	this.limits.noteAnswer(upstreamId, perSecond, this.time.now - 1);
+	this.time.advance(1);
+});
+
+When('an answer of {string} to a request sent {int} ms before that names none', function (this: LimitsWorld, upstreamId: string, ms: number) {
+	this.limits.noteAnswer(upstreamId, undefined, this.namedAt - ms);
+});
+
+When('an answer of {string} to a request sent {int} ms after that names none', function (this: LimitsWorld, upstreamId: string, ms: number) {
+	this.time.advance(2 * ms);
+	this.limits.noteAnswer(upstreamId, undefined, this.namedAt + ms);
+});
+
+When('the gateway reports', function (this: LimitsWorld) {
+	report(this);
+	this.time.advance(1);
+});
+
+When('the leader tells that there are no limits, in answer to an earlier report', function (this: LimitsWorld) {
+	tellLimits(this, []);
+});
+
+When('the leader tells that there are no limits, in answer to that report', function (this: LimitsWorld) {
+	tellLimits(this, []);
+});
+
+When('a leader of term {int} tells that there are no limits, in answer to that report', function (this: LimitsWorld, term: number) {
+	this.needs = 0;
+	tellLimits(this, [], {term});
+});
+
+When('the leader tells that {string} has a limit of {int}', function (this: LimitsWorld, upstreamId: string, perSecond: number) {
+	this.namedAt = this.time.now;
+	tellLimits(this, [[upstreamId, perSecond]]);
+});
+
+When('the leader answers with the limit and a loan of {int} for {string}', function (this: LimitsWorld, amount: number, upstreamId: string) {
+	const grant = create(QuotaGrantSchema, {term: FIRST_TERM, loans: [create(QuotaLoanSchema, {subject: upstreamId, amount})]});
+	this.limits.take({limits: undefined, grant, reportedAt: this.reportedAt});
+});
+
+When('a request is sent to {string}', function (this: LimitsWorld, upstreamId: string) {
+	this.limits.noteSent(upstreamId);
+});
+
+When('{int} ms go by without a word of the leader', function (this: LimitsWorld, ms: number) {
+	this.time.advance(ms);
+});
+
+When('the gateway is suspended for {int} ms after its report', function (this: LimitsWorld, ms: number) {
+	report(this);
+	this.time.advance(1);
+	this.suspensions.resumedAt = this.time.now;
+	this.suspensions.lostMs = ms;
+});
+
+Then('{string} may be sent {int} request(s)', function (this: LimitsWorld, upstreamId: string, sends: number) {
+	assert.equal(this.limits.getSendLimits().get(upstreamId)?.sends, sends);
+});
+
+Then('the leader is told at once that {string} names a limit of {int}', function (this: LimitsWorld, upstreamId: string, perSecond: number) {
+	assert.ok(this.needs > 0);
+	report(this);
+	assert.deepEqual(this.told.map(sighting => [sighting.upstreamId, sighting.perSecond]), [[upstreamId, perSecond]]);
+});
+
+Then('the leader was not told that {string} names no limit', function (this: LimitsWorld, upstreamId: string) {
+	assert.ok(!this.told.some(sighting => sighting.upstreamId === upstreamId && sighting.perSecond === undefined));
+});
+
+Then('the leader was told that {string} names no limit', function (this: LimitsWorld, upstreamId: string) {
+	assert.ok(this.told.some(sighting => sighting.upstreamId === upstreamId && sighting.perSecond === undefined));
+});
+
+Then('{string} is limited', function (this: LimitsWorld, upstreamId: string) {
+	assert.ok(this.limits.isLimited(upstreamId));
+});
+
+Then('{string} is not limited', function (this: LimitsWorld, upstreamId: string) {
+	assert.ok(!this.limits.isLimited(upstreamId));
+});
+
+Then('the limit of {string} is {int}', function (this: LimitsWorld, upstreamId: string, perSecond: number) {
+	assert.equal(this.limits.getSendLimits().get(upstreamId)?.perSecond, perSecond);
+});
+
+Given('the leader knows a limit of {int} that was named last at {int} ms', function (this: LimitsWorld, perSecond: number, namedAt: number) {
+	this.book = new Map();
+	mutateNamedLimit(this.book, {upstreamId: 'u', perSecond, at: namedAt});
+});
+
+When('a gateway tells that at {int} ms {word} was named', function (this: LimitsWorld, at: number, seen: string) {
+	mutateNamedLimit(this.book, {upstreamId: 'u', perSecond: seen === 'none' ? undefined : Number(seen), at});
+});
+
+Then('the leader holds to {word}', function (this: LimitsWorld, limit: string) {
+	assert.equal(String(this.book.get('u')?.perSecond ?? 'none'), limit);
+});
--- a/packages/admission/tests/direct.feature
+++ b/packages/admission/tests/direct.feature
@@ -50,3 +50,18 @@
     Then the upstream is left out
     When 1 request arrives
     Then 2 are dispatched and 1 waits
+
+  # Guards against requests beyond what an upstream that limits them may still get, sent within one turn.
+  Scenario: An upstream that limits its requests gets no more than may be sent, and the others go elsewhere or wait
+    Given "one" limits its requests to 1 a second, of which 2 may be sent now
+    When 8 requests arrive
+    Then 5 are dispatched and 3 wait
+    And 2 were sent to "one"
+
+  # Guards against callers that wait for a turn that comes after they have left.
+  Scenario: A request whose turn at limited upstreams comes too late is refused at once
+    Given "one" limits its requests to 1 a second, of which 0 may be sent now
+    And "two" limits its requests to 1 a second, of which 0 may be sent now
+    When 25 requests arrive
+    Then 0 are dispatched and 20 wait
+    And 5 were refused at once, to come back in no less than 10000 ms
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -26,6 +26,14 @@
 const UNLIMITED = 10_000;
 const LIMITS = {teamInProgress: UNLIMITED, teamWaiting: UNLIMITED, classWaiting: UNLIMITED};
 
+/** One request fewer may be sent to an upstream that limits them. */
+const spend = ({direct}: DirectWorld, vm: string): void => {
+	const limit = direct.settings.sendLimits?.get(vm);
+	if (limit) {
+		direct.settings = {...direct.settings, sendLimits: new Map([...direct.settings.sendLimits!, [vm, {...limit, sends: limit.sends - 1}]])};
+	}
+};
+
 const take = (world: DirectWorld, event: AdmissionEvent): void => {
 	const {direct} = world;
 	for (const effect of mutateAdmission(direct.state, direct.settings, event, direct.now)) {
@@ -33,6 +41,7 @@
 			direct.refused.push(effect);
 		} else if (effect.kind === 'dispatch') {
 			direct.dispatched.push(effect);
+			spend(world, effect.vm);
 			const reaction = direct.react(effect);
 			if (reaction) {
 				take(world, reaction);
@@ -114,6 +123,20 @@
 	assert.equal(this.direct.state.queues.get(TARGET)?.length ?? 0, waiting);
 });
 
+Given('{string} limits its requests to {int} a second, of which {int} may be sent now', function (this: DirectWorld, vm: string, perSecond: number, sends: number) {
+	const {settings} = this.direct;
+	this.direct.settings = {...settings, sendLimits: new Map([...settings.sendLimits ?? [], [vm, {sends, perSecond}]])};
+});
+
+Then('{int} were sent to {string}', function (this: DirectWorld, count: number, vm: string) {
+	assert.equal(this.direct.dispatched.filter(dispatch => dispatch.vm === vm).length, count);
+});
+
+Then('{int} were refused at once, to come back in no less than {int} ms', function (this: DirectWorld, count: number, leastMs: number) {
+	assert.equal(this.direct.refused.length, count);
+	assert.ok(this.direct.refused.every(({outcome, retryAfterMs}) => outcome === OUTCOME.NotRun && retryAfterMs >= leastMs));
+});
+
 When('a request at {string} ends', function (this: DirectWorld, vm: string) {
 	const {requestId, attemptId} = this.direct.dispatched.find(dispatch => dispatch.vm === vm)!;
 	take(this, {kind: 'finished', requestId, attemptId});
--- a/packages/quota/tests/quota.feature
+++ b/packages/quota/tests/quota.feature
@@ -85,3 +85,28 @@
   Scenario: Most requests find what they need while nobody leads
     When a team at 0.55 of its quota sends clumps of 3 requests to 6 gateways, 1500 ms of the time without a leader
     Then at most half of the requests without a leader are refused
+
+  # Guards against an upstream that gets more than one and a half times the limit that it named, and 5 requests more, in any 4 s.
+  Scenario Outline: Random histories of requests to an upstream that takes <limit> a second, from <gateways> gateways
+    Given an upstream that takes <limit> requests a second, lent out as limits are
+    Then in <runs> random histories with <gateways> gateways it gets no more in any 4000 ms than 1.5 times its limit and 5 more
+
+    Examples:
+      | limit | gateways | runs |
+      | 0.1   | 4        | 200  |
+      | 1.1   | 4        | 200  |
+      | 1.6   | 4        | 400  |
+      | 10    | 4        | 200  |
+
+  # Guards against a limit that is kept by leaving the upstream idle.
+  Scenario Outline: Gateways use what an upstream takes, <limit> a second, over <gateways> of them
+    Given an upstream that takes <limit> requests a second, lent out as limits are
+    When requests for <share> times of that come to <gateways> gateways, one by one
+    Then it gets at least <used> of what it takes, and no more in any 4000 ms than 1.5 times its limit and 5 more
+
+    Examples:
+      | limit | gateways | share | used |
+      | 1.6   | 9        | 4     | 0.9  |
+      | 1.6   | 300      | 4     | 0.9  |
+      | 10    | 27       | 4     | 0.9  |
+      | 10    | 300      | 4     | 0.9  |
--- a/packages/quota/tests/quota.steps.ts
+++ b/packages/quota/tests/quota.steps.ts
@@ -7,7 +7,7 @@
 import {playHistory} from './play-history.js';
 import {playTraffic} from './play-traffic.js';
 import {
-	type Loan, type Quota, type QuotaTolerance, QUOTA_UNIT,
+	type Loan, type Quota, type QuotaTolerance, LOAN_MS, QUOTA_UNIT,
 } from '@valelead/quota';
 
 type QuotaWorld = {
@@ -198,3 +198,56 @@
 	assert.ok(sentLeaderless > 0);
 	assert.ok(refusedLeaderless <= sentLeaderless / 2, `${refusedLeaderless} of ${sentLeaderless}`);
 });
+
+/** As the leader lends requests to upstreams that limit them. */
+const LIMIT_TOLERANCE: QuotaTolerance = {windowMs: 4000, overshoot: 0.25, slack: 3};
+
+/** What an upstream that names a limit may get in a span: this many times the limit, and so many requests more. */
+const LIMIT_OVERSHOOT = 1.5;
+const LIMIT_SLACK = 5;
+
+const getMostAtLimit = ({perSecond}: Quota): number => (LIMIT_OVERSHOOT * perSecond * LIMIT_TOLERANCE.windowMs / MS_PER_SECOND) + LIMIT_SLACK;
+
+Given('an upstream that takes {float} requests a second, lent out as limits are', function (this: QuotaWorld, perSecond: number) {
+	this.quota = {
+		unit: QUOTA_UNIT.Request, perSecond, burst: 0, plainTokens: 0,
+	};
+	this.tolerance = LIMIT_TOLERANCE;
+});
+
+Then('in {int} random histories with {int} gateways it gets no more in any {int} ms than 1.5 times its limit and 5 more', {timeout: 60_000}, function (
+	this: QuotaWorld,
+	runs: number,
+	gateways: number,
+	spanMs: number,
+) {
+	const {quota, tolerance} = this;
+	fc.assert(fc.property(fc.array(MODEL_STEP, {minLength: 10, maxLength: HISTORY_STEPS, size: 'max'}), steps => {
+		const model = new ModelQuotas(gateways, quota, tolerance);
+		// A request counts as one, whatever its tokens.
+		playHistory(model, steps.map(step => 'costs' in step ? {...step, costs: step.costs.map(() => 1)} : step));
+		assert.ok(model.getMostUsed(spanMs) <= getMostAtLimit(quota));
+	}), {numRuns: runs, seed: SEED});
+});
+
+When('requests for {int} times of that come to {int} gateways, one by one', function (this: QuotaWorld, share: number, gateways: number) {
+	this.models = Array.from({length: TRAFFIC_RUNS}, () => new ModelQuotas(gateways, this.quota, this.tolerance));
+	this.counts = this.models.map((model, run) => playTraffic(model, {
+		random: xoroshiro128plus(SEED + run),
+		perSecond: share * this.quota.perSecond,
+		cost: 1,
+		clump: 1,
+		lengthMs: TRAFFIC_MS,
+		leaderless: {from: TRAFFIC_MS, forMs: 0},
+	}));
+});
+
+Then('it gets at least {float} of what it takes, and no more in any {int} ms than 1.5 times its limit and 5 more', function (this: QuotaWorld, least: number, spanMs: number) {
+	const taken = this.quota.perSecond * (TRAFFIC_MS - LOAN_MS) / MS_PER_SECOND;
+	for (const model of this.models) {
+		// A leader begins with empty accounts, of which it lends a part until loans of the one before it have ended.
+		const used = model.uses.filter(({at}) => at >= LOAN_MS).length;
+		assert.ok(used >= least * taken, `${used} of ${taken}`);
+		assert.ok(model.getMostUsed(spanMs) <= getMostAtLimit(this.quota));
+	}
+});
