--- a/bench/quota.ts
+++ b/bench/quota.ts
@@ -13,6 +13,8 @@
 const SHARES = [0.55, 4];
 const TOLERANCE: QuotaTolerance = {windowMs: 8000, overshoot: 0.1, slack: 17_000};
 const TRAFFIC_SECONDS = 40;
+const COST = 1000;
+const CLUMP = 3;
 
 const WAYS: ReadonlyArray<{readonly name: string; readonly make: (gateways: number, quota: Quota) => Sharing}> = [
 	{name: 'equal shares', make: (gateways, quota) => new EqualSharing(gateways, quota, TOLERANCE)},
@@ -29,7 +31,7 @@
 	};
 	const sharings = SEEDS.map(() => make(gateways, quota));
 	const counts = sharings.map((sharing, index) => playSharing(sharing, {
-		seed: SEEDS[index], gateways, quota, share,
+		seed: SEEDS[index], gateways, quota, share, cost: COST, clump: CLUMP,
 	}));
 	const sum = (pick: (count: (typeof counts)[number]) => number): number => counts.reduce((total, count) => total + pick(count), 0);
 	const messages = sharings.reduce((total, sharing) => total + sharing.messages, 0) / SEEDS.length / TRAFFIC_SECONDS;
--- a/bench/quota/play-sharing.ts
+++ b/bench/quota/play-sharing.ts
@@ -8,8 +8,11 @@
 	readonly seed: number;
 	readonly gateways: number;
 	readonly quota: Quota;
-	/** What the team asks for, as a share of its quota. */
+	/** What is asked for, as a share of the quota. */
 	readonly share: number;
+	/** What a request counts, and how many come at the same moment. */
+	readonly cost: number;
+	readonly clump: number;
 };
 
 type SharingCounts = {
@@ -21,8 +24,6 @@
 	served: number;
 };
 
-const COST = 1000;
-const CLUMP = 3;
 const WARM_MS = 20_000;
 const LENGTH_MS = 60_000;
 const LEADERLESS_FROM_MS = 40_000;
@@ -31,10 +32,10 @@
 const STEP_MS = 10;
 const MS_PER_SECOND = 1000;
 
-/** Clumps of requests of one team at random gateways, after a time without any, and a while without a leader. */
-export const playSharing = (sharing: Sharing, {seed, gateways, quota, share}: SharingTerms): SharingCounts => {
+/** Clumps of requests at random gateways, after a time without any, and a while without a leader. */
+export const playSharing = (sharing: Sharing, {seed, gateways, quota, share, cost, clump}: SharingTerms): SharingCounts => {
 	const random = xoroshiro128plus(seed);
-	const clumpsPerStep = share * quota.perSecond / COST * STEP_MS / MS_PER_SECOND / CLUMP;
+	const clumpsPerStep = share * quota.perSecond / cost * STEP_MS / MS_PER_SECOND / clump;
 	const counts: SharingCounts = {
 		sent: 0, refusedAllowed: 0, sentLeaderless: 0, refusedLeaderless: 0, served: 0,
 	};
@@ -56,10 +57,10 @@
 		level = Math.min(quota.burst, level + (quota.perSecond * STEP_MS / MS_PER_SECOND));
 		const isCalled = now >= WARM_MS && uniformFloat64(random) < clumpsPerStep % 1;
 		const clumps = now >= WARM_MS ? Math.floor(clumpsPerStep) + (isCalled ? 1 : 0) : 0;
-		for (let index = 0; index < clumps * CLUMP; index += 1) {
-			const isAllowed = level >= COST;
-			level -= isAllowed ? COST : 0;
-			const isServed = sharing.ask(uniformInt(random, 0, gateways - 1), COST, now);
+		for (let index = 0; index < clumps * clump; index += 1) {
+			const isAllowed = level >= cost;
+			level -= isAllowed ? cost : 0;
+			const isServed = sharing.ask(uniformInt(random, 0, gateways - 1), cost, now);
 			counts.sent += 1;
 			counts.served += isServed ? 1 : 0;
 			counts.refusedAllowed += isServed || !isAllowed || !isLed ? 0 : 1;
