Keep a limit that is heard of before its upstream is in the directory

A gateway that starts beside a new leader is told the limits before all upstreams have announced themselves there. It forgot those that its directory did not hold, and would have sent there until an answer named the limit again.

--- a/apps/valelead-daemon/src/gateway/upstream-limits.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-limits.ts
@@ -39,6 +39,9 @@
 /** The longest time for which an upstream is not asked for once the leader had nothing, in milliseconds: others may give back what they got. */
 const MOST_DRY_MS = 1000;
 
+/** An upstream that is not in the directory so long after its limit was heard of is gone, in milliseconds. */
+const FORGET_MS = 10_000;
+
 const TICK_MS = 50;
 
 /**
@@ -108,16 +111,21 @@
 
 	/** Asks the leader for what requests wait for, unless it was asked or had nothing. */
 	noteWaiting(): void {
+		if (this.#known.size === 0) {
+			return;
+		}
+
 		const now = this.#now;
 		if ([...this.#known.keys()].some(upstreamId => this.#getNeedCount(upstreamId, now) > 0)) {
 			this.#parts.onNeed();
 		}
 	}
 
-	/** Forgets upstreams that are gone. */
+	/** Forgets upstreams that are gone. A new leader may tell of one before that has announced itself there. */
 	retain(upstreamIds: ReadonlySet<string>): void {
-		for (const id of this.#known.keys()) {
-			if (!upstreamIds.has(id)) {
+		const now = this.#parts.clock.now();
+		for (const [id, {knownAt}] of this.#known) {
+			if (!upstreamIds.has(id) && now - knownAt > FORGET_MS) {
 				this.#known.delete(id);
 				this.#quietUntil.delete(id);
 			}
--- a/apps/valelead-daemon/tests/limited-upstreams.feature
+++ b/apps/valelead-daemon/tests/limited-upstreams.feature
@@ -69,6 +69,15 @@
     And the leader answers with the limit and a loan of 1 for "u"
     Then "u" may be sent 0 requests
 
+  # Guards against a gateway that starts beside a new leader and sends as if there were no limit, as the upstream was not in the directory yet.
+  Scenario: A limit is kept until its upstream is in the directory
+    When the leader tells that "u" has a limit of 2
+    And a directory without "u" comes
+    Then "u" is limited
+    When 10001 ms go by without a word of the leader
+    And a directory without "u" comes
+    Then "u" is not limited
+
   Scenario Outline: The limit that the leader holds to, of those that gateways see
     Given the leader knows a limit of 2 that was named last at 0 ms
     When a gateway tells that at <at> ms <seen> was named
--- a/apps/valelead-daemon/tests/limited-upstreams.steps.ts
+++ b/apps/valelead-daemon/tests/limited-upstreams.steps.ts
@@ -103,6 +103,10 @@
 	this.limits.take({limits: undefined, grant, reportedAt: this.reportedAt});
 });
 
+When('a directory without {string} comes', function (this: LimitsWorld, _upstreamId: string) {
+	this.limits.retain(new Set());
+});
+
 When('a request is sent to {string}', function (this: LimitsWorld, upstreamId: string) {
 	this.limits.noteSent(upstreamId);
 });
