Forecast the turn at a limited upstream by what the gateway was lent lately

A gateway reckoned with the whole limit though others ask for it too: with three gateways and one limited upstream each let in three times the requests that it could send, and two of three waited until their deadline. After 4 s in which the leader had less than was asked for, it reckons with what it was lent in them. What was lent is forgotten when the leader was not asked for 2.5 s, so that a gateway which refuses all asks again.

--- a/apps/valelead-daemon/src/gateway/upstream-limits.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-limits.ts
@@ -6,7 +6,10 @@
 } from '@valelead/quota';
 import type {Logger} from 'pino';
 import type {LimitExchange} from '../follower/limit-exchange.js';
+import {getLoanRate} from './get-loan-rate.js';
+import {mutateLoanRate} from './mutate-loan-rate.js';
 import type {KnownLimit} from './known-limit.js';
+import type {LoanRate} from './loan-rate.js';
 
 type LimitsParts = {
 	readonly clock: Clock;
@@ -54,6 +57,7 @@
 	readonly #stock = newQuotaStock();
 	/** Until when nothing is asked for, by upstream: the leader has been asked, or had nothing. */
 	readonly #quietUntil = new Map<string, number>();
+	readonly #rates = new Map<string, LoanRate>();
 	#term = -1;
 
 	constructor(parts: LimitsParts) {
@@ -74,7 +78,9 @@
 	/** The upstreams that limit their requests. */
 	getSendLimits(): ReadonlyMap<string, SendLimit> {
 		const now = this.#now;
-		return new Map([...this.#known].map(([upstreamId, {perSecond}]) => [upstreamId, {sends: getStockAmount(this.#stock, upstreamId, now), perSecond}]));
+		return new Map([...this.#known].map(([upstreamId, {perSecond}]) => [upstreamId, {
+			sends: getStockAmount(this.#stock, upstreamId, now), perSecond: Math.min(perSecond, this.#getLoanRate(upstreamId)),
+		}]));
 	}
 
 	/** Takes that a request is sent. */
@@ -128,6 +134,7 @@
 			if (!upstreamIds.has(id) && now - knownAt > FORGET_MS) {
 				this.#known.delete(id);
 				this.#quietUntil.delete(id);
+				this.#rates.delete(id);
 			}
 		}
 	}
@@ -164,6 +171,11 @@
 		return this.#parts.clock.now() + this.#parts.suspensions.lostMs;
 	}
 
+	#getLoanRate(upstreamId: string): number {
+		const rate = this.#rates.get(upstreamId);
+		return (rate && getLoanRate(rate, this.#now)) ?? Number.POSITIVE_INFINITY;
+	}
+
 	#add(upstreamId: string, perSecond: number, toldAt: number | undefined): void {
 		const now = this.#parts.clock.now();
 		this.#known.set(upstreamId, {
@@ -278,10 +290,17 @@
 		mutateBorrowed(this.#stock, {
 			term, loans, scarceSubjects, validUntil: reportedAt + this.#parts.suspensions.lostMs + LOAN_MS,
 		}, this.#now);
-		for (const {subject, waitMs} of loans) {
+		for (const {subject, amount, waitMs} of loans) {
+			this.#noteLoan(subject, {amount, isShort: waitMs > 0});
 			// Those who ask in vain are spread, so that they do not all ask again at once.
 			const quietMs = Math.max(ASK_GAP_MS, Math.min(MOST_DRY_MS, waitMs)) * (1 + this.#parts.random());
 			this.#quietUntil.set(subject, this.#now + quietMs);
 		}
 	}
+
+	#noteLoan(upstreamId: string, answer: Parameters<typeof mutateLoanRate>[1]): void {
+		const rate = this.#rates.get(upstreamId) ?? {shortSince: undefined, answeredAt: this.#now, loans: []};
+		this.#rates.set(upstreamId, rate);
+		mutateLoanRate(rate, answer, this.#now);
+	}
 }
--- a/apps/valelead-daemon/tests/limited-upstreams.feature
+++ b/apps/valelead-daemon/tests/limited-upstreams.feature
@@ -78,6 +78,21 @@
     And a directory without "u" comes
     Then "u" is not limited
 
+  # Guards against requests that wait until their deadline for an upstream of which other gateways take the larger part.
+  Scenario: A gateway that is lent less than it asks for expects no more than what it was lent
+    When the leader tells that "u" has a limit of 2
+    And for 4500 ms the leader lends 1 request each 2000 ms for "u" and has no more
+    Then the gateway expects to send 0.5 requests a second to "u"
+    When the leader lends all that is asked for "u"
+    Then the gateway expects to send 2 requests a second to "u"
+
+  # Guards against a gateway that asks no more as it refuses all, and so never hears that there is enough.
+  Scenario: What a gateway was lent is forgotten when it has not asked for a while
+    When the leader tells that "u" has a limit of 2
+    And for 4500 ms the leader lends 1 request each 2000 ms for "u" and has no more
+    And 2600 ms go by without a word of the leader
+    Then the gateway expects to send 2 requests a second to "u"
+
   Scenario Outline: The limit that the leader holds to, of those that gateways see
     Given the leader knows a limit of 2 that was named last at 0 ms
     When a gateway tells that at <at> ms <seen> was named
--- a/apps/valelead-daemon/tests/limited-upstreams.steps.ts
+++ b/apps/valelead-daemon/tests/limited-upstreams.steps.ts
@@ -24,6 +24,7 @@
 };
 
 const FIRST_TERM = 1;
+const STEP_MS = 500;
 
 const tellLimits = (world: LimitsWorld, entries: ReadonlyArray<readonly [string, number]>, {term = FIRST_TERM, reportedAt = world.reportedAt} = {}): void => {
 	const limits = create(UpstreamLimitsSchema, {
@@ -98,9 +99,34 @@
 	tellLimits(this, [[upstreamId, perSecond]]);
 });
 
-When('the leader answers with the limit and a loan of {int} for {string}', function (this: LimitsWorld, amount: number, upstreamId: string) {
-	const grant = create(QuotaGrantSchema, {term: FIRST_TERM, loans: [create(QuotaLoanSchema, {subject: upstreamId, amount})]});
-	this.limits.take({limits: undefined, grant, reportedAt: this.reportedAt});
+const lend = (world: LimitsWorld, loan: {readonly subject: string; readonly amount: number; readonly waitMs: number}): void => {
+	const grant = create(QuotaGrantSchema, {term: FIRST_TERM, loans: [create(QuotaLoanSchema, loan)]});
+	world.limits.take({limits: undefined, grant, reportedAt: world.reportedAt});
+};
+
+When('the leader answers with the limit and a loan of {int} for {string}', function (this: LimitsWorld, amount: number, subject: string) {
+	lend(this, {subject, amount, waitMs: 0});
+});
+
+When('for {int} ms the leader lends {int} request each {int} ms for {string} and has no more', function (
+	this: LimitsWorld,
+	lengthMs: number,
+	amount: number,
+	gapMs: number,
+	subject: string,
+) {
+	for (let at = 0; at < lengthMs; at += STEP_MS) {
+		lend(this, {subject, amount: at % gapMs === 0 ? amount : 0, waitMs: gapMs});
+		this.time.advance(STEP_MS);
+	}
+});
+
+When('the leader lends all that is asked for {string}', function (this: LimitsWorld, subject: string) {
+	lend(this, {subject, amount: 1, waitMs: 0});
+});
+
+Then('the gateway expects to send {float} request(s) a second to {string}', function (this: LimitsWorld, perSecond: number, upstreamId: string) {
+	assert.equal(this.limits.getSendLimits().get(upstreamId)?.perSecond, perSecond);
 });
 
 When('a directory without {string} comes', function (this: LimitsWorld, _upstreamId: string) {
--- a/packages/admission/src/send-limit.ts
+++ b/packages/admission/src/send-limit.ts
@@ -2,6 +2,6 @@
 export type SendLimit = {
 	/** Requests that this entry may send now. */
 	readonly sends: number;
-	/** Requests a second from all entries together. */
+	/** Requests a second that this entry can expect to send there, at most those that the upstream takes from all entries together. */
 	readonly perSecond: number;
 };
