Keep what a gateway knows of limits apart from what it may send

KnownLimits holds the limits, what the leader was told of them and what it tells; UpstreamLimits the loans.

--- a/apps/valelead-daemon/src/gateway/upstream-limits.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-limits.ts
@@ -1,14 +1,14 @@
 import type {SendLimit} from '@valelead/admission';
 import type {Clock, SuspensionWatch, TimerService} from '@valelead/common';
-import type {QuotaGrant, UpstreamLimits as LimitList} from '@valelead/protocol';
+import type {QuotaGrant} from '@valelead/protocol';
 import {
-	type LimitSighting, type SubjectUsage, LOAN_MS, getStockAmount, mutateBorrowed, mutateDemand, mutateReserved, mutateSession, mutateSettled, mutateSubjectReport, newQuotaStock,
+	type SubjectUsage, LOAN_MS, getStockAmount, mutateBorrowed, mutateDemand, mutateReserved, mutateSession, mutateSettled, mutateSubjectReport, newQuotaStock,
 } from '@valelead/quota';
 import type {Logger} from 'pino';
 import type {LimitExchange} from '../follower/limit-exchange.js';
+import {KnownLimits} from './known-limits.js';
 import {getLoanRate} from './get-loan-rate.js';
 import {mutateLoanRate} from './mutate-loan-rate.js';
-import type {KnownLimit} from './known-limit.js';
 import type {LoanRate} from './loan-rate.js';
 
 type LimitsParts = {
@@ -42,9 +42,6 @@
 /** The longest time for which an upstream is not asked for once the leader had nothing, in milliseconds: others may give back what they got. */
 const MOST_DRY_MS = 1000;
 
-/** An upstream that is not in the directory so long after its limit was heard of is gone, in milliseconds. */
-const FORGET_MS = 10_000;
-
 const TICK_MS = 50;
 
 /**
@@ -53,22 +50,31 @@
  */
 export class UpstreamLimits implements LimitExchange {
 	readonly #parts: LimitsParts;
-	readonly #known = new Map<string, KnownLimit>();
+	readonly #known: KnownLimits;
 	readonly #stock = newQuotaStock();
 	/** Until when nothing is asked for, by upstream: the leader has been asked, or had nothing. */
 	readonly #quietUntil = new Map<string, number>();
 	readonly #rates = new Map<string, LoanRate>();
-	#term = -1;
 
 	constructor(parts: LimitsParts) {
 		this.#parts = parts;
+		this.#known = new KnownLimits({
+			clock: parts.clock,
+			logger: parts.logger,
+			onAdded: upstreamId => {
+				// A request in hand is used without a question to the leader, and its answer tells whether the limit has ended.
+				mutateDemand(this.#stock, upstreamId, REQUEST_COST, this.#now);
+				parts.onChange();
+			},
+			onNews: parts.onNeed,
+		});
 		parts.timers.repeat(TICK_MS, () => {
 			this.noteWaiting();
 		});
 	}
 
 	get count(): number {
-		return this.#known.size;
+		return this.#known.count;
 	}
 
 	isLimited(upstreamId: string): boolean {
@@ -78,8 +84,8 @@
 	/** The upstreams that limit their requests. */
 	getSendLimits(): ReadonlyMap<string, SendLimit> {
 		const now = this.#now;
-		return new Map([...this.#known].map(([upstreamId, {perSecond}]) => [upstreamId, {
-			sends: getStockAmount(this.#stock, upstreamId, now), perSecond: Math.min(perSecond, this.#getLoanRate(upstreamId)),
+		return new Map(this.#known.upstreamIds.map(upstreamId => [upstreamId, {
+			sends: getStockAmount(this.#stock, upstreamId, now), perSecond: Math.min(this.#known.getPerSecond(upstreamId)!, this.#getLoanRate(upstreamId)),
 		}]));
 	}
 
@@ -102,37 +108,26 @@
 	 * @param startedAt - When the answered request was sent, in monotonic milliseconds.
 	 */
 	noteAnswer(upstreamId: string, perSecond: number | undefined, startedAt: number): void {
-		const known = this.#known.get(upstreamId);
-		if (known) {
-			this.#noteSeen(upstreamId, known, perSecond, startedAt);
-			return;
-		}
-
-		if (perSecond !== undefined) {
-			this.#add(upstreamId, perSecond, undefined);
-			this.#parts.onNeed();
-			this.#parts.onChange();
-		}
+		this.#known.noteAnswer(upstreamId, perSecond, startedAt);
 	}
 
 	/** Asks the leader for what requests wait for, unless it was asked or had nothing. */
 	noteWaiting(): void {
-		if (this.#known.size === 0) {
+		if (this.#known.count === 0) {
 			return;
 		}
 
 		const now = this.#now;
-		if ([...this.#known.keys()].some(upstreamId => this.#getNeedCount(upstreamId, now) > 0)) {
+		if (this.#known.upstreamIds.some(upstreamId => this.#getNeedCount(upstreamId, now) > 0)) {
 			this.#parts.onNeed();
 		}
 	}
 
-	/** Forgets upstreams that are gone. A new leader may tell of one before that has announced itself there. */
+	/** Forgets upstreams that are gone. */
 	retain(upstreamIds: ReadonlySet<string>): void {
-		const now = this.#parts.clock.now();
-		for (const [id, {knownAt}] of this.#known) {
-			if (!upstreamIds.has(id) && now - knownAt > FORGET_MS) {
-				this.#known.delete(id);
+		this.#known.retain(upstreamIds);
+		for (const id of this.#rates.keys()) {
+			if (!upstreamIds.has(id)) {
 				this.#quietUntil.delete(id);
 				this.#rates.delete(id);
 			}
@@ -142,19 +137,22 @@
 	getReport(sentAt: number, isFirst: boolean): ReturnType<LimitExchange['getReport']> {
 		if (isFirst) {
 			mutateSession(this.#stock);
-			this.#tellAgain();
+			this.#quietUntil.clear();
+			this.#known.tellAgain();
 		}
 
 		const now = this.#now;
-		const subjects = new Set([...this.#known.keys(), ...this.#stock.current.subjects.keys()]);
+		const subjects = new Set([...this.#known.upstreamIds, ...this.#stock.current.subjects.keys()]);
 		const usages = [...subjects].flatMap(upstreamId => this.#newUsage(upstreamId, now) ?? []);
-		return {sightings: this.#takeSightings(sentAt), usages};
+		return {sightings: this.#known.takeSightings(sentAt), usages};
 	}
 
 	/** Takes limits and loans; no loans that were asked for before a suspension, as nobody knows how long ago that is. */
 	take({limits, grant, reportedAt}: Parameters<LimitExchange['take']>[0]): void {
-		if (limits) {
-			this.#takeList(limits, reportedAt);
+		if (limits && this.#known.takeList(limits, reportedAt)) {
+			this.#quietUntil.clear();
+			this.#known.tellAgain();
+			this.#parts.onNeed();
 		}
 
 		if (grant && this.#parts.suspensions.resumedAt < reportedAt) {
@@ -176,61 +174,6 @@
 		return (rate && getLoanRate(rate, this.#now)) ?? Number.POSITIVE_INFINITY;
 	}
 
-	#add(upstreamId: string, perSecond: number, toldAt: number | undefined): void {
-		const now = this.#parts.clock.now();
-		this.#known.set(upstreamId, {
-			perSecond, knownAt: now, seenPerSecond: perSecond, seenAt: now, toldAt,
-		});
-		// A request in hand is used without a question to the leader, and its answer tells whether the limit has ended.
-		mutateDemand(this.#stock, upstreamId, REQUEST_COST, this.#now);
-		this.#log(upstreamId, perSecond, undefined);
-	}
-
-	#noteSeen(upstreamId: string, known: KnownLimit, perSecond: number | undefined, startedAt: number): void {
-		// An answer to a request that was sent before may have been made before the limit was named.
-		if (perSecond === undefined && startedAt < known.knownAt) {
-			return;
-		}
-
-		known.seenPerSecond = perSecond;
-		known.seenAt = this.#parts.clock.now();
-		known.toldAt = undefined;
-		if (perSecond !== known.perSecond) {
-			this.#parts.onNeed();
-		}
-
-		if (perSecond !== undefined && perSecond < known.perSecond) {
-			this.#log(upstreamId, perSecond, known.perSecond);
-			known.perSecond = perSecond;
-		}
-	}
-
-	#log(upstreamId: string, perSecond: number | undefined, before: number | undefined): void {
-		this.#parts.logger.info({
-			event: 'upstream-limit', upstreamId, perSecond, before, term: this.#term,
-		}, 'an upstream has another limit');
-	}
-
-	/** Another leader, or a new session, knows nothing of what was told and asked for. */
-	#tellAgain(): void {
-		this.#quietUntil.clear();
-		for (const known of this.#known.values()) {
-			known.toldAt = undefined;
-		}
-	}
-
-	#takeSightings(sentAt: number): LimitSighting[] {
-		const sightings: LimitSighting[] = [];
-		for (const [upstreamId, known] of this.#known) {
-			if (known.toldAt === undefined) {
-				known.toldAt = sentAt;
-				sightings.push({upstreamId, perSecond: known.seenPerSecond, at: known.seenAt});
-			}
-		}
-
-		return sightings;
-	}
-
 	#getNeedCount(upstreamId: string, now: number): number {
 		if (now < (this.#quietUntil.get(upstreamId) ?? 0)) {
 			return 0;
@@ -248,44 +191,6 @@
 		return mutateSubjectReport(this.#stock, upstreamId, Array.from({length: count}, () => REQUEST_COST), now);
 	}
 
-	#takeList({term, limits}: LimitList, reportedAt: number): void {
-		const isNewTerm = term !== this.#term;
-		this.#term = term;
-		const listed = new Map(limits.map(({upstreamId, perSecond}) => [upstreamId, perSecond]));
-		for (const [upstreamId, perSecond] of listed) {
-			this.#takeListed(upstreamId, perSecond, reportedAt);
-		}
-
-		if (isNewTerm) {
-			this.#tellAgain();
-			this.#parts.onNeed();
-			return;
-		}
-
-		for (const [upstreamId, {perSecond, toldAt}] of this.#known) {
-			const isEnded = !listed.has(upstreamId) && toldAt !== undefined && toldAt <= reportedAt;
-			if (isEnded) {
-				this.#known.delete(upstreamId);
-				this.#log(upstreamId, undefined, perSecond);
-			}
-		}
-	}
-
-	#takeListed(upstreamId: string, perSecond: number, reportedAt: number): void {
-		const known = this.#known.get(upstreamId);
-		if (!known) {
-			this.#add(upstreamId, perSecond, reportedAt);
-			return;
-		}
-
-		const isUntold = known.toldAt === undefined || known.toldAt > reportedAt;
-		const next = isUntold ? Math.min(perSecond, known.perSecond) : perSecond;
-		if (next !== known.perSecond) {
-			this.#log(upstreamId, next, known.perSecond);
-			known.perSecond = next;
-		}
-	}
-
 	#takeGrant({term, loans, scarceSubjects}: QuotaGrant, reportedAt: number): void {
 		mutateBorrowed(this.#stock, {
 			term, loans, scarceSubjects, validUntil: reportedAt + this.#parts.suspensions.lostMs + LOAN_MS,
