--- a/apps/valelead-daemon/tests/directory-news.steps.ts
+++ b/apps/valelead-daemon/tests/directory-news.steps.ts
@@ -130,7 +130,8 @@
 		note: () => undefined, getGrants: () => [], getSidecarDelayMs: () => 0, getHolder: (address: string) => world.holders.get(address),
 	};
 	world.sessions = new FollowerSessions({
-		voter: voter as never, registry: world.registry, leases: leases as never, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock,
+		voter: voter as never, registry: world.registry, leases: leases as never, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS,
+		watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock,
 	});
 	world.sessions.start();
 	world.engines = Array.from({length: engines}, (_, index) => newEngine(index));
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -270,7 +270,8 @@
 	const registry = {epoch: 'e', directory: newDirectory()};
 	const leases = {note: ignore, getGrants: () => [], getSidecarDelayMs: () => 0};
 	world.sessions = new FollowerSessions({
-		voter: voter as never, registry, leases: leases as never, quotas: NO_QUOTAS, limits: NO_LIMITS, quarantine, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock: world.clock,
+		voter: voter as never, registry, leases: leases as never, quotas: NO_QUOTAS, limits: NO_LIMITS, quarantine,
+		watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock: world.clock,
 	});
 };
 
--- a/apps/valelead-daemon/tests/order-leases.steps.ts
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -67,7 +67,8 @@
 		logger: pino({level: 'silent'}),
 	});
 	this.sessions = new FollowerSessions({
-		voter: voter as never, registry, leases: this.leases, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS, watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: this.timers, clock,
+		voter: voter as never, registry, leases: this.leases, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS,
+		watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: this.timers, clock,
 	});
 	this.stream = {on: ignore, write: () => true};
 	this.leases.start();
