--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -14,12 +14,8 @@
 	FollowerReportSchema,
 	HeldLeaseSchema,
 	LeaderCalls,
-	LimitSightingSchema,
-	type QuotaUsage,
-	QuotaUsageSchema,
 	SessionReportSchema,
 } from '@valelead/protocol';
-import type {SubjectUsage} from '@valelead/quota';
 import {type RouteTable, newRouteTable} from '@valelead/routing';
 import type {Logger} from 'pino';
 import type {ControlCodec} from '../adapter/control-codec.js';
@@ -28,6 +24,8 @@
 import {getPeerAddresses} from './get-peer-addresses.js';
 import type {CrashExchange} from './crash-exchange.js';
 import {encodeCrash} from './encode-crash.js';
+import {encodeLimitReport} from './encode-limit-report.js';
+import {encodeQuotaUsage} from './encode-quota-usage.js';
 import type {LimitExchange} from './limit-exchange.js';
 import type {OrderDuties} from './order-duties.js';
 import type {QuotaExchange} from './quota-exchange.js';
@@ -58,8 +56,6 @@
 
 const CHECK_MS = 1000;
 
-const newQuotaUsage = ({needs, ...usage}: SubjectUsage): QuotaUsage => create(QuotaUsageSchema, {...usage, needs: [...needs]});
-
 /** Keeps the newest routing and the directory of upstreams, as the leader sends them. Neither ever goes back. */
 export class RoutingFollower {
 	readonly #parts: FollowerParts;
@@ -145,11 +141,8 @@
 			leases: leases.map(lease => create(HeldLeaseSchema, lease)),
 			crashes: crashReport?.crashes.map(crash => encodeCrash(crash)) ?? [],
 			served: crashReport?.served.map(fingerprint => Buffer.from(fingerprint, 'hex')) ?? [],
-			quotaUsages: this.#parts.quotas?.getReport(isFirst).map(usage => newQuotaUsage(usage)) ?? [],
-			limitSightings: limitReport?.sightings.map(({upstreamId, perSecond, at}) => create(LimitSightingSchema, {
-				upstreamId, ...(perSecond !== undefined && {perSecond}), ageMs: sentAt - at,
-			})) ?? [],
-			limitUsages: limitReport?.usages.map(usage => newQuotaUsage(usage)) ?? [],
+			quotaUsages: this.#parts.quotas?.getReport(isFirst).map(usage => encodeQuotaUsage(usage)) ?? [],
+			...(limitReport && encodeLimitReport(limitReport, sentAt)),
 		});
 		return create(SessionReportSchema, {report: {case: 'follower', value}});
 	}
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -17,6 +17,7 @@
 export type {HttpCall} from './adapter/http-call.js';
 export type {OrderTerms} from './adapter/order-terms.js';
 export type {UpstreamDispatch} from './adapter/upstream-dispatch.js';
+export {encodeLimitReport} from './follower/encode-limit-report.js';
 export {LimitRegistry} from './control/limit-registry.js';
 export {UpstreamAgent} from './gateway/upstream-agent.js';
 export {UpstreamLimits} from './gateway/upstream-limits.js';
--- a/apps/valelead-lab/src/lab-limits.ts
+++ b/apps/valelead-lab/src/lab-limits.ts
@@ -1,9 +1,9 @@
 import {create} from '@bufbuild/protobuf';
 import type {TimerService} from '@valelead/common';
 import type {VirtualClock} from '@valelead/emulator';
-import {FollowerReportSchema, LimitSightingSchema, QuotaUsageSchema} from '@valelead/protocol';
+import {FollowerReportSchema} from '@valelead/protocol';
 import type {Logger} from 'pino';
-import {LimitRegistry} from 'valelead-daemon';
+import {LimitRegistry, encodeLimitReport} from 'valelead-daemon';
 import type {LabGateway} from './lab-gateway.js';
 
 type LimitsParts = {
@@ -62,13 +62,7 @@
 	#exchange(gateway: LabGateway): void {
 		const {clock, linkMs} = this.#parts;
 		const sentAt = clock.now();
-		const {sightings, usages} = gateway.limitExchange.getReport(sentAt, false);
-		const report = create(FollowerReportSchema, {
-			limitSightings: sightings.map(({upstreamId, perSecond, at}) => create(LimitSightingSchema, {
-				upstreamId, ...(perSecond !== undefined && {perSecond}), ageMs: sentAt - at,
-			})),
-			limitUsages: usages.map(({needs, ...usage}) => create(QuotaUsageSchema, {...usage, needs: [...needs]})),
-		});
+		const report = create(FollowerReportSchema, encodeLimitReport(gateway.limitExchange.getReport(sentAt, false), sentAt));
 		clock.after(linkMs, () => {
 			this.#answer(gateway, sentAt, this.#registry.note(gateway.name, report));
 		});
