Judge requests by what all gateways saw, and revise what a part of them led to

Ruled out: a missing answer as the cause (by all that was known the request was hardly blamed); load as such (both orders play in virtual time without any). Why it works: crashes that a leader knows count for a gateway alone only with the leader's suspicion or for requests that had begun; in a leadership's first second who merely waited counts half; own judgements end with the leader's word; a leader takes back what later reports leave less than half of the blame for, also while its commit is under way (an answer in that time was forgotten).

--- a/apps/valelead-daemon/src/control/quarantine-registry.ts
+++ b/apps/valelead-daemon/src/control/quarantine-registry.ts
@@ -4,7 +4,7 @@
 import type {Command} from '@valelead/intent';
 import {type FollowerReport, type QuarantineList, QuarantineListSchema} from '@valelead/protocol';
 import {
-	type CrashLedger, QUARANTINE_MS, getBlame, getEvidence, getSuspected, mutateCrash, mutateOldCrashes, mutateReleased, mutateServed, mutateQuarantined, newCrashLedger,
+	type CrashLedger, QUARANTINE_MS, getBlame, getEvidence, getPartialBlame, getSuspected, isUnproven, mutateCrash, mutateOldCrashes, mutateReleased, mutateServed, mutateQuarantined, newCrashLedger,
 } from '@valelead/quarantine';
 import type {Logger} from 'pino';
 import {decodeCrash} from '../follower/decode-crash.js';
@@ -33,6 +33,9 @@
 /** How long followers are told that a request is released, in milliseconds: some heartbeats of one that is cut off for a while. */
 const RELEASED_TOLD_MS = 60_000;
 
+/** A new leader has heard of the crashes that all gateways saw after this time, in milliseconds: two of their heartbeats. */
+const SETTLE_MS = 1000;
+
 const toBytes = (fingerprint: string): Uint8Array => Buffer.from(fingerprint, 'hex');
 
 /**
@@ -43,6 +46,10 @@
 	readonly #parts: RegistryParts;
 	#ledger: CrashLedger = newCrashLedger();
 	#term = -1;
+	/** When this leadership first heard of crashes, in monotonic milliseconds. */
+	#termSince = 0;
+	/** Whether some gateways may not have told this leadership of their crashes yet. */
+	#isSettling = false;
 	#version = 1;
 	/** Since when this voter knows of each quarantine, in monotonic milliseconds. */
 	readonly #knownSince = new Map<string, number>();
@@ -52,6 +59,8 @@
 	readonly #expiring = new Set<string>();
 	/** The list that was made last. */
 	#made: MadeList = {list: undefined, version: 0, at: 0};
+	/** Judgements of this leadership, each until it is committed or refused. */
+	readonly #judged = new Map<string, Promise<void>>();
 	/** The committed quarantines that this voter has taken. */
 	#committed: ReadonlySet<string> = new Set();
 
@@ -96,7 +105,8 @@
 		}
 
 		if (news.size > 0) {
-			this.#quarantineBlamed([...news]);
+			// What is taken back no longer explains the crashes, so its neighbours there are judged anew.
+			this.#quarantineBlamed(this.#revise() ? [...this.#ledger.runsBySuspect.keys()] : [...news]);
 		}
 	}
 
@@ -127,9 +137,9 @@
 	/** A request that an upstream answered whole crashes none; a judgement that says otherwise is taken back. */
 	#clear(fingerprint: string): void {
 		const wasBlamed = mutateServed(this.#ledger, fingerprint, this.#parts.clock.now());
-		if (this.#committed.has(fingerprint) && !this.#expiring.has(fingerprint)) {
+		if ((this.#committed.has(fingerprint) || this.#judged.has(fingerprint)) && !this.#expiring.has(fingerprint)) {
 			this.#parts.logger.warn({event: 'quarantine-revised', fingerprint}, 'a quarantined request was answered whole, so it is released');
-			void this.#propose({kind: 'releaseRequest', name: fingerprint});
+			void this.#takeBack(fingerprint);
 		}
 
 		if (wasBlamed) {
@@ -140,21 +150,49 @@
 
 	#quarantineBlamed(fingerprints: readonly string[]): void {
 		const now = this.#parts.clock.now();
-		for (const fingerprint of mutateQuarantined(this.#ledger, fingerprints)) {
+		const getBlameNow = (fingerprint: string): number => this.#isSettling ? getPartialBlame(this.#ledger, fingerprint) : getBlame(this.#ledger, fingerprint);
+		for (const fingerprint of mutateQuarantined(this.#ledger, fingerprints, getBlameNow)) {
 			const upstreams = [...this.#ledger.runsBySuspect.get(fingerprint) ?? []];
 			this.#knownSince.set(fingerprint, now);
 			this.#released.delete(fingerprint);
 			this.#parts.logger.warn({
-				event: 'request-quarantined', fingerprint, upstreams, blame: getBlame(this.#ledger, fingerprint), evidence: getEvidence(this.#ledger, fingerprint, now),
+				event: 'request-quarantined', fingerprint, upstreams, blame: getBlameNow(fingerprint), evidence: getEvidence(this.#ledger, fingerprint, now),
 			}, 'a request under which upstreams crashed is kept from others');
-			void this.#propose({
+			this.#judged.set(fingerprint, this.#propose({
 				kind: 'quarantineRequest', name: fingerprint, upstreams, judgedAt: this.#parts.clock.wallNow(),
-			});
+			}));
 		}
 
 		this.#change();
 	}
 
+	/**
+	 * Takes judgements of this leadership back that rested on a part of what gateways saw: they tell their crashes one after the other, and a new leader
+	 * hears of all of them anew. Returns whether there were any.
+	 */
+	#revise(): boolean {
+		let isRevised = false;
+		const now = this.#parts.clock.now();
+		for (const fingerprint of this.#judged.keys()) {
+			if (isUnproven(this.#ledger, fingerprint)) {
+				this.#parts.logger.warn({
+					event: 'quarantine-revised', fingerprint, blame: getBlame(this.#ledger, fingerprint), evidence: getEvidence(this.#ledger, fingerprint, now),
+				}, 'a quarantined request is blamed for less than before, so it is released');
+				this.#ledger.quarantined.delete(fingerprint);
+				void this.#takeBack(fingerprint);
+				isRevised = true;
+			}
+		}
+
+		return isRevised;
+	}
+
+	async #takeBack(fingerprint: string): Promise<void> {
+		await this.#judged.get(fingerprint);
+		this.#judged.delete(fingerprint);
+		await this.#propose({kind: 'releaseRequest', name: fingerprint});
+	}
+
 	/** Follows the committed judgements, an operator's releases among them. */
 	#takeCommitted(): void {
 		const {quarantines} = this.#parts.voter.machine.intent;
@@ -181,6 +219,7 @@
 
 	#release(fingerprint: string, now: number): void {
 		const isExpired = this.#expiring.delete(fingerprint);
+		this.#judged.delete(fingerprint);
 		this.#knownSince.delete(fingerprint);
 		mutateReleased(this.#ledger, fingerprint, isExpired);
 		this.#released.set(fingerprint, now);
@@ -200,6 +239,11 @@
 			return;
 		}
 
+		if (this.#isSettling && now - this.#termSince >= SETTLE_MS) {
+			this.#isSettling = false;
+			this.#quarantineBlamed([...this.#ledger.runsBySuspect.keys()]);
+		}
+
 		for (const [fingerprint, since] of this.#knownSince) {
 			if (now - since > QUARANTINE_MS && this.#committed.has(fingerprint) && !this.#expiring.has(fingerprint)) {
 				this.#expiring.add(fingerprint);
@@ -233,6 +277,9 @@
 			}
 
 			this.#expiring.clear();
+			this.#judged.clear();
+			this.#termSince = this.#parts.clock.now();
+			this.#isSettling = true;
 			this.#change();
 		}
 	}
--- a/apps/valelead-daemon/src/follower/crash-exchange.ts
+++ b/apps/valelead-daemon/src/follower/crash-exchange.ts
@@ -12,5 +12,11 @@
 export type CrashExchange = {
 	/** @param isFirst - Whether the leader knows nothing yet of this process. */
 	readonly getReport: (isFirst: boolean) => CrashReport;
-	readonly take: (list: QuarantineList) => void;
+	/** @param isLeaders - Whether it comes from a leader; other voters do not know who is suspected. */
+	readonly take: (list: QuarantineList, isLeaders: boolean) => void;
+	/**
+	 * A leader knows what was reported, and its list has been taken.
+	 * @param reportedAt - When the newest report that it knows was made, in monotonic milliseconds.
+	 */
+	readonly noteHeard: (reportedAt: number) => void;
 };
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -154,7 +154,7 @@
 		}
 
 		if (update.quarantine) {
-			this.#parts.crashes?.take(update.quarantine);
+			this.#parts.crashes?.take(update.quarantine, update.isCurrent);
 		}
 
 		if (!update.isCurrent) {
@@ -162,6 +162,7 @@
 		}
 
 		this.#heardAt = this.#parts.clock.now();
+		this.#parts.crashes?.noteHeard(update.sentAt);
 		this.#leader.learn(update.voterAddresses);
 		this.#parts.duties.take({leases: update.leases, ordersFromMs: update.ordersFromMs, reportedAt: update.sentAt});
 		this.#takeConfirmation(update);
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -230,8 +230,11 @@
 			},
 			crashes: {
 				getReport: isFirst => this.#dispatcher.crashExchange.getReport(isFirst),
-				take: list => {
-					this.#dispatcher.crashExchange.take(list);
+				take: (list, isLeaders) => {
+					this.#dispatcher.crashExchange.take(list, isLeaders);
+				},
+				noteHeard: reportedAt => {
+					this.#dispatcher.crashExchange.noteHeard(reportedAt);
 				},
 			},
 			quotas: {
--- a/apps/valelead-daemon/src/gateway/request-quarantine.ts
+++ b/apps/valelead-daemon/src/gateway/request-quarantine.ts
@@ -9,6 +9,7 @@
 	SUSPICION_BLAME,
 	getBlame,
 	getEvidence,
+	getPartialBlame,
 	isServedLately,
 	mutateCrash,
 	mutateOldCrashes,
@@ -67,6 +68,12 @@
 	readonly #cleared = new Map<string, number>();
 	/** Requests that the leader blames, and not yet enough. */
 	#suspected: ReadonlySet<string> = new Set();
+	/** Requests that a leader has quarantined. */
+	#committed: ReadonlySet<string> = new Set();
+	/** Requests that only this gateway has quarantined, and since when, in monotonic milliseconds. */
+	readonly #own = new Map<string, number>();
+	/** A leader has heard of the crashes that were noted before this time, in monotonic milliseconds. */
+	#heardUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(parts: QuarantineParts) {
 		this.#parts = parts;
@@ -128,13 +135,17 @@
 		return {crashes, served};
 	}
 
-	take({quarantined, suspected, released}: QuarantineList): void {
+	take({quarantined, suspected, released}: QuarantineList, isLeaders: boolean): void {
 		let hasNew = false;
+		this.#committed = new Set(quarantined.map(({fingerprint}) => toText(fingerprint)));
 		for (const {fingerprint, remainingMs} of quarantined) {
 			hasNew = this.#quarantine(toText(fingerprint), remainingMs, 'leader') || hasNew;
 		}
 
-		this.#suspected = new Set(suspected.map(fingerprint => toText(fingerprint)));
+		if (isLeaders) {
+			this.#suspected = new Set(suspected.map(fingerprint => toText(fingerprint)));
+		}
+
 		this.#reportServed([...this.#suspected, ...quarantined.map(({fingerprint}) => toText(fingerprint))]);
 		for (const fingerprint of released) {
 			this.#release(toText(fingerprint));
@@ -145,6 +156,18 @@
 		}
 	}
 
+	/** A leader knows at least as much as this gateway, so judgements of this gateway that it does not share end. */
+	noteHeard(reportedAt: number): void {
+		this.#heardUntil = Math.max(this.#heardUntil, reportedAt);
+		for (const [fingerprint, judgedAt] of this.#own) {
+			if (this.#committed.has(fingerprint)) {
+				this.#own.delete(fingerprint);
+			} else if (judgedAt < reportedAt) {
+				this.#dropOwn(fingerprint);
+			}
+		}
+	}
+
 	/** Tells the leader of blamed requests that were answered here lately; it may have heard of their crashes alone. */
 	#reportServed(fingerprints: readonly string[]): void {
 		const now = this.#parts.clock.now();
@@ -163,8 +186,9 @@
 			return;
 		}
 
-		const quarantined = mutateQuarantined(this.#ledger, fingerprints);
+		const quarantined = mutateQuarantined(this.#ledger, fingerprints, fingerprint => this.#getOwnBlame(fingerprint));
 		for (const fingerprint of quarantined) {
+			this.#own.set(fingerprint, this.#parts.clock.now());
 			this.#quarantine(fingerprint, QUARANTINE_MS, 'own');
 		}
 
@@ -173,6 +197,19 @@
 		}
 	}
 
+	#getOwnBlame(fingerprint: string): number {
+		const isSuspected = this.#suspected.has(fingerprint);
+		return getPartialBlame(this.#ledger, fingerprint, runId => !isSuspected && this.#crashes.get(runId)!.at < this.#heardUntil);
+	}
+
+	#dropOwn(fingerprint: string): void {
+		this.#own.delete(fingerprint);
+		this.#ledger.quarantined.delete(fingerprint);
+		if (this.#until.delete(fingerprint)) {
+			this.#parts.logger.info({event: 'request-released', fingerprint, source: 'leader'}, 'the leader does not share the judgement of this gateway');
+		}
+	}
+
 	#quarantine(fingerprint: string, remainingMs: number, source: 'own' | 'leader'): boolean {
 		const now = this.#parts.clock.now();
 		const isNew = !this.#until.has(fingerprint);
@@ -203,6 +240,7 @@
 		for (const [fingerprint, until] of this.#until) {
 			if (now >= until) {
 				this.#until.delete(fingerprint);
+				this.#own.delete(fingerprint);
 				mutateReleased(this.#ledger, fingerprint, true);
 			}
 		}
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -32,6 +32,7 @@
 export {newLogger} from './logger.js';
 export {exitWithLogs} from './exit-with-logs.js';
 export {QuarantineRegistry} from './control/quarantine-registry.js';
+export {RequestQuarantine} from './gateway/request-quarantine.js';
 export {encodeCrash} from './follower/encode-crash.js';
 export {FollowerSessions} from './control/follower-sessions.js';
 export {RoutingConfirmation} from './follower/routing-confirmation.js';
--- /dev/null
+++ b/apps/valelead-daemon/tests/quarantine.feature
@@ -0,0 +1,65 @@
+Feature: Judgement by a part of what gateways saw
+  Gateways see only their own requests at an upstream that crashed. What waited there at one gateway looks guilty until another one tells what had
+  just begun there.
+
+  # Guards against: innocent requests refused with 2014 for ten minutes, as a gateway without a leader judged crashes that the leader had explained.
+  Scenario: A gateway that loses its leader keeps to what the leader made of the crashes that it knew
+    Given a gateway and a leader that it hears
+    When the gateway sees runs "a, b, c" crash under requests "popular" that were unanswered
+    And the leader hears of it and suspects nobody
+    And the leader is not heard for 3 seconds
+    Then the gateway lets "popular" through
+
+  # Guards against: several crashes in a row without a leader, under requests of another gateway.
+  Scenario: A gateway without a leader does not judge what merely waited at three crashes
+    Given a gateway that hears no leader
+    When the gateway sees runs "a, b, c" crash under requests "popular" that were unanswered
+    Then the gateway lets "popular" through
+    When the gateway sees runs "d, e, f" crash under requests "boom" that were begun
+    Then the gateway keeps "boom" back
+
+  # Guards against: a judgement that a gateway made without a leader, and that outlived the leader's return.
+  Scenario: A gateway's own judgement ends once a leader knows of the crashes and does not share it
+    Given a gateway that hears no leader
+    When the gateway sees runs "a, b, c" crash under requests "popular" that were begun
+    Then the gateway keeps "popular" back
+    When the leader hears of it and suspects nobody
+    Then the gateway lets "popular" through
+
+  # Guards against: suspects forgotten, as a voter that does not lead lists none.
+  Scenario: A voter that does not lead takes no suspicion away
+    Given a gateway and a leader that it hears
+    When the gateway sees runs "a, b" crash under requests "boom" that were unanswered
+    And the leader hears of it and suspects "boom"
+    And a voter that does not lead sends its list
+    And the leader is not heard for 3 seconds
+    And the gateway sees runs "c, d, e" crash under requests "boom" that were unanswered
+    Then the gateway keeps "boom" back
+
+  # Guards against: a new leader that judged by the first report, a millisecond before the one that names the request which had begun.
+  Scenario: A new leader hears all gateways before it judges what merely waited
+    Given a leader that has just been elected
+    When gateway "two" tells of crashes of runs "a, b, c" under requests "popular" that were unanswered
+    And gateway "one" tells of crashes of runs "a, b, c" under requests "boom" that were begun
+    Then the leader keeps "boom" back and not "popular"
+    And so it does 3 seconds later
+
+  # Guards against: a judgement that stood although later reports showed who had just begun at the same crashes.
+  Scenario Outline: A leader takes a judgement back when other gateways tell who had begun at the same crashes, <moment>
+    Given a leader that has led for 5 seconds, whose judgements are committed <moment>
+    When gateway "two" tells of crashes of runs "a, b, c" under requests "popular" that were unanswered
+    Then the leader keeps "popular" back
+    When gateway "one" tells of crashes of runs "a, b, c" under requests "boom" that were begun
+    Then 1 second later the leader keeps "boom" back and not "popular"
+
+    Examples:
+      | moment          |
+      | at once         |
+      | after 200 ms    |
+
+  # Guards against: an answer that came while the judgement was being committed, and was forgotten.
+  Scenario: An answer during the commit of a judgement ends it
+    Given a leader that has led for 5 seconds, whose judgements are committed after 200 ms
+    When gateway "two" tells of crashes of runs "a, b, c" under requests "popular" that were unanswered
+    And gateway "one" tells that "popular" was answered
+    Then 1 second later the leader keeps "" back and not "popular"
--- /dev/null
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -0,0 +1,203 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {create} from '@bufbuild/protobuf';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {RESULT_CODE} from '@valelead/common';
+import {mutateIntent, newIntent} from '@valelead/intent';
+import {FollowerReportSchema, QuarantineListSchema} from '@valelead/protocol';
+import {type SuspectPhaseValue, type WatchedRun, SUSPECT_PHASE} from '@valelead/quarantine';
+import {pino} from 'pino';
+import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
+import {QuarantineRegistry, RequestQuarantine, encodeCrash} from 'valelead-daemon';
+
+type RegistryParts = ConstructorParameters<typeof QuarantineRegistry>[0];
+
+type QuarantineWorld = {
+	time: VirtualTime;
+	gateway: RequestQuarantine;
+	/** When the gateway last heard a leader, in milliseconds. */
+	heardAt: number;
+	registry: QuarantineRegistry;
+};
+
+const MS_PER_SECOND = 1000;
+const PHASES: Readonly<Record<string, SuspectPhaseValue>> = {unanswered: SUSPECT_PHASE.Unanswered, begun: SUSPECT_PHASE.Begun};
+
+const split = (text: string): string[] => text.split(', ').filter(name => name !== '');
+
+/** A fingerprint that shows the request's name. */
+const toFingerprint = (name: string): string => Buffer.from(name.padEnd(16, '.')).toString('hex');
+
+const toBytes = (name: string): Uint8Array => Uint8Array.from(Buffer.from(toFingerprint(name), 'hex'));
+
+const newClock = (time: VirtualTime) => ({now: () => time.now, wallNow: () => time.now});
+
+const newRun = (runId: string, names: readonly string[], phase: SuspectPhaseValue): WatchedRun => ({
+	runId,
+	address: '10.0.0.1:80',
+	since: 0,
+	suspects: new Map(names.map(name => [toFingerprint(name), {fingerprint: toFingerprint(name), phase}])),
+	isCrashed: true,
+});
+
+const startGateway = (world: QuarantineWorld, heardAt: number): void => {
+	world.time = new VirtualTime();
+	world.heardAt = heardAt;
+	world.gateway = new RequestQuarantine({
+		clock: newClock(world.time),
+		timers: newVirtualTimers(world.time),
+		logger: pino({level: 'silent'}),
+		getLeaderAgeMs: () => world.time.now - world.heardAt,
+		onQuarantined: () => undefined,
+		onCrashNews: () => undefined,
+	});
+};
+
+/** A log whose commits take a while. */
+const newLog = (time: VirtualTime, commitMs: number): RegistryParts['voter'] => {
+	const intent = newIntent();
+	const listeners: Array<() => void> = [];
+	return {
+		node: {term: 1, isCurrentLeader: true},
+		machine: {
+			intent,
+			subscribe(listener) {
+				listeners.push(listener);
+			},
+		},
+		propose: async proposal => new Promise(resolve => {
+			time.after(commitMs, () => {
+				const {revision} = mutateIntent(intent, proposal);
+				for (const listener of listeners) {
+					listener();
+				}
+
+				resolve({code: RESULT_CODE.Ok, message: '', revision});
+			});
+		}),
+	};
+};
+
+const startLeader = (world: QuarantineWorld, commitMs: number): void => {
+	world.time = new VirtualTime();
+	world.registry = new QuarantineRegistry({
+		voter: newLog(world.time, commitMs),
+		clock: newClock(world.time),
+		timers: newVirtualTimers(world.time),
+		logger: pino({level: 'silent'}),
+		onChange: () => undefined,
+	});
+	world.registry.start();
+};
+
+/** Lets time pass in steps, with what promises wait for in between. */
+const pass = async ({time}: QuarantineWorld, ms: number): Promise<void> => {
+	for (let passed = 0; passed < ms; passed += 10) {
+		time.advance(10);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+};
+
+const tell = (world: QuarantineWorld, vm: string, crashes: readonly WatchedRun[], served: readonly string[]): void => {
+	world.registry.note(create(FollowerReportSchema, {
+		vm, crashes: crashes.map(({runId, suspects}) => encodeCrash({runId, suspects: [...suspects.values()]})), served: served.map(name => toBytes(name)),
+	}));
+};
+
+const getQuarantined = ({registry}: QuarantineWorld): string[] => registry.getList().quarantined.map(({fingerprint}) => Buffer.from(fingerprint).toString('hex'));
+
+Given('a gateway and a leader that it hears', function (this: QuarantineWorld) {
+	startGateway(this, 0);
+});
+
+Given('a gateway that hears no leader', function (this: QuarantineWorld) {
+	startGateway(this, Number.NEGATIVE_INFINITY);
+});
+
+When('the gateway sees runs {string} crash under requests {string} that were {word}', function (this: QuarantineWorld, runs: string, names: string, phase: string) {
+	for (const runId of split(runs)) {
+		this.gateway.noteCrash(newRun(runId, split(names), PHASES[phase]));
+		this.time.advance(20);
+	}
+});
+
+const hear = (world: QuarantineWorld, suspected: readonly string[]): void => {
+	world.heardAt = world.time.now;
+	world.gateway.take(create(QuarantineListSchema, {suspected: suspected.map(name => toBytes(name))}), true);
+	world.gateway.noteHeard(world.time.now);
+};
+
+When('the leader hears of it and suspects nobody', function (this: QuarantineWorld) {
+	hear(this, []);
+});
+
+When('the leader hears of it and suspects {string}', function (this: QuarantineWorld, name: string) {
+	hear(this, [name]);
+});
+
+When('a voter that does not lead sends its list', function (this: QuarantineWorld) {
+	this.gateway.take(create(QuarantineListSchema, {}), false);
+});
+
+When('the leader is not heard for {int} seconds', function (this: QuarantineWorld, seconds: number) {
+	this.time.advance(seconds * MS_PER_SECOND);
+});
+
+Then('the gateway lets {string} through', function (this: QuarantineWorld, name: string) {
+	assert.equal(this.gateway.getRemainingMs(toFingerprint(name)), 0);
+});
+
+Then('the gateway keeps {string} back', function (this: QuarantineWorld, name: string) {
+	assert.ok(this.gateway.getRemainingMs(toFingerprint(name)) > 0);
+});
+
+Given('a leader that has just been elected', function (this: QuarantineWorld) {
+	startLeader(this, 0);
+});
+
+Given('a leader that has led for {int} seconds, whose judgements are committed at once', async function (this: QuarantineWorld, seconds: number) {
+	startLeader(this, 0);
+	tell(this, 'two', [newRun('other', ['other'], SUSPECT_PHASE.Begun)], []);
+	await pass(this, seconds * MS_PER_SECOND);
+});
+
+Given('a leader that has led for {int} seconds, whose judgements are committed after {int} ms', async function (this: QuarantineWorld, seconds: number, commitMs: number) {
+	startLeader(this, commitMs);
+	tell(this, 'two', [newRun('other', ['other'], SUSPECT_PHASE.Begun)], []);
+	await pass(this, seconds * MS_PER_SECOND);
+});
+
+When('gateway {string} tells of crashes of runs {string} under requests {string} that were {word}', function (this: QuarantineWorld, vm: string, runs: string, names: string, phase: string) {
+	tell(this, vm, split(runs).map(runId => newRun(runId, split(names), PHASES[phase])), []);
+});
+
+When('gateway {string} tells that {string} was answered', function (this: QuarantineWorld, vm: string, name: string) {
+	tell(this, vm, [], [name]);
+});
+
+Then('the leader keeps {string} back', function (this: QuarantineWorld, name: string) {
+	assert.deepEqual(getQuarantined(this), [toFingerprint(name)]);
+});
+
+const checkKept = (world: QuarantineWorld, kept: string, free: string): void => {
+	assert.deepEqual(getQuarantined(world), split(kept).map(name => toFingerprint(name)));
+	assert.ok(!getQuarantined(world).includes(toFingerprint(free)));
+};
+
+Then('the leader keeps {string} back and not {string}', function (this: QuarantineWorld, kept: string, free: string) {
+	checkKept(this, kept, free);
+	Object.assign(this, {kept, free});
+});
+
+Then('so it does {int} seconds later', async function (this: QuarantineWorld & {kept: string; free: string}, seconds: number) {
+	await pass(this, seconds * MS_PER_SECOND);
+	checkKept(this, this.kept, this.free);
+});
+
+Then('{int} second later the leader keeps {string} back and not {string}', async function (this: QuarantineWorld, seconds: number, kept: string, free: string) {
+	await pass(this, seconds * MS_PER_SECOND);
+	checkKept(this, kept, free);
+});
--- a/apps/valelead-lab/src/lab-quarantine.ts
+++ b/apps/valelead-lab/src/lab-quarantine.ts
@@ -67,7 +67,7 @@
 		const {clock, linkMs, getGateways} = this.#parts;
 		clock.after(linkMs, () => {
 			for (const gateway of getGateways()) {
-				gateway.crashExchange.take(this.#registry.getList());
+				gateway.crashExchange.take(this.#registry.getList(), true);
 			}
 		});
 	}
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -10,6 +10,8 @@
 export {getBlame} from './get-blame.js';
 export type {CrashEvidence} from './crash-evidence.js';
 export {getEvidence} from './get-evidence.js';
+export {getPartialBlame} from './get-partial-blame.js';
+export {isUnproven} from './is-unproven.js';
 export {getFingerprint} from './get-fingerprint.js';
 export {getReplacedRuns} from './get-replaced-runs.js';
 export {getSuspected} from './get-suspected.js';
