Answer a lost try once all gateways obey what its crash led to

What callers saw: a fourth engine crashed under one request (engines and all that ran there are lost with each). Form 1: the caller had its answer, waited 120 ms and sent its next try, 211 ms after the third crash; the first gateway knew of the judgement 205 ms after it. Form 2: the gateway of the third crash did not know yet of the second, and sent the same try to one more engine. Change: an attempt that lost its upstream before the first part of the answer is held until the upstream is known to be alive, or all gateways that the leader hears obey what the crash led to: they confirm the version of the list, the leader tells how far reports of crashes are known (crashes_known_until). Bounds: 250 ms for gateways, 500 ms in all; none where no leader was heard for 800 ms, nothing for requests answered lately or under way. The list changes its version only with its content, so a first crash costs the innocent one round trip to the leader.

--- a/apps/valelead-daemon/src/control/follower-session.ts
+++ b/apps/valelead-daemon/src/control/follower-session.ts
@@ -21,6 +21,10 @@
 	routingSentAt: number;
 	/** The version of the quarantine that it was sent; 0 before the first. */
 	quarantineVersion: number;
+	/** The version of the quarantine that it obeys, by its last report. */
+	quarantineConfirmed: number;
+	/** The follower's own time of the newest report of crashes whose consequences all gateways know. */
+	crashesKnownUntil: number;
 	/** The version of the limits of upstreams that it was sent; 0 before the first. */
 	limitsVersion: number;
 	/** What its last report says. */
--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -8,6 +8,7 @@
 	type FollowerReport, type HeldLease, type QuarantineList, type UpstreamLimits, HeldLeaseSchema, SessionUpdateSchema,
 } from '@valelead/protocol';
 import {DirectoryNews} from './directory-news.js';
+import {QuarantineRollout} from './quarantine-rollout.js';
 import {SettleQueue} from './settle-queue.js';
 import {getProgress} from './get-progress.js';
 import {isBehind} from './is-behind.js';
@@ -79,6 +80,7 @@
 	readonly #news: DirectoryNews;
 	readonly #leases: OrderLeases;
 	readonly #quarantine: QuarantineRegistry;
+	readonly #quarantineRollout: QuarantineRollout;
 	readonly #quotas: QuotaRegistry;
 	readonly #limits: SessionsParts['limits'];
 	readonly #watch: Pick<LeaderWatch, 'isOutside'>;
@@ -102,6 +104,15 @@
 		this.#timers = timers;
 		this.#clock = clock;
 		this.#news = new DirectoryNews({registry, timers});
+		this.#quarantineRollout = new QuarantineRollout({
+			clock,
+			timers,
+			getVersion: () => quarantine.version,
+			getGateways: () => this.#gateways,
+			onKnown: session => {
+				this.#send(session);
+			},
+		});
 		this.#settling = new SettleQueue({timers, clock, getSessions: () => this.#sessions.values()});
 		this.#pushes = new Coalescer(timers, COALESCE_MS, () => {
 			this.#push();
@@ -140,6 +151,8 @@
 			sent: getProgress(report),
 			routingSentAt: Number.NEGATIVE_INFINITY,
 			quarantineVersion: 0,
+			quarantineConfirmed: 0,
+			crashesKnownUntil: 0,
 			limitsVersion: 0,
 			confirmed: getProgress(report),
 			held: [],
@@ -149,6 +162,7 @@
 		const end = (): void => {
 			this.#sessions.delete(stream);
 			this.#settling.resolve();
+			this.#quarantineRollout.forget(session);
 		};
 
 		stream.on('end', end);
@@ -192,6 +206,10 @@
 		return settled;
 	}
 
+	get #gateways(): FollowerSession[] {
+		return [...this.#sessions.values()].filter(session => session.role === GATEWAY_ROLE);
+	}
+
 	get #progress(): Progress {
 		return {routingVersion: this.#voter.machine.routing?.version ?? 0, ...this.#news.progress};
 	}
@@ -207,6 +225,7 @@
 		session.sentAt = report.sentAt;
 		this.#rollout.noteConfirmed(session.role, session.confirmed.routingVersion, report.routingVersion);
 		session.confirmed = getProgress(report);
+		session.quarantineConfirmed = report.quarantineVersion;
 		for (const address of report.attendedEngines) {
 			session.attended.add(address);
 		}
@@ -220,6 +239,7 @@
 		}
 
 		this.#noteCrashes(session, report);
+		this.#quarantineRollout.note(session, report);
 		const loans = this.#quotas.note(session.id, report.quotaUsages);
 		const sends = this.#limits.note(session.id, report);
 		if (loans !== undefined || sends !== undefined || now - session.repliedAt > REPLY_MS || this.#hasNews(session)) {
@@ -313,6 +333,7 @@
 		const due = this.#getDue(session);
 		const hasRouting = routing !== undefined && due.routingVersion > session.sent.routingVersion;
 		const isNewest = due.routingVersion === this.#tellable.routingVersion;
+		const quarantine = this.#newQuarantine(session);
 		session.stream.write(create(SessionUpdateSchema, {
 			sentAt: session.sentAt,
 			isCurrent: true,
@@ -320,12 +341,13 @@
 			directory: this.#news.getDelta(session.sent),
 			gatewayCount: this.#gatewayCount,
 			voterAddresses: this.#voter.node!.voters.map(voter => voter.address),
-			isReportWanted: hasRouting || this.#settling.isWaiting,
+			isReportWanted: hasRouting || this.#settling.isWaiting || quarantine.quarantine !== undefined,
 			leases: this.#newLeases(session),
 			isRoutingConfirmed: isNewest && this.#voter.node!.canRead,
 			...(session.role === GATEWAY_ROLE && {quotaGrant: this.#quotas.newGrant(session.id, loans), limitGrant: this.#limits.newGrant(session.id, sends)}),
 			...this.#newLimits(session),
-			...this.#newQuarantine(session),
+			...quarantine,
+			crashesKnownUntil: session.crashesKnownUntil,
 			ordersFromMs: session.role === SIDECAR_ROLE ? this.#leases.getSidecarDelayMs([...session.attended]) : 0,
 		}));
 		session.repliedAt = this.#clock.now();
@@ -368,6 +390,6 @@
 	}
 
 	#countGateways(now: number): void {
-		this.#gatewayCount = [...this.#sessions.values()].filter(session => session.role === GATEWAY_ROLE && now - session.heardAt < GATEWAY_SILENCE_MS).length;
+		this.#gatewayCount = this.#gateways.filter(session => now - session.heardAt < GATEWAY_SILENCE_MS).length;
 	}
 }
--- a/apps/valelead-daemon/src/control/quarantine-registry.ts
+++ b/apps/valelead-daemon/src/control/quarantine-registry.ts
@@ -59,6 +59,8 @@
 	readonly #expiring = new Set<string>();
 	/** The list that was made last. */
 	#made: MadeList = {list: undefined, version: 0, at: 0};
+	/** The suspected requests when the list last changed for them. */
+	#suspected: readonly string[] = [];
 	/** Judgements of this leadership, each until it is committed or refused. */
 	readonly #judged = new Map<string, Promise<void>>();
 	/** The committed quarantines that this voter has taken. */
@@ -126,6 +128,7 @@
 	#newList(now: number): QuarantineList {
 		const fingerprints = new Set([...this.#parts.voter.machine.intent.quarantines.keys(), ...this.#ledger.quarantined]);
 		return create(QuarantineListSchema, {
+			version: this.#version,
 			quarantined: [...fingerprints].map(fingerprint => ({
 				fingerprint: toBytes(fingerprint), remainingMs: Math.max(0, (this.#knownSince.get(fingerprint) ?? now) + QUARANTINE_MS - now),
 			})),
@@ -151,7 +154,8 @@
 	#quarantineBlamed(fingerprints: readonly string[]): void {
 		const now = this.#parts.clock.now();
 		const getBlameNow = (fingerprint: string): number => this.#isSettling ? getPartialBlame(this.#ledger, fingerprint) : getBlame(this.#ledger, fingerprint);
-		for (const fingerprint of mutateQuarantined(this.#ledger, fingerprints, getBlameNow)) {
+		const quarantined = mutateQuarantined(this.#ledger, fingerprints, getBlameNow);
+		for (const fingerprint of quarantined) {
 			const upstreams = [...this.#ledger.runsBySuspect.get(fingerprint) ?? []];
 			this.#knownSince.set(fingerprint, now);
 			this.#released.delete(fingerprint);
@@ -163,7 +167,12 @@
 			}));
 		}
 
-		this.#change();
+		// Gateways confirm each change of the list, so it changes with its content only.
+		const suspected = getSuspected(this.#ledger);
+		if (quarantined.length > 0 || suspected.join(',') !== this.#suspected.join(',')) {
+			this.#suspected = suspected;
+			this.#change();
+		}
 	}
 
 	/**
--- a/apps/valelead-daemon/src/follower/crash-exchange.ts
+++ b/apps/valelead-daemon/src/follower/crash-exchange.ts
@@ -6,6 +6,8 @@
 	readonly crashes: readonly Crash[];
 	/** Fingerprints of suspected requests that were answered whole. */
 	readonly served: readonly string[];
+	/** The version of the leader's list that is obeyed; 0 before the first of the session. */
+	readonly quarantineVersion: number;
 };
 
 /** Passes crashes on to the leader, and its judgements back. */
@@ -19,4 +21,9 @@
 	 * @param reportedAt - When the newest report that it knows was made, in monotonic milliseconds.
 	 */
 	readonly noteHeard: (reportedAt: number) => void;
+	/**
+	 * All gateways that the leader hears obey what this gateway's crashes led to.
+	 * @param reportedAt - When the newest report of such crashes was made, in monotonic milliseconds.
+	 */
+	readonly noteKnown: (reportedAt: number) => void;
 };
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -141,6 +141,7 @@
 			leases: leases.map(lease => create(HeldLeaseSchema, lease)),
 			crashes: crashReport?.crashes.map(crash => encodeCrash(crash)) ?? [],
 			served: crashReport?.served.map(fingerprint => Buffer.from(fingerprint, 'hex')) ?? [],
+			quarantineVersion: crashReport?.quarantineVersion ?? 0,
 			quotaUsages: this.#parts.quotas?.getReport(isFirst).map(usage => encodeQuotaUsage(usage)) ?? [],
 			...(limitReport && encodeLimitReport(limitReport, sentAt)),
 		});
@@ -163,6 +164,7 @@
 
 		this.#heardAt = this.#parts.clock.now();
 		this.#parts.crashes?.noteHeard(update.sentAt);
+		this.#parts.crashes?.noteKnown(update.crashesKnownUntil);
 		this.#leader.learn(update.voterAddresses);
 		this.#parts.duties.take({leases: update.leases, ordersFromMs: update.ordersFromMs, reportedAt: update.sentAt});
 		this.#takeConfirmation(update);
--- a/apps/valelead-daemon/src/gateway/crash-guard.ts
+++ b/apps/valelead-daemon/src/gateway/crash-guard.ts
@@ -1,9 +1,11 @@
 import {type Clock, type TimerService, assertNever} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
+import {SUSPECT_PHASE} from '@valelead/quarantine';
 import type {Logger} from 'pino';
 import type {CrashExchange} from '../follower/crash-exchange.js';
 import {CONNECTION_END} from './connection-end.js';
 import {CrashObserver} from './crash-observer.js';
+import {HeldLosses} from './held-losses.js';
 import {getRequestFingerprint} from './get-request-fingerprint.js';
 import {RequestQuarantine} from './request-quarantine.js';
 import type {AttemptEnd} from './attempt-end.js';
@@ -18,24 +20,38 @@
 	readonly onQuarantined: () => void;
 };
 
+/** A leader that was not heard for longer is not waited for, in milliseconds: more than a heartbeat. */
+const LED_MS = 800;
+
 /** Keeps requests that crash upstreams from them: follows which requests lose upstreams, and knows which must not be sent. */
 export class CrashGuard {
 	readonly #parts: GuardParts;
 	readonly #quarantine: RequestQuarantine;
 	readonly #observer: CrashObserver;
+	readonly #losses: HeldLosses;
 
 	constructor(parts: GuardParts) {
 		this.#parts = parts;
-		this.#quarantine = new RequestQuarantine(parts);
+		this.#losses = new HeldLosses(parts.timers, parts.clock);
+		this.#quarantine = new RequestQuarantine({
+			...parts,
+			onCrashesKnown: until => {
+				this.#losses.noteKnown(until);
+			},
+		});
 		this.#observer = new CrashObserver({
 			...parts,
 			onCrash: (run, isFirst) => {
 				this.#quarantine.noteCrash(run);
+				this.#losses.noteCrash(run.runId);
 				parts.onCrashNews();
 				if (isFirst) {
 					parts.onCrash();
 				}
 			},
+			onAlive: upstreamId => {
+				this.#losses.noteAlive(upstreamId);
+			},
 		});
 	}
 
@@ -58,13 +74,24 @@
 	}
 
 	/**
-	 * Takes the end of an attempt that gave no whole answer. Returns whether no other upstream must be risked with the request; that is judged by
-	 * earlier crashes alone, so that the innocent keep their second upstream.
+	 * Takes the end of an attempt that gave no whole answer, and passes it on: at once, or where the upstream may have crashed under the request, once
+	 * all gateways know of it.
+	 * @param passOn - Hears whether no other upstream must be risked with the request. A single crash does not say so, so that the innocent keep their
+	 * second upstream.
 	 */
-	noteEnd(request: GatewayRequest, upstream: Upstream, end: AttemptEnd): boolean {
-		const isLast = end.connection === CONNECTION_END.Broken && this.#quarantine.isSuspected(this.#getFingerprint(request));
+	noteEnd(request: GatewayRequest, upstream: Upstream, end: AttemptEnd, passOn: (isLast: boolean) => void): void {
+		const isBroken = end.connection === CONNECTION_END.Broken;
+		const isSuspected = isBroken && this.#quarantine.isSuspected(this.#getFingerprint(request));
+		const isHeld = isBroken && this.#isHeld(request, upstream, end);
 		this.#noteConnection(request, upstream, end);
-		return isLast;
+		if (!isHeld) {
+			passOn(isSuspected);
+			return;
+		}
+
+		this.#losses.hold(upstream.id, this.#observer.isCrashed(upstream.id), () => {
+			passOn(isSuspected || this.#quarantine.isBlamedByLeader(this.#getFingerprint(request)));
+		});
 	}
 
 	/** Every answer counts, also before anything crashed: what callers ask all the time is at each of several engines that crash at once. */
@@ -74,6 +101,12 @@
 		}
 	}
 
+	/** What had run for a while hardly crashed its upstream, and what was answered lately did not. */
+	#isHeld(request: GatewayRequest, {id}: Upstream, {phase}: AttemptEnd): boolean {
+		const isLed = this.#parts.getLeaderAgeMs() <= LED_MS;
+		return isLed && phase !== SUSPECT_PHASE.Running && !this.#observer.isLeaving(id) && !this.#quarantine.isServedLately(this.#getFingerprint(request));
+	}
+
 	#getFingerprint(request: GatewayRequest): string {
 		request.fingerprint ??= getRequestFingerprint(request);
 		return request.fingerprint;
--- a/apps/valelead-daemon/src/gateway/crash-observer.ts
+++ b/apps/valelead-daemon/src/gateway/crash-observer.ts
@@ -15,6 +15,8 @@
 	readonly isPortRefused: (address: string) => Promise<boolean>;
 	/** Hears of an upstream that crashed, and again when more requests turn out to have been there. */
 	readonly onCrash: (run: WatchedRun, isFirst: boolean) => void;
+	/** Hears that somebody listens at the address of an upstream to which connections broke. */
+	readonly onAlive: (upstreamId: string) => void;
 };
 
 type BrokenRun = {
@@ -47,9 +49,18 @@
 		});
 	}
 
+	/** Whether what breaks off at an upstream is planned. */
+	isLeaving(upstreamId: string): boolean {
+		return this.#leaving.has(upstreamId);
+	}
+
+	isCrashed(upstreamId: string): boolean {
+		return this.#watch.runs.get(upstreamId)?.isCrashed === true;
+	}
+
 	/** Takes a connection that an upstream broke off in the middle of a request. */
 	noteBroken({upstreamId, address, suspect}: BrokenRun): void {
-		if (this.#leaving.has(upstreamId)) {
+		if (this.isLeaving(upstreamId)) {
 			return;
 		}
 
@@ -78,6 +89,7 @@
 		this.#looking.add(upstreamId);
 		let isRefused = await this.#parts.isPortRefused(address);
 		if (!isRefused) {
+			this.#parts.onAlive(upstreamId);
 			await this.#parts.timers.wait(SECOND_LOOK_MS);
 			isRefused = await this.#parts.isPortRefused(address);
 		}
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -236,6 +236,9 @@
 				noteHeard: reportedAt => {
 					this.#dispatcher.crashExchange.noteHeard(reportedAt);
 				},
+				noteKnown: reportedAt => {
+					this.#dispatcher.crashExchange.noteKnown(reportedAt);
+				},
 			},
 			quotas: {
 				getReport: isFirst => this.#intake.quotas.getReport(isFirst),
--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/held-losses.ts
@@ -0,0 +1,68 @@
+import type {Clock, TimerService} from '@valelead/common';
+
+type HeldLoss = {
+	readonly runId: string;
+	/** When the crash was noted, in monotonic milliseconds; undefined until the upstream is known to have crashed. */
+	crashedAt: number | undefined;
+	readonly release: () => void;
+};
+
+/** The longest time that a lost attempt is held, in milliseconds: a look at the port, a report and its way to all gateways, on busy VMs. */
+const MOST_MS = 500;
+
+/**
+ * Attempts that lost their upstream, held until all gateways know what the crash says of their requests. A caller that hears of its loss sends its next
+ * try to any gateway, and a retry risks another upstream.
+ */
+export class HeldLosses {
+	readonly #timers: TimerService;
+	readonly #clock: Clock;
+	readonly #held = new Set<HeldLoss>();
+
+	constructor(timers: TimerService, clock: Clock) {
+		this.#timers = timers;
+		this.#clock = clock;
+	}
+
+	/** @param isCrashed - Whether the upstream is known to have crashed already. */
+	hold(runId: string, isCrashed: boolean, release: () => void): void {
+		const loss: HeldLoss = {runId, crashedAt: isCrashed ? this.#clock.now() : undefined, release};
+		this.#held.add(loss);
+		this.#timers.after(MOST_MS, () => {
+			this.#release(loss);
+		});
+	}
+
+	/** Takes that an upstream has crashed. */
+	noteCrash(runId: string): void {
+		for (const loss of this.#held) {
+			if (loss.runId === runId) {
+				loss.crashedAt ??= this.#clock.now();
+			}
+		}
+	}
+
+	/** Takes that an upstream is there: its connections broke alone. */
+	noteAlive(runId: string): void {
+		for (const loss of this.#held) {
+			if (loss.runId === runId && loss.crashedAt === undefined) {
+				this.#release(loss);
+			}
+		}
+	}
+
+	/** Takes that all gateways know of the crashes that were noted until a time, in monotonic milliseconds. */
+	noteKnown(until: number): void {
+		for (const loss of this.#held) {
+			if (loss.crashedAt !== undefined && loss.crashedAt <= until) {
+				this.#release(loss);
+			}
+		}
+	}
+
+	#release(loss: HeldLoss): void {
+		if (this.#held.delete(loss)) {
+			loss.release();
+		}
+	}
+}
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -242,7 +242,9 @@
 				this.#end(request, attemptId, passOn);
 			},
 			onFailed: (request, attemptId, upstream, end) => {
-				this.#fail(attemptId, end, this.#crashes.noteEnd(request, upstream, end));
+				this.#crashes.noteEnd(request, upstream, end, isLast => {
+					this.#fail(attemptId, end, isLast);
+				});
 			},
 		});
 	}
--- a/apps/valelead-daemon/src/gateway/request-quarantine.ts
+++ b/apps/valelead-daemon/src/gateway/request-quarantine.ts
@@ -31,6 +31,8 @@
 	readonly onQuarantined: () => void;
 	/** Hears of what the leader must know at once. */
 	readonly onCrashNews: () => void;
+	/** Hears that all gateways know what the crashes noted before a time led to, in monotonic milliseconds. */
+	readonly onCrashesKnown: (until: number) => void;
 };
 
 type NotedCrash = {
@@ -74,6 +76,8 @@
 	readonly #own = new Map<string, number>();
 	/** A leader has heard of the crashes that were noted before this time, in monotonic milliseconds. */
 	#heardUntil = Number.NEGATIVE_INFINITY;
+	/** The version of the leader's list that is obeyed; 0 before the first of a session. */
+	#version = 0;
 
 	constructor(parts: QuarantineParts) {
 		this.#parts = parts;
@@ -93,7 +97,12 @@
 
 	/** Whether a request is blamed enough that it must not cost a second upstream within one try. */
 	isSuspected(fingerprint: string): boolean {
-		return this.#suspected.has(fingerprint) || getBlame(this.#ledger, fingerprint) >= SUSPICION_BLAME;
+		return this.isBlamedByLeader(fingerprint) || getBlame(this.#ledger, fingerprint) >= SUSPICION_BLAME;
+	}
+
+	/** Whether a request is quarantined, or the leader blames it for more than one crash. */
+	isBlamedByLeader(fingerprint: string): boolean {
+		return this.#until.has(fingerprint) || this.#suspected.has(fingerprint);
 	}
 
 	/** Whether a request was answered whole so lately that it is not blamed for crashes. */
@@ -129,13 +138,17 @@
 	}
 
 	getReport(isFirst: boolean): ReturnType<CrashExchange['getReport']> {
+		if (isFirst) {
+			this.#version = 0;
+		}
+
 		const told = this.#parts.clock.now() - TOLD_MS;
 		const crashes = [...this.#crashes.values()].filter(({at}) => isFirst || at > told).map(({run}) => toCrash(run));
 		const served = [...this.#cleared].filter(([, at]) => at > told).map(([fingerprint]) => fingerprint);
-		return {crashes, served};
+		return {crashes, served, quarantineVersion: this.#version};
 	}
 
-	take({quarantined, suspected, released}: QuarantineList, isLeaders: boolean): void {
+	take({quarantined, suspected, released, version}: QuarantineList, isLeaders: boolean): void {
 		let hasNew = false;
 		this.#committed = new Set(quarantined.map(({fingerprint}) => toText(fingerprint)));
 		for (const {fingerprint, remainingMs} of quarantined) {
@@ -143,6 +156,7 @@
 		}
 
 		if (isLeaders) {
+			this.#version = version;
 			this.#suspected = new Set(suspected.map(fingerprint => toText(fingerprint)));
 		}
 
@@ -168,6 +182,10 @@
 		}
 	}
 
+	noteKnown(reportedAt: number): void {
+		this.#parts.onCrashesKnown(reportedAt);
+	}
+
 	/** Tells the leader of blamed requests that were answered here lately; it may have heard of their crashes alone. */
 	#reportServed(fingerprints: readonly string[]): void {
 		const now = this.#parts.clock.now();
--- a/apps/valelead-daemon/tests/quarantine.feature
+++ b/apps/valelead-daemon/tests/quarantine.feature
@@ -63,3 +63,40 @@
     When gateway "two" tells of crashes of runs "a, b, c" under requests "popular" that were unanswered
     And gateway "one" tells that "popular" was answered
     Then 1 second later the leader keeps "" back and not "popular"
+
+  # Guards against: a caller that hears of its lost try before other gateways know of the crash, and a retry that costs one more upstream.
+  Scenario: A lost try is answered once all gateways obey what its crash led to
+    Given a leader that has led for 5 seconds and hears gateways "one, two, three"
+    When gateway "one" reports crashes of runs "a, b, c" under request "boom"
+    Then it is not told that all know of it
+    When gateways "one, two" confirm the list
+    Then it is not told that all know of it
+    When gateways "three" confirm the list
+    Then it is told that all know of it
+
+  # Guards against: innocent requests that wait for other gateways at a crash that changes nothing for these.
+  Scenario: A crash that changes no judgement is known to all at once
+    Given a leader that has led for 5 seconds and hears gateways "one, two, three"
+    When gateways "one, two, three" confirm the list
+    And gateway "one" reports crashes of runs "a" under request "first"
+    Then it is told that all know of it
+
+  # Guards against: callers that wait for a gateway which is suspended or cut off.
+  Scenario: Gateways that are silent are not waited for, and others for a short while only
+    Given a leader that has led for 5 seconds and hears gateways "one, two, three"
+    When gateway "one" reports crashes of runs "a, b, c" under request "boom"
+    And gateways "one, two" confirm the list
+    And 260 ms go by without a word
+    Then it is told that all know of it
+
+  Scenario Outline: A lost try is held until <event>
+    Given a lost try at run "a", <state>
+    When <event>
+    Then the try is passed on
+
+    Examples:
+      | state                           | event                                        |
+      | which is known to have crashed  | all gateways know of the crash               |
+      | which is found crashed later    | all gateways know of the crash               |
+      | which is found alive later      | its port is found open                       |
+      | which is known to have crashed  | 500 ms pass without a word                   |
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -9,7 +9,9 @@
 import {pino} from 'pino';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
-import {QuarantineRegistry, RequestQuarantine, encodeCrash} from 'valelead-daemon';
+import {
+	type FollowerSession, HeldLosses, QuarantineRegistry, QuarantineRollout, RequestQuarantine, encodeCrash,
+} from 'valelead-daemon';
 
 type RegistryParts = ConstructorParameters<typeof QuarantineRegistry>[0];
 
@@ -19,6 +21,10 @@
 	/** When the gateway last heard a leader, in milliseconds. */
 	heardAt: number;
 	registry: QuarantineRegistry;
+	rollout: QuarantineRollout;
+	sessions: Map<string, FollowerSession>;
+	losses: HeldLosses;
+	isPassedOn: boolean;
 };
 
 const MS_PER_SECOND = 1000;
@@ -51,6 +57,7 @@
 		getLeaderAgeMs: () => world.time.now - world.heardAt,
 		onQuarantined: () => undefined,
 		onCrashNews: () => undefined,
+		onCrashesKnown: () => undefined,
 	});
 };
 
@@ -201,3 +208,89 @@
 	await pass(this, seconds * MS_PER_SECOND);
 	checkKept(this, kept, free);
 });
+
+Given('a leader that has led for {int} seconds and hears gateways {string}', async function (this: QuarantineWorld, seconds: number, names: string) {
+	startLeader(this, 0);
+	tell(this, 'two', [newRun('other', ['other'], SUSPECT_PHASE.Begun)], []);
+	await pass(this, seconds * MS_PER_SECOND);
+	this.sessions = new Map(split(names).map(vm => [vm, {
+		vm, heardAt: this.time.now, quarantineConfirmed: 0, crashesKnownUntil: 0,
+	} as unknown as FollowerSession]));
+	this.rollout = new QuarantineRollout({
+		clock: newClock(this.time),
+		timers: newVirtualTimers(this.time),
+		getVersion: () => this.registry.version,
+		getGateways: () => [...this.sessions.values()],
+		onKnown: () => undefined,
+	});
+});
+
+When('gateway {string} reports crashes of runs {string} under request {string}', function (this: QuarantineWorld, vm: string, runs: string, name: string) {
+	const crashes = split(runs).map(runId => encodeCrash({runId, suspects: [{fingerprint: toFingerprint(name), phase: SUSPECT_PHASE.Begun}]}));
+	const report = create(FollowerReportSchema, {vm, sentAt: this.time.now, crashes});
+	this.registry.note(report);
+	this.rollout.note(this.sessions.get(vm)!, report);
+});
+
+When('gateways {string} confirm the list', function (this: QuarantineWorld, names: string) {
+	for (const vm of split(names)) {
+		const session = this.sessions.get(vm)!;
+		session.heardAt = this.time.now;
+		session.quarantineConfirmed = this.registry.version;
+	}
+
+	this.rollout.settle();
+});
+
+When('{int} ms go by without a word', async function (this: QuarantineWorld, ms: number) {
+	await pass(this, ms);
+});
+
+Then('it is not told that all know of it', function (this: QuarantineWorld) {
+	assert.equal(this.sessions.get('one')!.crashesKnownUntil, 0);
+});
+
+Then('it is told that all know of it', function (this: QuarantineWorld) {
+	assert.ok(this.sessions.get('one')!.crashesKnownUntil > 0);
+});
+
+const hold = (world: QuarantineWorld, isCrashed: boolean): void => {
+	world.time = new VirtualTime();
+	world.isPassedOn = false;
+	world.losses = new HeldLosses(newVirtualTimers(world.time), newClock(world.time));
+	world.losses.hold('a', isCrashed, () => {
+		world.isPassedOn = true;
+	});
+	world.time.advance(50);
+	world.losses.noteKnown(isCrashed ? -1 : world.time.now);
+	assert.equal(world.isPassedOn, false, 'it is held at first');
+};
+
+Given('a lost try at run "a", which is known to have crashed', function (this: QuarantineWorld) {
+	hold(this, true);
+});
+
+Given('a lost try at run "a", which is found crashed later', function (this: QuarantineWorld) {
+	hold(this, false);
+	this.losses.noteCrash('a');
+});
+
+Given('a lost try at run "a", which is found alive later', function (this: QuarantineWorld) {
+	hold(this, false);
+});
+
+When('all gateways know of the crash', function (this: QuarantineWorld) {
+	this.losses.noteKnown(this.time.now);
+});
+
+When('its port is found open', function (this: QuarantineWorld) {
+	this.losses.noteAlive('a');
+});
+
+When('500 ms pass without a word', function (this: QuarantineWorld) {
+	this.time.advance(500);
+});
+
+Then('the try is passed on', function (this: QuarantineWorld) {
+	assert.ok(this.isPassedOn);
+});
--- a/apps/valelead-lab/src/lab-quarantine.ts
+++ b/apps/valelead-lab/src/lab-quarantine.ts
@@ -58,9 +58,14 @@
 		const report = create(FollowerReportSchema, {
 			crashes: crashes.map(crash => encodeCrash(crash)), served: served.map(fingerprint => Uint8Array.from(Buffer.from(fingerprint, 'hex'))),
 		});
+		const reportedAt = clock.now();
 		clock.after(linkMs, () => {
 			this.#registry.note(report);
 		});
+		// There and back, and once more for the other gateways' confirmation.
+		clock.after(4 * linkMs, () => {
+			gateway.crashExchange.noteKnown(reportedAt);
+		});
 	}
 
 	#push(): void {
