Judge a request at the fourth crash at which it had just begun, whatever it shared

What callers saw: up to seven engines crashed under one of 20 requests that come together, the last more than 2 s after the third. The new scenario of judgement.feature failed before.

--- a/packages/quarantine/src/get-blame.ts
+++ b/packages/quarantine/src/get-blame.ts
@@ -1,3 +1,4 @@
+import {getBegunBlame} from './get-begun-blame.js';
 import {getCrashBlame} from './get-crash-blame.js';
 import {HALF_OPEN_BLAME} from './half-open-blame.js';
 import type {CrashLedger} from './crash-ledger.js';
@@ -9,5 +10,5 @@
 		blame += getCrashBlame(ledger, ledger.crashes.get(runId)!, fingerprint);
 	}
 
-	return blame;
+	return Math.max(blame, getBegunBlame(ledger, fingerprint));
 };
--- a/packages/quarantine/src/get-partial-blame.ts
+++ b/packages/quarantine/src/get-partial-blame.ts
@@ -1,3 +1,4 @@
+import {getBegunBlame} from './get-begun-blame.js';
 import {getCrashBlame} from './get-crash-blame.js';
 import {HALF_OPEN_BLAME} from './half-open-blame.js';
 import {SUSPECT_PHASE} from './suspect-phase.js';
@@ -23,5 +24,5 @@
 		}
 	}
 
-	return blame;
+	return Math.max(blame, getBegunBlame(ledger, fingerprint));
 };
--- a/packages/quarantine/tests/judgement.feature
+++ b/packages/quarantine/tests/judgement.feature
@@ -23,6 +23,13 @@
     When "y" is released by an operator
     Then "x" is blamed for 0 crashes and "y" for 0
 
+  # Guards against: requests that always crash engines together, each of which takes six and more crashes until it is judged.
+  Scenario: Requests that share every crash are judged at the fourth at which they had just begun
+    Given crashes of runs "a, b, c" under requests "u, v, w, x, y, z"
+    Then "z" is not quarantined
+    Given crashes of runs "d" under requests "u, v, w, x, y, z"
+    Then "z" is quarantined
+
   Scenario: What many callers ask is in progress at every crash and is not blamed
     Given a request "popular" that was answered whole
     And crashes of runs "a, b, c, d" under requests "popular"
