Start the bundled programs, as they are deployed, from installed commands and scenarios

The bundles that are deployed existed, but neither the installed commands nor the scenarios used them. 'started' has startMs, the time since the process began, so that a slow start and a slow return can be told apart.

--- a/apps/valelead-daemon/src/agent/start-agent.ts
+++ b/apps/valelead-daemon/src/agent/start-agent.ts
@@ -12,6 +12,7 @@
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import type {AgentDaemonSettings} from '../settings/agent-daemon-settings.js';
 import type {Stoppable} from '../stoppable.js';
+import {getStartMs} from '../get-start-ms.js';
 import {Agent} from './agent.js';
 import {holdGuardPort} from './hold-guard-port.js';
 import {newAgentService} from './new-agent-service.js';
@@ -60,7 +61,7 @@
 		if (agent.hasStatus) {
 			announce.cancel();
 			session.start();
-			logger.info({event: 'started'}, 'agent started');
+			logger.info({event: 'started', startMs: getStartMs()}, 'agent started');
 		}
 	});
 
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -22,6 +22,7 @@
 import {setQuorumMetrics} from '../metrics/set-quorum-metrics.js';
 import type {VotingControllerSettings} from '../settings/voting-controller-settings.js';
 import type {Stoppable} from '../stoppable.js';
+import {getStartMs} from '../get-start-ms.js';
 import {newChannelCredentials} from '../tls/new-channel-credentials.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import {ControlServer} from './control-server.js';
@@ -156,7 +157,7 @@
 			setQuorumMetrics(metrics, quorum.view, settings.faultTolerance);
 		},
 	});
-	logger.info({event: 'started', control: settings.control}, 'controller started');
+	logger.info({event: 'started', control: settings.control, startMs: getStartMs()}, 'controller started');
 	return {
 		async stop() {
 			await handOver(voter, timers);
--- a/apps/valelead-daemon/src/entry/entry.ts
+++ b/apps/valelead-daemon/src/entry/entry.ts
@@ -12,6 +12,7 @@
 import {Metrics} from '../metrics/metrics.js';
 import type {EntrySettings} from '../settings/entry-settings.js';
 import type {Stoppable} from '../stoppable.js';
+import {getStartMs} from '../get-start-ms.js';
 import {ADMISSION_DEFAULTS} from './admission-defaults.js';
 import {CallerServer} from './caller-server.js';
 import {ClaimClient} from './claim-client.js';
@@ -66,7 +67,7 @@
 				this.#metrics.configurationAge.set(this.#follower.ageMs / MS_PER_SECOND);
 			},
 		});
-		logger.info({event: 'started'}, 'entry started');
+		logger.info({event: 'started', startMs: getStartMs()}, 'entry started');
 	}
 
 	/** Fails readiness, lets the balancer notice, and waits for what is in progress. */
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import type {GatewaySettings} from '../settings/gateway-settings.js';
 import {newResidencyService} from '../sidecar/new-residency-service.js';
 import type {Stoppable} from '../stoppable.js';
+import {getStartMs} from '../get-start-ms.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import {newPortCheck} from './new-port-check.js';
 import {newGatewayAdmission} from './new-gateway-admission.js';
@@ -172,7 +173,7 @@
 				this.#metrics.quarantinedRequests.set(this.#dispatcher.quarantinedCount);
 			},
 		});
-		logger.info({event: 'started', http: settings.http}, 'gateway started');
+		logger.info({event: 'started', http: settings.http, startMs: getStartMs()}, 'gateway started');
 	}
 
 	/** Fails readiness, ends connections after their answers, and waits for what is in progress. */
--- a/apps/valelead-daemon/src/sidecar/start-sidecar.ts
+++ b/apps/valelead-daemon/src/sidecar/start-sidecar.ts
@@ -8,6 +8,7 @@
 import {Metrics} from '../metrics/metrics.js';
 import type {SidecarSettings} from '../settings/sidecar-settings.js';
 import type {Stoppable} from '../stoppable.js';
+import {getStartMs} from '../get-start-ms.js';
 import {newChannelCredentials} from '../tls/new-channel-credentials.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import {EngineClient} from './engine-client.js';
@@ -65,7 +66,7 @@
 			metrics.revision.set(follower.table?.routing.version ?? 0);
 		},
 	});
-	logger.info({event: 'started', engine: settings.engine}, 'sidecar started');
+	logger.info({event: 'started', engine: settings.engine, startMs: getStartMs()}, 'sidecar started');
 	return {
 		async stop() {
 			keeper.stop();
--- a/apps/valelead-daemon/src/standby/start-standby.ts
+++ b/apps/valelead-daemon/src/standby/start-standby.ts
@@ -10,6 +10,7 @@
 import {Metrics} from '../metrics/metrics.js';
 import type {ControllerSettings} from '../settings/controller-settings.js';
 import type {Stoppable} from '../stoppable.js';
+import {getStartMs} from '../get-start-ms.js';
 import {newChannelCredentials} from '../tls/new-channel-credentials.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import {LeaderFinder} from './leader-finder.js';
@@ -41,7 +42,9 @@
 		getUnreadyReason: () => undefined,
 		refreshMetrics: () => undefined,
 	});
-	logger.info({event: 'started', control: settings.control, isStandby: true}, 'controller started without a data folder; it sends callers to the leader');
+	logger.info({
+		event: 'started', control: settings.control, isStandby: true, startMs: getStartMs(),
+	}, 'controller started without a data folder; it sends callers to the leader');
 	return {
 		async stop() {
 			control.close();
--- a/fakes/src/installation.ts
+++ b/fakes/src/installation.ts
@@ -34,8 +34,8 @@
 
 const getFile = (relative: string): string => fileURLToPath(new URL(`../../${relative}`, import.meta.url));
 
-const DAEMON = getFile('apps/valelead-daemon/dist/main.js');
-const TOOL = getFile('apps/valelead-cli/dist/main.js');
+const DAEMON = getFile('apps/valelead-daemon/dist/bin/valeleadd.mjs');
+const TOOL = getFile('apps/valelead-cli/dist/bin/valelead.mjs');
 const FAKES = getFile('fakes/dist/main.js');
 
 /** Entries with voters, agents and stand-ins as separate processes on loopback. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,11 +1,16 @@
 #!/usr/bin/env node
-// Bundles the daemon with the platform's adapter into target/, as one file that starts quickly, beside the state charts that it reads.
+// Bundles the programs, each as one file that starts quickly, beside the state charts that it reads: the daemon with the platform's adapter into target/,
+// as it is deployed, and the installed commands into the folders of their packages.
 import {copyFileSync, mkdirSync, readdirSync} from 'node:fs';
 import path from 'node:path';
 import {build} from 'esbuild';
 
-const OUTPUT = 'target/bin/valelead.mjs';
-const CHARTS = 'target/charts';
+const PROGRAMS = [
+	{source: 'platform/src/main.ts', folder: 'target', name: 'valelead.mjs'},
+	{source: 'platform/src/main.ts', folder: 'platform/dist', name: 'valelead-platform.mjs'},
+	{source: 'apps/valelead-daemon/src/main.ts', folder: 'apps/valelead-daemon/dist', name: 'valeleadd.mjs'},
+	{source: 'apps/valelead-cli/src/main.ts', folder: 'apps/valelead-cli/dist', name: 'valelead.mjs'},
+];
 
 /** Takes the sources of the workspace's own packages, so that nothing needs to be compiled first. */
 const WORKSPACE_SOURCES = {
@@ -19,9 +24,9 @@
 	},
 };
 
-await build({
-	entryPoints: ['platform/src/main.ts'],
-	outfile: OUTPUT,
+const bundleProgram = async ({source, folder, name}) => build({
+	entryPoints: [source],
+	outfile: path.join(folder, 'bin', name),
 	bundle: true,
 	platform: 'node',
 	format: 'esm',
@@ -34,17 +39,26 @@
 	banner: {js: 'import {createRequire} from \'node:module\'; const require = createRequire(import.meta.url);'},
 	plugins: [WORKSPACE_SOURCES],
 });
-mkdirSync(CHARTS, {recursive: true});
-for (const name of readdirSync('packages')) {
+
+const listCharts = () => readdirSync('packages').flatMap(name => {
 	const folder = path.join('packages', name, 'charts');
-	let files = [];
 	try {
-		files = readdirSync(folder);
+		return readdirSync(folder).map(file => path.join(folder, file));
 	} catch {
 		// Most packages have no charts.
+		return [];
 	}
+});
 
-	for (const file of files) {
-		copyFileSync(path.join(folder, file), path.join(CHARTS, file));
+const copyCharts = (charts, folder) => {
+	mkdirSync(path.join(folder, 'charts'), {recursive: true});
+	for (const chart of charts) {
+		copyFileSync(chart, path.join(folder, 'charts', path.basename(chart)));
 	}
-}
+};
+
+const charts = listCharts();
+await Promise.all(PROGRAMS.map(async program => {
+	await bundleProgram(program);
+	copyCharts(charts, program.folder);
+}));
