Hold a lost try that had just begun for as long as a session takes to begin anew

What had just begun is held for 2 s now, and while the leader is silent for up to 3 s; what merely waited as before.

--- a/apps/valelead-daemon/src/gateway/crash-guard.ts
+++ b/apps/valelead-daemon/src/gateway/crash-guard.ts
@@ -20,8 +20,18 @@
 	readonly onQuarantined: () => void;
 };
 
-/** A leader that was not heard for longer is not waited for, in milliseconds: more than a heartbeat. */
-const LED_MS = 800;
+type HoldLimit = {
+	/** The longest time that a lost attempt is held, in milliseconds. */
+	readonly mostMs: number;
+	/** A leader that was not heard for longer is not waited for, in milliseconds. */
+	readonly leaderAgeMs: number;
+};
+
+/** What merely waited is held for a look at the port, a report and its way to all gateways. */
+const WAITING_LIMIT: HoldLimit = {mostMs: 500, leaderAgeMs: 800};
+
+/** What had just begun is probably what crashed the upstream, so it is held while a session breaks and begins anew, too. */
+const BEGUN_LIMIT: HoldLimit = {mostMs: 2000, leaderAgeMs: 3000};
 
 /** Keeps requests that crash upstreams from them: follows which requests lose upstreams, and knows which must not be sent. */
 export class CrashGuard {
@@ -82,14 +92,14 @@
 	noteEnd(request: GatewayRequest, upstream: Upstream, end: AttemptEnd, passOn: (isLast: boolean) => void): void {
 		const isBroken = end.connection === CONNECTION_END.Broken;
 		const isSuspected = isBroken && this.#quarantine.isSuspected(this.#getFingerprint(request));
-		const isHeld = isBroken && this.#isHeld(request, upstream, end);
+		const mostMs = isBroken ? this.#getHoldMs(request, upstream, end) : 0;
 		this.#noteConnection(request, upstream, end);
-		if (!isHeld) {
+		if (mostMs === 0) {
 			passOn(isSuspected);
 			return;
 		}
 
-		this.#losses.hold(upstream.id, this.#observer.isCrashed(upstream.id), () => {
+		this.#losses.hold({runId: upstream.id, isCrashed: this.#observer.isCrashed(upstream.id), mostMs}, () => {
 			passOn(isSuspected || this.#quarantine.isBlamedByLeader(this.#getFingerprint(request)));
 		});
 	}
@@ -101,10 +111,14 @@
 		}
 	}
 
-	/** What had run for a while hardly crashed its upstream, and what was answered lately did not. */
-	#isHeld(request: GatewayRequest, {id}: Upstream, {phase}: AttemptEnd): boolean {
-		const isLed = this.#parts.getLeaderAgeMs() <= LED_MS;
-		return isLed && phase !== SUSPECT_PHASE.Running && !this.#observer.isLeaving(id) && !this.#quarantine.isServedLately(this.#getFingerprint(request));
+	/** For how long a lost attempt may be held; 0 where it had run for a while or the request was answered lately, so that it hardly crashed its upstream. */
+	#getHoldMs(request: GatewayRequest, {id}: Upstream, {phase}: AttemptEnd): number {
+		if (phase === SUSPECT_PHASE.Running || this.#observer.isLeaving(id) || this.#quarantine.isServedLately(this.#getFingerprint(request))) {
+			return 0;
+		}
+
+		const {mostMs, leaderAgeMs} = phase === SUSPECT_PHASE.Begun ? BEGUN_LIMIT : WAITING_LIMIT;
+		return this.#parts.getLeaderAgeMs() <= leaderAgeMs ? mostMs : 0;
 	}
 
 	#getFingerprint(request: GatewayRequest): string {
--- a/apps/valelead-daemon/src/gateway/held-losses.ts
+++ b/apps/valelead-daemon/src/gateway/held-losses.ts
@@ -1,5 +1,13 @@
 import type {Clock, TimerService} from '@valelead/common';
 
+type LostAttempt = {
+	readonly runId: string;
+	/** Whether the upstream is known to have crashed already. */
+	readonly isCrashed: boolean;
+	/** The longest time that the attempt is held, in milliseconds. */
+	readonly mostMs: number;
+};
+
 type HeldLoss = {
 	readonly runId: string;
 	/** When the crash was noted, in monotonic milliseconds; undefined until the upstream is known to have crashed. */
@@ -7,9 +15,6 @@
 	readonly release: () => void;
 };
 
-/** The longest time that a lost attempt is held, in milliseconds: a look at the port, a report and its way to all gateways, on busy VMs. */
-const MOST_MS = 500;
-
 /**
  * Attempts that lost their upstream, held until all gateways know what the crash says of their requests. A caller that hears of its loss sends its next
  * try to any gateway, and a retry risks another upstream.
@@ -24,11 +29,10 @@
 		this.#clock = clock;
 	}
 
-	/** @param isCrashed - Whether the upstream is known to have crashed already. */
-	hold(runId: string, isCrashed: boolean, release: () => void): void {
+	hold({runId, isCrashed, mostMs}: LostAttempt, release: () => void): void {
 		const loss: HeldLoss = {runId, crashedAt: isCrashed ? this.#clock.now() : undefined, release};
 		this.#held.add(loss);
-		this.#timers.after(MOST_MS, () => {
+		this.#timers.after(mostMs, () => {
 			this.#release(loss);
 		});
 	}
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -258,7 +258,7 @@
 	world.time = new VirtualTime();
 	world.isPassedOn = false;
 	world.losses = new HeldLosses(newVirtualTimers(world.time), newClock(world.time));
-	world.losses.hold('a', isCrashed, () => {
+	world.losses.hold({runId: 'a', isCrashed, mostMs: 500}, () => {
 		world.isPassedOn = true;
 	});
 	world.time.advance(50);
