Let a sidecar that starts late wait for the holder under an earlier leader

Change: holders report leases that are over for 10 s, a sidecar that has not begun waits for the first second of a leadership, and keeps the longest wait that it was told.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -348,7 +348,9 @@
 			...this.#newLimits(session),
 			...quarantine,
 			crashesKnownUntil: session.crashesKnownUntil,
-			ordersFromMs: session.role === SIDECAR_ROLE ? this.#leases.getSidecarDelayMs([...session.attended]) : 0,
+			...(session.role === SIDECAR_ROLE && {
+				ordersFromMs: this.#leases.getSidecarDelayMs([...session.attended]), holdersKnownInMs: this.#leases.holdersKnownMs,
+			}),
 		}));
 		session.repliedAt = this.#clock.now();
 		session.sent = {...due, routingVersion: session.sent.routingVersion};
--- a/apps/valelead-daemon/src/control/order-leases.ts
+++ b/apps/valelead-daemon/src/control/order-leases.ts
@@ -1,7 +1,18 @@
 import type {Clock, TimerService} from '@valelead/common';
 import {UPSTREAM_STATE} from '@valelead/discovery';
 import {
-	type LeaseCandidate, type LeaseSettings, type LeaseState, type OrderLease, ORDER_LEASE_MS, getLeasesOf, getSidecarDelayMs, mutateLeases, mutateRenewed, newLeaseState,
+	type LeaseCandidate,
+	type LeaseSettings,
+	type LeaseState,
+	type OrderLease,
+	ORDER_LEASE_MS,
+	getHoldersKnownMs,
+	getLeasesOf,
+	getSidecarDelayMs,
+	mutateEnded,
+	mutateLeases,
+	mutateRenewed,
+	newLeaseState,
 } from '@valelead/order-lease';
 import type {FollowerReport, HeldLease} from '@valelead/protocol';
 import type {Logger} from 'pino';
@@ -53,6 +64,10 @@
 			this.#noteAttended(state, address);
 		}
 
+		for (const {engineAddress, agoMs} of report.endedLeases) {
+			mutateEnded(state, engineAddress, this.#parts.clock.now() - agoMs);
+		}
+
 		if (report.keeperAddress !== '') {
 			const candidate = {
 				vm: report.vm,
@@ -87,6 +102,12 @@
 		return state ? Math.max(0, ...addresses.map(address => getSidecarDelayMs(state, settings, address, clock.now()))) : 0;
 	}
 
+	/** Until it is known who held leases of earlier leaders, in milliseconds. */
+	get holdersKnownMs(): number {
+		const state = this.#getState();
+		return state ? getHoldersKnownMs(state, this.#parts.clock.now()) : 0;
+	}
+
 	/** Engines that no sidecar attends to and nobody holds a lease on; 0 where this voter does not lead. */
 	get unattendedCount(): number {
 		const state = this.#getState();
--- a/apps/valelead-daemon/src/follower/duty-grant.ts
+++ b/apps/valelead-daemon/src/follower/duty-grant.ts
@@ -6,6 +6,8 @@
 	readonly leases: readonly HeldLease[];
 	/** Until a sidecar may order its engine, in milliseconds. */
 	readonly ordersFromMs: number;
+	/** Until the leader knows whether another process gave a sidecar's engine orders before, in milliseconds. */
+	readonly holdersKnownInMs: number;
 	/** When the process made the report that the update answers, in its own monotonic milliseconds. */
 	readonly reportedAt: number;
 };
--- a/apps/valelead-daemon/src/follower/duty-report.ts
+++ b/apps/valelead-daemon/src/follower/duty-report.ts
@@ -1,8 +1,9 @@
-import type {HeldLease} from '@valelead/protocol';
+import type {EndedLease, HeldLease} from '@valelead/protocol';
 
 /** What a process tells the leader about engines that it gives orders to, or could. */
 export type DutyReport = {
 	readonly attendedEngines: string[];
 	readonly keeperAddress: string;
 	readonly leases: Array<Pick<HeldLease, 'engineAddress' | 'fence' | 'startsInMs'>>;
+	readonly endedLeases: Array<Pick<EndedLease, 'engineAddress' | 'agoMs'>>;
 };
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -11,6 +11,7 @@
 	type SessionReport,
 	type SessionUpdate,
 	DirectoryDeltaSchema,
+	EndedLeaseSchema,
 	FollowerReportSchema,
 	HeldLeaseSchema,
 	LeaderCalls,
@@ -123,7 +124,7 @@
 
 	#newReport(sentAt: number, isFirst: boolean): SessionReport {
 		const {settings, duties} = this.#parts;
-		const {leases, keeperAddress, attendedEngines} = duties.getReport();
+		const {leases, endedLeases, keeperAddress, attendedEngines} = duties.getReport();
 		// They only become more, and a session remembers them.
 		const hasNews = isFirst || attendedEngines.length !== this.#toldAttended;
 		this.#toldAttended = attendedEngines.length;
@@ -139,6 +140,7 @@
 			keeperAddress,
 			attendedEngines: hasNews ? attendedEngines : [],
 			leases: leases.map(lease => create(HeldLeaseSchema, lease)),
+			endedLeases: endedLeases.map(lease => create(EndedLeaseSchema, lease)),
 			crashes: crashReport?.crashes.map(crash => encodeCrash(crash)) ?? [],
 			served: crashReport?.served.map(fingerprint => Buffer.from(fingerprint, 'hex')) ?? [],
 			quarantineVersion: crashReport?.quarantineVersion ?? 0,
@@ -166,7 +168,9 @@
 		this.#parts.crashes?.noteHeard(update.sentAt);
 		this.#parts.crashes?.noteKnown(update.crashesKnownUntil);
 		this.#leader.learn(update.voterAddresses);
-		this.#parts.duties.take({leases: update.leases, ordersFromMs: update.ordersFromMs, reportedAt: update.sentAt});
+		this.#parts.duties.take({
+			leases: update.leases, ordersFromMs: update.ordersFromMs, holdersKnownInMs: update.holdersKnownInMs, reportedAt: update.sentAt,
+		});
 		this.#takeConfirmation(update);
 		this.#noteGateways(update.gatewayCount);
 		if (update.directory.length > 0) {
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -33,6 +33,7 @@
 export {exitWithLogs} from './exit-with-logs.js';
 export type {FollowerSession} from './control/follower-session.js';
 export {HeldLosses} from './gateway/held-losses.js';
+export {getOrderStart} from './sidecar/get-order-start.js';
 export {QuarantineRollout} from './control/quarantine-rollout.js';
 export {QuarantineRegistry} from './control/quarantine-registry.js';
 export {RequestQuarantine} from './gateway/request-quarantine.js';
--- a/apps/valelead-daemon/src/keeping/engine-keepers.ts
+++ b/apps/valelead-daemon/src/keeping/engine-keepers.ts
@@ -38,6 +38,9 @@
 /** An order is on its way for up to this long, in milliseconds, so none is given that late in a lease. */
 const LAST_ORDER_MS = 250;
 
+/** How long the leader is told of a lease that is over, in milliseconds: longer than a late order may take. */
+const ENDED_TOLD_MS = 10_000;
+
 /** Gives orders to the engines of which this process holds a lease, each with a keeper of its own. */
 export class EngineKeepers {
 	readonly #parts: KeepersParts;
@@ -46,6 +49,8 @@
 	#upstreams: readonly Upstream[] = [];
 	/** Of all leases. */
 	readonly #end: LeaseEnd;
+	/** When this process gave up engines that it may have ordered, by address, in monotonic milliseconds. */
+	readonly #ended = new Map<string, number>();
 	#isStopped = false;
 
 	constructor(parts: KeepersParts) {
@@ -53,11 +58,12 @@
 		this.#end = new LeaseEnd({...parts, lengthMs: ORDER_LEASE_MS});
 	}
 
-	/** What the leader is told; a lease that is over is not. */
-	getReport(): Pick<DutyReport, 'keeperAddress' | 'leases'> {
+	/** What the leader is told: leases that are over are told apart. */
+	getReport(): Pick<DutyReport, 'keeperAddress' | 'leases' | 'endedLeases'> {
 		const now = this.#parts.clock.now();
 		const kept = this.#end.isOver ? [] : [...this.#kept.values()];
 		return {
+			endedLeases: this.#getEnded(now),
 			keeperAddress: this.#parts.keeperAddress,
 			leases: kept.map(({lease, startsAt}) => ({engineAddress: lease.engineAddress, fence: lease.fence, startsInMs: Math.max(0, startsAt - now)})),
 		};
@@ -109,6 +115,17 @@
 		}
 	}
 
+	#getEnded(now: number): DutyReport['endedLeases'] {
+		for (const [address, at] of this.#ended) {
+			if (now - at > ENDED_TOLD_MS) {
+				this.#ended.delete(address);
+			}
+		}
+
+		const over = this.#end.isOver ? [...this.#kept].filter(([, {startsAt}]) => startsAt < this.#end.at).map(([address]) => [address, this.#end.at] as const) : [];
+		return [...this.#ended, ...over].map(([engineAddress, at]) => ({engineAddress, agoMs: Math.max(0, now - at)}));
+	}
+
 	#keep(lease: HeldLease): void {
 		const {holder, concurrentStoreLoads, codec, timers, clock, logger} = this.#parts;
 		const {engineAddress, fence, startsInMs} = lease;
@@ -130,7 +147,12 @@
 
 	#drop(address: string): void {
 		const kept = this.#kept.get(address)!;
+		const now = this.#parts.clock.now();
 		this.#kept.delete(address);
+		if (kept.startsAt < now) {
+			this.#ended.set(address, Math.min(now, this.#end.at));
+		}
+
 		kept.keeper.stop();
 		kept.client.close();
 		this.#parts.logger.info({event: 'engine-released', address, fence: kept.lease.fence}, 'this process gives the engine no more orders');
--- a/apps/valelead-daemon/src/sidecar/start-sidecar.ts
+++ b/apps/valelead-daemon/src/sidecar/start-sidecar.ts
@@ -14,6 +14,7 @@
 import {EngineClient} from './engine-client.js';
 import {EngineKeeper} from './engine-keeper.js';
 import {newEngineCopies} from './new-engine-copies.js';
+import {getOrderStart} from './get-order-start.js';
 import {LOCAL_POLLS} from './local-polls.js';
 import {newCapacity} from './new-capacity.js';
 import {newResidencyService} from './new-residency-service.js';
@@ -27,6 +28,7 @@
 	const keeper = new EngineKeeper({
 		holder: settings.vm, concurrentStoreLoads: settings.concurrentStoreLoads, client, timers, clock: SYSTEM_CLOCK, logger, fence: SIDECAR_FENCE, polls: LOCAL_POLLS,
 	});
+	let ordersFrom: number | undefined;
 	const follower = new RoutingFollower({
 		settings,
 		codec: adapter.control,
@@ -36,10 +38,11 @@
 		logger,
 		duties: {
 			getReport: () => ({
-				attendedEngines: [settings.engine], keeperAddress: '', leases: [],
+				attendedEngines: [settings.engine], keeperAddress: '', leases: [], endedLeases: [],
 			}),
-			take({ordersFromMs}) {
-				keeper.setStart(SYSTEM_CLOCK.now() + ordersFromMs);
+			take(grant) {
+				ordersFrom = getOrderStart(ordersFrom, grant, SYSTEM_CLOCK.now());
+				keeper.setStart(ordersFrom);
 			},
 		},
 		onRouting(table) {
--- a/apps/valelead-daemon/tests/suspension.steps.ts
+++ b/apps/valelead-daemon/tests/suspension.steps.ts
@@ -67,17 +67,23 @@
 	});
 	this.lease = {engineAddress, fence: 1, startsInMs: 0};
 	this.reportedAt = this.clocks.now;
-	this.keepers.take({leases: [this.lease as never], reportedAt: this.reportedAt, ordersFromMs: 0});
+	this.keepers.take({
+		leases: [this.lease as never], reportedAt: this.reportedAt, ordersFromMs: 0, holdersKnownInMs: 0,
+	});
 });
 
 When('an answer to a report from before the suspension arrives', function (this: SuspensionWorld) {
 	this.clocks.now += 1;
 	this.clocks.wall += 1;
-	this.keepers!.take({leases: [this.lease as never], reportedAt: this.reportedAt, ordersFromMs: 0});
+	this.keepers!.take({
+		leases: [this.lease as never], reportedAt: this.reportedAt, ordersFromMs: 0, holdersKnownInMs: 0,
+	});
 });
 
 When('the leader answers a report of now', function (this: SuspensionWorld) {
-	this.keepers!.take({leases: [this.lease as never], reportedAt: this.clocks.now, ordersFromMs: 0});
+	this.keepers!.take({
+		leases: [this.lease as never], reportedAt: this.clocks.now, ordersFromMs: 0, holdersKnownInMs: 0,
+	});
 });
 
 Then('the holder reports no lease', function (this: SuspensionWorld) {
--- a/packages/order-lease/src/lease-state.ts
+++ b/packages/order-lease/src/lease-state.ts
@@ -9,6 +9,8 @@
 	readonly leases: Map<string, OrderLease>;
 	/** Engines beside which a sidecar runs or has run; they are left to it. */
 	readonly attended: Set<string>;
+	/** When holders gave up engines under leases of earlier leaders, by engine address. */
+	readonly ended: Map<string, number>;
 	/** Since when each engine that is here now has been known. */
 	readonly knownSince: Map<string, number>;
 	/** Leases that were granted in this term. */
--- a/packages/order-lease/tests/order-lease.feature
+++ b/packages/order-lease/tests/order-lease.feature
@@ -53,6 +53,15 @@
     When engine "e1" and gateway "g1" are heard from 8500 ms to 12000 ms
     Then at 12000 ms the sidecar of "e1" waits for 2500 ms
 
+  # Guards against: orders of a sidecar 1.2 s after those of a holder whose lease ended while there was no leader.
+  Scenario: A sidecar that starts late under a new leader waits for what a holder may have ordered before
+    When a leader of a later term begins at 20000 ms
+    And the sidecar of "e1" is heard
+    Then at 20100 ms it knows the holders before it in 900 ms, and at 21000 ms in 0 ms
+    When a holder tells at 20400 ms that its lease of "e1" ended 300 ms ago
+    Then at 20500 ms the sidecar of "e1" waits for 2600 ms
+    And at 20500 ms the sidecar of "e2" waits for 0 ms
+
   Scenario: No two holders order one engine within the gap, whatever is lost and whoever leads
     When 300 random histories of reports, silences, restarts and leaders are played
     Then in each no engine got orders from two holders within the gap, and no fence went back
--- a/packages/order-lease/tests/order-lease.steps.ts
+++ b/packages/order-lease/tests/order-lease.steps.ts
@@ -4,7 +4,7 @@
 import {ModelInstallation} from './model-installation.js';
 import {MODEL_STEP} from './model-step.js';
 import {
-	type HeldLease, type LeaseCandidate, type LeaseState, getLeasesOf, getSidecarDelayMs, mutateLeases, newLeaseState,
+	type HeldLease, type LeaseCandidate, type LeaseState, getHoldersKnownMs, getLeasesOf, getSidecarDelayMs, mutateEnded, mutateLeases, newLeaseState,
 } from '@valelead/order-lease';
 
 type LeaseWorld = {
@@ -50,6 +50,10 @@
 	this.held.set(vm, [{address, fence, startsInMs: 0}]);
 });
 
+When('a holder tells at {int} ms that its lease of {string} ended {int} ms ago', function (this: LeaseWorld, now: number, address: string, agoMs: number) {
+	mutateEnded(this.state, address, now - agoMs);
+});
+
 Then('{string} is held by one of {string}, who may order from {int} ms on', function (this: LeaseWorld, engine: string, vms: string, startsAt: number) {
 	const lease = this.state.leases.get(engine)!;
 	assert.ok(split(vms).includes(lease.vm), lease.vm);
@@ -81,6 +85,11 @@
 	assert.equal(getSidecarDelayMs(this.state, {orderGapMs: this.gapMs}, engine, now), waitMs);
 });
 
+Then('at {int} ms it knows the holders before it in {int} ms, and at {int} ms in {int} ms', function (this: LeaseWorld, first: number, firstMs: number, second: number, secondMs: number) {
+	assert.equal(getHoldersKnownMs(this.state, first), firstMs);
+	assert.equal(getHoldersKnownMs(this.state, second), secondMs);
+});
+
 When('{int} random histories of reports, silences, restarts and leaders are played', {timeout: 30_000}, (runs: number) => {
 	fc.assert(fc.property(fc.array(MODEL_STEP, {minLength: 5, maxLength: 40}), steps => {
 		const installation = new ModelInstallation();
