--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -107,6 +107,7 @@
 		this.#quarantineRollout = new QuarantineRollout({
 			clock,
 			timers,
+			isLeading: () => this.#voter.node?.isCurrentLeader === true,
 			getVersion: () => quarantine.version,
 			getGateways: () => this.#gateways,
 			onKnown: session => {
--- a/apps/valelead-daemon/src/control/quarantine-registry.ts
+++ b/apps/valelead-daemon/src/control/quarantine-registry.ts
@@ -19,6 +19,14 @@
 	readonly onChange: () => void;
 };
 
+/** A judgement of this leadership. */
+type Judgement = {
+	/** In monotonic milliseconds. */
+	readonly at: number;
+	/** Resolves once it is committed or refused. */
+	readonly proposed: Promise<void>;
+};
+
 type MadeList = {
 	readonly list: QuarantineList | undefined;
 	readonly version: number;
@@ -36,6 +44,12 @@
 /** A new leader has heard of the crashes that all gateways saw after this time, in milliseconds: two of their heartbeats. */
 const SETTLE_MS = 1000;
 
+/**
+ * A judgement may be taken back for less blame within this time, in milliseconds: gateways that were suspended or cut off have told their crashes by then,
+ * and none that it rests on has been forgotten.
+ */
+const REVISED_MS = 60_000;
+
 const toBytes = (fingerprint: string): Uint8Array => Buffer.from(fingerprint, 'hex');
 
 /**
@@ -61,8 +75,8 @@
 	#made: MadeList = {list: undefined, version: 0, at: 0};
 	/** The suspected requests when the list last changed for them. */
 	#suspected: readonly string[] = [];
-	/** Judgements of this leadership, each until it is committed or refused. */
-	readonly #judged = new Map<string, Promise<void>>();
+	/** Judgements of this leadership that were not taken back. */
+	readonly #judged = new Map<string, Judgement>();
 	/** The committed quarantines that this voter has taken. */
 	#committed: ReadonlySet<string> = new Set();
 
@@ -162,9 +176,10 @@
 			this.#parts.logger.warn({
 				event: 'request-quarantined', fingerprint, upstreams, blame: getBlameNow(fingerprint), evidence: getEvidence(this.#ledger, fingerprint, now),
 			}, 'a request under which upstreams crashed is kept from others');
-			this.#judged.set(fingerprint, this.#propose({
+			const proposed = this.#propose({
 				kind: 'quarantineRequest', name: fingerprint, upstreams, judgedAt: this.#parts.clock.wallNow(),
-			}));
+			});
+			this.#judged.set(fingerprint, {at: now, proposed});
 		}
 
 		// Gateways confirm each change of the list, so it changes with its content only.
@@ -182,8 +197,8 @@
 	#revise(): boolean {
 		let isRevised = false;
 		const now = this.#parts.clock.now();
-		for (const fingerprint of this.#judged.keys()) {
-			if (isUnproven(this.#ledger, fingerprint)) {
+		for (const [fingerprint, {at}] of this.#judged) {
+			if (now - at < REVISED_MS && isUnproven(this.#ledger, fingerprint)) {
 				this.#parts.logger.warn({
 					event: 'quarantine-revised', fingerprint, blame: getBlame(this.#ledger, fingerprint), evidence: getEvidence(this.#ledger, fingerprint, now),
 				}, 'a quarantined request is blamed for less than before, so it is released');
@@ -197,7 +212,7 @@
 	}
 
 	async #takeBack(fingerprint: string): Promise<void> {
-		await this.#judged.get(fingerprint);
+		await this.#judged.get(fingerprint)?.proposed;
 		this.#judged.delete(fingerprint);
 		await this.#propose({kind: 'releaseRequest', name: fingerprint});
 	}
--- a/apps/valelead-daemon/src/control/quarantine-rollout.ts
+++ b/apps/valelead-daemon/src/control/quarantine-rollout.ts
@@ -5,6 +5,7 @@
 type RolloutParts = {
 	readonly clock: Clock;
 	readonly timers: TimerService;
+	readonly isLeading: () => boolean;
 	/** The version of the quarantine that gateways are to obey. */
 	readonly getVersion: () => number;
 	/** The sessions of gateways with this voter. */
@@ -52,6 +53,11 @@
 
 	/** Takes that gateways have told more, or that one has left. */
 	settle(): void {
+		if (!this.#parts.isLeading()) {
+			this.#pending.clear();
+			return;
+		}
+
 		for (const [session, report] of this.#pending) {
 			if (this.#isKnown(report)) {
 				this.#pending.delete(session);
--- a/apps/valelead-daemon/src/gateway/crash-guard.ts
+++ b/apps/valelead-daemon/src/gateway/crash-guard.ts
@@ -99,7 +99,11 @@
 			return;
 		}
 
+		const heldAt = this.#parts.clock.now();
 		this.#losses.hold({runId: upstream.id, isCrashed: this.#observer.isCrashed(upstream.id), mostMs}, () => {
+			this.#parts.logger.info({
+				event: 'loss-held', requestId: request.head.id, upstreamId: upstream.id, phase: end.phase, heldMs: Math.round(this.#parts.clock.now() - heldAt),
+			}, 'a lost attempt was held until gateways know what the loss says of its request');
 			passOn(isSuspected || this.#quarantine.isBlamedByLeader(this.#getFingerprint(request)));
 		});
 	}
--- a/apps/valelead-daemon/src/gateway/request-quarantine.ts
+++ b/apps/valelead-daemon/src/gateway/request-quarantine.ts
@@ -217,7 +217,9 @@
 
 	#getOwnBlame(fingerprint: string): number {
 		const isSuspected = this.#suspected.has(fingerprint);
-		return getPartialBlame(this.#ledger, fingerprint, runId => !isSuspected && this.#crashes.get(runId)!.at < this.#heardUntil);
+		// Crashes that made way for newer ones were told long ago.
+		const isHeard = (runId: string): boolean => (this.#crashes.get(runId)?.at ?? Number.NEGATIVE_INFINITY) < this.#heardUntil;
+		return getPartialBlame(this.#ledger, fingerprint, runId => !isSuspected && isHeard(runId));
 	}
 
 	#dropOwn(fingerprint: string): void {
--- a/apps/valelead-daemon/tests/quarantine.feature
+++ b/apps/valelead-daemon/tests/quarantine.feature
@@ -36,6 +36,13 @@
     And the gateway sees runs "c, d, e" crash under requests "boom" that were unanswered
     Then the gateway keeps "boom" back
 
+  # Guards against: a gateway that ends at a crash which it no longer keeps for its leader.
+  Scenario: A gateway that has seen more crashes than it keeps for its leader goes on judging
+    Given a gateway and a leader that it hears
+    When the gateway sees 100 crashes under "popular", of which its leader hears
+    And the leader is not heard for 3 seconds
+    Then the gateway lets "popular" through
+
   # Guards against: a new leader that judged by the first report, a millisecond before the one that names the request which had begun.
   Scenario: A new leader hears all gateways before it judges what merely waited
     Given a leader that has just been elected
@@ -57,6 +64,13 @@
       | at once         |
       | after 200 ms    |
 
+  # Guards against: judgements that are taken back as the crashes that they rest on make way for others.
+  Scenario: A judgement stands when its crashes are forgotten
+    Given a leader that has led for 5 seconds, whose judgements are committed at once
+    When gateway "one" tells of crashes of runs "a, b, c" under requests "boom" that were begun
+    And 61 seconds go by, and gateway "one" tells of 256 other crashes
+    Then the leader keeps "boom" back
+
   # Guards against: an answer that came while the judgement was being committed, and was forgotten.
   Scenario: An answer during the commit of a judgement ends it
     Given a leader that has led for 5 seconds, whose judgements are committed after 200 ms
@@ -89,6 +103,15 @@
     And 260 ms go by without a word
     Then it is told that all know of it
 
+  # Guards against: a deposed leader that goes on telling gateways what it knows as if it led.
+  Scenario: A leader that is deposed tells nobody that all know of a crash
+    Given a leader that has led for 5 seconds and hears gateways "one, two, three"
+    When gateway "one" reports crashes of runs "a, b, c" under request "boom"
+    And the leader is deposed
+    And 300 ms go by without a word
+    Then it is not told that all know of it
+
+  # Guards against: callers and retries that wait for what does not concern them any more.
   Scenario Outline: A lost try is held until <event>
     Given a lost try at run "a", <state>
     When <event>
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -25,6 +25,7 @@
 	sessions: Map<string, FollowerSession>;
 	losses: HeldLosses;
 	isPassedOn: boolean;
+	isLeading: boolean;
 };
 
 const MS_PER_SECOND = 1000;
@@ -137,6 +138,15 @@
 	world.gateway.noteHeard(world.time.now);
 };
 
+When('the gateway sees {int} crashes under {string}, of which its leader hears', function (this: QuarantineWorld, count: number, name: string) {
+	for (let index = 0; index < count; index += 1) {
+		this.gateway.noteCrash(newRun(`run ${index}`, [name], SUSPECT_PHASE.Unanswered));
+		this.time.advance(1);
+	}
+
+	hear(this, []);
+});
+
 When('the leader hears of it and suspects nobody', function (this: QuarantineWorld) {
 	hear(this, []);
 });
@@ -181,6 +191,13 @@
 	tell(this, vm, split(runs).map(runId => newRun(runId, split(names), PHASES[phase])), []);
 });
 
+When('{int} seconds go by, and gateway {string} tells of {int} other crashes', async function (this: QuarantineWorld, seconds: number, vm: string, count: number) {
+	await pass(this, seconds * MS_PER_SECOND);
+	const runs = Array.from({length: count}, (_, index) => newRun(`other ${index}`, [`o${index}`], SUSPECT_PHASE.Begun));
+	tell(this, vm, runs, []);
+	await pass(this, MS_PER_SECOND);
+});
+
 When('gateway {string} tells that {string} was answered', function (this: QuarantineWorld, vm: string, name: string) {
 	tell(this, vm, [], [name]);
 });
@@ -219,10 +236,12 @@
 	this.rollout = new QuarantineRollout({
 		clock: newClock(this.time),
 		timers: newVirtualTimers(this.time),
+		isLeading: () => this.isLeading,
 		getVersion: () => this.registry.version,
 		getGateways: () => [...this.sessions.values()],
 		onKnown: () => undefined,
 	});
+	this.isLeading = true;
 });
 
 When('gateway {string} reports crashes of runs {string} under request {string}', function (this: QuarantineWorld, vm: string, runs: string, name: string) {
@@ -242,6 +261,10 @@
 	this.rollout.settle();
 });
 
+When('the leader is deposed', function (this: QuarantineWorld) {
+	this.isLeading = false;
+});
+
 When('{int} ms go by without a word', async function (this: QuarantineWorld, ms: number) {
 	await pass(this, ms);
 });
