Count the first second of a leadership from its begin, not from its first crash

Cause: the mend of judgements by a part of what gateways saw blames what merely waited half as much in the first second of a leadership, and the leader noticed its leadership with the first crash that it heard of. So the first three crashes of any leadership were judged a second late. A leader notices it each second now. The new scenario of quarantine.feature failed before.

--- a/apps/valelead-daemon/src/control/quarantine-registry.ts
+++ b/apps/valelead-daemon/src/control/quarantine-registry.ts
@@ -60,7 +60,7 @@
 	readonly #parts: RegistryParts;
 	#ledger: CrashLedger = newCrashLedger();
 	#term = -1;
-	/** When this leadership first heard of crashes, in monotonic milliseconds. */
+	/** When this voter noticed that it leads, in monotonic milliseconds. */
 	#termSince = 0;
 	/** Whether some gateways may not have told this leadership of their crashes yet. */
 	#isSettling = false;
@@ -263,6 +263,7 @@
 			return;
 		}
 
+		this.#checkTerm();
 		if (this.#isSettling && now - this.#termSince >= SETTLE_MS) {
 			this.#isSettling = false;
 			this.#quarantineBlamed([...this.#ledger.runsBySuspect.keys()]);
--- a/apps/valelead-daemon/tests/quarantine.feature
+++ b/apps/valelead-daemon/tests/quarantine.feature
@@ -64,6 +64,12 @@
       | at once         |
       | after 200 ms    |
 
+  # Guards against: a leader that takes its first crash for the begin of its leadership, and judges what crashes upstreams in silence too late.
+  Scenario: A leader that has led for a while judges the first crashes that it hears of at once
+    Given a leader that has led for 5 seconds without a crash
+    When gateway "one" tells of crashes of runs "a, b, c" under requests "boom" that were unanswered
+    Then the leader keeps "boom" back
+
   # Guards against: judgements that are taken back as the crashes that they rest on make way for others.
   Scenario: A judgement stands when its crashes are forgotten
     Given a leader that has led for 5 seconds, whose judgements are committed at once
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -175,6 +175,11 @@
 	startLeader(this, 0);
 });
 
+Given('a leader that has led for {int} seconds without a crash', async function (this: QuarantineWorld, seconds: number) {
+	startLeader(this, 0);
+	await pass(this, seconds * MS_PER_SECOND);
+});
+
 Given('a leader that has led for {int} seconds, whose judgements are committed at once', async function (this: QuarantineWorld, seconds: number) {
 	startLeader(this, 0);
 	tell(this, 'two', [newRun('other', ['other'], SUSPECT_PHASE.Begun)], []);
