Count crashes after a leader's election whole, and only those before it as a part

Cause: in the first second of a leadership what merely waited was blamed for half of each crash, as gateways tell a new leader what they saw one after the other. That second began and ended at a timer of a second, so it lasted up to three, and new crashes were halved too.

Only what a gateway tells with its first report to a leadership may be known in part, so crashes of later reports count whole; the part ends a second after the election is noticed, by a timer of its own. Held reports of a session go in with its first one.

The new scenario of quarantine.feature failed before (1 of 20), the other 19 pass unchanged.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -258,11 +258,8 @@
 	}
 
 	#noteCrashes(session: FollowerSession, report: FollowerReport): void {
-		for (const held of session.held.splice(0)) {
-			this.#quarantine.note(held);
-		}
-
-		this.#quarantine.note(report);
+		const held = session.held.splice(0).flatMap(({crashes}) => crashes);
+		this.#quarantine.note({...report, crashes: [...held, ...report.crashes]});
 	}
 
 	/** A state that is behind its log holds all within the time of a write to the disk; nothing else tells when. */
--- a/apps/valelead-daemon/src/control/quarantine-registry.ts
+++ b/apps/valelead-daemon/src/control/quarantine-registry.ts
@@ -4,7 +4,7 @@
 import type {Command} from '@valelead/intent';
 import {type FollowerReport, type QuarantineList, QuarantineListSchema} from '@valelead/protocol';
 import {
-	type CrashLedger, QUARANTINE_MS, getBlame, getEvidence, getPartialBlame, getSuspected, isUnproven, mutateCrash, mutateOldCrashes, mutateReleased, mutateServed, mutateQuarantined, newCrashLedger,
+	type CrashLedger, QUARANTINE_MS, getBlame, getEvidence, getSuspected, isUnproven, mutateCrash, mutateOldCrashes, mutateReleased, mutateServed, mutateQuarantined, newCrashLedger,
 } from '@valelead/quarantine';
 import type {Logger} from 'pino';
 import {decodeCrash} from '../follower/decode-crash.js';
@@ -60,10 +60,10 @@
 	readonly #parts: RegistryParts;
 	#ledger: CrashLedger = newCrashLedger();
 	#term = -1;
-	/** When this voter noticed that it leads, in monotonic milliseconds. */
-	#termSince = 0;
-	/** Whether some gateways may not have told this leadership of their crashes yet. */
+	/** Whether some gateways may not have told this leadership yet of the crashes before it. */
 	#isSettling = false;
+	/** Gateways that have told this leadership what they know. */
+	readonly #heardVms = new Set<string>();
 	#version = 1;
 	/** Since when this voter knows of each quarantine, in monotonic milliseconds. */
 	readonly #knownSince = new Map<string, number>();
@@ -99,16 +99,14 @@
 		});
 	}
 
-	/** Takes what a gateway tells of crashes, and of suspected requests that were answered. */
+	/** Takes what a gateway tells of crashes, and of suspected requests that were answered. Its first report to a leadership tells of those before it. */
 	note(report: FollowerReport): void {
-		if (report.crashes.length === 0 && report.served.length === 0) {
-			return;
-		}
-
 		this.#checkTerm();
+		const isPartial = this.#isSettling && !this.#heardVms.has(report.vm);
+		this.#heardVms.add(report.vm);
 		const news = new Set<string>();
 		for (const crash of report.crashes.map(message => decodeCrash(message))) {
-			if (mutateCrash(this.#ledger, crash, this.#parts.clock.now())) {
+			if (mutateCrash(this.#ledger, crash, this.#parts.clock.now(), isPartial)) {
 				this.#logCrash(report.vm, crash.runId);
 				for (const {fingerprint} of crash.suspects) {
 					news.add(fingerprint);
@@ -167,14 +165,13 @@
 
 	#quarantineBlamed(fingerprints: readonly string[]): void {
 		const now = this.#parts.clock.now();
-		const getBlameNow = (fingerprint: string): number => this.#isSettling ? getPartialBlame(this.#ledger, fingerprint) : getBlame(this.#ledger, fingerprint);
-		const quarantined = mutateQuarantined(this.#ledger, fingerprints, getBlameNow);
+		const quarantined = mutateQuarantined(this.#ledger, fingerprints);
 		for (const fingerprint of quarantined) {
 			const upstreams = [...this.#ledger.runsBySuspect.get(fingerprint) ?? []];
 			this.#knownSince.set(fingerprint, now);
 			this.#released.delete(fingerprint);
 			this.#parts.logger.warn({
-				event: 'request-quarantined', fingerprint, upstreams, blame: getBlameNow(fingerprint), evidence: getEvidence(this.#ledger, fingerprint, now),
+				event: 'request-quarantined', fingerprint, upstreams, blame: getBlame(this.#ledger, fingerprint), evidence: getEvidence(this.#ledger, fingerprint, now),
 			}, 'a request under which upstreams crashed is kept from others');
 			const proposed = this.#propose({
 				kind: 'quarantineRequest', name: fingerprint, upstreams, judgedAt: this.#parts.clock.wallNow(),
@@ -264,11 +261,6 @@
 		}
 
 		this.#checkTerm();
-		if (this.#isSettling && now - this.#termSince >= SETTLE_MS) {
-			this.#isSettling = false;
-			this.#quarantineBlamed([...this.#ledger.runsBySuspect.keys()]);
-		}
-
 		for (const [fingerprint, since] of this.#knownSince) {
 			if (now - since > QUARANTINE_MS && this.#committed.has(fingerprint) && !this.#expiring.has(fingerprint)) {
 				this.#expiring.add(fingerprint);
@@ -303,12 +295,30 @@
 
 			this.#expiring.clear();
 			this.#judged.clear();
-			this.#termSince = this.#parts.clock.now();
+			this.#heardVms.clear();
 			this.#isSettling = true;
+			this.#parts.timers.after(SETTLE_MS, () => {
+				this.#settle(term);
+			});
 			this.#change();
 		}
 	}
 
+	#settle(term: number): void {
+		if (term !== this.#term) {
+			return;
+		}
+
+		this.#isSettling = false;
+		for (const record of this.#ledger.crashes.values()) {
+			record.isPartial = false;
+		}
+
+		if (this.#parts.voter.node?.isCurrentLeader) {
+			this.#quarantineBlamed([...this.#ledger.runsBySuspect.keys()]);
+		}
+	}
+
 	#logCrash(vm: string, runId: string): void {
 		const record = this.#ledger.crashes.get(runId);
 		this.#parts.logger.info({
--- a/apps/valelead-daemon/tests/quarantine.feature
+++ b/apps/valelead-daemon/tests/quarantine.feature
@@ -70,6 +70,13 @@
     When gateway "one" tells of crashes of runs "a, b, c" under requests "boom" that were unanswered
     Then the leader keeps "boom" back
 
+  # Guards against: new crashes taken for ones that other gateways still have to tell of, so that what crashes upstreams in silence crashes five.
+  Scenario: A leader that has just been elected judges crashes that come after its gateways told what they know
+    Given a leader that has just been elected
+    When gateways "one, two" tell of no crash
+    And gateway "one" tells of crashes of runs "a, b, c" under requests "boom" that were unanswered
+    Then the leader keeps "boom" back
+
   # Guards against: judgements that are taken back as the crashes that they rest on make way for others.
   Scenario: A judgement stands when its crashes are forgotten
     Given a leader that has led for 5 seconds, whose judgements are committed at once
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -196,6 +196,12 @@
 	tell(this, vm, split(runs).map(runId => newRun(runId, split(names), PHASES[phase])), []);
 });
 
+When('gateways {string} tell of no crash', function (this: QuarantineWorld, names: string) {
+	for (const vm of split(names)) {
+		tell(this, vm, [], []);
+	}
+});
+
 When('{int} seconds go by, and gateway {string} tells of {int} other crashes', async function (this: QuarantineWorld, seconds: number, vm: string, count: number) {
 	await pass(this, seconds * MS_PER_SECOND);
 	const runs = Array.from({length: count}, (_, index) => newRun(`other ${index}`, [`o${index}`], SUSPECT_PHASE.Begun));
--- a/packages/quarantine/src/crash-record.ts
+++ b/packages/quarantine/src/crash-record.ts
@@ -6,4 +6,6 @@
 	/** When it was first heard of, in monotonic milliseconds. */
 	readonly at: number;
 	readonly suspects: Map<string, Suspect>;
+	/** Whether some gateways may not have told yet what was in progress there. */
+	isPartial: boolean;
 };
--- a/packages/quarantine/src/get-crash-blame.ts
+++ b/packages/quarantine/src/get-crash-blame.ts
@@ -45,11 +45,19 @@
 	}
 };
 
+/** Blame where nothing of the answer had come: at another gateway a request may have just begun there. */
+const PARTIAL_BLAME = 0.5;
+
 const isExplained = (ledger: CrashLedger, record: CrashRecord, fingerprint: string): boolean =>
 	[...record.suspects.keys()].some(other => other !== fingerprint && ledger.quarantined.has(other));
 
-/** How far a request is blamed for one crash that it was in progress at. */
-export const getCrashBlame = (ledger: CrashLedger, record: CrashRecord, fingerprint: string): number => {
+/**
+ * How far a request is blamed for one crash that it was in progress at.
+ * @param isPartial - Whether only some of the gateways have told what was in progress there. Who had just begun is blamed as with all that is known.
+ */
+export const getCrashBlame = (ledger: CrashLedger, record: CrashRecord, fingerprint: string, isPartial = record.isPartial): number => {
 	const weight = getWeight(record, fingerprint);
-	return isExplained(ledger, record, fingerprint) ? weight * EXPLAINED_SHARE : weight;
+	const blame = isExplained(ledger, record, fingerprint) ? weight * EXPLAINED_SHARE : weight;
+	const hadBegun = record.suspects.get(fingerprint)!.phase === SUSPECT_PHASE.Begun;
+	return isPartial && !hadBegun ? Math.min(blame, PARTIAL_BLAME) : blame;
 };
--- a/packages/quarantine/src/mutate-crash.ts
+++ b/packages/quarantine/src/mutate-crash.ts
@@ -12,13 +12,15 @@
 /** Suspects of one crash over all gateways that are kept: six times the most seen. All crashes together take some 10 MB at worst. */
 const MAX_SUSPECTS = 256;
 
-const newRecord = (ledger: CrashLedger, runId: string, now: number): CrashRecord => {
+const newRecord = (ledger: CrashLedger, runId: string, now: number, isPartial: boolean): CrashRecord => {
 	if (ledger.crashes.size >= MAX_CRASHES) {
 		const [oldest] = ledger.crashes.values();
 		mutateForgottenCrash(ledger, oldest);
 	}
 
-	const record: CrashRecord = {runId, at: now, suspects: new Map()};
+	const record: CrashRecord = {
+		runId, at: now, suspects: new Map(), isPartial,
+	};
 	ledger.crashes.set(runId, record);
 	return record;
 };
@@ -40,9 +42,12 @@
 	return isNews;
 };
 
-/** Takes what one gateway tells of a crash; returns whether any of it is new. The same may be told again. */
-export const mutateCrash = (ledger: CrashLedger, {runId, suspects}: Crash, now: number): boolean => {
-	const record = ledger.crashes.get(runId) ?? newRecord(ledger, runId, now);
+/**
+ * Takes what one gateway tells of a crash; returns whether any of it is new. The same may be told again.
+ * @param isPartial - Whether other gateways may tell of the crash later; counts where it was not known before.
+ */
+export const mutateCrash = (ledger: CrashLedger, {runId, suspects}: Crash, now: number, isPartial = false): boolean => {
+	const record = ledger.crashes.get(runId) ?? newRecord(ledger, runId, now, isPartial);
 	let isNews = false;
 	for (const suspect of suspects) {
 		isNews = mutateSuspect(ledger, record, suspect, now) || isNews;
