Blame what merely waited for half of the newest crash until other gateways have told of it

Cause: the leader judged by the newest crash as if all gateways had told of it.

Half of the blame counts at the newest crash for what merely waited, until the next crash or for 0.1 s. What had just begun is judged as before. The intake of crashes (which are known in part, and when that ends) is a class of its own, out of the registry.

Two new scenarios of quarantine.feature failed before.

--- a/apps/valelead-daemon/src/control/quarantine-registry.ts
+++ b/apps/valelead-daemon/src/control/quarantine-registry.ts
@@ -4,10 +4,11 @@
 import type {Command} from '@valelead/intent';
 import {type FollowerReport, type QuarantineList, QuarantineListSchema} from '@valelead/protocol';
 import {
-	type CrashLedger, QUARANTINE_MS, getBlame, getEvidence, getSuspected, isUnproven, mutateCrash, mutateOldCrashes, mutateReleased, mutateServed, mutateQuarantined, newCrashLedger,
+	type CrashLedger, QUARANTINE_MS, getBlame, getEvidence, getSuspected, isUnproven, mutateOldCrashes, mutateReleased, mutateServed, mutateQuarantined, newCrashLedger,
 } from '@valelead/quarantine';
 import type {Logger} from 'pino';
 import {decodeCrash} from '../follower/decode-crash.js';
+import {CrashIntake} from './crash-intake.js';
 import type {QuarantineLog} from './quarantine-log.js';
 
 type RegistryParts = {
@@ -41,9 +42,6 @@
 /** How long followers are told that a request is released, in milliseconds: some heartbeats of one that is cut off for a while. */
 const RELEASED_TOLD_MS = 60_000;
 
-/** A new leader has heard of the crashes that all gateways saw after this time, in milliseconds: two of their heartbeats. */
-const SETTLE_MS = 1000;
-
 /**
  * A judgement may be taken back for less blame within this time, in milliseconds: gateways that were suspended or cut off have told their crashes by then,
  * and none that it rests on has been forgotten.
@@ -58,12 +56,9 @@
  */
 export class QuarantineRegistry {
 	readonly #parts: RegistryParts;
+	readonly #intake: CrashIntake;
 	#ledger: CrashLedger = newCrashLedger();
 	#term = -1;
-	/** Whether some gateways may not have told this leadership yet of the crashes before it. */
-	#isSettling = false;
-	/** Gateways that have told this leadership what they know. */
-	readonly #heardVms = new Set<string>();
 	#version = 1;
 	/** Since when this voter knows of each quarantine, in monotonic milliseconds. */
 	readonly #knownSince = new Map<string, number>();
@@ -82,6 +77,15 @@
 
 	constructor(parts: RegistryParts) {
 		this.#parts = parts;
+		this.#intake = new CrashIntake({
+			...parts,
+			onCrash: (vm, runId) => {
+				this.#logCrash(vm, runId);
+			},
+			onSettled: fingerprints => {
+				this.#judge(fingerprints);
+			},
+		});
 	}
 
 	/** Rises with each change of the list. */
@@ -99,23 +103,12 @@
 		});
 	}
 
-	/** Takes what a gateway tells of crashes, and of suspected requests that were answered. Its first report to a leadership tells of those before it. */
-	note(report: FollowerReport): void {
+	/** Takes what a gateway tells of crashes, and of suspected requests that were answered. */
+	note({vm, crashes, served}: FollowerReport): void {
 		this.#checkTerm();
-		const isPartial = this.#isSettling && !this.#heardVms.has(report.vm);
-		this.#heardVms.add(report.vm);
-		const news = new Set<string>();
-		for (const crash of report.crashes.map(message => decodeCrash(message))) {
-			if (mutateCrash(this.#ledger, crash, this.#parts.clock.now(), isPartial)) {
-				this.#logCrash(report.vm, crash.runId);
-				for (const {fingerprint} of crash.suspects) {
-					news.add(fingerprint);
-				}
-			}
-		}
-
-		for (const served of report.served) {
-			this.#clear(Buffer.from(served).toString('hex'));
+		const news = this.#intake.note(vm, crashes.map(message => decodeCrash(message)));
+		for (const fingerprint of served) {
+			this.#clear(Buffer.from(fingerprint).toString('hex'));
 		}
 
 		if (news.size > 0) {
@@ -137,6 +130,13 @@
 		return made;
 	}
 
+	/** Judges by a timer; this voter may not lead any more. */
+	#judge(fingerprints: readonly string[]): void {
+		if (this.#parts.voter.node?.isCurrentLeader) {
+			this.#quarantineBlamed(fingerprints);
+		}
+	}
+
 	#newList(now: number): QuarantineList {
 		const fingerprints = new Set([...this.#parts.voter.machine.intent.quarantines.keys(), ...this.#ledger.quarantined]);
 		return create(QuarantineListSchema, {
@@ -295,30 +295,11 @@
 
 			this.#expiring.clear();
 			this.#judged.clear();
-			this.#heardVms.clear();
-			this.#isSettling = true;
-			this.#parts.timers.after(SETTLE_MS, () => {
-				this.#settle(term);
-			});
+			this.#intake.begin(this.#ledger);
 			this.#change();
 		}
 	}
 
-	#settle(term: number): void {
-		if (term !== this.#term) {
-			return;
-		}
-
-		this.#isSettling = false;
-		for (const record of this.#ledger.crashes.values()) {
-			record.isPartial = false;
-		}
-
-		if (this.#parts.voter.node?.isCurrentLeader) {
-			this.#quarantineBlamed([...this.#ledger.runsBySuspect.keys()]);
-		}
-	}
-
 	#logCrash(vm: string, runId: string): void {
 		const record = this.#ledger.crashes.get(runId);
 		this.#parts.logger.info({
--- a/apps/valelead-daemon/tests/quarantine.feature
+++ b/apps/valelead-daemon/tests/quarantine.feature
@@ -77,6 +77,23 @@
     And gateway "one" tells of crashes of runs "a, b, c" under requests "boom" that were unanswered
     Then the leader keeps "boom" back
 
+  # Guards against: requests that merely waited, judged milliseconds before the report that names what had just begun at the same crash.
+  Scenario: A leader waits a moment for other reports of the newest crash
+    Given a leader that has led for 5 seconds without a crash
+    When gateway "one" tells of crashes of runs "a, b, c, d, e, f" under requests "popular" that were running
+    And gateway "one" tells of crashes of runs "g" under requests "popular" that were unanswered
+    And gateway "two" tells of crashes of runs "g" under requests "boom" that were begun
+    Then the leader keeps nothing back
+    And 1 second later the leader keeps "" back and not "popular"
+
+  # Guards against: what crashes upstreams in silence, not judged as no other gateway has more to tell.
+  Scenario: A leader judges by the newest crash once other gateways had time to tell of it
+    Given a leader that has led for 5 seconds without a crash
+    When gateway "one" tells of crashes of runs "a, b, c, d, e, f" under requests "boom" that were running
+    And gateway "one" tells of crashes of runs "g" under requests "boom" that were unanswered
+    Then the leader keeps nothing back
+    And 1 second later the leader keeps "boom" back and not "popular"
+
   # Guards against: judgements that are taken back as the crashes that they rest on make way for others.
   Scenario: A judgement stands when its crashes are forgotten
     Given a leader that has led for 5 seconds, whose judgements are committed at once
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -29,7 +29,7 @@
 };
 
 const MS_PER_SECOND = 1000;
-const PHASES: Readonly<Record<string, SuspectPhaseValue>> = {unanswered: SUSPECT_PHASE.Unanswered, begun: SUSPECT_PHASE.Begun};
+const PHASES: Readonly<Record<string, SuspectPhaseValue>> = {unanswered: SUSPECT_PHASE.Unanswered, begun: SUSPECT_PHASE.Begun, running: SUSPECT_PHASE.Running};
 
 const split = (text: string): string[] => text.split(', ').filter(name => name !== '');
 
@@ -217,6 +217,10 @@
 	assert.deepEqual(getQuarantined(this), [toFingerprint(name)]);
 });
 
+Then('the leader keeps nothing back', function (this: QuarantineWorld) {
+	assert.deepEqual(getQuarantined(this), []);
+});
+
 const checkKept = (world: QuarantineWorld, kept: string, free: string): void => {
 	assert.deepEqual(getQuarantined(world), split(kept).map(name => toFingerprint(name)));
 	assert.ok(!getQuarantined(world).includes(toFingerprint(free)));
