--- a/apps/valelead-daemon/src/control/quarantine-registry.ts
+++ b/apps/valelead-daemon/src/control/quarantine-registry.ts
@@ -170,9 +170,7 @@
 			const upstreams = [...this.#ledger.runsBySuspect.get(fingerprint) ?? []];
 			this.#knownSince.set(fingerprint, now);
 			this.#released.delete(fingerprint);
-			this.#parts.logger.warn({
-				event: 'request-quarantined', fingerprint, upstreams, blame: getBlame(this.#ledger, fingerprint), evidence: getEvidence(this.#ledger, fingerprint, now),
-			}, 'a request under which upstreams crashed is kept from others');
+			this.#logEvidence('request-quarantined', fingerprint, 'a request under which upstreams crashed is kept from others');
 			const proposed = this.#propose({
 				kind: 'quarantineRequest', name: fingerprint, upstreams, judgedAt: this.#parts.clock.wallNow(),
 			});
@@ -196,9 +194,7 @@
 		const now = this.#parts.clock.now();
 		for (const [fingerprint, {at}] of this.#judged) {
 			if (now - at < REVISED_MS && isUnproven(this.#ledger, fingerprint)) {
-				this.#parts.logger.warn({
-					event: 'quarantine-revised', fingerprint, blame: getBlame(this.#ledger, fingerprint), evidence: getEvidence(this.#ledger, fingerprint, now),
-				}, 'a quarantined request is blamed for less than before, so it is released');
+				this.#logEvidence('quarantine-revised', fingerprint, 'a quarantined request is blamed for less than before, so it is released');
 				this.#ledger.quarantined.delete(fingerprint);
 				void this.#takeBack(fingerprint);
 				isRevised = true;
@@ -300,6 +296,14 @@
 		}
 	}
 
+	#logEvidence(event: string, fingerprint: string, message: string): void {
+		const upstreams = [...this.#ledger.runsBySuspect.get(fingerprint) ?? []];
+		const evidence = getEvidence(this.#ledger, fingerprint, this.#parts.clock.now());
+		this.#parts.logger.warn({
+			event, fingerprint, upstreams, blame: getBlame(this.#ledger, fingerprint), evidence,
+		}, message);
+	}
+
 	#logCrash(vm: string, runId: string): void {
 		const record = this.#ledger.crashes.get(runId);
 		this.#parts.logger.info({
--- a/packages/quarantine/src/get-crash-blame.ts
+++ b/packages/quarantine/src/get-crash-blame.ts
@@ -6,9 +6,8 @@
 import type {SuspectPhaseValue} from './suspect-phase-value.js';
 
 /**
- * Requests that share a crash are blamed by their number to the minus this. With 0 three innocent requests in 100 runs of the model of
- * `judgement.feature` were judged; with 0.5 guilty ones that always come together stay unjudged for five crashes, with 0.25 innocent ones are judged
- * again (6 in 450 runs, against 2 with 0.3 and 1 with 0.5).
+ * Requests that share a crash are blamed by their number to the minus this: less judges innocent ones, more leaves guilty ones that come together
+ * unjudged for longer.
  */
 const SHARING_EXPONENT = 0.3;
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
 // Bundles the programs, each as one file that starts quickly, beside the state charts that it reads: the daemon with the platform's adapter into target/,
-// as it is deployed, and the installed commands into the folders of their packages.
+// as it is deployed, and the installed commands into the folders of their packages. With arguments only those that go into these folders.
 import {copyFileSync, mkdirSync, readdirSync} from 'node:fs';
 import path from 'node:path';
+import process from 'node:process';
 import {build} from 'esbuild';
 
 const PROGRAMS = [
@@ -58,7 +59,9 @@
 };
 
 const charts = listCharts();
-await Promise.all(PROGRAMS.map(async program => {
+const folders = process.argv.slice(2);
+const wanted = PROGRAMS.filter(({folder}) => folders.length === 0 || folders.includes(folder));
+await Promise.all(wanted.map(async program => {
 	await bundleProgram(program);
 	copyCharts(charts, program.folder);
 }));
