Judge a request that had just begun at three crashes, and give it no second upstream after one

Without that second upstream, and where it ran for a while at no crash, three are enough.

judgement.feature: the bounds are the aim now, no late try and three crashes at most; the scenario on requests that share each crash asks for the judgement at the third in place of the fourth, which is stricter. quarantine.feature: what had just begun is given no other upstream, what waited is (1 of 2 failed before).

--- a/apps/valelead-daemon/src/gateway/crash-guard.ts
+++ b/apps/valelead-daemon/src/gateway/crash-guard.ts
@@ -86,12 +86,11 @@
 	/**
 	 * Takes the end of an attempt that gave no whole answer, and passes it on: at once, or where the upstream may have crashed under the request, once
 	 * all gateways know of it.
-	 * @param passOn - Hears whether no other upstream must be risked with the request. A single crash does not say so, so that the innocent keep their
-	 * second upstream.
+	 * @param passOn - Hears whether no other upstream must be risked with the request. What had merely waited at a first crash keeps its second upstream.
 	 */
 	noteEnd(request: GatewayRequest, upstream: Upstream, end: AttemptEnd, passOn: (isLast: boolean) => void): void {
 		const isBroken = end.connection === CONNECTION_END.Broken;
-		const isSuspected = isBroken && this.#quarantine.isSuspected(this.#getFingerprint(request));
+		const isSuspected = isBroken && this.#isSuspected(request, end);
 		const mostMs = isBroken ? this.#getHoldMs(request, upstream, end) : 0;
 		this.#noteConnection(request, upstream, end);
 		if (mostMs === 0) {
@@ -115,6 +114,15 @@
 		}
 	}
 
+	/**
+	 * Whether a request may have crashed the upstream that it lost. Where it had just begun there, the next upstream would be lost too if it did, and if it
+	 * did not, it would look guilty after it had begun beside the guilty one once more.
+	 */
+	#isSuspected(request: GatewayRequest, {phase}: AttemptEnd): boolean {
+		const fingerprint = this.#getFingerprint(request);
+		return this.#quarantine.isSuspected(fingerprint) || (phase === SUSPECT_PHASE.Begun && !this.#quarantine.isServedLately(fingerprint));
+	}
+
 	/** For how long a lost attempt may be held; 0 where it had run for a while or the request was answered lately, so that it hardly crashed its upstream. */
 	#getHoldMs(request: GatewayRequest, {id}: Upstream, {phase}: AttemptEnd): number {
 		if (phase === SUSPECT_PHASE.Running || this.#observer.isLeaving(id) || this.#quarantine.isServedLately(this.#getFingerprint(request))) {
--- a/apps/valelead-daemon/tests/quarantine.feature
+++ b/apps/valelead-daemon/tests/quarantine.feature
@@ -153,3 +153,14 @@
       | which is found crashed later    | all gateways know of the crash               |
       | which is found alive later      | its port is found open                       |
       | which is known to have crashed  | 500 ms pass without a word                   |
+
+  # Guards against: requests that begin beside guilty ones again as a retry, and are judged with them; and one upstream more lost to each try of a guilty one.
+  Scenario Outline: What <state> when its upstream crashed is <retry> another upstream
+    Given a gateway whose upstreams crash under requests
+    When a request that <state> loses its upstream
+    Then it is <retry> another upstream
+
+    Examples:
+      | state          | retry     |
+      | was begun      | not given |
+      | was unanswered | given     |
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -2,15 +2,16 @@
 import {Buffer} from 'node:buffer';
 import {create} from '@bufbuild/protobuf';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {RESULT_CODE} from '@valelead/common';
+import {OUTCOME, RESULT_CODE} from '@valelead/common';
 import {mutateIntent, newIntent} from '@valelead/intent';
 import {FollowerReportSchema, QuarantineListSchema} from '@valelead/protocol';
 import {type SuspectPhaseValue, type WatchedRun, SUSPECT_PHASE} from '@valelead/quarantine';
 import {pino} from 'pino';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
 import {
-	type FollowerSession, HeldLosses, QuarantineRegistry, QuarantineRollout, RequestQuarantine, encodeCrash,
+	type FollowerSession, type GatewayRequest, CONNECTION_END, CrashGuard, HeldLosses, QuarantineRegistry, QuarantineRollout, RequestQuarantine, encodeCrash,
 } from 'valelead-daemon';
 
 type RegistryParts = ConstructorParameters<typeof QuarantineRegistry>[0];
@@ -25,6 +26,8 @@
 	sessions: Map<string, FollowerSession>;
 	losses: HeldLosses;
 	isPassedOn: boolean;
+	guard: CrashGuard;
+	isLast: boolean | undefined;
 	isLeading: boolean;
 };
 
@@ -332,3 +335,36 @@
 Then('the try is passed on', function (this: QuarantineWorld) {
 	assert.ok(this.isPassedOn);
 });
+
+Given('a gateway whose upstreams crash under requests', function (this: QuarantineWorld) {
+	this.time = new VirtualTime();
+	this.guard = new CrashGuard({
+		clock: newClock(this.time),
+		timers: newVirtualTimers(this.time),
+		logger: pino({level: 'silent'}),
+		getLeaderAgeMs: () => 0,
+		isPortRefused: async () => true,
+		onCrash: () => undefined,
+		onCrashNews: () => undefined,
+		onQuarantined: () => undefined,
+	});
+});
+
+When('a request that was {word} loses its upstream', async function (this: QuarantineWorld, phase: string) {
+	const request = {head: {id: 'try'}, fingerprint: toFingerprint('some')} as unknown as GatewayRequest;
+	const upstream = newUpstream('a', {address: '10.0.0.1:80'});
+	this.guard.noteEnd(request, upstream, {
+		code: RESULT_CODE.UpstreamFailed, outcome: OUTCOME.Unknown, reason: 'reset', connection: CONNECTION_END.Broken, phase: PHASES[phase],
+	}, isLast => {
+		this.isLast = isLast;
+	});
+	await pass(this, 3 * MS_PER_SECOND);
+});
+
+Then('it is given another upstream', function (this: QuarantineWorld) {
+	assert.equal(this.isLast, false);
+});
+
+Then('it is not given another upstream', function (this: QuarantineWorld) {
+	assert.equal(this.isLast, true);
+});
--- a/packages/quarantine/tests/crash-model.ts
+++ b/packages/quarantine/tests/crash-model.ts
@@ -153,8 +153,8 @@
 		engine.id = this.#nextEngine;
 		this.#nextEngine += 1;
 		engine.upAt = this.#now + 2000 + this.#draw(2000);
-		for (const run of lost) {
-			this.#retry(run);
+		for (const [index, run] of lost.entries()) {
+			this.#retry(run, suspects[index].phase === SUSPECT_PHASE.Begun);
 		}
 
 		this.#after(LAG_MS, () => {
@@ -166,8 +166,9 @@
 		});
 	}
 
-	#retry({name, attempt, isRepeat, isGuilty}: Run): void {
-		const isLast = this.#terms.isJudged && getBlame(this.#ledger, name) >= SUSPICION_BLAME;
+	#retry({name, attempt, isRepeat, isGuilty}: Run, hadBegun: boolean): void {
+		const isSuspected = getBlame(this.#ledger, name) >= SUSPICION_BLAME || hadBegun;
+		const isLast = this.#terms.isJudged && isSuspected;
 		if (attempt < ATTEMPTS && !isLast) {
 			this.#send(name, attempt + 1, isRepeat);
 		} else if (!isGuilty && !isRepeat) {
--- a/packages/quarantine/tests/judgement.feature
+++ b/packages/quarantine/tests/judgement.feature
@@ -12,8 +12,8 @@
     Examples:
       | guilty | late | mean | most | share | without |
       | 1      | 0    | 3.1  | 3    | 0.95  | 0.26    |
-      | 5      | 2    | 3.0  | 5    | 0.77  | 0.02    |
-      | 20     | 2    | 2.3  | 5    | 0.39  | 0.02    |
+      | 5      | 0    | 3.0  | 3    | 0.77  | 0.02    |
+      | 20     | 0    | 2.3  | 3    | 0.39  | 0.02    |
 
   Scenario: An answer clears a request, and so does an operator's release
     Given crashes of runs "a, b" under requests "x, y"
@@ -23,11 +23,11 @@
     When "y" is released by an operator
     Then "x" is blamed for 0 crashes and "y" for 0
 
-  # Guards against: requests that always crash engines together, each of which takes six and more crashes until it is judged.
-  Scenario: Requests that share every crash are judged at the fourth at which they had just begun
-    Given crashes of runs "a, b, c" under requests "u, v, w, x, y, z"
+  # Guards against: requests that always crash engines together, each of which takes four and more crashes until it is judged.
+  Scenario: Requests that share every crash are judged at the third at which they had just begun
+    Given crashes of runs "a, b" under requests "u, v, w, x, y, z"
     Then "z" is not quarantined
-    Given crashes of runs "d" under requests "u, v, w, x, y, z"
+    Given crashes of runs "c" under requests "u, v, w, x, y, z"
     Then "z" is quarantined
 
   Scenario: What many callers ask is in progress at every crash and is not blamed
