Send what had just begun to another upstream where only its connection broke, or its upstream left as planned

Callers would have got 503 after one upstream at each cut between a gateway and an upstream: since three crashes are enough, what had just begun was given no second upstream whatever had broken its connection.

The end of a hold says now whether the upstream was found alive; upstreams that leave are left out.

--- a/apps/valelead-daemon/src/gateway/crash-guard.ts
+++ b/apps/valelead-daemon/src/gateway/crash-guard.ts
@@ -90,20 +90,21 @@
 	 */
 	noteEnd(request: GatewayRequest, upstream: Upstream, end: AttemptEnd, passOn: (isLast: boolean) => void): void {
 		const isBroken = end.connection === CONNECTION_END.Broken;
-		const isSuspected = isBroken && this.#isSuspected(request, end);
+		const isSuspected = isBroken && this.#quarantine.isSuspected(this.#getFingerprint(request));
+		const hadBegun = isBroken && this.#hadBegun(request, upstream, end);
 		const mostMs = isBroken ? this.#getHoldMs(request, upstream, end) : 0;
 		this.#noteConnection(request, upstream, end);
 		if (mostMs === 0) {
-			passOn(isSuspected);
+			passOn(isSuspected || hadBegun);
 			return;
 		}
 
 		const heldAt = this.#parts.clock.now();
-		this.#losses.hold({runId: upstream.id, isCrashed: this.#observer.isCrashed(upstream.id), mostMs}, () => {
+		this.#losses.hold({runId: upstream.id, isCrashed: this.#observer.isCrashed(upstream.id), mostMs}, isAlive => {
 			this.#parts.logger.info({
 				event: 'loss-held', requestId: request.head.id, upstreamId: upstream.id, phase: end.phase, heldMs: Math.round(this.#parts.clock.now() - heldAt),
 			}, 'a lost attempt was held until gateways know what the loss says of its request');
-			passOn(isSuspected || this.#quarantine.isBlamedByLeader(this.#getFingerprint(request)));
+			passOn(isSuspected || (hadBegun && !isAlive) || this.#quarantine.isBlamedByLeader(this.#getFingerprint(request)));
 		});
 	}
 
@@ -115,12 +116,11 @@
 	}
 
 	/**
-	 * Whether a request may have crashed the upstream that it lost. Where it had just begun there, the next upstream would be lost too if it did, and if it
-	 * did not, it would look guilty after it had begun beside the guilty one once more.
+	 * Whether a request had just begun at an upstream that may have crashed. If it caused the crash, the next upstream would be lost too; if not, it would
+	 * begin beside the guilty request once more, and look guilty itself.
 	 */
-	#isSuspected(request: GatewayRequest, {phase}: AttemptEnd): boolean {
-		const fingerprint = this.#getFingerprint(request);
-		return this.#quarantine.isSuspected(fingerprint) || (phase === SUSPECT_PHASE.Begun && !this.#quarantine.isServedLately(fingerprint));
+	#hadBegun(request: GatewayRequest, {id}: Upstream, {phase}: AttemptEnd): boolean {
+		return phase === SUSPECT_PHASE.Begun && !this.#observer.isLeaving(id) && !this.#quarantine.isServedLately(this.#getFingerprint(request));
 	}
 
 	/** For how long a lost attempt may be held; 0 where it had run for a while or the request was answered lately, so that it hardly crashed its upstream. */
--- a/apps/valelead-daemon/src/gateway/held-losses.ts
+++ b/apps/valelead-daemon/src/gateway/held-losses.ts
@@ -12,7 +12,7 @@
 	readonly runId: string;
 	/** When the crash was noted, in monotonic milliseconds; undefined until the upstream is known to have crashed. */
 	crashedAt: number | undefined;
-	readonly release: () => void;
+	readonly release: (isAlive: boolean) => void;
 };
 
 /**
@@ -29,7 +29,8 @@
 		this.#clock = clock;
 	}
 
-	hold({runId, isCrashed, mostMs}: LostAttempt, release: () => void): void {
+	/** @param release - Hears whether the upstream was found alive, so that its connections broke alone. */
+	hold({runId, isCrashed, mostMs}: LostAttempt, release: (isAlive: boolean) => void): void {
 		const loss: HeldLoss = {runId, crashedAt: isCrashed ? this.#clock.now() : undefined, release};
 		this.#held.add(loss);
 		this.#timers.after(mostMs, () => {
@@ -50,7 +51,7 @@
 	noteAlive(runId: string): void {
 		for (const loss of this.#held) {
 			if (loss.runId === runId && loss.crashedAt === undefined) {
-				this.#release(loss);
+				this.#release(loss, true);
 			}
 		}
 	}
@@ -64,9 +65,9 @@
 		}
 	}
 
-	#release(loss: HeldLoss): void {
+	#release(loss: HeldLoss, isAlive = false): void {
 		if (this.#held.delete(loss)) {
-			loss.release();
+			loss.release(isAlive);
 		}
 	}
 }
--- a/apps/valelead-daemon/tests/quarantine.feature
+++ b/apps/valelead-daemon/tests/quarantine.feature
@@ -164,3 +164,9 @@
       | state          | retry     |
       | was begun      | not given |
       | was unanswered | given     |
+
+  # Guards against: callers refused after one upstream although only the connection to it broke.
+  Scenario: What had just begun is given another upstream when only its connection broke
+    Given a gateway whose upstreams go on listening
+    When a request that was begun loses its upstream
+    Then it is given another upstream
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -336,18 +336,26 @@
 	assert.ok(this.isPassedOn);
 });
 
-Given('a gateway whose upstreams crash under requests', function (this: QuarantineWorld) {
-	this.time = new VirtualTime();
-	this.guard = new CrashGuard({
-		clock: newClock(this.time),
-		timers: newVirtualTimers(this.time),
+const startGuard = (world: QuarantineWorld, isPortRefused: boolean): void => {
+	world.time = new VirtualTime();
+	world.guard = new CrashGuard({
+		clock: newClock(world.time),
+		timers: newVirtualTimers(world.time),
 		logger: pino({level: 'silent'}),
 		getLeaderAgeMs: () => 0,
-		isPortRefused: async () => true,
+		isPortRefused: async () => isPortRefused,
 		onCrash: () => undefined,
 		onCrashNews: () => undefined,
 		onQuarantined: () => undefined,
 	});
+};
+
+Given('a gateway whose upstreams crash under requests', function (this: QuarantineWorld) {
+	startGuard(this, true);
+});
+
+Given('a gateway whose upstreams go on listening', function (this: QuarantineWorld) {
+	startGuard(this, false);
 });
 
 When('a request that was {word} loses its upstream', async function (this: QuarantineWorld, phase: string) {
