Bundle each program once, and copy it where it goes to two places

A full build bundled the platform's program twice, for target/ and for the installed command. The two files are the same byte for byte (cmp), so it is written twice from one bundle, executable as before. 'node scripts/bundle.mjs target' makes target/bin/valelead.mjs alone.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,18 +1,22 @@
 #!/usr/bin/env node
 // Bundles the programs, each as one file that starts quickly, beside the state charts that it reads: the daemon with the platform's adapter into target/,
 // as it is deployed, and the installed commands into the folders of their packages. With arguments only those that go into these folders.
-import {copyFileSync, mkdirSync, readdirSync} from 'node:fs';
+import {
+	copyFileSync, mkdirSync, readdirSync, writeFileSync,
+} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
 
 const PROGRAMS = [
-	{source: 'platform/src/main.ts', folder: 'target', name: 'valelead.mjs'},
-	{source: 'platform/src/main.ts', folder: 'platform/dist', name: 'valelead-platform.mjs'},
-	{source: 'apps/valelead-daemon/src/main.ts', folder: 'apps/valelead-daemon/dist', name: 'valeleadd.mjs'},
-	{source: 'apps/valelead-cli/src/main.ts', folder: 'apps/valelead-cli/dist', name: 'valelead.mjs'},
+	{source: 'platform/src/main.ts', outputs: [{folder: 'target', name: 'valelead.mjs'}, {folder: 'platform/dist', name: 'valelead-platform.mjs'}]},
+	{source: 'apps/valelead-daemon/src/main.ts', outputs: [{folder: 'apps/valelead-daemon/dist', name: 'valeleadd.mjs'}]},
+	{source: 'apps/valelead-cli/src/main.ts', outputs: [{folder: 'apps/valelead-cli/dist', name: 'valelead.mjs'}]},
 ];
 
+/** The programs are commands that a shell starts. */
+const EXECUTABLE_MODE = 0o755;
+
 /** Takes the sources of the workspace's own packages, so that nothing needs to be compiled first. */
 const WORKSPACE_SOURCES = {
 	name: 'workspace-sources',
@@ -25,9 +29,9 @@
 	},
 };
 
-const bundleProgram = async ({source, folder, name}) => build({
+const bundleProgram = async source => build({
 	entryPoints: [source],
-	outfile: path.join(folder, 'bin', name),
+	write: false,
 	bundle: true,
 	platform: 'node',
 	format: 'esm',
@@ -60,8 +64,12 @@
 
 const charts = listCharts();
 const folders = process.argv.slice(2);
-const wanted = PROGRAMS.filter(({folder}) => folders.length === 0 || folders.includes(folder));
-await Promise.all(wanted.map(async program => {
-	await bundleProgram(program);
-	copyCharts(charts, program.folder);
+const isWanted = ({folder}) => folders.length === 0 || folders.includes(folder);
+await Promise.all(PROGRAMS.filter(({outputs}) => outputs.some(output => isWanted(output))).map(async ({source, outputs}) => {
+	const {outputFiles: [{contents}]} = await bundleProgram(source);
+	for (const {folder, name} of outputs.filter(output => isWanted(output))) {
+		mkdirSync(path.join(folder, 'bin'), {recursive: true});
+		writeFileSync(path.join(folder, 'bin', name), contents, {mode: EXECUTABLE_MODE});
+		copyCharts(charts, folder);
+	}
 }));
