Ask once whether a lost attempt may have crashed its upstream, and keep one ledger

No change of behaviour. The guard asked three times whether a request was answered lately and twice whether its upstream leaves; it asks once, where a connection broke. The ledger of a leadership was held by the registry and by the intake, with a spare one until the first; the intake owns it. Each follower's report was copied whole for the crashes that a session held; the registry takes the three fields that it reads.

--- a/apps/valelead-daemon/src/control/crash-intake.ts
+++ b/apps/valelead-daemon/src/control/crash-intake.ts
@@ -18,13 +18,19 @@
 /** A new leader has heard of the crashes that all gateways saw after this time, in milliseconds: two of their heartbeats. */
 const SETTLE_MS = 1000;
 
+const mutateAdded = (set: Set<string>, values: readonly string[]): void => {
+	for (const value of values) {
+		set.add(value);
+	}
+};
+
 /**
  * Puts together what gateways tell a leader of crashes, and follows which crashes some of them may still tell of. What merely waited at such a crash is
  * blamed for less, as it looks guilty until another gateway names what had just begun there.
  */
 export class CrashIntake {
 	readonly #parts: IntakeParts;
-	#ledger: CrashLedger = newCrashLedger();
+	#ledger = newCrashLedger();
 	/** Whether some gateways may not have told this leadership yet of the crashes before it. */
 	#isSettling = false;
 	/** Gateways that have told this leadership what they know. */
@@ -36,8 +42,14 @@
 		this.#parts = parts;
 	}
 
-	/** Begins a leadership, whose crashes go into the ledger. Gateways tell it of earlier ones in their first reports, one after the other. */
-	begin(ledger: CrashLedger): void {
+	/** What is known of crashes in this leadership. */
+	get ledger(): CrashLedger {
+		return this.#ledger;
+	}
+
+	/** Begins a leadership with an empty ledger. Gateways tell it of earlier crashes in their first reports, one after the other. */
+	begin(): void {
+		const ledger = newCrashLedger();
 		this.#ledger = ledger;
 		this.#heardVms.clear();
 		this.#newestRun = undefined;
@@ -55,15 +67,13 @@
 		this.#heardVms.add(vm);
 		const news = new Set<string>();
 		for (const crash of crashes) {
-			const settled = isBefore || this.#ledger.crashes.has(crash.runId) ? [] : this.#noteNewest(crash.runId);
-			const isNews = mutateCrash(this.#ledger, crash, this.#parts.clock.now(), isBefore || this.#newestRun === crash.runId);
-			const told = isNews ? crash.suspects.map(({fingerprint}) => fingerprint) : [];
-			if (isNews) {
-				this.#parts.onCrash(vm, crash.runId);
+			if (!isBefore && !this.#ledger.crashes.has(crash.runId)) {
+				mutateAdded(news, this.#noteNewest(crash.runId));
 			}
 
-			for (const fingerprint of [...settled, ...told]) {
-				news.add(fingerprint);
+			if (mutateCrash(this.#ledger, crash, this.#parts.clock.now(), isBefore || this.#newestRun === crash.runId)) {
+				mutateAdded(news, crash.suspects.map(({fingerprint}) => fingerprint));
+				this.#parts.onCrash(vm, crash.runId);
 			}
 		}
 
--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -258,8 +258,9 @@
 	}
 
 	#noteCrashes(session: FollowerSession, report: FollowerReport): void {
-		const held = session.held.splice(0).flatMap(({crashes}) => crashes);
-		this.#quarantine.note({...report, crashes: [...held, ...report.crashes]});
+		const {vm, crashes, served} = report;
+		const held = session.held.splice(0).flatMap(other => other.crashes);
+		this.#quarantine.note({vm, crashes: [...held, ...crashes], served});
 	}
 
 	/** A state that is behind its log holds all within the time of a write to the disk; nothing else tells when. */
--- a/apps/valelead-daemon/src/control/quarantine-registry.ts
+++ b/apps/valelead-daemon/src/control/quarantine-registry.ts
@@ -4,7 +4,7 @@
 import type {Command} from '@valelead/intent';
 import {type FollowerReport, type QuarantineList, QuarantineListSchema} from '@valelead/protocol';
 import {
-	type CrashLedger, QUARANTINE_MS, getBlame, getEvidence, getSuspected, isUnproven, mutateOldCrashes, mutateReleased, mutateServed, mutateQuarantined, newCrashLedger,
+	type CrashLedger, QUARANTINE_MS, getBlame, getEvidence, getSuspected, isUnproven, mutateOldCrashes, mutateReleased, mutateServed, mutateQuarantined,
 } from '@valelead/quarantine';
 import type {Logger} from 'pino';
 import {decodeCrash} from '../follower/decode-crash.js';
@@ -28,6 +28,8 @@
 	readonly proposed: Promise<void>;
 };
 
+type CrashNews = Pick<FollowerReport, 'vm' | 'crashes' | 'served'>;
+
 type MadeList = {
 	readonly list: QuarantineList | undefined;
 	readonly version: number;
@@ -57,7 +59,6 @@
 export class QuarantineRegistry {
 	readonly #parts: RegistryParts;
 	readonly #intake: CrashIntake;
-	#ledger: CrashLedger = newCrashLedger();
 	#term = -1;
 	#version = 1;
 	/** Since when this voter knows of each quarantine, in monotonic milliseconds. */
@@ -104,7 +105,7 @@
 	}
 
 	/** Takes what a gateway tells of crashes, and of suspected requests that were answered. */
-	note({vm, crashes, served}: FollowerReport): void {
+	note({vm, crashes, served}: CrashNews): void {
 		this.#checkTerm();
 		const news = this.#intake.note(vm, crashes.map(message => decodeCrash(message)));
 		for (const fingerprint of served) {
@@ -130,6 +131,10 @@
 		return made;
 	}
 
+	get #ledger(): CrashLedger {
+		return this.#intake.ledger;
+	}
+
 	/** Judges by a timer; this voter may not lead any more. */
 	#judge(fingerprints: readonly string[]): void {
 		if (this.#parts.voter.node?.isCurrentLeader) {
@@ -284,14 +289,13 @@
 		const term = this.#parts.voter.node?.term ?? 0;
 		if (term !== this.#term) {
 			this.#term = term;
-			this.#ledger = newCrashLedger();
+			this.#intake.begin();
 			for (const fingerprint of this.#committed) {
 				this.#ledger.quarantined.add(fingerprint);
 			}
 
 			this.#expiring.clear();
 			this.#judged.clear();
-			this.#intake.begin(this.#ledger);
 			this.#change();
 		}
 	}
--- a/apps/valelead-daemon/src/gateway/crash-guard.ts
+++ b/apps/valelead-daemon/src/gateway/crash-guard.ts
@@ -1,6 +1,6 @@
 import {type Clock, type TimerService, assertNever} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
-import {SUSPECT_PHASE} from '@valelead/quarantine';
+import {type SuspectPhaseValue, SUSPECT_PHASE} from '@valelead/quarantine';
 import type {Logger} from 'pino';
 import type {CrashExchange} from '../follower/crash-exchange.js';
 import {CONNECTION_END} from './connection-end.js';
@@ -89,23 +89,27 @@
 	 * @param passOn - Hears whether no other upstream must be risked with the request. What had merely waited at a first crash keeps its second upstream.
 	 */
 	noteEnd(request: GatewayRequest, upstream: Upstream, end: AttemptEnd, passOn: (isLast: boolean) => void): void {
-		const isBroken = end.connection === CONNECTION_END.Broken;
-		const isSuspected = isBroken && this.#quarantine.isSuspected(this.#getFingerprint(request));
-		const hadBegun = isBroken && this.#hadBegun(request, upstream, end);
-		const mostMs = isBroken ? this.#getHoldMs(request, upstream, end) : 0;
-		this.#noteConnection(request, upstream, end);
-		if (mostMs === 0) {
-			passOn(isSuspected || hadBegun);
-			return;
-		}
+		switch (end.connection) {
+			case CONNECTION_END.Intact: {
+				passOn(false);
+				break;
+			}
 
-		const heldAt = this.#parts.clock.now();
-		this.#losses.hold({runId: upstream.id, isCrashed: this.#observer.isCrashed(upstream.id), mostMs}, isAlive => {
-			this.#parts.logger.info({
-				event: 'loss-held', requestId: request.head.id, upstreamId: upstream.id, phase: end.phase, heldMs: Math.round(this.#parts.clock.now() - heldAt),
-			}, 'a lost attempt was held until gateways know what the loss says of its request');
-			passOn(isSuspected || (hadBegun && !isAlive) || this.#quarantine.isBlamedByLeader(this.#getFingerprint(request)));
-		});
+			case CONNECTION_END.Broken: {
+				this.#noteBroken(request, upstream, end, passOn);
+				break;
+			}
+
+			case CONNECTION_END.Refused: {
+				this.#observer.noteRefused(upstream.id);
+				passOn(false);
+				break;
+			}
+
+			default: {
+				assertNever(end.connection);
+			}
+		}
 	}
 
 	/** Every answer counts, also before anything crashed: what callers ask all the time is at each of several engines that crash at once. */
@@ -115,20 +119,35 @@
 		}
 	}
 
-	/**
-	 * Whether a request had just begun at an upstream that may have crashed. If it caused the crash, the next upstream would be lost too; if not, it would
-	 * begin beside the guilty request once more, and look guilty itself.
-	 */
-	#hadBegun(request: GatewayRequest, {id}: Upstream, {phase}: AttemptEnd): boolean {
-		return phase === SUSPECT_PHASE.Begun && !this.#observer.isLeaving(id) && !this.#quarantine.isServedLately(this.#getFingerprint(request));
-	}
+	#noteBroken(request: GatewayRequest, {id, address}: Upstream, {phase}: AttemptEnd, passOn: (isLast: boolean) => void): void {
+		const fingerprint = this.#getFingerprint(request);
+		const isServedLately = this.#quarantine.isServedLately(fingerprint);
+		// What had run for a while, or was answered lately, hardly crashed its upstream.
+		const isPossibleCause = phase !== SUSPECT_PHASE.Running && !isServedLately && !this.#observer.isLeaving(id);
+		// If it caused the crash, the next upstream would be lost too; if not, it would begin beside the guilty request once more, and look guilty itself.
+		const hadBegun = isPossibleCause && phase === SUSPECT_PHASE.Begun;
+		const isSuspected = this.#quarantine.isSuspected(fingerprint);
+		const mostMs = isPossibleCause ? this.#getHoldMs(phase) : 0;
+		if (!isServedLately) {
+			this.#observer.noteBroken({upstreamId: id, address, suspect: {fingerprint, phase}});
+		}
 
-	/** For how long a lost attempt may be held; 0 where it had run for a while or the request was answered lately, so that it hardly crashed its upstream. */
-	#getHoldMs(request: GatewayRequest, {id}: Upstream, {phase}: AttemptEnd): number {
-		if (phase === SUSPECT_PHASE.Running || this.#observer.isLeaving(id) || this.#quarantine.isServedLately(this.#getFingerprint(request))) {
-			return 0;
+		if (mostMs === 0) {
+			passOn(isSuspected || hadBegun);
+			return;
 		}
 
+		const heldAt = this.#parts.clock.now();
+		this.#losses.hold({runId: id, isCrashed: this.#observer.isCrashed(id), mostMs}, isAlive => {
+			this.#parts.logger.info({
+				event: 'loss-held', requestId: request.head.id, upstreamId: id, phase, heldMs: Math.round(this.#parts.clock.now() - heldAt),
+			}, 'a lost attempt was held until gateways know what the loss says of its request');
+			passOn(isSuspected || (hadBegun && !isAlive) || this.#quarantine.isBlamedByLeader(fingerprint));
+		});
+	}
+
+	/** For how long a lost attempt of a request that may have crashed its upstream is held; 0 where no leader was heard for a while. */
+	#getHoldMs(phase: SuspectPhaseValue): number {
 		const {mostMs, leaderAgeMs} = phase === SUSPECT_PHASE.Begun ? BEGUN_LIMIT : WAITING_LIMIT;
 		return this.#parts.getLeaderAgeMs() <= leaderAgeMs ? mostMs : 0;
 	}
@@ -137,30 +156,4 @@
 		request.fingerprint ??= getRequestFingerprint(request);
 		return request.fingerprint;
 	}
-
-	#noteConnection(request: GatewayRequest, {id, address}: Upstream, {connection, phase}: AttemptEnd): void {
-		switch (connection) {
-			case CONNECTION_END.Intact: {
-				break;
-			}
-
-			case CONNECTION_END.Broken: {
-				const fingerprint = this.#getFingerprint(request);
-				if (!this.#quarantine.isServedLately(fingerprint)) {
-					this.#observer.noteBroken({upstreamId: id, address, suspect: {fingerprint, phase}});
-				}
-
-				break;
-			}
-
-			case CONNECTION_END.Refused: {
-				this.#observer.noteRefused(id);
-				break;
-			}
-
-			default: {
-				assertNever(connection);
-			}
-		}
-	}
 }
