Take nothing for silence, or for a sign of life, right after this process stood still

First: the connection to i-3 breaks as the gateway goes on, and its port is open, as its next run listens since 0.6 s; the loss counts as a connection that broke alone and the same try goes to i-1 (crashed 62 ms later); `upstream-crashed` of i-3 with sign `replaced` comes 870 ms after. Second: `attempt-failed` 3009, "no answer for 1547 ms", connection intact, 0 ms after the gateway goes on: the timer fires before the socket is read, the reset is never seen, and the try goes to one more engine.

Mend: a watch on gaps between timers. For 100 ms after one of over 200 ms no attempt is given up as overdue, and an open port proves nothing: what had just begun there is held until the next run is announced, 2.5 s at most, and gets no other upstream.

Ruled out: the leases (the gateway had none and refused its next try).

--- a/apps/valelead-daemon/src/gateway/crash-guard.ts
+++ b/apps/valelead-daemon/src/gateway/crash-guard.ts
@@ -5,6 +5,7 @@
 import {SUSPECT_PHASE} from '@valelead/quarantine';
 import type {Logger} from 'pino';
 import type {CrashExchange} from '../follower/crash-exchange.js';
+import type {StallWatch} from '../stall-watch.js';
 import {OTHERS_LEASES_MS} from './others-leases-ms.js';
 import {CONNECTION_END} from './connection-end.js';
 import {CrashObserver} from './crash-observer.js';
@@ -19,6 +20,7 @@
 	readonly clock: Clock;
 	readonly timers: TimerService;
 	readonly logger: Logger;
+	readonly stalls: Pick<StallWatch, 'isStalled'>;
 	readonly suspensions: Pick<SuspensionWatch, 'resumedAt' | 'lostMs'>;
 	/** Gateways that follow the leader, this one among them. */
 	readonly getGatewayCount: () => number;
--- a/apps/valelead-daemon/src/gateway/crash-observer.ts
+++ b/apps/valelead-daemon/src/gateway/crash-observer.ts
@@ -4,6 +4,7 @@
 	type CrashWatch, type Suspect, type WatchedRun, getReplacedRuns, mutateBroken, mutateCrashed, mutateUnwatched, newCrashWatch,
 } from '@valelead/quarantine';
 import type {Logger} from 'pino';
+import type {StallWatch} from '../stall-watch.js';
 import {CRASH_SIGN} from './crash-sign.js';
 import type {CrashSignValue} from './crash-sign-value.js';
 
@@ -11,6 +12,7 @@
 	readonly clock: Clock;
 	readonly timers: TimerService;
 	readonly logger: Logger;
+	readonly stalls: Pick<StallWatch, 'isStalled'>;
 	/** Whether nobody listens at an address any more. */
 	readonly isPortRefused: (address: string) => Promise<boolean>;
 	/** Hears of an upstream that crashed, and again when more requests turn out to have been there. */
@@ -87,9 +89,14 @@
 
 	async #look(upstreamId: string, address: string): Promise<void> {
 		this.#looking.add(upstreamId);
+		// After a stall of this process the next run of a crashed upstream may be listening already.
+		const isSameRun = !this.#parts.stalls.isStalled;
 		let isRefused = await this.#parts.isPortRefused(address);
 		if (!isRefused) {
-			this.#parts.onAlive(upstreamId);
+			if (isSameRun) {
+				this.#parts.onAlive(upstreamId);
+			}
+
 			await this.#parts.timers.wait(SECOND_LOOK_MS);
 			isRefused = await this.#parts.isPortRefused(address);
 		}
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -10,6 +10,7 @@
 import type {Logger} from 'pino';
 import type {CallerCodec} from '../adapter/caller-codec.js';
 import type {CrashExchange} from '../follower/crash-exchange.js';
+import {StallWatch} from '../stall-watch.js';
 import type {LimitExchange} from '../follower/limit-exchange.js';
 import {Attempts} from './attempts.js';
 import {CrashGuard} from './crash-guard.js';
@@ -74,12 +75,14 @@
 	readonly #demand: DemandReporter;
 	readonly #crashes: CrashGuard;
 	readonly #limits: UpstreamLimits;
+	readonly #stalls: StallWatch;
 	/** Reports of many sidecars come together, and each refresh looks at all upstreams. */
 	readonly #refreshes: Coalescer;
 
 	constructor(parts: DispatcherParts) {
 		this.#parts = parts;
 		this.#log = new DispatchLog(parts.logger);
+		this.#stalls = new StallWatch(parts.clock, parts.timers);
 		this.#book = new UpstreamBook({
 			clock: parts.clock,
 			getTable: parts.getTable,
@@ -116,6 +119,7 @@
 		this.#attempts = this.#newAttempts();
 		this.#crashes = new CrashGuard({
 			...parts,
+			stalls: this.#stalls,
 			onQuarantined: () => {
 				this.#refuseQuarantined();
 			},
@@ -293,7 +297,11 @@
 
 	#tick(now: number): void {
 		this.#take({kind: 'tick'});
-		this.#attempts.giveUpOverdue(now, attemptId => this.#getElsewhere(attemptId));
+		if (!this.#stalls.isStalled) {
+			// Until then answers and broken connections may not have been read.
+			this.#attempts.giveUpOverdue(now, attemptId => this.#getElsewhere(attemptId));
+		}
+
 		for (const request of this.#requests.values()) {
 			if (now >= request.deadlineAt) {
 				this.#expire(request);
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -32,6 +32,7 @@
 export {newLogger} from './logger.js';
 export {exitWithLogs} from './exit-with-logs.js';
 export type {FollowerSession} from './control/follower-session.js';
+export {StallWatch} from './stall-watch.js';
 export {CrashGuard} from './gateway/crash-guard.js';
 export type {GatewayRequest} from './gateway/gateway-request.js';
 export {HeldLosses} from './gateway/held-losses.js';
--- a/apps/valelead-daemon/tests/crash-installation.ts
+++ b/apps/valelead-daemon/tests/crash-installation.ts
@@ -14,7 +14,7 @@
 import {CrashLink} from './crash-link.js';
 import {CrashVoters} from './crash-voters.js';
 import {
-	type GatewayRequest, CONNECTION_END, CrashGuard, FollowerSessions, GatewayLeases, QuarantineRegistry, encodeCrash,
+	type GatewayRequest, CONNECTION_END, CrashGuard, FollowerSessions, GatewayLeases, QuarantineRegistry, StallWatch, encodeCrash,
 } from 'valelead-daemon';
 
 type Gateway = {
@@ -215,6 +215,7 @@
 			clock,
 			timers,
 			logger: pino({level: 'silent'}),
+			stalls: new StallWatch(clock, timers),
 			suspensions: NO_SUSPENSION,
 			getGatewayCount: () => gatewayCount,
 			getLeaderAgeMs: () => this.time.now - gateway.heardAt,
--- a/apps/valelead-daemon/tests/quarantine.feature
+++ b/apps/valelead-daemon/tests/quarantine.feature
@@ -201,3 +201,9 @@
     Then the gateway refuses "boom" for now, and sends "other"
     When the leader hears of it and suspects nobody
     Then the gateway sends "boom"
+
+  # Guards against: an upstream that crashed and came back while this process stood still, taken for one whose connection broke alone.
+  Scenario: A port that is open after a stall says nothing of the run that broke off
+    Given a gateway whose upstreams go on listening, and that stood still
+    When a request that was begun loses its upstream
+    Then it is not given another upstream
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -377,12 +377,13 @@
 	assert.ok(this.isPassedOn);
 });
 
-const startGuard = (world: QuarantineWorld, isPortRefused: boolean): void => {
+const startGuard = (world: QuarantineWorld, isPortRefused: boolean, isStalled = false): void => {
 	world.time = new VirtualTime();
 	world.guard = new CrashGuard({
 		clock: newClock(world.time),
 		timers: newVirtualTimers(world.time),
 		logger: pino({level: 'silent'}),
+		stalls: {isStalled},
 		getLeaderAgeMs: () => 0,
 		suspensions: NO_SUSPENSION,
 		getGatewayCount: () => 1,
@@ -402,6 +403,10 @@
 	startGuard(this, false);
 });
 
+Given('a gateway whose upstreams go on listening, and that stood still', function (this: QuarantineWorld) {
+	startGuard(this, false, true);
+});
+
 When('a request that was {word} loses its upstream', async function (this: QuarantineWorld, phase: string) {
 	const request = {head: {id: 'try'}, fingerprint: toFingerprint('some')} as unknown as GatewayRequest;
 	const upstream = newUpstream('a', {address: '10.0.0.1:80'});
