Keep a session whose voter was silent only while this process stood still

What callers saw: a gateway that stood still for 1.5 s followed no leader for 1.07 s more, as it gave its session up at the first timer after the stall (`leader-silent` 1,584 ms, then `leader-followed` with `leaderlessMs` 2,647), though the leader's answers lay in its socket.

Mend: a heartbeat that comes over 200 ms late does not judge the voter's silence, the next one does; nor does the limit for a first word that was due during a stall.

The timers of a process that stands still are shared by the models now.

--- a/apps/valelead-daemon/src/session-client.ts
+++ b/apps/valelead-daemon/src/session-client.ts
@@ -29,6 +29,9 @@
 /** A leader that left a report unanswered is given up at the second heartbeat after it last answered. */
 const SILENT_HEARTBEATS = 1.9;
 
+/** A heartbeat that comes later than this after its time shows that this process stood still, in milliseconds. */
+const STALL_MS = 200;
+
 /** A voter that says nothing on a new stream for this long is passed over, in milliseconds. */
 const FIRST_WORD_MS = 700;
 
@@ -62,6 +65,7 @@
 	readonly #parts: SessionParts;
 	#stream: SessionStream | undefined;
 	#heardAt = 0;
+	#beatAt: number;
 	#connectedAt = 0;
 	#address = '';
 	/** When a leader last answered, in any session; when this process started, before the first. */
@@ -79,6 +83,7 @@
 	constructor(parts: SessionParts) {
 		this.#parts = parts;
 		this.#ledAt = parts.clock.now();
+		this.#beatAt = this.#ledAt;
 		this.#reports = new Coalescer(parts.timers, COALESCE_MS, () => {
 			this.#report();
 		});
@@ -106,7 +111,10 @@
 	}
 
 	#beat(now: number): void {
-		if (this.#stream && now - this.#heardAt > this.#parts.heartbeatMs * SILENT_HEARTBEATS) {
+		// What the voter said while this process stood still has not been read yet.
+		const wasStalled = now - this.#beatAt > this.#parts.heartbeatMs + STALL_MS;
+		this.#beatAt = now;
+		if (this.#stream && !wasStalled && now - this.#heardAt > this.#parts.heartbeatMs * SILENT_HEARTBEATS) {
 			this.#giveUp(this.#stream, now);
 			return;
 		}
@@ -162,11 +170,19 @@
 			this.#reconnect(stream);
 		});
 		this.#report(true);
-		timers.after(FIRST_WORD_MS, now => {
-			if (!isHeard && stream === this.#stream) {
+		const giveUpUnheard = (dueAt: number) => (now: number): void => {
+			if (isHeard || stream !== this.#stream) {
+				return;
+			}
+
+			if (now > dueAt + STALL_MS) {
+				timers.after(FIRST_WORD_MS, giveUpUnheard(now + FIRST_WORD_MS));
+			} else {
 				this.#giveUp(stream, now);
 			}
-		});
+		};
+
+		timers.after(FIRST_WORD_MS, giveUpUnheard(this.#connectedAt + FIRST_WORD_MS));
 	}
 
 	/** Goes on in the list to a voter that did not fall silent lately, if there is one. */
--- a/apps/valelead-daemon/tests/crash-installation.ts
+++ b/apps/valelead-daemon/tests/crash-installation.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {create} from '@bufbuild/protobuf';
-import {OUTCOME, RESULT_CODE, TimerService} from '@valelead/common';
+import {type Clock, OUTCOME, RESULT_CODE} from '@valelead/common';
 import {newDirectory} from '@valelead/discovery';
 import {type SessionUpdate, FollowerReportSchema} from '@valelead/protocol';
 import {SUSPECT_PHASE} from '@valelead/quarantine';
@@ -9,6 +9,7 @@
 import {NO_LIMITS} from '../../../tests/support/no-limits.js';
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
 import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
+import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
 import {VirtualProcess} from '../../../tests/support/virtual-process.js';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {CrashLink} from './crash-link.js';
@@ -31,10 +32,6 @@
 
 type Delay = () => number;
 
-type Handle = {
-	isCancelled: boolean;
-};
-
 const GATEWAYS = 3;
 const HEARTBEAT_MS = 500;
 const SILENT_MS = 950;
@@ -57,6 +54,7 @@
 /** Gateways with the shipped guard, voters with the shipped judgement and its rollout, and a caller that sends one request which crashes engines. */
 export class CrashInstallation {
 	readonly time = new VirtualTime();
+	readonly clock: Clock = {now: () => this.time.now, wallNow: () => this.time.now};
 	readonly voters = new CrashVoters(this.time);
 	readonly gateways: Gateway[] = [];
 	/** Engines that crashed under the request. */
@@ -134,32 +132,10 @@
 		});
 	}
 
-	#newTimers(process: VirtualProcess): {clock: {now: () => number; wallNow: () => number}; timers: TimerService} {
-		const clock = {now: () => this.time.now, wallNow: () => this.time.now};
-		const timers = new TimerService(clock, {
-			set: (run, delayMs) => {
-				const handle: Handle = {isCancelled: false};
-				this.time.after(delayMs, () => {
-					process.take(() => {
-						if (!handle.isCancelled) {
-							run();
-						}
-					});
-				});
-				return handle;
-			},
-			clear(handle) {
-				if (handle) {
-					(handle as Handle).isCancelled = true;
-				}
-			},
-		});
-		return {clock, timers};
-	}
-
 	#startVoter(index: number): FollowerSessions {
 		const {process} = this.voters.voters[index];
-		const {clock, timers} = this.#newTimers(process);
+		const {clock} = this;
+		const timers = newProcessTimers(this.time, process);
 		const log = this.voters.getLog(index);
 		const gatewayLeases = new GatewayLeases({clock, getTerm: () => log.node!.term});
 		const quarantine = new QuarantineRegistry({
@@ -209,7 +185,8 @@
 
 	#startGateway(vm: string): Gateway {
 		const process = new VirtualProcess(this.time);
-		const {clock, timers} = this.#newTimers(process);
+		const {clock} = this;
+		const timers = newProcessTimers(this.time, process);
 		let gatewayCount = 1;
 		const guard = new CrashGuard({
 			clock,
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -31,6 +31,19 @@
     When "a" stands still for 1200 ms and goes on to lead
     Then the follower has a session at "a" within 2500 ms of the standstill
 
+  # Guards against: a leader that is given up for the time in which the follower itself stood still, so that it follows nobody for a second more.
+  Scenario Outline: A follower that stood still for <ms> ms keeps its session
+    Given voters "a" and "b", of which "a" leads and "b" follows it
+    And a follower with a session at "a"
+    When the follower stands still for <ms> ms
+    Then it has asked "a" once, and nobody else
+
+    Examples:
+      | ms   |
+      | 700  |
+      | 1500 |
+      | 5000 |
+
   Scenario: A voter that does not lead passes on what it knows to be committed
     Given voters "a" and "b", of which "a" leads and "b" follows it
     And a follower with a session at "a"
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -13,7 +13,8 @@
 import {newDirectory} from '@valelead/discovery';
 import {pino} from 'pino';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
-import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
+import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
+import {VirtualProcess} from '../../../tests/support/virtual-process.js';
 import {NO_GATEWAY_LEASES} from '../../../tests/support/no-gateway-leases.js';
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
 import {NO_LIMITS} from '../../../tests/support/no-limits.js';
@@ -28,6 +29,8 @@
 
 type FollowerWorld = {
 	time: VirtualTime;
+	/** The follower's. */
+	process: VirtualProcess;
 	timers: TimerService;
 	clock: Clock;
 	voters: Map<string, VoterRule>;
@@ -79,13 +82,16 @@
 /** A follower's end of a session with a voter of the test. */
 class FakeSession {
 	readonly #time: VirtualTime;
+	/** The follower's. */
+	readonly #process: VirtualProcess;
 	readonly #getAnswer: () => Partial<SessionUpdate> | undefined;
 	#onData: (update: SessionUpdate) => void = ignore;
 	#onError: () => void = ignore;
 	#isOpen = true;
 
-	constructor(time: VirtualTime, getAnswer: () => Partial<SessionUpdate> | undefined) {
+	constructor(time: VirtualTime, process: VirtualProcess, getAnswer: () => Partial<SessionUpdate> | undefined) {
 		this.#time = time;
+		this.#process = process;
 		this.#getAnswer = getAnswer;
 	}
 
@@ -100,8 +106,12 @@
 	write(): boolean {
 		this.#time.after(RTT_MS, () => {
 			const answer = this.#getAnswer();
-			if (this.#isOpen && answer) {
-				this.#onData(create(SessionUpdateSchema, answer as never));
+			if (answer) {
+				this.#process.take(() => {
+					if (this.#isOpen) {
+						this.#onData(create(SessionUpdateSchema, answer as never));
+					}
+				});
 			}
 		});
 		return true;
@@ -122,7 +132,8 @@
 
 const newWorld = (world: FollowerWorld): void => {
 	world.time = new VirtualTime();
-	world.timers = newVirtualTimers(world.time);
+	world.process = new VirtualProcess(world.time);
+	world.timers = newProcessTimers(world.time, world.process);
 	world.clock = {now: () => world.time.now, wallNow: () => world.time.now};
 	world.voters = new Map();
 	world.routingVersion = 1;
@@ -138,7 +149,7 @@
 	const get = (address: string) => ({
 		bidiStream() {
 			world.opened.push(address);
-			return new FakeSession(world.time, () => {
+			return new FakeSession(world.time, world.process, () => {
 				const answer = world.voters.get(address)?.();
 				return answer && {voterAddresses: [...world.voters.keys()], ...answer};
 			});
@@ -240,6 +251,18 @@
 	this.voters.set(address, () => this.time.now - this.silentAt < standMs ? undefined : {isCurrent: true, leaderAddress: address});
 });
 
+When('the follower stands still for {int} ms', function (this: FollowerWorld, standMs: number) {
+	this.process.freeze();
+	this.time.advance(standMs);
+	this.process.thaw();
+	this.time.advance(2 * HEARTBEAT_MS);
+});
+
+Then('it has asked {string} once, and nobody else', function (this: FollowerWorld, address: string) {
+	assert.deepEqual(this.opened, [address]);
+	assert.ok(this.time.now - this.current!.at <= HEARTBEAT_MS);
+});
+
 When('{string} falls silent and {string} knows a newer routing but no leader', function (this: FollowerWorld, old: string, next: string) {
 	this.silentAt = this.time.now;
 	this.voters.set(old, () => undefined);
