Take a process for caught up after a stall by turns of its loop, not by a time

Cause, from the logs: the gateway went on at 17.79, read the broken connection at 17.92 as it got little processor time, and then 100 ms were over: the open port of the engine's next run counted as proof that only the connection had broken (`replaced` came 949 ms later).

Mend: a stall is over once three timers have fired since, so that all sockets were read in between, however long it takes.

--- a/apps/valelead-daemon/src/stall-watch.ts
+++ b/apps/valelead-daemon/src/stall-watch.ts
@@ -6,14 +6,14 @@
 /** A gap between looks that counts as a stall, in milliseconds; an upstream that crashed takes longer to listen again. */
 const STALL_MS = 200;
 
-/** What waited for the process during a stall has been taken after this time, in milliseconds. */
-const AFTERMATH_MS = 100;
+/** Between two looks the process reads all that lies in its sockets; a broken connection may show a turn after the last of its data. */
+const LOOKS_TO_CATCH_UP = 3;
 
 /** Notices that the process stood still, or got no processor time, so that what it takes now may have happened a while ago. */
 export class StallWatch {
 	readonly #clock: Clock;
 	#lookedAt: number;
-	#resumedAt = Number.NEGATIVE_INFINITY;
+	#looksSinceStall = LOOKS_TO_CATCH_UP;
 
 	constructor(clock: Clock, timers: TimerService) {
 		this.#clock = clock;
@@ -25,16 +25,15 @@
 
 	/** Whether what comes now may have waited for this process. */
 	get isStalled(): boolean {
-		this.#look();
-		return this.#clock.now() - this.#resumedAt <= AFTERMATH_MS;
+		return this.#looksSinceStall < LOOKS_TO_CATCH_UP || this.#hasGap;
 	}
 
-	#look(): void {
-		const now = this.#clock.now();
-		if (now - this.#lookedAt > STALL_MS) {
-			this.#resumedAt = now;
-		}
+	get #hasGap(): boolean {
+		return this.#clock.now() - this.#lookedAt > STALL_MS;
+	}
 
-		this.#lookedAt = now;
+	#look(): void {
+		this.#looksSinceStall = this.#hasGap ? 0 : this.#looksSinceStall + 1;
+		this.#lookedAt = this.#clock.now();
 	}
 }
