--- a/apps/valelead-daemon/src/gateway/request-quarantine.ts
+++ b/apps/valelead-daemon/src/gateway/request-quarantine.ts
@@ -24,7 +24,7 @@
 } from '@valelead/quarantine';
 import type {Logger} from 'pino';
 import type {CrashExchange} from '../follower/crash-exchange.js';
-import {CrashLease} from './crash-lease.js';
+import {SuspectedRequests} from './suspected-requests.js';
 
 type QuarantineParts = {
 	readonly clock: Clock;
@@ -48,7 +48,7 @@
 type NotedCrash = {
 	readonly run: WatchedRun;
 	readonly at: number;
-	/** Whether this gateway went by the leader's word then, so that others may have lost upstreams to the same requests. */
+	/** Whether this gateway had a lease on the leader's list then. */
 	readonly isLeased: boolean;
 };
 
@@ -70,9 +70,6 @@
 /** When a gateway has probably found a leader again, in milliseconds: an election that splits once. */
 const LEADER_RETURN_MS = 1500;
 
-/** Upstreams that a gateway without a leader loses to a request before it judges alone; one may be a coincidence. */
-const OWN_JUDGED_CRASHES = 2;
-
 /** Crashes that are kept to be told to a leader that knows none of them. */
 const MAX_CRASHES = 64;
 
@@ -87,18 +84,12 @@
 export class RequestQuarantine implements CrashExchange {
 	readonly #parts: QuarantineParts;
 	readonly #ledger: CrashLedger = newCrashLedger();
-	readonly #lease: CrashLease;
+	readonly #suspects: SuspectedRequests;
 	/** Until when each request is not sent, by fingerprint, in monotonic milliseconds. */
 	readonly #until = new Map<string, number>();
 	readonly #crashes = new Map<string, NotedCrash>();
 	/** What was answered and was blamed before, and since when the leader is told. */
 	readonly #cleared = new Map<string, number>();
-	/** Requests that the leader blames, and not yet enough. */
-	#suspected: ReadonlySet<string> = new Set();
-	/** Requests that leaders suspected since one last granted a lease; what it suspects since is all that counts. */
-	readonly #suspectedBefore = new Set<string>();
-	/** Requests that the leader has no gateway send for the moment. */
-	#paused: ReadonlySet<string> = new Set();
 	/** Requests that a leader has quarantined. */
 	#committed: ReadonlySet<string> = new Set();
 	/** Requests that only this gateway has quarantined, and since when, in monotonic milliseconds. */
@@ -110,7 +101,7 @@
 
 	constructor(parts: QuarantineParts) {
 		this.#parts = parts;
-		this.#lease = new CrashLease(parts);
+		this.#suspects = new SuspectedRequests(parts);
 		parts.timers.repeat(EXPIRY_MS, now => {
 			this.#expire(now);
 		});
@@ -122,12 +113,12 @@
 
 	/** Whether no request is quarantined or known from a crash, so that all may be sent. */
 	get isEmpty(): boolean {
-		return this.#until.size + this.#suspected.size + this.#suspectedBefore.size + this.#paused.size === 0 && this.#ledger.runsBySuspect.size === 0;
+		return this.#until.size === 0 && this.#suspects.isEmpty && this.#ledger.runsBySuspect.size === 0;
 	}
 
 	/** Until no gateway sends by what it knew before a crash that this one has noted now, in milliseconds; 0 without a leader for that long. */
 	get othersEndInMs(): number {
-		return this.#lease.othersEndInMs;
+		return this.#suspects.othersEndInMs;
 	}
 
 	/** Why a request is not sent; undefined where it may be. */
@@ -152,7 +143,7 @@
 
 	/** Whether a request is quarantined, or the leader blames it for more than one crash. */
 	isBlamedByLeader(fingerprint: string): boolean {
-		return this.#until.has(fingerprint) || this.#suspected.has(fingerprint);
+		return this.#until.has(fingerprint) || this.#suspects.names.has(fingerprint);
 	}
 
 	/** Whether a request was answered whole so lately that it is not blamed for crashes. */
@@ -168,7 +159,7 @@
 			this.#crashes.delete(oldest);
 		}
 
-		const isLeased = this.#crashes.get(run.runId)?.isLeased ?? !this.#lease.isOver;
+		const isLeased = this.#crashes.get(run.runId)?.isLeased ?? this.#suspects.hasLease;
 		this.#crashes.set(run.runId, {run, at: now, isLeased});
 		mutateCrash(this.#ledger, toCrash(run), now);
 		this.#quarantineBlamed([...run.suspects.keys()]);
@@ -177,7 +168,7 @@
 	/** Takes that an upstream answered a request whole; returns whether the leader should know. */
 	noteServed(fingerprint: string): boolean {
 		const now = this.#parts.clock.now();
-		const isNews = mutateServed(this.#ledger, fingerprint, now) || this.#suspected.has(fingerprint) || this.#until.has(fingerprint);
+		const isNews = mutateServed(this.#ledger, fingerprint, now) || this.#suspects.names.has(fingerprint) || this.#until.has(fingerprint);
 		if (isNews) {
 			this.#cleared.set(fingerprint, now);
 			for (const {run} of this.#crashes.values()) {
@@ -208,16 +199,10 @@
 
 		if (isLeaders) {
 			this.#version = version;
-			// Its leader may not have heard yet what an earlier one suspected them for.
-			for (const fingerprint of this.#suspected) {
-				this.#suspectedBefore.add(fingerprint);
-			}
-
-			this.#suspected = new Set(suspected.map(fingerprint => toText(fingerprint)));
-			this.#paused = new Set(paused.map(fingerprint => toText(fingerprint)));
+			this.#suspects.take(suspected.map(fingerprint => toText(fingerprint)), paused.map(fingerprint => toText(fingerprint)));
 		}
 
-		this.#reportServed([...this.#suspected, ...quarantined.map(({fingerprint}) => toText(fingerprint))]);
+		this.#reportServed([...this.#suspects.names, ...quarantined.map(({fingerprint}) => toText(fingerprint))]);
 		for (const fingerprint of released) {
 			this.#release(toText(fingerprint));
 		}
@@ -230,8 +215,7 @@
 	/** A leader knows at least as much as this gateway, so judgements of this gateway that it does not share end. */
 	noteHeard(reportedAt: number, isLeaseGranted: boolean): void {
 		if (isLeaseGranted) {
-			this.#lease.confirm(reportedAt);
-			this.#suspectedBefore.clear();
+			this.#suspects.confirm(reportedAt);
 		}
 
 		this.#heardUntil = Math.max(this.#heardUntil, reportedAt);
@@ -252,23 +236,14 @@
 		this.#parts.onCrashesObeyed(reportedAt);
 	}
 
-	/** Whether a request might be the fourth upstream's loss, as other gateways may have lost some to it of which this one has no word. */
+	/** Whether a request is kept back for the moment. */
 	#isPaused(fingerprint: string): boolean {
-		if (this.isServedLately(fingerprint)) {
-			return false;
-		}
-
-		if (!this.#lease.isOver) {
-			return this.#paused.has(fingerprint);
-		}
-
-		const runs = getBegunRuns(this.#ledger, fingerprint);
-		const isShared = this.#paused.has(fingerprint) || this.#suspected.has(fingerprint) || this.#suspectedBefore.has(fingerprint) || runs.some(runId => this.#isLeased(runId));
-		return isShared || runs.length >= this.#lease.ownCrashes;
+		return !this.isServedLately(fingerprint) && this.#suspects.isPaused(fingerprint, this.#getBegunCrashes(fingerprint));
 	}
 
-	#isLeased(runId: string): boolean {
-		return this.#crashes.get(runId)?.isLeased ?? true;
+	/** The crashes at which a request had just begun. Those that made way for newer ones count as ones that others may share. */
+	#getBegunCrashes(fingerprint: string): ReadonlyArray<Pick<NotedCrash, 'isLeased'>> {
+		return getBegunRuns(this.#ledger, fingerprint).map(runId => this.#crashes.get(runId) ?? {isLeased: true});
 	}
 
 	/** Tells the leader of blamed requests that were answered here lately; it may have heard of their crashes alone. */
@@ -301,12 +276,11 @@
 	}
 
 	#getOwnBlame(fingerprint: string): number {
-		const ownRuns = getBegunRuns(this.#ledger, fingerprint).filter(runId => !this.#isLeased(runId));
-		if (ownRuns.length >= Math.max(this.#lease.ownCrashes, OWN_JUDGED_CRASHES)) {
+		if (this.#suspects.isOwnJudged(this.#getBegunCrashes(fingerprint))) {
 			return QUARANTINE_BLAME;
 		}
 
-		const isSuspected = this.#suspected.has(fingerprint);
+		const isSuspected = this.#suspects.names.has(fingerprint);
 		// Crashes that made way for newer ones were told long ago.
 		const isHeard = (runId: string): boolean => (this.#crashes.get(runId)?.at ?? Number.NEGATIVE_INFINITY) < this.#heardUntil;
 		return getPartialBlame(this.#ledger, fingerprint, runId => !isSuspected && isHeard(runId));
--- a/apps/valelead-daemon/tests/crash-histories.steps.ts
+++ b/apps/valelead-daemon/tests/crash-histories.steps.ts
@@ -3,7 +3,8 @@
 import {Then, When} from '@cucumber/cucumber';
 import * as fc from 'fast-check';
 import {CrashInstallation} from './crash-installation.js';
-import {CRASH_STEP, DISTURBED} from './crash-step.js';
+import {CRASH_STEP} from './crash-step.js';
+import {DISTURBED} from './disturbed.js';
 
 type Step = typeof CRASH_STEP extends fc.Arbitrary<infer Value> ? Value : never;
 
--- a/apps/valelead-daemon/tests/crash-step.ts
+++ b/apps/valelead-daemon/tests/crash-step.ts
@@ -1,9 +1,5 @@
 import * as fc from 'fast-check';
-
-/** Processes of the model that a step disturbs. */
-export const DISTURBED = {
-	Leader: 'leader', Voters: 'voters', Gateway: 'gateway', Cut: 'cut',
-} as const;
+import {DISTURBED} from './disturbed.js';
 
 /** A disturbance of the model: some processes stand still, or one gateway is cut off from all voters. */
 export const CRASH_STEP = fc.record({
