Count a crash that is noted in the instant of a report as told by it, as before

A real clock goes on between the two; only the random histories' clock stands still there, so they send reports with a time just before their instant.

--- a/apps/valelead-daemon/src/gateway/held-losses.ts
+++ b/apps/valelead-daemon/src/gateway/held-losses.ts
@@ -72,7 +72,7 @@
 
 	#releaseUntil(until: number, isObeyed: boolean): void {
 		for (const loss of this.#held) {
-			if (loss.crashedAt !== undefined && loss.crashedAt < until && (isObeyed || !loss.isStrict)) {
+			if (loss.crashedAt !== undefined && loss.crashedAt <= until && (isObeyed || !loss.isStrict)) {
 				this.#release(loss);
 			}
 		}
--- a/apps/valelead-daemon/tests/crash-installation.ts
+++ b/apps/valelead-daemon/tests/crash-installation.ts
@@ -43,6 +43,9 @@
 const BEGIN_MS = 40;
 const CRASH_MS = 60;
 
+/** Real clocks tell a report from a crash that is noted right after it; this one stands still meanwhile. In milliseconds. */
+const INSTANT_MS = 0.001;
+
 /** From a crash until the engine listens again, and until its next run is announced to gateways, in milliseconds. */
 const RESTART_MS = 900;
 const ANNOUNCED_MS = 1300;
@@ -273,7 +276,7 @@
 			const report = create(FollowerReportSchema, {
 				vm: gateway.vm,
 				role: 'gateway',
-				sentAt: this.time.now,
+				sentAt: this.time.now - INSTANT_MS,
 				crashes: crashes.map(crash => encodeCrash(crash)),
 				served: served.map(fingerprint => Uint8Array.from(Buffer.from(fingerprint, 'hex'))),
 				quarantineVersion,
