Log attempts that are cancelled, and for how long a gateway stood still

A caller that left showed in request-ended only: not whether its attempt was unanswered, on which connection it went, or whether the gateway had stood still beside it. Each cancelled attempt now writes attempt-cancelled (request, upstream, whether sent and answered, whether its connection had served before, age), valelead_cancelled_attempts_total counts them, and a stall writes process-stalled with its length. No decision changes.

--- a/apps/valelead-daemon/src/gateway/attempts.ts
+++ b/apps/valelead-daemon/src/gateway/attempts.ts
@@ -33,6 +33,8 @@
 	/** The whole answer has come; `passOn` gives its end to the caller. */
 	readonly onEnded: (request: GatewayRequest, attemptId: string, passOn: () => void) => void;
 	readonly onFailed: (request: GatewayRequest, attemptId: string, upstream: Upstream, end: AttemptEnd) => void;
+	/** An attempt is ended before its answer was complete, as nobody waits for it any more. */
+	readonly onCancelled: (attempt: SentAttempt) => void;
 };
 
 type Sending = {
@@ -79,14 +81,18 @@
 
 	/** Ends an attempt at its upstream, without a word to anybody. */
 	cancel(attemptId: string): void {
-		this.#sent.get(attemptId)?.cancel();
+		const attempt = this.#sent.get(attemptId);
+		if (attempt) {
+			this.#cancel(attempt);
+		}
+
 		this.#forget(attemptId);
 	}
 
 	/** Ends all attempts at their upstreams. */
 	cancelAll(): void {
 		for (const attempt of this.#sent.values()) {
-			attempt.cancel();
+			this.#cancel(attempt);
 		}
 	}
 
@@ -151,6 +157,11 @@
 		this.#parts.onFailed(request, attemptId, upstream, end);
 	}
 
+	#cancel(attempt: SentAttempt): void {
+		this.#parts.onCancelled(attempt);
+		attempt.cancel();
+	}
+
 	#forget(attemptId: string): void {
 		this.#sent.delete(attemptId);
 		this.#pipes.delete(attemptId);
--- a/apps/valelead-daemon/src/gateway/dispatch-log.ts
+++ b/apps/valelead-daemon/src/gateway/dispatch-log.ts
@@ -1,6 +1,7 @@
 import type {Logger} from 'pino';
 import type {AttemptEnd} from './attempt-end.js';
 import type {GatewayRequest} from './gateway-request.js';
+import type {SentAttempt} from './sent-attempt.js';
 import type {SiteChange} from './site-change.js';
 import type {StoreLimitChange} from './store-limit-change.js';
 
@@ -41,6 +42,19 @@
 		}, 'attempt failed');
 	}
 
+	/** What was sent to an upstream that has not answered may still be delivered there. */
+	noteCancelled({
+		requestId, upstreamId, isSent, isAnswered, isConnectionReused, startedAt,
+	}: SentAttempt, now: number): void {
+		this.#logger.info({
+			event: 'attempt-cancelled', requestId, upstreamId, isSent, isAnswered, isConnectionReused, ageMs: Math.round(now - startedAt),
+		}, 'attempt cancelled');
+	}
+
+	noteStall(stalledMs: number): void {
+		this.#logger.warn({event: 'process-stalled', stalledMs: Math.round(stalledMs)}, 'this process stood still');
+	}
+
 	noteMoved(change: SiteChange): void {
 		this.#logger.info({
 			event: 'load-moved', ...change, stoodMs: Math.round(change.stoodMs), expectedMs: Math.round(change.expectedMs),
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -135,6 +135,9 @@
 			onLimitNews: () => {
 				this.#follower.reportSoon();
 			},
+			onCancelled: ({isAnswered}) => {
+				this.#metrics.cancelledAttempts.inc({answered: String(isAnswered)});
+			},
 			suspensions: SYSTEM_SUSPENSIONS,
 			onEnd: (request, code, outcome, reason) => {
 				this.#intake.end(request, code, outcome, reason);
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -44,6 +44,8 @@
 	readonly newAttempt: (terms: AttemptTerms) => SentAttempt;
 	/** Hears of limits of upstreams that the leader must learn at once, and of requests that wait for them. */
 	readonly onLimitNews: () => void;
+	/** Hears of attempts that are ended before their answers were complete. */
+	readonly onCancelled: (attempt: SentAttempt) => void;
 	readonly suspensions: Pick<SuspensionWatch, 'resumedAt' | 'lostMs'>;
 	readonly onEnd: (request: GatewayRequest, code: ResultCodeValue, outcome: OutcomeValue, reason: string) => void;
 };
@@ -82,7 +84,9 @@
 	constructor(parts: DispatcherParts) {
 		this.#parts = parts;
 		this.#log = new DispatchLog(parts.logger);
-		this.#stalls = new StallWatch(parts.clock, parts.timers);
+		this.#stalls = new StallWatch(parts.clock, parts.timers, stalledMs => {
+			this.#log.noteStall(stalledMs);
+		});
 		this.#book = new UpstreamBook({
 			clock: parts.clock,
 			getTable: parts.getTable,
@@ -245,6 +249,10 @@
 			onEnded: (request, attemptId, passOn) => {
 				this.#end(request, attemptId, passOn);
 			},
+			onCancelled: attempt => {
+				this.#log.noteCancelled(attempt, clock.now());
+				this.#parts.onCancelled(attempt);
+			},
 			onFailed: (request, attemptId, upstream, end) => {
 				this.#crashes.noteEnd(request, upstream, end, isLast => {
 					this.#fail(attemptId, end, isLast);
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -32,6 +32,10 @@
 		this.#request = this.#send();
 	}
 
+	get requestId(): string {
+		return this.#parts.requestId;
+	}
+
 	get upstreamId(): string {
 		return this.#parts.upstreamId;
 	}
@@ -49,6 +53,10 @@
 		return this.#isAnswered;
 	}
 
+	get isConnectionReused(): boolean {
+		return this.#request.reusedSocket;
+	}
+
 	/** Ends the attempt and its connection without a word to the gateway. */
 	cancel(): void {
 		this.#isOver = true;
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -33,6 +33,8 @@
 	readonly faultTolerance: Gauge;
 	/** Upstreams that crashed under requests of this gateway. */
 	readonly crashedUpstreams: Counter;
+	/** Attempts that were ended before their answers were complete, by whether the answer had begun. */
+	readonly cancelledAttempts: Counter<'answered'>;
 	/** Upstreams that limit the requests that they take, as this gateway knows. */
 	readonly limitedUpstreams: Gauge;
 	/** Requests that this gateway keeps from upstreams. */
@@ -77,6 +79,12 @@
 			name: 'valelead_refused_control_calls_total', help: 'Calls of operators and upstreams that were refused, by call and result code.', labelNames: ['call', 'code'], registers,
 		});
 		this.crashedUpstreams = new Counter({name: 'valelead_crashed_upstreams_total', help: 'Upstreams that ended without notice while they worked on requests of this gateway.', registers});
+		this.cancelledAttempts = new Counter({
+			name: 'valelead_cancelled_attempts_total',
+			help: 'Attempts that this gateway ended before their answers were complete, by whether the answer had begun.',
+			labelNames: ['answered'],
+			registers,
+		});
 		this.limitedUpstreams = new Gauge({name: 'valelead_limited_upstreams', help: 'Upstreams that name a limit of requests a second in their answers.', registers});
 		this.quarantinedRequests = new Gauge({name: 'valelead_quarantined_requests', help: 'Requests that are kept from upstreams, as upstreams crashed under them.', registers});
 		this.usedQuota = new Counter({
--- a/apps/valelead-daemon/src/stall-watch.ts
+++ b/apps/valelead-daemon/src/stall-watch.ts
@@ -12,11 +12,14 @@
 /** Notices that the process stood still, or got no processor time, so that what it takes now may have happened a while ago. */
 export class StallWatch {
 	readonly #clock: Clock;
+	readonly #onStall: (stalledMs: number) => void;
 	#lookedAt: number;
 	#looksSinceStall = LOOKS_TO_CATCH_UP;
 
-	constructor(clock: Clock, timers: TimerService) {
+	/** @param onStall - Hears for how long the process stood still, once it goes on. */
+	constructor(clock: Clock, timers: TimerService, onStall: (stalledMs: number) => void = () => undefined) {
 		this.#clock = clock;
+		this.#onStall = onStall;
 		this.#lookedAt = clock.now();
 		timers.repeat(LOOK_MS, () => {
 			this.#look();
@@ -33,7 +36,14 @@
 	}
 
 	#look(): void {
-		this.#looksSinceStall = this.#hasGap ? 0 : this.#looksSinceStall + 1;
-		this.#lookedAt = this.#clock.now();
+		const now = this.#clock.now();
+		if (this.#hasGap) {
+			this.#looksSinceStall = 0;
+			this.#onStall(now - this.#lookedAt);
+		} else {
+			this.#looksSinceStall += 1;
+		}
+
+		this.#lookedAt = now;
 	}
 }
--- a/apps/valelead-lab/src/lab-attempt.ts
+++ b/apps/valelead-lab/src/lab-attempt.ts
@@ -44,6 +44,18 @@
 		});
 	}
 
+	get requestId(): string {
+		return this.#parts.terms.requestId;
+	}
+
+	get upstreamId(): string {
+		return this.#parts.terms.upstreamId;
+	}
+
+	get isConnectionReused(): boolean {
+		return false;
+	}
+
 	get startedAt(): number {
 		return this.#parts.terms.startedAt;
 	}
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -90,6 +90,7 @@
 			onLimitNews: () => {
 				parts.onLimitNews(this);
 			},
+			onCancelled: () => undefined,
 			// Nothing is suspended here.
 			suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
 			onEnd: ({id}) => {
