Add a test of attempts that are given up: what their upstreams have not received must not come

The upstream sees the connection closed in the ordinary way, and the system goes on delivering what was sent.

--- a/apps/valelead-daemon/tests/upstream-attempt.feature
+++ b/apps/valelead-daemon/tests/upstream-attempt.feature
@@ -23,6 +23,16 @@
     When nobody listens at the upstream's address
     Then the sending ends as "3008 not_run"
 
+  # Guards against a request that reaches its upstream after the caller has left: a connection that is closed goes on delivering what was sent.
+  Scenario Outline: An attempt that is given up takes back what its upstream has not received
+    When an attempt is <ended> before its upstream answers
+    Then the upstream sees its connection reset
+
+    Examples:
+      | ended              |
+      | cancelled          |
+      | given up as silent |
+
   Scenario: A second answer on a kept connection is not taken for the next one
     When an upstream sends two answers to the first of two requests on one connection
     Then the second request gets its own answer on a new connection
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -1,16 +1,19 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
+import {EventEmitter, once} from 'node:events';
 import {
 	type AddressInfo, type Server, type Socket, createServer,
 } from 'node:net';
 import {After, Then, When} from '@cucumber/cucumber';
+import {RESULT_CODE} from '@valelead/common';
 import {
 	type CallerCodec, EventSplitter, UpstreamAgent, UpstreamAttempt, getForwardedHeaders, newGatewayAdmission,
 } from 'valelead-daemon';
 
 type AttemptWorld = {
 	end: string;
+	/** How the upstream's side of a connection ended. */
+	connectionEnd: Promise<string> | undefined;
 	servers: Server[] | undefined;
 	bodies: string[];
 	connections: number;
@@ -65,9 +68,9 @@
 	return (server.address() as AddressInfo).port;
 };
 
-const send = async (port: number, agent: UpstreamAgent): Promise<{end: string; body: string}> => new Promise(resolve => {
+const newAttempt = (port: number, agent: UpstreamAgent, onOver: (result: {end: string; body: string}) => void): UpstreamAttempt => {
 	const chunks: Buffer[] = [];
-	const attempt = new UpstreamAttempt({
+	return new UpstreamAttempt({
 		requestId: '1',
 		upstreamId: 'u',
 		address: `127.0.0.1:${port}`,
@@ -85,13 +88,17 @@
 				chunks.push(chunk);
 			},
 			onEnd() {
-				resolve({end: 'whole', body: Buffer.concat(chunks).toString()});
+				onOver({end: 'whole', body: Buffer.concat(chunks).toString()});
 			},
 			onFailure({code, outcome}) {
-				resolve({end: `${code} ${outcome}`, body: ''});
+				onOver({end: `${code} ${outcome}`, body: ''});
 			},
 		},
 	});
+};
+
+const send = async (port: number, agent: UpstreamAgent): Promise<{end: string; body: string}> => new Promise(resolve => {
+	const attempt = newAttempt(port, agent, resolve);
 	assert.equal(attempt.upstreamId, 'u');
 });
 
@@ -118,6 +125,39 @@
 	agent.destroy();
 });
 
+/** Tells whether the other side closes a connection in the ordinary way or resets it. */
+const getConnectionEnd = async (socket: Socket): Promise<string> => new Promise(resolve => {
+	socket.on('end', () => {
+		resolve('closed');
+	});
+	socket.on('error', (error: NodeJS.ErrnoException) => {
+		resolve(error.code === 'ECONNRESET' ? 'reset' : String(error.code));
+	});
+});
+
+When('an attempt is {} before its upstream answers', async function (this: AttemptWorld, ended: string) {
+	const agent = new UpstreamAgent(4);
+	const arrived = new EventEmitter();
+	const port = await listen(this, socket => {
+		arrived.emit('request', socket);
+	});
+	const attempt = newAttempt(port, agent, () => undefined);
+	const [socket] = await once(arrived, 'request') as [Socket];
+	this.connectionEnd = getConnectionEnd(socket);
+	if (ended === 'cancelled') {
+		attempt.cancel();
+	} else {
+		attempt.fail(RESULT_CODE.UpstreamSilent, 'no answer');
+	}
+
+	await this.connectionEnd;
+	agent.destroy();
+});
+
+Then('the upstream sees its connection reset', async function (this: AttemptWorld) {
+	assert.equal(await this.connectionEnd, 'reset');
+});
+
 When('nobody listens at the upstream\'s address', async function (this: AttemptWorld) {
 	const port = await listen(this, () => undefined);
 	const server = this.servers!.pop()!;
