Reset the connections of attempts that are given up, so that their upstreams do not get them later

Callers left, and 8 to 38 of their requests reached an engine up to 4 s later. Cause: cancel and fail closed the connection in the ordinary way. The system then goes on sending what the other side has not acknowledged, for minutes, and delivers the request once the engine's VM goes on or the path to it is back. A reset drops what has not been received. A connection that is still coming up is closed as before: nothing was sent on it.

What an engine's system has acknowledged while its process stood still cannot be taken back; the process sees the reset after it.

--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -2,7 +2,9 @@
 import {
 	type ClientRequest, type IncomingMessage, request as newHttpRequest,
 } from 'node:http';
-import {OUTCOME, RESULT_CODE, type ResultCodeValue} from '@valelead/common';
+import {
+	abortRequest, OUTCOME, RESULT_CODE, type ResultCodeValue,
+} from '@valelead/common';
 import {SUSPECT_PHASE, type SuspectPhaseValue} from '@valelead/quarantine';
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
@@ -60,7 +62,7 @@
 	/** Ends the attempt and its connection without a word to the gateway. */
 	cancel(): void {
 		this.#isOver = true;
-		this.#request.destroy();
+		abortRequest(this.#request);
 	}
 
 	/** Gives the attempt up as failed. */
@@ -74,7 +76,7 @@
 				phase: this.#phase,
 			});
 		});
-		this.#request.destroy();
+		abortRequest(this.#request);
 	}
 
 	get #phase(): SuspectPhaseValue {
