Reset the connections of orders, and of agents' requests, that are given up

The same cause as with attempts of gateways, found by reading: a sidecar's order without an answer and, in the product's own interface, an agent's order or a request whose caller left were closed in the ordinary way, so that an engine that stands still could carry them out later. A repeated order of a sidecar voids a late one already, by the engine's order count; an agent's has only its fence. Idle connections, looks at a port and answers to callers are closed as before: nothing unwanted lies on them, and answers that are ready go out.

--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -63,6 +63,7 @@
 export type {EngineLinks} from './gateway/engine-links.js';
 export {getTarget} from './gateway/get-target.js';
 export type {Refusal} from './entry/refusal.js';
+export {EngineClient} from './sidecar/engine-client.js';
 export {EngineKeeper} from './sidecar/engine-keeper.js';
 export {KnownStatus} from './sidecar/known-status.js';
 export {EngineKeepers} from './keeping/engine-keepers.js';
--- a/apps/valelead-daemon/src/sidecar/engine-client.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-client.ts
@@ -1,4 +1,5 @@
 import {Agent, type IncomingMessage, request as newHttpRequest} from 'node:http';
+import {abortRequest} from '@valelead/common';
 import {ORDER_RESULT} from '@valelead/residency';
 import type {EngineCodec} from '../adapter/engine-codec.js';
 import type {HttpCall} from '../adapter/http-call.js';
@@ -68,7 +69,8 @@
 			request.on('response', resolve);
 			request.on('error', reject);
 			request.on('timeout', () => {
-				request.destroy(new Error('no answer in time'));
+				reject(new Error('no answer in time'));
+				abortRequest(request);
 			});
 			request.end(body === '' ? undefined : body);
 		});
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
-import {EventEmitter, once} from 'node:events';
+import {once} from 'node:events';
 import {
 	type AddressInfo, type Server, type Socket, createServer,
 } from 'node:net';
 import {After, Then, When} from '@cucumber/cucumber';
 import {RESULT_CODE} from '@valelead/common';
+import {SilentUpstream} from './silent-upstream.js';
 import {
 	type CallerCodec, EventSplitter, UpstreamAgent, UpstreamAttempt, getForwardedHeaders, newGatewayAdmission,
 } from 'valelead-daemon';
@@ -125,25 +126,12 @@
 	agent.destroy();
 });
 
-/** Tells whether the other side closes a connection in the ordinary way or resets it. */
-const getConnectionEnd = async (socket: Socket): Promise<string> => new Promise(resolve => {
-	socket.on('end', () => {
-		resolve('closed');
-	});
-	socket.on('error', (error: NodeJS.ErrnoException) => {
-		resolve(error.code === 'ECONNRESET' ? 'reset' : String(error.code));
-	});
-});
-
 When('an attempt is {} before its upstream answers', async function (this: AttemptWorld, ended: string) {
 	const agent = new UpstreamAgent(4);
-	const arrived = new EventEmitter();
-	const port = await listen(this, socket => {
-		arrived.emit('request', socket);
-	});
-	const attempt = newAttempt(port, agent, () => undefined);
-	const [socket] = await once(arrived, 'request') as [Socket];
-	this.connectionEnd = getConnectionEnd(socket);
+	const upstream = new SilentUpstream();
+	const attempt = newAttempt(await upstream.listen(), agent, () => undefined);
+	this.connectionEnd = upstream.getConnectionEnd();
+	await upstream.request;
 	if (ended === 'cancelled') {
 		attempt.cancel();
 	} else {
@@ -151,6 +139,7 @@
 	}
 
 	await this.connectionEnd;
+	upstream.close();
 	agent.destroy();
 });
 
--- a/packages/engine/src/http-upstream.ts
+++ b/packages/engine/src/http-upstream.ts
@@ -1,7 +1,8 @@
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {Agent, type IncomingMessage, request as startRequest} from 'node:http';
-import {OUTCOME, RESULT_CODE, ValeleadError} from '@valelead/common';
+import {
+	abortRequest, OUTCOME, RESULT_CODE, ValeleadError,
+} from '@valelead/common';
 import * as Schema from 'effect/Schema';
 import type {OrderResult} from './order-result.js';
 import type {Upstream} from './upstream.js';
@@ -139,6 +140,7 @@
 	}
 
 	async #call(call: Call): Promise<IncomingMessage> {
+		call.signal?.throwIfAborted();
 		const outgoing = startRequest({
 			agent: this.#sockets,
 			host: this.#host,
@@ -147,13 +149,22 @@
 			path: call.path,
 			headers: {...call.headers, ...(call.body && {'content-length': call.body.length})},
 			...(call.timeoutMs !== undefined && {timeout: call.timeoutMs}),
-			...(call.signal && {signal: call.signal}),
 		});
-		outgoing.on('timeout', () => {
-			outgoing.destroy(new Error('timeout'));
+		return new Promise((resolve, reject) => {
+			const giveUp = (reason: string): void => {
+				reject(new Error(reason));
+				abortRequest(outgoing);
+			};
+
+			outgoing.on('response', resolve);
+			outgoing.on('error', reject);
+			outgoing.on('timeout', () => {
+				giveUp('timeout');
+			});
+			call.signal?.addEventListener('abort', () => {
+				giveUp('the request is no longer wanted');
+			}, {once: true});
+			outgoing.end(call.body);
 		});
-		outgoing.end(call.body);
-		const [message] = await once(outgoing, 'response') as [IncomingMessage];
-		return message;
 	}
 }
