Send nothing of callers that left while their gateway stood still

While StallWatch says that what comes may be old, a dispatch now waits for two turns and looks at the caller's connection again. This covers arrivals and requests that waited for a place alike; without a stall nothing changes.

--- a/apps/valelead-daemon/src/gateway/answer.ts
+++ b/apps/valelead-daemon/src/gateway/answer.ts
@@ -6,6 +6,8 @@
 	/** Whether the status has been written, so that another answer is no longer possible. */
 	readonly isStarted: boolean;
 	readonly isEnded: boolean;
+	/** Whether the caller is known to have ended its connection. */
+	readonly isCallerGone: boolean;
 	/**
 	 * Writes the head of an upstream's answer.
 	 * @param rawHeaders - Headers that go on, as name, value, name, value …
--- a/apps/valelead-daemon/src/gateway/caller-answer.ts
+++ b/apps/valelead-daemon/src/gateway/caller-answer.ts
@@ -35,6 +35,11 @@
 		return this.#isEnded;
 	}
 
+	get isCallerGone(): boolean {
+		const {response} = this.#parts;
+		return response.destroyed || response.socket?.readableEnded === true;
+	}
+
 	/**
 	 * Writes the head of an upstream's answer.
 	 * @param rawHeaders - Headers that go on, as name, value, name, value …
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -11,6 +11,7 @@
 import type {CallerCodec} from '../adapter/caller-codec.js';
 import type {CrashExchange} from '../follower/crash-exchange.js';
 import {StallWatch} from '../stall-watch.js';
+import {afterTurns} from './after-turns.js';
 import type {LimitExchange} from '../follower/limit-exchange.js';
 import {Attempts} from './attempts.js';
 import {CrashGuard} from './crash-guard.js';
@@ -58,6 +59,9 @@
 /** How long the report of a sidecar waits for others to be taken with it, in milliseconds. */
 const REFRESH_COALESCE_MS = 25;
 
+/** Turns of the loop after which a process that stood still has read what lay in its sockets: a turn for each connection's data, one for its end. */
+const TURNS_TO_READ = 2;
+
 /** A limit that single routes and teams of this interface do not have. */
 const UNLIMITED = Number.MAX_SAFE_INTEGER;
 
@@ -403,7 +407,33 @@
 		}
 	}
 
-	#dispatch({requestId, attemptId, vm, remainingMs}: Dispatch): void {
+	#dispatch(dispatch: Dispatch): void {
+		if (this.#stalls.isStalled) {
+			afterTurns(TURNS_TO_READ, () => {
+				this.#sendUnlessAbandoned(dispatch);
+			});
+			return;
+		}
+
+		this.#send(dispatch);
+	}
+
+	/** That a caller left while this process stood still is read after its request. */
+	#sendUnlessAbandoned(dispatch: Dispatch): void {
+		const {requestId, attemptId} = dispatch;
+		const request = this.#requests.get(requestId);
+		if (!request || this.#state.requests.get(requestId)?.attemptId !== attemptId) {
+			return;
+		}
+
+		if (request.answer.isCallerGone) {
+			this.abandon(requestId);
+		} else {
+			this.#send(dispatch);
+		}
+	}
+
+	#send({requestId, attemptId, vm, remainingMs}: Dispatch): void {
 		const request = this.#requests.get(requestId);
 		const view = this.#book.views.get(vm);
 		if (!request || !view) {
--- a/apps/valelead-lab/src/lab-caller.ts
+++ b/apps/valelead-lab/src/lab-caller.ts
@@ -138,6 +138,7 @@
 		let isStarted = false;
 		let isEnded = false;
 		return {
+			isCallerGone: false,
 			get isStarted() {
 				return isStarted;
 			},
