Log what a retry is charged to, what is left, and count retries by service

Each charge now writes retry-charged or retry-refused (request, service, attempt, left, gateways counted), and valelead_retries_total counts both. The decision is the same: the charge stands in one place in place of two.

--- a/apps/valelead-daemon/src/entry/dispatcher.ts
+++ b/apps/valelead-daemon/src/entry/dispatcher.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type TimerService,
+	assertNever, type Clock, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type TimerService,
 } from '@valelead/common';
 import {
 	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, type TargetDemand, mutateAdmission, mutateTargetDemands, newAdmissionState,
@@ -188,8 +188,18 @@
 				break;
 			}
 
-			default: {
+			case 'want': {
 				this.#lanes.want(effect.vm, effect.wanted, this.#parts.clock.now());
+				break;
+			}
+
+			case 'retry': {
+				this.#parts.metrics.retries.inc({service: '', result: effect.isAllowed ? 'sent' : 'refused'});
+				break;
+			}
+
+			default: {
+				assertNever(effect);
 			}
 		}
 	}
--- a/apps/valelead-daemon/src/gateway/dispatch-log.ts
+++ b/apps/valelead-daemon/src/gateway/dispatch-log.ts
@@ -13,6 +13,14 @@
 	readonly sourceCount: number;
 };
 
+type RetryCharge = {
+	readonly isAllowed: boolean;
+	/** Retries that this gateway may still send to the service. */
+	readonly left: number;
+	/** Gateways that share the reserve of retries. */
+	readonly gatewayCount: number;
+};
+
 /** Writes down the decisions on requests and loads. */
 export class DispatchLog {
 	readonly #logger: Logger;
@@ -42,6 +50,12 @@
 		}, 'attempt failed');
 	}
 
+	noteRetry({head, service, attempts}: GatewayRequest, {isAllowed, left, gatewayCount}: RetryCharge): void {
+		this.#logger.info({
+			event: isAllowed ? 'retry-charged' : 'retry-refused', requestId: head.id, service, attempt: attempts, left: Math.round(left * 100) / 100, gatewayCount,
+		}, isAllowed ? 'a retry was charged to the budget of its service' : 'the budget of its service has no retry left for a request');
+	}
+
 	/** What was sent to an upstream that has not answered may still be delivered there. */
 	noteCancelled({
 		requestId, upstreamId, isSent, isAnswered, isConnectionReused, startedAt,
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -135,6 +135,9 @@
 			onLimitNews: () => {
 				this.#follower.reportSoon();
 			},
+			onRetry: (service, isAllowed) => {
+				this.#metrics.retries.inc({service, result: isAllowed ? 'sent' : 'refused'});
+			},
 			onCancelled: ({isAnswered}) => {
 				this.#metrics.cancelledAttempts.inc({answered: String(isAnswered)});
 			},
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -11,8 +11,8 @@
 import type {CallerCodec} from '../adapter/caller-codec.js';
 import type {CrashExchange} from '../follower/crash-exchange.js';
 import {StallWatch} from '../stall-watch.js';
-import {afterTurns} from './after-turns.js';
 import type {LimitExchange} from '../follower/limit-exchange.js';
+import {afterTurns} from './after-turns.js';
 import {Attempts} from './attempts.js';
 import {CrashGuard} from './crash-guard.js';
 import {DemandReporter} from './demand-reporter.js';
@@ -47,11 +47,14 @@
 	readonly onLimitNews: () => void;
 	/** Hears of attempts that are ended before their answers were complete. */
 	readonly onCancelled: (attempt: SentAttempt) => void;
+	/** Hears whether the retry budget of a service let a request be sent again. */
+	readonly onRetry: (service: string, isAllowed: boolean) => void;
 	readonly suspensions: Pick<SuspensionWatch, 'resumedAt' | 'lostMs'>;
 	readonly onEnd: (request: GatewayRequest, code: ResultCodeValue, outcome: OutcomeValue, reason: string) => void;
 };
 
 type Dispatch = Extract<AdmissionEffect, {kind: 'dispatch'}>;
+type Retry = Extract<AdmissionEffect, {kind: 'retry'}>;
 
 /** Resolution of deadlines, in milliseconds. */
 const TICK_MS = 50;
@@ -395,6 +398,11 @@
 				break;
 			}
 
+			case 'retry': {
+				this.#noteRetry(effect);
+				break;
+			}
+
 			case 'cancel': {
 				this.#attempts.cancel(effect.attemptId);
 				this.#demand.tellSoon();
@@ -407,6 +415,14 @@
 		}
 	}
 
+	#noteRetry({requestId, isAllowed, left}: Retry): void {
+		const request = this.#requests.get(requestId);
+		if (request) {
+			this.#log.noteRetry(request, {isAllowed, left, gatewayCount: this.#parts.getGatewayCount()});
+			this.#parts.onRetry(request.service, isAllowed);
+		}
+	}
+
 	#dispatch(dispatch: Dispatch): void {
 		if (this.#stalls.isStalled) {
 			afterTurns(TURNS_TO_READ, () => {
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -35,6 +35,8 @@
 	readonly crashedUpstreams: Counter;
 	/** Attempts that were ended before their answers were complete, by whether the answer had begun. */
 	readonly cancelledAttempts: Counter<'answered'>;
+	/** Retries, by service and by whether the budget of the service allowed them: `sent` or `refused`. */
+	readonly retries: Counter<'service' | 'result'>;
 	/** Upstreams that limit the requests that they take, as this gateway knows. */
 	readonly limitedUpstreams: Gauge;
 	/** Requests that this gateway keeps from upstreams. */
@@ -85,6 +87,9 @@
 			labelNames: ['answered'],
 			registers,
 		});
+		this.retries = new Counter({
+			name: 'valelead_retries_total', help: 'Retries that the budget of a service allowed or refused.', labelNames: ['service', 'result'], registers,
+		});
 		this.limitedUpstreams = new Gauge({name: 'valelead_limited_upstreams', help: 'Upstreams that name a limit of requests a second in their answers.', registers});
 		this.quarantinedRequests = new Gauge({name: 'valelead_quarantined_requests', help: 'Requests that are kept from upstreams, as upstreams crashed under them.', registers});
 		this.usedQuota = new Counter({
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -90,6 +90,7 @@
 			onLimitNews: () => {
 				parts.onLimitNews(this);
 			},
+			onRetry: () => undefined,
 			onCancelled: () => undefined,
 			// Nothing is suspended here.
 			suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
--- a/packages/admission/src/mutate-failure.ts
+++ b/packages/admission/src/mutate-failure.ts
@@ -22,6 +22,8 @@
 	readonly isLast?: boolean;
 };
 
+type RetryEffect = Extract<AdmissionEffect, {kind: 'retry'}>;
+
 /** Codes that say something of the agent's present state, not of its health. */
 const GATE_CODES: ReadonlySet<ResultCodeValue> = new Set([
 	RESULT_CODE.CreditExpired,
@@ -40,16 +42,26 @@
 	return isFree ? 0 : 1;
 };
 
-const canRetry = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, failure: Failure): boolean => {
+/** Whether a request may be sent again, the retry budget apart. */
+const isRetryable = (settings: AdmissionSettings, record: RequestRecord, failure: Failure): boolean => {
 	const isSafe = failure.outcome === OUTCOME.NotRun || record.ticket.isRepeatable;
 	const runs = record.runs + (failure.outcome === OUTCOME.NotRun ? 0 : 1);
 	const hasRuns = runs === 0 || runs < (record.ticket.maxRuns ?? Number.POSITIVE_INFINITY);
 	const isOpen = record.state === 'sent' || record.ticket.isResumable === true;
-	if (failure.isLast === true || !isSafe || !isOpen || !hasRuns || record.attempts >= (record.ticket.maxAttempts ?? settings.maxAttempts)) {
-		return false;
+	const hasAttempts = record.attempts < (record.ticket.maxAttempts ?? settings.maxAttempts);
+	return failure.isLast !== true && isSafe && isOpen && hasRuns && hasAttempts;
+};
+
+/** Charges one more dispatch of a request to its retry budget, if that has enough. */
+const mutateCharged = (state: AdmissionState, settings: AdmissionSettings, {ticket}: RequestRecord, cost: number): RetryEffect => {
+	const isAllowed = cost <= getRetryTokens(state, settings, ticket);
+	if (isAllowed) {
+		mutateRetryTokens(state, settings, ticket, -cost);
 	}
 
-	return getRetryCost(settings, failure.code) <= getRetryTokens(state, settings, record.ticket);
+	return {
+		kind: 'retry', requestId: ticket.requestId, isAllowed, left: getRetryTokens(state, settings, ticket),
+	};
 };
 
 /**
@@ -69,18 +81,25 @@
 		mutateLaneFailure(lane, settings, {jitter: failure.jitter, isUnreachable: failure.code === RESULT_CODE.UpstreamUnreachable}, now);
 	}
 
-	const isRetried = canRetry(state, settings, record, failure) && now < record.ticket.deadlineAt;
+	const effects: AdmissionEffect[] = [];
+	let isRetried = isRetryable(settings, record, failure) && now < record.ticket.deadlineAt;
+	const cost = getRetryCost(settings, failure.code);
+	if (isRetried && cost > 0) {
+		const charge = mutateCharged(state, settings, record, cost);
+		effects.push(charge);
+		isRetried = charge.isAllowed;
+	}
+
 	if (failure.outcome !== OUTCOME.NotRun) {
 		record.runs += 1;
 	}
 
 	if (!isRetried) {
-		return mutateRefused(state, record, failure.code, failure.outcome);
+		return [...effects, ...mutateRefused(state, record, failure.code, failure.outcome)];
 	}
 
-	mutateRetryTokens(state, settings, record.ticket, -getRetryCost(settings, failure.code));
 	mutateReleased(state, record);
 	mutateRequest(record, 'requeue');
 	mutateQueued(state, record);
-	return [];
+	return effects;
 };
--- a/tests/requests/fake-entry.ts
+++ b/tests/requests/fake-entry.ts
@@ -221,6 +221,10 @@
 				break;
 			}
 
+			case 'retry': {
+				break;
+			}
+
 			default: {
 				const agent = this.#getAgent(effect.vm);
 				this.#callAgent(agent, () => {
