Count gateways in classes of their own, at the leader and at those who hear it

No behaviour changes, but that the leader counts when it tells the number in place of every 250 ms. The budget of retries hangs on both counts, and neither could be tried without sessions.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -8,6 +8,7 @@
 	type FollowerReport, type HeldLease, type QuarantineList, type UpstreamLimits, HeldLeaseSchema, SessionUpdateSchema,
 } from '@valelead/protocol';
 import {DirectoryNews} from './directory-news.js';
+import {GatewayCensus} from './gateway-census.js';
 import type {GatewayLeases} from './gateway-leases.js';
 import {QuarantineRollout} from './quarantine-rollout.js';
 import {SettleQueue} from './settle-queue.js';
@@ -49,14 +50,11 @@
 /** The longest time that a change waits for others to go with it, in milliseconds. */
 const COALESCE_MS = 5;
 
-/** A gateway that was silent for longer does not count among those that share budgets, in milliseconds. */
-const GATEWAY_SILENCE_MS = 5000;
-
 /** A follower that reports again within this time gets no reply unless there is news, in milliseconds. */
 const REPLY_MS = 100;
 
-/** How often the gateways that share budgets are counted, in milliseconds: often against the time that one may be silent. */
-const COUNT_MS = 250;
+/** How often leases that have run out are looked for, in milliseconds. */
+const LEASE_CHECK_MS = 250;
 
 /** Followers that are sent news in one turn of the loop. Calls of operators and engines wait no longer than these take, some milliseconds. */
 const PUSHES_A_TURN = 32;
@@ -90,10 +88,10 @@
 	readonly #rollout: SessionsParts['rollout'];
 	readonly #timers: TimerService;
 	readonly #clock: Clock;
+	readonly #census: GatewayCensus;
 	readonly #sessions = new Map<FollowerSession['stream'], FollowerSession>();
 	readonly #settling: SettleQueue;
 	readonly #pushes: Coalescer;
-	#gatewayCount = 0;
 	#nextSession = 1;
 
 	constructor({voter, registry, leases, quarantine, gatewayLeases, quotas, limits, watch, rollout, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
@@ -107,6 +105,7 @@
 		this.#rollout = rollout;
 		this.#timers = timers;
 		this.#clock = clock;
+		this.#census = new GatewayCensus(clock);
 		this.#news = new DirectoryNews({registry, timers});
 		this.#quarantineRollout = new QuarantineRollout({
 			clock,
@@ -127,8 +126,7 @@
 
 	start(): void {
 		this.#news.start();
-		this.#timers.repeat(COUNT_MS, now => {
-			this.#countGateways(now);
+		this.#timers.repeat(LEASE_CHECK_MS, () => {
 			this.#checkLeases();
 		});
 		this.#rollout.start(() => this.#voter.node?.isCurrentLeader ? [...this.#sessions.values()] : []);
@@ -197,7 +195,7 @@
 			if (session.vm === holder && session.sent.epoch === epoch) {
 				const directory = this.#news.getSingleDelta(session.sent, upstream);
 				session.stream.write(create(SessionUpdateSchema, {
-					sentAt: session.sentAt, isCurrent: true, directory, gatewayCount: this.#gatewayCount, leases: this.#newLeases(session),
+					sentAt: session.sentAt, isCurrent: true, directory, gatewayCount: this.#census.count, leases: this.#newLeases(session),
 				}));
 			}
 		}
@@ -233,6 +231,10 @@
 		const now = this.#clock.now();
 		session.heardAt = now;
 		session.sentAt = report.sentAt;
+		if (session.role === GATEWAY_ROLE) {
+			this.#census.note(session.vm);
+		}
+
 		this.#rollout.noteConfirmed(session.role, session.confirmed.routingVersion, report.routingVersion);
 		session.confirmed = getProgress(report);
 		session.quarantineConfirmed = report.quarantineVersion;
@@ -360,7 +362,7 @@
 			isCurrent: true,
 			...(hasRouting && {routing}),
 			directory: this.#news.getDelta(session.sent),
-			gatewayCount: this.#gatewayCount,
+			gatewayCount: this.#census.count,
 			voterAddresses: this.#voter.node!.voters.map(voter => voter.address),
 			isReportWanted: hasRouting || this.#settling.isWaiting || quarantine.quarantine !== undefined,
 			leases: this.#newLeases(session),
@@ -413,10 +415,4 @@
 	#newLeases({vm}: FollowerSession): HeldLease[] {
 		return this.#leases.getGrants(vm).map(lease => create(HeldLeaseSchema, lease));
 	}
-
-	#countGateways(now: number): void {
-		const heard = this.#gateways.filter(session => now - session.heardAt < GATEWAY_SILENCE_MS);
-		// A session whose gateway has begun another one may not have ended yet.
-		this.#gatewayCount = new Set(heard.map(({vm}) => vm)).size;
-	}
 }
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -27,6 +27,7 @@
 import {encodeCrash} from './encode-crash.js';
 import {encodeLimitReport} from './encode-limit-report.js';
 import {encodeQuotaUsage} from './encode-quota-usage.js';
+import {GatewayCount} from './gateway-count.js';
 import type {LimitExchange} from './limit-exchange.js';
 import type {OrderDuties} from './order-duties.js';
 import type {QuotaExchange} from './quota-exchange.js';
@@ -52,9 +53,6 @@
 /** A new leader has this long to confirm an upstream, in milliseconds: some announcements of the slowest. */
 const CONFIRM_MS = 8000;
 
-/** A lower number of gateways is believed after this time, in milliseconds. */
-const COUNT_PATIENCE_MS = 20_000;
-
 const CHECK_MS = 1000;
 
 /** Keeps the newest routing and the directory of upstreams, as the leader sends them. Neither ever goes back. */
@@ -66,14 +64,13 @@
 	#table: RouteTable | undefined;
 	/** Whether the newest routing that came could not be read, so that an older one is obeyed. */
 	#isUnreadable = false;
-	#gatewayCount = 1;
+	readonly #gateways: GatewayCount;
 	#toldAttended = 0;
 	#heardAt: number;
-	/** When the number of gateways was last believed. */
-	#countedAt = 0;
 
 	constructor(parts: FollowerParts) {
 		this.#parts = parts;
+		this.#gateways = new GatewayCount(parts.clock);
 		this.#heardAt = parts.clock.now();
 		this.#leader = new LeaderCalls(parts.pool, getPeerAddresses(parts.settings), parts.timers);
 		this.#session = new SessionClient({
@@ -96,7 +93,7 @@
 
 	/** Gateways that share budgets, this one among them. */
 	get gatewayCount(): number {
-		return this.#gatewayCount;
+		return this.#gateways.value;
 	}
 
 	/** Reports soon, as what this process tells has changed. */
@@ -144,7 +141,7 @@
 			crashes: crashReport?.crashes.map(crash => encodeCrash(crash)) ?? [],
 			served: crashReport?.served.map(fingerprint => Buffer.from(fingerprint, 'hex')) ?? [],
 			quarantineVersion: crashReport?.quarantineVersion ?? 0,
-			gatewayCount: this.#gatewayCount,
+			gatewayCount: this.#gateways.value,
 			quotaUsages: this.#parts.quotas?.getReport(isFirst).map(usage => encodeQuotaUsage(usage)) ?? [],
 			...(limitReport && encodeLimitReport(limitReport, sentAt)),
 		});
@@ -174,7 +171,7 @@
 			leases: update.leases, ordersFromMs: update.ordersFromMs, holdersKnownInMs: update.holdersKnownInMs, reportedAt: update.sentAt,
 		});
 		this.#takeConfirmation(update);
-		this.#noteGateways(update.gatewayCount);
+		this.#gateways.take(update.gatewayCount);
 		if (update.directory.length > 0) {
 			this.#takeDirectory(fromBinary(DirectoryDeltaSchema, update.directory));
 		}
@@ -228,15 +225,6 @@
 		}
 	}
 
-	/** A leader that has just been elected has not heard all gateways yet, so a lower count is believed only after a while. */
-	#noteGateways(count: number): void {
-		const now = this.#parts.clock.now();
-		if (count >= this.#gatewayCount || now - this.#countedAt > COUNT_PATIENCE_MS) {
-			this.#gatewayCount = Math.max(1, count);
-			this.#countedAt = now;
-		}
-	}
-
 	#publishDirectory(): void {
 		this.#parts.onDirectory([...this.#copy.upstreams.values()].map(entry => entry.upstream));
 	}
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -37,6 +37,8 @@
 export type {GatewayRequest} from './gateway/gateway-request.js';
 export {HeldLosses} from './gateway/held-losses.js';
 export {getOrderStart} from './sidecar/get-order-start.js';
+export {GatewayCensus} from './control/gateway-census.js';
+export {GatewayCount} from './follower/gateway-count.js';
 export {GatewayLeases} from './control/gateway-leases.js';
 export {QuarantineRollout} from './control/quarantine-rollout.js';
 export type {QuarantineLog} from './control/quarantine-log.js';
