Begin a gateway's retry budget with what requests earn, and give it its share of the reserve once a window has passed

Cause: the reserve was a state of the process. Each start had its whole share again, and, until a leader told how many gateways there are, the share of a single one: the whole reserve.

Now a budget starts empty and earns; its share comes one window after the gateway began to be counted, less what it spent until then, so that no window holds the share of a process and of the one before it.

Ways compared: the reserve lent by the leader needs a report for each retry and an answer while engines fail; a start with nothing at all costs calm gateways the reserve for good; a count by settings has no bound where a process starts anew. The bound needs no message but the count.

--- a/apps/valelead-daemon/src/follower/gateway-count.ts
+++ b/apps/valelead-daemon/src/follower/gateway-count.ts
@@ -1,29 +1,72 @@
-import type {Clock} from '@valelead/common';
+import {type Clock, type SuspensionWatch, LeaseEnd} from '@valelead/common';
+
+type CountParts = {
+	readonly clock: Clock;
+	/** Tells when the process was last suspended, and for how long in all. */
+	readonly suspensions: Pick<SuspensionWatch, 'resumedAt' | 'lostMs'>;
+};
 
 /** A lower number of gateways is believed after this time, in milliseconds. */
 const COUNT_PATIENCE_MS = 20_000;
 
+/**
+ * How long a gateway reckons with its share after a leader last counted it, in milliseconds. The others believe that it is gone COUNT_PATIENCE_MS after
+ * the leader does; what it has sent until the end of this time is out of every budget's window by then.
+ */
+const SHARE_LEASE_MS = 10_000;
+
 /** How many gateways share budgets, this one among them, as leaders tell. */
 export class GatewayCount {
 	readonly #clock: Clock;
+	readonly #lease: LeaseEnd;
 	#value = 1;
 	/** When the number was last believed. */
 	#believedAt = 0;
+	/** Since when this gateway has been counted without a break; the start of its process the first time. */
+	#countedSince: number;
+	#isCounted = false;
 
-	constructor(clock: Clock) {
+	constructor({clock, suspensions}: CountParts) {
 		this.#clock = clock;
+		this.#lease = new LeaseEnd({clock, suspensions, lengthMs: SHARE_LEASE_MS});
+		this.#countedSince = clock.now();
 	}
 
+	/** At least 1. */
 	get value(): number {
 		return this.#value;
 	}
 
-	/** Takes a leader's number. One that has just been elected has not heard all gateways yet, so a lower number is believed only after a while. */
-	take(count: number): void {
+	/** Since when this gateway has had a share of its own, in monotonic milliseconds; undefined while no leader counts it. */
+	get countedSince(): number | undefined {
+		return this.#lease.isOver ? undefined : this.#countedSince;
+	}
+
+	/**
+	 * Takes a leader's number. One that has just been elected may not have heard all gateways yet, so a lower number is believed only after a while.
+	 * @param count - 0 while the leader does not know.
+	 * @param askedAt - When this process reported to the leader, in monotonic milliseconds.
+	 */
+	take(count: number, askedAt: number): void {
+		if (count === 0) {
+			return;
+		}
+
 		const now = this.#clock.now();
-		if (count >= this.#value || now - this.#believedAt > COUNT_PATIENCE_MS) {
-			this.#value = Math.max(1, count);
+		const wasOver = this.#lease.isOver;
+		if (!this.#lease.confirm(askedAt)) {
+			return;
+		}
+
+		if (wasOver && this.#isCounted) {
+			this.#countedSince = now;
+		}
+
+		if (!this.#isCounted || count >= this.#value || now - this.#believedAt > COUNT_PATIENCE_MS) {
+			this.#value = count;
 			this.#believedAt = now;
 		}
+
+		this.#isCounted = true;
 	}
 }
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {create, fromBinary} from '@bufbuild/protobuf';
-import {type Clock, type TimerService, ValeleadError} from '@valelead/common';
+import {
+	type Clock, type SuspensionWatch, type TimerService, ValeleadError,
+} from '@valelead/common';
 import {
 	type DirectoryCopy, type Upstream, type UpstreamChange, mutateDirectoryCopy, mutateUnconfirmed, newDirectoryCopy,
 } from '@valelead/discovery';
@@ -38,6 +40,8 @@
 	readonly pool: ChannelPool;
 	readonly timers: TimerService;
 	readonly clock: Clock;
+	/** Tells when the process was last suspended, and for how long in all. */
+	readonly suspensions: Pick<SuspensionWatch, 'resumedAt' | 'lostMs'>;
 	readonly logger: Logger;
 	readonly duties: OrderDuties;
 	/** Left out by processes that send no requests to upstreams. */
@@ -70,7 +74,7 @@
 
 	constructor(parts: FollowerParts) {
 		this.#parts = parts;
-		this.#gateways = new GatewayCount(parts.clock);
+		this.#gateways = new GatewayCount(parts);
 		this.#heardAt = parts.clock.now();
 		this.#leader = new LeaderCalls(parts.pool, getPeerAddresses(parts.settings), parts.timers);
 		this.#session = new SessionClient({
@@ -96,6 +100,11 @@
 		return this.#gateways.value;
 	}
 
+	/** Since when this gateway has had a share of the budgets of all, in monotonic milliseconds; undefined while no leader counts it. */
+	get countedSince(): number | undefined {
+		return this.#gateways.countedSince;
+	}
+
 	/** Reports soon, as what this process tells has changed. */
 	reportSoon(): void {
 		this.#session.reportSoon();
@@ -171,7 +180,7 @@
 			leases: update.leases, ordersFromMs: update.ordersFromMs, holdersKnownInMs: update.holdersKnownInMs, reportedAt: update.sentAt,
 		});
 		this.#takeConfirmation(update);
-		this.#gateways.take(update.gatewayCount);
+		this.#gateways.take(update.gatewayCount, update.sentAt);
 		if (update.directory.length > 0) {
 			this.#takeDirectory(fromBinary(DirectoryDeltaSchema, update.directory));
 		}
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -36,6 +36,13 @@
 	readonly pool: ChannelPool;
 };
 
+/** Settings of the admission, and the share of the retries that they were worked out for. */
+type KnownAdmission = {
+	readonly gatewayCount: number;
+	readonly countedSince: number | undefined;
+	readonly settings: AdmissionSettings;
+};
+
 const MS_PER_SECOND = 1000;
 
 /** The balancer asks for readiness each second and takes two misses; new connections still come until then. */
@@ -63,8 +70,7 @@
 	readonly #server: RequestServer;
 	#admin: Server | undefined;
 	#readiness: Server | undefined;
-	#admission: AdmissionSettings | undefined;
-	#admissionCount = 0;
+	#admission: KnownAdmission | undefined;
 	#isStopping = false;
 
 	constructor(parts: GatewayParts) {
@@ -228,6 +234,7 @@
 			pool,
 			timers,
 			clock: SYSTEM_CLOCK,
+			suspensions: SYSTEM_SUSPENSIONS,
 			logger,
 			duties: {
 				getReport: () => ({...this.#keepers.getReport(), attendedEngines: this.#residency.attendedEngines}),
@@ -281,18 +288,23 @@
 		this.#dispatcher.refresh();
 	}
 
-	/** Worked out anew only when the number of gateways changes. */
+	/** Worked out anew only when this gateway's share of the retries changes. */
 	#getAdmission(): AdmissionSettings {
-		const {gatewayCount} = this.#follower;
-		if (this.#admission === undefined || this.#admissionCount !== gatewayCount) {
-			const {dataCentre, retryRatio, retryReserve} = this.#parts.settings;
-			this.#admission = newGatewayAdmission({
-				dataCentre, ratio: retryRatio, reserve: retryReserve, gatewayCount,
-			});
-			this.#admissionCount = gatewayCount;
+		const {gatewayCount, countedSince} = this.#follower;
+		const known = this.#admission;
+		if (known?.gatewayCount === gatewayCount && known.countedSince === countedSince) {
+			return known.settings;
 		}
 
-		return this.#admission;
+		const {dataCentre, retryRatio, retryReserve, retryWindowSeconds} = this.#parts.settings;
+		const settings = newGatewayAdmission({
+			dataCentre, ratio: retryRatio, reserve: retryReserve, windowMs: retryWindowSeconds * MS_PER_SECOND, gatewayCount, countedSince,
+		});
+		this.#admission = {gatewayCount, countedSince, settings};
+		this.#parts.logger.info({
+			event: 'retry-share', gatewayCount, countedMs: countedSince === undefined ? undefined : Math.round(SYSTEM_CLOCK.now() - countedSince), most: settings.maxRetryTokens,
+		}, 'this gateway has another share of the retries');
+		return settings;
 	}
 
 	#getUnreadyReason(): string | undefined {
--- a/apps/valelead-daemon/src/gateway/new-gateway-admission.ts
+++ b/apps/valelead-daemon/src/gateway/new-gateway-admission.ts
@@ -16,22 +16,39 @@
 	darkMs: 1500,
 };
 
-/** The part of the installation's retries that is used; the rest covers gateways that count each other late. */
+/** The part of the installation's retries that is shared; the rest covers gateways that no leader counts, and news of others that are on their way. */
 const BUDGET_SHARE = 0.85;
 
+/** Retries that a gateway without a share may save up. */
+const UNSHARED_RETRIES = 1;
+
 type BudgetTerms = {
 	readonly dataCentre: string;
 	/** Retries that each request earns. */
 	readonly ratio: number;
 	/** Retries beyond the earned ones that all gateways together may send within the budget's window. */
 	readonly reserve: number;
+	/** In milliseconds. */
+	readonly windowMs: number;
 	readonly gatewayCount: number;
+	/** Since when this gateway has a share of the reserve, in monotonic milliseconds; undefined where it has none. */
+	readonly countedSince: number | undefined;
 };
 
-/** The settings of a gateway's admission, with its share of the retries of all gateways. */
-export const newGatewayAdmission = ({dataCentre, ratio, reserve, gatewayCount}: BudgetTerms): AdmissionSettings => {
+/**
+ * The settings of a gateway's admission, with its share of the retries of all gateways. The process before this one may have spent the share just before
+ * its end, so until a window has passed there is only what requests earn.
+ */
+export const newGatewayAdmission = ({dataCentre, ratio, reserve, windowMs, gatewayCount, countedSince}: BudgetTerms): AdmissionSettings => {
+	const common = {...GATEWAY_ADMISSION, dataCentre, retryShare: ratio * BUDGET_SHARE};
+	if (countedSince === undefined) {
+		return {
+			...common, maxRetryTokens: UNSHARED_RETRIES, initialRetryTokens: 0, initialRetriesAt: Number.POSITIVE_INFINITY,
+		};
+	}
+
 	const share = reserve * BUDGET_SHARE / gatewayCount;
 	return {
-		...GATEWAY_ADMISSION, dataCentre, retryShare: ratio * BUDGET_SHARE, maxRetryTokens: share, initialRetryTokens: share,
+		...common, maxRetryTokens: share, initialRetryTokens: share, initialRetriesAt: countedSince + windowMs,
 	};
 };
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -119,6 +119,7 @@
 	readiness: ADDRESS.annotate({description: 'Where the balancer asks for readiness.'}),
 	retryRatio: getNumber(0.1, 'Retries that each request earns for its service.'),
 	retryReserve: getNumber(20, 'Retries that all gateways together may send beyond the earned ones, for each service.'),
+	retryWindowSeconds: getNumber(10, 'The span of time in which the retries to a service are counted, in seconds.'),
 	announceMs: getMilliseconds(2000, 'How often upstreams announce themselves.'),
 	revokeMs: getNumber(0, 'A key that was taken away is of no use this long after the acknowledgement: a process that is cut off refuses all keys. 0 for no such promise. In milliseconds.'),
 });
--- a/apps/valelead-daemon/src/sidecar/start-sidecar.ts
+++ b/apps/valelead-daemon/src/sidecar/start-sidecar.ts
@@ -1,4 +1,4 @@
-import {SYSTEM_CLOCK, TimerService} from '@valelead/common';
+import {SYSTEM_CLOCK, SYSTEM_SUSPENSIONS, TimerService} from '@valelead/common';
 import {ChannelPool, Residency, newServiceDefinition} from '@valelead/protocol';
 import type {Logger} from 'pino';
 import type {Adapter} from '../adapter/adapter.js';
@@ -35,6 +35,7 @@
 		pool,
 		timers,
 		clock: SYSTEM_CLOCK,
+		suspensions: SYSTEM_SUSPENSIONS,
 		logger,
 		duties: {
 			getReport: () => ({
--- a/apps/valelead-daemon/tests/model-retries.ts
+++ b/apps/valelead-daemon/tests/model-retries.ts
@@ -2,7 +2,9 @@
 import {
 	type AdmissionEvent, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
-import {GatewayCensus, GatewayCount, newGatewayAdmission} from 'valelead-daemon';
+import {
+	GatewayCensus, GatewayCount, GatewayLeases, newGatewayAdmission,
+} from 'valelead-daemon';
 
 type ModelGateway = {
 	readonly vm: string;
@@ -26,6 +28,7 @@
 
 /** Enough that a request always finds one that it may try again. */
 const UPSTREAMS = Array.from({length: 12}, (_, index) => ({vm: `u${index}`, dataCentre: 'd', places: 1000}));
+const NO_SUSPENSIONS = {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0};
 const UNLIMITED = 10_000;
 const LIMITS = {teamInProgress: UNLIMITED, teamWaiting: UNLIMITED, classWaiting: UNLIMITED};
 
@@ -36,7 +39,9 @@
 	#nextId = 1;
 	readonly #clock = {now: () => this.#now, wallNow: () => this.#now};
 	readonly #gateways: Array<ModelGateway | undefined>;
-	#census = new GatewayCensus(this.#clock);
+	#term = 1;
+	#leases = this.#newLeases();
+	#census = new GatewayCensus({clock: this.#clock, leases: this.#leases});
 
 	constructor(gateways: number) {
 		this.#gateways = Array.from({length: gateways}, (_, index) => this.#newGateway(index));
@@ -73,7 +78,9 @@
 
 	/** Another leader begins, which has heard nobody. */
 	lead(): void {
-		this.#census = new GatewayCensus(this.#clock);
+		this.#term += 1;
+		this.#leases = this.#newLeases();
+		this.#census = new GatewayCensus({clock: this.#clock, leases: this.#leases});
 	}
 
 	/** A gateway hears no leader any more, or does again. */
@@ -119,16 +126,21 @@
 
 	#newGateway(index: number): ModelGateway {
 		const gateway = {
-			vm: `gateway-${index}`, state: newAdmissionState(), count: new GatewayCount(this.#clock), isCut: false,
+			vm: `gateway-${index}`, state: newAdmissionState(), count: new GatewayCount({clock: this.#clock, suspensions: NO_SUSPENSIONS}), isCut: false,
 		};
 		this.#take(gateway, {kind: 'endpoints', endpoints: new Map([[TARGET, UPSTREAMS]])}, false);
 		return gateway;
 	}
 
+	#newLeases(): GatewayLeases {
+		return new GatewayLeases({clock: this.#clock, getTerm: () => this.#term});
+	}
+
 	#report(gateway: ModelGateway): void {
 		if (!gateway.isCut) {
+			this.#leases.noteCount({gatewayCount: gateway.count.value});
 			this.#census.note(gateway.vm);
-			gateway.count.take(this.#census.count);
+			gateway.count.take(this.#census.count, this.#now);
 		}
 	}
 
@@ -170,7 +182,7 @@
 
 	#getSettings({count}: ModelGateway): AdmissionSettings {
 		return newGatewayAdmission({
-			dataCentre: 'd', ratio: RATIO, reserve: RESERVE, gatewayCount: count.value,
+			dataCentre: 'd', ratio: RATIO, reserve: RESERVE, windowMs: WINDOW_TICKS * TICK_MS, gatewayCount: count.value, countedSince: count.countedSince,
 		});
 	}
 }
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -220,7 +220,7 @@
 
 When('{int} gateways share a reserve of {int} retries and a ratio of {float}', function (this: AttemptWorld, count: number, reserve: number, ratio: number) {
 	this.admissions = Array.from({length: count}, () => newGatewayAdmission({
-		dataCentre: 'd', ratio, reserve, gatewayCount: count,
+		dataCentre: 'd', ratio, reserve, windowMs: 10_000, gatewayCount: count, countedSince: 0,
 	}));
 });
 
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -33,6 +33,7 @@
 /** Retries that the installation may send, as in the daemon's settings. */
 const RETRY_RATIO = 0.2;
 const RETRY_RESERVE = 60;
+const RETRY_WINDOW_MS = 10_000;
 
 /** Nothing is written on a wire here. */
 const CODEC: CallerCodec = {
@@ -58,7 +59,7 @@
 		} = parts;
 		this.name = name;
 		const admission = newGatewayAdmission({
-			dataCentre: LAB_NAMES.dataCentre, ratio: RETRY_RATIO, reserve: RETRY_RESERVE, gatewayCount,
+			dataCentre: LAB_NAMES.dataCentre, ratio: RETRY_RATIO, reserve: RETRY_RESERVE, windowMs: RETRY_WINDOW_MS, gatewayCount, countedSince: -RETRY_WINDOW_MS,
 		});
 		this.#dispatcher = new RequestDispatcher({
 			getSettings: () => admission,
--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -8,8 +8,10 @@
 	readonly retryShare: number;
 	/** Retries that can be saved up, in each budget. */
 	readonly maxRetryTokens: number;
-	/** Retries that each budget starts with. */
+	/** Retries that each budget starts with, less what it has spent before it is opened. */
 	readonly initialRetryTokens?: number;
+	/** From when on budgets have their initial retries, on the monotonic clock; left out for at once. Another time begins all budgets anew. */
+	readonly initialRetriesAt?: number;
 	/** Whether a dispatch that was refused before it ran costs a retry as well. */
 	readonly isRefusalBudgeted?: boolean;
 	/** Failures in a row after which an upstream is left out for a while. */
--- a/packages/admission/src/admission-state.ts
+++ b/packages/admission/src/admission-state.ts
@@ -1,6 +1,7 @@
 import type {AdmissionEndpoint} from './admission-endpoint.js';
 import type {AdmissionLane} from './admission-lane.js';
 import type {RequestRecord} from './request-record.js';
+import type {RetryBudget} from './retry-budget.js';
 import type {TargetSpeed} from './target-speed.js';
 import type {TeamUsage} from './team-usage.js';
 
@@ -18,8 +19,8 @@
 	readonly arrivals: Map<string, number>;
 	/** The least time after which a refused caller is asked back, in milliseconds. */
 	readonly leastRetryAfterMs: number;
-	/** Retries that each budget has left. */
-	readonly retryTokens: Map<string, number>;
+	/** By name. */
+	readonly retryBudgets: Map<string, RetryBudget>;
 	/** The service that the least served waiting team has received. */
 	virtualTime: number;
 	nextDeadlineAt: number;
--- /dev/null
+++ b/packages/admission/src/get-retry-budget.ts
@@ -0,0 +1,22 @@
+import type {AdmissionSettings} from './admission-settings.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RetryBudget} from './retry-budget.js';
+import type {Ticket} from './ticket.js';
+
+/** What a budget starts with where the settings do not say. */
+const INITIAL_TOKENS = 1;
+
+/** The retry budget of a request now. */
+export const getRetryBudget = (state: AdmissionState, settings: AdmissionSettings, ticket: Ticket, now: number): RetryBudget => {
+	const opensAt = settings.initialRetriesAt ?? Number.NEGATIVE_INFINITY;
+	const known = state.retryBudgets.get(ticket.budget ?? '');
+	const budget = known?.opensAt === opensAt
+		? known
+		: {
+			tokens: 0, opensAt, isOpened: false, spent: 0,
+		};
+	const isOpening = !budget.isOpened && now >= opensAt;
+	// What was earned and spent just before would otherwise come on top of the initial retries within one window.
+	const initial = isOpening ? Math.max(0, (settings.initialRetryTokens ?? INITIAL_TOKENS) - budget.spent) : 0;
+	return {...budget, isOpened: budget.isOpened || isOpening, tokens: Math.min(settings.maxRetryTokens, budget.tokens + initial)};
+};
--- a/packages/admission/src/mutate-arrival.ts
+++ b/packages/admission/src/mutate-arrival.ts
@@ -36,7 +36,7 @@
 		}];
 	}
 
-	mutateRetryTokens(state, settings, ticket, settings.retryShare);
+	mutateRetryTokens(state, settings, ticket, settings.retryShare, now);
 	const record = {
 		ticket, limits, state: 'waiting', attempts: 0, attemptId: '', vm: '', runs: 0, dispatchedAt: 0,
 	};
--- a/packages/admission/src/mutate-failure.ts
+++ b/packages/admission/src/mutate-failure.ts
@@ -1,7 +1,7 @@
 import {
 	OUTCOME, RESULT_CODE, type OutcomeValue, type ResultCodeValue,
 } from '@valelead/common';
-import {getRetryTokens} from './get-retry-tokens.js';
+import {getRetryBudget} from './get-retry-budget.js';
 import {mutateRetryTokens} from './mutate-retry-tokens.js';
 import {getLane} from './get-lane.js';
 import {mutateAnswered} from './mutate-answered.js';
@@ -53,14 +53,14 @@
 };
 
 /** Charges one more dispatch of a request to its retry budget, if that has enough. */
-const mutateCharged = (state: AdmissionState, settings: AdmissionSettings, {ticket}: RequestRecord, cost: number): RetryEffect => {
-	const isAllowed = cost <= getRetryTokens(state, settings, ticket);
+const mutateCharged = (state: AdmissionState, settings: AdmissionSettings, {ticket}: RequestRecord, cost: number, now: number): RetryEffect => {
+	const isAllowed = cost <= getRetryBudget(state, settings, ticket, now).tokens;
 	if (isAllowed) {
-		mutateRetryTokens(state, settings, ticket, -cost);
+		mutateRetryTokens(state, settings, ticket, -cost, now);
 	}
 
 	return {
-		kind: 'retry', requestId: ticket.requestId, isAllowed, left: getRetryTokens(state, settings, ticket),
+		kind: 'retry', requestId: ticket.requestId, isAllowed, left: getRetryBudget(state, settings, ticket, now).tokens,
 	};
 };
 
@@ -85,7 +85,7 @@
 	let isRetried = isRetryable(settings, record, failure) && now < record.ticket.deadlineAt;
 	const cost = getRetryCost(settings, failure.code);
 	if (isRetried && cost > 0) {
-		const charge = mutateCharged(state, settings, record, cost);
+		const charge = mutateCharged(state, settings, record, cost, now);
 		effects.push(charge);
 		isRetried = charge.isAllowed;
 	}
--- a/packages/admission/src/new-admission-state.ts
+++ b/packages/admission/src/new-admission-state.ts
@@ -14,7 +14,7 @@
 	endpoints: new Map(),
 	speeds: new Map(),
 	arrivals: new Map(),
-	retryTokens: new Map(),
+	retryBudgets: new Map(),
 	virtualTime: 0,
 	nextDeadlineAt: Number.POSITIVE_INFINITY,
 });
