--- a/apps/valelead-daemon/tests/model-retries.ts
+++ b/apps/valelead-daemon/tests/model-retries.ts
@@ -63,9 +63,7 @@
 
 	/** A gateway's process is killed and starts again. */
 	kill(index: number): void {
-		if (this.#gateways[index]) {
-			this.#gateways[index] = this.#newGateway(index);
-		}
+		this.#gateways[index] &&= this.#newGateway(index);
 	}
 
 	killAll(): void {
