--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -105,7 +105,7 @@
 		this.#rollout = rollout;
 		this.#timers = timers;
 		this.#clock = clock;
-		this.#census = new GatewayCensus({clock, leases: gatewayLeases});
+		this.#census = new GatewayCensus(clock);
 		this.#news = new DirectoryNews({registry, timers});
 		this.#quarantineRollout = new QuarantineRollout({
 			clock,
--- a/apps/valelead-daemon/src/control/gateway-leases.ts
+++ b/apps/valelead-daemon/src/control/gateway-leases.ts
@@ -39,18 +39,6 @@
 		this.#expectedCount = Math.max(this.#expectedCount, gatewayCount);
 	}
 
-	/** The most gateways that any follower of this leadership knows of. */
-	get expectedCount(): number {
-		this.#checkTerm();
-		return this.#expectedCount;
-	}
-
-	/** The age of this leadership, in milliseconds. */
-	get ledForMs(): number {
-		this.#checkTerm();
-		return this.#parts.clock.now() - this.#ledSince;
-	}
-
 	/** Takes a gateway's report in this leadership. */
 	note(session: FollowerSession): void {
 		this.#checkTerm();
--- a/apps/valelead-daemon/src/follower/gateway-count.ts
+++ b/apps/valelead-daemon/src/follower/gateway-count.ts
@@ -44,27 +44,25 @@
 
 	/**
 	 * Takes a leader's number. One that has just been elected may not have heard all gateways yet, so a lower number is believed only after a while.
-	 * @param count - 0 while the leader does not know.
+	 * @param count - 0 where the leader has heard no gateway.
 	 * @param askedAt - When this process reported to the leader, in monotonic milliseconds.
 	 */
 	take(count: number, askedAt: number): void {
-		if (count === 0) {
-			return;
+		const now = this.#clock.now();
+		if (count >= this.#value || now - this.#believedAt > COUNT_PATIENCE_MS) {
+			this.#value = Math.max(1, count);
+			this.#believedAt = now;
 		}
 
-		const now = this.#clock.now();
 		const wasOver = this.#lease.isOver;
-		if (!this.#lease.confirm(askedAt)) {
-			return;
+		if (count > 0 && this.#lease.confirm(askedAt)) {
+			this.#noteCounted(wasOver);
 		}
+	}
 
+	#noteCounted(wasOver: boolean): void {
 		if (wasOver && this.#isCounted) {
-			this.#countedSince = now;
-		}
-
-		if (!this.#isCounted || count >= this.#value || now - this.#believedAt > COUNT_PATIENCE_MS) {
-			this.#value = count;
-			this.#believedAt = now;
+			this.#countedSince = this.#clock.now();
 		}
 
 		this.#isCounted = true;
