Count a request to a limited upstream as sent when it is dispatched, not two turns later

After a stall a dispatch waits for two turns; the decisions in between would have taken the same unit of an upstream's limit again. Found by reading. A dispatch that is refused at the last moment now costs a unit.

--- a/apps/valelead-daemon/src/follower/gateway-count.ts
+++ b/apps/valelead-daemon/src/follower/gateway-count.ts
@@ -10,8 +10,8 @@
 const COUNT_PATIENCE_MS = 20_000;
 
 /**
- * How long a gateway reckons with its share after a leader last counted it, in milliseconds. The others believe that it is gone COUNT_PATIENCE_MS after
- * the leader does; what it has sent until the end of this time is out of every budget's window by then.
+ * How long a gateway keeps its share after a leader last counted it, in milliseconds. The others take the share over COUNT_PATIENCE_MS after the leader
+ * counts it no more; what was spent of it until the end of the lease lies further back than a window by then.
  */
 const SHARE_LEASE_MS = 10_000;
 
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -424,6 +424,8 @@
 	}
 
 	#dispatch(dispatch: Dispatch): void {
+		// At once, as the next decisions count on it.
+		this.#limits.noteSent(dispatch.vm);
 		if (this.#stalls.isStalled) {
 			afterTurns(TURNS_TO_READ, () => {
 				this.#sendUnlessAbandoned(dispatch);
@@ -463,7 +465,6 @@
 			return;
 		}
 
-		this.#limits.noteSent(vm);
 		request.dispatchedAt ??= this.#parts.clock.now();
 		request.upstreamId = vm;
 		request.attempts += 1;
