--- a/apps/valelead-daemon/tests/upstream-attempt.feature
+++ b/apps/valelead-daemon/tests/upstream-attempt.feature
@@ -33,6 +33,11 @@
       | cancelled          |
       | given up as silent |
 
+  # Guards against a connection that is reset after the answer to its request was whole, perhaps under the next request.
+  Scenario: A connection outlives the requests that were answered on it
+    When an upstream answers 5 requests, one after the other
+    Then all answers were whole, and they came on 1 connection that nobody reset
+
   Scenario: A second answer on a kept connection is not taken for the next one
     When an upstream sends two answers to the first of two requests on one connection
     Then the second request gets its own answer on a new connection
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -4,6 +4,7 @@
 import {
 	type AddressInfo, type Server, type Socket, createServer,
 } from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 import {After, Then, When} from '@cucumber/cucumber';
 import {RESULT_CODE} from '@valelead/common';
 import {SilentUpstream} from './silent-upstream.js';
@@ -15,6 +16,8 @@
 	end: string;
 	/** How the upstream's side of a connection ended. */
 	connectionEnd: Promise<string> | undefined;
+	ends: string[];
+	resets: number;
 	servers: Server[] | undefined;
 	bodies: string[];
 	connections: number;
@@ -39,6 +42,9 @@
 	}),
 };
 
+/** Until an answer and what it led to are over, in milliseconds. */
+const SETTLE_MS = 20;
+
 const HEAD = 'HTTP/1.1 200 OK\r\nid: 1\r\n';
 
 const ANSWERS: Readonly<Record<string, {readonly bytes: string; readonly end: 'keep' | 'close' | 'reset'}>> = {
@@ -191,6 +197,30 @@
 	assert.equal(this.connections, 2);
 });
 
+When('an upstream answers {int} requests, one after the other', async function (this: AttemptWorld, requests: number) {
+	this.ends = [];
+	this.resets = 0;
+	const port = await listen(this, socket => {
+		socket.write(ANSWERS.whole.bytes);
+		socket.once('error', () => {
+			this.resets += 1;
+		});
+	});
+	const agent = new UpstreamAgent(4);
+	for (let sent = 0; sent < requests; sent += 1) {
+		const {end} = await send(port, agent);
+		this.ends.push(end);
+		await wait(SETTLE_MS);
+	}
+
+	agent.destroy();
+});
+
+Then('all answers were whole, and they came on {int} connection(s) that nobody reset', function (this: AttemptWorld, connections: number) {
+	assert.ok(this.ends.every(end => end === 'whole'));
+	assert.deepEqual([this.connections, this.resets], [connections, 0]);
+});
+
 const unescape = (text: string): string => text.replaceAll(String.raw`\n`, '\n');
 
 When('the pieces {string} of a stream arrive', function (this: AttemptWorld, pieces: string) {
