Look for silent gateways on the timer again, not in every update of a follower

Since the count has a class of its own, each update that a leader writes went through all gateways: at the size of the target hundreds for each of thousands of sidecars. They are looked for every 250 ms as before.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -53,8 +53,8 @@
 /** A follower that reports again within this time gets no reply unless there is news, in milliseconds. */
 const REPLY_MS = 100;
 
-/** How often leases that have run out are looked for, in milliseconds. */
-const LEASE_CHECK_MS = 250;
+/** How often silent gateways and leases that have run out are looked for, in milliseconds. */
+const CHECK_MS = 250;
 
 /** Followers that are sent news in one turn of the loop. Calls of operators and engines wait no longer than these take, some milliseconds. */
 const PUSHES_A_TURN = 32;
@@ -126,7 +126,8 @@
 
 	start(): void {
 		this.#news.start();
-		this.#timers.repeat(LEASE_CHECK_MS, () => {
+		this.#timers.repeat(CHECK_MS, () => {
+			this.#census.forgetSilent();
 			this.#checkLeases();
 		});
 		this.#rollout.start(() => this.#voter.node?.isCurrentLeader ? [...this.#sessions.values()] : []);
--- a/apps/valelead-daemon/src/control/gateway-census.ts
+++ b/apps/valelead-daemon/src/control/gateway-census.ts
@@ -18,13 +18,13 @@
 		this.#heardAt.set(vm, this.#clock.now());
 	}
 
-	/** Gateways that were heard lately. */
+	/** Gateways that were heard and not forgotten since. Every update of every follower carries it. */
 	get count(): number {
-		this.#forgetSilent();
 		return this.#heardAt.size;
 	}
 
-	#forgetSilent(): void {
+	/** Forgets gateways that were silent for long; called often against that time. */
+	forgetSilent(): void {
 		const now = this.#clock.now();
 		for (const [vm, heardAt] of this.#heardAt) {
 			if (now - heardAt >= GATEWAY_SILENCE_MS) {
--- a/apps/valelead-daemon/tests/model-retries.ts
+++ b/apps/valelead-daemon/tests/model-retries.ts
@@ -48,6 +48,7 @@
 		for (let passedMs = 0; passedMs < ms; passedMs += TICK_MS) {
 			this.#now += TICK_MS;
 			this.ticks.push({requests: 0, repeats: 0});
+			this.#census.forgetSilent();
 			for (const [index, gateway] of this.#gateways.entries()) {
 				if (gateway) {
 					this.#report(gateway);
