Receive the head of an answer, and give up on it, in one piece of code

A sidecar's calls and an agent's had the same promise: the answer, an error, or a reset connection once the timeout has passed or the caller has left. receiveResponse serves both. An agent's log now says 'no answer in time' in place of 'timeout'; results and codes are the same.

--- a/apps/valelead-daemon/src/sidecar/engine-client.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-client.ts
@@ -1,5 +1,5 @@
 import {Agent, type IncomingMessage, request as newHttpRequest} from 'node:http';
-import {abortRequest} from '@valelead/common';
+import {receiveResponse} from '@valelead/common';
 import {ORDER_RESULT} from '@valelead/residency';
 import type {EngineCodec} from '../adapter/engine-codec.js';
 import type {HttpCall} from '../adapter/http-call.js';
@@ -62,17 +62,11 @@
 	}
 
 	async #call({method, path, headers, body}: HttpCall, timeoutMs: number): Promise<IncomingMessage> {
-		return new Promise((resolve, reject) => {
-			const request = newHttpRequest({
-				host: getHost(this.#address), port: getPort(this.#address), method, path, headers, agent: this.#agent, timeout: timeoutMs,
-			});
-			request.on('response', resolve);
-			request.on('error', reject);
-			request.on('timeout', () => {
-				reject(new Error('no answer in time'));
-				abortRequest(request);
-			});
-			request.end(body === '' ? undefined : body);
+		const request = newHttpRequest({
+			host: getHost(this.#address), port: getPort(this.#address), method, path, headers, agent: this.#agent, timeout: timeoutMs,
 		});
+		const response = receiveResponse(request);
+		request.end(body === '' ? undefined : body);
+		return response;
 	}
 }
--- a/packages/engine/src/http-upstream.ts
+++ b/packages/engine/src/http-upstream.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent, type IncomingMessage, request as startRequest} from 'node:http';
 import {
-	abortRequest, OUTCOME, RESULT_CODE, ValeleadError,
+	OUTCOME, RESULT_CODE, ValeleadError, receiveResponse,
 } from '@valelead/common';
 import * as Schema from 'effect/Schema';
 import type {OrderResult} from './order-result.js';
@@ -150,21 +150,8 @@
 			headers: {...call.headers, ...(call.body && {'content-length': call.body.length})},
 			...(call.timeoutMs !== undefined && {timeout: call.timeoutMs}),
 		});
-		return new Promise((resolve, reject) => {
-			const giveUp = (reason: string): void => {
-				reject(new Error(reason));
-				abortRequest(outgoing);
-			};
-
-			outgoing.on('response', resolve);
-			outgoing.on('error', reject);
-			outgoing.on('timeout', () => {
-				giveUp('timeout');
-			});
-			call.signal?.addEventListener('abort', () => {
-				giveUp('the request is no longer wanted');
-			}, {once: true});
-			outgoing.end(call.body);
-		});
+		const response = receiveResponse(outgoing, call.signal);
+		outgoing.end(call.body);
+		return response;
 	}
 }
