--- a/packages/admission/src/mutate-failure.ts
+++ b/packages/admission/src/mutate-failure.ts
@@ -54,13 +54,14 @@
 
 /** Charges one more dispatch of a request to its retry budget, if that has enough. */
 const mutateCharged = (state: AdmissionState, settings: AdmissionSettings, {ticket}: RequestRecord, cost: number, now: number): RetryEffect => {
-	const isAllowed = cost <= getRetryBudget(state, settings, ticket, now).tokens;
+	const {tokens} = getRetryBudget(state, settings, ticket, now);
+	const isAllowed = cost <= tokens;
 	if (isAllowed) {
 		mutateRetryTokens(state, settings, ticket, -cost, now);
 	}
 
 	return {
-		kind: 'retry', requestId: ticket.requestId, isAllowed, left: getRetryBudget(state, settings, ticket, now).tokens,
+		kind: 'retry', requestId: ticket.requestId, isAllowed, left: isAllowed ? tokens - cost : tokens,
 	};
 };
 
