--- a/apps/valelead-daemon/tests/model-retries.ts
+++ b/apps/valelead-daemon/tests/model-retries.ts
@@ -2,6 +2,7 @@
 import {
 	type AdmissionEvent, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
+import {newPlainArrival} from '../../../tests/support/new-plain-arrival.js';
 import {GatewayCensus, GatewayCount, newGatewayAdmission} from 'valelead-daemon';
 
 type ModelGateway = {
@@ -27,8 +28,6 @@
 /** Enough that a request always finds one that it may try again. */
 const UPSTREAMS = Array.from({length: 12}, (_, index) => ({vm: `u${index}`, dataCentre: 'd', places: 1000}));
 const NO_SUSPENSIONS = {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0};
-const UNLIMITED = 10_000;
-const LIMITS = {teamInProgress: UNLIMITED, teamWaiting: UNLIMITED, classWaiting: UNLIMITED};
 
 /** Gateways that send requests to one service, some of which fails, with the shipped budget and the shipped ways to count gateways. */
 export class ModelRetries {
@@ -135,23 +134,9 @@
 	#serve(gateway: ModelGateway, isFailing: boolean): void {
 		this.#nextId += 1;
 		this.ticks.at(-1)!.requests += 1;
-		this.#take(gateway, {
-			kind: 'arrive',
-			limits: LIMITS,
-			ticket: {
-				requestId: String(this.#nextId),
-				team: '',
-				teamWeight: 1,
-				className: 'c',
-				classWeight: 1,
-				target: TARGET,
-				arrivedAt: this.#now,
-				deadlineAt: this.#now + 1000,
-				isRepeatable: true,
-				maxAttempts: 4,
-				budget: 's',
-			},
-		}, isFailing);
+		this.#take(gateway, newPlainArrival({
+			requestId: String(this.#nextId), target: TARGET, arrivedAt: this.#now, deadlineAt: this.#now + 1000, budget: 's',
+		}), isFailing);
 	}
 
 	#take(gateway: ModelGateway, event: AdmissionEvent, isFailing: boolean): void {
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -3,6 +3,7 @@
 import {
 	OUTCOME, RESULT_CODE, type OutcomeValue, type ResultCodeValue,
 } from '@valelead/common';
+import {newPlainArrival} from '../../../tests/support/new-plain-arrival.js';
 import {
 	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, type Ticket, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
@@ -23,8 +24,6 @@
 };
 
 const TARGET = 'service/s';
-const UNLIMITED = 10_000;
-const LIMITS = {teamInProgress: UNLIMITED, teamWaiting: UNLIMITED, classWaiting: UNLIMITED};
 
 /** One request fewer may be sent to an upstream that limits them. */
 const spend = ({direct}: DirectWorld, vm: string): void => {
@@ -57,23 +56,9 @@
 const arrive = (world: DirectWorld, ticket: Partial<Ticket> = {}): void => {
 	const {direct} = world;
 	direct.nextId += 1;
-	take(world, {
-		kind: 'arrive',
-		limits: LIMITS,
-		ticket: {
-			requestId: String(direct.nextId),
-			team: '',
-			teamWeight: 1,
-			className: 'c',
-			classWeight: 1,
-			target: TARGET,
-			arrivedAt: direct.now,
-			deadlineAt: direct.now + 10_000,
-			isRepeatable: true,
-			maxAttempts: 4,
-			...ticket,
-		},
-	});
+	take(world, newPlainArrival({
+		requestId: String(direct.nextId), target: TARGET, arrivedAt: direct.now, deadlineAt: direct.now + 10_000, ...ticket,
+	}));
 };
 
 const arriveMany = (world: DirectWorld, count: number): void => {
