--- a/apps/valelead-daemon/src/gateway/end-recorder.ts
+++ b/apps/valelead-daemon/src/gateway/end-recorder.ts
@@ -2,6 +2,7 @@
 import type {Logger} from 'pino';
 import type {Metrics} from '../metrics/metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
+import type {GracePeriod} from './grace-period.js';
 
 type RecorderParts = {
 	readonly clock: Clock;
@@ -9,6 +10,8 @@
 	readonly metrics: Metrics;
 	/** Time since the leader was heard, in milliseconds. */
 	readonly getRoutingAgeMs: () => number;
+	/** Undefined until the gateway is told to stop. */
+	readonly getGrace: () => GracePeriod | undefined;
 };
 
 const MS_PER_SECOND = 1000;
@@ -27,6 +30,13 @@
 		this.#log(request, {code, outcome, reason}, now);
 	}
 
+	/** A request is broken off at the end of the grace period. */
+	recordCut({arrivedAt}: GatewayRequest): void {
+		const grace = this.#parts.getGrace();
+		const isLate = grace !== undefined && arrivedAt >= grace.startedAt;
+		this.#parts.metrics.stopCuts.inc({arrived: isLate ? 'after' : 'before'});
+	}
+
 	#measure({caller, route, arrivedAt, dispatchedAt, firstPartAt}: GatewayRequest, code: ResultCodeValue, now: number): void {
 		const {metrics} = this.#parts;
 		const labels = {team: metrics.getTeamLabel(caller.team?.name ?? ''), class: route.name};
@@ -61,7 +71,22 @@
 			firstPartMs: firstPartAt === undefined ? undefined : Math.round(firstPartAt - arrivedAt),
 			longestPauseMs: Math.round(request.longestPauseMs),
 			tookMs: Math.round(now - arrivedAt),
+			maxNewTokens: head.maxNewTokens,
+			...this.#getStopFields(request),
 			routingAgeMs: Math.round(this.#parts.getRoutingAgeMs()),
 		}, 'request ended');
 	}
+
+	/** How long after the stop signal a request came, and what was left of the grace period when it was sent. */
+	#getStopFields({arrivedAt, dispatchedAt}: GatewayRequest): {readonly arrivedAfterStopMs?: number; readonly graceLeftMs?: number} {
+		const grace = this.#parts.getGrace();
+		if (!grace) {
+			return {};
+		}
+
+		return {
+			arrivedAfterStopMs: Math.round(arrivedAt - grace.startedAt),
+			...(dispatchedAt !== undefined && {graceLeftMs: Math.round(grace.endsAt - dispatchedAt)}),
+		};
+	}
 }
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import {ResidencyClients} from './residency-clients.js';
 import {startReadinessServer} from './start-readiness-server.js';
 import {UpstreamAttempt} from './upstream-attempt.js';
+import type {GracePeriod} from './grace-period.js';
 
 type GatewayParts = {
 	readonly settings: GatewaySettings;
@@ -71,7 +72,7 @@
 	#admin: Server | undefined;
 	#readiness: Server | undefined;
 	#admission: KnownAdmission | undefined;
-	#isStopping = false;
+	#grace: GracePeriod | undefined;
 
 	constructor(parts: GatewayParts) {
 		const {
@@ -115,6 +116,7 @@
 			getDispatcher: () => this.#dispatcher,
 			getTable: () => this.#follower.table,
 			getRoutingAgeMs: () => this.#follower.ageMs,
+			getGrace: () => this.#grace,
 			onNeed: () => {
 				this.#follower.reportSoon();
 			},
@@ -144,6 +146,9 @@
 			onRetry: (service, isAllowed) => {
 				this.#metrics.retries.inc({service, result: isAllowed ? 'sent' : 'refused'});
 			},
+			onCut: request => {
+				this.#intake.noteCut(request);
+			},
 			onCancelled: ({isAnswered}) => {
 				this.#metrics.cancelledAttempts.inc({answered: String(isAnswered)});
 			},
@@ -164,7 +169,7 @@
 			},
 			getTable: () => this.#follower.table,
 			isConfirmed: () => this.#confirmation.isFresh,
-			isStopping: () => this.#isStopping,
+			isStopping: () => this.#grace !== undefined,
 		}));
 	}
 
@@ -191,8 +196,9 @@
 	/** Fails readiness, ends connections after their answers, and waits for what is in progress. */
 	async stop(): Promise<void> {
 		const {settings, timers, logger} = this.#parts;
-		const endsAt = SYSTEM_CLOCK.now() + (settings.graceSeconds * MS_PER_SECOND) - END_RESERVE_MS;
-		this.#isStopping = true;
+		const startedAt = SYSTEM_CLOCK.now();
+		const endsAt = startedAt + (settings.graceSeconds * MS_PER_SECOND) - END_RESERVE_MS;
+		this.#grace = {startedAt, endsAt};
 		await timers.wait(Math.min(BALANCER_MS, settings.graceSeconds * MS_PER_SECOND / 2));
 		this.#server.close();
 		this.#server.closeIdle();
@@ -219,7 +225,8 @@
 	}
 
 	stopNow(): void {
-		this.#isStopping = true;
+		const now = SYSTEM_CLOCK.now();
+		this.#grace ??= {startedAt: now, endsAt: now};
 		this.#intake.refuseAll(RESULT_CODE.Draining);
 		this.#dispatcher.cutAll(RESULT_CODE.Draining);
 	}
@@ -308,7 +315,7 @@
 	}
 
 	#getUnreadyReason(): string | undefined {
-		if (this.#isStopping) {
+		if (this.#grace) {
 			return 'stopping';
 		}
 
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -47,6 +47,8 @@
 	readonly onLimitNews: () => void;
 	/** Hears of attempts that are ended before their answers were complete. */
 	readonly onCancelled: (attempt: SentAttempt) => void;
+	/** Hears of requests that are broken off as the gateway stops. */
+	readonly onCut: (request: GatewayRequest) => void;
 	/** Hears whether the retry budget of a service let a request be sent again. */
 	readonly onRetry: (service: string, isAllowed: boolean) => void;
 	readonly suspensions: Pick<SuspensionWatch, 'resumedAt' | 'lostMs'>;
@@ -205,6 +207,7 @@
 		this.#attempts.cancelAll();
 
 		for (const request of this.#requests.values()) {
+			this.#parts.onCut(request);
 			this.#refuse(request, code, OUTCOME.Unknown, 0, 'the gateway stops');
 		}
 	}
--- a/apps/valelead-daemon/src/gateway/request-intake.ts
+++ b/apps/valelead-daemon/src/gateway/request-intake.ts
@@ -8,6 +8,7 @@
 import {EndRecorder} from './end-recorder.js';
 import {QuotaGate} from './quota-gate.js';
 import type {GatewayRequest} from './gateway-request.js';
+import type {GracePeriod} from './grace-period.js';
 import type {RequestDispatcher} from './request-dispatcher.js';
 
 type IntakeParts = {
@@ -20,6 +21,8 @@
 	readonly getTable: () => RouteTable | undefined;
 	/** Time since the leader was heard, in milliseconds. */
 	readonly getRoutingAgeMs: () => number;
+	/** Undefined until the gateway is told to stop. */
+	readonly getGrace: () => GracePeriod | undefined;
 	/** Hears that the leader must be asked at once. */
 	readonly onNeed: () => void;
 };
@@ -70,6 +73,11 @@
 		this.#ends.record(request, code, outcome, reason);
 	}
 
+	/** Takes that a request is broken off as the gateway stops. */
+	noteCut(request: GatewayRequest): void {
+		this.#ends.recordCut(request);
+	}
+
 	/** Refuses what has not reached the dispatcher. */
 	refuseAll(code: ResultCodeValue): void {
 		this.#gate.refuseAll(code);
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -35,6 +35,8 @@
 	readonly crashedUpstreams: Counter;
 	/** Attempts that were ended before their answers were complete, by whether the answer had begun. */
 	readonly cancelledAttempts: Counter<'answered'>;
+	/** Requests that were broken off at the end of the grace period, by whether they had come before or after the stop signal. */
+	readonly stopCuts: Counter<'arrived'>;
 	/** Retries, by service and by whether the budget of the service allowed them: `sent` or `refused`. */
 	readonly retries: Counter<'service' | 'result'>;
 	/** Upstreams that limit the requests that they take, as this gateway knows. */
@@ -87,6 +89,12 @@
 			labelNames: ['answered'],
 			registers,
 		});
+		this.stopCuts = new Counter({
+			name: 'valelead_stop_cuts_total',
+			help: 'Requests that were broken off as the gateway stopped, by whether they had come before or after the stop signal.',
+			labelNames: ['arrived'],
+			registers,
+		});
 		this.retries = new Counter({
 			name: 'valelead_retries_total', help: 'Retries that the budget of a service allowed or refused.', labelNames: ['service', 'result'], registers,
 		});
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -92,6 +92,7 @@
 				parts.onLimitNews(this);
 			},
 			onRetry: () => undefined,
+			onCut: () => undefined,
 			onCancelled: () => undefined,
 			// Nothing is suspended here.
 			suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
