Refuse what could outlast a gateway that stops, while its caller can go elsewhere

Callers saw answers cut off at the end of a gateway's grace period although their requests had come after the stop signal, and waited there for models that could not be loaded in time. Cause: the end of the grace was known to the gateway alone; the admission took, queued and sent as ever, by the callers' deadlines only. Now it is told when what is in progress will be broken off: a request that has not been sent and whose own deadline is later is refused at once, as not run. What was sent before the signal may still be sent again.

Tests: both listed scenarios (red before) are green; random histories in virtual time (300 days): without the refusal requests that came after the signal are cut off, with it none.

--- a/apps/valelead-daemon/src/gateway/end-recorder.ts
+++ b/apps/valelead-daemon/src/gateway/end-recorder.ts
@@ -14,6 +14,12 @@
 	readonly getGrace: () => GracePeriod | undefined;
 };
 
+type StopFields = {
+	readonly arrivedAfterStopMs?: number;
+	readonly deadlineToEndMs?: number;
+	readonly graceLeftMs?: number;
+};
+
 const MS_PER_SECOND = 1000;
 
 /** Records how requests ended, in metrics by team and class and in one line of the log each. */
@@ -77,8 +83,8 @@
 		}, 'request ended');
 	}
 
-	/** How long after the stop signal a request came, and what was left of the grace period when it was sent. */
-	#getStopFields({arrivedAt, dispatchedAt}: GatewayRequest): {readonly arrivedAfterStopMs?: number; readonly graceLeftMs?: number} {
+	/** How long after the stop signal a request came, and what was left of the grace period, beyond its own deadline and when it was sent. */
+	#getStopFields({arrivedAt, deadlineAt, dispatchedAt}: GatewayRequest): StopFields {
 		const grace = this.#parts.getGrace();
 		if (!grace) {
 			return {};
@@ -86,6 +92,7 @@
 
 		return {
 			arrivedAfterStopMs: Math.round(arrivedAt - grace.startedAt),
+			deadlineToEndMs: Math.round(grace.endsAt - deadlineAt),
 			...(dispatchedAt !== undefined && {graceLeftMs: Math.round(grace.endsAt - dispatchedAt)}),
 		};
 	}
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -51,7 +51,7 @@
 
 /**
  * What is left of the platform's grace when requests in progress are broken off, in milliseconds: closing and writing the last log lines
- * take some twenty. All the rest goes to streams that were begun before the stop signal.
+ * take some twenty. All the rest goes to requests in progress.
  */
 const END_RESERVE_MS = 250;
 
@@ -193,12 +193,13 @@
 		logger.info({event: 'started', http: settings.http, startMs: getStartMs()}, 'gateway started');
 	}
 
-	/** Fails readiness, ends connections after their answers, and waits for what is in progress. */
+	/** Fails readiness, ends connections after their answers, refuses what could not end in time, and waits for the rest. */
 	async stop(): Promise<void> {
 		const {settings, timers, logger} = this.#parts;
 		const startedAt = SYSTEM_CLOCK.now();
 		const endsAt = startedAt + (settings.graceSeconds * MS_PER_SECOND) - END_RESERVE_MS;
 		this.#grace = {startedAt, endsAt};
+		this.#dispatcher.stop(endsAt);
 		await timers.wait(Math.min(BALANCER_MS, settings.graceSeconds * MS_PER_SECOND / 2));
 		this.#server.close();
 		this.#server.closeIdle();
--- a/packages/admission/src/admission-event.ts
+++ b/packages/admission/src/admission-event.ts
@@ -9,6 +9,8 @@
 	| {readonly kind: 'abandon'; readonly requestId: string}
 	/** A waiting request is given up on. */
 	| {readonly kind: 'giveUp'; readonly requestId: string; readonly code: ResultCodeValue; readonly retryAfterMs: number}
+	/** The entry is told to stop: what is in progress at `endsAt`, in monotonic milliseconds, is broken off. */
+	| {readonly kind: 'stop'; readonly endsAt: number}
 	| {readonly kind: 'refuseAll'; readonly code: ResultCodeValue}
 	| {readonly kind: 'credits'; readonly vm: string; readonly creditIds: readonly string[]; readonly validForMs: number}
 	| {readonly kind: 'laneClosed'; readonly vm: string}
--- a/packages/admission/src/admission-state.ts
+++ b/packages/admission/src/admission-state.ts
@@ -17,6 +17,8 @@
 	readonly speeds: Map<string, TargetSpeed>;
 	/** Arrivals by target since they were last reported. */
 	readonly arrivals: Map<string, number>;
+	/** When what is still in progress is broken off; undefined until the entry is told to stop. */
+	endsAt: number | undefined;
 	/** The least time after which a refused caller is asked back, in milliseconds. */
 	readonly leastRetryAfterMs: number;
 	/** By name. */
--- a/packages/admission/src/mutate-admission.ts
+++ b/packages/admission/src/mutate-admission.ts
@@ -9,6 +9,7 @@
 import {mutateRefused} from './mutate-refused.js';
 import {mutateFailure} from './mutate-failure.js';
 import {mutateRequest} from './mutate-request.js';
+import {mutateTurnedAway} from './mutate-turned-away.js';
 import {newWants} from './new-wants.js';
 import type {AdmissionEffect} from './admission-effect.js';
 import type {AdmissionEvent} from './admission-event.js';
@@ -83,6 +84,11 @@
 			return record?.state === 'waiting' ? mutateRefused(state, record, event.code, OUTCOME.NotRun, event.retryAfterMs) : [];
 		}
 
+		case 'stop': {
+			state.endsAt = event.endsAt;
+			return [];
+		}
+
 		case 'refuseAll': {
 			const waiting = [...state.requests.values()].filter(record => record.state === 'waiting');
 			return waiting.flatMap(record => mutateRefused(state, record, event.code, OUTCOME.NotRun));
@@ -133,6 +139,6 @@
 /** Advances an entry's admission by one event at its monotonic time in milliseconds, and returns what must be done. */
 export const mutateAdmission = (state: AdmissionState, settings: AdmissionSettings, event: AdmissionEvent, now: number): AdmissionEffect[] => {
 	const effects = mutateEvent(state, settings, event, now);
-	effects.push(...mutateDeadlines(state, settings, now), ...mutateDispatches(state, settings, now), ...newWants(state, now));
+	effects.push(...mutateDeadlines(state, settings, now), ...mutateTurnedAway(state), ...mutateDispatches(state, settings, now), ...newWants(state, now));
 	return effects;
 };
--- a/packages/admission/src/new-admission-state.ts
+++ b/packages/admission/src/new-admission-state.ts
@@ -13,6 +13,7 @@
 	lanes: new Map(),
 	endpoints: new Map(),
 	speeds: new Map(),
+	endsAt: undefined,
 	arrivals: new Map(),
 	retryBudgets: new Map(),
 	virtualTime: 0,
--- /dev/null
+++ b/packages/admission/tests/stopping.steps.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import * as fc from 'fast-check';
+import {OUTCOME, RESULT_CODE} from '@valelead/common';
+import {StopModel} from './stop-model.js';
+
+type Day = ConstructorParameters<typeof StopModel>[0];
+type Request = Day['requests'][number];
+
+type StoppingWorld = {
+	/** Days that were played, each from its first request to the end of the entry. */
+	played: Array<{readonly day: Day; readonly model: StopModel}>;
+	graceMs: number;
+};
+
+const RUNS = 300;
+const SEED = 55;
+
+const STOP_AT_MS = 2000;
+
+const REQUEST = fc.record({
+	at: fc.integer({min: 0, max: 12_000}),
+	isRepeatable: fc.boolean(),
+	deadlineMs: fc.integer({min: 100, max: 25_000}),
+	runMs: fc.integer({min: 10, max: 9000}),
+	isBreaking: fc.boolean(),
+	target: fc.constantFrom('common', 'rare'),
+});
+
+const DAY = fc.record({
+	requests: fc.array(REQUEST, {minLength: 1, maxLength: 40}),
+	stopAt: fc.integer({min: 0, max: 10_000}),
+	graceMs: fc.constantFrom(2000, 7750, 29_750),
+	places: fc.integer({min: 1, max: 8}),
+	loadedAt: fc.record({common: fc.constant(0), rare: fc.integer({min: 0, max: 20_000})}),
+});
+
+const newRequest = (changes: Partial<Request>): Request => ({
+	at: 0, isRepeatable: true, deadlineMs: 15_000, runMs: 1000, isBreaking: false, target: 'common', ...changes,
+});
+
+const play = (day: Day): {readonly day: Day; readonly model: StopModel} => {
+	const model = new StopModel(day);
+	model.play();
+	return {day, model};
+};
+
+const playAlone = (world: StoppingWorld, requests: readonly Request[]): void => {
+	world.played = [play({
+		requests, stopAt: STOP_AT_MS, graceMs: world.graceMs, places: 8, loadedAt: {common: 0},
+	})];
+};
+
+const getEndKinds = (model: StopModel): string[] => [...model.ends.entries()]
+	.toSorted(([left], [right]) => left - right)
+	.map(([, [end]]) => end.kind);
+
+When('random requests, paces, failures and loads of models are played around a stop signal', function (this: StoppingWorld) {
+	this.played = fc.sample(DAY, {numRuns: RUNS, seed: SEED}).map(day => play(day));
+});
+
+Then('no request that was first sent after the signal was cut off', function (this: StoppingWorld) {
+	for (const {day, model} of this.played) {
+		const cut = [...model.ends.entries()].filter(([, [end]]) => end.kind === 'cut').map(([index]) => index);
+		const late = cut.filter(index => model.sentAt.get(index)![0] > day.stopAt);
+		assert.deepEqual(late.map(index => day.requests[index]), []);
+	}
+});
+
+Then('no request waited until the entry\'s end', function (this: StoppingWorld) {
+	for (const {model} of this.played) {
+		// A deadline after the last step passes with the entry's end.
+		const waiting = [...model.ends.entries()]
+			.filter(([index, [end]]) => end.at === model.endsAt && !model.sentAt.has(index) && model.deadlines.get(index)! <= model.lastStepAt);
+		assert.deepEqual(waiting, []);
+	}
+});
+
+Then('every request has one end, and those that the entry turned away did not run', function (this: StoppingWorld) {
+	for (const {day, model} of this.played) {
+		const arrived = day.requests.filter(({at}) => at <= model.lastStepAt).length;
+		assert.equal(model.ends.size, arrived);
+		for (const [index, ends] of model.ends) {
+			assert.equal(ends.length, 1);
+			const [{code, outcome}] = ends;
+			const isTurnedAway = code === RESULT_CODE.Draining && outcome === OUTCOME.NotRun;
+			assert.ok(!isTurnedAway || !model.sentAt.has(index));
+		}
+	}
+});
+
+Given('an entry that is told to stop {int} ms before its end', function (this: StoppingWorld, graceMs: number) {
+	this.graceMs = graceMs;
+});
+
+When('requests with a deadline of {int} ms arrive 0, 4000, 5000 and 5500 ms after the signal', function (this: StoppingWorld, deadlineMs: number) {
+	playAlone(this, [0, 4000, 5000, 5500].map(ms => newRequest({at: STOP_AT_MS + ms, deadlineMs})));
+});
+
+Then('those of 0, 4000 and 5000 ms were sent and the last one was refused', function (this: StoppingWorld) {
+	assert.deepEqual(getEndKinds(this.played[0].model), ['ended', 'ended', 'ended', 'refused']);
+});
+
+When('a repeatable request with a deadline of {int} ms is sent {int} ms before the signal and breaks after it', function (this: StoppingWorld, deadlineMs: number, beforeMs: number) {
+	playAlone(this, [newRequest({
+		at: STOP_AT_MS - beforeMs, deadlineMs, runMs: 4 * beforeMs, isBreaking: true,
+	})]);
+});
+
+Then('it was sent twice and ended', function (this: StoppingWorld) {
+	const [{model}] = this.played;
+	assert.equal(model.sentAt.get(0)?.length, 2);
+	assert.deepEqual(getEndKinds(model), ['ended']);
+});
