Log how the end of an upstream's answer is known, and the bytes of its body

Sight for the incident of answers that were broken off and looked whole: the log of a request could not tell an answer without any byte from one that ends inside an event, nor whether the answer had a length, chunks or neither. No decision changes.

--- a/apps/valelead-daemon/src/gateway/attempts.ts
+++ b/apps/valelead-daemon/src/gateway/attempts.ts
@@ -1,4 +1,5 @@
 import type {Buffer} from 'node:buffer';
+import {getAnswerFraming} from '@valelead/answer';
 import {type Clock, OUTCOME, RESULT_CODE} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import {ROUTE_KIND, isRepeatable} from '@valelead/routing';
@@ -117,6 +118,7 @@
 			onHead: answer => this.#start(request, {attemptId, upstream}, answer),
 			onData: (chunk: Buffer) => {
 				mutatePart(request, this.#parts.clock.now());
+				request.answerBytes += chunk.length;
 				this.#pipes.get(attemptId)?.data(chunk);
 			},
 			onEnd: () => {
@@ -137,6 +139,8 @@
 	#start(request: GatewayRequest, sending: Omit<Sending, 'remainingMs'>, answer: AnswerStart): boolean {
 		const status = answer.statusCode ?? 0;
 		this.#parts.onAnswer(sending.upstream.id);
+		request.answerFraming = getAnswerFraming({method: request.method, status, headers: answer.headers});
+		request.answerBytes = 0;
 		const isRetried = status >= HTTP_SERVER_ERROR && isRepeatable(request.route) && request.attempts < request.route.maxAttempts;
 		const isBroken = request.answer.isStarted && status !== HTTP_OK;
 		if (isRetried || isBroken) {
--- a/apps/valelead-daemon/src/gateway/end-recorder.ts
+++ b/apps/valelead-daemon/src/gateway/end-recorder.ts
@@ -71,6 +71,8 @@
 			firstPartMs: firstPartAt === undefined ? undefined : Math.round(firstPartAt - arrivedAt),
 			longestPauseMs: Math.round(request.longestPauseMs),
 			tookMs: Math.round(now - arrivedAt),
+			answerFraming: request.answerFraming,
+			answerBytes: request.answerBytes,
 			maxNewTokens: head.maxNewTokens,
 			...this.#getStopFields(request),
 			routingAgeMs: Math.round(this.#parts.getRoutingAgeMs()),
--- a/apps/valelead-daemon/src/gateway/gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/gateway-request.ts
@@ -1,4 +1,5 @@
 import type {Buffer} from 'node:buffer';
+import type {AnswerFramingValue} from '@valelead/answer';
 import type {Route} from '@valelead/routing';
 import type {CallerRequest} from '../adapter/caller-request.js';
 import type {Answer} from './answer.js';
@@ -38,4 +39,7 @@
 	firstPartAt: number | undefined;
 	lastPartAt: number;
 	longestPauseMs: number;
+	/** How the end of the newest answer of an upstream is known, and the bytes of its body that have come. */
+	answerFraming: AnswerFramingValue | undefined;
+	answerBytes: number;
 };
--- a/apps/valelead-daemon/src/gateway/new-gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-gateway-request.ts
@@ -1,7 +1,7 @@
 import type {GatewayRequest} from './gateway-request.js';
 
 /** What becomes of a request, as opposed to what it is. */
-type Progress = 'fingerprint' | 'dispatchedAt' | 'upstreamId' | 'awaitedUpstreamId' | 'attempts' | 'lastEventId' | 'firstPartAt' | 'lastPartAt' | 'longestPauseMs';
+type Progress = 'fingerprint' | 'dispatchedAt' | 'upstreamId' | 'awaitedUpstreamId' | 'attempts' | 'lastEventId' | 'firstPartAt' | 'lastPartAt' | 'longestPauseMs' | 'answerFraming' | 'answerBytes';
 
 /** A request that has just arrived. */
 export const newGatewayRequest = (terms: Omit<GatewayRequest, Progress>): GatewayRequest => ({
@@ -15,4 +15,6 @@
 	firstPartAt: undefined,
 	lastPartAt: terms.arrivedAt,
 	longestPauseMs: 0,
+	answerFraming: undefined,
+	answerBytes: 0,
 });
--- a/apps/valelead-lab/src/lab-attempt.ts
+++ b/apps/valelead-lab/src/lab-attempt.ts
@@ -145,7 +145,7 @@
 		if (!this.#isAnswered) {
 			this.#isAnswered = true;
 			this.#parts.terms.events.onLimit(this.#parts.engine?.limitPerSecond);
-			this.#parts.terms.events.onHead({statusCode: HTTP_OK, rawHeaders: []});
+			this.#parts.terms.events.onHead({statusCode: HTTP_OK, headers: {}, rawHeaders: []});
 		}
 	}
 
--- /dev/null
+++ b/packages/answer/src/get-answer-framing.ts
@@ -0,0 +1,26 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import {ANSWER_FRAMING} from './answer-framing.js';
+import type {AnswerFramingValue} from './answer-framing-value.js';
+
+type AnswerTerms = {
+	/** Of the request. */
+	readonly method: string;
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+};
+
+/** Statuses of answers that never have a body: 204 No Content and 304 Not Modified. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** How the end of an answer's body is known (RFC 9112, section 6.3). */
+export const getAnswerFraming = ({method, status, headers}: AnswerTerms): AnswerFramingValue => {
+	if (method === 'HEAD' || BODYLESS_STATUSES.has(status)) {
+		return ANSWER_FRAMING.Bodyless;
+	}
+
+	if (headers['transfer-encoding'] !== undefined) {
+		return ANSWER_FRAMING.Chunks;
+	}
+
+	return headers['content-length'] === undefined ? ANSWER_FRAMING.Connection : ANSWER_FRAMING.Length;
+};
