--- /dev/null
+++ b/apps/valelead-daemon/tests/answer-ends.feature
@@ -0,0 +1,38 @@
+Feature: Where the answer of an upstream ends
+  An answer that was broken off never looks whole, however its end is known.
+
+  # Guards against an answer that its upstream broke off and that its caller takes for whole.
+  Scenario Outline: An upstream's answer that is <answer> ends as <end>
+    When an upstream sends an answer that is "<answer>"
+    Then the answer ends as "<end>"
+
+    Examples:
+      | answer                                               | end   |
+      | unframed, reset right after its head                 | cut   |
+      | unframed, closed in order                            | whole |
+      | unframed and empty, closed in order                  | whole |
+      | unframed, reset some time after its last byte        | cut   |
+      | a stream, unframed, reset right after its head       | cut   |
+      | a stream, unframed, closed right after its head      | cut   |
+      | a stream, unframed, closed some time after its head  | cut   |
+      | a stream, unframed, closed inside an event           | cut   |
+      | a stream, unframed, closed between events            | whole |
+      | a stream, unframed, closed after a comment           | whole |
+      | a stream, unframed, closed inside a comment          | cut   |
+      | a stream, unframed, CRLF, closed between events      | whole |
+      | a stream, unframed, CRLF, closed inside an event     | cut   |
+      | a stream, unframed, CR, closed between events        | whole |
+      | a stream, unframed, CR, closed inside an event       | cut   |
+      | a stream, unframed, with a byte order mark           | whole |
+      | a stream, in chunks, ended inside an event           | cut   |
+      | a stream, in chunks, ended between events            | whole |
+      | a stream, in chunks, ended without an event          | whole |
+      | a stream, in chunks, cut in the last chunk           | cut   |
+      | a stream, with a length, ended inside an event       | cut   |
+      | a stream, with a length, ended between events        | whole |
+      | without a body, as its status says                   | whole |
+
+  # Guards against a place or a way of breaking off that nobody thought of.
+  Scenario: A random stream that is broken off at any byte is never taken for whole
+    When random streams are sent in each framing, broken off at each byte and in each way
+    Then only those are taken for whole that ended outside an event in a complete framing, or with their connection after an event
--- /dev/null
+++ b/apps/valelead-daemon/tests/answer-ends.steps.ts
@@ -0,0 +1,196 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {Then, When} from '@cucumber/cucumber';
+import * as fc from 'fast-check';
+import {AnswerSource} from './answer-source.js';
+import {sendAttempt} from './send-attempt.js';
+import {UpstreamAgent} from 'valelead-daemon';
+
+type Answer = ConstructorParameters<typeof AnswerSource>[0];
+
+type EndsWorld = {
+	end: string;
+	/** Answers that were taken for another end than theirs. */
+	mistaken: string[];
+};
+
+const HEAD = 'HTTP/1.1 200 OK\r\nid: 1\r\n';
+const STREAM = `${HEAD}content-type: text/event-stream; charset=utf-8\r\n`;
+const CHUNKED = `${STREAM}transfer-encoding: chunked\r\n\r\n`;
+const EVENT = 'id: 1\ndata: a\n\n';
+const CRLF_EVENT = EVENT.replaceAll('\n', '\r\n');
+const CR_EVENT = EVENT.replaceAll('\n', '\r');
+const PART = 'id: 2\ndata';
+const LAST_CHUNK = '0\r\n\r\n';
+
+const newChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+const newLength = (text: string): string => `${STREAM}content-length: ${text.length}\r\n\r\n${text}`;
+
+const ANSWERS: Readonly<Record<string, Answer>> = {
+	'unframed, reset right after its head': {bytes: `${HEAD}\r\n`, end: 'reset'},
+	'unframed, closed in order': {bytes: `${HEAD}\r\nok`, end: 'close'},
+	'unframed and empty, closed in order': {bytes: `${HEAD}\r\n`, end: 'close'},
+	'unframed, reset some time after its last byte': {bytes: `${HEAD}\r\nok`, end: 'late reset'},
+	'a stream, unframed, reset right after its head': {bytes: `${STREAM}\r\n`, end: 'reset'},
+	'a stream, unframed, closed right after its head': {bytes: `${STREAM}\r\n`, end: 'close'},
+	'a stream, unframed, closed some time after its head': {bytes: `${STREAM}\r\n`, end: 'late close'},
+	'a stream, unframed, closed inside an event': {bytes: `${STREAM}\r\n${EVENT}${PART}`, end: 'late close'},
+	'a stream, unframed, closed between events': {bytes: `${STREAM}\r\n${EVENT}${EVENT}`, end: 'late close'},
+	'a stream, unframed, closed after a comment': {bytes: `${STREAM}\r\n${EVENT}: alive\n`, end: 'late close'},
+	'a stream, unframed, closed inside a comment': {bytes: `${STREAM}\r\n${EVENT}: ali`, end: 'late close'},
+	'a stream, unframed, CRLF, closed between events': {bytes: `${STREAM}\r\n${CRLF_EVENT}`, end: 'late close'},
+	'a stream, unframed, CRLF, closed inside an event': {bytes: `${STREAM}\r\n${CRLF_EVENT}id: 2\r\n`, end: 'late close'},
+	'a stream, unframed, CR, closed between events': {bytes: `${STREAM}\r\n${CR_EVENT}`, end: 'late close'},
+	'a stream, unframed, CR, closed inside an event': {bytes: `${STREAM}\r\n${CR_EVENT}id: 2\r`, end: 'late close'},
+	'a stream, unframed, with a byte order mark': {bytes: `${STREAM}\r\n\uFEFF${EVENT}`, end: 'late close'},
+	'a stream, in chunks, ended inside an event': {bytes: `${CHUNKED}${newChunk(`${EVENT}${PART}`)}${LAST_CHUNK}`, end: 'keep'},
+	'a stream, in chunks, ended between events': {bytes: `${CHUNKED}${newChunk(EVENT)}${LAST_CHUNK}`, end: 'keep'},
+	'a stream, in chunks, ended without an event': {bytes: `${CHUNKED}${LAST_CHUNK}`, end: 'keep'},
+	'a stream, in chunks, cut in the last chunk': {bytes: `${CHUNKED}${newChunk(EVENT)}0\r\n`, end: 'close'},
+	'a stream, with a length, ended inside an event': {bytes: newLength(`${EVENT}${PART}`), end: 'keep'},
+	'a stream, with a length, ended between events': {bytes: newLength(EVENT), end: 'keep'},
+	'without a body, as its status says': {bytes: 'HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n', end: 'close'},
+};
+
+/** The result code of an answer that was broken off. */
+const CUT = '3005 unknown';
+
+/** Random streams, each of which is broken off in some hundred places. */
+const STREAMS = 8;
+const SEED = 55;
+
+/** Connections that are open at once. */
+const PARALLEL = 16;
+
+const BROKEN_ENDS = ['late close', 'reset'] as const;
+
+const RANDOM_STREAM = fc.record({
+	lineEnd: fc.constantFrom('\n', '\r\n', '\r'),
+	hasMark: fc.boolean(),
+	events: fc.array(fc.record({
+		id: fc.boolean(), comment: fc.boolean(), lines: fc.array(fc.string({unit: fc.constantFrom('a', 'b', ':', ' '), maxLength: 4}), {minLength: 1, maxLength: 2}),
+	}), {minLength: 1, maxLength: 2}),
+});
+
+type RandomStream = {
+	readonly bytes: Buffer;
+	/** The lengths at which the stream is outside an event, and whether one has ended before. */
+	readonly outside: ReadonlyMap<number, boolean>;
+};
+
+type Framing = 'connection' | 'chunks' | 'length';
+
+type Cut = Answer & {
+	readonly name: string;
+	readonly isWhole: boolean;
+};
+
+const newStream = ({lineEnd, hasMark, events}: Parameters<Parameters<typeof RANDOM_STREAM.map>[0]>[0]): RandomStream => {
+	let text = hasMark ? '\uFEFF' : '';
+	const outside = new Map([[0, false], [Buffer.byteLength(text), false]]);
+	const noteOutside = (hasEvents: boolean): void => {
+		outside.set(Buffer.byteLength(text), hasEvents);
+		// A return ends its line, whether or not a line feed belongs to it.
+		if (lineEnd === '\r\n') {
+			outside.set(Buffer.byteLength(text) - 1, hasEvents);
+		}
+	};
+
+	for (const [index, {id, comment, lines}] of events.entries()) {
+		if (comment) {
+			text += `: c${lineEnd}`;
+			noteOutside(index > 0);
+		}
+
+		text += [...(id ? [`id: ${index}`] : []), ...lines.map(line => `data: ${line}`), '', ''].join(lineEnd);
+		noteOutside(true);
+	}
+
+	return {bytes: Buffer.from(text), outside};
+};
+
+const newFramed = (framing: Framing, body: Buffer, length: number, isEnded: boolean): Buffer => {
+	switch (framing) {
+		case 'connection': {
+			return Buffer.concat([Buffer.from(`${STREAM}\r\n`), body]);
+		}
+
+		case 'length': {
+			return Buffer.concat([Buffer.from(`${STREAM}content-length: ${length}\r\n\r\n`), body]);
+		}
+
+		default: {
+			const chunk = body.length === 0 ? [] : [Buffer.from(`${body.length.toString(16)}\r\n`), body, Buffer.from('\r\n')];
+			return Buffer.concat([Buffer.from(CHUNKED), ...chunk, ...(isEnded ? [Buffer.from(LAST_CHUNK)] : [])]);
+		}
+	}
+};
+
+/** All places and ways to break a stream off, and its whole self. */
+const newCuts = ({bytes, outside}: RandomStream): Cut[] => {
+	const cuts: Cut[] = [];
+	for (const framing of ['connection', 'chunks', 'length'] as const) {
+		for (let length = 0; length <= bytes.length; length += 1) {
+			const body = bytes.subarray(0, length);
+			const newCut = (end: Answer['end'], isEnded: boolean, isWhole: boolean): Cut => ({
+				name: `${framing}, ${length} of ${bytes.length} bytes of ${JSON.stringify(bytes.toString())}, ${end}${isEnded ? ', framing complete' : ''}`,
+				bytes: newFramed(framing, body, isEnded ? length : bytes.length, isEnded),
+				end,
+				isWhole,
+			});
+			if (framing === 'connection') {
+				const isWhole = outside.get(length) === true;
+				cuts.push(newCut('late close', false, isWhole), newCut('close', false, isWhole), newCut('reset', false, false));
+				continue;
+			}
+
+			cuts.push(newCut('keep', true, outside.has(length)));
+			if (framing === 'chunks' || length < bytes.length) {
+				cuts.push(...BROKEN_ENDS.map(end => newCut(end, false, false)));
+			}
+		}
+	}
+
+	return cuts;
+};
+
+const send = async (answer: Answer): Promise<string> => {
+	const source = new AnswerSource(answer);
+	const agent = new UpstreamAgent(1);
+	const port = await source.listen();
+	const end = await new Promise<string>(resolve => {
+		sendAttempt(port, agent, result => {
+			resolve(result.end);
+		});
+	});
+	agent.destroy();
+	source.close();
+	return end;
+};
+
+When('an upstream sends an answer that is {string}', async function (this: EndsWorld, name: string) {
+	this.end = await send(ANSWERS[name]);
+});
+
+Then('the answer ends as {string}', function (this: EndsWorld, end: string) {
+	assert.equal(this.end, end === 'whole' ? 'whole' : CUT);
+});
+
+When('random streams are sent in each framing, broken off at each byte and in each way', {timeout: 60_000}, async function (this: EndsWorld) {
+	const cuts = fc.sample(RANDOM_STREAM, {numRuns: STREAMS, seed: SEED}).flatMap(stream => newCuts(newStream(stream)));
+	this.mistaken = [];
+	const sendNext = async (): Promise<void> => {
+		for (let cut = cuts.pop(); cut; cut = cuts.pop()) {
+			const end = await send(cut);
+			if ((end === 'whole') !== cut.isWhole) {
+				this.mistaken.push(`${cut.name}: ${end}`);
+			}
+		}
+	};
+
+	await Promise.all(Array.from({length: PARALLEL}, sendNext));
+});
+
+Then('only those are taken for whole that ended outside an event in a complete framing, or with their connection after an event', function (this: EndsWorld) {
+	assert.equal(this.mistaken.length, 0, `${this.mistaken.length}: ${this.mistaken.slice(0, 5).join('\n')}`);
+});
--- /dev/null
+++ b/apps/valelead-daemon/tests/answer-source.ts
@@ -0,0 +1,75 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	type AddressInfo, type Socket, createServer,
+} from 'node:net';
+
+/** How an upstream ends the connection after its bytes. */
+type ConnectionEnd = 'keep' | 'close' | 'reset' | 'late close' | 'late reset';
+
+type SourceAnswer = {
+	readonly bytes: Uint8Array | string;
+	readonly end: ConnectionEnd;
+};
+
+/** For bytes to be read before the connection ends, in milliseconds. */
+const LATE_MS = 20;
+
+/** An upstream that answers each connection with the same bytes and the same end. */
+export class AnswerSource {
+	readonly #server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			this.#answer(socket);
+		});
+	});
+
+	readonly #sent: SourceAnswer;
+
+	constructor(answer: SourceAnswer) {
+		this.#sent = answer;
+	}
+
+	async listen(): Promise<number> {
+		this.#server.listen(0, '127.0.0.1');
+		await once(this.#server, 'listening');
+		return (this.#server.address() as AddressInfo).port;
+	}
+
+	close(): void {
+		this.#server.close();
+	}
+
+	#answer(socket: Socket): void {
+		const {bytes, end} = this.#sent;
+		socket.write(Buffer.from(bytes));
+		switch (end) {
+			case 'keep': {
+				break;
+			}
+
+			case 'close': {
+				socket.end();
+				break;
+			}
+
+			case 'reset': {
+				socket.resetAndDestroy();
+				break;
+			}
+
+			case 'late close': {
+				setTimeout(() => {
+					socket.end();
+				}, LATE_MS);
+				break;
+			}
+
+			default: {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, LATE_MS);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/tests/send-attempt.ts
@@ -0,0 +1,53 @@
+import {Buffer} from 'node:buffer';
+import {type CallerCodec, type UpstreamAgent, UpstreamAttempt} from 'valelead-daemon';
+
+type AttemptResult = {
+	/** `whole`, or the result code and the outcome of a failure. */
+	readonly end: string;
+	readonly body: string;
+};
+
+/** A codec of the tests' own: the answer's id stands in `id`, refusals in `not-run`, another upstream in `other`. */
+const CODEC: CallerCodec = {
+	readinessPath: '/ready',
+	decodeRequest: () => ({
+		id: '1', deadlineMs: undefined, model: '', adapter: '', promptTokens: 0, maxNewTokens: 0, hasTokenCount: false, isTokenCountValid: true, key: undefined,
+	}),
+	newUpstreamHeaders: rawHeaders => [...rawHeaders],
+	decodeAnswer: (_status, headers) => ({
+		requestId: String(headers.id),
+		isNotExecuted: headers['not-run'] !== undefined || headers.other !== undefined,
+		isOtherUpstream: headers.other !== undefined,
+		limitPerSecond: undefined,
+	}),
+};
+
+/** Sends a request to an upstream on this machine. */
+export const sendAttempt = (port: number, agent: UpstreamAgent, onOver: (result: AttemptResult) => void): UpstreamAttempt => {
+	const chunks: Buffer[] = [];
+	return new UpstreamAttempt({
+		requestId: '1',
+		upstreamId: 'u',
+		address: `127.0.0.1:${port}`,
+		agent,
+		codec: CODEC,
+		method: 'GET',
+		url: '/',
+		headers: ['host', 'a'],
+		body: Buffer.alloc(0),
+		startedAt: 0,
+		events: {
+			onLimit: () => undefined,
+			onHead: () => true,
+			onData(chunk) {
+				chunks.push(chunk);
+			},
+			onEnd() {
+				onOver({end: 'whole', body: Buffer.concat(chunks).toString()});
+			},
+			onFailure({code, outcome}) {
+				onOver({end: `${code} ${outcome}`, body: ''});
+			},
+		},
+	});
+};
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -7,9 +7,10 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {After, Then, When} from '@cucumber/cucumber';
 import {RESULT_CODE} from '@valelead/common';
+import {sendAttempt} from './send-attempt.js';
 import {SilentUpstream} from './silent-upstream.js';
 import {
-	type CallerCodec, EventSplitter, UpstreamAgent, UpstreamAttempt, getForwardedHeaders, newGatewayAdmission,
+	EventSplitter, UpstreamAgent, getForwardedHeaders, newGatewayAdmission,
 } from 'valelead-daemon';
 
 type AttemptWorld = {
@@ -27,21 +28,6 @@
 	admissions: Array<ReturnType<typeof newGatewayAdmission>>;
 };
 
-/** A codec of the test's own: the answer's id stands in `id`, refusals in `not-run`, another upstream in `other`. */
-const CODEC: CallerCodec = {
-	readinessPath: '/ready',
-	decodeRequest: () => ({
-		id: '1', deadlineMs: undefined, model: '', adapter: '', promptTokens: 0, maxNewTokens: 0, hasTokenCount: false, isTokenCountValid: true, key: undefined,
-	}),
-	newUpstreamHeaders: rawHeaders => [...rawHeaders],
-	decodeAnswer: (_status, headers) => ({
-		requestId: String(headers.id),
-		isNotExecuted: headers['not-run'] !== undefined || headers.other !== undefined,
-		isOtherUpstream: headers.other !== undefined,
-		limitPerSecond: undefined,
-	}),
-};
-
 /** Until an answer and what it led to are over, in milliseconds. */
 const SETTLE_MS = 20;
 
@@ -75,37 +61,8 @@
 	return (server.address() as AddressInfo).port;
 };
 
-const newAttempt = (port: number, agent: UpstreamAgent, onOver: (result: {end: string; body: string}) => void): UpstreamAttempt => {
-	const chunks: Buffer[] = [];
-	return new UpstreamAttempt({
-		requestId: '1',
-		upstreamId: 'u',
-		address: `127.0.0.1:${port}`,
-		agent,
-		codec: CODEC,
-		method: 'GET',
-		url: '/',
-		headers: ['host', 'a'],
-		body: Buffer.alloc(0),
-		startedAt: 0,
-		events: {
-			onLimit: () => undefined,
-			onHead: () => true,
-			onData(chunk) {
-				chunks.push(chunk);
-			},
-			onEnd() {
-				onOver({end: 'whole', body: Buffer.concat(chunks).toString()});
-			},
-			onFailure({code, outcome}) {
-				onOver({end: `${code} ${outcome}`, body: ''});
-			},
-		},
-	});
-};
-
 const send = async (port: number, agent: UpstreamAgent): Promise<{end: string; body: string}> => new Promise(resolve => {
-	const attempt = newAttempt(port, agent, resolve);
+	const attempt = sendAttempt(port, agent, resolve);
 	assert.equal(attempt.upstreamId, 'u');
 });
 
@@ -135,7 +92,7 @@
 When('an attempt is {} before its upstream answers', async function (this: AttemptWorld, ended: string) {
 	const agent = new UpstreamAgent(4);
 	const upstream = new SilentUpstream();
-	const attempt = newAttempt(await upstream.listen(), agent, () => undefined);
+	const attempt = sendAttempt(await upstream.listen(), agent, () => undefined);
 	this.connectionEnd = upstream.getConnectionEnd();
 	await upstream.request;
 	if (ended === 'cancelled') {
