Take an answer for whole by its framing, its last event and the turn in which its connection ended

Callers got answers that their engines had broken off, framed as complete: without any byte, or up to the middle of an event. Cause: what whole means was decided in three places, none of which knew all: the sending looked at the turn of the event loop of body bytes alone, so a reset right after a head passed for an orderly end; the pipe passed an unfinished event on and ended the answer; the splitter saw resumable streams only, and line feeds only. It is one decision now, in packages/answer: a table of framing, completeness, the turn of the end and the place in the event stream, with LF, CRLF and CR and a byte order mark. A stream that is broken off goes on at another engine where it may, or its caller's answer is broken off too. Nothing tells for an answer that is no event stream and has neither length nor chunks; it says so.

--- a/apps/valelead-daemon/src/gateway/answer-pipe.ts
+++ b/apps/valelead-daemon/src/gateway/answer-pipe.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
+import {EventSplitter} from '@valelead/answer';
 import {ROUTE_KIND} from '@valelead/routing';
-import {EventSplitter} from './event-splitter.js';
 import {getForwardedHeaders} from './get-forwarded-headers.js';
 import type {AnswerStart} from './answer-start.js';
 import type {GatewayRequest} from './gateway-request.js';
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -2,6 +2,7 @@
 import {
 	type ClientRequest, type IncomingMessage, request as newHttpRequest,
 } from 'node:http';
+import {ANSWER_DEFECT, ReceivedAnswer} from '@valelead/answer';
 import {
 	abortRequest, OUTCOME, RESULT_CODE, type ResultCodeValue,
 } from '@valelead/common';
@@ -26,8 +27,6 @@
 	#isAnswered = false;
 	#hasBody = false;
 	#isOver = false;
-	/** Whether bytes of the answer came in the present turn of the event loop. */
-	#isFresh = false;
 
 	constructor(parts: AttemptTerms) {
 		this.#parts = parts;
@@ -152,42 +151,30 @@
 	}
 
 	#pass(answer: IncomingMessage): void {
+		const received = new ReceivedAnswer(answer, this.#parts.method);
 		answer.on('data', (chunk: Buffer) => {
-			this.#noteFresh();
+			received.take(chunk);
 			this.#hasBody = true;
 			if (!this.#isOver) {
 				this.#parts.events.onData(chunk);
 			}
 		});
 		answer.on('end', () => {
-			if (answer.complete && !this.#isPerhapsReset(answer)) {
+			const defect = received.getDefect();
+			if (defect === undefined) {
 				this.#end(this.#parts.events.onEnd);
+			} else {
+				this.fail(RESULT_CODE.AnswerCut, defect, received.isConnectionOver ? CONNECTION_END.Broken : CONNECTION_END.Intact);
 			}
 		});
 		answer.on('error', error => {
 			this.fail(RESULT_CODE.AnswerCut, error.message, getConnectionEnd(error));
 		});
 		answer.on('close', () => {
-			this.fail(RESULT_CODE.AnswerCut, 'the answer ended before it was complete', CONNECTION_END.Broken);
+			this.fail(RESULT_CODE.AnswerCut, ANSWER_DEFECT.Incomplete, CONNECTION_END.Broken);
 		});
 	}
 
-	#noteFresh(): void {
-		this.#isFresh = true;
-		setImmediate(() => {
-			this.#isFresh = false;
-		});
-	}
-
-	/**
-	 * Whether an answer that ends with its connection may have been cut by a reset. Node reports a reset that arrives
-	 * together with data as an orderly end, in the same turn of the event loop; an orderly end comes in a later turn.
-	 */
-	#isPerhapsReset({headers}: IncomingMessage): boolean {
-		const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-		return !isFramed && this.#isFresh;
-	}
-
 	#end(tell: () => void): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -22,7 +22,6 @@
 export {UpstreamAgent} from './gateway/upstream-agent.js';
 export {UpstreamLimits} from './gateway/upstream-limits.js';
 export {UpstreamAttempt} from './gateway/upstream-attempt.js';
-export {EventSplitter} from './gateway/event-splitter.js';
 export {getForwardedHeaders} from './gateway/get-forwarded-headers.js';
 export {getHonestCode} from './gateway/get-honest-code.js';
 export {CONNECTION_END} from './gateway/connection-end.js';
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -6,11 +6,12 @@
 } from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import {After, Then, When} from '@cucumber/cucumber';
+import {EventSplitter} from '@valelead/answer';
 import {RESULT_CODE} from '@valelead/common';
 import {sendAttempt} from './send-attempt.js';
 import {SilentUpstream} from './silent-upstream.js';
 import {
-	EventSplitter, UpstreamAgent, getForwardedHeaders, newGatewayAdmission,
+	UpstreamAgent, getForwardedHeaders, newGatewayAdmission,
 } from 'valelead-daemon';
 
 type AttemptWorld = {
--- a/apps/valelead-daemon/src/gateway/event-splitter.ts
+++ b/packages/answer/src/event-splitter.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {EventScanner} from './event-scanner.js';
 
 /** What a chunk added: bytes up to the end of the last whole event, and that event's id. */
 type WholeEvents = {
@@ -7,23 +8,23 @@
 	readonly lastEventId: string | undefined;
 };
 
-const EVENT_END = '\n\n';
-const ID_LINE = /^id: ?(?<id>.*)$/gmv;
+/** A byte order mark may stand before the first line. It is read as Latin-1 here. */
+const ID_LINE = /^(?:\u00EF\u00BB\u00BF)?id: ?(?<id>.*)$/gmv;
 
 /** Cuts a stream of events into whole ones, so that a broken stream can go on after the last of them. */
 export class EventSplitter {
+	readonly #scanner = new EventScanner();
 	#rest: Buffer = Buffer.alloc(0);
 
 	take(chunk: Buffer): WholeEvents {
-		const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
-		const end = bytes.lastIndexOf(EVENT_END);
-		if (end === -1) {
-			this.#rest = bytes;
+		const end = this.#scanner.take(chunk);
+		if (end === 0) {
+			this.#rest = Buffer.concat([this.#rest, chunk]);
 			return {bytes: Buffer.alloc(0), lastEventId: undefined};
 		}
 
-		const whole = bytes.subarray(0, end + EVENT_END.length);
-		this.#rest = bytes.subarray(whole.length);
+		const whole = Buffer.concat([this.#rest, chunk.subarray(0, end)]);
+		this.#rest = chunk.subarray(end);
 		return {bytes: whole, lastEventId: this.#getLastId(whole)};
 	}
 
--- a/packages/answer/src/index.ts
+++ b/packages/answer/src/index.ts
@@ -1,3 +1,8 @@
+export type {AnswerDefectValue} from './answer-defect-value.js';
 export type {AnswerFramingValue} from './answer-framing-value.js';
+export {ANSWER_DEFECT} from './answer-defect.js';
 export {ANSWER_FRAMING} from './answer-framing.js';
+export {EventSplitter} from './event-splitter.js';
+export {ReceivedAnswer} from './received-answer.js';
+export {getAnswerDefect} from './get-answer-defect.js';
 export {getAnswerFraming} from './get-answer-framing.js';
