--- a/apps/valelead-daemon/tests/answer-ends.feature
+++ b/apps/valelead-daemon/tests/answer-ends.feature
@@ -36,3 +36,30 @@
   Scenario: A random stream that is broken off at any byte is never taken for whole
     When random streams are sent in each framing, broken off at each byte and in each way
     Then only those are taken for whole that ended outside an event in a complete framing, or with their connection after an event
+
+  # Guards against an answer that an agent takes for whole and its gateway would not.
+  Scenario Outline: The answer to an agent's request that is <answer> ends as <end>
+    When an agent's upstream sends an answer that is "<answer>"
+    Then the answer ends as "<end>"
+
+    Examples:
+      | answer                                         | end   |
+      | unframed, reset right after its head           | cut   |
+      | unframed, reset with its last bytes            | cut   |
+      | unframed, closed in order                      | whole |
+      | a stream, unframed, reset right after its head | cut   |
+      | a stream, unframed, closed inside an event     | cut   |
+      | a stream, unframed, closed between events      | whole |
+      | a stream, in chunks, ended inside an event     | cut   |
+      | a stream, in chunks, ended between events      | whole |
+
+  # Guards against the state of an engine that is decoded from a part of what it said.
+  Scenario Outline: A sidecar takes no status from an answer that is <answer>
+    When an engine tells its status in an answer that is "<answer>"
+    Then the sidecar takes none
+
+    Examples:
+      | answer                               |
+      | unframed, reset with its last bytes  |
+      | unframed, closed in the middle       |
+      | unframed, reset right after its head |
--- a/apps/valelead-daemon/tests/answer-ends.steps.ts
+++ b/apps/valelead-daemon/tests/answer-ends.steps.ts
@@ -2,9 +2,11 @@
 import {Buffer} from 'node:buffer';
 import {Then, When} from '@cucumber/cucumber';
 import * as fc from 'fast-check';
+import type {ValeleadError} from '@valelead/common';
+import {HttpUpstream} from '@valelead/engine';
 import {AnswerSource} from './answer-source.js';
 import {sendAttempt} from './send-attempt.js';
-import {UpstreamAgent} from 'valelead-daemon';
+import {type EngineCodec, EngineClient, UpstreamAgent} from 'valelead-daemon';
 
 type Answer = ConstructorParameters<typeof AnswerSource>[0];
 
@@ -49,9 +51,22 @@
 	'a stream, in chunks, cut in the last chunk': {bytes: `${CHUNKED}${newChunk(EVENT)}0\r\n`, end: 'close'},
 	'a stream, with a length, ended inside an event': {bytes: newLength(`${EVENT}${PART}`), end: 'keep'},
 	'a stream, with a length, ended between events': {bytes: newLength(EVENT), end: 'keep'},
+	'unframed, closed in the middle': {bytes: `${HEAD}\r\n{"a":`, end: 'late close'},
+	'unframed, reset with its last bytes': {bytes: `${HEAD}\r\n{"a":`, end: 'reset'},
 	'without a body, as its status says': {bytes: 'HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n', end: 'close'},
 };
 
+/** Reads JSON, as codecs do. */
+const STATUS_CODEC = {
+	newStatusCall: () => ({
+		method: 'GET', path: '/', headers: {}, body: '',
+	}),
+	decodeStatus: (text: string) => JSON.parse(text) as unknown,
+	decodeInstanceId: () => '',
+} as unknown as EngineCodec;
+
+const CALL_TIMEOUT_MS = 1000;
+
 /** The result code of an answer that was broken off. */
 const CUT = '3005 unknown';
 
@@ -194,3 +209,48 @@
 Then('only those are taken for whole that ended outside an event in a complete framing, or with their connection after an event', function (this: EndsWorld) {
 	assert.equal(this.mistaken.length, 0, `${this.mistaken.length}: ${this.mistaken.slice(0, 5).join('\n')}`);
 });
+
+const withSource = async <Result>(name: string, ask: (port: number) => Promise<Result>): Promise<Result> => {
+	const source = new AnswerSource(ANSWERS[name]);
+	try {
+		return await ask(await source.listen());
+	} finally {
+		source.close();
+	}
+};
+
+When('an agent\'s upstream sends an answer that is {string}', async function (this: EndsWorld, name: string) {
+	this.end = await withSource(name, async port => {
+		const {body} = await new HttpUpstream('127.0.0.1', port, CALL_TIMEOUT_MS).send({
+			requestId: '1', attemptId: '1.1', team: 't', priority: 0, method: 'POST', path: '/', contentType: '', body: Buffer.from('x'), remainingMs: CALL_TIMEOUT_MS,
+		}, new AbortController().signal);
+		try {
+			for await (const chunk of body) {
+				assert.ok(chunk.length > 0);
+			}
+
+			return 'whole';
+		} catch (error) {
+			const {code, outcome} = error as ValeleadError;
+			return `${code} ${outcome}`;
+		}
+	});
+});
+
+When('an engine tells its status in an answer that is {string}', async function (this: EndsWorld, name: string) {
+	this.end = await withSource(name, async port => {
+		const client = new EngineClient(`127.0.0.1:${port}`, STATUS_CODEC);
+		try {
+			await client.getStatus();
+			return 'taken';
+		} catch {
+			return 'refused';
+		} finally {
+			client.close();
+		}
+	});
+});
+
+Then('the sidecar takes none', function (this: EndsWorld) {
+	assert.equal(this.end, 'refused');
+});
--- a/apps/valelead-daemon/tests/answer-source.ts
+++ b/apps/valelead-daemon/tests/answer-source.ts
@@ -18,12 +18,14 @@
 /** An upstream that answers each connection with the same bytes and the same end. */
 export class AnswerSource {
 	readonly #server = createServer(socket => {
+		this.#sockets.add(socket);
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
 			this.#answer(socket);
 		});
 	});
 
+	readonly #sockets = new Set<Socket>();
 	readonly #sent: SourceAnswer;
 
 	constructor(answer: SourceAnswer) {
@@ -38,6 +40,9 @@
 
 	close(): void {
 		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
 	}
 
 	#answer(socket: Socket): void {
--- /dev/null
+++ b/apps/valelead-daemon/tests/ask-raw.ts
@@ -0,0 +1,36 @@
+import {once} from 'node:events';
+import {createServer, type ServerResponse} from 'node:http';
+import {type AddressInfo, connect} from 'node:net';
+
+type CallerSight = {
+	readonly text: string;
+	/** How the connection ended. */
+	readonly end: 'closed' | 'reset';
+};
+
+/** Asks over a plain connection, with an answer that a function writes, and resolves with what the caller sees. */
+export const askRaw = async (version: string, answer: (response: ServerResponse) => void): Promise<CallerSight> => {
+	const server = createServer((_message, response) => {
+		answer(response);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	const sight = new Promise<CallerSight>(resolve => {
+		let text = '';
+		let end: CallerSight['end'] = 'closed';
+		socket.on('data', chunk => {
+			text += chunk.toString();
+		});
+		socket.on('error', () => {
+			end = 'reset';
+		});
+		socket.on('close', () => {
+			resolve({text, end});
+		});
+	});
+	socket.write(`GET / HTTP/${version}\r\nHost: a\r\n\r\n`);
+	const seen = await sight;
+	server.close();
+	return seen;
+};
