Judge the answers to an agent's requests by the rule that gateways use

An agent looked at what Node calls complete alone: a reset with the last bytes or right after the head, and a stream that ended inside an event, passed for whole. It takes the same decision as a gateway now.

--- a/packages/engine/src/http-upstream.ts
+++ b/packages/engine/src/http-upstream.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, type IncomingMessage, request as startRequest} from 'node:http';
+import {ReceivedAnswer} from '@valelead/answer';
 import {
 	OUTCOME, RESULT_CODE, ValeleadError, receiveResponse,
 } from '@valelead/common';
@@ -46,19 +47,26 @@
 	readonly signal?: AbortSignal;
 };
 
-async function * readBody(message: IncomingMessage): AsyncGenerator<Buffer> {
+type Answer = {
+	readonly message: IncomingMessage;
+	readonly received: ReceivedAnswer;
+};
+
+async function * readBody({message, received}: Answer): AsyncGenerator<Buffer> {
 	for await (const chunk of message) {
+		received.take(chunk as Buffer);
 		yield chunk as Buffer;
 	}
 
-	if (!message.complete) {
-		throw new ValeleadError('The upstream\'s answer ended early', {code: RESULT_CODE.AnswerCut, outcome: OUTCOME.Unknown});
+	const defect = received.getDefect();
+	if (defect !== undefined) {
+		throw new ValeleadError(`The upstream's answer is not whole: ${defect}`, {code: RESULT_CODE.AnswerCut, outcome: OUTCOME.Unknown});
 	}
 }
 
-const readText = async (message: IncomingMessage): Promise<string> => {
+const readText = async (answer: Answer): Promise<string> => {
 	const chunks: Buffer[] = [];
-	for await (const chunk of readBody(message)) {
+	for await (const chunk of readBody(answer)) {
 		chunks.push(chunk);
 	}
 
@@ -81,10 +89,10 @@
 	}
 
 	async getStatus(): Promise<UpstreamStatus> {
-		const message = await this.#call({
+		const answer = await this.#call({
 			method: 'GET', path: '/upstream/status', headers: {}, timeoutMs: STATUS_TIMEOUT_MS,
 		});
-		return decodeStatus(JSON.parse(await readText(message)));
+		return decodeStatus(JSON.parse(await readText(answer)));
 	}
 
 	async load(order: UpstreamOrder): Promise<OrderResult> {
@@ -97,7 +105,7 @@
 
 	async send(request: UpstreamRequest, signal: AbortSignal): Promise<UpstreamAnswer> {
 		try {
-			const message = await this.#call({
+			const answer = await this.#call({
 				method: request.method,
 				path: request.path,
 				headers: {
@@ -111,7 +119,8 @@
 				body: request.body,
 				signal,
 			});
-			return {status: message.statusCode!, contentType: message.headers['content-type'] ?? '', body: readBody(message)};
+			const {statusCode, headers} = answer.message;
+			return {status: statusCode!, contentType: headers['content-type'] ?? '', body: readBody(answer)};
 		} catch (error) {
 			const outcome = isConnectionRefused(error) ? OUTCOME.NotRun : OUTCOME.Unknown;
 			const code = isConnectionRefused(error) ? RESULT_CODE.UpstreamRejected : RESULT_CODE.UpstreamFailed;
@@ -121,25 +130,26 @@
 
 	async #order(path: string, order: UpstreamOrder): Promise<OrderResult> {
 		try {
-			const message = await this.#call({
+			const answer = await this.#call({
 				method: 'POST',
 				path,
 				headers: {'content-type': 'application/json'},
 				body: Buffer.from(JSON.stringify(order)),
 				timeoutMs: this.#orderTimeoutMs,
 			});
-			await readText(message);
-			if (message.statusCode! >= HTTP_SERVER_ERROR) {
+			await readText(answer);
+			const {statusCode} = answer.message;
+			if (statusCode! >= HTTP_SERVER_ERROR) {
 				return 'unknown';
 			}
 
-			return message.statusCode! >= HTTP_CLIENT_ERROR ? 'refused' : 'done';
+			return statusCode! >= HTTP_CLIENT_ERROR ? 'refused' : 'done';
 		} catch (error) {
 			return isConnectionRefused(error) ? 'refused' : 'unknown';
 		}
 	}
 
-	async #call(call: Call): Promise<IncomingMessage> {
+	async #call(call: Call): Promise<Answer> {
 		call.signal?.throwIfAborted();
 		const outgoing = startRequest({
 			agent: this.#sockets,
@@ -152,6 +162,7 @@
 		});
 		const response = receiveResponse(outgoing, call.signal);
 		outgoing.end(call.body);
-		return response;
+		const message = await response;
+		return {message, received: new ReceivedAnswer(message, call.method)};
 	}
 }
