Reset the connection of a caller without chunks when its answer is broken off

To a caller of HTTP/1.0 Node writes neither length nor chunks, and an answer that was broken off ended with an orderly close, which means that it is whole.

--- a/apps/valelead-daemon/src/entry/stream-sink.ts
+++ b/apps/valelead-daemon/src/entry/stream-sink.ts
@@ -1,6 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {TimerService, TimerSubscription} from '@valelead/common';
+import {breakOff} from '../break-off.js';
 import {newRefusalBody} from './new-refusal-body.js';
 import {writeRefusal} from './write-refusal.js';
 import type {AnswerSink} from './answer-sink.js';
@@ -39,7 +40,7 @@
 		}
 
 		if (this.#response.writableLength > MAX_BUFFERED_BYTES) {
-			this.#response.destroy();
+			breakOff(this.#response);
 			return;
 		}
 
@@ -65,7 +66,7 @@
 		}
 
 		this.#stall = this.#timers.after(this.#stallMs, () => {
-			this.#response.destroy();
+			breakOff(this.#response);
 		});
 		this.#response.once('drain', () => {
 			this.#stall?.cancel();
--- a/apps/valelead-daemon/src/gateway/caller-answer.ts
+++ b/apps/valelead-daemon/src/gateway/caller-answer.ts
@@ -1,6 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {RESULT_DETAILS} from '@valelead/common';
+import {breakOff} from '../break-off.js';
 import type {Refusal} from '../entry/refusal.js';
 import {newRefusalBody} from '../entry/new-refusal-body.js';
 import type {Answer} from './answer.js';
@@ -67,7 +68,7 @@
 
 		response.write(chunk);
 		if (response.writableLength > MAX_BUFFERED_BYTES) {
-			response.destroy();
+			breakOff(response);
 		}
 	}
 
@@ -85,7 +86,7 @@
 		}
 
 		if (response.headersSent) {
-			response.destroy();
+			breakOff(response);
 			return;
 		}
 
