Keep an unfinished event of an entry's stream back until it is whole

An entry tells of a stream that breaks by an error event, which completed the unfinished event before it: the caller got a part of an event as if it were whole, and no error.

--- a/apps/valelead-daemon/src/entry/stream-sink.ts
+++ b/apps/valelead-daemon/src/entry/stream-sink.ts
@@ -1,5 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {EventSplitter, isEventStream} from '@valelead/answer';
 import type {TimerService, TimerSubscription} from '@valelead/common';
 import {breakOff} from '../break-off.js';
 import {newRefusalBody} from './new-refusal-body.js';
@@ -16,6 +17,8 @@
 	readonly #requestId: string;
 	readonly #timers: TimerService;
 	readonly #stallMs: number;
+	/** Keeps an unfinished event back, as an error event may follow; undefined where the answer is no event stream. */
+	#splitter: EventSplitter | undefined;
 	#stall: TimerSubscription | undefined;
 
 	constructor(response: ServerResponse, requestId: string, timers: TimerService, stallMs: number) {
@@ -30,12 +33,14 @@
 	}
 
 	start(status: number, contentType: string): void {
+		this.#splitter = isEventStream(contentType) ? new EventSplitter() : undefined;
 		this.#response.writeHead(status, {'content-type': contentType, 'x-request-id': this.#requestId, 'cache-control': 'no-cache'});
 	}
 
 	/** A caller that takes too little for too long is cut off, so that it cannot hold memory. */
 	data(chunk: Buffer): void {
-		if (this.#response.destroyed || this.#response.write(chunk)) {
+		const bytes = this.#splitter ? this.#splitter.take(chunk).bytes : chunk;
+		if (this.#response.destroyed || bytes.length === 0 || this.#response.write(bytes)) {
 			return;
 		}
 
@@ -48,7 +53,7 @@
 	}
 
 	end(): void {
-		this.#response.end();
+		this.#response.end(this.#splitter?.rest);
 	}
 
 	refuse(refusal: Refusal): void {
--- a/packages/answer/src/index.ts
+++ b/packages/answer/src/index.ts
@@ -6,3 +6,4 @@
 export {ReceivedAnswer} from './received-answer.js';
 export {getAnswerDefect} from './get-answer-defect.js';
 export {getAnswerFraming} from './get-answer-framing.js';
+export {isEventStream} from './is-event-stream.js';
--- a/packages/answer/src/received-answer.ts
+++ b/packages/answer/src/received-answer.ts
@@ -4,11 +4,10 @@
 import {EventScanner} from './event-scanner.js';
 import {getAnswerDefect} from './get-answer-defect.js';
 import {getAnswerFraming} from './get-answer-framing.js';
+import {isEventStream} from './is-event-stream.js';
 import type {AnswerDefectValue} from './answer-defect-value.js';
 import type {AnswerFramingValue} from './answer-framing-value.js';
 
-const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/iv;
-
 /**
  * Watches how an upstream's answer ends. Made in the turn of the event loop in which its head came.
  *
@@ -28,7 +27,7 @@
 		const {statusCode, headers} = message;
 		this.#message = message;
 		this.#framing = getAnswerFraming({method, status: statusCode ?? 0, headers});
-		this.#events = EVENT_STREAM.test(headers['content-type'] ?? '') ? new EventScanner() : undefined;
+		this.#events = isEventStream(headers['content-type'] ?? '') ? new EventScanner() : undefined;
 		if (this.#framing === ANSWER_FRAMING.Connection) {
 			this.#watchConnection();
 		}
