Test where events end in random pieces of a stream, and the table of defects of answers

The two parts of the decision on whole answers for themselves: 500 random streams, split anywhere, with each kind of line end, marks, comments and ids; and each row of framing, completeness and place.

--- /dev/null
+++ b/packages/answer/tests/events.steps.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {Then, When} from '@cucumber/cucumber';
+import * as fc from 'fast-check';
+import {
+	ANSWER_DEFECT, type AnswerDefectValue, type AnswerFramingValue, EventSplitter, getAnswerDefect,
+} from '@valelead/answer';
+
+type Event = {
+	readonly bytes: Buffer;
+	readonly id: string | undefined;
+};
+
+/** A stream, and what came of it in pieces. */
+type SplitStream = {
+	readonly events: readonly Event[];
+	readonly unfinished: string;
+	readonly passed: string;
+	readonly rest: string;
+	readonly lastEventId: string | undefined;
+};
+
+type EventsWorld = {
+	streams: SplitStream[];
+	defect: AnswerDefectValue | undefined;
+};
+
+const RUNS = 500;
+const SEED = 55;
+
+const EVENT = fc.record({
+	id: fc.option(fc.integer({min: 0, max: 99}), {nil: undefined}),
+	data: fc.string({unit: fc.constantFrom('a', ':', ' ', 'é'), maxLength: 5}),
+	isCommented: fc.boolean(),
+});
+
+const STREAM = fc.record({
+	events: fc.array(EVENT, {maxLength: 4}),
+	lineEnd: fc.constantFrom('\n', '\r\n', '\r'),
+	hasMark: fc.boolean(),
+	unfinished: fc.constantFrom('', 'id: 7', 'data: x'),
+	sizes: fc.array(fc.integer({min: 1, max: 7}), {minLength: 1}),
+});
+
+type StreamTerms = Parameters<Parameters<typeof STREAM.map>[0]>[0];
+
+const newEvents = ({events, lineEnd, hasMark}: StreamTerms): Event[] => events.map(({id, data, isCommented}, index) => {
+	const lines = [...(isCommented ? [': c'] : []), ...(id === undefined ? [] : [`id: ${id}`]), `data: ${data}`, '', ''];
+	return {bytes: Buffer.from(`${hasMark && index === 0 ? '\uFEFF' : ''}${lines.join(lineEnd)}`), id: id === undefined ? undefined : String(id)};
+});
+
+const split = (terms: StreamTerms): SplitStream => {
+	const events = newEvents(terms);
+	const bytes = Buffer.concat([...events.map(event => event.bytes), Buffer.from(terms.unfinished)]);
+	const splitter = new EventSplitter();
+	const passed: Buffer[] = [];
+	let lastEventId: string | undefined;
+	let offset = 0;
+	for (let index = 0; offset < bytes.length; index += 1) {
+		const end = offset + terms.sizes[index % terms.sizes.length];
+		const whole = splitter.take(bytes.subarray(offset, end));
+		passed.push(whole.bytes);
+		lastEventId = whole.lastEventId ?? lastEventId;
+		offset = end;
+	}
+
+	return {
+		events, unfinished: terms.unfinished, passed: Buffer.concat(passed).toString(), rest: splitter.rest.toString(), lastEventId,
+	};
+};
+
+When('random streams come in random pieces', function (this: EventsWorld) {
+	this.streams = fc.sample(STREAM, {numRuns: RUNS, seed: SEED}).map(terms => split(terms));
+});
+
+Then('each whole event is passed on once, in order, and what is left is the unfinished one', function (this: EventsWorld) {
+	for (const {events, unfinished, passed, rest} of this.streams) {
+		const whole = Buffer.concat(events.map(event => event.bytes)).toString();
+		assert.equal(passed + rest, whole + unfinished);
+		// The line feed of a last blank line may come after its return has ended the event.
+		assert.ok(rest === unfinished || rest === `\n${unfinished}`, JSON.stringify(rest));
+	}
+});
+
+Then('the last id is that of the last whole event that has one', function (this: EventsWorld) {
+	for (const {events, lastEventId} of this.streams) {
+		assert.equal(lastEventId, events.findLast(({id}) => id !== undefined)?.id);
+	}
+});
+
+/** Where the last event ended, by the places of the examples. */
+const PLACES: Readonly<Record<string, Parameters<typeof getAnswerDefect>[0]['events']>> = {
+	'outside an event': {hasEvents: true, isOutsideEvent: true},
+	'inside an event': {hasEvents: true, isOutsideEvent: false},
+	'before the first event': {hasEvents: false, isOutsideEvent: true},
+	'as no stream': undefined,
+};
+
+When('an answer\'s framing is {string}, it is {string}, and it ended {string}', function (this: EventsWorld, framing: AnswerFramingValue, completeness: string, place: string) {
+	this.defect = getAnswerDefect({
+		framing, isComplete: completeness !== 'incomplete', isEndWithBytes: completeness === 'ended in the same turn', events: PLACES[place],
+	});
+});
+
+Then('its defect is {string}', function (this: EventsWorld, name: string) {
+	assert.equal(this.defect, name === 'none' ? undefined : ANSWER_DEFECT[name as keyof typeof ANSWER_DEFECT]);
+});
