--- a/apps/valelead-daemon/tests/answer-ends.feature
+++ b/apps/valelead-daemon/tests/answer-ends.feature
@@ -31,6 +31,11 @@
       | a stream, with a length, ended inside an event       | cut   |
       | a stream, with a length, ended between events        | whole |
       | without a body, as its status says                   | whole |
+      | a compressed stream, in chunks, ended in order       | whole |
+      | a stream, in a coding without chunks, reset          | cut   |
+      | a stream, in a coding without chunks, closed         | cut   |
+      | unframed, one full buffer, closed in order           | whole |
+      | unframed, one full buffer, reset                     | cut   |
 
   # Guards against a place or a way of breaking off that nobody thought of.
   Scenario: A random stream that is broken off at any byte is never taken for whole
--- a/apps/valelead-daemon/tests/answer-ends.steps.ts
+++ b/apps/valelead-daemon/tests/answer-ends.steps.ts
@@ -23,6 +23,9 @@
 const PART = 'id: 2\ndata';
 const LAST_CHUNK = '0\r\n\r\n';
 
+/** What Node reads from a connection at once, in bytes. */
+const READ_BYTES = 65_536;
+
 const newChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 const newLength = (text: string): string => `${STREAM}content-length: ${text.length}\r\n\r\n${text}`;
 
@@ -49,6 +52,11 @@
 	'a stream, in chunks, cut in the last chunk': {bytes: `${CHUNKED}${newChunk(EVENT)}0\r\n`, end: 'close'},
 	'a stream, with a length, ended inside an event': {bytes: newLength(`${EVENT}${PART}`), end: 'keep'},
 	'a stream, with a length, ended between events': {bytes: newLength(EVENT), end: 'keep'},
+	'a compressed stream, in chunks, ended in order': {bytes: `${STREAM}content-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n${newChunk('compressed')}${LAST_CHUNK}`, end: 'keep'},
+	'a stream, in a coding without chunks, reset': {bytes: `${STREAM}transfer-encoding: gzip\r\n\r\n`, end: 'reset'},
+	'a stream, in a coding without chunks, closed': {bytes: `${STREAM}transfer-encoding: gzip\r\n\r\n`, end: 'late close'},
+	'unframed, one full buffer, closed in order': {bytes: `${HEAD}\r\n`.padEnd(READ_BYTES, 'a'), end: 'close'},
+	'unframed, one full buffer, reset': {bytes: `${HEAD}\r\n`.padEnd(READ_BYTES, 'a'), end: 'reset'},
 	'without a body, as its status says': {bytes: 'HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n', end: 'close'},
 };
 
--- a/apps/valelead-daemon/tests/upstream-attempt.feature
+++ b/apps/valelead-daemon/tests/upstream-attempt.feature
@@ -46,6 +46,21 @@
     When the pieces "id: 1\ndata: a\n|\nid: 2\nda|ta: b\n\nid: 3\ndata" of a stream arrive
     Then the events passed on are "id: 1\ndata: a\n\n|id: 2\ndata: b\n\n" and the last id is "2"
 
+  # Guards against callers that give up on a long prefill, as the comments that an engine sends meanwhile stay in the gateway.
+  Scenario: A comment of a stream that can be resumed is passed on before the next event
+    When the pieces ": alive\n\n|id: 1\ndata: a\n\n|: alive\n\n" of a stream arrive
+    Then the events passed on are ": alive\n\n|id: 1\ndata: a\n\n|: alive\n\n" and the last id is "1"
+
+  # Guards against callers that see each event only with the next one, as they wait for the line feed of its last line.
+  Scenario: An event whose lines end with CRLF is passed on with its last line feed
+    When the pieces "id: 1\r\ndata: a\r\n\r\n|id: 2\r\ndata: b\r\n\r|\nid: 3\r\n" of a stream arrive
+    Then the events passed on are "id: 1\r\ndata: a\r\n\r\n|id: 2\r\ndata: b\r\n\r|\n" and the last id is "2"
+
+  # Guards against a caller that reads the byte order mark of a second engine's stream as a part of a field's name and loses that line.
+  Scenario: A stream that goes on at a second engine holds no byte order mark in its middle
+    When "\uFEFFid: 1\ndata: a\n\nid: 2\nda" of a stream is passed on and it goes on with "\uFEFFid: 2\ndata: b\n\n"
+    Then the caller gets "\uFEFFid: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
   Scenario: Headers of one connection are not passed on
     When the headers "Host: a|Connection: keep-alive, X-Mine|X-Mine: 1|X-Other: 2|Transfer-Encoding: chunked|Content-Length: 3" are passed on
     Then these remain: "Host: a|X-Other: 2"
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -11,7 +11,7 @@
 import {sendAttempt} from './send-attempt.js';
 import {SilentUpstream} from './silent-upstream.js';
 import {
-	UpstreamAgent, getForwardedHeaders, newGatewayAdmission,
+	type GatewayRequest, AnswerPipe, UpstreamAgent, getForwardedHeaders, newGatewayAdmission,
 } from 'valelead-daemon';
 
 type AttemptWorld = {
@@ -48,6 +48,20 @@
 	'another upstream': {bytes: 'HTTP/1.1 421 Other\r\nid: 1\r\nother: x\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
 };
 
+/** A request for a stream that may be resumed. */
+const newStreamRequest = (passed: string[]): GatewayRequest => {
+	const answer = {
+		isStarted: false,
+		start() {
+			this.isStarted = true;
+		},
+		data(chunk: Buffer) {
+			passed.push(chunk.toString());
+		},
+	};
+	return {route: {kind: 'stream', isResumable: true}, answer, lastEventId: undefined} as unknown as GatewayRequest;
+};
+
 const listen = async (world: AttemptWorld, onRequest: (socket: Socket) => void): Promise<number> => {
 	const server = createServer(socket => {
 		world.connections = (world.connections ?? 0) + 1;
@@ -179,7 +193,10 @@
 	assert.deepEqual([this.connections, this.resets], [connections, 0]);
 });
 
-const unescape = (text: string): string => text.replaceAll(String.raw`\n`, '\n');
+const unescape = (text: string): string => text
+	.replaceAll(String.raw`\n`, '\n')
+	.replaceAll(String.raw`\r`, '\r')
+	.replaceAll(String.raw`\uFEFF`, '\uFEFF');
 
 When('the pieces {string} of a stream arrive', function (this: AttemptWorld, pieces: string) {
 	const splitter = new EventSplitter();
@@ -193,6 +210,21 @@
 	}
 });
 
+When('{string} of a stream is passed on and it goes on with {string}', function (this: AttemptWorld, first: string, second: string) {
+	this.passed = [];
+	const request = newStreamRequest(this.passed);
+	for (const text of [first, second]) {
+		const pipe = new AnswerPipe(request, {statusCode: 200, headers: {}, rawHeaders: []});
+		for (const byte of Buffer.from(unescape(text))) {
+			pipe.data(Buffer.from([byte]));
+		}
+	}
+});
+
+Then('the caller gets {string}', function (this: AttemptWorld, text: string) {
+	assert.equal(this.passed.join(''), unescape(text));
+});
+
 Then('the events passed on are {string} and the last id is {string}', function (this: AttemptWorld, events: string, id: string) {
 	assert.equal(this.passed.join('|'), unescape(events));
 	assert.equal(this.lastEventId, id);
