--- a/packages/answer/src/received-answer.ts
+++ b/packages/answer/src/received-answer.ts
@@ -1,5 +1,5 @@
 import type {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import {ANSWER_FRAMING} from './answer-framing.js';
 import {EventScanner} from './event-scanner.js';
 import {getAnswerDefect} from './get-answer-defect.js';
@@ -9,6 +9,10 @@
 
 const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/iv;
 
+/** The lines of a compressed stream cannot be seen. */
+const isPlainEventStream = (headers: IncomingHttpHeaders): boolean => EVENT_STREAM.test(headers['content-type'] ?? '')
+	&& (headers['content-encoding'] ?? 'identity').toLowerCase() === 'identity';
+
 /**
  * Watches how an upstream's answer ends. Made in the turn of the event loop in which its head came.
  *
@@ -28,7 +32,7 @@
 		const {statusCode, headers} = message;
 		this.#message = message;
 		this.#framing = getAnswerFraming({method, status: statusCode ?? 0, headers});
-		this.#events = EVENT_STREAM.test(headers['content-type'] ?? '') ? new EventScanner() : undefined;
+		this.#events = isPlainEventStream(headers) ? new EventScanner() : undefined;
 		if (this.#framing === ANSWER_FRAMING.Connection) {
 			this.#watchConnection();
 		}
