Pass the comments of a resumable stream on before its next event

Since events are found line by line a comment with its blank line waited for the end of the next event, so callers heard nothing during a long prefill.

--- a/packages/answer/src/event-scanner.ts
+++ b/packages/answer/src/event-scanner.ts
@@ -34,7 +34,7 @@
 		return !this.#isInEvent && this.#lineLength === 0 && !isInMark;
 	}
 
-	/** @returns The place in the chunk after the last event that ends in it, or 0. */
+	/** @returns The place in the chunk after the last blank line that ends in it, or 0. Events and comments before it are whole. */
 	take(chunk: Buffer): number {
 		let end = 0;
 		for (const [index, byte] of chunk.entries()) {
@@ -46,7 +46,7 @@
 		return end;
 	}
 
-	/** @returns Whether an event has ended with this byte. */
+	/** @returns Whether a blank line has ended with this byte. */
 	#takeByte(byte: number): boolean {
 		if (this.#takeMark(byte)) {
 			return false;
@@ -88,6 +88,7 @@
 		return true;
 	}
 
+	/** @returns Whether the line was blank. */
 	#endLine(): boolean {
 		const isBlank = this.#lineLength === 0;
 		this.#lineLength = 0;
@@ -96,9 +97,8 @@
 			return false;
 		}
 
-		const isEnd = this.#isInEvent;
+		this.#hasEvents ||= this.#isInEvent;
 		this.#isInEvent = false;
-		this.#hasEvents ||= isEnd;
-		return isEnd;
+		return true;
 	}
 }
