--- a/packages/answer/src/event-scanner.ts
+++ b/packages/answer/src/event-scanner.ts
@@ -20,6 +20,8 @@
 	#hasEvents = false;
 	/** Whether the last byte was a carriage return, to which a line feed may belong. */
 	#isAfterReturn = false;
+	/** Whether the last line that ended was blank. */
+	#isAfterBlank = false;
 	/** Bytes since the beginning, as long as they may be the mark; undefined after that. */
 	#markLength: number | undefined = 0;
 
@@ -55,11 +57,13 @@
 		const isSecondHalf = byte === LINE_FEED && this.#isAfterReturn;
 		this.#isAfterReturn = byte === CARRIAGE_RETURN;
 		if (isSecondHalf) {
-			return false;
+			// Callers may wait for it.
+			return this.#isAfterBlank;
 		}
 
 		if (byte === LINE_FEED || byte === CARRIAGE_RETURN) {
-			return this.#endLine();
+			this.#isAfterBlank = this.#endLine();
+			return this.#isAfterBlank;
 		}
 
 		if (this.#lineLength === 0) {
