Leave the byte order mark out of a stream that goes on at another engine

In the middle of a stream it belongs to the name of a field, so the caller lost the line after it in an answer that looked whole.

--- a/apps/valelead-daemon/src/gateway/answer-pipe.ts
+++ b/apps/valelead-daemon/src/gateway/answer-pipe.ts
@@ -22,7 +22,7 @@
 		this.#status = answer.statusCode ?? 0;
 		this.#headers = getForwardedHeaders(answer.rawHeaders);
 		this.#isStream = route.kind === ROUTE_KIND.Stream && this.#status === HTTP_OK;
-		this.#splitter = this.#isStream && route.isResumable ? new EventSplitter() : undefined;
+		this.#splitter = this.#isStream && route.isResumable ? new EventSplitter(request.answer.isStarted) : undefined;
 	}
 
 	data(chunk: Buffer): void {
