Test resets with bytes after the head, answers without a body, and what an attempt tells of its connection

Each of these could be taken out of the code without a red test: that bytes after the head count for the turn of the end, that the type of a stream is compared without case, 304, and whether a cut answer's connection is told as broken or intact.

--- a/apps/valelead-daemon/tests/answer-ends.feature
+++ b/apps/valelead-daemon/tests/answer-ends.feature
@@ -31,12 +31,31 @@
       | a stream, with a length, ended inside an event       | cut   |
       | a stream, with a length, ended between events        | whole |
       | without a body, as its status says                   | whole |
+      | unframed, reset with bytes that follow its head      | cut   |
+      | a stream, unframed, reset with its last event        | cut   |
+      | a stream, in a type of other case, inside an event   | cut   |
+      | a stream, not compressed as it says, inside an event | cut   |
+      | a stream without a body, as its status says          | whole |
+      | a stream that has not changed, as its status says    | whole |
       | a compressed stream, in chunks, ended in order       | whole |
       | a stream, in a coding without chunks, reset          | cut   |
       | a stream, in a coding without chunks, closed         | cut   |
       | unframed, one full buffer, closed in order           | whole |
       | unframed, one full buffer, reset                     | cut   |
 
+  # Guards against an upstream that crashed and is not looked at, and against one that is looked at though its connection lives.
+  Scenario Outline: An upstream's answer that is <answer> leaves its connection <connection>
+    When an upstream sends an answer that is "<answer>"
+    Then the answer ends as "cut" and its connection is "<connection>"
+
+    Examples:
+      | answer                                              | connection |
+      | a stream, unframed, closed inside an event          | broken     |
+      | a stream, unframed, reset right after its head      | broken     |
+      | a stream, in chunks, cut in the last chunk          | broken     |
+      | a stream, in chunks, ended inside an event          | intact     |
+      | a stream, with a length, ended inside an event      | intact     |
+
   # Guards against a place or a way of breaking off that nobody thought of.
   Scenario: A random stream that is broken off at any byte is never taken for whole
     When random streams are sent in each framing, broken off at each byte and in each way
--- a/apps/valelead-daemon/tests/answer-ends.steps.ts
+++ b/apps/valelead-daemon/tests/answer-ends.steps.ts
@@ -10,6 +10,8 @@
 
 type EndsWorld = {
 	end: string;
+	/** What became of the connection of an answer that was cut. */
+	connection: string | undefined;
 	/** Answers that were taken for another end than theirs. */
 	mistaken: string[];
 };
@@ -52,6 +54,12 @@
 	'a stream, in chunks, cut in the last chunk': {bytes: `${CHUNKED}${newChunk(EVENT)}0\r\n`, end: 'close'},
 	'a stream, with a length, ended inside an event': {bytes: newLength(`${EVENT}${PART}`), end: 'keep'},
 	'a stream, with a length, ended between events': {bytes: newLength(EVENT), end: 'keep'},
+	'unframed, reset with bytes that follow its head': {bytes: `${HEAD}\r\n`, laterBytes: 'ok', end: 'reset'},
+	'a stream, unframed, reset with its last event': {bytes: `${STREAM}\r\n`, laterBytes: EVENT, end: 'reset'},
+	'a stream, in a type of other case, inside an event': {bytes: `${HEAD}content-type: Text/Event-Stream\r\n\r\n${EVENT}${PART}`, end: 'late close'},
+	'a stream, not compressed as it says, inside an event': {bytes: `${STREAM}content-encoding: identity\r\n\r\n${EVENT}${PART}`, end: 'late close'},
+	'a stream without a body, as its status says': {bytes: `${STREAM.replace('200 OK', '204 No Content')}\r\n`, end: 'close'},
+	'a stream that has not changed, as its status says': {bytes: `${STREAM.replace('200 OK', '304 Not Modified')}\r\n`, end: 'close'},
 	'a compressed stream, in chunks, ended in order': {bytes: `${STREAM}content-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n${newChunk('compressed')}${LAST_CHUNK}`, end: 'keep'},
 	'a stream, in a coding without chunks, reset': {bytes: `${STREAM}transfer-encoding: gzip\r\n\r\n`, end: 'reset'},
 	'a stream, in a coding without chunks, closed': {bytes: `${STREAM}transfer-encoding: gzip\r\n\r\n`, end: 'late close'},
@@ -88,6 +96,8 @@
 
 type Framing = 'connection' | 'chunks' | 'length';
 
+type SentEnd = Parameters<Parameters<typeof sendAttempt>[2]>[0];
+
 type Cut = Answer & {
 	readonly name: string;
 	readonly isWhole: boolean;
@@ -162,14 +172,12 @@
 	return cuts;
 };
 
-const send = async (answer: Answer): Promise<string> => {
+const send = async (answer: Answer): Promise<SentEnd> => {
 	const source = new AnswerSource(answer);
 	const agent = new UpstreamAgent(1);
 	const port = await source.listen();
-	const end = await new Promise<string>(resolve => {
-		sendAttempt(port, agent, result => {
-			resolve(result.end);
-		});
+	const end = await new Promise<SentEnd>(resolve => {
+		sendAttempt(port, agent, resolve);
 	});
 	agent.destroy();
 	source.close();
@@ -177,19 +185,25 @@
 };
 
 When('an upstream sends an answer that is {string}', async function (this: EndsWorld, name: string) {
-	this.end = await send(ANSWERS[name]);
+	const {end, connection} = await send(ANSWERS[name]);
+	this.end = end;
+	this.connection = connection;
 });
 
 Then('the answer ends as {string}', function (this: EndsWorld, end: string) {
 	assert.equal(this.end, end === 'whole' ? 'whole' : CUT);
 });
 
+Then('the answer ends as "cut" and its connection is {string}', function (this: EndsWorld, connection: string) {
+	assert.deepEqual([this.end, this.connection], [CUT, connection]);
+});
+
 When('random streams are sent in each framing, broken off at each byte and in each way', {timeout: 60_000}, async function (this: EndsWorld) {
 	const cuts = fc.sample(RANDOM_STREAM, {numRuns: STREAMS, seed: SEED}).flatMap(stream => newCuts(newStream(stream)));
 	this.mistaken = [];
 	const sendNext = async (): Promise<void> => {
 		for (let cut = cuts.pop(); cut; cut = cuts.pop()) {
-			const end = await send(cut);
+			const {end} = await send(cut);
 			if ((end === 'whole') !== cut.isWhole) {
 				this.mistaken.push(`${cut.name}: ${end}`);
 			}
--- a/apps/valelead-daemon/tests/answer-source.ts
+++ b/apps/valelead-daemon/tests/answer-source.ts
@@ -9,6 +9,8 @@
 
 type SourceAnswer = {
 	readonly bytes: Uint8Array | string;
+	/** Sent some time after the others, with the end. */
+	readonly laterBytes?: string;
 	readonly end: ConnectionEnd;
 };
 
@@ -41,9 +43,21 @@
 	}
 
 	#answer(socket: Socket): void {
-		const {bytes, end} = this.#sent;
+		const {bytes, laterBytes} = this.#sent;
 		socket.write(Buffer.from(bytes));
-		switch (end) {
+		if (laterBytes === undefined) {
+			this.#end(socket);
+			return;
+		}
+
+		setTimeout(() => {
+			socket.write(laterBytes);
+			this.#end(socket);
+		}, LATE_MS);
+	}
+
+	#end(socket: Socket): void {
+		switch (this.#sent.end) {
 			case 'keep': {
 				break;
 			}
--- a/apps/valelead-daemon/tests/send-attempt.ts
+++ b/apps/valelead-daemon/tests/send-attempt.ts
@@ -5,6 +5,8 @@
 	/** `whole`, or the result code and the outcome of a failure. */
 	readonly end: string;
 	readonly body: string;
+	/** What became of the connection; undefined where the answer was whole. */
+	readonly connection?: string;
 };
 
 /** A codec of the tests' own: the answer's id stands in `id`, refusals in `not-run`, another upstream in `other`. */
@@ -45,8 +47,8 @@
 			onEnd() {
 				onOver({end: 'whole', body: Buffer.concat(chunks).toString()});
 			},
-			onFailure({code, outcome}) {
-				onOver({end: `${code} ${outcome}`, body: ''});
+			onFailure({code, outcome, connection}) {
+				onOver({end: `${code} ${outcome}`, body: '', connection});
 			},
 		},
 	});
