Take frames for a lane that has ended

After the first write to an ended lane the writer waited for it to drain, which never came, so the attempt would never end. Shown on a stand-in for the lane (a Writable that was ended): 1 of 4 frames taken before, all after. Not shown: how often a lane of gRPC gets there; by reading it is an agent whose entry is gone under a request that may not be repeated. Test: red before.

--- a/apps/valelead-daemon/src/agent/lane-writer.ts
+++ b/apps/valelead-daemon/src/agent/lane-writer.ts
@@ -20,7 +20,7 @@
 	async addFrame(frame: Frame): Promise<void> {
 		this.#frames.push(frame);
 		this.#flushSoon();
-		if (this.#isFull) {
+		if (this.#isFull && this.#lane.writable) {
 			await Promise.race([once(this.#lane, 'drain'), once(this.#lane, 'cancelled')]);
 		}
 	}
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -19,6 +19,7 @@
 export type {UpstreamDispatch} from './adapter/upstream-dispatch.js';
 export {encodeLimitReport} from './follower/encode-limit-report.js';
 export {LimitRegistry} from './control/limit-registry.js';
+export {LaneWriter} from './agent/lane-writer.js';
 export {AnswerPipe} from './gateway/answer-pipe.js';
 export {UpstreamAgent} from './gateway/upstream-agent.js';
 export {UpstreamLimits} from './gateway/upstream-limits.js';
