--- a/packages/answer/src/event-scanner.ts
+++ b/packages/answer/src/event-scanner.ts
@@ -20,6 +20,8 @@
 	#hasEvents = false;
 	/** Whether the last byte was a carriage return, to which a line feed may belong. */
 	#isAfterReturn = false;
+	/** Whether the last line that ended was blank. */
+	#isAfterBlank = false;
 	/** Bytes since the beginning, as long as they may be the mark; undefined after that. */
 	#markLength: number | undefined = 0;
 
@@ -34,7 +36,7 @@
 		return !this.#isInEvent && this.#lineLength === 0 && !isInMark;
 	}
 
-	/** @returns The place in the chunk after the last event that ends in it, or 0. */
+	/** @returns The place in the chunk after the last blank line that ends in it, or 0. Events and comments before it are whole. */
 	take(chunk: Buffer): number {
 		let end = 0;
 		for (const [index, byte] of chunk.entries()) {
@@ -46,7 +48,7 @@
 		return end;
 	}
 
-	/** @returns Whether an event has ended with this byte. */
+	/** @returns Whether a blank line has ended with this byte. */
 	#takeByte(byte: number): boolean {
 		if (this.#takeMark(byte)) {
 			return false;
@@ -55,11 +57,13 @@
 		const isSecondHalf = byte === LINE_FEED && this.#isAfterReturn;
 		this.#isAfterReturn = byte === CARRIAGE_RETURN;
 		if (isSecondHalf) {
-			return false;
+			// Callers may wait for it.
+			return this.#isAfterBlank;
 		}
 
 		if (byte === LINE_FEED || byte === CARRIAGE_RETURN) {
-			return this.#endLine();
+			this.#isAfterBlank = this.#endLine();
+			return this.#isAfterBlank;
 		}
 
 		if (this.#lineLength === 0) {
@@ -88,6 +92,7 @@
 		return true;
 	}
 
+	/** @returns Whether the line was blank. */
 	#endLine(): boolean {
 		const isBlank = this.#lineLength === 0;
 		this.#lineLength = 0;
@@ -96,9 +101,8 @@
 			return false;
 		}
 
-		const isEnd = this.#isInEvent;
+		this.#hasEvents ||= this.#isInEvent;
 		this.#isInEvent = false;
-		this.#hasEvents ||= isEnd;
-		return isEnd;
+		return true;
 	}
 }
