Decide by one rule what an entry and a gateway that stop still take

An entry refused everything from its stop signal on, whatever time it had left, and sent what waited at the signal until its end, where the rest was refused or cut off. Cause: as at gateways, its admission did not know when the entry ends. Now it is told: what its own deadline ends before the entry's end is taken and sent, the rest is refused at once as not run, with code 2005 and the end of its connection. Answers that have not begun at the signal end their connections as well.

Tests, before and after: a request that waits at the signal with 60 s of time was refused after 31.0 s, now within 500 ms; a request with 15 s that comes 300 ms after the signal got 503, now its answer; a call with a key that is refused by the entry runs at another one. Alone, 4 of 4 scenarios green (3 red before; the fourth, of a late request with 60 s, was refused before as well and guards that it still is). The four scenarios of failures.feature on stops, drains and kills: 4 of 4 green.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -14,6 +14,8 @@
  */
 export class CallerConnections {
 	readonly #connections = new Map<Socket, Connection>();
+	readonly #unfinished = new Set<ServerResponse>();
+	#isEnding = false;
 
 	/** Answers that callers have not taken; what the process still holds of them is lost if it ends. */
 	get unfinishedCount(): number {
@@ -40,12 +42,28 @@
 		}
 
 		connection.unfinished += 1;
+		this.#unfinished.add(response);
+		if (this.#isEnding) {
+			response.setHeader('connection', 'close');
+		}
+
 		response.once('close', () => {
+			this.#unfinished.delete(response);
 			connection.unfinished -= 1;
 			connection.readBytes = socket!.bytesRead;
 		});
 	}
 
+	/** From now on an answer that has not begun is the last one on its connection, and tells its caller so. */
+	endAfterAnswers(): void {
+		this.#isEnding = true;
+		for (const response of this.#unfinished) {
+			if (!response.headersSent) {
+				response.setHeader('connection', 'close');
+			}
+		}
+	}
+
 	/** Ends the connections on which nothing is in progress, a request that has come in part included. */
 	closeIdle(): void {
 		for (const [socket, {unfinished, readBytes}] of this.#connections) {
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -53,6 +53,11 @@
 		await once(this.#server, 'listening');
 	}
 
+	/** From now on an answer that has not begun is the last one on its connection. */
+	endAfterAnswers(): void {
+		this.#connections.endAfterAnswers();
+	}
+
 	/** Takes no new connections; those that are idle end, the others after their answer. */
 	close(): void {
 		stopListening(this.#server);
--- a/apps/valelead-daemon/src/entry/dispatcher.ts
+++ b/apps/valelead-daemon/src/entry/dispatcher.ts
@@ -128,6 +128,14 @@
 		this.#take({kind: 'refuseAll', code});
 	}
 
+	/**
+	 * From now on sends only what ends before this process does, by its own deadline.
+	 * @param endsAt - When what is in progress is broken off, in monotonic milliseconds.
+	 */
+	stop(endsAt: number): void {
+		this.#take({kind: 'stop', endsAt});
+	}
+
 	/** Ends what is still in progress with an honest answer. */
 	cutAll(code: ResultCodeValue): void {
 		this.refuseWaiting(code);
--- a/apps/valelead-daemon/src/entry/entry.ts
+++ b/apps/valelead-daemon/src/entry/entry.ts
@@ -42,7 +42,8 @@
 	readonly #callers: CallerServer;
 	readonly #session: SessionClient;
 	#admin: Server | undefined;
-	#isStopping = false;
+	/** When what is in progress is broken off, from the stop signal on. */
+	#endsAt: number | undefined;
 
 	constructor(parts: EntryParts) {
 		this.#parts = parts;
@@ -70,23 +71,29 @@
 		logger.info({event: 'started', startMs: getStartMs()}, 'entry started');
 	}
 
-	/** Fails readiness, lets the balancer notice, and waits for what is in progress. */
+	/** Fails readiness, lets the balancer notice, refuses what could not end in time, and waits for the rest. */
 	async stop(): Promise<void> {
 		const {settings, timers} = this.#parts;
-		this.#isStopping = true;
+		this.#setEnd(SYSTEM_CLOCK.now() + settings.balancerDelayMs + settings.stopLimitMs);
 		await timers.wait(settings.balancerDelayMs);
 		this.#callers.close();
-		await this.#waitUntilIdle(settings.stopLimitMs);
-		this.#dispatcher.cutAll(RESULT_CODE.Draining);
+		await this.#waitUntilIdle();
+		this.stopNow();
 		this.#session.stop();
 		this.#admin?.close();
 	}
 
 	stopNow(): void {
-		this.#isStopping = true;
+		this.#setEnd(SYSTEM_CLOCK.now());
 		this.#dispatcher.cutAll(RESULT_CODE.Draining);
 	}
 
+	#setEnd(endsAt: number): void {
+		this.#endsAt = endsAt;
+		this.#callers.endAfterAnswers();
+		this.#dispatcher.stop(endsAt);
+	}
+
 	#newDispatcher(): Dispatcher {
 		const {settings, timers, pool} = this.#parts;
 		return new Dispatcher({
@@ -165,17 +172,14 @@
 		this.#dispatcher.takeEndpoints(update.endpoints, update.entryCount);
 	}
 
+	/** Why no request is taken. An entry that stops still takes those that end before it does; its admission refuses the others. */
 	#getClosedCode(): ResultCodeValue | undefined {
-		if (this.#isStopping) {
-			return RESULT_CODE.Draining;
-		}
-
 		const isTooOld = this.#follower.ageMs > this.#parts.settings.maxConfigurationAgeMs;
 		return isTooOld ? RESULT_CODE.ConfigurationTooOld : undefined;
 	}
 
 	#getUnreadyReason(): string | undefined {
-		const code = this.#getClosedCode();
+		const code = this.#endsAt === undefined ? this.#getClosedCode() : RESULT_CODE.Draining;
 		return code === undefined ? undefined : RESULT_DETAILS[code].name;
 	}
 
@@ -185,10 +189,9 @@
 		}
 	}
 
-	async #waitUntilIdle(limitMs: number): Promise<void> {
-		const endsAt = SYSTEM_CLOCK.now() + limitMs;
+	async #waitUntilIdle(): Promise<void> {
 		const isBusy = (): boolean => this.#dispatcher.inProgress > 0 || this.#callers.unfinishedCount > 0;
-		while (isBusy() && SYSTEM_CLOCK.now() < endsAt) {
+		while (isBusy() && SYSTEM_CLOCK.now() < this.#endsAt!) {
 			await this.#parts.timers.wait(IDLE_POLL_MS);
 			this.#callers.closeIdle();
 		}
