Give engines to processes that stay, while there are any

An engine without a sidecar could be given to a gateway that had been told to stop: the leader knew of no stop, and chose the holder of fewest engines. When that gateway ended, the engine had no orders until its lease was over and the order gap had passed. Cause: as with the requests of a gateway that stops, work is taken whose end is known to come too soon. Gateways now tell the leader that they stop, in a new field of their reports; it prefers others. What a gateway holds at its stop it keeps until its end, as before, and where all stop, one of them still gets the engine.

--- a/apps/valelead-daemon/src/control/order-leases.ts
+++ b/apps/valelead-daemon/src/control/order-leases.ts
@@ -73,6 +73,7 @@
 				vm: report.vm,
 				keeperAddress: report.keeperAddress,
 				heardAt: this.#parts.clock.now(),
+				isStopping: report.isStopping,
 				held: report.leases.map(({engineAddress, fence, startsInMs}) => ({address: engineAddress, fence, startsInMs})),
 			};
 			this.#candidates.set(report.vm, candidate);
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -130,7 +130,7 @@
 
 	#newReport(sentAt: number, isFirst: boolean): SessionReport {
 		const {settings, duties} = this.#parts;
-		const {leases, endedLeases, keeperAddress, attendedEngines} = duties.getReport();
+		const {leases, endedLeases, keeperAddress, isStopping, attendedEngines} = duties.getReport();
 		// They only become more, and a session remembers them.
 		const hasNews = isFirst || attendedEngines.length !== this.#toldAttended;
 		this.#toldAttended = attendedEngines.length;
@@ -144,6 +144,7 @@
 			directoryEpoch: this.#copy.epoch,
 			directoryVersion: this.#copy.version,
 			keeperAddress,
+			isStopping,
 			attendedEngines: hasNews ? attendedEngines : [],
 			leases: leases.map(lease => create(HeldLeaseSchema, lease)),
 			endedLeases: endedLeases.map(lease => create(EndedLeaseSchema, lease)),
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -200,6 +200,7 @@
 		const endsAt = startedAt + (settings.graceSeconds * MS_PER_SECOND) - END_RESERVE_MS;
 		this.#grace = {startedAt, endsAt};
 		this.#dispatcher.stop(endsAt);
+		this.#follower.reportSoon();
 		await timers.wait(Math.min(BALANCER_MS, settings.graceSeconds * MS_PER_SECOND / 2));
 		this.#server.close();
 		this.#server.closeIdle();
@@ -245,7 +246,7 @@
 			suspensions: SYSTEM_SUSPENSIONS,
 			logger,
 			duties: {
-				getReport: () => ({...this.#keepers.getReport(), attendedEngines: this.#residency.attendedEngines}),
+				getReport: () => ({...this.#keepers.getReport(), isStopping: this.#grace !== undefined, attendedEngines: this.#residency.attendedEngines}),
 				take: grant => {
 					this.#keepers.take(grant);
 				},
--- a/apps/valelead-daemon/src/sidecar/start-sidecar.ts
+++ b/apps/valelead-daemon/src/sidecar/start-sidecar.ts
@@ -39,7 +39,7 @@
 		logger,
 		duties: {
 			getReport: () => ({
-				attendedEngines: [settings.engine], keeperAddress: '', leases: [], endedLeases: [],
+				attendedEngines: [settings.engine], keeperAddress: '', isStopping: false, leases: [], endedLeases: [],
 			}),
 			take(grant) {
 				ordersFrom = getOrderStart(ordersFrom, grant, SYSTEM_CLOCK.now());
--- a/apps/valelead-daemon/tests/order-leases.feature
+++ b/apps/valelead-daemon/tests/order-leases.feature
@@ -9,6 +9,13 @@
     Then "g1" is granted "e1" with a fence of term 3
     And the directory names "g1" as the keeper of "e1"
 
+  # Guards against an engine that is given to a gateway which ends in a moment, and has no orders until that one's lease is over.
+  Scenario: An engine without a sidecar is not given to a gateway that stops
+    When gateway "g2" joins and "g1" says that it stops
+    And 8000 ms pass with reports
+    Then "g2" is granted "e1" with a fence of term 3
+    And "g1" is granted nothing
+
   Scenario: An engine whose sidecar a gateway has reached is not given away
     When "g1" says that it has reached the sidecar of "e1"
     And 8000 ms pass with reports
--- a/apps/valelead-daemon/tests/order-leases.steps.ts
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -24,7 +24,10 @@
 	directory: Directory;
 	leases: OrderLeases;
 	sessions: FollowerSessions;
-	stream: object;
+	/** The sessions' streams by gateway. */
+	streams: Map<string, object>;
+	/** The gateway that said that it stops. */
+	stopping: string;
 };
 
 const SERVICE = 'llm';
@@ -35,13 +38,19 @@
 const ignore = (): void => undefined;
 
 const report = (world: LeasesWorld, attendedEngines: string[] = []): void => {
-	const leases = world.leases.getGrants('g1').map(lease => create(HeldLeaseSchema, lease));
-	world.sessions.take(world.stream as never, create(FollowerReportSchema, {
-		vm: 'g1', role: 'gateway', directoryEpoch: 'e', keeperAddress: 'g1', attendedEngines, leases,
-	}));
+	for (const [vm, stream] of world.streams) {
+		const leases = world.leases.getGrants(vm).map(lease => create(HeldLeaseSchema, lease));
+		world.sessions.take(stream as never, create(FollowerReportSchema, {
+			vm, role: 'gateway', directoryEpoch: 'e', keeperAddress: vm, isStopping: vm === world.stopping, attendedEngines, leases,
+		}));
+	}
+};
+
+const addStream = (world: LeasesWorld, vm: string): void => {
+	world.streams.set(vm, {on: ignore, write: () => true});
 };
 
-Given('a leader of term {int} with engine {string} and a session of gateway {string}', function (this: LeasesWorld, term: number, engine: string, _vm: string) {
+Given('a leader of term {int} with engine {string} and a session of gateway {string}', function (this: LeasesWorld, term: number, engine: string, vm: string) {
 	this.time = new VirtualTime();
 	this.timers = newVirtualTimers(this.time);
 	this.node = {
@@ -71,7 +80,9 @@
 		voter: voter as never, registry, leases: this.leases, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS, gatewayLeases: NO_GATEWAY_LEASES,
 		watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: this.timers, clock,
 	});
-	this.stream = {on: ignore, write: () => true};
+	this.streams = new Map();
+	this.stopping = '';
+	addStream(this, vm);
 	this.leases.start();
 	report(this);
 });
@@ -83,6 +94,11 @@
 	}
 });
 
+When('gateway {string} joins and {string} says that it stops', function (this: LeasesWorld, joining: string, stopping: string) {
+	addStream(this, joining);
+	this.stopping = stopping;
+});
+
 When('{string} says that it has reached the sidecar of {string}', function (this: LeasesWorld, _vm: string, engine: string) {
 	report(this, [engine]);
 });
--- a/packages/order-lease/src/mutate-leases.ts
+++ b/packages/order-lease/src/mutate-leases.ts
@@ -13,7 +13,10 @@
 /** Fences of one term lie below those of the next; no leadership grants as many leases. */
 const FENCES_PER_TERM = 65_536;
 
-/** The candidate that holds fewest leases; the first by name among equals. */
+/**
+ * The candidate that holds fewest leases, the first by name among equals. One that stops comes after all others: an engine has no orders
+ * from the end of its holder until that one's lease is over.
+ */
 const getIdlest = ({leases}: LeaseState, candidates: readonly LeaseCandidate[]): LeaseCandidate | undefined => {
 	const counts = new Map<string, number>();
 	for (const {vm} of leases.values()) {
@@ -21,7 +24,8 @@
 	}
 
 	const getCount = ({vm}: LeaseCandidate): number => counts.get(vm) ?? 0;
-	const [first] = candidates.toSorted((left, right) => (getCount(left) - getCount(right)) || left.vm.localeCompare(right.vm));
+	const [first] = candidates.toSorted((left, right) =>
+		(Number(left.isStopping) - Number(right.isStopping)) || (getCount(left) - getCount(right)) || left.vm.localeCompare(right.vm));
 	return first;
 };
 
--- a/packages/order-lease/tests/model-installation.ts
+++ b/packages/order-lease/tests/model-installation.ts
@@ -34,7 +34,8 @@
 	#sidecarStartsAt = Number.POSITIVE_INFINITY;
 
 	/** Plays a step and fails where an engine gets orders that it must not. */
-	play({silent, deaf, restarted, isLeaderNew, isSidecarStarted, turns}: ModelStep): void {
+	play(step: ModelStep): void {
+		const {silent, deaf, stopping, restarted, isLeaderNew, isSidecarStarted, turns} = step;
 		if (isLeaderNew) {
 			this.#state = newLeaseState(this.#state.term + 1, this.#now);
 			this.#heard.clear();
@@ -46,7 +47,7 @@
 
 		for (let turn = 0; turn < turns; turn += 1) {
 			this.#now += TURN_MS;
-			this.#report(silent);
+			this.#report(silent, stopping);
 			this.#noteSidecar(isSidecarStarted);
 			mutateLeases(this.#state, SETTINGS, {addresses: new Set(ENGINES), candidates: [...this.#heard.values()]}, this.#now);
 			this.#reply([...silent, ...deaf]);
@@ -54,10 +55,12 @@
 		}
 	}
 
-	#report(silent: readonly string[]): void {
+	#report(silent: readonly string[], stopping: readonly string[]): void {
 		for (const [vm, leases] of this.#holders) {
 			if (!silent.includes(vm)) {
-				this.#heard.set(vm, {vm, heardAt: this.#now, held: this.#getHeld(leases)});
+				this.#heard.set(vm, {
+					vm, heardAt: this.#now, isStopping: stopping.includes(vm), held: this.#getHeld(leases),
+				});
 			}
 		}
 	}
--- a/packages/order-lease/tests/model-step.ts
+++ b/packages/order-lease/tests/model-step.ts
@@ -9,6 +9,8 @@
 	silent: fc.subarray(MODEL_VMS),
 	/** Processes that get no replies. */
 	deaf: fc.subarray(MODEL_VMS),
+	/** Processes that tell that they stop. */
+	stopping: fc.subarray(MODEL_VMS),
 	restarted: fc.option(fc.constantFrom(...MODEL_VMS), {freq: 12, nil: undefined}),
 	isLeaderNew: fc.nat(3).map(number => number === 0),
 	/** Whether the sidecar of the first engine starts, where it does not run yet. */
--- a/packages/order-lease/tests/order-lease.feature
+++ b/packages/order-lease/tests/order-lease.feature
@@ -28,6 +28,25 @@
     When engines "e1, e2, e3, e4" and gateways "g1, g2" are heard from 0 ms to 4000 ms
     Then each of "g1, g2" holds 2 engines
 
+  # Guards against an engine that is given to a process which ends in a moment, and has no orders until that one's lease is over.
+  Scenario: A process that stops gets no further engine while another one could take it
+    When gateway "g1" tells that it stops
+    And engine "e1" and gateways "g1, g2" are heard from 0 ms to 4000 ms
+    Then "e1" is held by one of "g2", who may order from 6500 ms on
+
+  # Guards against engines without any orders while all processes are restarted.
+  Scenario: Where all processes stop, one of them gets the engine
+    When gateway "g1" tells that it stops
+    And engine "e1" and gateway "g1" are heard from 0 ms to 4000 ms
+    Then "e1" is held by one of "g1", who may order from 6500 ms on
+
+  # Guards against a holder that goes on with a lease which the leader takes for over.
+  Scenario: A process that stops keeps what it holds
+    When engine "e1" and gateways "g1, g2" are heard from 0 ms to 8000 ms
+    And gateway "g1" tells that it stops
+    And engine "e1" and gateways "g1, g2" are heard from 8500 ms to 16000 ms
+    Then "e1" is held by one of "g1", who may order from 6500 ms on
+
   Scenario: A holder that falls silent is replaced once nothing of it can arrive any more
     When engine "e1" and gateway "g1" are heard from 0 ms to 8000 ms
     And engine "e1" and gateway "g2" are heard from 8500 ms to 12000 ms
--- a/packages/order-lease/tests/order-lease.steps.ts
+++ b/packages/order-lease/tests/order-lease.steps.ts
@@ -13,6 +13,8 @@
 	/** Fences in the order in which they were granted. */
 	fences: number[];
 	held: Map<string, HeldLease[]>;
+	/** Gateways that told that they stop. */
+	stopping: Set<string>;
 };
 
 const REPORT_MS = 500;
@@ -20,7 +22,7 @@
 const split = (text: string): string[] => text.split(', ');
 
 const newCandidate = (world: LeaseWorld, vm: string, heardAt: number): LeaseCandidate => ({
-	vm, heardAt, held: world.held.get(vm) ?? [],
+	vm, heardAt, held: world.held.get(vm) ?? [], isStopping: world.stopping.has(vm),
 });
 
 Given('a leader that begins at {int} ms and an order gap of {int} ms', function (this: LeaseWorld, startedAt: number, gapMs: number) {
@@ -28,6 +30,7 @@
 	this.gapMs = gapMs;
 	this.fences = [];
 	this.held = new Map();
+	this.stopping = new Set();
 });
 
 When('engine(s) {string} and gateway(s) {string} are heard from {int} ms to {int} ms', function (this: LeaseWorld, engines: string, gateways: string, from: number, to: number) {
@@ -38,6 +41,10 @@
 	}
 });
 
+When('gateway {string} tells that it stops', function (this: LeaseWorld, vm: string) {
+	this.stopping.add(vm);
+});
+
 When('the sidecar of {string} is heard', function (this: LeaseWorld, engine: string) {
 	this.state.attended.add(engine);
 });
