--- a/apps/valelead-daemon/tests/retry-budget.feature
+++ b/apps/valelead-daemon/tests/retry-budget.feature
@@ -38,6 +38,14 @@
     And every request fails for 3000 ms
     Then the service gets no more repeats than its budget allows
 
+  # Guards against a share that a leader gives away while a gateway that it never heard still spends its own.
+  Scenario: A gateway that a new leader has not heard still counts
+    Given 2 gateways whose leader has counted them
+    When the last one hears no leader any more, another leader begins and the first one is killed
+    And no request fails for 8000 ms
+    And every request fails for 8000 ms
+    Then the service gets no more repeats than its budget allows
+
   # Guards against callers that fail at the first start of an installation, when no retry can have been spent.
   Scenario: Gateways of an installation that gets its first routing may retry at once
     Given 9 gateways that follow the leader of an installation without a routing
--- a/apps/valelead-daemon/tests/retry-budget.steps.ts
+++ b/apps/valelead-daemon/tests/retry-budget.steps.ts
@@ -160,6 +160,16 @@
 	this.retries.pass(deafMs, 0);
 });
 
+When('the last one hears no leader any more, another leader begins and the first one is killed', function (this: RetryWorld) {
+	this.retries.cut(this.retries.gatewayCount - 1);
+	this.retries.lead();
+	this.retries.kill(0);
+});
+
+When('no request fails for {int} ms', function (this: RetryWorld, ms: number) {
+	this.retries.pass(ms, 0);
+});
+
 When('the last one hears the leader', function (this: RetryWorld) {
 	this.retries.cut(this.retries.gatewayCount - 1);
 });
