Let gateways go by a new leader's list only once it has taken their reports

A gateway that holds a session with a voter which comes to lead is sent news (each leadership begins a directory, so the first announcement of an engine is one) before it reports again. Until a report has come the leader expected no gateways, so it took itself to have heard all and granted a lease on a list without suspects; a request that two gateways kept back after three crashes was sent once more.

Now a lease goes only with a report that the leader has taken in its leadership.

The model of crash-histories has voters that name no leader and are asked again on the same session, announcements, and histories in which all voters stand still from a crash on.

--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -373,7 +373,7 @@
 			...quarantine,
 			crashesKnownUntil: session.crashesKnownUntil,
 			crashesObeyedUntil: session.crashesObeyedUntil,
-			isCrashLeaseGranted: this.#gatewayLeases.isComplete,
+			isCrashLeaseGranted: this.#gatewayLeases.isGranted(session),
 			...(session.role === SIDECAR_ROLE && {
 				ordersFromMs: this.#leases.getSidecarDelayMs([...session.attended]), holdersKnownInMs: this.#leases.holdersKnownMs,
 			}),
--- a/apps/valelead-daemon/src/control/gateway-leases.ts
+++ b/apps/valelead-daemon/src/control/gateway-leases.ts
@@ -53,10 +53,13 @@
 		}
 	}
 
-	/** Whether all gateways that followed an earlier leader have told this one what they know, or are gone for long. */
-	get isComplete(): boolean {
-		this.#checkTerm();
-		return !this.#hasMissing(AWAY_MS);
+	/**
+	 * Whether a gateway may go by this leader's list: the leader has taken a report of it, and all gateways that followed an earlier leader have told this
+	 * one what they know, or are gone for long. Sessions that began before the leadership are sent news before that, and until a report has come
+	 * nothing tells how many gateways there are.
+	 */
+	isGranted(session: FollowerSession): boolean {
+		return this.#isComplete && this.#gateways.get(session.vm)?.session === session;
 	}
 
 	/** Whether some gateway may still send by what it knew before a version of the quarantine. */
@@ -73,7 +76,7 @@
 	 * one more upstream to it; undefined where none is away.
 	 */
 	get pausedCrashes(): number | undefined {
-		if (!this.isComplete) {
+		if (!this.#isComplete) {
 			// What the others told an earlier leader is not known here.
 			return 1;
 		}
@@ -84,6 +87,11 @@
 		return awayCount > 0 ? Math.max(1, BEGUN_CRASHES - awayCount) : undefined;
 	}
 
+	get #isComplete(): boolean {
+		this.#checkTerm();
+		return !this.#hasMissing(AWAY_MS);
+	}
+
 	/** Whether gateways that followed an earlier leader may have told this one nothing yet, within a time of its begin. */
 	#hasMissing(withinMs: number): boolean {
 		return this.#gateways.size < this.#expectedCount && this.#parts.clock.now() - this.#ledSince <= withinMs;
--- a/apps/valelead-daemon/tests/crash-histories.feature
+++ b/apps/valelead-daemon/tests/crash-histories.feature
@@ -7,3 +7,15 @@
     When a caller sends such a request for 25 seconds in 300 random histories
     Then at most 3 engines crashed in each of them
     And the request was refused at the end of each
+
+  # Guards against: a leader that lets gateways send what had begun at a crash before any of them has told it of crashes.
+  Scenario Outline: Three engines are lost at most when all voters stand still from crash <crash> on
+    When a caller sends such a request for 25 seconds, and all voters stand still for up to 5000 ms from its crash <crash> on, in 300 random histories
+    Then at most 3 engines crashed in each of them
+    And the request was refused at the end of each
+
+    Examples:
+      | crash |
+      | 1     |
+      | 2     |
+      | 3     |
--- a/apps/valelead-daemon/tests/crash-histories.steps.ts
+++ b/apps/valelead-daemon/tests/crash-histories.steps.ts
@@ -8,6 +8,12 @@
 
 type Step = typeof CRASH_STEP extends fc.Arbitrary<infer Value> ? Value : never;
 
+type Standstill = {
+	/** The crash under the request from which on all voters stand still. */
+	readonly crash: number;
+	readonly forMs: number;
+};
+
 type HistoriesWorld = {
 	/** Histories that broke the bound, or in which the request was not refused at the end. */
 	findings: string[];
@@ -66,7 +72,8 @@
 	}
 };
 
-const play = async (steps: readonly Step[], seed: number, lengthMs: number): Promise<CrashInstallation> => {
+/** Installations whose messages take as long as a seed says, with gateways that have found a leader and a caller that has begun. */
+const start = async (seed: number): Promise<CrashInstallation> => {
 	const random = fc.sample(fc.double({min: 0, max: 1, noNaN: true}), {numRuns: 997, seed});
 	let drawn = 0;
 	const installation = new CrashInstallation(() => {
@@ -76,23 +83,65 @@
 	});
 	await pass(installation, START_MS);
 	installation.try(seed);
+	return installation;
+};
+
+/** Lets a history end without a disturbance. */
+const calm = async (installation: CrashInstallation, lengthMs: number): Promise<void> => pass(installation, Math.max(CALM_MS, lengthMs - installation.time.now));
+
+const play = async (steps: readonly Step[], seed: number, lengthMs: number): Promise<CrashInstallation> => {
+	const installation = await start(seed);
 	for (const step of steps) {
 		await pass(installation, step.afterMs);
 		await disturb(installation, step);
 	}
 
-	await pass(installation, Math.max(CALM_MS, lengthMs - installation.time.now));
+	await calm(installation, lengthMs);
 	return installation;
 };
 
+/** Plays a history in which all voters stand still from a crash on. */
+const playStandstill = async ({crash, forMs}: Standstill, seed: number, lengthMs: number): Promise<CrashInstallation> => {
+	const installation = await start(seed);
+	while (installation.crashes < crash) {
+		await pass(installation, TURN_MS);
+	}
+
+	for (const {process: stopped} of installation.voters.voters) {
+		stopped.freeze();
+	}
+
+	await pass(installation, forMs);
+	for (const {process: stopped} of installation.voters.voters) {
+		stopped.thaw();
+	}
+
+	await calm(installation, lengthMs);
+	return installation;
+};
+
+const getFinding = ({crashes, refusals}: CrashInstallation, history: string): string[] =>
+	crashes > MOST_CRASHES || refusals === 0 ? [`${crashes} engines, ${refusals} refusals: ${history}`] : [];
+
+When('a caller sends such a request for {int} seconds, and all voters stand still for up to {int} ms from its crash {int} on, in {int} random histories', {timeout: 120_000}, async function (
+	this: HistoriesWorld,
+	seconds: number,
+	mostMs: number,
+	crash: number,
+	count: number,
+) {
+	this.findings = [];
+	const histories = fc.sample(fc.tuple(fc.integer({min: 20, max: mostMs}), fc.nat()), {numRuns: count, seed: SEED});
+	for (const [forMs, seed] of histories) {
+		this.findings.push(...getFinding(await playStandstill({crash, forMs}, seed, seconds * MS_PER_SECOND), `${forMs} ms, seed ${seed}`));
+	}
+});
+
 When('a caller sends such a request for {int} seconds in {int} random histories', {timeout: 120_000}, async function (this: HistoriesWorld, seconds: number, count: number) {
 	this.findings = [];
 	const histories = fc.sample(fc.tuple(fc.array(CRASH_STEP, {minLength: 1, maxLength: 4}), fc.nat()), {numRuns: count, seed: SEED});
 	for (const [steps, seed] of histories) {
-		const {crashes, refusals} = await play(steps, seed, seconds * MS_PER_SECOND);
-		if (crashes > MOST_CRASHES || refusals === 0) {
-			this.findings.push(`${crashes} engines, ${refusals} refusals: ${JSON.stringify(steps)}, seed ${seed}`);
-		}
+		this.findings.push(...getFinding(await play(steps, seed, seconds * MS_PER_SECOND), `${JSON.stringify(steps)}, seed ${seed}`));
 	}
 });
 
--- a/apps/valelead-daemon/tests/crash-installation.ts
+++ b/apps/valelead-daemon/tests/crash-installation.ts
@@ -39,6 +39,12 @@
 /** A gateway's news goes with what else comes within this time, in milliseconds. */
 const COALESCE_MS = 3;
 
+/** A voter that names no leader is asked again after this time, in milliseconds. */
+const ASK_AGAIN_MS = 150;
+
+/** Engines announce themselves to the leader, which tells gateways of the directory then, in milliseconds. */
+const ANNOUNCE_MS = 200;
+
 const TRY_GAP_MS = 120;
 const BEGIN_MS = 40;
 const CRASH_MS = 60;
@@ -164,13 +170,19 @@
 			node,
 			machine: {...log.machine, routing: undefined},
 			get leaderAddress() {
-				return String(voters.leader);
+				return voters.isLeading(voters.leader) ? String(voters.leader) : '';
 			},
 		};
 		const leases = {note: ignore, getGrants: () => [], getSidecarDelayMs: () => 0};
 		const sessions = new FollowerSessions({
 			voter: voter as never,
-			registry: {epoch: 'e', directory: newDirectory()},
+			registry: {
+				// Each leadership begins with a directory of its own.
+				get epoch() {
+					return String(log.node!.term);
+				},
+				directory: newDirectory(),
+			},
 			leases: leases as never,
 			quarantine,
 			gatewayLeases,
@@ -183,6 +195,9 @@
 		});
 		quarantine.start();
 		sessions.start();
+		timers.repeat(ANNOUNCE_MS, () => {
+			sessions.pushSoon();
+		});
 		return sessions;
 	}
 
@@ -211,6 +226,7 @@
 		const gateway: Gateway = {
 			vm, process, guard, isCut: false, session: 0, voter: this.voters.leader, heardAt: Number.NEGATIVE_INFINITY, send: ignore,
 		};
+		let connectedAt = this.time.now;
 		const take = (update: SessionUpdate): void => {
 			if (update.quarantine) {
 				guard.exchange.take(update.quarantine, update.isCurrent);
@@ -225,6 +241,15 @@
 				if (update.isReportWanted) {
 					gateway.send(false);
 				}
+			} else if (update.leaderAddress === '') {
+				// The session goes on when that voter comes to lead.
+				connectedAt = this.time.now;
+				const {session} = gateway;
+				timers.after(ASK_AGAIN_MS, () => {
+					if (gateway.session === session) {
+						gateway.send(false);
+					}
+				});
 			} else {
 				this.#connect(gateway, Number(update.leaderAddress), () => gatewayCount, take);
 			}
@@ -238,7 +263,6 @@
 				gateway.send(false);
 			}
 		});
-		let connectedAt = this.time.now;
 		this.#connect(gateway, gateway.voter, () => gatewayCount, take);
 		return gateway;
 	}
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -122,6 +122,18 @@
     And "g1" reports as before
     Then its judgement was told of the crash of run "a"
 
+  # Guards against: a fourth engine lost as gateways took the first word of a new leader, which had taken no report yet, for leave to send.
+  Scenario: A voter that comes to lead lets gateways go by its list once all have reported to it as the leader
+    Given a voter that does not lead yet and judges requests
+    When "g1" reports for the first time, with a crash of run "a"
+    And the voter leads and tells its followers of a newer routing
+    Then "g1" was told by a leader that does not let it go by its list
+    When "g1" reports as before
+    Then its judgement was told of the crash of run "a"
+    And "g1" was told by a leader that does not let it go by its list
+    When "g2" reports for the first time, with a crash of run "a"
+    Then "g2" was told by a leader that lets it go by its list
+
   Scenario: A voter knows what was acknowledged before its start once it holds what a leader tells to be committed
     Given a voter that starts from its disk with 4 entries, of which its last snapshot holds 2
     Then the voter has applied up to entry 2 and does not know what was acknowledged
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -21,7 +21,7 @@
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
 import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
 import {
-	FollowerSessions, LeaderWatch, SessionClient, encodeCrash, newStandbyControlService,
+	FollowerSessions, GatewayLeases, LeaderWatch, SessionClient, encodeCrash, newStandbyControlService,
 } from 'valelead-daemon';
 
 /** What a voter of the test answers to a report, or undefined while it is silent. */
@@ -50,6 +50,8 @@
 	/** A voter that started from its disk, the last entry that its state holds, and how many it was told to be committed. */
 	started: ConsensusNode;
 	applied: number;
+	/** Gateways that share budgets, as each gateway tells. */
+	gatewayCount: number;
 	/** Runs of whose crash the judgement was told. */
 	notedRuns: string[];
 	told: number;
@@ -140,6 +142,7 @@
 	world.current = undefined;
 	world.opened = [];
 	world.unlisted = '';
+	world.gatewayCount = 1;
 };
 
 const LOGGER = pino({level: 'silent'});
@@ -279,11 +282,11 @@
 
 const report = (world: FollowerWorld, vm: string, routingVersion: number, crashes: UpstreamCrash[] = []): void => {
 	world.sessions.take(world.streams.get(vm) as never, create(FollowerReportSchema, {
-		vm, role: 'gateway', routingVersion, directoryEpoch: 'e', directoryVersion: 0, crashes,
+		vm, role: 'gateway', routingVersion, directoryEpoch: 'e', directoryVersion: 0, crashes, gatewayCount: world.gatewayCount,
 	}));
 };
 
-const startVoter = (world: FollowerWorld, isLeader: boolean, quarantine = NO_QUARANTINE): void => {
+const startVoter = (world: FollowerWorld, isLeader: boolean, quarantine = NO_QUARANTINE, gatewayLeases = NO_GATEWAY_LEASES): void => {
 	newWorld(world);
 	world.committed = {version: 1, document: ''};
 	world.streams = new Map();
@@ -294,7 +297,7 @@
 	const registry = {epoch: 'e', directory: newDirectory()};
 	const leases = {note: ignore, getGrants: () => [], getSidecarDelayMs: () => 0};
 	world.sessions = new FollowerSessions({
-		voter: voter as never, registry, leases: leases as never, quotas: NO_QUOTAS, limits: NO_LIMITS, gatewayLeases: NO_GATEWAY_LEASES, quarantine,
+		voter: voter as never, registry, leases: leases as never, quotas: NO_QUOTAS, limits: NO_LIMITS, gatewayLeases, quarantine,
 		watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock: world.clock,
 	});
 };
@@ -316,13 +319,16 @@
 Given('a voter that does not lead yet and judges requests', function (this: FollowerWorld) {
 	const list = create(QuarantineListSchema);
 	this.notedRuns = [];
+	const getNow = (): number => this.time.now;
+	const leases = new GatewayLeases({clock: {now: getNow, wallNow: getNow}, getTerm: () => this.node.isCurrentLeader ? 2 : 1});
 	startVoter(this, false, {
 		version: 1,
 		note: ({crashes}: FollowerReport) => {
 			this.notedRuns.push(...crashes.map(({runId}) => runId));
 		},
 		getList: () => list,
-	} as unknown as typeof NO_QUARANTINE);
+	} as unknown as typeof NO_QUARANTINE, leases);
+	this.gatewayCount = 2;
 });
 
 When('{string} reports for the first time, with a crash of run {string}', function (this: FollowerWorld, vm: string, runId: string) {
@@ -334,6 +340,23 @@
 	Object.assign(this.node, {isCurrentLeader: true, canRead: true, isInformed: true});
 });
 
+When('the voter leads and tells its followers of a newer routing', function (this: FollowerWorld) {
+	Object.assign(this.node, {isCurrentLeader: true, canRead: true, isInformed: true});
+	this.committed.version = NEW_VERSION;
+	this.sessions.pushSoon();
+	this.time.advance(STEP_MS);
+});
+
+const hasLease = ({streams}: FollowerWorld, vm: string): boolean | undefined => streams.get(vm)!.sent.findLast(({isCurrent}) => isCurrent)?.isCrashLeaseGranted;
+
+Then('{string} was told by a leader that does not let it go by its list', function (this: FollowerWorld, vm: string) {
+	assert.equal(hasLease(this, vm), false);
+});
+
+Then('{string} was told by a leader that lets it go by its list', function (this: FollowerWorld, vm: string) {
+	assert.equal(hasLease(this, vm), true);
+});
+
 Then('its judgement was told of the crash of run {string}', function (this: FollowerWorld, runId: string) {
 	assert.deepEqual([...new Set(this.notedRuns)], [runId]);
 });
