--- a/apps/valelead-daemon/src/gateway/new-load-site.ts
+++ b/apps/valelead-daemon/src/gateway/new-load-site.ts
@@ -1,23 +1,8 @@
 import {type LoadSite, isShortOfCopies} from '@valelead/residency';
-import {type EngineLimits, getModelShapes} from '@valelead/routing';
+import type {EngineLimits} from '@valelead/routing';
 import type {EngineView} from './engine-view.js';
-
-const hasRoom = ({models, loads}: EngineView, model: string, limits: EngineLimits | undefined): boolean => {
-	if (!limits) {
-		return false;
-	}
-
-	const shapes = getModelShapes(limits);
-	const names = new Set([...models.map(held => held.name), ...loads.map(load => load.model), model]);
-	const used = [...names].reduce((sum, name) => sum + (shapes.get(name)?.weightMemory ?? 0), 0);
-	return used <= limits.weightMemory;
-};
-
-/** Whether each model that could make way is in use or makes way for a load that is queued already. */
-const isInUse = ({models, inProgressByModel, loads}: EngineView): boolean => {
-	const idle = models.filter(model => (inProgressByModel.get(model.name) ?? 0) === 0);
-	return idle.length <= loads.length;
-};
+import {getSiteFacts} from './get-site-facts.js';
+import {hasRoom} from './has-room.js';
 
 /**
  * An engine as a place where a model could be loaded.
@@ -35,7 +20,7 @@
 		copyShare: copiesOnDisk.length / Math.max(1, mostCopies),
 		isShortOfCopies: isShortOfCopies(copiesOnDisk.length, mostCopies),
 		hasRoom: isRoomy,
-		isInUse: !isRoomy && isInUse(view),
+		isInUse: !isRoomy && getSiteFacts(view, limits).isInUse,
 		remainingMs: load?.remainingMs,
 		isStarted: load?.isStarted ?? false,
 		busyMs: loads.find(other => other.isStarted)?.remainingMs ?? 0,
