Look at what an engine loads for a wish only where the wish may go there

Engines without room, with too many copies or that are chosen already are left out before that; the fields that told so are gone from LoadSite, and from the sites of one step that no decision read.

--- a/apps/valelead-daemon/src/gateway/load-sites.ts
+++ b/apps/valelead-daemon/src/gateway/load-sites.ts
@@ -1,9 +1,10 @@
 import {
-	type LoadSite, type StoreFetch, type StoreLimit, getFetchers, mutateStoreLimit, newStoreLimit,
+	type LoadSite, type StoreFetch, type StoreLimit, getFetchers, isShortOfCopies, mutateStoreLimit, newStoreLimit,
 } from '@valelead/residency';
-import {type ModelShape, getModelShapes} from '@valelead/routing';
+import {type EngineLimits, type ModelShape, getModelShapes} from '@valelead/routing';
 import type {EngineView} from './engine-view.js';
 import {EngineKnowledge} from './engine-knowledge.js';
+import {hasRoom} from './has-room.js';
 import {newLoadSite} from './new-load-site.js';
 import type {SiteParts} from './site-parts.js';
 import type {WantedUnit} from './wanted-unit.js';
@@ -11,6 +12,8 @@
 /** The loads from the weight store that an engine is carrying out. */
 const getFetches = ({upstream, loads}: EngineView): StoreFetch[] => loads.filter(({pace}) => pace > 0).map(({model, pace}) => ({upstreamId: upstream.id, model, pace}));
 
+const getMostCopies = (views: readonly EngineView[]): number => Math.max(...views.map(view => view.copiesOnDisk.length));
+
 /** The engines as places where units could be loaded. */
 export class LoadSites {
 	readonly #parts: SiteParts;
@@ -37,8 +40,8 @@
 	}
 
 	getShape({service, model}: Pick<WantedUnit, 'service' | 'model'>): ModelShape | undefined {
-		const engine = this.#parts.getTable()?.services.get(service)?.engine;
-		return engine && getModelShapes(engine).get(model);
+		const limits = this.#getLimits(service);
+		return limits && getModelShapes(limits).get(model);
 	}
 
 	/**
@@ -47,20 +50,25 @@
 	 */
 	getSuitable(unit: WantedUnit, now: number): LoadSite[] {
 		const {
-			service, adapter, needsRoom, needsShortOfCopies, excluded,
+			service, model, adapter, needsRoom, needsShortOfCopies, excluded,
 		} = unit;
 		const needsCopy = unit.needsCopy || !this.isSettled(service, now);
-		return this.getAll(unit)
+		const limits = this.#getLimits(service);
+		const views = this.#getUsable(service);
+		const mostCopies = getMostCopies(views);
+		return views
+			.filter(view => !excluded.has(view.upstream.id))
+			.filter(view => (!needsRoom || hasRoom(view, model, limits)) && (!needsShortOfCopies || isShortOfCopies(view.copiesOnDisk.length, mostCopies)))
+			.map(view => newLoadSite(view, model, limits, mostCopies))
 			.filter(site => adapter !== '' || !site.isHeld)
-			.filter(site => !excluded.has(site.upstreamId) && (!needsRoom || site.hasRoom) && (!needsShortOfCopies || site.isShortOfCopies))
 			.filter(site => site.hasMemoryCopy || site.hasDiskCopy || site.remainingMs !== undefined || (!needsCopy && this.#mayFetch(service, site)));
 	}
 
 	/** All engines of the unit's service that take orders and requests. */
 	getAll({service, model}: Pick<WantedUnit, 'service' | 'model'>): LoadSite[] {
-		const limits = this.#parts.getTable()?.services.get(service)?.engine;
-		const views = this.#getKept(service).filter(view => this.#parts.isUsable(view.upstream.id));
-		const mostCopies = Math.max(...views.map(view => view.copiesOnDisk.length));
+		const limits = this.#getLimits(service);
+		const views = this.#getUsable(service);
+		const mostCopies = getMostCopies(views);
 		return views.map(view => newLoadSite(view, model, limits, mostCopies));
 	}
 
@@ -86,6 +94,14 @@
 		return getFetchers(engines, this.#storeLimit.atOnce);
 	}
 
+	#getLimits(service: string): EngineLimits | undefined {
+		return this.#parts.getTable()?.services.get(service)?.engine;
+	}
+
+	#getUsable(service: string): EngineView[] {
+		return this.#getKept(service).filter(view => this.#parts.isUsable(view.upstream.id));
+	}
+
 	/** The engines that some process gives orders to. */
 	#getKept(service: string): EngineView[] {
 		return [...this.#parts.getViews().values()].filter(view => view.hasKeeper && view.upstream.service === service);
--- a/apps/valelead-daemon/src/gateway/new-load-site.ts
+++ b/apps/valelead-daemon/src/gateway/new-load-site.ts
@@ -1,4 +1,4 @@
-import {type LoadSite, isShortOfCopies} from '@valelead/residency';
+import type {LoadSite} from '@valelead/residency';
 import type {EngineLimits} from '@valelead/routing';
 import type {EngineView} from './engine-view.js';
 import {getSiteFacts} from './get-site-facts.js';
@@ -11,16 +11,13 @@
 export const newLoadSite = (view: EngineView, model: string, limits: EngineLimits | undefined, mostCopies: number): LoadSite => {
 	const {upstream, models, loads, copiesInMemory, copiesOnDisk, inProgress} = view;
 	const load = loads.find(other => other.model === model);
-	const isRoomy = hasRoom(view, model, limits);
 	return {
 		upstreamId: upstream.id,
 		isHeld: models.some(held => held.name === model),
 		hasMemoryCopy: copiesInMemory.includes(model),
 		hasDiskCopy: copiesOnDisk.includes(model),
 		copyShare: copiesOnDisk.length / Math.max(1, mostCopies),
-		isShortOfCopies: isShortOfCopies(copiesOnDisk.length, mostCopies),
-		hasRoom: isRoomy,
-		isInUse: !isRoomy && getSiteFacts(view, limits).isInUse,
+		isInUse: !hasRoom(view, model, limits) && getSiteFacts(view, limits).isInUse,
 		remainingMs: load?.remainingMs,
 		isStarted: load?.isStarted ?? false,
 		busyMs: loads.find(other => other.isStarted)?.remainingMs ?? 0,
--- a/packages/residency/src/load-site.ts
+++ b/packages/residency/src/load-site.ts
@@ -7,10 +7,6 @@
 	readonly hasDiskCopy: boolean;
 	/** Models that it keeps copies of, relative to the engine that keeps most, 0 to 1. */
 	readonly copyShare: number;
-	/** Whether it keeps so few that it can load few models quickly. */
-	readonly isShortOfCopies: boolean;
-	/** Whether the model fits beside what is loaded or is going to be. */
-	readonly hasRoom: boolean;
 	/** Whether all models that are loaded are in use, so that one of them has to fall idle first. */
 	readonly isInUse: boolean;
 	/** Expected time until the model is loaded there, in milliseconds; undefined where it is not loading or queued. */
