--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -8,8 +8,8 @@
 import {LoadSites} from './load-sites.js';
 import {needsCarrier} from './needs-carrier.js';
 import {newWantedUnit} from './new-wanted-unit.js';
+import {ServiceEngines} from './service-engines.js';
 import type {Demand} from './demand.js';
-import type {EngineView} from './engine-view.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {ModelRequests} from './model-requests.js';
 import type {SiteParts} from './site-parts.js';
@@ -76,17 +76,13 @@
  */
 const CARRY_WEIGHT = 0.1;
 
-/** Requests that wait for a model to be loaded: those of all gateways as sidecars tell, and no less than the own ones. */
-const getWaiting = (views: readonly EngineView[], model: string, ownWaiting: number): number => {
-	const told = views.reduce((sum, view) => sum + (view.loads.find(load => load.model === model)?.waiting ?? 0), 0);
-	return Math.max(told, ownWaiting);
-};
-
 /** Chooses the engines where models and adapters are to be loaded, for waiting requests and for busy models. */
 export class LoadPlanner {
 	readonly #parts: SiteParts;
 	/** The engine that was chosen for each wish. */
 	#sites: Choices = new Map();
+	/** The engines of each service, looked through once for all models of a turn. */
+	readonly #engines = new Map<string, ServiceEngines>();
 	readonly #loadSites: LoadSites;
 	readonly #forecast: LoadForecast;
 	#now = 0;
@@ -102,6 +98,7 @@
 		const table = new NeedTable();
 		const before = this.#sites;
 		this.#sites = new Map();
+		this.#engines.clear();
 		this.#now = now;
 		this.#loadSites.note(now);
 		for (const {upstreamId, head} of inProgress) {
@@ -156,10 +153,12 @@
 	 * idle one for one replica at a time; more go where there is room, such as on engines that have just started.
 	 */
 	#addReplicasOf({service, model, waiting}: ModelRequests, table: NeedTable, before: ReadonlyMap<string, Choice>): void {
-		const views = [...this.#parts.getViews().values()].filter(view => view.upstream.service === service);
-		const held = views.filter(view => view.models.some(other => other.name === model));
-		const inProgress = held.reduce((sum, view) => sum + (view.inProgressByModel.get(model) ?? 0), 0);
-		const wished = getWishedReplicas(inProgress + getWaiting(views, model, waiting), views[0]?.upstream.slots ?? 1);
+		const engines = this.#getEngines(service);
+		const {views} = engines;
+		const {held, inProgress, waiting: told} = engines.get(model);
+		// Those of all gateways as sidecars tell, and no less than the own ones.
+		const allWaiting = Math.max(told, waiting);
+		const wished = getWishedReplicas(inProgress + allWaiting, views[0]?.upstream.slots ?? 1);
 		// Where no engine holds the model, the waiting requests have wished for the first one.
 		const missing = wished - Math.max(1, held.length);
 		if (inProgress >= BUSY_REQUESTS && needsCarrier(views, held)) {
@@ -178,6 +177,12 @@
 		}
 	}
 
+	#getEngines(service: string): ServiceEngines {
+		const known = this.#engines.get(service) ?? new ServiceEngines([...this.#parts.getViews().values()].filter(view => view.upstream.service === service));
+		this.#engines.set(service, known);
+		return known;
+	}
+
 	/**
 	 * Wishes for a replica of a busy model on an engine that keeps few copies: such an engine can do little else, and the
 	 * places that the model leaves on the others serve models that are asked for now and then. In the laboratory's
