Keep what a gateway works out of an engine while nothing new is told of it

A report of one engine made a gateway work out anew what it knows and offers of all engines, and which replicas are spare. Views, offers and spare replicas stay now until the word on their engines changes, and with the views what the planner worked out of them.

--- a/apps/valelead-daemon/src/gateway/engine-fleet.ts
+++ b/apps/valelead-daemon/src/gateway/engine-fleet.ts
@@ -1,7 +1,7 @@
 import {type AdmissionEndpoint, getServiceTarget} from '@valelead/admission';
 import {type Upstream, UPSTREAM_STATE} from '@valelead/discovery';
 import type {EngineReport} from '@valelead/protocol';
-import {type Replica, getSpareReplicas} from '@valelead/residency';
+import {getSpareReplicas} from '@valelead/residency';
 import type {RouteTable} from '@valelead/routing';
 import type {EngineView} from './engine-view.js';
 import {getTarget} from './get-target.js';
@@ -14,11 +14,71 @@
 /** Requests in progress at other replicas that outweigh the use of a spare one. */
 const SPARE_PENALTY = 16;
 
+/** A model that an upstream holds, or the plain service. */
+type Offer = {
+	/** Empty for the plain service. */
+	readonly model: string;
+	/** Names the model over all services. */
+	readonly key: string;
+	/** What requests may ask for: the model itself and its adapters. */
+	readonly targets: readonly string[];
+};
+
+type KnownView = {
+	readonly view: EngineView;
+	readonly report: EngineReport | undefined;
+	readonly table: RouteTable;
+	readonly offers: readonly Offer[];
+};
+
+/** The engines that hold a model without need, and the views that they were chosen from. */
+type SpareReplicas = {
+	readonly holders: readonly EngineView[];
+	readonly ids: ReadonlySet<string>;
+};
+
+const newView = (upstream: Upstream, report: EngineReport | undefined): EngineView => {
+	const source = report ?? upstream;
+	return {
+		upstream,
+		models: source.models,
+		inProgressByModel: new Map(report?.models.map(model => [model.name, model.inProgress])),
+		loads: report?.loads ?? [],
+		copiesInMemory: source.copiesInMemory,
+		copiesOnDisk: source.copiesOnDisk,
+		inProgress: report?.inProgress ?? 0,
+		hasKeeper: report !== undefined,
+	};
+};
+
+const getOffers = (table: RouteTable, {upstream, models}: EngineView): Offer[] => {
+	const {service} = upstream;
+	if (!table.services.get(service)?.engine) {
+		const target = getServiceTarget(service);
+		return [{model: '', key: target, targets: [target]}];
+	}
+
+	return models.map(({name, adapters}) => ({
+		model: name, key: getTarget(service, name, ''), targets: ['', ...adapters].map(adapter => getTarget(service, name, adapter)),
+	}));
+};
+
+const isSame = (left: readonly EngineView[], right: readonly EngineView[]): boolean => left.length === right.length && left.every((view, index) => view === right[index]);
+
+const newSpareReplicas = (key: string, model: string, holders: readonly EngineView[]): SpareReplicas => {
+	const replicas = holders.map(({upstream, copiesOnDisk}) => ({upstreamId: upstream.id, copies: copiesOnDisk.length}));
+	const inProgress = holders.reduce((sum, view) => sum + (view.inProgressByModel.get(model) ?? 0), 0);
+	return {holders, ids: getSpareReplicas(key, replicas, inProgress, holders[0].upstream.slots)};
+};
+
 /** Joins what announcements and sidecars tell of upstreams into endpoints by target. */
 export class EngineFleet {
 	#upstreams: readonly Upstream[] = [];
 	readonly #reports = new Map<string, EngineReport>();
 	#views = new Map<string, EngineView>();
+	/** What was worked out of each view; it is kept while the upstream's and its sidecar's word stand. */
+	#known = new Map<string, KnownView>();
+	#spare: ReadonlyMap<string, SpareReplicas> = new Map();
 	#endpoints: ReadonlyMap<string, readonly AdmissionEndpoint[]> = new Map();
 
 	get views(): ReadonlyMap<string, EngineView> {
@@ -44,53 +104,56 @@
 
 	/** Works out the endpoints anew. `getOwnCount` gives this gateway's own requests in progress at an upstream. */
 	refresh(table: RouteTable, gatewayCount: number, getOwnCount: (upstreamId: string) => number): void {
-		this.#views = new Map(this.#upstreams
+		this.#known = new Map(this.#upstreams
 			.filter(upstream => upstream.state === UPSTREAM_STATE.Ready || upstream.state === UPSTREAM_STATE.Silent)
-			.map(upstream => [upstream.id, this.#newView(upstream)]));
-		const spare = this.#getSpareReplicas();
+			.map(upstream => [upstream.id, this.#getKnown(table, upstream)]));
+		this.#views = new Map([...this.#known].map(([id, {view}]) => [id, view]));
+		this.#spare = this.#getSpare();
 		const endpoints = new Map<string, AdmissionEndpoint[]>();
-		for (const view of this.#views.values()) {
+		for (const {view, offers} of this.#known.values()) {
 			const endpoint = this.#newEndpoint(view, gatewayCount, getOwnCount(view.upstream.id));
 			const spareEndpoint = {...endpoint, othersInProgress: (endpoint.othersInProgress ?? 0) + SPARE_PENALTY};
-			for (const {target, model} of this.#getTargets(table, view)) {
-				const known = endpoints.get(target) ?? [];
-				known.push(spare.get(model)?.has(view.upstream.id) ? spareEndpoint : endpoint);
-				endpoints.set(target, known);
+			for (const {key, targets} of offers) {
+				const chosen = this.#spare.get(key)?.ids.has(view.upstream.id) ? spareEndpoint : endpoint;
+				for (const target of targets) {
+					const known = endpoints.get(target) ?? [];
+					known.push(chosen);
+					endpoints.set(target, known);
+				}
 			}
 		}
 
 		this.#endpoints = endpoints;
 	}
 
-	/** For each model of a service, the engines that hold it without need. */
-	#getSpareReplicas(): ReadonlyMap<string, ReadonlySet<string>> {
-		const holders = new Map<string, {readonly replicas: Replica[]; readonly slots: number; inProgress: number}>();
-		for (const {upstream, models, inProgressByModel, copiesOnDisk} of this.#views.values()) {
-			for (const {name} of models) {
-				const key = getTarget(upstream.service, name, '');
-				const known = holders.get(key) ?? {replicas: [], inProgress: 0, slots: upstream.slots};
-				known.replicas.push({upstreamId: upstream.id, copies: copiesOnDisk.length});
-				known.inProgress += inProgressByModel.get(name) ?? 0;
+	/** For each model of a service, the engines that hold it without need; chosen anew only where one of its holders changed. */
+	#getSpare(): ReadonlyMap<string, SpareReplicas> {
+		const holders = new Map<string, {readonly model: string; readonly views: EngineView[]}>();
+		for (const {view, offers} of this.#known.values()) {
+			for (const {model, key} of offers.filter(offer => offer.model !== '')) {
+				const known = holders.get(key) ?? {model, views: []};
+				known.views.push(view);
 				holders.set(key, known);
 			}
 		}
 
-		return new Map([...holders].map(([key, {replicas, inProgress, slots}]) => [key, getSpareReplicas(key, replicas, inProgress, slots)]));
+		return new Map([...holders].map(([key, {model, views}]) => {
+			const before = this.#spare.get(key);
+			return [key, before && isSame(before.holders, views) ? before : newSpareReplicas(key, model, views)];
+		}));
 	}
 
-	#newView(upstream: Upstream): EngineView {
+	#getKnown(table: RouteTable, upstream: Upstream): KnownView {
 		const report = this.#reports.get(upstream.address);
 		const current = report?.upstreamId === upstream.id ? report : undefined;
-		const source = current ?? upstream;
+		const before = this.#known.get(upstream.id);
+		if (before?.table === table && before.report === current && before.view.upstream === upstream) {
+			return before;
+		}
+
+		const view = newView(upstream, current);
 		return {
-			upstream,
-			models: source.models,
-			inProgressByModel: new Map(current?.models.map(model => [model.name, model.inProgress])),
-			loads: current?.loads ?? [],
-			copiesInMemory: source.copiesInMemory,
-			copiesOnDisk: source.copiesOnDisk,
-			inProgress: current?.inProgress ?? 0,
-			hasKeeper: current !== undefined,
+			view, report: current, table, offers: getOffers(table, view),
 		};
 	}
 
@@ -110,16 +173,4 @@
 			othersInProgress: others,
 		};
 	}
-
-	/** What an upstream offers, each with the model that it belongs to. */
-	#getTargets(table: RouteTable, {upstream, models}: EngineView): ReadonlyArray<{readonly target: string; readonly model: string}> {
-		const {service} = upstream;
-		if (!table.services.get(service)?.engine) {
-			return [{target: getServiceTarget(service), model: ''}];
-		}
-
-		return models.flatMap(model => ['', ...model.adapters].map(adapter => ({
-			target: getTarget(service, model.name, adapter), model: getTarget(service, model.name, ''),
-		})));
-	}
 }
