Make the message of an engine's state once for all gateways of the laboratory, as sidecars do

Each of the 21 gateways of remote-rare made its own from the same state; the service of a sidecar makes one for all that follow it.

--- a/apps/valelead-lab/src/lab-engine.ts
+++ b/apps/valelead-lab/src/lab-engine.ts
@@ -5,7 +5,7 @@
 import type {RouteTable} from '@valelead/routing';
 import type {Logger} from 'pino';
 import {
-	EngineKeeper, type EnginePort, type EngineStatus, LOCAL_POLLS, type OrderReply, type OrderTerms, REMOTE_POLLS, SIDECAR_FENCE, newCapacity,
+	EngineKeeper, type EnginePort, type EngineStatus, LOCAL_POLLS, type OrderReply, type OrderTerms, REMOTE_POLLS, ReportEncoder, SIDECAR_FENCE, newCapacity,
 } from 'valelead-daemon';
 import {LAB_NAMES} from './lab-names.js';
 
@@ -38,6 +38,8 @@
 /** An emulated engine with the shipped keeper beside it. */
 export class LabEngine {
 	readonly keeper: EngineKeeper;
+	/** One for all gateways, as in a sidecar. */
+	readonly encoder = new ReportEncoder();
 	/** What its answers name; none where it is undefined. */
 	limitPerSecond: number | undefined;
 	readonly #parts: LabEngineParts;
--- a/apps/valelead-lab/src/lab-links.ts
+++ b/apps/valelead-lab/src/lab-links.ts
@@ -3,7 +3,7 @@
 import type {EngineReport} from '@valelead/protocol';
 import type {UnitNeed} from '@valelead/residency';
 import {
-	type EngineLinks, type EngineSummary, ReportEncoder, getNeedsText,
+	type EngineLinks, type EngineSummary, getNeedsText,
 } from 'valelead-daemon';
 import type {LabEngine} from './lab-engine.js';
 
@@ -28,7 +28,6 @@
 export class LabLinks implements EngineLinks {
 	readonly #parts: LabLinksParts;
 	readonly #links = new Map<string, Link>();
-	readonly #encoder = new ReportEncoder();
 
 	constructor(parts: LabLinksParts) {
 		this.#parts = parts;
@@ -68,7 +67,7 @@
 
 	#connect(engine: LabEngine): void {
 		const send = (summary: EngineSummary): void => {
-			const {report} = this.#encoder.encode(summary, NO_COPIES);
+			const {report} = engine.encoder.encode(summary, NO_COPIES);
 			this.#parts.clock.after(this.#parts.linkMs, () => {
 				this.#parts.onReport(engine.address, report);
 			});
