Look up the engines that may take loads once for all wishes of a planner's turn

Each comparison asked anew of all engines which are kept, heard and not ejected, which keeps most copies, and whether the service's engines are known well enough. Nothing of that changes within a turn, which runs without a pause.

--- a/apps/valelead-daemon/src/gateway/load-forecast.ts
+++ b/apps/valelead-daemon/src/gateway/load-forecast.ts
@@ -41,8 +41,8 @@
 			service, model, adapter, key: target,
 		});
 		const shape = this.#sites.getShape(unit);
-		const sites = this.#sites.getSuitable(unit, now);
-		if (!shape || sites.length === 0 || !this.#sites.isSettled(service, now)) {
+		const sites = this.#sites.getSuitable(unit);
+		if (!shape || sites.length === 0 || !this.#sites.isSettled(service)) {
 			return {loadedAt: undefined};
 		}
 
--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -265,7 +265,7 @@
 			return undefined;
 		}
 
-		const all = this.#loadSites.getSuitable(unit, this.#now);
+		const all = this.#loadSites.getSuitable(unit);
 		const others = all.filter(site => site.upstreamId !== avoidedId);
 		const sites = others.length > 0 ? others : all;
 		const best = getLoadSite(unit.key, shape, sites);
--- a/apps/valelead-daemon/src/gateway/load-sites.ts
+++ b/apps/valelead-daemon/src/gateway/load-sites.ts
@@ -12,7 +12,13 @@
 /** The loads from the weight store that an engine is carrying out. */
 const getFetches = ({upstream, loads}: EngineView): StoreFetch[] => loads.filter(({pace}) => pace > 0).map(({model, pace}) => ({upstreamId: upstream.id, model, pace}));
 
-const getMostCopies = (views: readonly EngineView[]): number => Math.max(...views.map(view => view.copiesOnDisk.length));
+type UsableEngines = {
+	readonly views: readonly EngineView[];
+	/** How many models the one that keeps most copies has on its disk. */
+	readonly mostCopies: number;
+	/** Whether the engines of the service are known well enough to tell which copies exist. */
+	readonly isSettled: boolean;
+};
 
 /** The engines as places where units could be loaded. */
 export class LoadSites {
@@ -20,7 +26,10 @@
 	readonly #knowledge = new EngineKnowledge();
 	/** The engines of each service that fetch from the weight store, worked out once for all units of a turn. */
 	readonly #fetchers = new Map<string, ReadonlySet<string>>();
+	/** The engines of each service that take loads, likewise. */
+	readonly #usable = new Map<string, UsableEngines>();
 	readonly #storeLimit: StoreLimit = newStoreLimit();
+	#notedAt = 0;
 
 	constructor(parts: SiteParts) {
 		this.#parts = parts;
@@ -28,15 +37,17 @@
 
 	/** Notes which engines are known now. */
 	note(now: number): void {
+		this.#notedAt = now;
 		this.#fetchers.clear();
+		this.#usable.clear();
 		const views = [...this.#parts.getViews().values()];
 		this.#knowledge.note(views, now);
 		this.#noteFetches(views);
 	}
 
 	/** Whether the engines of a service are known well enough to tell which copies exist. */
-	isSettled(service: string, now: number): boolean {
-		return this.#knowledge.isSettled(service, now);
+	isSettled(service: string): boolean {
+		return this.#getUsable(service).isSettled;
 	}
 
 	getShape({service, model}: Pick<WantedUnit, 'service' | 'model'>): ModelShape | undefined {
@@ -48,14 +59,13 @@
 	 * Engines that could load the unit. A wish for a model itself means that those which hold it do not suffice. Few engines fetch from the
 	 * weight store, and none while the engines are not all known: the copy may lie on one that is not heard yet.
 	 */
-	getSuitable(unit: WantedUnit, now: number): LoadSite[] {
+	getSuitable(unit: WantedUnit): LoadSite[] {
 		const {
 			service, model, adapter, needsRoom, needsShortOfCopies, excluded,
 		} = unit;
-		const needsCopy = unit.needsCopy || !this.isSettled(service, now);
+		const {views, mostCopies, isSettled} = this.#getUsable(service);
+		const needsCopy = unit.needsCopy || !isSettled;
 		const limits = this.#getLimits(service);
-		const views = this.#getUsable(service);
-		const mostCopies = getMostCopies(views);
 		return views
 			.filter(view => !excluded.has(view.upstream.id))
 			.filter(view => (!needsRoom || hasRoom(view, model, limits)) && (!needsShortOfCopies || isShortOfCopies(view.copiesOnDisk.length, mostCopies)))
@@ -67,8 +77,7 @@
 	/** All engines of the unit's service that take orders and requests. */
 	getAll({service, model}: Pick<WantedUnit, 'service' | 'model'>): LoadSite[] {
 		const limits = this.#getLimits(service);
-		const views = this.#getUsable(service);
-		const mostCopies = getMostCopies(views);
+		const {views, mostCopies} = this.#getUsable(service);
 		return views.map(view => newLoadSite(view, model, limits, mostCopies));
 	}
 
@@ -98,8 +107,16 @@
 		return this.#parts.getTable()?.services.get(service)?.engine;
 	}
 
-	#getUsable(service: string): EngineView[] {
-		return this.#getKept(service).filter(view => this.#parts.isUsable(view.upstream.id));
+	#getUsable(service: string): UsableEngines {
+		const usable = this.#usable.get(service) ?? this.#newUsable(service);
+		this.#usable.set(service, usable);
+		return usable;
+	}
+
+	#newUsable(service: string): UsableEngines {
+		const views = this.#getKept(service).filter(view => this.#parts.isUsable(view.upstream.id));
+		const mostCopies = Math.max(...views.map(view => view.copiesOnDisk.length));
+		return {views, mostCopies, isSettled: this.#knowledge.isSettled(service, this.#notedAt)};
 	}
 
 	/** The engines that some process gives orders to. */
--- a/apps/valelead-daemon/src/gateway/service-engines.ts
+++ b/apps/valelead-daemon/src/gateway/service-engines.ts
@@ -25,18 +25,17 @@
 	}
 
 	#add(view: EngineView): void {
-		for (const name of new Set(view.models.map(model => model.name))) {
+		for (const {name} of view.models) {
 			const known = this.#getOrAdd(name);
-			known.held.push(view);
-			known.inProgress += view.inProgressByModel.get(name) ?? 0;
+			if (known.held.at(-1) !== view) {
+				known.held.push(view);
+				known.inProgress += view.inProgressByModel.get(name) ?? 0;
+			}
 		}
 
-		const loading = new Set<string>();
-		for (const {model, waiting} of view.loads) {
-			if (!loading.has(model)) {
-				loading.add(model);
-				this.#getOrAdd(model).waiting += waiting;
-			}
+		for (const load of view.loads) {
+			const isFirst = view.loads.find(other => other.model === load.model) === load;
+			this.#getOrAdd(load.model).waiting += isFirst ? load.waiting : 0;
 		}
 	}
 
