--- a/apps/valelead-daemon/src/gateway/engine-fleet.ts
+++ b/apps/valelead-daemon/src/gateway/engine-fleet.ts
@@ -63,6 +63,16 @@
 	}));
 };
 
+/** Adds to the list of a key. A list that begins empty is given room for many items at its first one; most get few. */
+const mutateList = <Item>(lists: Map<string, Item[]>, key: string, item: Item): void => {
+	const list = lists.get(key);
+	if (list) {
+		list.push(item);
+	} else {
+		lists.set(key, [item]);
+	}
+};
+
 const isSame = (left: readonly EngineView[], right: readonly EngineView[]): boolean => left.length === right.length && left.every((view, index) => view === right[index]);
 
 const newSpareReplicas = (key: string, model: string, holders: readonly EngineView[]): SpareReplicas => {
@@ -112,13 +122,11 @@
 		const endpoints = new Map<string, AdmissionEndpoint[]>();
 		for (const {view, offers} of this.#known.values()) {
 			const endpoint = this.#newEndpoint(view, gatewayCount, getOwnCount(view.upstream.id));
-			const spareEndpoint = {...endpoint, othersInProgress: (endpoint.othersInProgress ?? 0) + SPARE_PENALTY};
 			for (const {key, targets} of offers) {
-				const chosen = this.#spare.get(key)?.ids.has(view.upstream.id) ? spareEndpoint : endpoint;
+				const isSpare = this.#spare.get(key)?.ids.has(view.upstream.id) === true;
+				const chosen = isSpare ? {...endpoint, othersInProgress: (endpoint.othersInProgress ?? 0) + SPARE_PENALTY} : endpoint;
 				for (const target of targets) {
-					const known = endpoints.get(target) ?? [];
-					known.push(chosen);
-					endpoints.set(target, known);
+					mutateList(endpoints, target, chosen);
 				}
 			}
 		}
