--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -98,7 +98,6 @@
 		const table = new NeedTable();
 		const before = this.#sites;
 		this.#sites = new Map();
-		this.#engines.clear();
 		this.#now = now;
 		this.#loadSites.note(now);
 		for (const {upstreamId, head} of inProgress) {
@@ -119,6 +118,8 @@
 		}
 
 		this.#addReplicas(table, before, waiting, inProgress);
+		// Held until the next turn it would survive the collection of young objects, and cost more than it took to make.
+		this.#engines.clear();
 		return table.all;
 	}
 
