Log which software version a stream is resumed at

Cause: the heartbeat's version and the header Resumes were dropped by the decoders, so no log told whether a stream went on at an upstream of another software version, and whether its caller or its gateway resumed it. Change: upstreams carry softwareVersion through the directory (field 16, empty from an older build); a line stream-resumed for each dispatch that resumes a stream; softwareVersion in attempt-failed and request-ended. Nothing is decided by it yet.

--- a/apps/valelead-daemon/src/adapter/caller-request.ts
+++ b/apps/valelead-daemon/src/adapter/caller-request.ts
@@ -14,6 +14,10 @@
 	/** `hasTokenCount` is true if the request states a token count; `isTokenCountValid` is false only if a stated count cannot be parsed. */
 	readonly hasTokenCount: boolean;
 	readonly isTokenCountValid: boolean;
+	/** The id of the last event that the caller has received of a stream which it resumes; empty if it states none. */
+	readonly lastEventId: string;
+	/** The id of the attempt that brought the first event of the stream which the caller resumes; empty if it states none. */
+	readonly resumedRequestId: string;
 	/** The API key of the caller's team; undefined if the request has none. It must never be logged. */
 	readonly key: string | undefined;
 };
--- a/apps/valelead-daemon/src/gateway/completion-recorder.ts
+++ b/apps/valelead-daemon/src/gateway/completion-recorder.ts
@@ -70,6 +70,7 @@
 			target: request.target,
 			routingVersion: request.routingVersion,
 			upstreamId: request.upstreamId,
+			softwareVersion: request.softwareVersion,
 			awaitedUpstreamId: request.awaitedUpstreamId,
 			attempts: request.attempts,
 			...end,
--- a/apps/valelead-daemon/src/gateway/dispatch-log.ts
+++ b/apps/valelead-daemon/src/gateway/dispatch-log.ts
@@ -23,6 +23,11 @@
 	readonly gatewayCount: number;
 };
 
+/** Longest logged text of a caller's header, in characters; callers may send headers of any length. */
+const MAX_LOGGED_LENGTH = 64;
+
+const getLogText = (text: string): string => text.slice(0, MAX_LOGGED_LENGTH);
+
 /** Logs the dispatch decisions on requests, retries and model loads. */
 export class DispatchLog {
 	readonly #logger: Logger;
@@ -45,13 +50,30 @@
 	}
 
 	/** @param isLast - True if the request is not sent to another upstream. */
-	logFailed({head, fingerprint, upstreamId, attempts}: GatewayRequest, end: AttemptFailure, isLast: boolean): void {
+	logFailed({head, fingerprint, upstreamId, softwareVersion, attempts, lastEventId}: GatewayRequest, end: AttemptFailure, isLast: boolean): void {
 		const {code, outcome, reason, connection, phase} = end;
 		this.#logger.info({
-			event: 'attempt-failed', requestId: head.id, fingerprint, upstreamId, attempt: attempts, code, outcome, reason, connection, phase, isLast,
+			event: 'attempt-failed', requestId: head.id, fingerprint, upstreamId, softwareVersion, attempt: attempts, lastEventId, code, outcome, reason, connection, phase, isLast,
 		}, 'attempt failed');
 	}
 
+	/**
+	 * Logs a dispatch that resumes a stream.
+	 * @param previousVersion - The software version of the upstream that the stream comes from; undefined if this gateway does not know it.
+	 */
+	logResumed({head, upstreamId, softwareVersion, lastEventId}: GatewayRequest, previousVersion: string | undefined): void {
+		this.#logger.info({
+			event: 'stream-resumed',
+			requestId: head.id,
+			resumedRequestId: getLogText(head.resumedRequestId),
+			resumedBy: lastEventId === undefined ? 'caller' : 'gateway',
+			lastEventId: getLogText(lastEventId ?? head.lastEventId),
+			upstreamId,
+			softwareVersion,
+			previousVersion,
+		}, 'stream resumed at an upstream');
+	}
+
 	logRetry({head, service, attempts}: GatewayRequest, {isAllowed, left, gatewayCount}: RetryCharge): void {
 		this.#logger.info({
 			event: isAllowed ? 'retry-charged' : 'retry-refused', requestId: head.id, service, attempt: attempts, left: Math.round(left * 100) / 100, gatewayCount,
--- a/apps/valelead-daemon/src/gateway/gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/gateway-request.ts
@@ -31,6 +31,8 @@
 	fingerprint: string | undefined;
 	dispatchedAt: number | undefined;
 	upstreamId: string;
+	/** The software version of the upstream of the last attempt; empty if unknown or before the first attempt. */
+	softwareVersion: string;
 	/** The engine that was last chosen to load the model while the request waited, or an empty string. */
 	awaitedUpstreamId: string;
 	attempts: number;
--- a/apps/valelead-daemon/src/gateway/new-gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-gateway-request.ts
@@ -1,7 +1,19 @@
 import type {GatewayRequest} from './gateway-request.js';
 
 /** The fields of a request that change while it is processed. */
-type Progress = 'fingerprint' | 'dispatchedAt' | 'upstreamId' | 'awaitedUpstreamId' | 'attempts' | 'lastEventId' | 'firstChunkAt' | 'lastChunkAt' | 'longestPauseMs' | 'answerFraming' | 'answerBytes';
+type Progress =
+	| 'fingerprint'
+	| 'dispatchedAt'
+	| 'upstreamId'
+	| 'softwareVersion'
+	| 'awaitedUpstreamId'
+	| 'attempts'
+	| 'lastEventId'
+	| 'firstChunkAt'
+	| 'lastChunkAt'
+	| 'longestPauseMs'
+	| 'answerFraming'
+	| 'answerBytes';
 
 /** Returns a request that has just arrived, with no progress. */
 export const newGatewayRequest = (terms: Omit<GatewayRequest, Progress>): GatewayRequest => ({
@@ -9,6 +21,7 @@
 	fingerprint: undefined,
 	dispatchedAt: undefined,
 	upstreamId: '',
+	softwareVersion: '',
 	awaitedUpstreamId: '',
 	attempts: 0,
 	lastEventId: undefined,
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -18,6 +18,7 @@
 import {DemandReporter} from './demand-reporter.js';
 import {DispatchLog} from './dispatch-log.js';
 import {getCallerResultCode} from './get-caller-result-code.js';
+import {isResumption} from './is-resumption.js';
 import {LoadPlanner} from './load-planner.js';
 import {newAttemptFailure} from './new-attempt-failure.js';
 import {newAdmissionRequest} from './new-admission-request.js';
@@ -477,8 +478,14 @@
 		}
 
 		request.dispatchedAt ??= this.#parts.clock.now();
+		const previousVersion = request.attempts === 0 ? undefined : request.softwareVersion;
 		request.upstreamId = vm;
+		request.softwareVersion = view.upstream.softwareVersion;
 		request.attempts += 1;
+		if (isResumption(request)) {
+			this.#log.logResumed(request, previousVersion);
+		}
+
 		this.#attempts.send(request, {attemptId, upstream: view.upstream, remainingMs});
 		this.#demand.scheduleReport();
 	}
--- a/apps/valelead-lab/src/lab-caller.ts
+++ b/apps/valelead-lab/src/lab-caller.ts
@@ -116,6 +116,8 @@
 				maxNewTokens: run.newTokens,
 				hasTokenCount: true,
 				isTokenCountValid: true,
+				lastEventId: '',
+				resumedRequestId: '',
 				key: undefined,
 			},
 			caller: {team: undefined, rank: route.priority, cost: 0},
--- a/packages/discovery/src/mutate-departure.ts
+++ b/packages/discovery/src/mutate-departure.ts
@@ -13,6 +13,7 @@
 	service: '',
 	address: '',
 	dataCentre: '',
+	softwareVersion: '',
 	state: UPSTREAM_STATE.Gone,
 	slots: 0,
 	sequence: 0,
--- a/packages/discovery/src/upstream.ts
+++ b/packages/discovery/src/upstream.ts
@@ -10,6 +10,8 @@
 	/** IP address and port. */
 	readonly address: string;
 	readonly dataCentre: string;
+	/** The version of the software that the run executes, as it announces it; empty if unknown. Not the version of model weights. */
+	readonly softwareVersion: string;
 	readonly state: UpstreamStateValue;
 	/** The number of requests that the upstream executes concurrently. */
 	readonly slots: number;
--- a/tests/support/new-upstream.ts
+++ b/tests/support/new-upstream.ts
@@ -15,6 +15,7 @@
 	copiesInMemory: [],
 	copiesOnDisk: [],
 	remainingMs: 0,
+	softwareVersion: 'v1',
 	keeperAddress: '',
 	...changes,
 });
