--- a/fakes/src/call-http.ts
+++ b/fakes/src/call-http.ts
@@ -11,6 +11,8 @@
 	readonly body?: string;
 	/** Connections to use again; without it, the call has one of its own. */
 	readonly agent?: Agent;
+	/** Ends the call where it is; it resolves with the part of the answer that has come. */
+	readonly signal?: AbortSignal;
 	/** Called with each part of the answer. */
 	readonly onData?: (text: string) => void;
 };
@@ -18,7 +20,13 @@
 /** One HTTP call to loopback; rejects if no answer begins. */
 export const callHttp = async (call: HttpCall): Promise<HttpAnswer> => new Promise((resolve, reject) => {
 	const outgoing = request({
-		host: call.host ?? '127.0.0.1', port: call.port, path: call.path, method: call.method ?? 'GET', headers: call.headers ?? {}, agent: call.agent ?? false,
+		host: call.host ?? '127.0.0.1',
+		port: call.port,
+		path: call.path,
+		method: call.method ?? 'GET',
+		headers: call.headers ?? {},
+		agent: call.agent ?? false,
+		...(call.signal && {signal: call.signal}),
 	}, message => {
 		let text = '';
 		message.setEncoding('utf8');
