Resume streams only at the software version that began them

What callers saw: after a break, events of another software version of the upstream followed, in one answer or over a caller's attempts. Cause: what continues a stream was checked only for serving the same target. Within one answer, a broken attempt went back to the queue of its target; over attempts, the next gateway knew nothing of where the stream had begun, and chose the service by weight anew. Change: packages/stream-origin states which upstreams fit. A gateway records the origin (service, software version, run) of a stream immediately before it forwards the first event, at three of the voters, without waiting: a record never changes, so a lost one means a refusal (2018) and never a wrong version. A link to a voter sends all that is still needed again when it is opened anew. A request that resumes a stream is admitted under a target of its own, which only fitting upstreams offer; queue, forecasts, load planning, rate limits and retries follow from that. It is refused at once (2019) if there is none. A caller that names no attempt goes on only while one service and one known version serve.

--- a/apps/valelead-daemon/src/control/new-control-plane.ts
+++ b/apps/valelead-daemon/src/control/new-control-plane.ts
@@ -1,11 +1,15 @@
 import {readFileSync} from 'node:fs';
 import {hashKey} from '@valelead/access';
-import type {TimerService} from '@valelead/common';
-import {Consensus, Control, newServiceDefinition} from '@valelead/protocol';
+import {SYSTEM_CLOCK, type TimerService} from '@valelead/common';
+import {
+	Consensus, Control, StreamOrigins, newServiceDefinition,
+} from '@valelead/protocol';
 import type {MembershipSettings} from '@valelead/membership';
 import type {PolicySettings} from '@valelead/placement';
 import type {Logger} from 'pino';
 import {GrpcServer} from '../grpc-server.js';
+import {newOriginService} from '../stream-origins/new-origin-service.js';
+import type {OriginStore} from '../stream-origins/origin-store.js';
 import {Leader} from './leader.js';
 import {newConsensusService} from './new-consensus-service.js';
 import {newControlService} from './new-control-service.js';
@@ -24,6 +28,8 @@
 	/** Sessions with gateways and sidecars, if the voter serves these. */
 	readonly followers?: FollowerSessions;
 	readonly watch: LeaderWatch;
+	/** Origins of gateways' streams, if the voter stores them. */
+	readonly origins?: OriginStore;
 	readonly timers: TimerService;
 	readonly logger: Logger;
 };
@@ -31,7 +37,7 @@
 /** Creates the services of a voter without starting them or listening on a port. */
 export const newControlPlane = (parts: ControlPlaneParts): ControlPlane => {
 	const {
-		voter, membership, policy, operatorKeyFile, followers, watch, timers, logger,
+		voter, membership, policy, operatorKeyFile, followers, watch, origins, timers, logger,
 	} = parts;
 	const leader = new Leader({
 		voter, membership, policy, timers, logger,
@@ -48,6 +54,7 @@
 				voter, leader, sessions, initialOperatorHash,
 			}),
 		},
+		...(origins ? [{definition: newServiceDefinition(StreamOrigins), implementation: newOriginService(origins, SYSTEM_CLOCK)}] : []),
 	]);
 	return {
 		voter, leader, sessions, server,
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -23,6 +23,7 @@
 import {setQuorumMetrics} from '../metrics/set-quorum-metrics.js';
 import type {VotingControllerSettings} from '../settings/voting-controller-settings.js';
 import type {Stoppable} from '../stoppable.js';
+import {OriginStore} from '../stream-origins/origin-store.js';
 import {getStartupDurationMs} from '../get-startup-duration-ms.js';
 import {newChannelCredentials} from '../tls/new-channel-credentials.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
@@ -112,6 +113,7 @@
 	const followers = new FollowerSessions({
 		voter, registry, leases, quarantine, gatewayLeases, quotas, limits, watch, rollout, timers,
 	});
+	const origins = new OriginStore({clock: SYSTEM_CLOCK, timers});
 	const {leader, sessions, server} = newControlPlane({
 		voter,
 		membership: {leaseMs: LEASE_MS, assumeLostMs: 0},
@@ -119,6 +121,7 @@
 		operatorKeyFile: settings.operatorKeyFile,
 		followers,
 		watch,
+		origins,
 		timers,
 		logger,
 	});
@@ -156,6 +159,7 @@
 			metrics.revision.set(voter.machine.routing?.version ?? 0);
 			metrics.unmanagedEngines.set(leases.unattendedCount);
 			metrics.limitedUpstreams.set(limits.count);
+			metrics.storedStreamOrigins.set(origins.size);
 			setQuotaMetrics(metrics, quotas.levels);
 			setQuorumMetrics(metrics, quorum.view, settings.faultTolerance);
 		},
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -50,6 +50,8 @@
 	readonly limits?: LimitExchange;
 	/** Called when the leader has confirmed that the routing was the newest at the time of a report of this process. */
 	readonly onConfirmed?: (askedAt: number) => void;
+	/** Called with the addresses of all voters, with each update of the leader. */
+	readonly onVoterAddresses?: (addresses: readonly string[]) => void;
 	readonly onRouting: (table: RouteTable) => void;
 	readonly onDirectory: (upstreams: readonly Upstream[]) => void;
 };
@@ -188,6 +190,7 @@
 		this.#parts.crashes?.noteReachableGatewaysApplied(update.crashesKnownUntil);
 		this.#parts.crashes?.noteAllGatewaysApplied(update.crashesObeyedUntil);
 		this.#leader.updateVoterAddresses(update.voterAddresses);
+		this.#parts.onVoterAddresses?.(update.voterAddresses);
 		this.#parts.orderLeases.handleUpdate({
 			leases: update.leases, ordersFromMs: update.ordersFromMs, holdersKnownInMs: update.holdersKnownInMs, reportedAt: update.sentAt,
 		});
--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -31,6 +31,8 @@
 	readonly onLimit: (upstreamId: string, perSecond: number | undefined, startedAt: number) => void;
 	/** Called when a streamed response begins. */
 	readonly onStarted: (request: GatewayRequest, attemptId: string) => void;
+	/** Called immediately before the first event of a resumable stream is forwarded, with the upstream that sent it. */
+	readonly onFirstEvent: (request: GatewayRequest, upstream: Upstream) => void;
 	/** Called when the response is complete; `passOn` forwards its end to the caller. */
 	readonly onEnded: (request: GatewayRequest, attemptId: string, passOn: () => void) => void;
 	readonly onFailed: (request: GatewayRequest, attemptId: string, upstream: Upstream, end: AttemptFailure) => void;
@@ -148,7 +150,9 @@
 			return false;
 		}
 
-		this.#pipes.set(sending.attemptId, new ResponseForwarder(request, answer));
+		this.#pipes.set(sending.attemptId, new ResponseForwarder(request, answer, () => {
+			this.#parts.onFirstEvent(request, sending.upstream);
+		}));
 		if (request.route.kind === ROUTE_KIND.Stream && status === HTTP_OK) {
 			this.#parts.onStarted(request, sending.attemptId);
 		}
--- a/apps/valelead-daemon/src/gateway/demand-reporter.ts
+++ b/apps/valelead-daemon/src/gateway/demand-reporter.ts
@@ -62,7 +62,7 @@
 		const waiting = requests.filter(request => isWaiting(request)).map(request => ({request, demand: newDemand(request)}));
 		residency.setNeeds(planner.getNeeds([...waiting.map(({demand}) => demand), ...this.#retries.getDemands(now)], inProgress, now));
 		for (const {request, demand} of waiting) {
-			request.awaitedUpstreamId = planner.getChosenUpstreamId(request.target) ?? '';
+			request.awaitedUpstreamId = planner.getChosenUpstreamId(demand.target) ?? '';
 			const forecastMs = planner.getForecastMs(demand);
 			if (forecastMs !== undefined && isLoadTooLate(demand, forecastMs, now) && giveUp(request, forecastMs, () => planner.getSourceCount(demand))) {
 				this.#retries.add(demand, now + forecastMs);
--- a/apps/valelead-daemon/src/gateway/gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/gateway-request.ts
@@ -1,6 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {ResponseFramingValue} from '@valelead/answer';
 import type {Route} from '@valelead/routing';
+import type {StreamOrigin} from '@valelead/stream-origin';
 import type {CallerRequest} from '../adapter/caller-request.js';
 import type {ResponseWriter} from './response-writer.js';
 import type {Caller} from './caller.js';
@@ -36,6 +37,8 @@
 	/** The engine that was last chosen to load the model while the request waited, or an empty string. */
 	awaitedUpstreamId: string;
 	attempts: number;
+	/** Where the stream began, once its first event has been forwarded or if the caller resumes it. Only fitting upstreams may continue it. */
+	origin: StreamOrigin | undefined;
 	/** The id of the last event that was completely forwarded, if the stream can be resumed. */
 	lastEventId: string | undefined;
 	firstChunkAt: number | undefined;
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import type {AdmissionSettings} from '@valelead/admission';
 import {type ChannelPool, Residency, newServiceDefinition} from '@valelead/protocol';
 import type {RouteTable} from '@valelead/routing';
+import {mutateVersionHistory, newVersionHistory} from '@valelead/stream-origin';
 import type {Logger} from 'pino';
 import type {Adapter} from '../adapter/adapter.js';
 import {startAdminServer} from '../admin-server.js';
@@ -16,6 +17,7 @@
 import type {GatewaySettings} from '../settings/gateway-settings.js';
 import {newResidencyService} from '../sidecar/new-residency-service.js';
 import type {Stoppable} from '../stoppable.js';
+import {OriginClient} from '../stream-origins/origin-client.js';
 import {getStartupDurationMs} from '../get-startup-duration-ms.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import {newPortCheck} from './new-port-check.js';
@@ -67,6 +69,8 @@
 	readonly #engineManagers: EngineManagers;
 	readonly #residencyServer: GrpcServer;
 	readonly #confirmation: RoutingConfirmation;
+	readonly #origins: OriginClient;
+	readonly #versions = newVersionHistory();
 	readonly #intake: RequestReceiver;
 	readonly #dispatcher: RequestDispatcher;
 	readonly #server: RequestServer;
@@ -106,6 +110,15 @@
 		this.#residencyServer = new GrpcServer([{
 			definition: newServiceDefinition(Residency), implementation: newResidencyService(address => this.#engineManagers.get(address)),
 		}]);
+		this.#origins = new OriginClient({
+			pool,
+			clock: SYSTEM_CLOCK,
+			timers,
+			logger,
+			onLookup: result => {
+				this.#metrics.streamOriginLookups.inc({result});
+			},
+		});
 		this.#follower = this.#newFollower();
 		this.#confirmation = new RoutingConfirmation(SYSTEM_CLOCK, SYSTEM_SUSPENSIONS, settings.revokeMs);
 		this.#intake = new RequestReceiver({
@@ -129,6 +142,7 @@
 			clock: SYSTEM_CLOCK,
 			logger,
 			residency: this.#residency,
+			origins: this.#origins,
 			getTable: () => this.#follower.table,
 			getGatewayCount: () => this.#follower.gatewayCount,
 			newAttempt: terms => new UpstreamAttempt(terms),
@@ -171,6 +185,8 @@
 			getTable: () => this.#follower.table,
 			isConfirmed: () => this.#confirmation.isFresh,
 			isStopping: () => this.#grace !== undefined,
+			getVersions: () => this.#versions,
+			findOrigin: async (key, requestId) => this.#origins.lookUp(key, requestId),
 		}));
 	}
 
@@ -219,6 +235,7 @@
 		this.#engineManagers.stop();
 		this.#residencyServer.stop();
 		this.#follower.stop();
+		this.#origins.stop();
 		this.#residency.stop();
 		this.#dispatcher.close();
 		this.#readiness?.close();
@@ -283,6 +300,9 @@
 					this.#dispatcher.limitExchange.handleUpdate(news);
 				},
 			},
+			onVoterAddresses: addresses => {
+				this.#origins.setVoterAddresses(addresses);
+			},
 			onConfirmed: askedAt => {
 				this.#confirmation.confirm(askedAt);
 			},
@@ -290,6 +310,7 @@
 				this.#takeRouting(table);
 			},
 			onDirectory: upstreams => {
+				mutateVersionHistory(this.#versions, upstreams, SYSTEM_CLOCK.now());
 				this.#engineManagers.setUpstreams(upstreams);
 				this.#dispatcher.takeDirectory(upstreams);
 			},
--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/get-resumed-origin.ts
@@ -0,0 +1,42 @@
+import {
+	OUTCOME, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, ValeleadError,
+} from '@valelead/common';
+import type {Route} from '@valelead/routing';
+import {type StreamOrigin, getOriginKey} from '@valelead/stream-origin';
+import type {CallerRequest} from '../adapter/caller-request.js';
+import {getSoleOrigin} from './get-sole-origin.js';
+import {isResumption} from './is-resumption.js';
+import type {Caller} from './caller.js';
+import type {OriginSource} from './origin-source.js';
+
+type ResumedRequest = {
+	readonly route: Route;
+	readonly caller: Caller;
+	readonly head: CallerRequest;
+};
+
+const newError = (code: ResultCodeValue): ValeleadError => new ValeleadError(RESULT_DETAILS[code].meaning, {code, outcome: OUTCOME.NotRun});
+
+/**
+ * Returns where the stream began that a request resumes; undefined if the request begins anew. Throws StreamOriginUnknown if it is not known, and
+ * StreamNotContinuable if the route no longer leads to the service that began the stream. A caller that does not name the attempt which began its
+ * stream can resume it only while there is no second software version.
+ */
+export const getResumedOrigin = async ({route, caller, head}: ResumedRequest, {clock, findOrigin, getVersions}: OriginSource): Promise<StreamOrigin | undefined> => {
+	if (!isResumption({route, head, lastEventId: undefined})) {
+		return undefined;
+	}
+
+	const origin = head.resumedRequestId === ''
+		? getSoleOrigin(route, getVersions(), clock.now())
+		: await findOrigin(getOriginKey(caller.team?.name ?? '', head.resumedRequestId), head.id);
+	if (!origin) {
+		throw newError(RESULT_CODE.StreamOriginUnknown);
+	}
+
+	if (!route.shares.some(({service, weight}) => service === origin.service && weight > 0)) {
+		throw newError(RESULT_CODE.StreamNotContinuable);
+	}
+
+	return origin;
+};
--- a/apps/valelead-daemon/src/gateway/load-candidates.ts
+++ b/apps/valelead-daemon/src/gateway/load-candidates.ts
@@ -2,6 +2,7 @@
 	type LoadCandidate, type StoreFetch, type StoreConcurrencyLimit, getStoreFetchers, hasFewCopies, mutateStoreConcurrencyLimit, newStoreConcurrencyLimit,
 } from '@valelead/residency';
 import {type EngineLimits, type ModelProfile, getModelProfiles} from '@valelead/routing';
+import {type StreamOrigin, canContinue} from '@valelead/stream-origin';
 import type {EngineView} from './engine-view.js';
 import {EngineDiscovery} from './engine-discovery.js';
 import {hasRoom} from './has-room.js';
@@ -12,6 +13,10 @@
 /** Returns the loads from the weight store that are in progress at an engine. */
 const getFetches = ({upstream, loads}: EngineView): StoreFetch[] => loads.filter(({pace}) => pace > 0).map(({model, pace}) => ({upstreamId: upstream.id, model, pace}));
 
+/** Returns the engines that may continue the streams of an origin; all of them without an origin. */
+const getContinuing = (views: readonly EngineView[], origin: StreamOrigin | undefined): readonly EngineView[] =>
+	origin ? views.filter(({upstream}) => canContinue(origin, upstream)) : views;
+
 /** The engines of a service that have a manager and receive requests. */
 type UsableEngines = {
 	readonly views: readonly EngineView[];
@@ -64,12 +69,12 @@
 	 */
 	getSuitable(request: PlacementRequest): LoadCandidate[] {
 		const {
-			service, model, adapter, requiresRoom, requiresFewCopies, excludedUpstreamIds,
+			service, model, adapter, origin, requiresRoom, requiresFewCopies, excludedUpstreamIds,
 		} = request;
 		const {views, mostCopies, isSettled} = this.#getUsable(service);
 		const requiresCopy = request.requiresCopy || !isSettled;
 		const limits = this.#getLimits(service);
-		return views
+		return getContinuing(views, origin)
 			.filter(view => !excludedUpstreamIds.has(view.upstream.id))
 			.filter(view => (!requiresRoom || hasRoom(view, model, limits)) && (!requiresFewCopies || hasFewCopies(view.copiesOnDisk.length, mostCopies)))
 			.map(view => newLoadCandidate(view, model, limits, mostCopies))
@@ -77,11 +82,11 @@
 			.filter(engine => engine.hasMemoryCopy || engine.hasDiskCopy || engine.remainingMs !== undefined || (!requiresCopy && this.#isFetchAllowed(service, engine)));
 	}
 
-	/** Returns all usable engines of a unit's service, eligible or not. */
-	getAll({service, model}: Pick<PlacementRequest, 'service' | 'model'>): LoadCandidate[] {
+	/** Returns all usable engines that may serve the unit's requests, eligible to load it or not. */
+	getAll({service, model, origin}: Pick<PlacementRequest, 'service' | 'model' | 'origin'>): LoadCandidate[] {
 		const limits = this.#getLimits(service);
 		const {views, mostCopies} = this.#getUsable(service);
-		return views.map(view => newLoadCandidate(view, model, limits, mostCopies));
+		return getContinuing(views, origin).map(view => newLoadCandidate(view, model, limits, mostCopies));
 	}
 
 	/** Updates the estimate of the weight store's concurrency limit from the fetches of all services, which share one store. */
--- a/apps/valelead-daemon/src/gateway/load-forecast.ts
+++ b/apps/valelead-daemon/src/gateway/load-forecast.ts
@@ -36,9 +36,9 @@
 		return forecast.loadedAt === undefined ? undefined : Math.max(0, forecast.loadedAt - now);
 	}
 
-	#newForecast({service, model, adapter, target}: Demand, now: number): Forecast {
+	#newForecast({service, model, adapter, target, origin}: Demand, now: number): Forecast {
 		const request = newPlacementRequest({
-			service, model, adapter, key: target,
+			service, model, adapter, key: target, origin,
 		});
 		const shape = this.#candidates.getShape(request);
 		const candidates = this.#candidates.getSuitable(request);
--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -114,10 +114,10 @@
 		}
 
 		for (const {
-			service, target, model, adapter, weight, dueAt, leavesAt,
+			service, target, model, adapter, origin, weight, dueAt, leavesAt,
 		} of waiting) {
 			const request = newPlacementRequest({
-				service, model, adapter, key: target,
+				service, model, adapter, key: target, origin,
 			});
 			this.#place(table, previous, request, {
 				count: 1, weight, dueInMs: Math.round(dueAt - now), leavesInMs: Math.round(leavesAt - now),
--- a/apps/valelead-daemon/src/gateway/new-admission-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-admission-request.ts
@@ -1,19 +1,20 @@
 import type {AdmissionRequest} from '@valelead/admission';
 import {ROUTE_KIND, isRepeatable} from '@valelead/routing';
+import {getAdmissionTarget} from './get-admission-target.js';
 import type {GatewayRequest} from './gateway-request.js';
 
 /** Additional dispatches, beyond the attempts of the route, for requests that upstreams refuse before running them. */
 const SPARE_ATTEMPTS = 2;
 
 /** Returns the fields of a request on which the admission decides. */
-export const newAdmissionRequest = ({id, caller, route, service, target, arrivedAt, deadlineAt}: GatewayRequest): AdmissionRequest => ({
+export const newAdmissionRequest = ({id, caller, route, service, target, origin, arrivedAt, deadlineAt}: GatewayRequest): AdmissionRequest => ({
 	requestId: id,
 	team: caller.team?.name ?? '',
 	teamWeight: 1,
 	rank: caller.rank,
 	className: route.name,
 	classWeight: 1 / (1 + route.priority),
-	target,
+	target: getAdmissionTarget({target, origin}),
 	arrivedAt,
 	deadlineAt,
 	isRepeatable: isRepeatable(route),
--- a/apps/valelead-daemon/src/gateway/new-gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-gateway-request.ts
@@ -1,3 +1,4 @@
+import type {StreamOrigin} from '@valelead/stream-origin';
 import type {GatewayRequest} from './gateway-request.js';
 
 /** The fields of a request that change while it is processed. */
@@ -16,8 +17,9 @@
 	| 'answerBytes';
 
 /** Returns a request that has just arrived, with no progress. */
-export const newGatewayRequest = (terms: Omit<GatewayRequest, Progress>): GatewayRequest => ({
+export const newGatewayRequest = (terms: Omit<GatewayRequest, Progress | 'origin'> & {readonly origin?: StreamOrigin | undefined}): GatewayRequest => ({
 	...terms,
+	origin: terms.origin,
 	fingerprint: undefined,
 	dispatchedAt: undefined,
 	upstreamId: '',
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -12,14 +12,20 @@
 import type {CrashExchange} from '../follower/crash-exchange.js';
 import {StallWatch} from '../stall-watch.js';
 import type {LimitExchange} from '../follower/limit-exchange.js';
+import type {OriginRecorder} from '../stream-origins/origin-recorder.js';
 import {afterEventLoopIterations} from './after-event-loop-iterations.js';
 import {ActiveAttempts} from './active-attempts.js';
 import {CrashGuard} from './crash-guard.js';
 import {DemandReporter} from './demand-reporter.js';
 import {DispatchLog} from './dispatch-log.js';
+import {ContinuationTargets} from './continuation-targets.js';
+import {getAdmissionTarget} from './get-admission-target.js';
 import {getCallerResultCode} from './get-caller-result-code.js';
+import {getRequestOriginKey} from './get-request-origin-key.js';
+import {hasContinuation} from './has-continuation.js';
 import {isResumption} from './is-resumption.js';
 import {LoadPlanner} from './load-planner.js';
+import {newOriginRecord} from './new-origin-record.js';
 import {newAttemptFailure} from './new-attempt-failure.js';
 import {newAdmissionRequest} from './new-admission-request.js';
 import {UpstreamRateLimiter} from './upstream-rate-limiter.js';
@@ -40,6 +46,7 @@
 	readonly random: () => number;
 	readonly logger: Logger;
 	readonly residency: EngineLinks;
+	readonly origins: OriginRecorder;
 	readonly getTable: () => RouteTable | undefined;
 	readonly getGatewayCount: () => number;
 	/** Starts an attempt, which sends the request to the upstream. */
@@ -82,6 +89,7 @@
 	readonly #state: AdmissionState = newAdmissionState(MIN_RETRY_AFTER_MS);
 	readonly #requests = new Map<string, GatewayRequest>();
 	readonly #attempts: ActiveAttempts;
+	readonly #continuations = new ContinuationTargets();
 	readonly #log: DispatchLog;
 	readonly #book: UpstreamTable;
 	readonly #demand: DemandReporter;
@@ -176,7 +184,13 @@
 			return;
 		}
 
+		if (!this.#isContinuable(request)) {
+			this.refuse(request, RESULT_CODE.StreamNotContinuable, 0);
+			return;
+		}
+
 		this.#requests.set(request.id, request);
+		this.#trackContinuation(request);
 		this.#take({
 			kind: 'arrive',
 			request: newAdmissionRequest(request),
@@ -241,7 +255,8 @@
 		}
 
 		this.#book.refresh(table);
-		this.#take({kind: 'endpoints', endpoints: this.#book.endpoints});
+		this.#takeEndpoints();
+		this.#refuseUncontinuable();
 		this.#demand.scheduleReport();
 	}
 
@@ -262,6 +277,9 @@
 			onLimit: (upstreamId, perSecond, startedAt) => {
 				this.#limits.noteAnswer(upstreamId, perSecond, startedAt);
 			},
+			onFirstEvent: (request, upstream) => {
+				this.#noteBegun(request, upstream);
+			},
 			onStarted: (request, attemptId) => {
 				this.#take({kind: 'started', requestId: request.id, attemptId});
 			},
@@ -282,7 +300,7 @@
 
 	/** Refuses a request that waits for a model which will be loaded too late for it, with the forecast as the Retry-After time. */
 	#giveUp(request: GatewayRequest, forecastMs: number, getSourceCount: () => number): boolean {
-		const isServed = (this.#state.endpoints.get(request.target)?.length ?? 0) > 0;
+		const isServed = (this.#state.endpoints.get(getAdmissionTarget(request))?.length ?? 0) > 0;
 		if (isServed) {
 			return false;
 		}
@@ -356,7 +374,7 @@
 	/** Returns the request of an attempt if another upstream could serve it, or undefined. */
 	#getElsewhere(attemptId: string): GatewayRequest | undefined {
 		const request = this.#getRequest(attemptId);
-		const isElsewhere = request !== undefined && (this.#state.endpoints.get(request.target)?.length ?? 0) > 1;
+		const isElsewhere = request !== undefined && (this.#state.endpoints.get(getAdmissionTarget(request))?.length ?? 0) > 1;
 		return isElsewhere ? request : undefined;
 	}
 
@@ -504,6 +522,7 @@
 
 		passOn();
 		this.#crashes.noteServed(request);
+		this.#parts.origins.forget(getRequestOriginKey(request));
 		this.#take({kind: 'finished', requestId: request.id, attemptId});
 		this.#finish(request, RESULT_CODE.Ok, OUTCOME.Ran, '');
 	}
@@ -517,12 +536,49 @@
 		}
 
 		const {code, outcome} = end;
-		this.#log.logFailed(request, end, isLast);
+		const isEnded = isLast || !this.#isContinuable(request);
+		this.#log.logFailed(request, end, isEnded);
+		this.#trackContinuation(request);
 		this.#take({
-			kind: 'failed', requestId: request.id, attemptId, code, outcome, jitter: this.#parts.random(), isLast,
+			kind: 'failed', requestId: request.id, attemptId, code, outcome, jitter: this.#parts.random(), isLast: isEnded, target: getAdmissionTarget(request),
 		});
 	}
 
+	/** False if the request continues a stream and no upstream can do so. */
+	#isContinuable({origin}: GatewayRequest): boolean {
+		return origin === undefined || hasContinuation(this.#book.views, origin);
+	}
+
+	/** Makes known which upstreams may serve a request that continues a stream. */
+	#trackContinuation(request: GatewayRequest): void {
+		if (this.#continuations.add(request)) {
+			this.#takeEndpoints();
+		}
+	}
+
+	#takeEndpoints(): void {
+		this.#take({kind: 'endpoints', endpoints: this.#continuations.addEndpoints(this.#book.endpoints, this.#book.views)});
+	}
+
+	/** Refuses waiting requests that continue streams once the last upstream that could do so has left. */
+	#refuseUncontinuable(): void {
+		for (const request of this.#requests.values()) {
+			if (request.origin && !this.#isContinuable(request)) {
+				this.#take({
+					kind: 'giveUp', requestId: request.id, code: RESULT_CODE.StreamNotContinuable, retryAfterMs: 0,
+				});
+			}
+		}
+	}
+
+	/** Records where a stream begins, before its caller gets the first event. A stream that is continued keeps the origin that it has. */
+	#noteBegun(request: GatewayRequest, {id, service, softwareVersion}: Upstream): void {
+		if (!request.origin) {
+			request.origin = {service, softwareVersion, runId: id};
+			this.#parts.origins.record(newOriginRecord(request, request.origin, this.#parts.clock.now()));
+		}
+	}
+
 	#refuse(request: GatewayRequest, code: ResultCodeValue, outcome: OutcomeValue, retryAfterMs: number, reason: string): void {
 		this.#requests.delete(request.id);
 		const honestCode = getCallerResultCode(code, outcome);
@@ -533,6 +589,7 @@
 	}
 
 	#finish(request: GatewayRequest, code: ResultCodeValue, outcome: OutcomeValue, reason: string): void {
+		this.#continuations.remove(request);
 		this.#parts.onEnd(request, code, outcome, reason);
 		this.#demand.scheduleReport();
 	}
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	type Clock, OUTCOME, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, ValeleadError,
+	OUTCOME, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, ValeleadError,
 } from '@valelead/common';
 import {
 	type Route, type RouteTable, getRoute, getServiceByWeight,
@@ -12,14 +12,15 @@
 import {HttpResponseWriter} from './http-response-writer.js';
 import {getCallerCheck} from './get-caller-check.js';
 import {getForwardedHeaders} from './get-forwarded-headers.js';
+import {getResumedOrigin} from './get-resumed-origin.js';
 import {getTarget} from './get-target.js';
 import {newGatewayRequest} from './new-gateway-request.js';
 import type {Caller} from './caller.js';
 import type {GatewayRequest} from './gateway-request.js';
+import type {OriginSource} from './origin-source.js';
 
-type HandlerParts = {
+type HandlerParts = OriginSource & {
 	readonly codec: CallerCodec;
-	readonly clock: Clock;
 	readonly logger: Logger;
 	/** Called with each request once its body has been read completely. */
 	readonly onRequest: (request: GatewayRequest) => void;
@@ -85,7 +86,8 @@
 
 		const caller = this.#getCaller(table, route, head);
 		const body = await readBody(message, table.routing.limits.maxBodyBytes);
-		const service = getServiceByWeight(route, Math.random());
+		const origin = await getResumedOrigin({route, caller, head}, this.#parts);
+		const service = origin?.service ?? getServiceByWeight(route, Math.random());
 		const id = String(this.#nextId);
 		this.#nextId += 1;
 		return newGatewayRequest({
@@ -95,6 +97,7 @@
 			host: message.headers.host ?? '',
 			route,
 			service,
+			origin,
 			target: getTarget(service, head.model, head.adapter),
 			method: message.method ?? 'GET',
 			url: message.url ?? '/',
--- a/apps/valelead-daemon/src/gateway/response-forwarder.ts
+++ b/apps/valelead-daemon/src/gateway/response-forwarder.ts
@@ -15,10 +15,13 @@
 	readonly #splitter: EventSplitter | undefined;
 	readonly #isStream: boolean;
 	readonly #chunks: Buffer[] = [];
+	readonly #onFirstEvent: () => void;
 
-	constructor(request: GatewayRequest, answer: ResponseHead) {
+	/** @param onFirstEvent - Called immediately before the first event of a resumable stream is forwarded to the caller. */
+	constructor(request: GatewayRequest, answer: ResponseHead, onFirstEvent: () => void) {
 		const {route} = request;
 		this.#request = request;
+		this.#onFirstEvent = onFirstEvent;
 		this.#status = answer.statusCode ?? 0;
 		this.#headers = getForwardedHeaders(answer.rawHeaders);
 		this.#isStream = route.kind === ROUTE_KIND.Stream && this.#status === HTTP_OK;
@@ -60,6 +63,10 @@
 
 	/** Sends the response head only with the first event, so that an attempt that fails earlier can be retried without a trace at the caller. */
 	#write(bytes: Buffer): void {
+		if (this.#splitter && !this.#request.answer.isStarted) {
+			this.#onFirstEvent();
+		}
+
 		this.#startOnce();
 		this.#request.answer.data(bytes);
 	}
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -48,6 +48,10 @@
 	/** Set by the leader: the quota units that each team may use at once, and the units of them lent to gateways. */
 	readonly quotaLevel: Gauge<'team'>;
 	readonly lentQuota: Gauge<'team'>;
+	/** Lookups of the origins of streams that callers resume, by result: `own`, `found` or `unknown`. */
+	readonly streamOriginLookups: Counter<'result'>;
+	/** Number of stream origins that this voter stores. */
+	readonly storedStreamOrigins: Gauge;
 	readonly refusedControlCalls: Counter<'call' | 'code'>;
 	readonly #teams = new Set<string>();
 
@@ -109,6 +113,10 @@
 		this.lentQuota = new Gauge({
 			name: 'valelead_quota_lent', help: 'Units of a team that the leader has lent to gateways.', labelNames: ['team'], registers,
 		});
+		this.streamOriginLookups = new Counter({
+			name: 'valelead_stream_origin_lookups_total', help: 'Lookups of where a stream began that a caller resumes, by result.', labelNames: ['result'], registers,
+		});
+		this.storedStreamOrigins = new Gauge({name: 'valelead_stored_stream_origins', help: 'Streams of which this voter remembers where they began.', registers});
 		collectDefaultMetrics({register: this.registry});
 	}
 
--- /dev/null
+++ b/apps/valelead-daemon/src/stream-origins/new-origin-service.ts
@@ -0,0 +1,37 @@
+import {Buffer} from 'node:buffer';
+import {create} from '@bufbuild/protobuf';
+import type {Clock} from '@valelead/common';
+import {
+	type LookUpReply, type LookUpRequest, type RecordReply, type StreamOriginBatch, LookUpReplySchema, RecordReplySchema,
+} from '@valelead/protocol';
+import type {
+	sendUnaryData, ServerDuplexStream, ServerUnaryCall, UntypedServiceImplementation,
+} from '@grpc/grpc-js';
+import {decodeOrigin} from './decode-origin.js';
+import {encodeOrigin} from './encode-origin.js';
+import type {OriginStore} from './origin-store.js';
+
+/** Creates the gRPC service through which gateways store and look up the origins of streams. */
+export const newOriginService = (store: Pick<OriginStore, 'record' | 'get'>, clock: Clock): UntypedServiceImplementation => ({
+	record(stream: ServerDuplexStream<StreamOriginBatch, RecordReply>) {
+		stream.once('data', () => {
+			// Tells the gateway that the connection works.
+			stream.write(create(RecordReplySchema));
+		});
+		stream.on('data', ({origins}: StreamOriginBatch) => {
+			for (const origin of origins) {
+				store.record(decodeOrigin(origin, clock.now()));
+			}
+		});
+		const end = (): void => {
+			stream.end();
+		};
+
+		stream.on('end', end);
+		stream.on('error', end);
+	},
+	lookUp({request}: ServerUnaryCall<LookUpRequest, LookUpReply>, reply: sendUnaryData<LookUpReply>) {
+		const origin = store.get(Buffer.from(request.key).toString('hex'));
+		reply(null, create(LookUpReplySchema, origin && {origin: encodeOrigin(origin, clock.now())}));
+	},
+});
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -214,7 +214,7 @@
 	this.passed = [];
 	const request = newStreamRequest(this.passed);
 	for (const text of [first, second]) {
-		const pipe = new ResponseForwarder(request, {statusCode: 200, headers: {}, rawHeaders: []});
+		const pipe = new ResponseForwarder(request, {statusCode: 200, headers: {}, rawHeaders: []}, () => undefined);
 		for (const byte of Buffer.from(unescape(text))) {
 			pipe.data(Buffer.from([byte]));
 		}
--- a/apps/valelead-lab/src/lab-engine.ts
+++ b/apps/valelead-lab/src/lab-engine.ts
@@ -120,7 +120,7 @@
 			copiesInMemory: this.engine.memoryCopies,
 			copiesOnDisk: this.engine.diskCopies,
 			remainingMs: 0,
-			softwareVersion: '',
+			softwareVersion: 'v1',
 			keeperAddress: '',
 		};
 	}
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -76,6 +76,8 @@
 					this.#dispatcher.takeReport(address, report);
 				},
 			}),
+			// No caller of the lab resumes its stream at another gateway.
+			origins: {record: () => undefined, forget: () => undefined},
 			getTable: () => table,
 			getGatewayCount: () => gatewayCount,
 			random: () => parts.random.next(),
--- a/fakes/src/call-http.ts
+++ b/fakes/src/call-http.ts
@@ -19,6 +19,7 @@
 
 /** One HTTP call to loopback; rejects if no answer begins. */
 export const callHttp = async (call: HttpCall): Promise<HttpAnswer> => new Promise((resolve, reject) => {
+	let isBegun = false;
 	const outgoing = request({
 		host: call.host ?? '127.0.0.1',
 		port: call.port,
@@ -28,6 +29,7 @@
 		agent: call.agent ?? false,
 		...(call.signal && {signal: call.signal}),
 	}, message => {
+		isBegun = true;
 		let text = '';
 		message.setEncoding('utf8');
 		message.on('data', (chunk: string) => {
@@ -41,6 +43,11 @@
 			});
 		});
 	});
-	outgoing.on('error', reject);
+	outgoing.on('error', error => {
+		// The part of an answer that has begun is the result of the call.
+		if (!isBegun) {
+			reject(error);
+		}
+	});
 	outgoing.end(call.body);
 });
--- a/packages/admission/src/admission-event.ts
+++ b/packages/admission/src/admission-event.ts
@@ -36,6 +36,8 @@
 		readonly jitter: number;
 		/** True if the request must not be sent to another upstream, as it may crash that one too; absent if it may be sent. */
 		readonly isLast?: boolean;
+		/** The target under which the request is queued again, if it differs: fewer upstreams may continue a stream than may begin it. */
+		readonly target?: string;
 	}
 	/** Time has passed. */
 	| {readonly kind: 'tick'};
--- a/packages/admission/src/mutate-attempt-failure.ts
+++ b/packages/admission/src/mutate-attempt-failure.ts
@@ -20,6 +20,7 @@
 	readonly outcome: OutcomeValue;
 	readonly jitter: number;
 	readonly isLast?: boolean;
+	readonly target?: string;
 };
 
 type RetryEffect = Extract<AdmissionEffect, {kind: 'retry'}>;
@@ -101,6 +102,7 @@
 
 	mutateRequestRelease(state, record);
 	mutateRequestState(record, 'requeue');
+	record.request = {...record.request, target: failure.target ?? record.request.target};
 	mutateEnqueued(state, record);
 	return effects;
 };
--- a/packages/admission/src/request-record.ts
+++ b/packages/admission/src/request-record.ts
@@ -3,7 +3,8 @@
 
 /** The state of one request from its arrival to its end. */
 export type RequestRecord = {
-	readonly request: AdmissionRequest;
+	/** Replaced if the request is queued again under another target. */
+	request: AdmissionRequest;
 	readonly limits: RequestLimits;
 	/** The state in the state chart `charts/request.chart.json`. */
 	state: string;
--- a/packages/common/src/result-code.ts
+++ b/packages/common/src/result-code.ts
@@ -32,6 +32,8 @@
 	QuotaExceeded: 2015,
 	QuotaUnknown: 2016,
 	RequestSuspected: 2017,
+	StreamOriginUnknown: 2018,
+	StreamNotContinuable: 2019,
 	CreditExpired: 3001,
 	UnitNotReady: 3002,
 	UpstreamFailed: 3003,
--- a/packages/common/src/result-details.ts
+++ b/packages/common/src/result-details.ts
@@ -49,6 +49,18 @@
 		'An upstream crashed under this request, and not all gateways can be heard on whether more did; this try has not run.',
 		'Retry after the stated time.',
 	),
+	[RESULT_CODE.StreamOriginUnknown]: newDetail(
+		'StreamOriginUnknown',
+		503,
+		'It is not known which upstream began the stream, so it cannot be resumed; this try has not run.',
+		'Start the stream again from its beginning.',
+	),
+	[RESULT_CODE.StreamNotContinuable]: newDetail(
+		'StreamNotContinuable',
+		503,
+		'No upstream of the service and software version that began the stream can continue it; this try has not run.',
+		'Start the stream again from its beginning.',
+	),
 	[RESULT_CODE.CreditExpired]: newDetail('CreditExpired', 503, 'The dispatch reached the agent after its credit expired.', 'Retry.'),
 	[RESULT_CODE.UnitNotReady]: newDetail('UnitNotReady', 503, 'The VM does not have the model ready.', 'Retry.'),
 	[RESULT_CODE.UpstreamFailed]: newDetail('UpstreamFailed', 502, 'The upstream failed after it was given the request.', 'Retry if the request is idempotent.'),
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,3 +6,4 @@
 export * from './generated/valelead/v1/control_pb.js';
 export * from './generated/valelead/v1/agent_pb.js';
 export * from './generated/valelead/v1/residency_pb.js';
+export * from './generated/valelead/v1/stream_origin_pb.js';
--- /dev/null
+++ b/packages/stream-origin/src/index.ts
@@ -0,0 +1,15 @@
+export type {StreamOrigin} from './stream-origin.js';
+export type {OriginRecord} from './origin-record.js';
+export type {OriginTable} from './origin-table.js';
+export {canContinue} from './can-continue.js';
+export {isSameContinuation} from './is-same-continuation.js';
+export {getOriginKey} from './get-origin-key.js';
+export {getHolders} from './get-holders.js';
+export {getOrigin} from './get-origin.js';
+export type {VersionHistory} from './version-history.js';
+export {newVersionHistory} from './new-version-history.js';
+export {mutateVersionHistory} from './mutate-version-history.js';
+export {getSoleVersion} from './get-sole-version.js';
+export {newOriginTable} from './new-origin-table.js';
+export {mutateOriginTable} from './mutate-origin-table.js';
+export {mutateExpiredOrigins} from './mutate-expired-origins.js';
--- /dev/null
+++ b/packages/stream-origin/src/new-origin-table.ts
@@ -0,0 +1,4 @@
+import type {OriginTable} from './origin-table.js';
+
+/** Creates an empty table. */
+export const newOriginTable = (): OriginTable => ({records: new Map()});
