End streams whose events have no ids where they break off

What callers saw: after a break, the events of a stream without ids came once more from the first one. Cause: a broken stream was sent again whenever its route is resumable, and without an id the next upstream begins at the beginning. Change: it is not sent again after the caller has got an event. Two step files build a request by hand; they get lastChunkAt, from which a waiting request's patience is counted since the last commit, with the value that a new request has.

--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -544,9 +544,13 @@
 		});
 	}
 
-	/** False if the request continues a stream and no upstream can do so. */
-	#isContinuable({origin}: GatewayRequest): boolean {
-		return origin === undefined || hasContinuation(this.#book.views, origin);
+	/**
+	 * False if the request continues a stream and no upstream can do so. A stream whose events have no ids cannot be continued either: the next upstream
+	 * would send it again from its beginning.
+	 */
+	#isContinuable({answer, lastEventId, origin}: GatewayRequest): boolean {
+		const isPositionKnown = !answer.isStarted || lastEventId !== undefined;
+		return isPositionKnown && (origin === undefined || hasContinuation(this.#book.views, origin));
 	}
 
 	/** Makes known which upstreams may serve a request that continues a stream. */
--- a/apps/valelead-daemon/tests/is-load-too-late.steps.ts
+++ b/apps/valelead-daemon/tests/is-load-too-late.steps.ts
@@ -16,8 +16,9 @@
 const ARRIVED_AT = 1000;
 
 const getDemand = ({objectiveMs, patienceMs}: LateLoadWorld, timeMs: number): Demand => {
-	const request: Pick<GatewayRequest, 'arrivedAt' | 'deadlineAt' | 'service' | 'target'> & {readonly head: object; readonly route: object} = {
+	const request: Pick<GatewayRequest, 'arrivedAt' | 'lastChunkAt' | 'deadlineAt' | 'service' | 'target'> & {readonly head: object; readonly route: object} = {
 		arrivedAt: ARRIVED_AT,
+		lastChunkAt: ARRIVED_AT,
 		deadlineAt: ARRIVED_AT + timeMs,
 		service: 'llm',
 		target: 'llm/a',
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -45,12 +45,13 @@
 /** Creates a request that has only the fields that the planner reads. */
 const newRequest = (unit: string, upstreamId = ''): GatewayRequest => {
 	const [model, adapter = ''] = unit.split('/');
-	const request: Pick<GatewayRequest, 'service' | 'target' | 'arrivedAt' | 'deadlineAt' | 'upstreamId'> & {readonly head: object; readonly route: object} = {
+	const request: Pick<GatewayRequest, 'service' | 'target' | 'arrivedAt' | 'lastChunkAt' | 'deadlineAt' | 'upstreamId'> & {readonly head: object; readonly route: object} = {
 		service: SERVICE,
 		target: `${SERVICE}/${unit}`,
 		head: {model, adapter},
 		route: {objectiveMs: OBJECTIVE_MS, callerPatienceMs: PATIENCE_MS, priority: 1},
 		arrivedAt: NOW,
+		lastChunkAt: NOW,
 		deadlineAt: NOW + TIME_MS,
 		upstreamId,
 	};
