Compare an answer's request id before believing a rejection

What callers saw: a request that may run once ran twice when an upstream sent the rejection of an earlier request a second time on a kept connection. Cause: the attempt looked at 'not executed' before it compared the id. Change: an answer to another request fails the attempt with an unknown outcome, whatever else it says.

--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -123,8 +123,13 @@
 		const {codec, requestId, events} = this.#parts;
 		const head = codec.decodeAnswer(answer.statusCode ?? 0, answer.headers);
 		this.#isAnswered = true;
-		// A late response to another request does not state the current limit.
-		if (head.requestId === requestId && !head.isOtherUpstream) {
+		// A late response to another request, even a rejection, states nothing about this one.
+		if (head.requestId !== requestId) {
+			this.fail(RESULT_CODE.InvalidAnswer, `an answer to request ${head.requestId}`);
+			return;
+		}
+
+		if (!head.isOtherUpstream) {
 			events.onLimit(head.limitPerSecond);
 		}
 
@@ -137,11 +142,6 @@
 			return;
 		}
 
-		if (head.requestId !== requestId) {
-			this.fail(RESULT_CODE.InvalidAnswer, `an answer to request ${head.requestId}`);
-			return;
-		}
-
 		if (this.#isOver || !events.onHead(answer)) {
 			answer.resume();
 			return;
--- a/apps/valelead-daemon/tests/upstream-attempt.feature
+++ b/apps/valelead-daemon/tests/upstream-attempt.feature
@@ -19,6 +19,17 @@
       | refused before running              | 3004 not_run |
       | another upstream                    | 3007 not_run |
 
+  # Guards against a request that may run once and is sent again, as a late rejection of another request is taken for its own.
+  Scenario Outline: A rejection of another request says nothing of this one
+    When an upstream answers with "<answer>"
+    Then the sending ends as "3010 unknown"
+
+    Examples:
+      | answer                                |
+      | a rejection of another request        |
+      | a late 421 of another request         |
+      | a rejection that names no request     |
+
   Scenario: Nobody listens
     When nobody listens at the upstream's address
     Then the sending ends as "3008 not_run"
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -45,6 +45,9 @@
 	'nothing, closed': {bytes: '', end: 'close'},
 	'of another request': {bytes: 'HTTP/1.1 200 OK\r\nid: 2\r\ncontent-length: 2\r\n\r\nok', end: 'keep'},
 	'refused before running': {bytes: 'HTTP/1.1 503 Full\r\nid: 1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
+	'a rejection of another request': {bytes: 'HTTP/1.1 503 Full\r\nid: 2\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
+	'a late 421 of another request': {bytes: 'HTTP/1.1 421 Other\r\nid: 2\r\nother: x\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
+	'a rejection that names no request': {bytes: 'HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
 	'another upstream': {bytes: 'HTTP/1.1 421 Other\r\nid: 1\r\nother: x\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
 };
 
