Treat responses with statuses that HTTP does not have as failures

What callers saw: one answer with status 000 of one upstream ended the whole gateway, and with it all requests in progress there. Cause: Node's parser accepts any three digits, its server throws for some of them, and nothing catches that in an event of the upstream's connection. The same end came from resuming a stream after an event id with a control byte, as the client throws for such a header. Change: an attempt whose answer has no status from 200 to 599 fails (3010, unknown); the same for agents, whose entry would have thrown; a stream whose last event id cannot be sent ends where it broke off.

--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -23,6 +23,7 @@
 import {getCallerResultCode} from './get-caller-result-code.js';
 import {getRequestOriginKey} from './get-request-origin-key.js';
 import {hasContinuation} from './has-continuation.js';
+import {isHeaderValue} from './is-header-value.js';
 import {isResumption} from './is-resumption.js';
 import {LoadPlanner} from './load-planner.js';
 import {newOriginRecord} from './new-origin-record.js';
@@ -545,11 +546,11 @@
 	}
 
 	/**
-	 * False if the request continues a stream and no upstream can do so. A stream whose events have no ids cannot be continued either: the next upstream
-	 * would send it again from its beginning.
+	 * False if the request continues a stream and no upstream can do so. A stream whose events have no ids that could be sent cannot be continued either:
+	 * the next upstream would send it again from its beginning.
 	 */
 	#isContinuable({answer, lastEventId, origin}: GatewayRequest): boolean {
-		const isPositionKnown = !answer.isStarted || lastEventId !== undefined;
+		const isPositionKnown = !answer.isStarted || (lastEventId !== undefined && isHeaderValue(lastEventId));
 		return isPositionKnown && (origin === undefined || hasContinuation(this.#book.views, origin));
 	}
 
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import {RESPONSE_DEFECT, ReceivedResponse} from '@valelead/answer';
 import {
-	abortRequest, OUTCOME, RESULT_CODE, type ResultCodeValue,
+	abortRequest, isFinalStatus, OUTCOME, RESULT_CODE, type ResultCodeValue,
 } from '@valelead/common';
 import {SUSPECT_PHASE, type SuspectPhaseValue} from '@valelead/quarantine';
 import {getHost} from '../get-host.js';
@@ -129,6 +129,11 @@
 			return;
 		}
 
+		if (!isFinalStatus(answer.statusCode ?? 0)) {
+			this.fail(RESULT_CODE.InvalidAnswer, `status ${answer.statusCode}`);
+			return;
+		}
+
 		if (!head.isOtherUpstream) {
 			events.onLimit(head.limitPerSecond);
 		}
--- a/apps/valelead-daemon/tests/answer-ends.feature
+++ b/apps/valelead-daemon/tests/answer-ends.feature
@@ -77,6 +77,11 @@
       | a stream, in chunks, ended inside an event     | cut   |
       | a stream, in chunks, ended between events      | whole |
 
+  # Guards against an entry that ends as it forwards a status that HTTP doesn't have.
+  Scenario: A response to an agent's request has a status that no response may have
+    When an agent's upstream sends a response that is "whole, with a status that no response may have"
+    Then the agent's request fails with "3003 unknown"
+
   # Guards against decoding an engine's status from a truncated response.
   Scenario Outline: A sidecar rejects a status in a response that is <response>
     When an engine sends its status in a response that is "<response>"
--- a/apps/valelead-daemon/tests/answer-ends.steps.ts
+++ b/apps/valelead-daemon/tests/answer-ends.steps.ts
@@ -69,6 +69,7 @@
 	'a stream, in a coding without chunks, closed': {bytes: `${STREAM}transfer-encoding: gzip\r\n\r\n`, end: 'late close'},
 	'unframed, one full buffer, closed in order': {bytes: `${HEAD}\r\n`.padEnd(READ_BYTES, 'a'), end: 'close'},
 	'unframed, one full buffer, reset': {bytes: `${HEAD}\r\n`.padEnd(READ_BYTES, 'a'), end: 'reset'},
+	'whole, with a status that no response may have': {bytes: 'HTTP/1.1 000 OK\r\nid: 1\r\ncontent-length: 2\r\n\r\nok', end: 'keep'},
 	'without a body, as its status says': {bytes: 'HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n', end: 'close'},
 };
 
@@ -209,6 +210,10 @@
 	assert.equal(this.end, end === 'whole' ? 'whole' : TRUNCATED_RESULT);
 });
 
+Then('the agent\'s request fails with {string}', function (this: EndsWorld, end: string) {
+	assert.equal(this.end, end);
+});
+
 Then('the response ends as "cut" and its connection is {string}', function (this: EndsWorld, connection: string) {
 	assert.deepEqual([this.end, this.connection], [TRUNCATED_RESULT, connection]);
 });
@@ -243,10 +248,10 @@
 
 When('an agent\'s upstream sends a response that is {string}', async function (this: EndsWorld, name: string) {
 	this.end = await withSource(name, async port => {
-		const {body} = await new HttpUpstream('127.0.0.1', port, CALL_TIMEOUT_MS).send({
-			requestId: '1', attemptId: '1.1', team: 't', priority: 0, method: 'POST', path: '/', contentType: '', body: Buffer.from('x'), remainingMs: CALL_TIMEOUT_MS,
-		}, new AbortController().signal);
 		try {
+			const {body} = await new HttpUpstream('127.0.0.1', port, CALL_TIMEOUT_MS).send({
+				requestId: '1', attemptId: '1.1', team: 't', priority: 0, method: 'POST', path: '/', contentType: '', body: Buffer.from('x'), remainingMs: CALL_TIMEOUT_MS,
+			}, new AbortController().signal);
 			for await (const chunk of body) {
 				assert.ok(chunk.length > 0);
 			}
--- a/apps/valelead-daemon/tests/upstream-attempt.feature
+++ b/apps/valelead-daemon/tests/upstream-attempt.feature
@@ -19,6 +19,17 @@
       | refused before running              | 3004 not_run |
       | another upstream                    | 3007 not_run |
 
+  # Guards against a gateway that ends, with all requests in progress there, as it forwards a status that HTTP doesn't have.
+  Scenario Outline: A status that no response may have
+    When an upstream answers with "<answer>"
+    Then the sending ends as "3010 unknown"
+
+    Examples:
+      | answer     |
+      | status 000 |
+      | status 099 |
+      | status 600 |
+
   # Guards against a request that may run once and is sent again, as a late rejection of another request is taken for its own.
   Scenario Outline: A rejection of another request says nothing of this one
     When an upstream answers with "<answer>"
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -48,6 +48,9 @@
 	'a rejection of another request': {bytes: 'HTTP/1.1 503 Full\r\nid: 2\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
 	'a late 421 of another request': {bytes: 'HTTP/1.1 421 Other\r\nid: 2\r\nother: x\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
 	'a rejection that names no request': {bytes: 'HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
+	'status 000': {bytes: 'HTTP/1.1 000 OK\r\nid: 1\r\ncontent-length: 2\r\n\r\nok', end: 'keep'},
+	'status 099': {bytes: 'HTTP/1.1 099 OK\r\nid: 1\r\ncontent-length: 2\r\n\r\nok', end: 'keep'},
+	'status 600': {bytes: 'HTTP/1.1 600 OK\r\nid: 1\r\ncontent-length: 2\r\n\r\nok', end: 'keep'},
 	'another upstream': {bytes: 'HTTP/1.1 421 Other\r\nid: 1\r\nother: x\r\ncontent-length: 0\r\n\r\n', end: 'keep'},
 };
 
--- a/packages/engine/src/http-upstream.ts
+++ b/packages/engine/src/http-upstream.ts
@@ -2,7 +2,7 @@
 import {Agent, type IncomingMessage, request as startRequest} from 'node:http';
 import {ReceivedResponse} from '@valelead/answer';
 import {
-	OUTCOME, RESULT_CODE, ValeleadError, receiveResponse,
+	OUTCOME, RESULT_CODE, ValeleadError, isFinalStatus, receiveResponse,
 } from '@valelead/common';
 import * as Schema from 'effect/Schema';
 import type {OrderResult} from './order-result.js';
@@ -120,6 +120,11 @@
 				signal,
 			});
 			const {statusCode, headers} = response.message;
+			if (!isFinalStatus(statusCode!)) {
+				response.message.destroy();
+				throw new Error(`status ${statusCode}`);
+			}
+
 			return {status: statusCode!, contentType: headers['content-type'] ?? '', body: readBody(response)};
 		} catch (error) {
 			const outcome = isConnectionRefused(error) ? OUTCOME.NotRun : OUTCOME.Unknown;
