--- a/apps/valelead-daemon/src/gateway/dispatch-log.ts
+++ b/apps/valelead-daemon/src/gateway/dispatch-log.ts
@@ -23,7 +23,7 @@
 	readonly gatewayCount: number;
 };
 
-/** Longest logged text of a caller's header, in characters; callers may send headers of any length. */
+/** Longest logged text of a caller's header or an event's id, in characters; both may have any length. */
 const MAX_LOGGED_LENGTH = 64;
 
 const getLogText = (text: string): string => text.slice(0, MAX_LOGGED_LENGTH);
@@ -53,13 +53,25 @@
 	logFailed({head, fingerprint, upstreamId, softwareVersion, attempts, lastEventId}: GatewayRequest, end: AttemptFailure, isLast: boolean): void {
 		const {code, outcome, reason, connection, phase} = end;
 		this.#logger.info({
-			event: 'attempt-failed', requestId: head.id, fingerprint, upstreamId, softwareVersion, attempt: attempts, lastEventId, code, outcome, reason, connection, phase, isLast,
+			event: 'attempt-failed',
+			requestId: head.id,
+			fingerprint,
+			upstreamId,
+			softwareVersion,
+			attempt: attempts,
+			lastEventId: lastEventId && getLogText(lastEventId),
+			code,
+			outcome,
+			reason,
+			connection,
+			phase,
+			isLast,
 		}, 'attempt failed');
 	}
 
 	/**
 	 * Logs a dispatch that resumes a stream.
-	 * @param previousVersion - The software version of the upstream that the stream comes from; undefined if this gateway does not know it.
+	 * @param previousVersion - The software version that began the stream.
 	 */
 	logResumed({head, upstreamId, softwareVersion, lastEventId}: GatewayRequest, previousVersion: string | undefined): void {
 		this.#logger.info({
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -128,7 +128,7 @@
 			}),
 			residency: parts.residency,
 			getRequests: () => this.#requests.values(),
-			isWaiting: request => this.#state.requests.get(request.id)?.state === 'waiting',
+			isWaiting: request => this.#isWaiting(request),
 			giveUp: (request, forecastMs, getSourceCount) => this.#giveUp(request, forecastMs, getSourceCount),
 		});
 		this.#limits = new UpstreamRateLimiter({
@@ -325,7 +325,7 @@
 
 	#refuseInProgress(request: GatewayRequest, remainingMs: number): void {
 		const code = RESULT_CODE.RequestQuarantined;
-		if (this.#state.requests.get(request.id)?.state === 'waiting') {
+		if (this.#isWaiting(request)) {
 			this.#take({
 				kind: 'giveUp', requestId: request.id, code, retryAfterMs: remainingMs,
 			});
@@ -337,6 +337,10 @@
 		this.#refuse(request, code, OUTCOME.Unknown, 0, RESULT_DETAILS[code].meaning);
 	}
 
+	#isWaiting({id}: GatewayRequest): boolean {
+		return this.#state.requests.get(id)?.state === 'waiting';
+	}
+
 	#isUsable(upstreamId: string): boolean {
 		return this.#book.isResponsive(upstreamId) && this.#parts.clock.now() >= (this.#state.lanes.get(upstreamId)?.ejectedUntil ?? 0);
 	}
@@ -497,7 +501,7 @@
 		}
 
 		request.dispatchedAt ??= this.#parts.clock.now();
-		const previousVersion = request.attempts === 0 ? undefined : request.softwareVersion;
+		const previousVersion = request.origin?.softwareVersion;
 		request.upstreamId = vm;
 		request.softwareVersion = view.upstream.softwareVersion;
 		request.attempts += 1;
@@ -568,7 +572,7 @@
 	/** Refuses waiting requests that continue streams once the last upstream that could do so has left. */
 	#refuseUncontinuable(): void {
 		for (const request of this.#requests.values()) {
-			if (request.origin && !this.#isContinuable(request)) {
+			if (request.origin && this.#isWaiting(request) && !this.#isContinuable(request)) {
 				this.#take({
 					kind: 'giveUp', requestId: request.id, code: RESULT_CODE.StreamNotContinuable, retryAfterMs: 0,
 				});
@@ -576,10 +580,17 @@
 		}
 	}
 
-	/** Records where a stream begins, before its caller gets the first event. A stream that is continued keeps the origin that it has. */
+	/**
+	 * Records where a stream begins, before its caller gets the first event. A stream that is continued keeps the origin that it has. A caller that gave
+	 * its attempt no id cannot resume the stream.
+	 */
 	#noteBegun(request: GatewayRequest, {id, service, softwareVersion}: Upstream): void {
-		if (!request.origin) {
-			request.origin = {service, softwareVersion, runId: id};
+		if (request.origin) {
+			return;
+		}
+
+		request.origin = {service, softwareVersion, runId: id};
+		if (request.head.id !== '') {
 			this.#parts.origins.record(newOriginRecord(request, request.origin, this.#parts.clock.now()));
 		}
 	}
--- a/apps/valelead-daemon/tests/resumed-origin.steps.ts
+++ b/apps/valelead-daemon/tests/resumed-origin.steps.ts
@@ -22,6 +22,24 @@
 const MS_PER_SECOND = 1000;
 const LIFETIME_MS = 1_000_000;
 
+const NEW_REQUEST: CallerRequest = {
+	id: 'b1',
+	deadlineMs: undefined,
+	model: '',
+	adapter: '',
+	promptTokens: 0,
+	maxNewTokens: 0,
+	hasTokenCount: false,
+	isTokenCountValid: true,
+	lastEventId: '',
+	resumedRequestId: '',
+	key: undefined,
+};
+
+const newTeam = (name: string): Team => ({
+	name, keyHashes: [], priority: 0, quota: undefined,
+});
+
 const newRoute = (service: string, isResumable: boolean): Route => ({kind: ROUTE_KIND.Stream, isResumable, shares: [{service, weight: 1}]}) as unknown as Route;
 
 const getClock = ({time}: OriginWorld): {now: () => number; wallNow: () => number} => ({now: () => time.now, wallNow: () => time.now});
@@ -37,7 +55,13 @@
 	this.route = newRoute(service, false);
 });
 
-Given('attempt {string} of team {string} began its stream at service {string}, version {string}', function (this: OriginWorld, attempt: string, team: string, service: string, softwareVersion: string) {
+Given('attempt {string} of team {string} began its stream at service {string}, version {string}', function (
+	this: OriginWorld,
+	attempt: string,
+	team: string,
+	service: string,
+	softwareVersion: string,
+) {
 	this.store.record({
 		key: getOriginKey(team, attempt), service, softwareVersion, runId: `run of ${softwareVersion}`, expiresAt: LIFETIME_MS,
 	});
@@ -58,8 +82,8 @@
 });
 
 When('team {string} sends a request with last event {string} that resumes {string}', async function (this: OriginWorld, team: string, lastEventId: string, resumedRequestId: string) {
-	const head = {id: 'b1', lastEventId, resumedRequestId} as CallerRequest;
-	const caller = {team: {name: team} as Team, rank: 0, cost: 0};
+	const head: CallerRequest = {...NEW_REQUEST, lastEventId, resumedRequestId};
+	const caller = {team: newTeam(team), rank: 0, cost: 0};
 	const findOrigin = async (key: string): Promise<StreamOrigin | undefined> => this.store.get(key);
 	try {
 		const origin = await getResumedOrigin({route: this.route, caller, head}, {clock: getClock(this), findOrigin, getVersions: () => this.versions});
