Forward a stream's first event once its record is on the wire

Cause, traced: the response is written at once, the gRPC message to the voters a turn of the event loop later; the gateway stood still for 0.5 s in between. Change: the first event waits for two turns of the loop (the events behind it too), and the holders are asked a third time, 200 ms later.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -31,8 +31,8 @@
 	readonly onLimit: (upstreamId: string, perSecond: number | undefined, startedAt: number) => void;
 	/** Called when a streamed response begins. */
 	readonly onStarted: (request: GatewayRequest, attemptId: string) => void;
-	/** Called immediately before the first event of a resumable stream is forwarded, with the upstream that sent it. */
-	readonly onFirstEvent: (request: GatewayRequest, upstream: Upstream) => void;
+	/** Called with the first event of a resumable stream and the upstream that sent it; the event is forwarded once `forward` is called. */
+	readonly onFirstEvent: (request: GatewayRequest, upstream: Upstream, forward: () => void) => void;
 	/** Called when the response is complete; `passOn` forwards its end to the caller. */
 	readonly onEnded: (request: GatewayRequest, attemptId: string, passOn: () => void) => void;
 	readonly onFailed: (request: GatewayRequest, attemptId: string, upstream: Upstream, end: AttemptFailure) => void;
@@ -150,8 +150,12 @@
 			return false;
 		}
 
-		this.#pipes.set(sending.attemptId, new ResponseForwarder(request, answer, () => {
-			this.#parts.onFirstEvent(request, sending.upstream);
+		this.#pipes.set(sending.attemptId, new ResponseForwarder(request, answer, forward => {
+			this.#parts.onFirstEvent(request, sending.upstream, () => {
+				if (this.#sent.has(sending.attemptId)) {
+					forward();
+				}
+			});
 		}));
 		if (request.route.kind === ROUTE_KIND.Stream && status === HTTP_OK) {
 			this.#parts.onStarted(request, sending.attemptId);
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -13,7 +13,7 @@
 import {StallWatch} from '../stall-watch.js';
 import type {LimitExchange} from '../follower/limit-exchange.js';
 import type {OriginRecorder} from '../stream-origins/origin-recorder.js';
-import {afterEventLoopIterations} from './after-event-loop-iterations.js';
+import {afterEventLoopIterations} from '../after-event-loop-iterations.js';
 import {ActiveAttempts} from './active-attempts.js';
 import {CrashGuard} from './crash-guard.js';
 import {DemandReporter} from './demand-reporter.js';
@@ -278,8 +278,8 @@
 			onLimit: (upstreamId, perSecond, startedAt) => {
 				this.#limits.noteAnswer(upstreamId, perSecond, startedAt);
 			},
-			onFirstEvent: (request, upstream) => {
-				this.#noteBegun(request, upstream);
+			onFirstEvent: (request, upstream, forward) => {
+				this.#noteBegun(request, upstream, forward);
 			},
 			onStarted: (request, attemptId) => {
 				this.#take({kind: 'started', requestId: request.id, attemptId});
@@ -584,15 +584,15 @@
 	 * Records where a stream begins, before its caller gets the first event. A stream that is continued keeps the origin that it has. A caller that gave
 	 * its attempt no id cannot resume the stream.
 	 */
-	#noteBegun(request: GatewayRequest, {id, service, softwareVersion}: Upstream): void {
-		if (request.origin) {
+	#noteBegun(request: GatewayRequest, {id, service, softwareVersion}: Upstream, forward: () => void): void {
+		const isKnown = request.origin !== undefined;
+		request.origin ??= {service, softwareVersion, runId: id};
+		if (isKnown || request.head.id === '') {
+			forward();
 			return;
 		}
 
-		request.origin = {service, softwareVersion, runId: id};
-		if (request.head.id !== '') {
-			this.#parts.origins.record(newOriginRecord(request, request.origin, this.#parts.clock.now()));
-		}
+		this.#parts.origins.record(newOriginRecord(request, request.origin, this.#parts.clock.now()), forward);
 	}
 
 	#refuse(request: GatewayRequest, code: ResultCodeValue, outcome: OutcomeValue, retryAfterMs: number, reason: string): void {
--- a/apps/valelead-daemon/src/gateway/response-forwarder.ts
+++ b/apps/valelead-daemon/src/gateway/response-forwarder.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {EventSplitter} from '@valelead/answer';
+import {type CompleteEvents, EventSplitter} from '@valelead/answer';
 import {ROUTE_KIND} from '@valelead/routing';
 import {getForwardedHeaders} from './get-forwarded-headers.js';
 import type {ResponseHead} from './response-head.js';
@@ -15,10 +15,12 @@
 	readonly #splitter: EventSplitter | undefined;
 	readonly #isStream: boolean;
 	readonly #chunks: Buffer[] = [];
-	readonly #onFirstEvent: () => void;
+	readonly #onFirstEvent: (forward: () => void) => void;
+	/** Events that are held back until the first of them may be forwarded; undefined if none are. */
+	#held: CompleteEvents[] | undefined;
 
-	/** @param onFirstEvent - Called immediately before the first event of a resumable stream is forwarded to the caller. */
-	constructor(request: GatewayRequest, answer: ResponseHead, onFirstEvent: () => void) {
+	/** @param onFirstEvent - Called with the first event of a resumable stream, which is forwarded to the caller once `forward` is called. */
+	constructor(request: GatewayRequest, answer: ResponseHead, onFirstEvent: (forward: () => void) => void) {
 		const {route} = request;
 		this.#request = request;
 		this.#onFirstEvent = onFirstEvent;
@@ -39,10 +41,9 @@
 			return;
 		}
 
-		const {bytes, lastEventId} = this.#splitter.addChunk(chunk);
-		this.#request.lastEventId = lastEventId ?? this.#request.lastEventId;
-		if (bytes.length > 0) {
-			this.#write(bytes);
+		const events = this.#splitter.addChunk(chunk);
+		if (events.bytes.length > 0) {
+			this.#addEvents(events);
 		}
 	}
 
@@ -56,17 +57,44 @@
 			return;
 		}
 
+		this.#forwardHeld();
 		this.#startOnce();
 		const rest = this.#splitter?.rest;
 		answer.end(rest && rest.length > 0 ? rest : undefined);
 	}
 
-	/** Sends the response head only with the first event, so that an attempt that fails earlier can be retried without a trace at the caller. */
-	#write(bytes: Buffer): void {
-		if (this.#splitter && !this.#request.answer.isStarted) {
-			this.#onFirstEvent();
+	#addEvents(events: CompleteEvents): void {
+		if (this.#held) {
+			this.#held.push(events);
+			return;
 		}
 
+		if (this.#request.answer.isStarted) {
+			this.#forwardEvents(events);
+			return;
+		}
+
+		this.#held = [events];
+		this.#onFirstEvent(() => {
+			this.#forwardHeld();
+		});
+	}
+
+	#forwardHeld(): void {
+		const held = this.#held ?? [];
+		this.#held = undefined;
+		for (const events of held) {
+			this.#forwardEvents(events);
+		}
+	}
+
+	#forwardEvents({bytes, lastEventId}: CompleteEvents): void {
+		this.#request.lastEventId = lastEventId ?? this.#request.lastEventId;
+		this.#write(bytes);
+	}
+
+	/** Sends the response head only with the first event, so that an attempt that fails earlier can be retried without a trace at the caller. */
+	#write(bytes: Buffer): void {
 		this.#startOnce();
 		this.#request.answer.data(bytes);
 	}
--- a/apps/valelead-daemon/src/stream-origins/origin-client.ts
+++ b/apps/valelead-daemon/src/stream-origins/origin-client.ts
@@ -6,6 +6,7 @@
 import {type ChannelPool, LookUpRequestSchema, StreamOrigins} from '@valelead/protocol';
 import {type OriginRecord, type StreamOrigin, getHolders} from '@valelead/stream-origin';
 import type {Logger} from 'pino';
+import {afterEventLoopIterations} from '../after-event-loop-iterations.js';
 import {withTimeout} from '../with-timeout.js';
 import {decodeOrigin} from './decode-origin.js';
 import {OriginLink} from './origin-link.js';
@@ -21,18 +22,21 @@
 	readonly onLookup: (result: string) => void;
 };
 
+/** Turns of the event loop in which the gRPC library hands a message to the socket of an open connection. */
+const TURNS_TO_SEND = 2;
+
 /** A holder that does not reply within this time is ignored, in milliseconds. */
 const LOOK_UP_TIMEOUT_MS = 300;
 
-/** Number of times that the holders are asked: a record may still be on its way when the caller already resumes the stream. */
-const LOOK_UP_ROUNDS = 2;
-
-/** Time between two rounds, in milliseconds. */
-const LOOK_UP_INTERVAL_MS = 50;
+/**
+ * Waits before the holders are asked once, twice and so on, in milliseconds. A record may still be on its way when the caller already resumes the stream;
+ * a lost packet is sent again after some 200 ms.
+ */
+const LOOK_UP_WAITS_MS = [0, 50, 200];
 
 /**
  * Stores the origins of this gateway's streams at several voters, and finds the origins of other gateways' streams there. An origin is sent before the
- * first event of its stream is, without waiting for a confirmation: a record that is lost with this gateway means that the stream is not resumed.
+ * first event of its stream is, but no confirmation is awaited: a record that is lost with this gateway means that the stream is not resumed.
  */
 export class OriginClient implements OriginRecorder {
 	readonly #parts: ClientParts;
@@ -70,11 +74,13 @@
 		}
 	}
 
-	record(record: OriginRecord): void {
+	record(record: OriginRecord, onSent: () => void): void {
 		this.#own.record(record);
 		for (const address of getHolders(record.key, this.#addresses)) {
 			this.#links.get(address)?.send(record);
 		}
+
+		afterEventLoopIterations(TURNS_TO_SEND, onSent);
 	}
 
 	forget(key: string): void {
@@ -122,9 +128,9 @@
 
 	/** Asks all voters, as another gateway may have known other ones when it chose the holders. */
 	async #lookUpAtHolders(key: string): Promise<StreamOrigin | undefined> {
-		for (let round = 0; round < LOOK_UP_ROUNDS; round += 1) {
-			if (round > 0) {
-				await this.#parts.timers.wait(LOOK_UP_INTERVAL_MS);
+		for (const [round, waitMs] of LOOK_UP_WAITS_MS.entries()) {
+			if (waitMs > 0) {
+				await this.#parts.timers.wait(waitMs);
 			}
 
 			try {
--- a/apps/valelead-daemon/tests/upstream-attempt.feature
+++ b/apps/valelead-daemon/tests/upstream-attempt.feature
@@ -68,6 +68,13 @@
     When the pieces "id: 1\ndata: a\n|\nid: 2\nda|ta: b\n\nid: 3\ndata" of a stream arrive
     Then the events passed on are "id: 1\ndata: a\n\n|id: 2\ndata: b\n\n" and the last id is "2"
 
+  # Guards against a caller that holds events of a stream whose beginning nobody will know once its gateway has ended.
+  Scenario: The first events of a stream wait until it is recorded where the stream began
+    When the events "id: 1\ndata: a\n\n|id: 2\ndata: b\n\n" of a stream arrive before its beginning is recorded
+    Then the caller gets "" and the last forwarded id is "none"
+    When its beginning is recorded and "id: 3\ndata: c\n\n" arrives
+    Then the caller gets "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n" and the last forwarded id is "3"
+
   # Guards against callers that time out during a long prefill because the gateway withholds the comments that the engine sends meanwhile.
   Scenario: A comment of a stream that can be resumed is forwarded before the next event
     When the pieces ": alive\n\n|id: 1\ndata: a\n\n|: alive\n\n" of a stream arrive
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -26,6 +26,10 @@
 	passed: string[];
 	lastEventId: string | undefined;
 	headers: string[];
+	request: GatewayRequest;
+	pipe: ResponseForwarder;
+	/** Forwards the events that are held back. */
+	forward: () => void;
 	admissions: Array<ReturnType<typeof newGatewayAdmission>>;
 };
 
@@ -220,13 +224,36 @@
 	this.passed = [];
 	const request = newStreamRequest(this.passed);
 	for (const text of [first, second]) {
-		const pipe = new ResponseForwarder(request, {statusCode: 200, headers: {}, rawHeaders: []}, () => undefined);
+		const pipe = new ResponseForwarder(request, {statusCode: 200, headers: {}, rawHeaders: []}, forward => {
+			forward();
+		});
 		for (const byte of Buffer.from(unescape(text))) {
 			pipe.data(Buffer.from([byte]));
 		}
 	}
 });
 
+When('the events {string} of a stream arrive before its beginning is recorded', function (this: AttemptWorld, events: string) {
+	this.passed = [];
+	this.request = newStreamRequest(this.passed);
+	this.pipe = new ResponseForwarder(this.request, {statusCode: 200, headers: {}, rawHeaders: []}, forward => {
+		this.forward = forward;
+	});
+	for (const event of unescape(events).split('|')) {
+		this.pipe.data(Buffer.from(event));
+	}
+});
+
+When('its beginning is recorded and {string} arrives', function (this: AttemptWorld, event: string) {
+	this.forward();
+	this.pipe.data(Buffer.from(unescape(event)));
+});
+
+Then('the caller gets {string} and the last forwarded id is {string}', function (this: AttemptWorld, text: string, id: string) {
+	assert.equal(this.passed.join(''), unescape(text));
+	assert.equal(this.request.lastEventId ?? 'none', id);
+});
+
 Then('the caller gets {string}', function (this: AttemptWorld, text: string) {
 	assert.equal(this.passed.join(''), unescape(text));
 });
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -77,7 +77,12 @@
 				},
 			}),
 			// No caller of the lab resumes its stream at another gateway.
-			origins: {record: () => undefined, forget: () => undefined},
+			origins: {
+				record(_record, onSent) {
+					onSent();
+				},
+				forget: () => undefined,
+			},
 			getTable: () => table,
 			getGatewayCount: () => gatewayCount,
 			random: () => parts.random.next(),
--- /dev/null
+++ b/packages/answer/src/complete-events.ts
@@ -0,0 +1,8 @@
+import type {Buffer} from 'node:buffer';
+
+/** The bytes up to the end of the last event that a chunk completed, and the id of the last event among them that has one. */
+export type CompleteEvents = {
+	readonly bytes: Buffer;
+	/** Undefined if none of these events has an id. */
+	readonly lastEventId: string | undefined;
+};
--- a/packages/answer/src/event-splitter.ts
+++ b/packages/answer/src/event-splitter.ts
@@ -1,12 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {EventScanner} from './event-scanner.js';
-
-/** The bytes up to the end of the last event that a chunk completed, and the id of the last event among them that has one. */
-type CompleteEvents = {
-	readonly bytes: Buffer;
-	/** Undefined if none of these events has an id. */
-	readonly lastEventId: string | undefined;
-};
+import type {CompleteEvents} from './complete-events.js';
 
 /** Matches the line with an event's id. A byte order mark may precede the first line; decoded as Latin-1, it reads as three characters. */
 const ID_LINE = /^(?:\u00EF\u00BB\u00BF)?id: ?(?<id>.*)$/gmv;
--- a/packages/answer/src/index.ts
+++ b/packages/answer/src/index.ts
@@ -2,6 +2,7 @@
 export type {ResponseFramingValue} from './response-framing-value.js';
 export {RESPONSE_DEFECT} from './response-defect.js';
 export {RESPONSE_FRAMING} from './response-framing.js';
+export type {CompleteEvents} from './complete-events.js';
 export {EventSplitter} from './event-splitter.js';
 export {ReceivedResponse} from './received-response.js';
 export {getResponseDefect} from './get-response-defect.js';
