--- a/apps/valelead-daemon/tests/load-planner.feature
+++ b/apps/valelead-daemon/tests/load-planner.feature
@@ -9,6 +9,20 @@
     When 1 request of the gateway waits for "a"
     Then 1 engine is chosen to load "a"
 
+  # Guards against a model that is loaded, for a resumed stream, at an engine which may not continue the stream.
+  Scenario: A model for a resumed stream is loaded where the stream may go on
+    Given empty engines "e1, e2, e3" with copies of all models
+    And engine "e2" has software version "v2"
+    When 1 request that resumes a stream of software version "v2" waits for "a"
+    Then engines "e2" are chosen to load "a"
+
+  # Guards against a forecast for a resumed stream that counts on engines which may not continue it.
+  Scenario: A resumed stream is promised nothing by engines that may not continue it
+    Given empty engines "e1, e2, e3" with copies of all models
+    When 1 request that resumes a stream of software version "v2" waits for "a"
+    Then 0 engines are chosen to load "a"
+    And no time is forecast for it
+
   Scenario: After the restart of all engines, a busy model is loaded on several engines at once
     Given empty engines "e1, e2, e3" with copies of all models
     When 2 requests of the gateway wait for "a"
--- a/apps/valelead-daemon/tests/load-planner.steps.ts
+++ b/apps/valelead-daemon/tests/load-planner.steps.ts
@@ -98,6 +98,24 @@
 	this.waiting = Array.from({length: count}, () => newDemand(newRequest(unit)));
 });
 
+Given('engine {string} has software version {string}', function (this: PlannerWorld, id: string, softwareVersion: string) {
+	const view = this.views.get(id)!;
+	this.views.set(id, {...view, upstream: {...view.upstream, softwareVersion}});
+});
+
+When('{int} request that resumes a stream of software version {string} waits for {string}', function (this: PlannerWorld, count: number, softwareVersion: string, unit: string) {
+	const origin = {service: SERVICE, softwareVersion, runId: 'an earlier run'};
+	this.waiting = Array.from({length: count}, () => newDemand({...newRequest(unit), origin}));
+});
+
+Then('engines {string} are chosen to load {string}', function (this: PlannerWorld, ids: string, model: string) {
+	assert.deepEqual(getChosenIds(this, model), split(ids));
+});
+
+Then('no time is forecast for it', function (this: PlannerWorld) {
+	assert.equal(this.planner.getForecastMs(this.waiting[0]), undefined);
+});
+
 When('the sidecar of {string} reports {int} requests of all gateways that wait for {string}', function (this: PlannerWorld, id: string, waiting: number, model: string) {
 	this.views.set(id, {
 		...this.views.get(id)!, loads: [{
--- a/packages/stream-origin/src/mutate-origin-table.ts
+++ b/packages/stream-origin/src/mutate-origin-table.ts
@@ -2,7 +2,7 @@
 import type {OriginRecord} from './origin-record.js';
 import type {OriginTable} from './origin-table.js';
 
-/** Maximum number of records: those of several hundred streams a second for as long as one lasts. Each takes about 300 bytes. */
+/** Maximum number of records: those of several hundred streams a second for as long as one lasts. */
 const MAX_RECORDS = 20_000;
 
 /** Records the origin of a stream. A key that is recorded with two origins that do not fit together identifies no stream from then on. */
