Let only events begin a stream, not comments

By reading: a comment that an engine sends during a long prefill would have recorded the origin of the stream and, as it has no id, kept the stream from being sent again after a break, which it was before. Change: an origin is recorded, and a position needed, only once a line that is no comment has been forwarded. The new scenario and those of resumed streams pass.

--- a/apps/valelead-daemon/src/gateway/gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/gateway-request.ts
@@ -39,6 +39,8 @@
 	attempts: number;
 	/** Where the stream began, once its first event has been forwarded or if the caller resumes it. Only fitting upstreams may continue it. */
 	origin: StreamOrigin | undefined;
+	/** True once an event of the stream has been forwarded; comments are none. */
+	hasForwardedEvents: boolean;
 	/** The id of the last event that was completely forwarded, if the stream can be resumed. */
 	lastEventId: string | undefined;
 	firstChunkAt: number | undefined;
--- a/apps/valelead-daemon/src/gateway/new-gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-gateway-request.ts
@@ -9,6 +9,7 @@
 	| 'softwareVersion'
 	| 'awaitedUpstreamId'
 	| 'attempts'
+	| 'hasForwardedEvents'
 	| 'lastEventId'
 	| 'firstChunkAt'
 	| 'lastChunkAt'
@@ -26,6 +27,7 @@
 	softwareVersion: '',
 	awaitedUpstreamId: '',
 	attempts: 0,
+	hasForwardedEvents: false,
 	lastEventId: undefined,
 	firstChunkAt: undefined,
 	lastChunkAt: terms.arrivedAt,
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -553,8 +553,8 @@
 	 * False if the request continues a stream and no upstream can do so. A stream whose events have no ids that could be sent cannot be continued either:
 	 * the next upstream would send it again from its beginning.
 	 */
-	#isContinuable({answer, lastEventId, origin}: GatewayRequest): boolean {
-		const isPositionKnown = !answer.isStarted || (lastEventId !== undefined && isHeaderValue(lastEventId));
+	#isContinuable({hasForwardedEvents, lastEventId, origin}: GatewayRequest): boolean {
+		const isPositionKnown = !hasForwardedEvents || (lastEventId !== undefined && isHeaderValue(lastEventId));
 		return isPositionKnown && (origin === undefined || hasContinuation(this.#book.views, origin));
 	}
 
--- a/apps/valelead-daemon/src/gateway/response-forwarder.ts
+++ b/apps/valelead-daemon/src/gateway/response-forwarder.ts
@@ -69,7 +69,7 @@
 			return;
 		}
 
-		if (this.#request.answer.isStarted) {
+		if (this.#request.hasForwardedEvents || !events.hasEvents) {
 			this.#forwardEvents(events);
 			return;
 		}
@@ -88,7 +88,8 @@
 		}
 	}
 
-	#forwardEvents({bytes, lastEventId}: CompleteEvents): void {
+	#forwardEvents({bytes, hasEvents, lastEventId}: CompleteEvents): void {
+		this.#request.hasForwardedEvents ||= hasEvents;
 		this.#request.lastEventId = lastEventId ?? this.#request.lastEventId;
 		this.#write(bytes);
 	}
--- a/apps/valelead-daemon/tests/upstream-attempt.feature
+++ b/apps/valelead-daemon/tests/upstream-attempt.feature
@@ -75,6 +75,11 @@
     When its beginning is recorded and "id: 3\ndata: c\n\n" arrives
     Then the caller gets "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n" and the last forwarded id is "3"
 
+  # Guards against a stream that is not sent again, or is tied to its upstream, though its caller has got nothing but comments.
+  Scenario: A comment does not begin a stream
+    When the events ": alive\n\n" of a stream arrive before its beginning is recorded
+    Then the caller gets ": alive\n\n", no event has been forwarded and nothing is recorded
+
   # Guards against callers that time out during a long prefill because the gateway withholds the comments that the engine sends meanwhile.
   Scenario: A comment of a stream that can be resumed is forwarded before the next event
     When the pieces ": alive\n\n|id: 1\ndata: a\n\n|: alive\n\n" of a stream arrive
--- a/apps/valelead-daemon/tests/upstream-attempt.steps.ts
+++ b/apps/valelead-daemon/tests/upstream-attempt.steps.ts
@@ -29,7 +29,7 @@
 	request: GatewayRequest;
 	pipe: ResponseForwarder;
 	/** Forwards the events that are held back. */
-	forward: () => void;
+	forward: (() => void) | undefined;
 	admissions: Array<ReturnType<typeof newGatewayAdmission>>;
 };
 
@@ -69,7 +69,9 @@
 			passed.push(chunk.toString());
 		},
 	};
-	return {route: {kind: 'stream', isResumable: true}, answer, lastEventId: undefined} as unknown as GatewayRequest;
+	return {
+		route: {kind: 'stream', isResumable: true}, answer, hasForwardedEvents: false, lastEventId: undefined,
+	} as unknown as GatewayRequest;
 };
 
 const listen = async (world: AttemptWorld, onRequest: (socket: Socket) => void): Promise<number> => {
@@ -245,10 +247,16 @@
 });
 
 When('its beginning is recorded and {string} arrives', function (this: AttemptWorld, event: string) {
-	this.forward();
+	this.forward!();
 	this.pipe.data(Buffer.from(unescape(event)));
 });
 
+Then('the caller gets {string}, no event has been forwarded and nothing is recorded', function (this: AttemptWorld, text: string) {
+	assert.equal(this.passed.join(''), unescape(text));
+	assert.equal(this.request.hasForwardedEvents, false);
+	assert.equal(this.forward, undefined);
+});
+
 Then('the caller gets {string} and the last forwarded id is {string}', function (this: AttemptWorld, text: string, id: string) {
 	assert.equal(this.passed.join(''), unescape(text));
 	assert.equal(this.request.lastEventId ?? 'none', id);
--- a/packages/answer/src/event-splitter.ts
+++ b/packages/answer/src/event-splitter.ts
@@ -5,6 +5,9 @@
 /** Matches the line with an event's id. A byte order mark may precede the first line; decoded as Latin-1, it reads as three characters. */
 const ID_LINE = /^(?:\u00EF\u00BB\u00BF)?id: ?(?<id>.*)$/gmv;
 
+/** Matches a line that is neither empty nor a comment. */
+const FIELD_LINE = /^(?:\u00EF\u00BB\u00BF)?[^:\r\n\u00EF]/mv;
+
 const BYTE_ORDER_MARK = Buffer.from('\uFEFF');
 
 /** Passes on only complete events of a stream, so that a stream that breaks can be resumed on another upstream after the last of them. */
@@ -27,13 +30,14 @@
 		const end = this.#scanner.scan(chunk);
 		if (end === 0) {
 			this.#rest = Buffer.concat([this.#rest, chunk]);
-			return {bytes: Buffer.alloc(0), lastEventId: undefined};
+			return {bytes: Buffer.alloc(0), hasEvents: false, lastEventId: undefined};
 		}
 
 		const complete = this.#withoutMark(Buffer.concat([this.#rest, chunk.subarray(0, end)]));
 		this.#isMarkExpected = false;
 		this.#rest = chunk.subarray(end);
-		return {bytes: complete, lastEventId: this.#getLastId(complete)};
+		const text = complete.toString('latin1');
+		return {bytes: complete, hasEvents: FIELD_LINE.test(text), lastEventId: this.#getLastId(text)};
 	}
 
 	/** The bytes after the last complete event. */
@@ -45,9 +49,9 @@
 		return this.#isMarkExpected && bytes.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK) ? bytes.subarray(BYTE_ORDER_MARK.length) : bytes;
 	}
 
-	#getLastId(complete: Buffer): string | undefined {
+	#getLastId(text: string): string | undefined {
 		let last: string | undefined;
-		for (const match of complete.toString('latin1').matchAll(ID_LINE)) {
+		for (const match of text.matchAll(ID_LINE)) {
 			last = match.groups?.id;
 		}
 
