Hash the key of a complete stream only where a stream began

Every request that ended well, plain ones too, was hashed to forget an origin that only resumable streams have.

--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -527,7 +527,10 @@
 
 		passOn();
 		this.#crashes.noteServed(request);
-		this.#parts.origins.forget(getRequestOriginKey(request));
+		if (request.origin) {
+			this.#parts.origins.forget(getRequestOriginKey(request));
+		}
+
 		this.#take({kind: 'finished', requestId: request.id, attemptId});
 		this.#finish(request, RESULT_CODE.Ok, OUTCOME.Ran, '');
 	}
