--- a/apps/valelead-daemon/src/gateway/new-admission-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-admission-request.ts
@@ -1,5 +1,5 @@
 import type {AdmissionRequest} from '@valelead/admission';
-import {ROUTE_KIND, isRepeatable} from '@valelead/routing';
+import {isRepeatable, isResumableStream} from '@valelead/routing';
 import {getAdmissionTarget} from './get-admission-target.js';
 import type {GatewayRequest} from './gateway-request.js';
 
@@ -18,7 +18,7 @@
 	arrivedAt,
 	deadlineAt,
 	isRepeatable: isRepeatable(route),
-	isResumable: route.kind === ROUTE_KIND.Stream && route.isResumable,
+	isResumable: isResumableStream(route),
 	maxRuns: route.maxAttempts,
 	maxAttempts: route.maxAttempts + SPARE_ATTEMPTS,
 	retryBudget: service,
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -22,8 +22,7 @@
 import {getAdmissionTarget} from './get-admission-target.js';
 import {getCallerResultCode} from './get-caller-result-code.js';
 import {getRequestOriginKey} from './get-request-origin-key.js';
-import {hasContinuation} from './has-continuation.js';
-import {isHeaderValue} from './is-header-value.js';
+import {isContinuable} from './is-continuable.js';
 import {isResumption} from './is-resumption.js';
 import {LoadPlanner} from './load-planner.js';
 import {newOriginRecord} from './new-origin-record.js';
@@ -185,7 +184,7 @@
 			return;
 		}
 
-		if (!this.#isContinuable(request)) {
+		if (!isContinuable(request, this.#book.views)) {
 			this.refuse(request, RESULT_CODE.StreamNotContinuable, 0);
 			return;
 		}
@@ -544,7 +543,7 @@
 		}
 
 		const {code, outcome} = end;
-		const isEnded = isLast || !this.#isContinuable(request);
+		const isEnded = isLast || !isContinuable(request, this.#book.views);
 		this.#log.logFailed(request, end, isEnded);
 		this.#trackContinuation(request);
 		this.#take({
@@ -552,15 +551,6 @@
 		});
 	}
 
-	/**
-	 * False if the request continues a stream and no upstream can do so. A stream whose events have no ids that could be sent cannot be continued either:
-	 * the next upstream would send it again from its beginning.
-	 */
-	#isContinuable({hasForwardedEvents, lastEventId, origin}: GatewayRequest): boolean {
-		const isPositionKnown = !hasForwardedEvents || (lastEventId !== undefined && isHeaderValue(lastEventId));
-		return isPositionKnown && (origin === undefined || hasContinuation(this.#book.views, origin));
-	}
-
 	/** Makes known which upstreams may serve a request that continues a stream. */
 	#trackContinuation(request: GatewayRequest): void {
 		if (this.#continuations.add(request)) {
@@ -575,7 +565,7 @@
 	/** Refuses waiting requests that continue streams once the last upstream that could do so has left. */
 	#refuseUncontinuable(): void {
 		for (const request of this.#requests.values()) {
-			if (request.origin && this.#isWaiting(request) && !this.#isContinuable(request)) {
+			if (request.origin && this.#isWaiting(request) && !isContinuable(request, this.#book.views)) {
 				this.#take({
 					kind: 'giveUp', requestId: request.id, code: RESULT_CODE.StreamNotContinuable, retryAfterMs: 0,
 				});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -18,4 +18,5 @@
 export {getModelProfiles} from './get-model-profiles.js';
 export {getRoute} from './get-route.js';
 export {getServiceByWeight} from './get-service-by-weight.js';
+export {isResumableStream} from './is-resumable-stream.js';
 export {isRepeatable} from './is-repeatable.js';
