Read live whether a simulated gateway hears of engines

The simulation spread the gateway into a copy, so a cut that began or ended while news of engines was on its way was not seen.

--- a/apps/valelead-daemon/tests/stream-simulation.ts
+++ b/apps/valelead-daemon/tests/stream-simulation.ts
@@ -278,7 +278,8 @@
 		}
 	}
 
-	#learnDirectory({process, parts, ...gateway}: Gateway): void {
+	#learnDirectory(gateway: Gateway): void {
+		const {process, parts} = gateway;
 		process.after(this.#options.random() * DIRECTORY_MS, () => {
 			if (!gateway.isDirectoryStale) {
 				const upstreams = this.engines.map(({id, service, softwareVersion}) => newUpstream(id, {service, softwareVersion}));
