Decode the size of prompts, and let admission compare upstreams by a cost

Cause: two customers load engines unevenly, and what decides there needs the size of a prompt and a cost for each upstream. Both are interfaces only: no cost is set yet, so decisions are as before.

--- a/apps/valelead-daemon/src/adapter/caller-request.ts
+++ b/apps/valelead-daemon/src/adapter/caller-request.ts
@@ -1,3 +1,5 @@
+import type {Prompt} from '@valelead/admission';
+
 /** The platform-specific fields in the head of a caller's request. */
 export type CallerRequest = {
 	/** The id that the caller gave this attempt; empty if it sent none. */
@@ -11,6 +13,8 @@
 	/** The number of tokens in the prompt, and the maximum number of tokens to generate; 0 if the request does not say. */
 	readonly promptTokens: number;
 	readonly maxNewTokens: number;
+	/** The size and the segments of the prompt; absent if the request states no valid token count. */
+	readonly prompt?: Prompt | undefined;
 	/** Ids of the prompt's segments that other prompts may share, in order and each once. */
 	readonly sharedSegments: readonly string[];
 	/** `hasTokenCount` is true if the request states a token count; `isTokenCountValid` is false only if a stated count cannot be parsed. */
--- a/apps/valelead-daemon/src/gateway/new-admission-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-admission-request.ts
@@ -7,7 +7,7 @@
 const SPARE_ATTEMPTS = 2;
 
 /** Returns the fields of a request on which the admission decides. */
-export const newAdmissionRequest = ({id, caller, route, service, target, origin, arrivedAt, deadlineAt}: GatewayRequest): AdmissionRequest => ({
+export const newAdmissionRequest = ({id, head, caller, route, service, target, origin, arrivedAt, deadlineAt}: GatewayRequest): AdmissionRequest => ({
 	requestId: id,
 	team: caller.team?.name ?? '',
 	teamWeight: 1,
@@ -21,5 +21,6 @@
 	isResumable: isResumableStream(route),
 	maxRuns: route.maxAttempts,
 	maxAttempts: route.maxAttempts + SPARE_ATTEMPTS,
+	prompt: head.prompt,
 	retryBudget: service,
 });
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -109,6 +109,17 @@
 	graceSeconds: newNumberSchema(30, 'Time between the stop signal and the end that the platform forces. In seconds.'),
 };
 
+const newSwitchSchema = (description: string) => Schema.Boolean.annotate({description}).pipe(Schema.withDecodingDefaultKey(Effect.succeed(true)));
+
+const SCHEDULING = Schema.Struct({
+	speed: newSwitchSchema('Whether requests avoid engines that are measured to be slow.'),
+	promptReuse: newSwitchSchema('Whether requests prefer the engine that has processed their shared prompt segments.'),
+	promptMemory: newSwitchSchema('Whether requests are sent only to engines with enough memory for their prompts and responses.'),
+	latestStart: newSwitchSchema('Whether waiting requests are ordered by the time at which they must start to meet their latency objective.'),
+	quotaReserve: newSwitchSchema('Whether a part of each quota may be used while no leader answers.'),
+	loadForecast: newSwitchSchema('Whether loads follow the trend of demand and the measured capacity of the weight store.'),
+});
+
 const GATEWAY = Schema.Struct({
 	role: Schema.Literal('gateway'),
 	...FOLLOWER_SETTINGS,
@@ -121,6 +132,7 @@
 	retryReserve: newNumberSchema(20, 'Retries that all gateways together may send beyond the earned ones, for each service.'),
 	retryWindowSeconds: newNumberSchema(10, 'The span of time in which the retries to a service are counted, in seconds.'),
 	announceMs: newMillisecondsSchema(2000, 'How often upstreams announce themselves.'),
+	scheduling: SCHEDULING.pipe(Schema.withDecodingDefaultKey(Effect.succeed({}))),
 	revokeMs: newNumberSchema(0, 'A key that was taken away is of no use this long after the acknowledgement: a process that is cut off refuses all keys. 0 for no such promise. In milliseconds.'),
 });
 
--- a/packages/admission/src/admission-request.ts
+++ b/packages/admission/src/admission-request.ts
@@ -1,3 +1,5 @@
+import type {Prompt} from './prompt.js';
+
 /** The fields of a request that admission decides on. Times are monotonic milliseconds. */
 export type AdmissionRequest = {
 	readonly requestId: string;
@@ -19,6 +21,8 @@
 	readonly maxRuns?: number;
 	/** The maximum number of dispatches; absent for the limit in the entry's settings. */
 	readonly maxAttempts?: number;
+	/** The size of the prompt; absent for requests to services without models, and if the caller states no size. */
+	readonly prompt?: Prompt;
 	/** The name of the retry budget, which all requests with the same name share. */
 	readonly retryBudget?: string;
 };
--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -1,3 +1,4 @@
+import type {LaneCost} from './lane-cost.js';
 import type {SendLimit} from './send-limit.js';
 
 /** The limits and timing of an entry's admission. Times in milliseconds. */
@@ -32,6 +33,8 @@
 	readonly ejectUnresponsiveAfterMs?: number;
 	/** The limits of the upstreams that limit their request rate, by VM; absent if none does. */
 	readonly sendLimits?: ReadonlyMap<string, SendLimit>;
+	/** Returns the cost of each upstream for a request; absent if upstreams are compared by their requests in progress only. */
+	readonly getLaneCost?: LaneCost;
 	/** The data centre of the entry. */
 	readonly dataCentre: string;
 };
--- a/packages/admission/src/get-best-lane.ts
+++ b/packages/admission/src/get-best-lane.ts
@@ -1,12 +1,15 @@
 import {getLane} from './get-lane.js';
 import type {AdmissionEndpoint} from './admission-endpoint.js';
 import type {AdmissionLane} from './admission-lane.js';
+import type {AdmissionRequest} from './admission-request.js';
 import type {BestLane} from './best-lane.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
 
 type LaneSearch = {
 	readonly target: string;
+	/** The request to send; undefined while it is only checked whether any upstream can take one. */
+	readonly request?: AdmissionRequest;
 	/** The number of requests that may still be sent to each upstream that limits its request rate, by VM. */
 	readonly sendsLeft: ReadonlyMap<string, number>;
 };
@@ -41,9 +44,9 @@
 /**
  * Chooses the VM that receives the next request of a target: the one with the fewest requests in progress, as far as this entry knows, with
  * penalties for remote, unanswering and failing upstreams. An upstream that was ejected gets one request at a time until one succeeds.
- * Returns undefined if no VM can take a request now.
+ * A request adds the cost that the settings give each VM for it. Returns undefined if no VM can take a request now.
  */
-export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, {target, sendsLeft}: LaneSearch, now: number): BestLane | undefined => {
+export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, {target, request, sendsLeft}: LaneSearch, now: number): BestLane | undefined => {
 	let best: BestLane | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
 	for (const endpoint of state.endpoints.get(target) ?? []) {
@@ -53,7 +56,8 @@
 			continue;
 		}
 
-		const score = getScore(lane, endpoint, settings, now);
+		const cost = request && settings.getLaneCost ? settings.getLaneCost(request, endpoint) : 0;
+		const score = getScore(lane, endpoint, settings, now) + cost;
 		if (score < bestScore) {
 			best = {vm: endpoint.vm, lane, isDirect: endpoint.concurrencyLimit !== undefined};
 			bestScore = score;
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -84,8 +84,13 @@
 				break;
 			}
 
-			effects.push(newDispatch(state, record, best, now));
-			mutateSendsLeft(sendsLeft, best.vm);
+			const chosen = settings.getLaneCost ? getBestLane(state, settings, {target, request: record.request, sendsLeft}, now) : best;
+			if (!chosen) {
+				break;
+			}
+
+			effects.push(newDispatch(state, record, chosen, now));
+			mutateSendsLeft(sendsLeft, chosen.vm);
 			best = getBestLane(state, settings, {target, sendsLeft}, now);
 		}
 	}
