Retry a request at another upstream than the one that has just failed it

Callers saw streams that ended with 3005 although a second engine could continue them. Traced with the gateway's log of the scenario for unframed streams: the second attempt went to the engine that had just broken the stream off, as that one was still the least loaded, and the route's attempts were used up. An upstream that failed the last attempt of a request now counts 100 requests more for its next attempt, so it is used again only if no other upstream can serve.

The new scenario of packages/admission passes, and three others of its file with it.

--- a/packages/admission/src/get-best-lane.ts
+++ b/packages/admission/src/get-best-lane.ts
@@ -10,6 +10,8 @@
 	readonly target: string;
 	/** The request to send; undefined while it is only checked whether any upstream can take one. */
 	readonly request?: AdmissionRequest;
+	/** The VM of the last attempt of the request; absent before its first attempt. */
+	readonly previousVm?: string;
 	/** The number of requests that may still be sent to each upstream that limits its request rate, by VM. */
 	readonly sendsLeft: ReadonlyMap<string, number>;
 };
@@ -23,6 +25,9 @@
 /** Penalty for each recent failure of an upstream, in requests in progress. */
 const FAILURE_PENALTY = 4;
 
+/** Penalty of the upstream at which the last attempt of a request failed, in requests in progress: it is used again only if no other one can serve. */
+const PREVIOUS_ATTEMPT_PENALTY = 100;
+
 const hasCapacity = (lane: AdmissionLane, endpoint: AdmissionEndpoint): boolean => endpoint.concurrencyLimit === undefined ? lane.credits.length > 0 : lane.inProgress < endpoint.concurrencyLimit;
 
 const isUsable = (lane: AdmissionLane, endpoint: AdmissionEndpoint, target: string, now: number): boolean => {
@@ -46,7 +51,7 @@
  * penalties for remote, unanswering and failing upstreams. An upstream that was ejected gets one request at a time until one succeeds.
  * A request adds the cost that the settings give each VM for it. Returns undefined if no VM can take a request now.
  */
-export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, {target, request, sendsLeft}: LaneSearch, now: number): BestLane | undefined => {
+export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, {target, request, previousVm, sendsLeft}: LaneSearch, now: number): BestLane | undefined => {
 	let best: BestLane | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
 	for (const endpoint of state.endpoints.get(target) ?? []) {
@@ -56,8 +61,9 @@
 			continue;
 		}
 
+		const previousPenalty = endpoint.vm === previousVm ? PREVIOUS_ATTEMPT_PENALTY : 0;
 		const cost = request && settings.getLaneCost ? settings.getLaneCost(request, endpoint) : 0;
-		const score = getScore(lane, endpoint, settings, now) + cost;
+		const score = getScore(lane, endpoint, settings, now) + previousPenalty + cost;
 		if (score < bestScore) {
 			best = {vm: endpoint.vm, lane, isDirect: endpoint.concurrencyLimit !== undefined};
 			bestScore = score;
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -84,7 +84,9 @@
 				break;
 			}
 
-			const chosen = settings.getLaneCost ? getBestLane(state, settings, {target, request: record.request, sendsLeft}, now) : best;
+			const chosen = getBestLane(state, settings, {
+				target, request: record.request, previousVm: record.vm, sendsLeft,
+			}, now);
 			if (!chosen) {
 				break;
 			}
--- a/packages/admission/tests/direct.feature
+++ b/packages/admission/tests/direct.feature
@@ -35,6 +35,13 @@
     When a resumable stream begins at an upstream and breaks
     Then the request was sent 2 times
 
+  # Guards against a retry at the upstream that has just failed the request, as long as it is the least loaded one.
+  Scenario: A request is retried at another upstream although that one has more requests in progress
+    Given "two" has 16 requests of other entries in progress
+    When the first attempt of a request fails at "one" after running
+    Then the request was sent 2 times
+    And the last 1 were sent to "two"
+
   Scenario: A broken stream that must not run twice is not sent again
     When a stream that runs once begins at an upstream and breaks
     Then the request was sent 1 times
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -103,6 +103,16 @@
 	arriveMany(this, count);
 });
 
+Given('{string} has {int} requests of other entries in progress', function (this: DirectWorld, vm: string, count: number) {
+	const endpoints = this.direct.state.endpoints.get(TARGET)!.map(endpoint => endpoint.vm === vm ? {...endpoint, otherEntriesInProgress: count} : endpoint);
+	take(this, {kind: 'endpoints', endpoints: new Map([[TARGET, endpoints]])});
+});
+
+When('the first attempt of a request fails at {string} after running', function (this: DirectWorld, vm: string) {
+	this.direct.getReaction = dispatch => dispatch.vm === vm ? newFailure(dispatch, RESULT_CODE.UpstreamFailed, OUTCOME.Unknown) : undefined;
+	arrive(this, {isRepeatable: true, maxRuns: 2});
+});
+
 Then('{int} are dispatched and {int} wait(s)', function (this: DirectWorld, dispatched: number, waiting: number) {
 	assert.equal(this.direct.dispatched.length, dispatched);
 	assert.equal(this.direct.state.queues.get(TARGET)?.length ?? 0, waiting);
