Prefer engines by measured speed

Requests went to the engine with the fewest requests in progress, also while it took 2.5 times as long for each of them. Gateways now sum the time to the first event and between events of each stream by engine and send the sums with their demand reports, at once if they contradict the reported speed. The engine's manager merges and ages them and publishes the result. Gateways compare each engine with the median of its service and add a cost to admission, so that load is balanced by time. Engines within 1.25 of the median, unknown ones, and deployments with scheduling.speed off are compared as before. Admission passes the load of all upstreams of a choice to the cost.

--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/engine-choice.ts
@@ -0,0 +1,73 @@
+import type {LaneCost} from '@valelead/admission';
+import type {Clock, TimerService} from '@valelead/common';
+import type {Upstream} from '@valelead/discovery';
+import type {EngineReport, SpeedSamples} from '@valelead/protocol';
+import {getSpeedCost} from '@valelead/residency';
+import type {GatewaySettings} from '../settings/gateway-settings.js';
+import {EngineSpeeds} from './engine-speeds.js';
+import {SpeedMeter} from './speed-meter.js';
+import type {AttemptOptions} from './attempt-options.js';
+
+type ChoiceParts = {
+	readonly scheduling: Pick<GatewaySettings['scheduling'], 'promptReuse' | 'speed'>;
+	readonly clock: Clock;
+	readonly timers: TimerService;
+	/** Sends what was measured at the engine of an address without waiting for the next report. */
+	readonly sendMeasurements: (address: string) => void;
+};
+
+/** The costs by which a gateway chooses among the engines that can serve a request: by measured speed and by the prompts that they have read. */
+export class EngineChoice {
+	/** The costs of the parts that the settings switch on. */
+	readonly costs: readonly LaneCost[];
+	readonly #speeds: EngineSpeeds;
+	/** Undefined if speeds are switched off. */
+	readonly #meter: SpeedMeter | undefined;
+
+	constructor(parts: ChoiceParts) {
+		this.#speeds = new EngineSpeeds(parts.clock);
+		this.#meter = parts.scheduling.speed ? this.#newMeter(parts) : undefined;
+		this.costs = parts.scheduling.speed ? [this.#getSpeedCost] : [];
+	}
+
+	/** Number of engines that count as slower than the median of their service. */
+	get slowEngines(): number {
+		return this.#speeds.slowCount;
+	}
+
+	/** Returns the options of an attempt, which is measured if speeds are switched on. */
+	newMeasured(options: AttemptOptions): AttemptOptions {
+		return this.#meter?.measure(options) ?? options;
+	}
+
+	takeSpeedSamples(address: string): SpeedSamples | undefined {
+		return this.#meter?.take(address);
+	}
+
+	setUpstreams(upstreams: readonly Upstream[]): void {
+		this.#speeds.setUpstreams(upstreams);
+		this.#meter?.retain(new Set(upstreams.map(upstream => upstream.address)));
+	}
+
+	/** Sets the last report on the engine at an address; undefined once the connection to its manager is lost. */
+	setReport(address: string, report: EngineReport | undefined): void {
+		this.#speeds.setReport(address, report);
+	}
+
+	readonly #getSpeedCost: LaneCost = (_request, endpoint, loads) => {
+		const factor = this.#speeds.getFactor(endpoint.vm);
+		return factor === 1 ? 0 : getSpeedCost(factor, loads?.get(endpoint) ?? endpoint.otherEntriesInProgress ?? 0);
+	};
+
+	#newMeter({clock, timers, sendMeasurements}: ChoiceParts): SpeedMeter {
+		return new SpeedMeter({
+			clock,
+			timers,
+			onPending: (address, samples) => {
+				if (this.#speeds.isNews(address, samples)) {
+					sendMeasurements(address);
+				}
+			},
+		});
+	}
+}
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -22,6 +22,8 @@
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import {newPortCheck} from './new-port-check.js';
 import {newGatewayAdmission} from './new-gateway-admission.js';
+import {EngineChoice} from './engine-choice.js';
+import {getSummedLaneCost} from './get-summed-lane-cost.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import {RequestHandler} from './request-handler.js';
 import {RequestReceiver} from './request-receiver.js';
@@ -65,6 +67,7 @@
 	readonly #parts: GatewayParts;
 	readonly #metrics = new Metrics();
 	readonly #follower: RoutingFollower;
+	readonly #choice: EngineChoice;
 	readonly #residency: ResidencyClients;
 	readonly #engineManagers: EngineManagers;
 	readonly #residencyServer: GrpcServer;
@@ -84,13 +87,23 @@
 			settings, adapter, logger, timers, pool,
 		} = parts;
 		this.#parts = parts;
+		this.#choice = new EngineChoice({
+			scheduling: settings.scheduling,
+			clock: SYSTEM_CLOCK,
+			timers,
+			sendMeasurements: address => {
+				this.#residency.sendMeasurements(address);
+			},
+		});
 		this.#residency = new ResidencyClients({
 			gateway: settings.vm,
 			sidecarPort: settings.sidecarPort,
 			pool,
 			timers,
 			logger,
+			takeSpeedSamples: address => this.#choice.takeSpeedSamples(address),
 			onReport: (address, report) => {
+				this.#choice.setReport(address, report);
 				this.#dispatcher.takeReport(address, report);
 			},
 			onAttended: () => {
@@ -145,7 +158,7 @@
 			origins: this.#origins,
 			getTable: () => this.#follower.table,
 			getGatewayCount: () => this.#follower.gatewayCount,
-			newAttempt: terms => new UpstreamAttempt(terms),
+			newAttempt: terms => new UpstreamAttempt(this.#choice.newMeasured(terms)),
 			random: Math.random,
 			getLeaderAgeMs: () => this.#follower.ageMs,
 			isPortRefused: newPortCheck(timers),
@@ -203,6 +216,7 @@
 			refreshMetrics: () => {
 				this.#metrics.revision.set(this.#follower.table?.routing.version ?? 0);
 				this.#metrics.configurationAge.set(this.#follower.ageMs / MS_PER_SECOND);
+				this.#metrics.slowEngines.set(this.#choice.slowEngines);
 				this.#metrics.limitedUpstreams.set(this.#dispatcher.limitedCount);
 				this.#metrics.quarantinedRequests.set(this.#dispatcher.quarantinedCount);
 			},
@@ -312,6 +326,7 @@
 			onDirectory: upstreams => {
 				mutateVersionHistory(this.#versions, upstreams, SYSTEM_CLOCK.now());
 				this.#engineManagers.setUpstreams(upstreams);
+				this.#choice.setUpstreams(upstreams);
 				this.#dispatcher.takeDirectory(upstreams);
 			},
 		});
@@ -332,9 +347,12 @@
 		}
 
 		const {dataCentre, retryRatio, retryReserve, retryWindowSeconds} = this.#parts.settings;
-		const settings = newGatewayAdmission({
-			dataCentre, ratio: retryRatio, reserve: retryReserve, windowMs: retryWindowSeconds * MS_PER_SECOND, gatewayCount: shares, countedSince, isUnspent,
-		});
+		const settings = {
+			...newGatewayAdmission({
+				dataCentre, ratio: retryRatio, reserve: retryReserve, windowMs: retryWindowSeconds * MS_PER_SECOND, gatewayCount: shares, countedSince, isUnspent,
+			}),
+			getLaneCost: getSummedLaneCost(this.#choice.costs),
+		};
 		this.#admission = {
 			shares, countedSince, isUnspent, settings,
 		};
--- a/apps/valelead-daemon/src/gateway/residency-client.ts
+++ b/apps/valelead-daemon/src/gateway/residency-client.ts
@@ -7,6 +7,7 @@
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import type {Logger} from 'pino';
 import {getNeedsText} from './get-needs-text.js';
+import type {TakeSpeedSamples} from './take-speed-samples.js';
 
 type Stream = ClientDuplexStream<DemandReport, EngineReport>;
 
@@ -20,6 +21,8 @@
 	readonly pool: ChannelPool;
 	readonly timers: TimerService;
 	readonly logger: Logger;
+	/** Returns and resets what was measured at the engine since the last call; absent or undefined for nothing. */
+	readonly takeSpeedSamples?: TakeSpeedSamples;
 	/** Called with each report of the manager, and with undefined once the connection to it is lost. */
 	readonly onReport: (report: EngineReport | undefined) => void;
 };
@@ -51,6 +54,11 @@
 		}
 	}
 
+	/** Sends a report although the needs did not change, as it carries measurements that cannot wait. */
+	sendMeasurements(): void {
+		this.#send();
+	}
+
 	stop(): void {
 		this.#isStopped = true;
 		this.#stream?.cancel();
@@ -64,6 +72,7 @@
 			gateway: this.#parts.gateway,
 			engineAddress: this.#parts.engineAddress,
 			needs: this.#needs.map(need => ({...need, waits: [...need.waits]})),
+			speed: this.#parts.takeSpeedSamples?.(this.#parts.engineAddress),
 		}));
 	}
 
--- a/apps/valelead-daemon/src/gateway/residency-clients.ts
+++ b/apps/valelead-daemon/src/gateway/residency-clients.ts
@@ -6,6 +6,7 @@
 import {getHost} from '../get-host.js';
 import {ResidencyClient} from './residency-client.js';
 import type {EngineLinks} from './engine-links.js';
+import type {TakeSpeedSamples} from './take-speed-samples.js';
 
 type ClientsParts = {
 	readonly gateway: string;
@@ -13,6 +14,7 @@
 	readonly pool: ChannelPool;
 	readonly timers: TimerService;
 	readonly logger: Logger;
+	readonly takeSpeedSamples?: TakeSpeedSamples;
 	readonly onReport: (address: string, report: EngineReport | undefined) => void;
 	/** Called when the sidecar of an engine is reached for the first time. */
 	readonly onAttended: () => void;
@@ -65,6 +67,11 @@
 		}
 	}
 
+	/** Sends what was measured at an engine without waiting for a change of the needs. */
+	sendMeasurements(engineAddress: string): void {
+		this.#links.get(engineAddress)?.client.sendMeasurements();
+	}
+
 	stop(): void {
 		for (const {client} of this.#links.values()) {
 			client.stop();
@@ -83,6 +90,7 @@
 			pool: this.#parts.pool,
 			timers: this.#parts.timers,
 			logger: this.#parts.logger,
+			takeSpeedSamples: this.#parts.takeSpeedSamples,
 			onReport: report => {
 				if (report && !isShared) {
 					this.#noteAttended(engineAddress);
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -56,6 +56,9 @@
 export {UpstreamRegistry} from './control/upstream-registry.js';
 export {OrderLeases} from './control/order-leases.js';
 export {SessionClient} from './session-client.js';
+export {MeasuredSpeed} from './sidecar/measured-speed.js';
+export {EngineChoice} from './gateway/engine-choice.js';
+export {getSummedLaneCost} from './gateway/get-summed-lane-cost.js';
 export {EngineFleet} from './gateway/engine-fleet.js';
 export type {EngineView} from './gateway/engine-view.js';
 export {LoadPlanner} from './gateway/load-planner.js';
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -41,6 +41,8 @@
 	readonly retries: Counter<'service' | 'result'>;
 	/** Number of upstreams that announce a request rate limit, as known to this gateway. */
 	readonly limitedUpstreams: Gauge;
+	/** Number of engines that this gateway counts as slower than the median of their service. */
+	readonly slowEngines: Gauge;
 	/** Number of quarantined requests, which this gateway does not send to upstreams. */
 	readonly quarantinedRequests: Gauge;
 	/** Quota units that requests have used, by team. */
@@ -103,6 +105,7 @@
 			name: 'valelead_retries_total', help: 'Retries that the budget of a service allowed or refused.', labelNames: ['service', 'result'], registers,
 		});
 		this.limitedUpstreams = new Gauge({name: 'valelead_limited_upstreams', help: 'Upstreams that name a limit of requests a second in their answers.', registers});
+		this.slowEngines = new Gauge({name: 'valelead_slow_engines', help: 'Engines that count as slower than the median of their service.', registers});
 		this.quarantinedRequests = new Gauge({name: 'valelead_quarantined_requests', help: 'Requests that are kept from upstreams, as upstreams crashed under them.', registers});
 		this.usedQuota = new Counter({
 			name: 'valelead_quota_used_total', help: 'Units of teams\' quotas that requests have used at this gateway.', labelNames: ['team'], registers,
--- a/apps/valelead-daemon/src/sidecar/engine-manager.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-manager.ts
@@ -4,11 +4,13 @@
 	getLoadMs, getLoadValue, getNextStep, getWaits, isStoreLoad, mutateCopyLoadRate, getModelWaitMs, mutateLastUsedAt, mutateModelWaits, newResidencyState,
 } from '@valelead/residency';
 import type {Run, Upstream} from '@valelead/discovery';
+import type {SpeedSamples} from '@valelead/protocol';
 import type {EngineStatus} from '../adapter/engine-status.js';
 import {KnownRun} from './known-run.js';
 import {LatestStatus} from './latest-status.js';
 import type {EngineManagerOptions} from './engine-manager-options.js';
 import {LoadDelayLog} from './load-delay-log.js';
+import {MeasuredSpeed} from './measured-speed.js';
 import {Prefetcher} from './prefetcher.js';
 import {getBusyMs} from './get-busy-ms.js';
 import {newOrderRecord} from './new-order-record.js';
@@ -34,6 +36,7 @@
 	readonly #residency = newResidencyState();
 	readonly #prefetcher: Prefetcher;
 	readonly #publisher: SummaryPublisher;
+	readonly #speed: MeasuredSpeed;
 	readonly #delays: LoadDelayLog;
 	readonly #reader: StatusReader;
 	#capacity: Capacity | undefined;
@@ -62,6 +65,15 @@
 		this.#delays = new LoadDelayLog(parts);
 		this.#reader = new StatusReader({...parts, run: this.#run});
 		this.#publisher = new SummaryPublisher({...parts, getSummary: () => this.summary});
+		this.#speed = new MeasuredSpeed({
+			...parts,
+			onJump: () => {
+				this.#publisher.publishNow();
+			},
+			onAged: () => {
+				this.#publisher.schedulePublish();
+			},
+		});
 	}
 
 	start(): void {
@@ -132,6 +144,11 @@
 		}
 	}
 
+	/** Adds what a gateway has measured at the engine; undefined if it measured nothing. */
+	addSpeedSamples(samples: SpeedSamples | undefined): void {
+		this.#speed.add(samples, this.#run.id);
+	}
+
 	removeStream(streamId: string): void {
 		this.#needs.forget(streamId);
 		this.#publisher.schedulePublish();
@@ -143,7 +160,7 @@
 			return undefined;
 		}
 
-		return newEngineSummary({
+		const summary = newEngineSummary({
 			upstreamId: this.#run.id,
 			status,
 			capacity: this.#capacity,
@@ -154,11 +171,13 @@
 			getModelWaitMs: model => getModelWaitMs(this.#residency, model),
 			now: this.#parts.clock.now(),
 		});
+		return {...summary, ...this.#speed.published};
 	}
 
 	/** Discards the state of the engine's previous run: the new run has none of its models loaded and counts its orders from the start. */
 	#forgetRun(): void {
 		this.#known.reset();
+		this.#speed.reset();
 		this.#unloadNotice.end();
 		this.#loading = undefined;
 		this.#reader.expire();
--- a/apps/valelead-daemon/src/sidecar/engine-summary.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-summary.ts
@@ -15,4 +15,7 @@
 	readonly waiting: number;
 	/** The fraction of the key-value cache that is in use, from 0 to 1. */
 	readonly cacheShare: number;
+	/** The speed that gateways have measured, in milliseconds, as in `EngineSpeed`. */
+	readonly eventGapMs?: number;
+	readonly firstEventMs?: number;
 };
--- a/apps/valelead-daemon/src/sidecar/is-significant-change.ts
+++ b/apps/valelead-daemon/src/sidecar/is-significant-change.ts
@@ -1,3 +1,4 @@
+import {type EngineSpeed, isSpeedChanged} from '@valelead/residency';
 import type {EngineSummary} from './engine-summary.js';
 
 /**
@@ -7,6 +8,11 @@
 const MIN_CHANGE = 2;
 const MIN_CHANGE_SHARE = 0.25;
 
+/** Engines whose speeds are within this ratio count as equally fast. */
+const MIN_SPEED_RATIO = 1.25;
+
+const getSpeed = ({eventGapMs = 0, firstEventMs = 0}: EngineSummary): EngineSpeed => ({eventGapMs, firstEventMs});
+
 const hasChanged = (before: number, after: number): boolean => Math.abs(after - before) >= Math.max(MIN_CHANGE, before * MIN_CHANGE_SHARE);
 
 const getWaiting = ({loads}: EngineSummary): number => loads.reduce((sum, load) => sum + load.waiting, 0);
@@ -17,6 +23,10 @@
 		return true;
 	}
 
+	if (isSpeedChanged(getSpeed(before), getSpeed(after), MIN_SPEED_RATIO)) {
+		return true;
+	}
+
 	const counts = new Map(before.models.map(model => [model.name, model.inProgress]));
 	return after.models.some(model => hasChanged(counts.get(model.name) ?? 0, model.inProgress));
 };
--- a/apps/valelead-daemon/src/sidecar/new-residency-service.ts
+++ b/apps/valelead-daemon/src/sidecar/new-residency-service.ts
@@ -29,11 +29,13 @@
 	const removeStopListener = manager.onStop(end);
 	stream.on('data', (report: DemandReport) => {
 		manager.setNeeds(streamId, report.needs);
+		manager.addSpeedSamples(report.speed);
 	});
 	stream.on('end', end);
 	stream.on('error', end);
 	stream.on('cancelled', end);
 	manager.setNeeds(streamId, first.needs);
+	manager.addSpeedSamples(first.speed);
 	const {summary} = manager;
 	if (summary) {
 		send(summary);
--- a/apps/valelead-daemon/src/sidecar/summary-publisher.ts
+++ b/apps/valelead-daemon/src/sidecar/summary-publisher.ts
@@ -66,6 +66,13 @@
 		this.#notify(summary, JSON.stringify(summary));
 	}
 
+	/** Publishes the summary at once, whatever has changed; the caller bounds how often. */
+	publishNow(): void {
+		const summary = this.#parts.getSummary();
+		this.#publishedOffer = JSON.stringify(summary && getOffer(summary));
+		this.#notify(summary, JSON.stringify(summary));
+	}
+
 	/** Schedules a check whether counts have changed; to be called after they may have. */
 	schedulePublish(): void {
 		this.#changes.schedule();
--- a/packages/admission/src/get-best-lane.ts
+++ b/packages/admission/src/get-best-lane.ts
@@ -3,6 +3,7 @@
 import type {AdmissionLane} from './admission-lane.js';
 import type {AdmissionRequest} from './admission-request.js';
 import type {BestLane} from './best-lane.js';
+import type {LaneLoads} from './lane-loads.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
 
@@ -30,6 +31,22 @@
 	return hasCapacity(lane, endpoint) && now >= lane.ejectedUntil && !isProbing && now >= (lane.avoided.get(target) ?? 0);
 };
 
+const getUsableLanes = (state: AdmissionState, {target, sendsLeft}: LaneSearch, now: number): Array<[AdmissionEndpoint, AdmissionLane]> => {
+	const usable: Array<[AdmissionEndpoint, AdmissionLane]> = [];
+	for (const endpoint of state.endpoints.get(target) ?? []) {
+		const lane = endpoint.concurrencyLimit === undefined ? state.lanes.get(endpoint.vm) : getLane(state, endpoint.vm);
+		const isLimitReached = (sendsLeft.get(endpoint.vm) ?? 1) < 1;
+		if (lane && !isLimitReached && isUsable(lane, endpoint, target, now)) {
+			usable.push([endpoint, lane]);
+		}
+	}
+
+	return usable;
+};
+
+const getLoads = (usable: ReadonlyArray<readonly [AdmissionEndpoint, AdmissionLane]>): LaneLoads =>
+	new Map(usable.map(([endpoint, lane]) => [endpoint, lane.inProgress + (endpoint.otherEntriesInProgress ?? 0)]));
+
 const isUnanswered = (lane: AdmissionLane, settings: AdmissionSettings, now: number): boolean => {
 	const {unansweredSince} = lane;
 	return settings.deprioritiseAfterMs !== undefined && unansweredSince !== undefined && now - unansweredSince > settings.deprioritiseAfterMs;
@@ -49,14 +66,10 @@
 export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, {target, request, sendsLeft}: LaneSearch, now: number): BestLane | undefined => {
 	let best: BestLane | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
-	for (const endpoint of state.endpoints.get(target) ?? []) {
-		const lane = endpoint.concurrencyLimit === undefined ? state.lanes.get(endpoint.vm) : getLane(state, endpoint.vm);
-		const isLimitReached = (sendsLeft.get(endpoint.vm) ?? 1) < 1;
-		if (!lane || isLimitReached || !isUsable(lane, endpoint, target, now)) {
-			continue;
-		}
-
-		const cost = request && settings.getLaneCost ? settings.getLaneCost(request, endpoint) : 0;
+	const usable = getUsableLanes(state, {target, sendsLeft}, now);
+	const loads = request && settings.getLaneCost ? getLoads(usable) : undefined;
+	for (const [endpoint, lane] of usable) {
+		const cost = request && settings.getLaneCost ? settings.getLaneCost(request, endpoint, loads) : 0;
 		const score = getScore(lane, endpoint, settings, now) + cost;
 		if (score < bestScore) {
 			best = {vm: endpoint.vm, lane, isDirect: endpoint.concurrencyLimit !== undefined};
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -4,6 +4,7 @@
 export type {AdmissionSettings} from './admission-settings.js';
 export type {AdmissionState} from './admission-state.js';
 export type {LaneCost} from './lane-cost.js';
+export type {LaneLoads} from './lane-loads.js';
 export type {Prompt} from './prompt.js';
 export type {PromptSegment} from './prompt-segment.js';
 export type {SendLimit} from './send-limit.js';
--- /dev/null
+++ b/packages/residency/src/get-speed-factors.ts
@@ -0,0 +1,34 @@
+import {MAX_SPEED_RATIO} from './max-speed-ratio.js';
+
+/**
+ * Engines whose speed is within this ratio of the median count as equally fast, so that an even deployment is balanced by the number of requests
+ * alone. Measured means of equal engines differ by up to a fifth because their loads differ.
+ */
+const EQUAL_SPEED_RATIO = 1.25;
+
+const getMedian = (values: readonly number[]): number => {
+	const sorted = [...values].sort((left, right) => left - right);
+	const middle = sorted.length / 2;
+	return (sorted[Math.ceil(middle) - 1] + sorted[Math.floor(middle)]) / 2;
+};
+
+const getFactor = (gapMs: number, medianMs: number): number => {
+	const ratio = gapMs / medianMs;
+	const isEqual = ratio <= EQUAL_SPEED_RATIO && ratio * EQUAL_SPEED_RATIO >= 1;
+	return isEqual ? 1 : Math.min(MAX_SPEED_RATIO, Math.max(1 / MAX_SPEED_RATIO, ratio));
+};
+
+/**
+ * Returns how many times as long as the median of its service each engine takes for the same work. Engines as fast as the median, and engines whose
+ * speed is not known, are not in the result.
+ * @param gaps - The mean time between two events of a stream, in milliseconds, by engine; 0 if it is not known.
+ */
+export const getSpeedFactors = (gaps: ReadonlyMap<string, number>): ReadonlyMap<string, number> => {
+	const known = [...gaps].filter(([, gapMs]) => gapMs > 0);
+	if (known.length === 0) {
+		return new Map();
+	}
+
+	const medianMs = getMedian(known.map(([, gapMs]) => gapMs));
+	return new Map(known.map(([id, gapMs]) => [id, getFactor(gapMs, medianMs)] as const).filter(([, factor]) => factor !== 1));
+};
