Order waiting requests by their latest start, over all targets

Cause: under scarcity, less urgent requests that had waited for long got nothing while more urgent ones came, a late request held back ones that could still be in time, and of two models on one engine the one whose queue began first took every slot. Callers who had left were served or held.

Change: with scheduling.latestStart, requests that must start soon to meet their latency objective go before those that can wait, and late ones go last. Teams are compared as before, and within a team the earliest latest start goes first. All targets are dispatched in one order. Role entry and the lab do not ask for it and are served as before.

Scenarios with real processes and the whole lint have not run on this commit.

--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -331,9 +331,16 @@
 			return cached.settings;
 		}
 
-		const {dataCentre, retryRatio, retryReserve, retryWindowSeconds} = this.#parts.settings;
+		const {dataCentre, retryRatio, retryReserve, retryWindowSeconds, scheduling} = this.#parts.settings;
 		const settings = newGatewayAdmission({
-			dataCentre, ratio: retryRatio, reserve: retryReserve, windowMs: retryWindowSeconds * MS_PER_SECOND, gatewayCount: shares, countedSince, isUnspent,
+			dataCentre,
+			ratio: retryRatio,
+			reserve: retryReserve,
+			windowMs: retryWindowSeconds * MS_PER_SECOND,
+			gatewayCount: shares,
+			countedSince,
+			isUnspent,
+			isOrderedByLatestStart: scheduling.latestStart,
 		});
 		this.#admission = {
 			shares, countedSince, isUnspent, settings,
--- a/apps/valelead-daemon/src/gateway/new-admission-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-admission-request.ts
@@ -17,6 +17,8 @@
 	target: getAdmissionTarget({target, origin}),
 	arrivedAt,
 	deadlineAt,
+	dueAt: arrivedAt + route.objectiveMs,
+	leavesAt: Math.min(deadlineAt, arrivedAt + route.callerPatienceMs),
 	isRepeatable: isRepeatable(route),
 	isResumable: isResumableStream(route),
 	maxRuns: route.maxAttempts,
--- a/apps/valelead-daemon/src/gateway/new-gateway-admission.ts
+++ b/apps/valelead-daemon/src/gateway/new-gateway-admission.ts
@@ -39,6 +39,8 @@
 	readonly countedSince: number | undefined;
 	/** True if no earlier process of this gateway can have spent the share. */
 	readonly isUnspent?: boolean;
+	/** True if waiting requests are ordered by the time at which they must start to be in time. */
+	readonly isOrderedByLatestStart?: boolean;
 };
 
 /**
@@ -46,8 +48,12 @@
  * the share just before it ended. So for the first window only retries earned by requests are available, unless the leader knows that no request has
  * been sent yet.
  */
-export const newGatewayAdmission = ({dataCentre, ratio, reserve, windowMs, gatewayCount, countedSince, isUnspent}: BudgetOptions): AdmissionSettings => {
-	const common = {...GATEWAY_ADMISSION, dataCentre, retryTokensPerRequest: ratio * BUDGET_SHARE};
+export const newGatewayAdmission = ({
+	dataCentre, ratio, reserve, windowMs, gatewayCount, countedSince, isUnspent, isOrderedByLatestStart,
+}: BudgetOptions): AdmissionSettings => {
+	const common = {
+		...GATEWAY_ADMISSION, dataCentre, retryTokensPerRequest: ratio * BUDGET_SHARE, isOrderedByLatestStart,
+	};
 	if (countedSince === undefined) {
 		return {
 			...common, maxRetryTokens: MAX_UNSHARED_RETRIES, initialRetryTokens: 0, initialRetryTokensAt: Number.POSITIVE_INFINITY,
--- a/packages/admission/src/admission-request.ts
+++ b/packages/admission/src/admission-request.ts
@@ -13,6 +13,10 @@
 	readonly target: string;
 	readonly arrivedAt: number;
 	readonly deadlineAt: number;
+	/** When the request misses its latency objective; absent if it has none. */
+	readonly dueAt?: number;
+	/** When the caller leaves if no response has begun, or the deadline if that is earlier; absent if it is not known. */
+	readonly leavesAt?: number;
 	/** True if the request may be dispatched again after an attempt that may have run. */
 	readonly isRepeatable: boolean;
 	/** True if a stream that has begun may be resumed on another upstream. */
--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -33,6 +33,11 @@
 	readonly ejectUnresponsiveAfterMs?: number;
 	/** The limits of the upstreams that limit their request rate, by VM; absent if none does. */
 	readonly sendLimits?: ReadonlyMap<string, SendLimit>;
+	/**
+	 * True if waiting requests are ordered by the time at which they must start to meet their latency objectives, and are refused once their callers
+	 * leave before they can be answered; absent for the order by rank alone.
+	 */
+	readonly isOrderedByLatestStart?: boolean;
 	/** Returns the cost of each upstream for a request; absent if upstreams are compared by their requests in progress only. */
 	readonly getLaneCost?: LaneCost;
 	/** The data centre of the entry. */
--- a/packages/admission/src/admission-state.ts
+++ b/packages/admission/src/admission-state.ts
@@ -1,6 +1,7 @@
 import type {AdmissionEndpoint} from './admission-endpoint.js';
 import type {AdmissionLane} from './admission-lane.js';
 import type {RequestRecord} from './request-record.js';
+import type {ResponseTimes} from './response-times.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {DispatchInterval} from './dispatch-interval.js';
 import type {TeamUsage} from './team-usage.js';
@@ -20,6 +21,8 @@
 	readonly dispatchIntervals: Map<string, DispatchInterval>;
 	/** The number of requests that arrived since the last report, by target. */
 	readonly arrivals: Map<string, number>;
+	/** The measured times of responses, by request class. */
+	readonly responseTimes: Map<string, ResponseTimes>;
 	/** The time at which requests still in progress are aborted; undefined until the entry is told to stop. */
 	endsAt: number | undefined;
 	/** The minimum Retry-After time of a refusal, in milliseconds. */
--- /dev/null
+++ b/packages/admission/src/get-request-stage.ts
@@ -0,0 +1,45 @@
+import {getResponseForecast} from './get-response-forecast.js';
+import {REQUEST_STAGE} from './request-stage.js';
+import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
+import type {RequestStageValue} from './request-stage-value.js';
+
+/**
+ * A request is due at least this long before its latest start, in milliseconds. Slots become free at random times, and several requests may be due
+ * together: with 100 ms, a sixth of the urgent requests of a burst were late although the capacity sufficed.
+ */
+const MIN_DUE_MS = 250;
+
+/** A request is due when no more dispatches of its target than this are expected before its latest start, as others may be due at the same time. */
+const DUE_DISPATCHES = 4;
+
+/**
+ * Returns the time before its latest start at which a request of a target is due, in milliseconds. It is no less than the longest recent time without a
+ * dispatch, as the request would be late after another one. It is the same for all requests of a target, so that none goes before one with less time.
+ */
+const getDueMs = (state: AdmissionState, target: string): number => {
+	const {meanMs = 0, longestMs = 0} = state.dispatchIntervals.get(target) ?? {};
+	return Math.max(MIN_DUE_MS, meanMs * DUE_DISPATCHES, longestMs);
+};
+
+/**
+ * Returns the stage of a waiting request. One that may have run before is due: its answer may have begun, and would be broken off if it were not
+ * continued.
+ */
+export const getRequestStage = (state: AdmissionState, {request, runs}: Pick<RequestRecord, 'request' | 'runs'>, now: number): RequestStageValue => {
+	if (runs > 0) {
+		return REQUEST_STAGE.Due;
+	}
+
+	if (request.dueAt === undefined) {
+		return REQUEST_STAGE.CanWait;
+	}
+
+	const {startMs, shortestStartMs} = getResponseForecast(state, request.className, now);
+	const remainingMs = request.dueAt - now;
+	if (remainingMs < shortestStartMs) {
+		return REQUEST_STAGE.Late;
+	}
+
+	return remainingMs - startMs < getDueMs(state, request.target) ? REQUEST_STAGE.Due : REQUEST_STAGE.CanWait;
+};
--- a/packages/admission/src/mutate-admission.ts
+++ b/packages/admission/src/mutate-admission.ts
@@ -8,6 +8,8 @@
 import {mutateRequestEnd} from './mutate-request-end.js';
 import {mutateRequestRefusal} from './mutate-request-refusal.js';
 import {mutateAttemptFailure} from './mutate-attempt-failure.js';
+import {mutateResponseTimes} from './mutate-response-times.js';
+import {mutateHopelessRequests} from './mutate-hopeless-requests.js';
 import {mutateRequestState} from './mutate-request-state.js';
 import {mutateStopRefusals} from './mutate-stop-refusals.js';
 import {newCreditRequests} from './new-credit-requests.js';
@@ -27,6 +29,7 @@
 	const record = getCurrent(state, requestId, attemptId);
 	if (record?.state === 'sent') {
 		mutateLaneAnswered(getLane(state, record.vm), now);
+		mutateResponseTimes(state, record, {isStart: true, isEnd: false}, now);
 		mutateRequestState(record, 'start');
 	}
 };
@@ -41,6 +44,7 @@
 	lane.failures = 0;
 	lane.ejections = 0;
 	mutateLaneAnswered(lane, now);
+	mutateResponseTimes(state, record, {isStart: record.state === 'sent', isEnd: true}, now);
 	if (record.state === 'sent') {
 		mutateRequestState(record, 'start');
 	}
@@ -127,7 +131,7 @@
 
 		case 'tick': {
 			mutateUnresponsiveLanes(state, settings, now);
-			return [];
+			return mutateHopelessRequests(state, settings, now);
 		}
 
 		default: {
--- a/packages/admission/src/mutate-arrival.ts
+++ b/packages/admission/src/mutate-arrival.ts
@@ -3,6 +3,8 @@
 import {getRateLimitedWaitMs} from './get-rate-limited-wait-ms.js';
 import {getRetryAfterMs} from './get-retry-after-ms.js';
 import {getTeamUsage} from './get-team-usage.js';
+import {getRequestWaitMs} from './get-request-wait-ms.js';
+import {isBeyondPatience} from './is-beyond-patience.js';
 import {getQueueWaitMs} from './get-queue-wait-ms.js';
 import {mutateEnqueued} from './mutate-enqueued.js';
 import type {AdmissionEffect} from './admission-effect.js';
@@ -22,11 +24,13 @@
 	}
 
 	const isServed = (state.endpoints.get(request.target)?.length ?? 0) > 0;
-	const waitMs = Math.max(getQueueWaitMs(state, request.target), getRateLimitedWaitMs(state, settings, request.target));
-	return isServed && waitMs > request.deadlineAt - now ? RESULT_CODE.WaitTooLong : undefined;
+	const queueWaitMs = settings.isOrderedByLatestStart ? getRequestWaitMs(state, request, now) : getQueueWaitMs(state, request.target);
+	const waitMs = Math.max(queueWaitMs, getRateLimitedWaitMs(state, settings, request.target));
+	const isTooLong = waitMs > request.deadlineAt - now || (settings.isOrderedByLatestStart === true && isBeyondPatience(state, request, waitMs, now));
+	return isServed && isTooLong ? RESULT_CODE.WaitTooLong : undefined;
 };
 
-/** Queues a new request, or refuses it at once if a limit is reached or if its expected wait exceeds its deadline. */
+/** Queues a new request, or refuses it at once if a limit is reached or if its expected wait exceeds its deadline or its caller's patience. */
 export const mutateArrival = (state: AdmissionState, settings: AdmissionSettings, request: AdmissionRequest, limits: RequestLimits, now: number): AdmissionEffect[] => {
 	state.arrivals.set(request.target, (state.arrivals.get(request.target) ?? 0) + 1);
 	const code = getRefusalCode(state, settings, request, limits, now);
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -12,10 +12,19 @@
 /** Weight of the newest sample in the exponential moving average of the time between dispatches. */
 const INTERVAL_SMOOTHING = 0.2;
 
+/**
+ * Factor by which the longest interval shrinks with each dispatch. The slots of an engine often become free together, so that several short intervals
+ * follow each long one.
+ */
+const LONGEST_DECAY = 0.95;
+
 const mutateDispatchInterval = (state: AdmissionState, target: string, now: number): void => {
-	const dispatchInterval = state.dispatchIntervals.get(target) ?? {meanMs: 0, samples: 0, lastDispatchAt: now};
+	const dispatchInterval = state.dispatchIntervals.get(target) ?? {
+		meanMs: 0, longestMs: 0, samples: 0, lastDispatchAt: now,
+	};
 	const isBacklogged = (state.queues.get(target)?.length ?? 0) > 0;
 	const interval = now - dispatchInterval.lastDispatchAt;
+	dispatchInterval.longestMs = Math.max(dispatchInterval.longestMs * LONGEST_DECAY, dispatchInterval.samples > 0 ? interval : 0);
 	if (isBacklogged && dispatchInterval.samples > 0) {
 		dispatchInterval.meanMs += (interval - dispatchInterval.meanMs) * INTERVAL_SMOOTHING;
 	}
@@ -68,32 +77,100 @@
 	}
 };
 
-/** Dispatches all requests that can be sent now: for each target, the next request to the best VM, as long as a VM can take one. */
-export const mutateDispatches = (state: AdmissionState, settings: AdmissionSettings, now: number): AdmissionEffect[] => {
-	const effects: AdmissionEffect[] = [];
-	for (const lane of state.lanes.values()) {
-		lane.credits = lane.credits.filter(credit => credit.expiresAt - settings.creditMarginMs > now);
+type DispatchRound = {
+	readonly state: AdmissionState;
+	readonly settings: AdmissionSettings;
+	/** The number of requests that may still be sent to each upstream that limits its request rate, by VM. */
+	readonly sendsLeft: Map<string, number>;
+	readonly now: number;
+};
+
+/** Returns the next request of a target, if an upstream can take one. */
+const getTargetRequest = ({state, settings, sendsLeft, now}: DispatchRound, target: string): RequestRecord | undefined => {
+	if (!getBestLane(state, settings, {target, sendsLeft}, now)) {
+		return undefined;
 	}
 
-	const sendsLeft = new Map([...settings.sendLimits ?? []].map(([vm, {sends}]) => [vm, sends]));
-	for (const target of state.queues.keys()) {
-		let best = getBestLane(state, settings, {target, sendsLeft}, now);
-		while (best) {
-			const record = getNextRequest(state, target, candidate => isAllowed(state, candidate, now));
-			if (!record) {
-				break;
-			}
+	const records = (state.queues.get(target) ?? []).filter(record => isAllowed(state, record, now));
+	return getNextRequest(state, settings, records, now);
+};
+
+/** Sends a request to its best upstream; returns undefined if none can take it now. */
+const mutateDispatch = ({state, settings, sendsLeft, now}: DispatchRound, record: RequestRecord): AdmissionEffect | undefined => {
+	const chosen = getBestLane(state, settings, {target: record.request.target, request: record.request, sendsLeft}, now);
+	if (!chosen) {
+		return undefined;
+	}
 
-			const chosen = settings.getLaneCost ? getBestLane(state, settings, {target, request: record.request, sendsLeft}, now) : best;
-			if (!chosen) {
+	const effect = newDispatch(state, record, chosen, now);
+	mutateSendsLeft(sendsLeft, chosen.vm);
+	return effect;
+};
+
+/** Dispatches the requests of one target after the other, in the order in which the targets' queues began. */
+const mutateByTarget = (round: DispatchRound): AdmissionEffect[] => {
+	const effects: AdmissionEffect[] = [];
+	for (const target of round.state.queues.keys()) {
+		let record = getTargetRequest(round, target);
+		while (record) {
+			const effect = mutateDispatch(round, record);
+			if (!effect) {
 				break;
 			}
 
-			effects.push(newDispatch(state, record, chosen, now));
-			mutateSendsLeft(sendsLeft, chosen.vm);
-			best = getBestLane(state, settings, {target, sendsLeft}, now);
+			effects.push(effect);
+			record = getTargetRequest(round, target);
+		}
+	}
+
+	return effects;
+};
+
+/**
+ * Dispatches the requests of all targets in one order. Models that are loaded on the same engine compete for its slots: if the targets were served one
+ * after the other, a model whose queue never empties would take every slot of the engine.
+ */
+const mutateByLatestStart = (round: DispatchRound): AdmissionEffect[] => {
+	const {state, settings, now} = round;
+	const effects: AdmissionEffect[] = [];
+	const heads = new Map<string, RequestRecord>();
+	const setHead = (target: string): void => {
+		const record = getTargetRequest(round, target);
+		if (record) {
+			heads.set(target, record);
+		} else {
+			heads.delete(target);
+		}
+	};
+
+	for (const target of state.queues.keys()) {
+		setHead(target);
+	}
+
+	while (heads.size > 0) {
+		const record = getNextRequest(state, settings, [...heads.values()], now)!;
+		const {target} = record.request;
+		const effect = mutateDispatch(round, record);
+		if (effect) {
+			effects.push(effect);
+			setHead(target);
+		} else {
+			heads.delete(target);
 		}
 	}
 
 	return effects;
 };
+
+/** Dispatches all requests that can be sent now: the next request to the best VM, as long as a VM can take one. */
+export const mutateDispatches = (state: AdmissionState, settings: AdmissionSettings, now: number): AdmissionEffect[] => {
+	for (const lane of state.lanes.values()) {
+		lane.credits = lane.credits.filter(credit => credit.expiresAt - settings.creditMarginMs > now);
+	}
+
+	const sendsLeft = new Map([...settings.sendLimits ?? []].map(([vm, {sends}]) => [vm, sends]));
+	const round: DispatchRound = {
+		state, settings, sendsLeft, now,
+	};
+	return settings.isOrderedByLatestStart ? mutateByLatestStart(round) : mutateByTarget(round);
+};
--- /dev/null
+++ b/packages/admission/src/mutate-hopeless-requests.ts
@@ -0,0 +1,22 @@
+import {OUTCOME, RESULT_CODE} from '@valelead/common';
+import {isBeyondPatience} from './is-beyond-patience.js';
+import {mutateRequestRefusal} from './mutate-request-refusal.js';
+import type {AdmissionEffect} from './admission-effect.js';
+import type {AdmissionSettings} from './admission-settings.js';
+import type {AdmissionState} from './admission-state.js';
+
+/**
+ * Refuses the waiting requests whose callers leave before a response can reach them, so that the callers learn it at once and do not wait until their
+ * deadline. A request that may have run before is kept, as it could not be refused as not run.
+ */
+export const mutateHopelessRequests = (state: AdmissionState, {isOrderedByLatestStart}: AdmissionSettings, now: number): AdmissionEffect[] => {
+	if (!isOrderedByLatestStart) {
+		return [];
+	}
+
+	const hopeless = [...state.queues.values()].flatMap(queue => queue.filter(({request, runs}) => runs === 0 && isBeyondPatience(state, request, 0, now)));
+	return hopeless.flatMap(record => {
+		const isServed = (state.endpoints.get(record.request.target)?.length ?? 0) > 0;
+		return mutateRequestRefusal(state, record, isServed ? RESULT_CODE.WaitTooLong : RESULT_CODE.NoUpstream, OUTCOME.NotRun);
+	});
+};
--- a/packages/admission/src/new-admission-state.ts
+++ b/packages/admission/src/new-admission-state.ts
@@ -16,6 +16,7 @@
 	lanes: new Map(),
 	endpoints: new Map(),
 	dispatchIntervals: new Map(),
+	responseTimes: new Map(),
 	endsAt: undefined,
 	arrivals: new Map(),
 	retryBudgets: new Map(),
