Learn what the weight store sustains from fetches in progress, and share it

Cause: a gateway began with 4 concurrent fetches and lowered the number only once a fetch had taken 1.5 times its time for each halving, so that a store which sustains one fetch was known after four load times. A new gateway began anew, and prefetches ran in addition to those for requests. Change: mutateStoreEstimate adds up the share of the store that each fetch had. An overdue fetch halves the bound that it implies, its end gives the number itself, and a number that was slow is tried again only after four rounds. A fetch that ends with its engine shows nothing. Gateways report the measured number and the fetches in progress (DemandReport 8 and 9), managers publish the median (EngineReport 16); gateways without a measurement and the prefetcher use it. Running fetches count toward the limit. Off with scheduling.loadForecast, where 0 is reported.

--- a/apps/valelead-daemon/src/gateway/demand-reporter.ts
+++ b/apps/valelead-daemon/src/gateway/demand-reporter.ts
@@ -60,7 +60,8 @@
 		const requests = [...this.#parts.getRequests()].filter(request => request.head.model !== '');
 		const inProgress = requests.filter(request => !isWaiting(request));
 		const waiting = requests.filter(request => isWaiting(request)).map(request => ({request, demand: newDemand(request)}));
-		residency.setNeeds(planner.getNeeds([...waiting.map(({demand}) => demand), ...this.#retries.getDemands(now)], inProgress, now));
+		const needs = planner.getNeeds([...waiting.map(({demand}) => demand), ...this.#retries.getDemands(now)], inProgress, now);
+		residency.setNeeds(needs, planner.storeReport);
 		for (const {request, demand} of waiting) {
 			request.awaitedUpstreamId = planner.getChosenUpstreamId(demand.target) ?? '';
 			const forecastMs = planner.getForecastMs(demand);
--- a/apps/valelead-daemon/src/gateway/engine-fleet.ts
+++ b/apps/valelead-daemon/src/gateway/engine-fleet.ts
@@ -51,6 +51,7 @@
 		copiesInMemory: source.copiesInMemory,
 		copiesOnDisk: source.copiesOnDisk,
 		inProgress: report?.inProgress ?? 0,
+		sustainedFetches: report?.sustainedFetches ?? 0,
 		isManaged: report !== undefined,
 	};
 };
--- a/apps/valelead-daemon/src/gateway/engine-view.ts
+++ b/apps/valelead-daemon/src/gateway/engine-view.ts
@@ -13,6 +13,8 @@
 	readonly copiesOnDisk: readonly string[];
 	/** Requests in progress of all gateways, as the engine's manager last reported; 0 without a report. */
 	readonly inProgress: number;
+	/** Concurrent fetches that the weight store sustains, as the engine's manager last reported; 0 or absent if it reports none. */
+	readonly sustainedFetches?: number;
 	/** True if the engine's manager, the process that sends it load and unload orders, is connected. */
 	readonly isManaged: boolean;
 };
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -144,6 +144,7 @@
 			residency: this.#residency,
 			origins: this.#origins,
 			getTable: () => this.#follower.table,
+			isLoadForecast: settings.scheduling.loadForecast,
 			getGatewayCount: () => this.#follower.gatewayCount,
 			newAttempt: terms => new UpstreamAttempt(terms),
 			random: Math.random,
--- a/apps/valelead-daemon/src/gateway/load-candidates.ts
+++ b/apps/valelead-daemon/src/gateway/load-candidates.ts
@@ -1,5 +1,5 @@
 import {
-	type LoadCandidate, type StoreFetch, type StoreConcurrencyLimit, getStoreFetchers, hasFewCopies, mutateStoreConcurrencyLimit, newStoreConcurrencyLimit,
+	type LoadCandidate, getFreeFetchers, hasFewCopies,
 } from '@valelead/residency';
 import {type EngineLimits, type ModelProfile, getModelProfiles} from '@valelead/routing';
 import {type StreamOrigin, canContinue} from '@valelead/stream-origin';
@@ -7,11 +7,10 @@
 import {EngineDiscovery} from './engine-discovery.js';
 import {hasRoom} from './has-room.js';
 import {newLoadCandidate} from './new-load-candidate.js';
+import {StoreLimit} from './store-limit.js';
 import type {PlannerParts} from './planner-parts.js';
 import type {PlacementRequest} from './placement-request.js';
-
-/** Returns the loads from the weight store that are in progress at an engine. */
-const getFetches = ({upstream, loads}: EngineView): StoreFetch[] => loads.filter(({pace}) => pace > 0).map(({model, pace}) => ({upstreamId: upstream.id, model, pace}));
+import type {StoreReport} from './store-report.js';
 
 /** Returns the engines that may continue the streams of an origin; all of them without an origin. */
 const getContinuing = (views: readonly EngineView[], origin: StreamOrigin | undefined): readonly EngineView[] =>
@@ -34,11 +33,17 @@
 	readonly #storeFetchers = new Map<string, ReadonlySet<string>>();
 	/** Usable engines by service, also computed once for each planning round. */
 	readonly #usable = new Map<string, UsableEngines>();
-	readonly #storeLimit: StoreConcurrencyLimit = newStoreConcurrencyLimit();
+	readonly #storeLimit: StoreLimit;
 	#refreshedAt = 0;
 
 	constructor(parts: PlannerParts) {
 		this.#parts = parts;
+		this.#storeLimit = new StoreLimit({isForecast: parts.isLoadForecast ?? false, onChange: parts.onStoreLimitChange});
+	}
+
+	/** What this gateway tells the managers of engines about the weight store. */
+	get storeReport(): StoreReport {
+		return this.#storeLimit.report;
 	}
 
 	/** Starts a planning round with the current state of the engines. */
@@ -46,9 +51,9 @@
 		this.#refreshedAt = now;
 		this.#storeFetchers.clear();
 		this.#usable.clear();
-		const views = [...this.#parts.getViews().values()];
-		this.#knowledge.update(views, now);
-		this.#updateStoreLimit(views);
+		const views = this.#parts.getViews();
+		this.#knowledge.update([...views.values()], now);
+		this.#storeLimit.update(views);
 	}
 
 	/** True if enough engines of the service have been discovered to know which copies exist. */
@@ -89,16 +94,6 @@
 		return getContinuing(views, origin).map(view => newLoadCandidate(view, model, limits, mostCopies));
 	}
 
-	/** Updates the estimate of the weight store's concurrency limit from the fetches of all services, which share one store. */
-	#updateStoreLimit(views: readonly EngineView[]): void {
-		const before = this.#storeLimit.maxFetches;
-		mutateStoreConcurrencyLimit(this.#storeLimit, views.flatMap(view => getFetches(view)));
-		const {maxFetches, fetches} = this.#storeLimit;
-		if (maxFetches !== before) {
-			this.#parts.onStoreLimitChange({atOnce: maxFetches, before, underWay: fetches.size});
-		}
-	}
-
 	/** True if the engine may fetch the model from the weight store, or has loaded the model and need not fetch it. */
 	#isFetchAllowed(service: string, {upstreamId, isLoaded}: LoadCandidate): boolean {
 		const storeFetchers = this.#storeFetchers.get(service) ?? this.#newStoreFetchers(service);
@@ -108,7 +103,7 @@
 
 	#newStoreFetchers(service: string): ReadonlySet<string> {
 		const engines = this.#getManaged(service).map(({upstream, copiesOnDisk}) => ({upstreamId: upstream.id, copies: copiesOnDisk.length}));
-		return getStoreFetchers(engines, this.#storeLimit.maxFetches);
+		return getFreeFetchers(engines, this.#storeLimit.maxFetches, this.#storeLimit.fetchingIds);
 	}
 
 	#getLimits(service: string): EngineLimits | undefined {
--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -14,6 +14,7 @@
 import type {ModelRequests} from './model-requests.js';
 import type {PlannerParts} from './planner-parts.js';
 import type {PlacementRequest} from './placement-request.js';
+import type {StoreReport} from './store-report.js';
 
 /** The engine that was chosen for a placement request. Times in monotonic milliseconds. */
 type Placement = {
@@ -130,6 +131,11 @@
 		return table.all;
 	}
 
+	/** What the managers of engines are told about the weight store, as of the last planning round. */
+	get storeReport(): StoreReport {
+		return this.#candidates.storeReport;
+	}
+
 	/** Returns the id of the upstream that was chosen to load a target; undefined if none was. */
 	getChosenUpstreamId(target: string): string | undefined {
 		return this.#placements.get(target)?.upstreamId;
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -48,6 +48,8 @@
 	readonly residency: EngineLinks;
 	readonly origins: OriginRecorder;
 	readonly getTable: () => RouteTable | undefined;
+	/** The setting `scheduling.loadForecast`; false if absent. */
+	readonly isLoadForecast?: boolean;
 	readonly getGatewayCount: () => number;
 	/** Starts an attempt, which sends the request to the upstream. */
 	readonly newAttempt: (terms: AttemptOptions) => SentAttempt;
@@ -112,10 +114,9 @@
 			getOwnCount: upstreamId => this.#state.lanes.get(upstreamId)?.inProgress ?? 0,
 		});
 		this.#demand = new DemandReporter({
-			clock: parts.clock,
-			timers: parts.timers,
+			...parts,
 			planner: new LoadPlanner({
-				getTable: parts.getTable,
+				...parts,
 				getViews: () => this.#book.views,
 				isUsable: upstreamId => this.#isUsable(upstreamId),
 				onPlacementChange: change => {
@@ -125,7 +126,6 @@
 					this.#log.logStoreLimit(change);
 				},
 			}),
-			residency: parts.residency,
 			getRequests: () => this.#requests.values(),
 			isWaiting: request => this.#isWaiting(request),
 			giveUp: (request, forecastMs, getSourceCount) => this.#giveUp(request, forecastMs, getSourceCount),
--- a/apps/valelead-daemon/src/gateway/residency-client.ts
+++ b/apps/valelead-daemon/src/gateway/residency-client.ts
@@ -6,7 +6,9 @@
 import type {UnitNeed} from '@valelead/residency';
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import type {Logger} from 'pino';
-import {getNeedsText} from './get-needs-text.js';
+import {getDemandText} from './get-demand-text.js';
+import {NO_STORE_REPORT} from './no-store-report.js';
+import type {StoreReport} from './store-report.js';
 
 type Stream = ClientDuplexStream<DemandReport, EngineReport>;
 
@@ -31,8 +33,9 @@
 	readonly #parts: ClientParts;
 	#stream: Stream | undefined;
 	#needs: readonly UnitNeed[] = [];
-	/** Text of the needs that were last sent, to detect changes. */
-	#sentText = getNeedsText([]);
+	#store = NO_STORE_REPORT;
+	/** Text of the report that was last sent, to detect changes. */
+	#sentText = getDemandText([], NO_STORE_REPORT);
 	#isStopped = false;
 	#isConnected = false;
 
@@ -41,10 +44,11 @@
 		this.#connect();
 	}
 
-	/** Sends all needs of this gateway on the engine if they changed; they replace the ones that were sent before. */
-	setNeeds(needs: readonly UnitNeed[]): void {
-		const text = getNeedsText(needs);
+	/** Sends all needs of this gateway on the engine, and its report on the weight store, if they changed; they replace what was sent before. */
+	setNeeds(needs: readonly UnitNeed[], store: StoreReport): void {
+		const text = getDemandText(needs, store);
 		this.#needs = needs;
+		this.#store = store;
 		if (text !== this.#sentText) {
 			this.#sentText = text;
 			this.#send();
@@ -63,6 +67,7 @@
 		this.#stream?.write(create(DemandReportSchema, {
 			gateway: this.#parts.gateway,
 			engineAddress: this.#parts.engineAddress,
+			...this.#store,
 			needs: this.#needs.map(need => ({...need, waits: [...need.waits]})),
 		}));
 	}
--- a/apps/valelead-daemon/src/gateway/residency-clients.ts
+++ b/apps/valelead-daemon/src/gateway/residency-clients.ts
@@ -6,6 +6,7 @@
 import {getHost} from '../get-host.js';
 import {ResidencyClient} from './residency-client.js';
 import type {EngineLinks} from './engine-links.js';
+import type {StoreReport} from './store-report.js';
 
 type ClientsParts = {
 	readonly gateway: string;
@@ -59,9 +60,9 @@
 		}
 	}
 
-	setNeeds(needs: ReadonlyMap<string, readonly UnitNeed[]>): void {
+	setNeeds(needs: ReadonlyMap<string, readonly UnitNeed[]>, store: StoreReport): void {
 		for (const [upstreamId, address] of this.#addresses) {
-			this.#links.get(address)?.client.setNeeds(needs.get(upstreamId) ?? []);
+			this.#links.get(address)?.client.setNeeds(needs.get(upstreamId) ?? [], store);
 		}
 	}
 
--- a/apps/valelead-daemon/src/sidecar/engine-manager.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-manager.ts
@@ -5,6 +5,8 @@
 } from '@valelead/residency';
 import type {Run, Upstream} from '@valelead/discovery';
 import type {EngineStatus} from '../adapter/engine-status.js';
+import {NO_STORE_REPORT} from '../gateway/no-store-report.js';
+import type {StoreReport} from '../gateway/store-report.js';
 import {KnownRun} from './known-run.js';
 import {LatestStatus} from './latest-status.js';
 import type {EngineManagerOptions} from './engine-manager-options.js';
@@ -17,6 +19,7 @@
 import {StatusReader} from './status-reader.js';
 import {SummaryPublisher} from './summary-publisher.js';
 import {ReportedNeeds} from './reported-needs.js';
+import {ReportedStore} from './reported-store.js';
 import {RoundScheduler} from './round-scheduler.js';
 import {UnansweredOrders} from './unanswered-orders.js';
 import {UnloadNotice} from './unload-notice.js';
@@ -30,6 +33,7 @@
 export class EngineManager {
 	readonly #parts: EngineManagerOptions;
 	readonly #needs = new ReportedNeeds();
+	readonly #store = new ReportedStore();
 	readonly #scheduler: RoundScheduler;
 	readonly #residency = newResidencyState();
 	readonly #prefetcher: Prefetcher;
@@ -120,10 +124,12 @@
 		return this.#publisher.subscribe(listener);
 	}
 
-	/** Replaces the needs of the gateway at the other end of a stream. */
-	setNeeds(streamId: string, needs: readonly UnitNeed[]): void {
+	/** Replaces the needs of the gateway at the other end of a stream, and what it knows about the weight store. */
+	setNeeds(streamId: string, needs: readonly UnitNeed[], store: StoreReport = NO_STORE_REPORT): void {
 		const reportedAt = this.#parts.clock.now();
 		this.#needs.set(streamId, needs, reportedAt);
+		this.#store.set(streamId, store);
+		this.#prefetcher.setStore(this.#store.shared);
 		mutateLastUsedAt(this.#residency, needs, reportedAt);
 		this.#prefetcher.noteNeeds(needs);
 		this.#publisher.schedulePublish();
@@ -134,6 +140,8 @@
 
 	removeStream(streamId: string): void {
 		this.#needs.forget(streamId);
+		this.#store.forget(streamId);
+		this.#prefetcher.setStore(this.#store.shared);
 		this.#publisher.schedulePublish();
 	}
 
@@ -151,6 +159,7 @@
 			needs: this.#getNeeds(),
 			unloading: this.#unloadNotice.order,
 			loading: this.#loading,
+			sustainedFetches: this.#store.shared.sustainedFetches,
 			getModelWaitMs: model => getModelWaitMs(this.#residency, model),
 			now: this.#parts.clock.now(),
 		});
--- a/apps/valelead-daemon/src/sidecar/engine-summary.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-summary.ts
@@ -15,4 +15,6 @@
 	readonly waiting: number;
 	/** The fraction of the key-value cache that is in use, from 0 to 1. */
 	readonly cacheShare: number;
+	/** Concurrent fetches that the weight store sustains, as gateways report; 0 if none has measured it. */
+	readonly sustainedFetches?: number;
 };
--- a/apps/valelead-daemon/src/sidecar/new-engine-summary.ts
+++ b/apps/valelead-daemon/src/sidecar/new-engine-summary.ts
@@ -16,6 +16,8 @@
 	/** The order to unload a model or adapter that is about to be sent; the unit is no longer offered to gateways. */
 	readonly unloading: EngineOrder | undefined;
 	readonly loading: LoadInProgress | undefined;
+	/** Concurrent fetches that the weight store sustains, as gateways report; 0 if none has measured it. */
+	readonly sustainedFetches: number;
 	/** Returns how long requests have been waiting for a model, in milliseconds. */
 	readonly getModelWaitMs: (model: string) => number;
 	readonly now: number;
@@ -67,7 +69,7 @@
 
 /** Builds the summary of an engine's state that is sent to gateways. */
 export const newEngineSummary = (parts: SummaryParts): EngineSummary => {
-	const {upstreamId, status, needs} = parts;
+	const {upstreamId, status, needs, sustainedFetches} = parts;
 	return {
 		upstreamId,
 		models: getOfferedModels(parts),
@@ -77,5 +79,6 @@
 		inProgress: needs.reduce((sum, need) => sum + need.inProgress, 0),
 		waiting: needs.reduce((sum, need) => sum + need.waiting, 0),
 		cacheShare: status.cacheTokens === 0 ? 0 : Math.round(100 * status.cacheUsedTokens / status.cacheTokens) / 100,
+		sustainedFetches,
 	};
 };
--- a/apps/valelead-daemon/src/sidecar/new-residency-service.ts
+++ b/apps/valelead-daemon/src/sidecar/new-residency-service.ts
@@ -28,12 +28,12 @@
 
 	const removeStopListener = manager.onStop(end);
 	stream.on('data', (report: DemandReport) => {
-		manager.setNeeds(streamId, report.needs);
+		manager.setNeeds(streamId, report.needs, report);
 	});
 	stream.on('end', end);
 	stream.on('error', end);
 	stream.on('cancelled', end);
-	manager.setNeeds(streamId, first.needs);
+	manager.setNeeds(streamId, first.needs, first);
 	const {summary} = manager;
 	if (summary) {
 		send(summary);
--- a/apps/valelead-daemon/src/sidecar/prefetcher.ts
+++ b/apps/valelead-daemon/src/sidecar/prefetcher.ts
@@ -2,6 +2,8 @@
 import {
 	type EngineCopies, type UnitNeed, getRebalancingFetch, getPrefetch,
 } from '@valelead/residency';
+import {NO_STORE_REPORT} from '../gateway/no-store-report.js';
+import type {StoreReport} from '../gateway/store-report.js';
 
 type PrefetcherParts = {
 	readonly clock: Clock;
@@ -37,6 +39,7 @@
 	#engineIds = '';
 	#enginesChangedAt = Number.NEGATIVE_INFINITY;
 	#loadedElsewhere: ReadonlySet<string> = new Set();
+	#store = NO_STORE_REPORT;
 	#lastNeededAt = Number.NEGATIVE_INFINITY;
 	#lastWaitedAt = Number.NEGATIVE_INFINITY;
 
@@ -58,6 +61,11 @@
 		this.#loadedElsewhere = new Set(engines.filter(engine => engine.upstreamId !== upstreamId).flatMap(engine => [...engine.loaded]));
 	}
 
+	/** Updates what gateways report about the weight store. */
+	setStore(store: StoreReport): void {
+		this.#store = store;
+	}
+
 	/** Records when a gateway last needed the engine, and when requests last waited for it. */
 	noteNeeds(needs: readonly UnitNeed[]): void {
 		const now = this.#parts.clock.now();
@@ -87,7 +95,14 @@
 			return undefined;
 		}
 
-		const {concurrentStoreLoads} = this.#parts;
+		const {sustainedFetches, fetchesInProgress} = this.#store;
+		const isMeasured = sustainedFetches > 0;
+		if (isMeasured && fetchesInProgress >= sustainedFetches) {
+			return undefined;
+		}
+
+		// The configured number applies until gateways have measured what the store sustains.
+		const concurrentStoreLoads = Math.min(this.#parts.concurrentStoreLoads, isMeasured ? sustainedFetches : Number.POSITIVE_INFINITY);
 		const missing = now - this.#lastNeededAt > IDLE_MS ? getPrefetch(upstreamId, models, this.#engines, concurrentStoreLoads) : undefined;
 		if (missing !== undefined || now - this.#lastWaitedAt <= NO_WAITING_MS) {
 			return missing;
--- a/apps/valelead-lab/src/lab-gateway.ts
+++ b/apps/valelead-lab/src/lab-gateway.ts
@@ -85,6 +85,7 @@
 				forget: () => undefined,
 			},
 			getTable: () => table,
+			isLoadForecast: true,
 			getGatewayCount: () => gatewayCount,
 			random: () => parts.random.next(),
 			newAttempt: terms => new LabAttempt({
--- a/apps/valelead-lab/src/lab-links.ts
+++ b/apps/valelead-lab/src/lab-links.ts
@@ -3,7 +3,7 @@
 import type {EngineReport} from '@valelead/protocol';
 import type {UnitNeed} from '@valelead/residency';
 import {
-	type EngineLinks, type EngineSummary, getNeedsText,
+	type EngineLinks, type EngineSummary, type StoreReport, NO_STORE_REPORT, getDemandText,
 } from 'valelead-daemon';
 import type {LabEngine} from './lab-engine.js';
 
@@ -52,14 +52,14 @@
 		}
 	}
 
-	setNeeds(needs: ReadonlyMap<string, readonly UnitNeed[]>): void {
+	setNeeds(needs: ReadonlyMap<string, readonly UnitNeed[]>, store: StoreReport): void {
 		for (const [id, link] of this.#links) {
 			const own = needs.get(id) ?? [];
-			const told = getNeedsText(own);
+			const told = getDemandText(own, store);
 			if (told !== link.told) {
 				link.told = told;
 				this.#parts.clock.schedule(this.#parts.linkMs, () => {
-					link.engine.keeper.setNeeds(this.#parts.gateway, own);
+					link.engine.keeper.setNeeds(this.#parts.gateway, own, store);
 				});
 			}
 		}
@@ -73,7 +73,7 @@
 			});
 		};
 
-		this.#links.set(engine.id, {engine, unsubscribe: engine.keeper.subscribe(send), told: getNeedsText([])});
+		this.#links.set(engine.id, {engine, unsubscribe: engine.keeper.subscribe(send), told: getDemandText([], NO_STORE_REPORT)});
 		const {summary} = engine.keeper;
 		if (summary) {
 			send(summary);
