--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -157,6 +157,7 @@
 			residency: this.#residency,
 			origins: this.#origins,
 			getTable: () => this.#follower.table,
+			isLoadForecast: settings.scheduling.loadForecast,
 			getGatewayCount: () => this.#follower.gatewayCount,
 			newAttempt: terms => new UpstreamAttempt(this.#choice.newMeasured(terms)),
 			random: Math.random,
--- a/apps/valelead-daemon/src/gateway/residency-clients.ts
+++ b/apps/valelead-daemon/src/gateway/residency-clients.ts
@@ -7,6 +7,7 @@
 import {ResidencyClient} from './residency-client.js';
 import type {EngineLinks} from './engine-links.js';
 import type {TakeSpeedSamples} from './take-speed-samples.js';
+import type {StoreReport} from './store-report.js';
 
 type ClientsParts = {
 	readonly gateway: string;
@@ -61,9 +62,9 @@
 		}
 	}
 
-	setNeeds(needs: ReadonlyMap<string, readonly UnitNeed[]>): void {
+	setNeeds(needs: ReadonlyMap<string, readonly UnitNeed[]>, store: StoreReport): void {
 		for (const [upstreamId, address] of this.#addresses) {
-			this.#links.get(address)?.client.setNeeds(needs.get(upstreamId) ?? []);
+			this.#links.get(address)?.client.setNeeds(needs.get(upstreamId) ?? [], store);
 		}
 	}
 
--- a/apps/valelead-daemon/src/sidecar/engine-summary.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-summary.ts
@@ -18,4 +18,6 @@
 	/** The speed that gateways have measured, in milliseconds, as in `EngineSpeed`. */
 	readonly eventGapMs?: number;
 	readonly firstEventMs?: number;
+	/** Concurrent fetches that the weight store sustains, as gateways report; 0 if none has measured it. */
+	readonly sustainedFetches?: number;
 };
