Prefer the engine that has read the shared parts of a prompt

Requests with 6,300 shared tokens went to any engine, and each engine read these tokens again, which takes 165 of an objective of 620 ms. Requests whose shared parts hold 2% of an engine's memory or more now prefer one engine by rendezvous hashing of the model and the leading shared parts, the same at all gateways. Switched off by scheduling.promptReuse.

--- a/apps/valelead-daemon/src/gateway/engine-choice.ts
+++ b/apps/valelead-daemon/src/gateway/engine-choice.ts
@@ -1,10 +1,11 @@
-import type {LaneCost} from '@valelead/admission';
+import type {AdmissionRequest, LaneCost} from '@valelead/admission';
 import type {Clock, TimerService} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import type {EngineReport, SpeedSamples} from '@valelead/protocol';
 import {getSpeedCost} from '@valelead/residency';
 import type {GatewaySettings} from '../settings/gateway-settings.js';
 import {EngineSpeeds} from './engine-speeds.js';
+import {PromptReuse} from './prompt-reuse.js';
 import {SpeedMeter} from './speed-meter.js';
 import type {AttemptOptions} from './attempt-options.js';
 
@@ -12,6 +13,10 @@
 	readonly scheduling: Pick<GatewaySettings['scheduling'], 'promptReuse' | 'speed'>;
 	readonly clock: Clock;
 	readonly timers: TimerService;
+	/** Returns the memory of an engine of a service, in tokens; 0 if the service has no engines. */
+	readonly getCacheTokens: (service: string) => number;
+	/** Called for each request that prefers the engine that has read the shared parts of its prompt. */
+	readonly onPreferred: (request: AdmissionRequest) => void;
 	/** Sends what was measured at the engine of an address without waiting for the next report. */
 	readonly sendMeasurements: (address: string) => void;
 };
@@ -27,7 +32,10 @@
 	constructor(parts: ChoiceParts) {
 		this.#speeds = new EngineSpeeds(parts.clock);
 		this.#meter = parts.scheduling.speed ? this.#newMeter(parts) : undefined;
-		this.costs = parts.scheduling.speed ? [this.#getSpeedCost] : [];
+		this.costs = [
+			...(parts.scheduling.speed ? [this.#getSpeedCost] : []),
+			...(parts.scheduling.promptReuse ? [this.#newReuseCost(parts)] : []),
+		];
 	}
 
 	/** Number of engines that count as slower than the median of their service. */
@@ -59,6 +67,15 @@
 		return factor === 1 ? 0 : getSpeedCost(factor, loads?.get(endpoint) ?? endpoint.otherEntriesInProgress ?? 0);
 	};
 
+	#newReuseCost({scheduling, getCacheTokens, onPreferred}: ChoiceParts): LaneCost {
+		const reuse = new PromptReuse({
+			getCacheTokens: upstreamId => getCacheTokens(this.#speeds.getService(upstreamId) ?? ''),
+			getFactor: upstreamId => scheduling.speed ? this.#speeds.getFactor(upstreamId) : 1,
+			onPreferred,
+		});
+		return (request, endpoint, loads) => reuse.getCost(request, endpoint, loads);
+	}
+
 	#newMeter({clock, timers, sendMeasurements}: ChoiceParts): SpeedMeter {
 		return new SpeedMeter({
 			clock,
--- a/apps/valelead-daemon/src/gateway/engine-speeds.ts
+++ b/apps/valelead-daemon/src/gateway/engine-speeds.ts
@@ -70,9 +70,14 @@
 		}
 	}
 
+	/** Returns the service of an upstream; undefined if the upstream is not known. */
+	getService(upstreamId: string): string | undefined {
+		return this.#services.get(upstreamId);
+	}
+
 	/** Returns how many times as long as the median of its service an engine takes; 1 if its speed is not known. */
 	getFactor(upstreamId: string): number {
-		const service = this.#services.get(upstreamId);
+		const service = this.getService(upstreamId);
 		return service === undefined ? 1 : this.#getFactors(service).get(upstreamId) ?? 1;
 	}
 
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -91,6 +91,10 @@
 			scheduling: settings.scheduling,
 			clock: SYSTEM_CLOCK,
 			timers,
+			getCacheTokens: service => this.#follower.table?.services.get(service)?.engine?.cacheTokens ?? 0,
+			onPreferred: request => {
+				this.#metrics.preferredChoices.inc({class: request.className});
+			},
 			sendMeasurements: address => {
 				this.#residency.sendMeasurements(address);
 			},
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -41,6 +41,8 @@
 	readonly retries: Counter<'service' | 'result'>;
 	/** Number of upstreams that announce a request rate limit, as known to this gateway. */
 	readonly limitedUpstreams: Gauge;
+	/** Choices in which an engine was preferred because it has read the shared parts of the prompt. */
+	readonly preferredChoices: Counter<'class'>;
 	/** Number of engines that this gateway counts as slower than the median of their service. */
 	readonly slowEngines: Gauge;
 	/** Number of quarantined requests, which this gateway does not send to upstreams. */
@@ -105,6 +107,9 @@
 			name: 'valelead_retries_total', help: 'Retries that the budget of a service allowed or refused.', labelNames: ['service', 'result'], registers,
 		});
 		this.limitedUpstreams = new Gauge({name: 'valelead_limited_upstreams', help: 'Upstreams that name a limit of requests a second in their answers.', registers});
+		this.preferredChoices = new Counter({
+			name: 'valelead_prompt_reuse_choices_total', help: 'Requests that preferred the engine that reads the shared parts of their prompts.', labelNames: ['class'], registers,
+		});
 		this.slowEngines = new Gauge({name: 'valelead_slow_engines', help: 'Engines that count as slower than the median of their service.', registers});
 		this.quarantinedRequests = new Gauge({name: 'valelead_quarantined_requests', help: 'Requests that are kept from upstreams, as upstreams crashed under them.', registers});
 		this.usedQuota = new Counter({
--- a/apps/valelead-daemon/tests/engine-choice.feature
+++ b/apps/valelead-daemon/tests/engine-choice.feature
@@ -67,3 +67,33 @@
     Then the gateway has sent no measurement of its own accord
     When a stream of "e1" sends its first event after 50 ms and then 4 events, each 90 ms apart
     Then the gateway has sent measurements of "e1" within 100 ms
+
+  # Guards against gateways that send the same parts to different engines because they list the engines in another order.
+  Scenario: All gateways prefer the same engine for a prompt
+    Given gateways have measured gaps of 36, 36, 36 and 36 ms
+    Then of requests that share 6300 tokens, two gateways send the first of each of 50 prompts to the same engine
+
+  # Guards against a popular part that overloads one engine.
+  Scenario: Requests that share a large part stay together up to an engine's share
+    Given gateways have measured gaps of 36, 36, 36 and 36 ms
+    When 4 requests arrive at once that share 6300 tokens
+    Then the most loaded engine was sent 2 to 3 requests
+    When 24 requests arrive at once that share 6300 tokens
+    Then the most loaded engine was sent 7 to 9 requests
+
+  Scenario: Requests that share little go where the fewest requests are
+    Given gateways have measured gaps of 36, 36, 36 and 36 ms
+    When 24 requests arrive at once that share 646 tokens
+    Then each of "e1, e2, e3, e4" was sent 6 to 6 requests
+    And no engine was preferred
+
+  # Guards against requests that prefer a slow engine for its cache and then miss their objective.
+  Scenario: A slow engine counts its requests several times for requests that share a part too
+    When 24 requests arrive at once that share 6300 tokens
+    Then at most 4 of them were sent to "e4"
+
+  Scenario: Prompt reuse can be switched off
+    Given speeds are switched off
+    When 24 requests arrive at once that share 6300 tokens
+    Then each of "e1, e2, e3, e4" was sent 6 to 6 requests
+    And no engine was preferred
--- a/apps/valelead-daemon/tests/engine-choice.steps.ts
+++ b/apps/valelead-daemon/tests/engine-choice.steps.ts
@@ -3,7 +3,7 @@
 import {create} from '@bufbuild/protobuf';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {
-	type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
+	type AdmissionSettings, type AdmissionState, type Prompt, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
 import {EngineReportSchema, type SpeedSamples} from '@valelead/protocol';
 import {newPlainArrival} from '../../../tests/support/new-plain-arrival.js';
@@ -24,10 +24,14 @@
 	/** Samples that the gateway sent of its own accord, by address. */
 	measured: Map<string, SpeedSamples | undefined>;
 	stream: AttemptOptions | undefined;
+	/** Number of choices with a preferred engine. */
+	preferred?: number;
 };
 
 const EVENT = 'data: {"tokens":3}\n\n';
 const TARGET = 's/m';
+const OWN_TOKENS = 2890;
+const CACHE_TOKENS = 226_529;
 const DEADLINE_MS = 10_000;
 const OK = {statusCode: 200, headers: {'content-type': 'text/event-stream'}, rawHeaders: []};
 
@@ -46,6 +50,10 @@
 		scheduling: {speed: isOn, promptReuse: isOn},
 		clock: {now: () => world.time.now, wallNow: () => world.time.now},
 		timers: newVirtualTimers(world.time),
+		getCacheTokens: () => CACHE_TOKENS,
+		onPreferred() {
+			world.preferred = (world.preferred ?? 0) + 1;
+		},
 		sendMeasurements(address) {
 			world.measured.set(address, world.choice.takeSpeedSamples(address));
 		},
@@ -108,30 +116,65 @@
 	this.choice.setReport(engine, create(EngineReportSchema, {upstreamId: engine}));
 });
 
-When('{int} requests arrive at once', function (this: ChoiceWorld, count: number) {
+/** Sends requests that arrive one after the other and stay in progress, by the costs of the gateway. */
+const arrive = (world: ChoiceWorld, count: number, prompt?: Prompt): void => {
 	const state: AdmissionState = newAdmissionState();
 	const settings: AdmissionSettings = {
 		...newGatewayAdmission({
 			dataCentre: 'z', ratio: 0.1, reserve: 20, windowMs: 10_000, gatewayCount: 1, countedSince: 0,
 		}),
-		getLaneCost: getSummedLaneCost(this.choice.costs),
+		getLaneCost: getSummedLaneCost(world.choice.costs),
 	};
-	this.sent = new Map();
-	const endpoints = new Map([[TARGET, this.engines.map(vm => ({
+	const endpoints = new Map([[TARGET, world.engines.map(vm => ({
 		vm, dataCentre: 'z', concurrencyLimit: 32, otherEntriesInProgress: 0,
 	}))]]);
-	mutateAdmission(state, settings, {kind: 'endpoints', endpoints}, this.time.now);
+	world.sent = new Map();
+	mutateAdmission(state, settings, {kind: 'endpoints', endpoints}, world.time.now);
 	for (let index = 0; index < count; index += 1) {
 		const arrival = newPlainArrival({
-			requestId: String(index), target: TARGET, arrivedAt: this.time.now, deadlineAt: this.time.now + DEADLINE_MS,
+			requestId: String(index), target: TARGET, arrivedAt: world.time.now, deadlineAt: world.time.now + DEADLINE_MS, prompt,
 		});
-		for (const effect of mutateAdmission(state, settings, arrival, this.time.now)) {
+		for (const effect of mutateAdmission(state, settings, arrival, world.time.now)) {
 			assert.equal(effect.kind, 'dispatch');
 			if (effect.kind === 'dispatch') {
-				this.sent.set(effect.vm, (this.sent.get(effect.vm) ?? 0) + 1);
+				world.sent.set(effect.vm, (world.sent.get(effect.vm) ?? 0) + 1);
 			}
 		}
 	}
+};
+
+const newPrompt = (id: string, tokens: number): Prompt => ({
+	promptTokens: tokens + OWN_TOKENS, maxNewTokens: 70, expectedNewTokens: undefined, sharedSegments: [{id, tokens}], ownSegment: {id: 'own', tokens: OWN_TOKENS},
+});
+
+When('{int} requests arrive at once', function (this: ChoiceWorld, count: number) {
+	arrive(this, count);
+});
+
+Then('of requests that share {int} tokens, two gateways send the first of each of {int} prompts to the same engine', function (this: ChoiceWorld, tokens: number, count: number) {
+	for (let index = 0; index < count; index += 1) {
+		const chosen = [1, 2].map(() => {
+			this.engines.reverse();
+			arrive(this, 1, newPrompt(`segment${index}`, tokens));
+			return [...this.sent.keys()];
+		});
+		assert.deepEqual(chosen[0], chosen[1]);
+	}
+
+	assert.equal(this.preferred, 2 * count);
+});
+
+When('{int} requests arrive at once that share {int} tokens', function (this: ChoiceWorld, count: number, tokens: number) {
+	arrive(this, count, newPrompt('shared', tokens));
+});
+
+Then('the most loaded engine was sent {int} to {int} requests', function (this: ChoiceWorld, least: number, most: number) {
+	const count = Math.max(...this.sent.values());
+	assert.ok(count >= least && count <= most, JSON.stringify([...this.sent]));
+});
+
+Then('no engine was preferred', function (this: ChoiceWorld) {
+	assert.equal(this.preferred, undefined);
 });
 
 Then('at most {int} of them were sent to {string}', function (this: ChoiceWorld, most: number, engine: string) {
--- a/packages/residency/src/get-hash.ts
+++ b/packages/residency/src/get-hash.ts
@@ -1,4 +1,4 @@
-import {createHash} from 'node:crypto';
+import {getTextHash} from './get-text-hash.js';
 
 /** Maximum number of cached hashes; a full cache is cleared. The largest deployments have fewer pairs of model and engine. */
 const MAX_CACHED_HASHES = 50_000;
@@ -12,7 +12,7 @@
 		return cached;
 	}
 
-	const hash = createHash('md5').update(text).digest().readUInt32BE(0);
+	const hash = getTextHash(text);
 	if (hashCache.size >= MAX_CACHED_HASHES) {
 		hashCache.clear();
 	}
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -54,3 +54,7 @@
 export {isSpeedChanged} from './is-speed-changed.js';
 export {mutateEngineSpeed} from './mutate-engine-speed.js';
 export {newSpeedState} from './new-speed-state.js';
+export type {PromptPart} from './prompt-part.js';
+export {getPreferredEngine} from './get-preferred-engine.js';
+export {getReuseKey} from './get-reuse-key.js';
+export {getReuseValue} from './get-reuse-value.js';
