Compare the upstreams of a choice in fewer passes

The costs of upstreams doubled the time of a decision: the usable upstreams were determined four times for a request, and the speed of each one was looked up by service. They are determined twice, and the factors of a service are looked up once for each choice.

--- a/apps/valelead-daemon/src/gateway/engine-choice.ts
+++ b/apps/valelead-daemon/src/gateway/engine-choice.ts
@@ -1,4 +1,4 @@
-import type {AdmissionRequest, LaneCost} from '@valelead/admission';
+import type {AdmissionRequest, LaneCost, LaneLoads} from '@valelead/admission';
 import type {Clock, TimerService} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import type {EngineReport, SpeedSamples} from '@valelead/protocol';
@@ -33,7 +33,7 @@
 		this.#speeds = new EngineSpeeds(parts.clock);
 		this.#meter = parts.scheduling.speed ? this.#newMeter(parts) : undefined;
 		this.costs = [
-			...(parts.scheduling.speed ? [this.#getSpeedCost] : []),
+			...(parts.scheduling.speed ? [this.#newSpeedCost()] : []),
 			...(parts.scheduling.promptReuse ? [this.#newReuseCost(parts)] : []),
 		];
 	}
@@ -62,15 +62,25 @@
 		this.#speeds.setReport(address, report);
 	}
 
-	readonly #getSpeedCost: LaneCost = (_request, endpoint, loads) => {
-		const factor = this.#speeds.getFactor(endpoint.vm);
-		return factor === 1 ? 0 : getSpeedCost(factor, loads?.get(endpoint) ?? endpoint.otherEntriesInProgress ?? 0);
-	};
+	#newSpeedCost(): LaneCost {
+		// All upstreams of a choice are compared one after the other, with the same map of loads, and belong to one service.
+		let factors: ReadonlyMap<string, number> = new Map();
+		let lastLoads: LaneLoads | undefined;
+		return (_request, endpoint, loads) => {
+			if (!loads || loads !== lastLoads) {
+				lastLoads = loads;
+				factors = this.#speeds.getFactors(endpoint.vm);
+			}
+
+			const factor = factors.get(endpoint.vm);
+			return factor === undefined ? 0 : getSpeedCost(factor, loads?.get(endpoint) ?? endpoint.otherEntriesInProgress ?? 0);
+		};
+	}
 
 	#newReuseCost({scheduling, getCacheTokens, onPreferred}: ChoiceParts): LaneCost {
 		const reuse = new PromptReuse({
 			getCacheTokens: upstreamId => getCacheTokens(this.#speeds.getService(upstreamId) ?? ''),
-			getFactor: upstreamId => scheduling.speed ? this.#speeds.getFactor(upstreamId) : 1,
+			getFactors: upstreamId => scheduling.speed ? this.#speeds.getFactors(upstreamId) : new Map(),
 			onPreferred,
 		});
 		return (request, endpoint, loads) => reuse.getCost(request, endpoint, loads);
--- a/apps/valelead-daemon/src/gateway/engine-speeds.ts
+++ b/apps/valelead-daemon/src/gateway/engine-speeds.ts
@@ -75,10 +75,13 @@
 		return this.#services.get(upstreamId);
 	}
 
-	/** Returns how many times as long as the median of its service an engine takes; 1 if its speed is not known. */
-	getFactor(upstreamId: string): number {
+	/**
+	 * Returns how many times as long as the median the engines of an upstream's service take, by upstream. Engines as fast as the median, and engines whose
+	 * speed is not known, are not in the map.
+	 */
+	getFactors(upstreamId: string): ReadonlyMap<string, number> {
 		const service = this.getService(upstreamId);
-		return service === undefined ? 1 : this.#getFactors(service).get(upstreamId) ?? 1;
+		return service === undefined ? NO_FACTORS : this.#getFactors(service);
 	}
 
 	/** True if samples differ from the reported speed of their engine so much that its manager must know them soon. */
--- a/apps/valelead-daemon/src/gateway/get-summed-lane-cost.ts
+++ b/apps/valelead-daemon/src/gateway/get-summed-lane-cost.ts
@@ -6,5 +6,12 @@
 		return undefined;
 	}
 
-	return (request, endpoint, loads) => costs.reduce((sum, getCost) => sum + getCost(request, endpoint, loads), 0);
+	return (request, endpoint, loads) => {
+		let sum = 0;
+		for (const getCost of costs) {
+			sum += getCost(request, endpoint, loads);
+		}
+
+		return sum;
+	};
 };
--- a/apps/valelead-daemon/src/gateway/prompt-reuse.ts
+++ b/apps/valelead-daemon/src/gateway/prompt-reuse.ts
@@ -4,8 +4,8 @@
 type ReuseParts = {
 	/** Returns the memory of an engine of the service that an upstream belongs to, in tokens; 0 if it is no engine. */
 	readonly getCacheTokens: (upstreamId: string) => number;
-	/** Returns how many times as long as the median an engine takes. */
-	readonly getFactor: (upstreamId: string) => number;
+	/** Returns how many times as long as the median the engines of an upstream's service take, by upstream, without those that take as long. */
+	readonly getFactors: (upstreamId: string) => ReadonlyMap<string, number>;
 	/** Called once for each choice with a preferred engine. */
 	readonly onPreferred: (request: AdmissionRequest) => void;
 };
@@ -52,7 +52,12 @@
 			return NONE;
 		}
 
-		const weighted = new Map([...loads].map(([{vm}, inProgress]) => [vm, inProgress * this.#parts.getFactor(vm)]));
+		const factors = this.#parts.getFactors(first.vm);
+		const weighted = new Map<string, number>();
+		for (const [{vm}, inProgress] of loads) {
+			weighted.set(vm, inProgress * (factors.get(vm) ?? 1));
+		}
+
 		this.#parts.onPreferred(request);
 		return {upstreamId: getPreferredEngine(getReuseKey(request.target, segments), weighted, value), value};
 	}
--- a/packages/admission/src/get-best-lane.ts
+++ b/packages/admission/src/get-best-lane.ts
@@ -31,22 +31,25 @@
 	return hasCapacity(lane, endpoint) && now >= lane.ejectedUntil && !isProbing && now >= (lane.avoided.get(target) ?? 0);
 };
 
-const getUsableLanes = (state: AdmissionState, {target, sendsLeft}: LaneSearch, now: number): Array<[AdmissionEndpoint, AdmissionLane]> => {
-	const usable: Array<[AdmissionEndpoint, AdmissionLane]> = [];
-	for (const endpoint of state.endpoints.get(target) ?? []) {
-		const lane = endpoint.concurrencyLimit === undefined ? state.lanes.get(endpoint.vm) : getLane(state, endpoint.vm);
-		const isLimitReached = (sendsLeft.get(endpoint.vm) ?? 1) < 1;
-		if (lane && !isLimitReached && isUsable(lane, endpoint, target, now)) {
-			usable.push([endpoint, lane]);
+/** Returns the lane of an upstream that can take a request now, or undefined. */
+const getUsableLane = (state: AdmissionState, endpoint: AdmissionEndpoint, {target, sendsLeft}: LaneSearch, now: number): AdmissionLane | undefined => {
+	const lane = endpoint.concurrencyLimit === undefined ? state.lanes.get(endpoint.vm) : getLane(state, endpoint.vm);
+	const isLimitReached = (sendsLeft.get(endpoint.vm) ?? 1) < 1;
+	return lane && !isLimitReached && isUsable(lane, endpoint, target, now) ? lane : undefined;
+};
+
+const getLoads = (state: AdmissionState, search: LaneSearch, now: number): LaneLoads => {
+	const loads = new Map<AdmissionEndpoint, number>();
+	for (const endpoint of state.endpoints.get(search.target) ?? []) {
+		const lane = getUsableLane(state, endpoint, search, now);
+		if (lane) {
+			loads.set(endpoint, lane.inProgress + (endpoint.otherEntriesInProgress ?? 0));
 		}
 	}
 
-	return usable;
+	return loads;
 };
 
-const getLoads = (usable: ReadonlyArray<readonly [AdmissionEndpoint, AdmissionLane]>): LaneLoads =>
-	new Map(usable.map(([endpoint, lane]) => [endpoint, lane.inProgress + (endpoint.otherEntriesInProgress ?? 0)]));
-
 const isUnanswered = (lane: AdmissionLane, settings: AdmissionSettings, now: number): boolean => {
 	const {unansweredSince} = lane;
 	return settings.deprioritiseAfterMs !== undefined && unansweredSince !== undefined && now - unansweredSince > settings.deprioritiseAfterMs;
@@ -63,12 +66,18 @@
  * penalties for remote, unanswering and failing upstreams. An upstream that was ejected gets one request at a time until one succeeds.
  * A request adds the cost that the settings give each VM for it. Returns undefined if no VM can take a request now.
  */
-export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, {target, request, sendsLeft}: LaneSearch, now: number): BestLane | undefined => {
+export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, search: LaneSearch, now: number): BestLane | undefined => {
+	const {target, request} = search;
 	let best: BestLane | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
-	const usable = getUsableLanes(state, {target, sendsLeft}, now);
-	const loads = request && settings.getLaneCost ? getLoads(usable) : undefined;
-	for (const [endpoint, lane] of usable) {
+	const loads = request && settings.getLaneCost ? getLoads(state, search, now) : undefined;
+	for (const endpoint of loads?.keys() ?? state.endpoints.get(target) ?? []) {
+		// The loads contain usable upstreams only.
+		const lane = loads ? state.lanes.get(endpoint.vm) : getUsableLane(state, endpoint, search, now);
+		if (!lane) {
+			continue;
+		}
+
 		const cost = request && settings.getLaneCost ? settings.getLaneCost(request, endpoint, loads) : 0;
 		const score = getScore(lane, endpoint, settings, now) + cost;
 		if (score < bestScore) {
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -91,7 +91,7 @@
 
 			effects.push(newDispatch(state, record, chosen, now));
 			mutateSendsLeft(sendsLeft, chosen.vm);
-			best = getBestLane(state, settings, {target, sendsLeft}, now);
+			best = state.queues.has(target) ? getBestLane(state, settings, {target, sendsLeft}, now) : undefined;
 		}
 	}
 
--- a/packages/residency/src/get-preferred-engine.ts
+++ b/packages/residency/src/get-preferred-engine.ts
@@ -19,9 +19,14 @@
  * @param value - What the preference is worth, in requests in progress: a request does not go where it meets more than these in addition.
  */
 export const getPreferredEngine = (key: string, loads: ReadonlyMap<string, number>, value: number): string | undefined => {
-	const all = [...loads.values()];
-	const mean = all.reduce((sum, load) => sum + load, 0) / all.length;
-	const maxLoad = Math.min((mean * MAX_LOAD_RATIO) + 1, Math.min(...all) + value);
+	let sum = 0;
+	let least = Number.POSITIVE_INFINITY;
+	for (const load of loads.values()) {
+		sum += load;
+		least = Math.min(least, load);
+	}
+
+	const maxLoad = Math.min((sum / loads.size * MAX_LOAD_RATIO) + 1, least + value);
 	const keyHash = 1 + (getTextHash(key) % (PRIME - 1));
 	let best: string | undefined;
 	let bestWeight = -1;
