--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -87,7 +87,7 @@
 
 /** Returns the next request of a target, if an upstream can take one. */
 const getTargetRequest = ({state, settings, sendsLeft, now}: DispatchRound, target: string): RequestRecord | undefined => {
-	if (!getBestLane(state, settings, {target, sendsLeft}, now)) {
+	if (!state.queues.has(target) || !getBestLane(state, settings, {target, sendsLeft}, now)) {
 		return undefined;
 	}
 
