Refuse requests at once that exceed the memory of every engine

Cause: an engine rejects a request that is larger than its memory as if it were full, so the gateway sent it again, and its caller waited.

Change: with scheduling.promptMemory, a request whose prompt and stated maximum of new tokens exceed kv_capacity_tokens of its service is refused with the new code 2020 (503, no Retry-After) before it uses quota or a slot. Services without that figure and requests without token counts are served as before.

--- a/apps/valelead-daemon/src/gateway/request-receiver.ts
+++ b/apps/valelead-daemon/src/gateway/request-receiver.ts
@@ -1,3 +1,4 @@
+import {isBeyondMemory} from '@valelead/admission';
 import {
 	type Clock, type OutcomeValue, type ResultCodeValue, type SuspensionWatch, type TimerService, OUTCOME, RESULT_CODE,
 } from '@valelead/common';
@@ -23,6 +24,8 @@
 	readonly getRoutingAgeMs: () => number;
 	/** Returns the grace period of the shutdown, or undefined before the stop signal. */
 	readonly getGrace: () => GracePeriod | undefined;
+	/** True if requests are refused that no engine of their service has enough memory for. */
+	readonly isMemoryChecked: boolean;
 	/** Called when quota must be requested from the leader immediately. */
 	readonly onNeed: () => void;
 };
@@ -54,6 +57,11 @@
 	}
 
 	arrive(request: GatewayRequest): void {
+		if (this.#isBeyondMemory(request)) {
+			this.#parts.getDispatcher().refuse(request, RESULT_CODE.ExceedsEngineMemory, 0);
+			return;
+		}
+
 		this.#gate.arrive(request);
 	}
 
@@ -82,4 +90,10 @@
 	refuseAll(code: ResultCodeValue): void {
 		this.#gate.refuseAll(code);
 	}
+
+	/** True if no engine of the service has enough memory for a request. An engine would reject it as if it were full, and it would be sent again. */
+	#isBeyondMemory({service, head}: GatewayRequest): boolean {
+		const engine = this.#parts.getTable()?.services.get(service)?.engine;
+		return this.#parts.isMemoryChecked && head.prompt !== undefined && engine !== undefined && isBeyondMemory(head.prompt, engine.cacheTokens);
+	}
 }
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -10,6 +10,7 @@
 export type {TargetDemand} from './target-demand.js';
 export type {AdmissionRequest} from './admission-request.js';
 export type {RequestLimits} from './request-limits.js';
+export {isBeyondMemory} from './is-beyond-memory.js';
 export {getServiceTarget} from './get-service-target.js';
 export {mutateTargetDemands} from './mutate-target-demands.js';
 export {mutateAdmission} from './mutate-admission.js';
--- a/packages/common/src/result-code.ts
+++ b/packages/common/src/result-code.ts
@@ -34,6 +34,7 @@
 	RequestSuspected: 2017,
 	StreamOriginUnknown: 2018,
 	StreamNotContinuable: 2019,
+	ExceedsEngineMemory: 2020,
 	CreditExpired: 3001,
 	UnitNotReady: 3002,
 	UpstreamFailed: 3003,
--- a/packages/common/src/result-details.ts
+++ b/packages/common/src/result-details.ts
@@ -61,6 +61,12 @@
 		'No upstream of the service and software version that began the stream can continue it; this try has not run.',
 		'Start the stream again from its beginning.',
 	),
+	[RESULT_CODE.ExceedsEngineMemory]: newDetail(
+		'ExceedsEngineMemory',
+		503,
+		'The prompt and the response that the request allows are larger than the memory of any engine of the service; this try has not run.',
+		'Do not repeat it; send a shorter prompt, or allow fewer new tokens.',
+	),
 	[RESULT_CODE.CreditExpired]: newDetail('CreditExpired', 503, 'The dispatch reached the agent after its credit expired.', 'Retry.'),
 	[RESULT_CODE.UnitNotReady]: newDetail('UnitNotReady', 503, 'The VM does not have the model ready.', 'Retry.'),
 	[RESULT_CODE.UpstreamFailed]: newDetail('UpstreamFailed', 502, 'The upstream failed after it was given the request.', 'Retry if the request is idempotent.'),
