--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -149,6 +149,7 @@
 			getRoutingAgeMs: () => this.#follower.ageMs,
 			getGrace: () => this.#grace,
 			isMemoryChecked: settings.scheduling.promptMemory,
+			isReserveUsed: settings.scheduling.quotaReserve,
 			onNeed: () => {
 				this.#follower.scheduleReport();
 			},
--- a/apps/valelead-daemon/src/gateway/request-receiver.ts
+++ b/apps/valelead-daemon/src/gateway/request-receiver.ts
@@ -26,6 +26,8 @@
 	readonly getGrace: () => GracePeriod | undefined;
 	/** True if requests are refused that no engine of their service has enough memory for. */
 	readonly isMemoryChecked: boolean;
+	/** True if the gateway keeps large stocks of the teams' quotas. */
+	readonly isReserveUsed: boolean;
 	/** Called when quota must be requested from the leader immediately. */
 	readonly onNeed: () => void;
 };
