Tell a refused caller when it can be served, and expect it back with its whole patience

Cause: a caller was told the forecast, up to 33 s, and came back after a third of the time to its deadline; its request counted as demand with its patience less its objective. The forecast counted a fetch with up to twice its duration, as the cost by which engines are compared does, and without the loads queued before it, so callers for whom a fetch was in time were refused. Change: getExpectedReturn gives the time at which the caller comes back if the load then ends before it leaves, otherwise the end of the load. The expected retry keeps its first due time and leaves with its whole patience. getForecastReadyMs counts a fetch with its duration and the queue. request-given-up has retryAfterMs. As before with scheduling.loadForecast set to false.

--- a/apps/valelead-daemon/src/gateway/demand-reporter.ts
+++ b/apps/valelead-daemon/src/gateway/demand-reporter.ts
@@ -1,7 +1,9 @@
 import {type Clock, type TimerService, Coalescer} from '@valelead/common';
+import {getExpectedReturn} from '@valelead/residency';
 import {ExpectedRetries} from './expected-retries.js';
 import {isLoadTooLate} from './is-load-too-late.js';
 import {newDemand} from './new-demand.js';
+import type {Demand} from './demand.js';
 import type {LoadPlanner} from './load-planner.js';
 import type {EngineLinks} from './engine-links.js';
 import type {GatewayRequest} from './gateway-request.js';
@@ -14,7 +16,9 @@
 	readonly getRequests: () => Iterable<GatewayRequest>;
 	readonly isWaiting: (request: GatewayRequest) => boolean;
 	/** Refuses a waiting request whose unit would be loaded too late; returns false if the request may still be served and stays in the queue. */
-	readonly giveUp: (request: GatewayRequest, forecastMs: number, getSourceCount: () => number) => boolean;
+	readonly giveUp: (request: GatewayRequest, forecast: {readonly forecastMs: number; readonly retryAfterMs: number}, getSourceCount: () => number) => boolean;
+	/** The setting `scheduling.loadForecast`; false if absent. */
+	readonly isLoadForecast?: boolean;
 };
 
 /** Time for which changes of demand are collected before they are reported together, in milliseconds. */
@@ -53,7 +57,7 @@
 
 	#report(): void {
 		const {
-			clock, planner, residency, isWaiting, giveUp,
+			clock, planner, residency, isWaiting,
 		} = this.#parts;
 		const now = clock.now();
 		this.#reportedAt = now;
@@ -65,9 +69,26 @@
 		for (const {request, demand} of waiting) {
 			request.awaitedUpstreamId = planner.getChosenUpstreamId(demand.target) ?? '';
 			const forecastMs = planner.getForecastMs(demand);
-			if (forecastMs !== undefined && isLoadTooLate(demand, forecastMs, now) && giveUp(request, forecastMs, () => planner.getSourceCount(demand))) {
+			if (forecastMs !== undefined && isLoadTooLate(demand, forecastMs, now)) {
+				this.#giveUp(request, demand, forecastMs, now);
+			}
+		}
+	}
+
+	#giveUp(request: GatewayRequest, demand: Demand, forecastMs: number, now: number): void {
+		const {planner, giveUp, isLoadForecast} = this.#parts;
+		const getSourceCount = (): number => planner.getSourceCount(demand);
+		if (!isLoadForecast) {
+			if (giveUp(request, {forecastMs, retryAfterMs: forecastMs}, getSourceCount)) {
 				this.#retries.add(demand, now + forecastMs);
 			}
+
+			return;
+		}
+
+		const expected = getExpectedReturn({forecastMs, deadlineInMs: demand.deadlineAt - now, patienceMs: demand.patienceMs});
+		if (giveUp(request, {forecastMs, retryAfterMs: expected.retryAfterMs}, getSourceCount)) {
+			this.#retries.addReturn(demand, expected, now);
 		}
 	}
 }
--- a/apps/valelead-daemon/src/gateway/demand.ts
+++ b/apps/valelead-daemon/src/gateway/demand.ts
@@ -16,4 +16,8 @@
 	readonly dueAt: number;
 	/** When the caller gives up or the deadline of the request passes, whichever comes first. */
 	readonly leavesAt: number;
+	/** When the deadline of the request passes. */
+	readonly deadlineAt: number;
+	/** Time that the caller waits for the first event before it gives up, in milliseconds. */
+	readonly patienceMs: number;
 };
--- a/apps/valelead-daemon/src/gateway/dispatch-log.ts
+++ b/apps/valelead-daemon/src/gateway/dispatch-log.ts
@@ -8,6 +8,8 @@
 type GivenUp = {
 	/** Forecast time until the unit of the request is loaded, in milliseconds. */
 	readonly forecastMs: number;
+	/** The Retry-After time that the caller is given, in milliseconds. */
+	readonly retryAfterMs: number;
 	/** Time for which the request has waited, in milliseconds. */
 	readonly waitedMs: number;
 	/** Number of engines that have a copy of the model of the request or have the model in their load queue. */
@@ -36,13 +38,14 @@
 		this.#logger = logger;
 	}
 
-	logGivenUp({head, target, awaitedUpstreamId, route}: GatewayRequest, {forecastMs, waitedMs, sourceCount}: GivenUp): void {
+	logGivenUp({head, target, awaitedUpstreamId, route}: GatewayRequest, {forecastMs, retryAfterMs, waitedMs, sourceCount}: GivenUp): void {
 		this.#logger.info({
 			event: 'request-given-up',
 			requestId: head.id,
 			target,
 			awaitedUpstreamId,
 			forecastMs: Math.round(forecastMs),
+			retryAfterMs: Math.round(retryAfterMs),
 			waitedMs: Math.round(waitedMs),
 			sourceCount,
 			callerPatienceMs: route.callerPatienceMs,
--- a/apps/valelead-daemon/src/gateway/expected-retries.ts
+++ b/apps/valelead-daemon/src/gateway/expected-retries.ts
@@ -1,3 +1,4 @@
+import type {ExpectedReturn} from '@valelead/residency';
 import type {Demand} from './demand.js';
 
 /** Time after the announced Retry-After time during which a retry is still expected, in milliseconds. */
@@ -22,6 +23,11 @@
 		this.#retries.push({demand: {...demand, leavesAt: retriesAt + Math.max(0, patienceMs)}, expiresAt: retriesAt + RETRY_TOLERANCE_MS});
 	}
 
+	/** Adds a retry whose caller waits with its whole patience again once it has returned. Its demand keeps the time at which it was first due. */
+	addReturn(demand: Demand, {returnsInMs, leavesInMs}: ExpectedReturn, now: number): void {
+		this.#retries.push({demand: {...demand, leavesAt: now + leavesInMs}, expiresAt: now + returnsInMs + RETRY_TOLERANCE_MS});
+	}
+
 	/** Returns the demand of the retries that are still expected, and forgets the expired ones. */
 	getDemands(now: number): Demand[] {
 		this.#retries = this.#retries.filter(({expiresAt}) => expiresAt > now);
--- a/apps/valelead-daemon/src/gateway/load-forecast.ts
+++ b/apps/valelead-daemon/src/gateway/load-forecast.ts
@@ -1,4 +1,4 @@
-import {getEarliestReadyMs} from '@valelead/residency';
+import {getEarliestReadyMs, getForecastReadyMs} from '@valelead/residency';
 import type {Demand} from './demand.js';
 import type {LoadCandidates} from './load-candidates.js';
 import {newPlacementRequest} from './new-placement-request.js';
@@ -14,11 +14,14 @@
 /** Forecasts the earliest time at which a unit that requests wait for is loaded. */
 export class LoadForecast {
 	readonly #candidates: LoadCandidates;
+	readonly #getReadyMs: typeof getEarliestReadyMs;
 	readonly #forecasts = new Map<string, Forecast>();
 	#clearedAt = 0;
 
-	constructor(candidates: LoadCandidates) {
+	/** @param isLoadForecast - The setting `scheduling.loadForecast`. */
+	constructor(candidates: LoadCandidates, isLoadForecast: boolean) {
 		this.#candidates = candidates;
+		this.#getReadyMs = isLoadForecast ? getForecastReadyMs : getEarliestReadyMs;
 	}
 
 	/**
@@ -46,6 +49,6 @@
 			return {loadedAt: undefined};
 		}
 
-		return {loadedAt: now + Math.min(...candidates.map(candidate => getEarliestReadyMs(candidate, shape)))};
+		return {loadedAt: now + Math.min(...candidates.map(candidate => this.#getReadyMs(candidate, shape)))};
 	}
 }
--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -95,7 +95,7 @@
 	constructor(parts: PlannerParts) {
 		this.#parts = parts;
 		this.#candidates = new LoadCandidates(parts);
-		this.#forecast = new LoadForecast(this.#candidates);
+		this.#forecast = new LoadForecast(this.#candidates, parts.isLoadForecast ?? false);
 	}
 
 	/**
--- a/apps/valelead-daemon/src/gateway/new-demand.ts
+++ b/apps/valelead-daemon/src/gateway/new-demand.ts
@@ -13,4 +13,6 @@
 	weight: getClassWeight(route.priority),
 	dueAt: lastChunkAt + route.objectiveMs,
 	leavesAt: Math.min(deadlineAt, lastChunkAt + route.callerPatienceMs),
+	deadlineAt,
+	patienceMs: route.callerPatienceMs,
 });
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -128,7 +128,7 @@
 			}),
 			getRequests: () => this.#requests.values(),
 			isWaiting: request => this.#isWaiting(request),
-			giveUp: (request, forecastMs, getSourceCount) => this.#giveUp(request, forecastMs, getSourceCount),
+			giveUp: (...terms) => this.#giveUp(...terms),
 		});
 		this.#limits = new UpstreamRateLimiter({
 			...parts,
@@ -298,16 +298,16 @@
 		});
 	}
 
-	/** Refuses a request that waits for a model which will be loaded too late for it, with the forecast as the Retry-After time. */
-	#giveUp(request: GatewayRequest, forecastMs: number, getSourceCount: () => number): boolean {
+	/** Refuses a request that waits for a model which will be loaded too late for it, with the given Retry-After time. */
+	#giveUp(request: GatewayRequest, forecast: {readonly forecastMs: number; readonly retryAfterMs: number}, getSourceCount: () => number): boolean {
 		const isServed = (this.#state.endpoints.get(getAdmissionTarget(request))?.length ?? 0) > 0;
 		if (isServed) {
 			return false;
 		}
 
-		this.#log.logGivenUp(request, {forecastMs, waitedMs: this.#parts.clock.now() - request.arrivedAt, sourceCount: getSourceCount()});
+		this.#log.logGivenUp(request, {...forecast, waitedMs: this.#parts.clock.now() - request.arrivedAt, sourceCount: getSourceCount()});
 		this.#take({
-			kind: 'giveUp', requestId: request.id, code: RESULT_CODE.WaitTooLong, retryAfterMs: forecastMs,
+			kind: 'giveUp', requestId: request.id, code: RESULT_CODE.WaitTooLong, retryAfterMs: forecast.retryAfterMs,
 		});
 		return true;
 	}
--- a/apps/valelead-daemon/tests/is-load-too-late.feature
+++ b/apps/valelead-daemon/tests/is-load-too-late.feature
@@ -24,3 +24,10 @@
     When a refused caller is given a Retry-After time of 4000 ms
     Then its model is still needed after 4200 ms, for a caller that leaves 6000 ms after its retry is due
     And its model is no longer needed after 4600 ms
+
+  # Guards against a refused request that counts with less than its caller's patience, or later than when it first came: its load then goes behind
+  # those of later requests, and its caller is refused again.
+  Scenario: A refused request keeps its place with the whole patience of its returned caller
+    When a refused caller is expected to return after 5000 ms and to leave after 13000 ms
+    Then its model is still needed after 5400 ms, first due at the same time, for a caller that leaves after 13000 ms
+    And its model is no longer needed after 5600 ms
--- a/apps/valelead-daemon/tests/is-load-too-late.steps.ts
+++ b/apps/valelead-daemon/tests/is-load-too-late.steps.ts
@@ -54,6 +54,18 @@
 	this.returns.add(this.demand, ARRIVED_AT + returnMs);
 });
 
+When('a refused caller is expected to return after {int} ms and to leave after {int} ms', function (this: LateLoadWorld, returnsInMs: number, leavesInMs: number) {
+	this.demand = getDemand(this, this.timeMs);
+	this.returns = new ExpectedRetries();
+	this.returns.addReturn(this.demand, {
+		retryAfterMs: returnsInMs, returnsInMs, leavesInMs, isInTime: true,
+	}, ARRIVED_AT);
+});
+
+Then('its model is still needed after {int} ms, first due at the same time, for a caller that leaves after {int} ms', function (this: LateLoadWorld, afterMs: number, leavesInMs: number) {
+	assert.deepEqual(this.returns.getDemands(ARRIVED_AT + afterMs), [{...this.demand, leavesAt: ARRIVED_AT + leavesInMs}]);
+});
+
 Then('its model is still needed after {int} ms, for a caller that leaves {int} ms after its retry is due', function (this: LateLoadWorld, afterMs: number, leavesMs: number) {
 	const [demand] = this.returns.getDemands(ARRIVED_AT + afterMs);
 	assert.equal(demand.target, this.demand.target);
