--- a/apps/valelead-daemon/src/gateway/load-planner.ts
+++ b/apps/valelead-daemon/src/gateway/load-planner.ts
@@ -227,7 +227,7 @@
 
 		this.#placements.set(request.key, placement);
 		table.add(placement.upstreamId, {
-			model: request.model, adapter: request.adapter, waiting: 1, inProgress: 0, waits: [wait],
+			model: request.model, adapter: request.adapter, waiting: 1, inProgress: 0, waits: [wait], isUrgencyOrdered: this.#parts.isLoadForecast ?? false,
 		});
 	}
 
--- a/packages/residency/src/get-merged-needs.ts
+++ b/packages/residency/src/get-merged-needs.ts
@@ -9,6 +9,7 @@
 		waiting: needs.reduce((sum, need) => sum + need.waiting, 0),
 		inProgress: needs.reduce((sum, need) => sum + need.inProgress, 0),
 		waits: getMergedWaits(needs.flatMap(need => need.waits)),
+		isUrgencyOrdered: needs.some(need => need.isUrgencyOrdered === true),
 	};
 
 /** Sums the needs of all gateways into one need per unit. */
--- a/packages/residency/src/unit-need.ts
+++ b/packages/residency/src/unit-need.ts
@@ -11,4 +11,6 @@
 	readonly inProgress: number;
 	/** The waiting requests, grouped by the times at which they are due and their callers leave. */
 	readonly waits: readonly Wait[];
+	/** True if the load is also ordered by what its requests lose by waiting for one more load; false or absent from older gateways. */
+	readonly isUrgencyOrdered?: boolean;
 };
