Bound what a gateway holds of answers, and pause upstreams of slow callers

Cause: a gateway buffered an answer that is no stream, and one event of a stream, without a bound. It read the rest of a rejection and any number of interim responses for as long as the upstream sent, and reset streams of slow callers at 1 MiB while it kept a whole answer for a caller that reads nothing for as long as the caller liked.

Change: all answers of a gateway share an eighth of `memoryMb`, beyond which the largest is given up, and one may take half of that. An event has at most 1 MiB, a request 16 interim responses, and the rest of an unneeded response 64 KiB and 1 s. Such an attempt fails with the new code 3012, outcome unknown. A stream's upstream is paused while its caller does not read, and a caller that reads nothing for `callerStallMs` is disconnected. Calls to engines end after 2 s as a whole and 1 MiB. Incomplete events are joined once, not for each chunk.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -1,5 +1,5 @@
 import type {Buffer} from 'node:buffer';
-import {getResponseFraming} from '@valelead/answer';
+import {RESPONSE_FRAMING, getResponseFraming} from '@valelead/answer';
 import {type Clock, OUTCOME, RESULT_CODE} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import {ROUTE_KIND, isRepeatable} from '@valelead/routing';
@@ -139,10 +139,11 @@
 
 				mutateChunkTimes(request, this.#parts.clock.now());
 				request.answerBytes += chunk.length;
-				this.#pipes.get(attemptId)?.data(chunk);
+				this.#forward(attemptId, chunk);
 			},
 			onEnd: () => {
 				const pipe = this.#pipes.get(attemptId);
+				this.#pipes.delete(attemptId);
 				this.#forget(attemptId);
 				this.#parts.onAnswer(upstream.id);
 				if (isSuccessful && parts < RUNNING_PARTS) {
@@ -172,20 +173,42 @@
 			return false;
 		}
 
+		const isStream = request.route.kind === ROUTE_KIND.Stream && status === HTTP_OK;
+		const maxBytes = request.answer.maxHeldBytes ?? Number.POSITIVE_INFINITY;
+		if (!isStream && request.answerFraming === RESPONSE_FRAMING.Length && Number(answer.headers['content-length']) > maxBytes) {
+			this.#fail(request, sending, newAttemptFailure(RESULT_CODE.AnswerTooLarge, OUTCOME.Unknown, `a length of ${answer.headers['content-length']} bytes`));
+			return false;
+		}
+
 		this.#pipes.set(sending.attemptId, new ResponseForwarder(request, answer, forward => {
 			this.#parts.onFirstEvent(request, sending.upstream, () => {
 				if (this.#sent.has(sending.attemptId)) {
 					forward();
 				}
 			});
+		}, reason => {
+			this.#sent.get(sending.attemptId)?.fail(RESULT_CODE.AnswerTooLarge, reason);
 		}));
-		if (request.route.kind === ROUTE_KIND.Stream && status === HTTP_OK) {
+		if (isStream) {
 			this.#parts.onStarted(request, sending.attemptId);
 		}
 
 		return true;
 	}
 
+	/** Forwards a part of a response, and pauses the upstream until the caller has read enough. */
+	#forward(attemptId: string, chunk: Buffer): void {
+		const pipe = this.#pipes.get(attemptId);
+		pipe?.data(chunk);
+		const attempt = this.#sent.get(attemptId);
+		if (attempt?.pause && pipe?.isFull) {
+			attempt.pause();
+			pipe.onceWritable(() => {
+				attempt.resume?.();
+			});
+		}
+	}
+
 	#fail(request: GatewayRequest, {attemptId, upstream}: Omit<AttemptTarget, 'remainingMs'>, end: AttemptFailure): void {
 		this.#forget(attemptId);
 		this.#parts.onFailed(request, attemptId, upstream, end);
@@ -198,6 +221,7 @@
 
 	#forget(attemptId: string): void {
 		this.#sent.delete(attemptId);
+		this.#pipes.get(attemptId)?.release();
 		this.#pipes.delete(attemptId);
 	}
 }
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import {OriginClient} from '../stream-origins/origin-client.js';
 import {getStartupDurationMs} from '../get-startup-duration-ms.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
+import {HeldResponses} from './held-responses.js';
 import {newPortCheck} from './new-port-check.js';
 import {newGatewayAdmission} from './new-gateway-admission.js';
 import {RequestDispatcher} from './request-dispatcher.js';
@@ -74,6 +75,7 @@
 	readonly #intake: RequestReceiver;
 	readonly #dispatcher: RequestDispatcher;
 	readonly #server: RequestServer;
+	readonly #held: HeldResponses;
 	#admin: Server | undefined;
 	#readiness: Server | undefined;
 	#admission: CachedAdmission | undefined;
@@ -172,7 +174,17 @@
 				this.#intake.end(request, code, outcome, reason);
 			},
 		});
+		this.#held = new HeldResponses({
+			memoryMb: settings.memoryMb,
+			callerStallMs: settings.callerStallMs,
+			timers,
+			logger,
+			onEnded: reason => {
+				this.#metrics.endedResponses.inc({reason});
+			},
+		});
 		this.#server = new RequestServer(settings.http, new RequestHandler({
+			held: this.#held,
 			codec: adapter.caller,
 			clock: SYSTEM_CLOCK,
 			logger,
@@ -203,6 +215,7 @@
 			refreshMetrics: () => {
 				this.#metrics.revision.set(this.#follower.table?.routing.version ?? 0);
 				this.#metrics.configurationAge.set(this.#follower.ageMs / MS_PER_SECOND);
+				this.#metrics.heldResponseBytes.set(this.#held.totalBytes);
 				this.#metrics.limitedUpstreams.set(this.#dispatcher.limitedCount);
 				this.#metrics.quarantinedRequests.set(this.#dispatcher.quarantinedCount);
 			},
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -9,6 +9,7 @@
 import type {CallerCodec} from '../adapter/caller-codec.js';
 import type {CallerRequest} from '../adapter/caller-request.js';
 import {readBody} from '../read-body.js';
+import type {HeldResponses} from './held-responses.js';
 import {HttpResponseWriter} from './http-response-writer.js';
 import {getCallerCheck} from './get-caller-check.js';
 import {getForwardedHeaders} from './get-forwarded-headers.js';
@@ -22,6 +23,8 @@
 type HandlerParts = OriginSource & {
 	readonly codec: CallerCodec;
 	readonly logger: Logger;
+	/** Bounds the memory of all responses. */
+	readonly held: HeldResponses;
 	/** Called with each request once its body has been read completely. */
 	readonly onRequest: (request: GatewayRequest) => void;
 	/** Called when the caller of a request disconnects before the response is complete. */
@@ -55,7 +58,9 @@
 	async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrivedAt = this.#parts.clock.now();
 		const head = this.#parts.codec.decodeRequest(message.headers);
-		const answer = new HttpResponseWriter({response, requestId: head.id, isLast: this.#parts.isStopping});
+		const answer = new HttpResponseWriter({
+			response, requestId: head.id, isLast: this.#parts.isStopping, held: this.#parts.held,
+		});
 		try {
 			const request = await this.#read(message, head, answer, arrivedAt);
 			response.on('close', () => {
--- a/apps/valelead-daemon/src/gateway/sent-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/sent-attempt.ts
@@ -12,6 +12,9 @@
 	readonly isAnswered: boolean;
 	/** True if the request was sent on a connection that had served another request before. */
 	readonly isConnectionReused: boolean;
+	/** Stops reading the response until `resume` is called; absent if the response cannot be paused. */
+	readonly pause?: () => void;
+	readonly resume?: () => void;
 	/** Ends the attempt and its connection without calling any callback. */
 	readonly cancel: () => void;
 	/** Ends the attempt and its connection, and reports the given failure. */
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -10,6 +10,7 @@
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
 import {CONNECTION_STATE} from './connection-state.js';
+import {discardRest} from './discard-rest.js';
 import {getConnectionState} from './get-connection-state.js';
 import {newAttemptFailure} from './new-attempt-failure.js';
 import type {AttemptOptions} from './attempt-options.js';
@@ -18,6 +19,9 @@
 
 const BODYLESS_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE']);
 
+/** The most interim responses (1xx) to one request. Upstreams send one or two, and each of them costs processor time but no memory. */
+const MAX_INTERIM_RESPONSES = 16;
+
 /** One attempt to send a request to an upstream over HTTP. */
 export class UpstreamAttempt implements SentAttempt {
 	readonly #parts: AttemptOptions;
@@ -27,6 +31,8 @@
 	#isAnswered = false;
 	#hasBody = false;
 	#isOver = false;
+	#interimResponses = 0;
+	#answer: IncomingMessage | undefined;
 
 	constructor(parts: AttemptOptions) {
 		this.#parts = parts;
@@ -58,6 +64,15 @@
 		return this.#request.reusedSocket;
 	}
 
+	/** Stops reading the response, so that the upstream can send no more than fits into the buffers of the operating system. */
+	pause(): void {
+		this.#answer?.pause();
+	}
+
+	resume(): void {
+		this.#answer?.resume();
+	}
+
 	/** Ends the attempt and its connection without calling any callback. */
 	cancel(): void {
 		this.#isOver = true;
@@ -109,6 +124,12 @@
 				this.#isSent = true;
 			});
 		});
+		request.on('information', () => {
+			this.#interimResponses += 1;
+			if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+				this.fail(RESULT_CODE.AnswerTooLarge, `more than ${MAX_INTERIM_RESPONSES} interim answers`);
+			}
+		});
 		request.on('response', answer => {
 			this.#takeAnswer(answer);
 		});
@@ -139,7 +160,7 @@
 		}
 
 		if (head.isNotExecuted) {
-			answer.resume();
+			discardRest(this.#request, answer);
 			this.#end(() => {
 				const code = head.isOtherUpstream ? RESULT_CODE.UpstreamLeaving : RESULT_CODE.UpstreamRejected;
 				events.onFailure(newAttemptFailure(code, OUTCOME.NotRun, `status ${answer.statusCode}`));
@@ -148,10 +169,13 @@
 		}
 
 		if (this.#isOver || !events.onHead(answer)) {
-			answer.resume();
+			// The failure has been handled, so that closing the connection must not be reported as another one.
+			this.#isOver = true;
+			discardRest(this.#request, answer);
 			return;
 		}
 
+		this.#answer = answer;
 		this.#pass(answer);
 	}
 
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -52,6 +52,10 @@
 	readonly streamOriginLookups: Counter<'result'>;
 	/** Number of stream origins that this voter stores. */
 	readonly storedStreamOrigins: Gauge;
+	/** Memory that responses in progress occupy at this gateway, in bytes. */
+	readonly heldResponseBytes: Gauge;
+	/** Responses that were ended to bound that memory, by reason: `size`, `budget` or `caller`. */
+	readonly endedResponses: Counter<'reason'>;
 	readonly refusedControlCalls: Counter<'call' | 'code'>;
 	readonly #teams = new Set<string>();
 
@@ -117,6 +121,10 @@
 			name: 'valelead_stream_origin_lookups_total', help: 'Lookups of where a stream began that a caller resumes, by result.', labelNames: ['result'], registers,
 		});
 		this.storedStreamOrigins = new Gauge({name: 'valelead_stored_stream_origins', help: 'Streams of which this voter remembers where they began.', registers});
+		this.heldResponseBytes = new Gauge({name: 'valelead_held_answer_bytes', help: 'Memory of answers that are held at this gateway.', registers});
+		this.endedResponses = new Counter({
+			name: 'valelead_given_up_answers_total', help: 'Answers that were given up to bound the memory of answers, by reason.', labelNames: ['reason'], registers,
+		});
 		collectDefaultMetrics({register: this.registry});
 	}
 
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -132,6 +132,8 @@
 	retryReserve: newNumberSchema(20, 'Retries that all gateways together may send beyond the earned ones, for each service.'),
 	retryWindowSeconds: newNumberSchema(10, 'The span of time in which the retries to a service are counted, in seconds.'),
 	announceMs: newMillisecondsSchema(2000, 'How often upstreams announce themselves.'),
+	memoryMb: newNumberSchema(250, 'The memory that the process may use; an eighth of it may hold answers in progress. In megabytes.'),
+	callerStallMs: newMillisecondsSchema(30_000, 'A caller that reads nothing of its answer for longer is disconnected.'),
 	scheduling: SCHEDULING.pipe(Schema.withDecodingDefaultKey(Effect.succeed({}))),
 	revokeMs: newNumberSchema(0, 'A key that was taken away is of no use this long after the acknowledgement: a process that is cut off refuses all keys. 0 for no such promise. In milliseconds.'),
 });
--- a/apps/valelead-daemon/src/sidecar/engine-client.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-client.ts
@@ -20,7 +20,14 @@
  */
 const ORDER_TIMEOUT_MS = 150;
 
-const MAX_BODY_BYTES = 4 * 1024 * 1024;
+/**
+ * The longest time of a call with its whole response, in milliseconds. The timeouts above are those of a silent connection, which a response that
+ * arrives byte by byte never reaches.
+ */
+const MAX_CALL_MS = 2000;
+
+/** The largest response, in bytes. A status with 1,400 models takes a tenth of it, and a gateway may read the statuses of many engines at once. */
+const MAX_BODY_BYTES = 1024 * 1024;
 const HTTP_OK = 200;
 
 /** HTTP client for the interface of one engine. */
@@ -65,7 +72,7 @@
 		const request = newHttpRequest({
 			host: getHost(this.#address), port: getPort(this.#address), method, path, headers, agent: this.#agent, timeout: timeoutMs,
 		});
-		const response = receiveResponse(request);
+		const response = receiveResponse(request, AbortSignal.timeout(MAX_CALL_MS));
 		request.end(body === '' ? undefined : body);
 		return response;
 	}
--- a/packages/answer/src/event-splitter.ts
+++ b/packages/answer/src/event-splitter.ts
@@ -15,7 +15,9 @@
 	readonly #scanner = new EventScanner();
 	/** True if a byte order mark may still arrive that must be removed. */
 	#isMarkExpected: boolean;
-	#rest: Buffer = Buffer.alloc(0);
+	/** The chunks of the incomplete event. They are joined only once it is complete, as joining them for each chunk takes quadratic time. */
+	#rest: Buffer[] = [];
+	#restBytes = 0;
 
 	/**
 	 * @param isContinuation - True if the events resume a stream that the caller has begun to receive. A byte order mark is removed then, as in
@@ -29,20 +31,32 @@
 	addChunk(chunk: Buffer): CompleteEvents {
 		const end = this.#scanner.scan(chunk);
 		if (end === 0) {
-			this.#rest = Buffer.concat([this.#rest, chunk]);
+			this.#rest.push(chunk);
+			this.#restBytes += chunk.length;
 			return {bytes: Buffer.alloc(0), hasEvents: false, lastEventId: undefined};
 		}
 
-		const complete = this.#withoutMark(Buffer.concat([this.#rest, chunk.subarray(0, end)]));
+		const complete = this.#withoutMark(Buffer.concat([...this.#rest, chunk.subarray(0, end)]));
 		this.#isMarkExpected = false;
-		this.#rest = chunk.subarray(end);
+		this.#rest = end === chunk.length ? [] : [chunk.subarray(end)];
+		this.#restBytes = chunk.length - end;
 		const text = complete.toString('latin1');
 		return {bytes: complete, hasEvents: FIELD_LINE.test(text), lastEventId: this.#getLastId(text)};
 	}
 
 	/** The bytes after the last complete event. */
 	get rest(): Buffer {
-		return this.#withoutMark(this.#rest);
+		return this.#withoutMark(Buffer.concat(this.#rest));
+	}
+
+	/** Length of the incomplete event, in bytes. */
+	get restBytes(): number {
+		return this.#restBytes;
+	}
+
+	/** Number of chunks in which the incomplete event arrived. */
+	get restChunks(): number {
+		return this.#rest.length;
 	}
 
 	#withoutMark(bytes: Buffer): Buffer {
--- a/packages/answer/src/index.ts
+++ b/packages/answer/src/index.ts
@@ -4,6 +4,7 @@
 export {RESPONSE_FRAMING} from './response-framing.js';
 export type {CompleteEvents} from './complete-events.js';
 export {EventSplitter} from './event-splitter.js';
+export {ResponseBudget} from './response-budget.js';
 export {ReceivedResponse} from './received-response.js';
 export {getResponseDefect} from './get-response-defect.js';
 export {getResponseFraming} from './get-response-framing.js';
--- a/packages/common/src/result-code.ts
+++ b/packages/common/src/result-code.ts
@@ -45,6 +45,7 @@
 	UpstreamSilent: 3009,
 	InvalidAnswer: 3010,
 	UnroutedService: 3011,
+	AnswerTooLarge: 3012,
 	NotLeader: 4001,
 	RevisionConflict: 4002,
 	AlreadyExists: 4003,
