--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import {OriginClient} from '../stream-origins/origin-client.js';
 import {getStartupDurationMs} from '../get-startup-duration-ms.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
+import {HeldResponses} from './held-responses.js';
 import {newPortCheck} from './new-port-check.js';
 import {newGatewayAdmission} from './new-gateway-admission.js';
 import {EngineChoice} from './engine-choice.js';
@@ -77,6 +78,7 @@
 	readonly #intake: RequestReceiver;
 	readonly #dispatcher: RequestDispatcher;
 	readonly #server: RequestServer;
+	readonly #held: HeldResponses;
 	#admin: Server | undefined;
 	#readiness: Server | undefined;
 	#admission: CachedAdmission | undefined;
@@ -192,7 +194,17 @@
 				this.#intake.end(request, code, outcome, reason);
 			},
 		});
+		this.#held = new HeldResponses({
+			memoryMb: settings.memoryMb,
+			callerStallMs: settings.callerStallMs,
+			timers,
+			logger,
+			onEnded: reason => {
+				this.#metrics.endedResponses.inc({reason});
+			},
+		});
 		this.#server = new RequestServer(settings.http, new RequestHandler({
+			held: this.#held,
 			codec: adapter.caller,
 			clock: SYSTEM_CLOCK,
 			logger,
@@ -224,6 +236,7 @@
 				this.#metrics.revision.set(this.#follower.table?.routing.version ?? 0);
 				this.#metrics.configurationAge.set(this.#follower.ageMs / MS_PER_SECOND);
 				this.#metrics.slowEngines.set(this.#choice.slowEngines);
+				this.#metrics.heldResponseBytes.set(this.#held.totalBytes);
 				this.#metrics.limitedUpstreams.set(this.#dispatcher.limitedCount);
 				this.#metrics.quarantinedRequests.set(this.#dispatcher.quarantinedCount);
 			},
