--- a/apps/valelead-daemon/src/gateway/quota-gate.ts
+++ b/apps/valelead-daemon/src/gateway/quota-gate.ts
@@ -75,6 +75,8 @@
 	/** The time until which the leader has no quota left, by team. */
 	readonly #exhaustedUntil = new Map<string, number>();
 	#term = -1;
+	/** When the leader last answered a report, in monotonic milliseconds; undefined before its first answer. */
+	#answeredAt: number | undefined;
 
 	constructor(parts: GateParts) {
 		this.#parts = parts;
@@ -155,6 +157,7 @@
 	/** Applies the leader's loans. Loans requested before a suspension of this process are ignored, as the length of the suspension is unknown. */
 	handleUpdate({term, loans, scarceSubjects, reportedAt}: Parameters<QuotaExchange['handleUpdate']>[0]): void {
 		const {suspensions} = this.#parts;
+		this.#answeredAt = this.#parts.clock.now();
 		if (suspensions.resumedAt >= reportedAt) {
 			return;
 		}
@@ -256,6 +259,21 @@
 		this.#parts.onRefused(request, RESULT_CODE.QuotaExceeded, Math.max(MIN_RETRY_AFTER_MS, Math.round(waitMs * (1 + this.#parts.random()))));
 	}
 
+	#refuseUnknown(request: GatewayRequest, now: number): void {
+		const {caller: {team, cost}, head, arrivedAt} = request;
+		this.#parts.logger.info({
+			event: 'quota-unknown',
+			requestId: head.id,
+			team: team!.name,
+			cost,
+			waitedMs: Math.round(now - arrivedAt),
+			silentMs: this.#answeredAt === undefined ? undefined : Math.round(now - this.#answeredAt),
+			isScarce: this.#stock.scarceSubjects.has(team!.name),
+			term: this.#term,
+		}, 'no leader answered whether the quota of a team allows a request');
+		this.#parts.onRefused(request, RESULT_CODE.QuotaUnknown, LEADERLESS_RETRY_AFTER_MS);
+	}
+
 	#refuseOverdue(): void {
 		const now = this.#parts.clock.now();
 		for (const [team, queue] of this.#waiting) {
@@ -265,7 +283,7 @@
 			}
 
 			for (const {request} of overdue) {
-				this.#parts.onRefused(request, RESULT_CODE.QuotaUnknown, LEADERLESS_RETRY_AFTER_MS);
+				this.#refuseUnknown(request, now);
 			}
 		}
 	}
--- a/apps/valelead-daemon/tests/quota-fleet.ts
+++ b/apps/valelead-daemon/tests/quota-fleet.ts
@@ -185,7 +185,8 @@
 	#newLeader(): QuotaRegistry {
 		const quotas = new Map(this.teams.map(({name, quota}) => [name, quota]));
 		const registry = new QuotaRegistry({
-			voter: {node: {term: this.#term, isCurrentLeader: true}}, getQuotas: () => quotas, tolerance: FLEET_TOLERANCE, waitingReserveShare: SMALL_WAITING_RESERVE_SHARE, areTermsCounted: true, clock: this.#clock,
+			voter: {node: {term: this.#term, isCurrentLeader: true}}, getQuotas: () => quotas,
+			tolerance: FLEET_TOLERANCE, waitingReserveShare: SMALL_WAITING_RESERVE_SHARE, areTermsCounted: true, clock: this.#clock,
 			timers: newVirtualTimers(this.#time),
 		});
 		registry.start();
--- a/packages/quota/tests/quota-model.ts
+++ b/packages/quota/tests/quota-model.ts
@@ -1,7 +1,8 @@
 import {
 	type Loan, type Quota, type QuotaLedger, type QuotaStock, type QuotaTolerance, type Reservation, type StockPolicy, type SubjectUsage, type TermSighting,
 	LOAN_MS, SMALL_WAITING_RESERVE_SHARE,
-	getPreviousTermStarts, getScarceSubjects, mutateGrantedLoans, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateReservedUnits, mutateNewSession, mutateSettledReservation,
+	getPreviousTermStarts, getScarceSubjects,
+	mutateGrantedLoans, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateReservedUnits, mutateNewSession, mutateSettledReservation,
 	mutateSubjectReport, mutateTermHistory, mutateUsage, newQuotaLedger, newQuotaStock,
 } from '@valelead/quota';
 
