Take the bounds of the new scenarios from the requirements, and list those that are not met

They now state the requirement: urgent requests in time where the capacity suffices (99 of 100), a slow-down by 2.5 times seen as at least 2 and forgotten 500 ms after it, and quotas that do not wait for the leader (0.01 refused below the quota, as at rest).

--- a/apps/valelead-daemon/tests/measured-speed.feature
+++ b/apps/valelead-daemon/tests/measured-speed.feature
@@ -19,7 +19,7 @@
   # Guards against an engine that still counts as slow when it has recovered but gets no requests.
   Scenario: A slow-down of an engine that gets no more requests ages out
     When the gateways measure gaps of 92 ms for 200 ms
-    And nothing is measured for 750 ms
+    And nothing is measured for 500 ms
     Then publications were scheduled, at most 3
     And the last published gap is under 50 ms
 
--- a/apps/valelead-daemon/tests/quota-silence.feature
+++ b/apps/valelead-daemon/tests/quota-silence.feature
@@ -10,10 +10,10 @@
 
     Examples:
       | silence | surge | team | refused |
-      | 2500    | 1     | 0    | 0.3     |
-      | 2500    | 4     | 0    | 0.42    |
-      | 2500    | 12    | 8    | 0.3     |
-      | 7700    | 1     | 0    | 0.75    |
+      | 2500    | 1     | 0    | 0.01    |
+      | 2500    | 4     | 0    | 0.01    |
+      | 2500    | 12    | 8    | 0.01    |
+      | 7700    | 1     | 0    | 0.01    |
 
   # Guards against a setting without effect.
   Scenario: Gateways without large stocks refuse at least 1.5 times as many requests below the quota
--- a/packages/admission/tests/latest-start.feature
+++ b/packages/admission/tests/latest-start.feature
@@ -21,7 +21,7 @@
       | routine |      | a     | 2    | 600       | 2400     | 6          |
       | rare    |      | a     | 0    | 20000     | 80000    | 10         |
     When they arrive for 10 s
-    Then at least 95 of 100 requests of kind "routine" are in time
+    Then at least 99 of 100 requests of kind "routine" are in time
     And at least 99 of 100 requests of kind "rare" are in time
 
   # Guards against a team whose flood fills the queue with due requests.
@@ -43,7 +43,7 @@
       | rare |      | b     | 2    | 5000      | 20000    | 1          |
     When they arrive for 30 s
     Then at least 60 of 100 requests of kind "rare" are in time
-    And at least 55 of 100 requests of kind "busy" are in time
+    And at least 60 of 100 requests of kind "busy" are in time
 
   # Guards against callers that are held although no response can reach them any more.
   Scenario: A request that cannot be answered before its caller leaves is refused at once
--- a/packages/residency/tests/engine-speed.feature
+++ b/packages/residency/tests/engine-speed.feature
@@ -18,7 +18,7 @@
       | events | gap | early | late |
       | 74     | 37  | 1.5   | 2    |
       | 87     | 28  | 1.5   | 2    |
-      | 30     | 37  | 1.4   | 1.7  |
+      | 30     | 37  | 1.4   | 2    |
 
   # Guards against an engine that is avoided for ever because nothing measures its recovery.
   Scenario: An avoided engine without samples counts as fast as before its slow-down
