--- a/apps/valelead-daemon/src/gateway/held-responses.ts
+++ b/apps/valelead-daemon/src/gateway/held-responses.ts
@@ -30,8 +30,8 @@
  */
 const BUDGET_SHARE = 1 / 8;
 
-/** The share of the budget that one response may occupy, so that a single one does not displace all others. */
-const RESPONSE_SHARE = 1 / 2;
+/** The share of the budget that one response may occupy, so that a single one leaves room for others. At 210 MB it is 19 MB. */
+const RESPONSE_SHARE = 3 / 4;
 
 const TICK_MS = 250;
 
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -24,6 +24,7 @@
 export {ResponseForwarder} from './gateway/response-forwarder.js';
 export {UpstreamAgent} from './gateway/upstream-agent.js';
 export {UpstreamRateLimiter} from './gateway/upstream-rate-limiter.js';
+export {HeldResponses} from './gateway/held-responses.js';
 export {HttpResponseWriter} from './gateway/http-response-writer.js';
 export {UpstreamAttempt} from './gateway/upstream-attempt.js';
 export {getForwardedHeaders} from './gateway/get-forwarded-headers.js';
