--- a/packages/admission/tests/latest-start.feature
+++ b/packages/admission/tests/latest-start.feature
@@ -13,6 +13,16 @@
     And at least 70 of 100 requests of kind "rare" are in time
     And requests of kind "routine" are in time as often as those of kind "rare", give or take 10 of 100
 
+  # Guards against urgent requests with a short objective that are late, while less urgent ones are in time, under an excess of a third.
+  Scenario: Urgent requests with a short objective are in time as often as less urgent ones under an excess of a third
+    Given an engine with 4 slots, whose responses begin after 100 ms and end after 400 ms
+    And these kinds of requests
+      | kind    | team | model | rank | objective | patience | per second |
+      | routine |      | a     | 0    | 308       | 2400     | 11         |
+      | rare    |      | a     | 2    | 2508      | 10000    | 2          |
+    When they arrive for 30 s
+    Then requests of kind "routine" are in time as often as those of kind "rare", give or take 10 of 100
+
   # Guards against urgent requests that wait for others with time to spare.
   Scenario: A burst of requests that can wait delays no urgent request
     Given an engine with 4 slots, whose responses begin after 100 ms and end after 400 ms
--- a/packages/common/src/result-details.ts
+++ b/packages/common/src/result-details.ts
@@ -83,7 +83,12 @@
 		'An upstream announced itself for a service that the routing does not name.',
 		'Check the upstream\'s service, or send the routing that names it first.',
 	),
-	[RESULT_CODE.AnswerTooLarge]: newDetail('AnswerTooLarge', 502, 'The upstream sent a larger answer than a gateway holds.', 'Retry if the request is idempotent; operators: section 10 of OPERATIONS.md.'),
+	[RESULT_CODE.AnswerTooLarge]: newDetail(
+		'AnswerTooLarge',
+		502,
+		'The upstream sent a larger answer than a gateway holds.',
+		'Retry if the request is idempotent; operators: section 13 of OPERATIONS.md.',
+	),
 	[RESULT_CODE.NotLeader]: newDetail('NotLeader', 503, 'The voter is not the leader.', 'Ask the leader named in the reply.'),
 	[RESULT_CODE.RevisionConflict]: newDetail('RevisionConflict', 409, 'The configuration changed since the expected revision.', 'Read it again and decide anew.'),
 	[RESULT_CODE.AlreadyExists]: newDetail('AlreadyExists', 409, 'An object of this name exists.', 'Use alter, or another name.'),
