Prepare the cost of upstreams once a choice, and check cheaply whether any can serve

Cause: a cost was asked for each upstream, so the costs of speed and prompt reuse each remembered the map of the last choice to recognise the next one. A cost is now prepared once with all upstreams of a choice, and needs no such state. To know whether any upstream can take a request, the dispatch searched the best one without a request and then again with it, also where no costs are set; now it stops at the first usable one.

--- a/apps/valelead-daemon/src/gateway/engine-choice.ts
+++ b/apps/valelead-daemon/src/gateway/engine-choice.ts
@@ -1,11 +1,11 @@
-import type {AdmissionRequest, LaneCost, LaneLoads} from '@valelead/admission';
+import type {AdmissionRequest, LaneCost} from '@valelead/admission';
 import type {Clock, TimerService} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import type {EngineReport, SpeedSamples} from '@valelead/protocol';
 import {getSpeedCost} from '@valelead/residency';
 import type {GatewaySettings} from '../settings/gateway-settings.js';
 import {EngineSpeeds} from './engine-speeds.js';
-import {PromptReuse} from './prompt-reuse.js';
+import {newReuseCost} from './new-reuse-cost.js';
 import {SpeedMeter} from './speed-meter.js';
 import type {AttemptOptions} from './attempt-options.js';
 
@@ -63,27 +63,23 @@
 	}
 
 	#newSpeedCost(): LaneCost {
-		// All upstreams of a choice are compared one after the other, with the same map of loads, and belong to one service.
-		let factors: ReadonlyMap<string, number> = new Map();
-		let lastLoads: LaneLoads | undefined;
-		return (_request, endpoint, loads) => {
-			if (!loads || loads !== lastLoads) {
-				lastLoads = loads;
-				factors = this.#speeds.getFactors(endpoint.vm);
-			}
-
-			const factor = factors.get(endpoint.vm);
-			return factor === undefined ? 0 : getSpeedCost(factor, loads?.get(endpoint) ?? endpoint.otherEntriesInProgress ?? 0);
+		return (_request, loads) => {
+			// All upstreams of a choice belong to one service.
+			const [first] = loads.keys();
+			const factors = this.#speeds.getFactors(first.vm);
+			return endpoint => {
+				const factor = factors.get(endpoint.vm);
+				return factor === undefined ? 0 : getSpeedCost(factor, loads.get(endpoint) ?? 0);
+			};
 		};
 	}
 
 	#newReuseCost({scheduling, getCacheTokens, onPreferred}: ChoiceParts): LaneCost {
-		const reuse = new PromptReuse({
+		return newReuseCost({
 			getCacheTokens: upstreamId => getCacheTokens(this.#speeds.getService(upstreamId) ?? ''),
 			getFactors: upstreamId => scheduling.speed ? this.#speeds.getFactors(upstreamId) : new Map(),
 			onPreferred,
 		});
-		return (request, endpoint, loads) => reuse.getCost(request, endpoint, loads);
 	}
 
 	#newMeter({clock, timers, sendMeasurements}: ChoiceParts): SpeedMeter {
--- a/apps/valelead-daemon/src/gateway/get-summed-lane-cost.ts
+++ b/apps/valelead-daemon/src/gateway/get-summed-lane-cost.ts
@@ -6,12 +6,15 @@
 		return undefined;
 	}
 
-	return (request, endpoint, loads) => {
-		let sum = 0;
-		for (const getCost of costs) {
-			sum += getCost(request, endpoint, loads);
-		}
+	return (request, loads) => {
+		const parts = costs.map(newCost => newCost(request, loads));
+		return endpoint => {
+			let sum = 0;
+			for (const getCost of parts) {
+				sum += getCost(endpoint);
+			}
 
-		return sum;
+			return sum;
+		};
 	};
 };
--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -38,7 +38,7 @@
 	 * leave before they can be answered; absent for the order by rank alone.
 	 */
 	readonly isOrderedByLatestStart?: boolean;
-	/** Returns the cost of each upstream for a request; absent if upstreams are compared by their requests in progress only. */
+	/** Gives the cost of each upstream for a request; absent if upstreams are compared by their requests in progress only. */
 	readonly getLaneCost?: LaneCost;
 	/** The data centre of the entry. */
 	readonly dataCentre: string;
--- a/packages/admission/src/get-best-lane.ts
+++ b/packages/admission/src/get-best-lane.ts
@@ -1,4 +1,4 @@
-import {getLane} from './get-lane.js';
+import {getUsableLane} from './get-usable-lane.js';
 import type {AdmissionEndpoint} from './admission-endpoint.js';
 import type {AdmissionLane} from './admission-lane.js';
 import type {AdmissionRequest} from './admission-request.js';
@@ -8,11 +8,9 @@
 import type {AdmissionState} from './admission-state.js';
 
 type LaneSearch = {
-	readonly target: string;
-	/** The request to send; undefined while it is only checked whether any upstream can take one. */
-	readonly request?: AdmissionRequest;
-	/** The VM of the last attempt of the request; absent before its first attempt. */
-	readonly previousVm?: string;
+	readonly request: AdmissionRequest;
+	/** The VM of the last attempt of the request; empty before its first attempt. */
+	readonly previousVm: string;
 	/** The number of requests that may still be sent to each upstream that limits its request rate, by VM. */
 	readonly sendsLeft: ReadonlyMap<string, number>;
 };
@@ -29,24 +27,10 @@
 /** Penalty of the upstream at which the last attempt of a request failed, in requests in progress: it is used again only if no other one can serve. */
 const PREVIOUS_ATTEMPT_PENALTY = 100;
 
-const hasCapacity = (lane: AdmissionLane, endpoint: AdmissionEndpoint): boolean => endpoint.concurrencyLimit === undefined ? lane.credits.length > 0 : lane.inProgress < endpoint.concurrencyLimit;
-
-const isUsable = (lane: AdmissionLane, endpoint: AdmissionEndpoint, target: string, now: number): boolean => {
-	const isProbing = lane.ejections > 0 && lane.inProgress > 0;
-	return hasCapacity(lane, endpoint) && now >= lane.ejectedUntil && !isProbing && now >= (lane.avoided.get(target) ?? 0);
-};
-
-/** Returns the lane of an upstream that can take a request now, or undefined. */
-const getUsableLane = (state: AdmissionState, endpoint: AdmissionEndpoint, {target, sendsLeft}: LaneSearch, now: number): AdmissionLane | undefined => {
-	const lane = endpoint.concurrencyLimit === undefined ? state.lanes.get(endpoint.vm) : getLane(state, endpoint.vm);
-	const isLimitReached = (sendsLeft.get(endpoint.vm) ?? 1) < 1;
-	return lane && !isLimitReached && isUsable(lane, endpoint, target, now) ? lane : undefined;
-};
-
-const getLoads = (state: AdmissionState, search: LaneSearch, now: number): LaneLoads => {
+const getLoads = (state: AdmissionState, {request: {target}, sendsLeft}: LaneSearch, now: number): LaneLoads => {
 	const loads = new Map<AdmissionEndpoint, number>();
-	for (const endpoint of state.endpoints.get(search.target) ?? []) {
-		const lane = getUsableLane(state, endpoint, search, now);
+	for (const endpoint of state.endpoints.get(target) ?? []) {
+		const lane = getUsableLane(state, endpoint, target, sendsLeft, now);
 		if (lane) {
 			loads.set(endpoint, lane.inProgress + (endpoint.otherEntriesInProgress ?? 0));
 		}
@@ -67,25 +51,29 @@
 };
 
 /**
- * Chooses the VM that receives the next request of a target: the one with the fewest requests in progress, as far as this entry knows, with
+ * Chooses the VM that receives a request: the one with the fewest requests in progress, as far as this entry knows, with
  * penalties for remote, unanswering and failing upstreams. An upstream that was ejected gets one request at a time until one succeeds.
- * A request adds the cost that the settings give each VM for it. Returns undefined if no VM can take a request now.
+ * The cost that the settings give each VM for the request is added. Returns undefined if no VM can take the request now.
  */
 export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, search: LaneSearch, now: number): BestLane | undefined => {
-	const {target, request, previousVm} = search;
+	const {request, previousVm, sendsLeft} = search;
+	const loads = settings.getLaneCost ? getLoads(state, search, now) : undefined;
+	if (loads?.size === 0) {
+		return undefined;
+	}
+
+	const getCost = loads && settings.getLaneCost?.(request, loads);
 	let best: BestLane | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
-	const loads = request && settings.getLaneCost ? getLoads(state, search, now) : undefined;
-	for (const endpoint of loads?.keys() ?? state.endpoints.get(target) ?? []) {
+	for (const endpoint of loads?.keys() ?? state.endpoints.get(request.target) ?? []) {
 		// The loads contain usable upstreams only.
-		const lane = loads ? state.lanes.get(endpoint.vm) : getUsableLane(state, endpoint, search, now);
+		const lane = loads ? state.lanes.get(endpoint.vm) : getUsableLane(state, endpoint, request.target, sendsLeft, now);
 		if (!lane) {
 			continue;
 		}
 
 		const previousPenalty = endpoint.vm === previousVm ? PREVIOUS_ATTEMPT_PENALTY : 0;
-		const cost = request && settings.getLaneCost ? settings.getLaneCost(request, endpoint, loads) : 0;
-		const score = getScore(lane, endpoint, settings, now) + previousPenalty + cost;
+		const score = getScore(lane, endpoint, settings, now) + previousPenalty + (getCost?.(endpoint) ?? 0);
 		if (score < bestScore) {
 			best = {vm: endpoint.vm, lane, isDirect: endpoint.concurrencyLimit !== undefined};
 			bestScore = score;
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -1,6 +1,7 @@
 import {getBestLane} from './get-best-lane.js';
 import {getNextRequest} from './get-next-request.js';
 import {getTeamUsage} from './get-team-usage.js';
+import {hasUsableLane} from './has-usable-lane.js';
 import {mutateRequestState} from './mutate-request-state.js';
 import {mutateDequeued} from './mutate-dequeued.js';
 import type {AdmissionEffect} from './admission-effect.js';
@@ -87,19 +88,17 @@
 
 /** Returns the next request of a target, if an upstream can take one. */
 const getTargetRequest = ({state, settings, sendsLeft, now}: DispatchRound, target: string): RequestRecord | undefined => {
-	if (!state.queues.has(target) || !getBestLane(state, settings, {target, sendsLeft}, now)) {
+	const queue = state.queues.get(target);
+	if (!queue || !hasUsableLane(state, target, sendsLeft, now)) {
 		return undefined;
 	}
 
-	const records = (state.queues.get(target) ?? []).filter(record => isAllowed(state, record, now));
-	return getNextRequest(state, settings, records, now);
+	return getNextRequest(state, settings, queue.filter(record => isAllowed(state, record, now)), now);
 };
 
 /** Sends a request to its best upstream; returns undefined if none can take it now. */
 const mutateDispatch = ({state, settings, sendsLeft, now}: DispatchRound, record: RequestRecord): AdmissionEffect | undefined => {
-	const chosen = getBestLane(state, settings, {
-		target: record.request.target, request: record.request, previousVm: record.vm, sendsLeft,
-	}, now);
+	const chosen = getBestLane(state, settings, {request: record.request, previousVm: record.vm, sendsLeft}, now);
 	if (!chosen) {
 		return undefined;
 	}
