Limit interim responses and compare speeds in one place each

Cause: the limit of interim responses stood in two files, the ratio within which engines count as equally fast in three, and callers made up a speed to compare two times between events. Three settings were described by what is not built.

--- a/apps/valelead-daemon/src/gateway/engine-speeds.ts
+++ b/apps/valelead-daemon/src/gateway/engine-speeds.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import type {EngineReport, SpeedSamples} from '@valelead/protocol';
-import {getSpeedFactors, isSpeedChanged} from '@valelead/residency';
+import {EQUAL_SPEED_RATIO, getSpeedFactors, isSpeedChanged} from '@valelead/residency';
 
 type ReportedGap = {
 	readonly upstreamId: string;
@@ -20,9 +20,6 @@
 /** Factors are computed again after this time even without a new report, in milliseconds, as reports grow old. */
 const MAX_FACTORS_AGE_MS = 250;
 
-/** Engines within this ratio count as equally fast, so samples within it of the reported speed are no news. */
-const NEWS_RATIO = 1.25;
-
 /** Fewer samples than this are no news: single gaps vary by more than any slow-down. */
 const MIN_NEWS_GAPS = 2;
 
@@ -91,7 +88,7 @@
 			return false;
 		}
 
-		return isSpeedChanged({eventGapMs: known.eventGapMs, firstEventMs: 0}, {eventGapMs: gapMs / gaps, firstEventMs: 0}, NEWS_RATIO);
+		return isSpeedChanged(known.eventGapMs, gapMs / gaps, EQUAL_SPEED_RATIO);
 	}
 
 	#getFactors(service: string): ReadonlyMap<string, number> {
@@ -103,7 +100,7 @@
 
 		const engines = this.#engines.get(service) ?? [];
 		const gaps = new Map(engines.map(({id, address}) => [id, this.#getGapMs(id, address, now)]));
-		const factors = gaps.size === 0 ? NO_FACTORS : getSpeedFactors(gaps);
+		const factors = getSpeedFactors(gaps);
 		this.#factors.set(service, {factors, computedAt: now});
 		return factors;
 	}
--- a/apps/valelead-daemon/src/gateway/planner-parts.ts
+++ b/apps/valelead-daemon/src/gateway/planner-parts.ts
@@ -9,7 +9,7 @@
 	readonly getViews: () => ReadonlyMap<string, EngineView>;
 	/** True if requests are currently sent to the upstream. */
 	readonly isUsable: (upstreamId: string) => boolean;
-	/** True if loads follow the trend of demand and the measured capacity of the weight store (`scheduling.loadForecast`); false if absent. */
+	/** True if loads follow the measured capacity of the weight store and the urgency of requests (`scheduling.loadForecast`); false if absent. */
 	readonly isLoadForecast?: boolean;
 	/** Called when a placement request is moved from one engine to another. */
 	readonly onPlacementChange: (change: PlacementChange) => void;
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import {RESPONSE_DEFECT, ReceivedResponse} from '@valelead/answer';
 import {
-	abortRequest, isFinalStatus, OUTCOME, RESULT_CODE, type ResultCodeValue,
+	abortRequest, isFinalStatus, limitInterimResponses, OUTCOME, RESULT_CODE, type ResultCodeValue,
 } from '@valelead/common';
 import {SUSPECT_PHASE, type SuspectPhaseValue} from '@valelead/quarantine';
 import {getHost} from '../get-host.js';
@@ -19,9 +19,6 @@
 
 const BODYLESS_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE']);
 
-/** The most interim responses (1xx) to one request. Upstreams send one or two, and each of them costs processor time but no memory. */
-const MAX_INTERIM_RESPONSES = 16;
-
 /** One attempt to send a request to an upstream over HTTP. */
 export class UpstreamAttempt implements SentAttempt {
 	readonly #parts: AttemptOptions;
@@ -31,7 +28,6 @@
 	#isAnswered = false;
 	#hasBody = false;
 	#isOver = false;
-	#interimResponses = 0;
 	#answer: IncomingMessage | undefined;
 
 	constructor(parts: AttemptOptions) {
@@ -124,11 +120,8 @@
 				this.#isSent = true;
 			});
 		});
-		request.on('information', () => {
-			this.#interimResponses += 1;
-			if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
-				this.fail(RESULT_CODE.AnswerTooLarge, `more than ${MAX_INTERIM_RESPONSES} interim answers`);
-			}
+		limitInterimResponses(request, reason => {
+			this.fail(RESULT_CODE.AnswerTooLarge, reason);
 		});
 		request.on('response', answer => {
 			this.#takeAnswer(answer);
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -114,10 +114,10 @@
 const SCHEDULING = Schema.Struct({
 	speed: newSwitchSchema('Whether requests avoid engines that are measured to be slow.'),
 	promptReuse: newSwitchSchema('Whether requests prefer the engine that has processed their shared prompt segments.'),
-	promptMemory: newSwitchSchema('Whether requests are sent only to engines with enough memory for their prompts and responses.'),
+	promptMemory: newSwitchSchema('Whether requests are refused whose prompt and response exceed the memory of every engine.'),
 	latestStart: newSwitchSchema('Whether waiting requests are ordered by the time at which they must start to meet their latency objective.'),
-	quotaReserve: newSwitchSchema('Whether a part of each quota may be used while no leader answers.'),
-	loadForecast: newSwitchSchema('Whether loads follow the trend of demand and the measured capacity of the weight store.'),
+	quotaReserve: newSwitchSchema('Whether more of each quota is borrowed, to serve while no leader answers.'),
+	loadForecast: newSwitchSchema('Whether loads follow the measured capacity of the weight store and the urgency of requests, and refused callers are told when they can be served.'),
 });
 
 const GATEWAY = Schema.Struct({
--- a/apps/valelead-daemon/src/sidecar/is-significant-change.ts
+++ b/apps/valelead-daemon/src/sidecar/is-significant-change.ts
@@ -1,4 +1,4 @@
-import {type EngineSpeed, isSpeedChanged} from '@valelead/residency';
+import {EQUAL_SPEED_RATIO, isSpeedChanged} from '@valelead/residency';
 import type {EngineSummary} from './engine-summary.js';
 
 /**
@@ -8,11 +8,6 @@
 const MIN_CHANGE = 2;
 const MIN_CHANGE_SHARE = 0.25;
 
-/** Engines whose speeds are within this ratio count as equally fast. */
-const MIN_SPEED_RATIO = 1.25;
-
-const getSpeed = ({eventGapMs = 0, firstEventMs = 0}: EngineSummary): EngineSpeed => ({eventGapMs, firstEventMs});
-
 const hasChanged = (before: number, after: number): boolean => Math.abs(after - before) >= Math.max(MIN_CHANGE, before * MIN_CHANGE_SHARE);
 
 const getWaiting = ({loads}: EngineSummary): number => loads.reduce((sum, load) => sum + load.waiting, 0);
@@ -23,7 +18,7 @@
 		return true;
 	}
 
-	if (isSpeedChanged(getSpeed(before), getSpeed(after), MIN_SPEED_RATIO)) {
+	if (isSpeedChanged(before.eventGapMs ?? 0, after.eventGapMs ?? 0, EQUAL_SPEED_RATIO)) {
 		return true;
 	}
 
--- a/apps/valelead-daemon/src/sidecar/measured-speed.ts
+++ b/apps/valelead-daemon/src/sidecar/measured-speed.ts
@@ -57,7 +57,7 @@
 	/** The speed to publish. It follows the measured speed in steps. */
 	get published(): EngineSpeed {
 		const speed = getEngineSpeed(this.#state, this.#options.clock.now());
-		if (isSpeedChanged(this.#published, speed, STEP_RATIO)) {
+		if (isSpeedChanged(this.#published.eventGapMs, speed.eventGapMs, STEP_RATIO)) {
 			this.#published = getRounded(speed);
 		}
 
@@ -74,7 +74,7 @@
 		mutateEngineSpeed(this.#state, samples, now);
 		this.#aging.schedule();
 		const speed = getEngineSpeed(this.#state, now);
-		if (now - this.#jumpedAt >= MIN_JUMP_INTERVAL_MS && isSpeedChanged(this.#jumped, speed, JUMP_RATIO)) {
+		if (now - this.#jumpedAt >= MIN_JUMP_INTERVAL_MS && isSpeedChanged(this.#jumped.eventGapMs, speed.eventGapMs, JUMP_RATIO)) {
 			this.#log(runId, speed, now);
 			this.#jumped = speed;
 			this.#jumpedAt = now;
@@ -91,7 +91,7 @@
 
 	#checkAge(): void {
 		const speed = getEngineSpeed(this.#state, this.#options.clock.now());
-		if (isSpeedChanged(this.#aged, speed, STEP_RATIO)) {
+		if (isSpeedChanged(this.#aged.eventGapMs, speed.eventGapMs, STEP_RATIO)) {
 			this.#aged = speed;
 			this.#aging.schedule();
 		}
--- a/packages/common/src/receive-response.ts
+++ b/packages/common/src/receive-response.ts
@@ -1,8 +1,6 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import {abortRequest} from './abort-request.js';
-
-/** The most interim responses (1xx) to one request. Upstreams send one or two. */
-const MAX_INTERIM_RESPONSES = 16;
+import {limitInterimResponses} from './limit-interim-responses.js';
 
 /**
  * Waits for the response to a request that is being sent. Resolves once the response head has arrived, and rejects if the request fails before. The
@@ -15,13 +13,7 @@
 		abortRequest(request);
 	};
 
-	let interimResponses = 0;
-	request.on('information', () => {
-		interimResponses += 1;
-		if (interimResponses > MAX_INTERIM_RESPONSES) {
-			abort(`more than ${MAX_INTERIM_RESPONSES} interim answers`);
-		}
-	});
+	limitInterimResponses(request, abort);
 	request.on('response', resolve);
 	request.on('error', reject);
 	request.on('timeout', () => {
--- a/packages/residency/src/get-speed-factors.ts
+++ b/packages/residency/src/get-speed-factors.ts
@@ -1,11 +1,6 @@
+import {EQUAL_SPEED_RATIO} from './equal-speed-ratio.js';
 import {MAX_SPEED_RATIO} from './max-speed-ratio.js';
 
-/**
- * Engines whose speed is within this ratio of the median count as equally fast, so that an even deployment is balanced by the number of requests
- * alone. Measured means of equal engines differ by up to a fifth because their loads differ.
- */
-const EQUAL_SPEED_RATIO = 1.25;
-
 const getMedian = (values: readonly number[]): number => {
 	const sorted = [...values].sort((left, right) => left - right);
 	const middle = sorted.length / 2;
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -59,6 +59,7 @@
 export {getEngineSpeed} from './get-engine-speed.js';
 export {getSpeedCost} from './get-speed-cost.js';
 export {getSpeedFactors} from './get-speed-factors.js';
+export {EQUAL_SPEED_RATIO} from './equal-speed-ratio.js';
 export {isSpeedChanged} from './is-speed-changed.js';
 export {mutateEngineSpeed} from './mutate-engine-speed.js';
 export {newSpeedState} from './new-speed-state.js';
--- a/packages/residency/src/is-speed-changed.ts
+++ b/packages/residency/src/is-speed-changed.ts
@@ -1,10 +1,11 @@
-import type {EngineSpeed} from './engine-speed.js';
-
-/** True if the time between events differs by at least a ratio, or is known in only one of both cases. */
-export const isSpeedChanged = (before: EngineSpeed, after: EngineSpeed, ratio: number): boolean => {
-	if (before.eventGapMs === 0 || after.eventGapMs === 0) {
-		return before.eventGapMs !== after.eventGapMs;
+/**
+ * True if the mean time between events differs by at least a ratio, or is known in only one of both cases.
+ * @param beforeMs - The mean time before, in milliseconds; 0 if it was not known.
+ */
+export const isSpeedChanged = (beforeMs: number, afterMs: number, ratio: number): boolean => {
+	if (beforeMs === 0 || afterMs === 0) {
+		return beforeMs !== afterMs;
 	}
 
-	return Math.max(before.eventGapMs, after.eventGapMs) >= ratio * Math.min(before.eventGapMs, after.eventGapMs);
+	return Math.max(beforeMs, afterMs) >= ratio * Math.min(beforeMs, afterMs);
 };
