Bound the rest of responses and engine calls by the timer service

Cause: both set timers of their own, which stayed for up to 2 s after each call, in place of the process's timer service. The prefetcher also kept a copy of the reported state of the weight store that its manager can derive.

--- a/apps/valelead-daemon/src/gateway/discard-rest.ts
+++ b/apps/valelead-daemon/src/gateway/discard-rest.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import type {ClientRequest, IncomingMessage} from 'node:http';
-import {abortRequest} from '@valelead/common';
+import {type TimerService, abortRequest, abortRequestAfter} from '@valelead/common';
 
 /** The longest rest of a response that is read so that its connection can be used again, in bytes. Error texts are far shorter. */
 const MAX_REST_BYTES = 65_536;
@@ -9,7 +9,7 @@
 const MAX_REST_MS = 1000;
 
 /** Reads the rest of a response that nobody needs. Closes the connection if the rest is long or does not arrive in time. */
-export const discardRest = (request: ClientRequest, answer: IncomingMessage): void => {
+export const discardRest = (request: ClientRequest, answer: IncomingMessage, timers: TimerService): void => {
 	let bytes = 0;
 	answer.on('error', () => undefined);
 	if (Number(answer.headers['content-length'] ?? 0) > MAX_REST_BYTES) {
@@ -23,7 +23,5 @@
 			abortRequest(request);
 		}
 	});
-	AbortSignal.timeout(MAX_REST_MS).addEventListener('abort', () => {
-		abortRequest(request);
-	}, {once: true});
+	abortRequestAfter(request, timers, MAX_REST_MS);
 };
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -167,7 +167,7 @@
 			getTable: () => this.#follower.table,
 			isLoadForecast: settings.scheduling.loadForecast,
 			getGatewayCount: () => this.#follower.gatewayCount,
-			newAttempt: terms => new UpstreamAttempt(this.#choice.newMeasured(terms)),
+			newAttempt: terms => new UpstreamAttempt(this.#choice.newMeasured(terms), timers),
 			random: Math.random,
 			getLeaderAgeMs: () => this.#follower.ageMs,
 			isPortRefused: newPortCheck(timers),
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import {RESPONSE_DEFECT, ReceivedResponse} from '@valelead/answer';
 import {
-	abortRequest, isFinalStatus, limitInterimResponses, OUTCOME, RESULT_CODE, type ResultCodeValue,
+	type TimerService, abortRequest, isFinalStatus, limitInterimResponses, OUTCOME, RESULT_CODE, type ResultCodeValue,
 } from '@valelead/common';
 import {SUSPECT_PHASE, type SuspectPhaseValue} from '@valelead/quarantine';
 import {getHost} from '../get-host.js';
@@ -22,6 +22,7 @@
 /** One attempt to send a request to an upstream over HTTP. */
 export class UpstreamAttempt implements SentAttempt {
 	readonly #parts: AttemptOptions;
+	readonly #timers: TimerService;
 	readonly #request: ClientRequest;
 	/** True if bytes of the request may have been sent. */
 	#isSent = false;
@@ -30,8 +31,9 @@
 	#isOver = false;
 	#answer: IncomingMessage | undefined;
 
-	constructor(parts: AttemptOptions) {
+	constructor(parts: AttemptOptions, timers: TimerService) {
 		this.#parts = parts;
+		this.#timers = timers;
 		this.#request = this.#send();
 	}
 
@@ -153,7 +155,7 @@
 		}
 
 		if (head.isNotExecuted) {
-			discardRest(this.#request, answer);
+			discardRest(this.#request, answer, this.#timers);
 			this.#end(() => {
 				const code = head.isOtherUpstream ? RESULT_CODE.UpstreamLeaving : RESULT_CODE.UpstreamRejected;
 				events.onFailure(newAttemptFailure(code, OUTCOME.NotRun, `status ${answer.statusCode}`));
@@ -164,7 +166,7 @@
 		if (this.#isOver || !events.onHead(answer)) {
 			// The failure has been handled, so that closing the connection must not be reported as another one.
 			this.#isOver = true;
-			discardRest(this.#request, answer);
+			discardRest(this.#request, answer, this.#timers);
 			return;
 		}
 
--- a/apps/valelead-daemon/src/leased-engines/engine-managers.ts
+++ b/apps/valelead-daemon/src/leased-engines/engine-managers.ts
@@ -131,7 +131,7 @@
 	#manage(lease: HeldLease): void {
 		const {holder, concurrentStoreLoads, codec, timers, clock, logger} = this.#parts;
 		const {engineAddress, fence, startsInMs} = lease;
-		const client = new EngineClient(engineAddress, codec);
+		const client = new EngineClient(engineAddress, codec, timers);
 		const manager = new EngineManager({
 			holder, concurrentStoreLoads, client, timers, clock, logger, fence, pollIntervals: REMOTE_POLL_INTERVALS, getOrdersEnd: () => this.#leaseEnd.expiresAt - ORDER_TRANSIT_MS,
 		});
--- a/apps/valelead-daemon/src/sidecar/engine-client.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-client.ts
@@ -1,5 +1,5 @@
 import {Agent, type IncomingMessage, request as newHttpRequest} from 'node:http';
-import {receiveResponse} from '@valelead/common';
+import {type TimerService, abortRequestAfter, receiveResponse} from '@valelead/common';
 import {ORDER_RESULT} from '@valelead/residency';
 import type {EngineCodec} from '../adapter/engine-codec.js';
 import type {HttpCall} from '../adapter/http-call.js';
@@ -34,11 +34,13 @@
 export class EngineClient implements EnginePort {
 	readonly #address: string;
 	readonly #codec: EngineCodec;
+	readonly #timers: TimerService;
 	readonly #agent = new Agent({keepAlive: true, maxSockets: 2});
 
-	constructor(address: string, codec: EngineCodec) {
+	constructor(address: string, codec: EngineCodec, timers: TimerService) {
 		this.#address = address;
 		this.#codec = codec;
+		this.#timers = timers;
 	}
 
 	/** Fetches the engine's status; rejects if the engine does not respond. */
@@ -72,7 +74,8 @@
 		const request = newHttpRequest({
 			host: getHost(this.#address), port: getPort(this.#address), method, path, headers, agent: this.#agent, timeout: timeoutMs,
 		});
-		const response = receiveResponse(request, AbortSignal.timeout(MAX_CALL_MS));
+		const response = receiveResponse(request);
+		abortRequestAfter(request, this.#timers, MAX_CALL_MS);
 		request.end(body === '' ? undefined : body);
 		return response;
 	}
--- a/apps/valelead-daemon/src/sidecar/engine-manager.ts
+++ b/apps/valelead-daemon/src/sidecar/engine-manager.ts
@@ -65,7 +65,7 @@
 			timers: parts.timers, clock: parts.clock, minIntervalMs: parts.pollIntervals.minIntervalMs, runRound: async () => this.#runRound(),
 		});
 		this.#unloadNotice = new UnloadNotice(parts.clock);
-		this.#prefetcher = new Prefetcher(parts);
+		this.#prefetcher = new Prefetcher({...parts, getStore: () => this.#store.shared});
 		this.#delays = new LoadDelayLog(parts);
 		this.#reader = new StatusReader({...parts, run: this.#run});
 		this.#publisher = new SummaryPublisher({...parts, getSummary: () => this.summary});
@@ -141,7 +141,6 @@
 		const reportedAt = this.#parts.clock.now();
 		this.#needs.set(streamId, needs, reportedAt);
 		this.#store.set(streamId, store);
-		this.#prefetcher.setStore(this.#store.shared);
 		mutateLastUsedAt(this.#residency, needs, reportedAt);
 		this.#prefetcher.noteNeeds(needs);
 		this.#publisher.schedulePublish();
@@ -158,7 +157,6 @@
 	removeStream(streamId: string): void {
 		this.#needs.forget(streamId);
 		this.#store.forget(streamId);
-		this.#prefetcher.setStore(this.#store.shared);
 		this.#publisher.schedulePublish();
 	}
 
--- a/apps/valelead-daemon/src/sidecar/prefetcher.ts
+++ b/apps/valelead-daemon/src/sidecar/prefetcher.ts
@@ -2,13 +2,14 @@
 import {
 	type EngineCopies, type UnitNeed, getRebalancingFetch, getPrefetch,
 } from '@valelead/residency';
-import {NO_STORE_REPORT} from '../gateway/no-store-report.js';
 import type {StoreReport} from '../gateway/store-report.js';
 
 type PrefetcherParts = {
 	readonly clock: Clock;
 	/** The maximum number of engines in the installation that fetch from the weight store at the same time without a request waiting for the fetch. */
 	readonly concurrentStoreLoads: number;
+	/** Returns what the gateways report about the weight store. */
+	readonly getStore: () => StoreReport;
 };
 
 /** An engine counts as idle once no gateway has reported a need for it for this long, in milliseconds. */
@@ -39,7 +40,6 @@
 	#engineIds = '';
 	#enginesChangedAt = Number.NEGATIVE_INFINITY;
 	#loadedElsewhere: ReadonlySet<string> = new Set();
-	#store = NO_STORE_REPORT;
 	#lastNeededAt = Number.NEGATIVE_INFINITY;
 	#lastWaitedAt = Number.NEGATIVE_INFINITY;
 
@@ -61,11 +61,6 @@
 		this.#loadedElsewhere = new Set(engines.filter(engine => engine.upstreamId !== upstreamId).flatMap(engine => [...engine.loaded]));
 	}
 
-	/** Updates what gateways report about the weight store. */
-	setStore(store: StoreReport): void {
-		this.#store = store;
-	}
-
 	/** Records when a gateway last needed the engine, and when requests last waited for it. */
 	noteNeeds(needs: readonly UnitNeed[]): void {
 		const now = this.#parts.clock.now();
@@ -95,7 +90,7 @@
 			return undefined;
 		}
 
-		const {sustainedFetches, fetchesInProgress} = this.#store;
+		const {sustainedFetches, fetchesInProgress} = this.#parts.getStore();
 		const isMeasured = sustainedFetches > 0;
 		if (isMeasured && fetchesInProgress >= sustainedFetches) {
 			return undefined;
--- a/apps/valelead-daemon/src/sidecar/start-sidecar.ts
+++ b/apps/valelead-daemon/src/sidecar/start-sidecar.ts
@@ -24,7 +24,7 @@
 export const startSidecar = async (settings: SidecarSettings, logger: Logger, adapter: Adapter): Promise<Stoppable> => {
 	const timers = new TimerService(SYSTEM_CLOCK);
 	const pool = new ChannelPool(newChannelCredentials(settings.tls));
-	const client = new EngineClient(settings.engine, adapter.engine);
+	const client = new EngineClient(settings.engine, adapter.engine, timers);
 	const manager = new EngineManager({
 		holder: settings.vm, concurrentStoreLoads: settings.concurrentStoreLoads, client, timers, clock: SYSTEM_CLOCK, logger, fence: SIDECAR_FENCE, pollIntervals: LOCAL_POLL_INTERVALS,
 	});
--- a/apps/valelead-daemon/tests/abandoned-calls.steps.ts
+++ b/apps/valelead-daemon/tests/abandoned-calls.steps.ts
@@ -4,6 +4,7 @@
 import type {ValeleadError} from '@valelead/common';
 import {HttpUpstream} from '@valelead/engine';
 import {SilentUpstream} from './silent-upstream.js';
+import {newSystemTimers} from './new-system-timers.js';
 import {type EngineCodec, type ConditionalOrder, EngineClient} from 'valelead-daemon';
 
 type CallWorld = {
@@ -24,7 +25,7 @@
 /** Functions by the name of the call: each starts the call, gives it up, and resolves with its result. */
 const CALLS: Readonly<Record<string, (port: number, upstream: SilentUpstream) => Promise<string>>> = {
 	async 'a sidecar\'s order'(port) {
-		const client = new EngineClient(`127.0.0.1:${port}`, CODEC);
+		const client = new EngineClient(`127.0.0.1:${port}`, CODEC, newSystemTimers());
 		const {result, reason} = await client.order({} as ConditionalOrder);
 		client.close();
 		return `${result} ${reason}`;
--- a/apps/valelead-daemon/tests/answer-ends.steps.ts
+++ b/apps/valelead-daemon/tests/answer-ends.steps.ts
@@ -6,6 +6,7 @@
 import {HttpUpstream} from '@valelead/engine';
 import {ResponseSource} from './response-source.js';
 import {sendAttempt} from './send-attempt.js';
+import {newSystemTimers} from './new-system-timers.js';
 import {type EngineCodec, EngineClient, UpstreamAgent} from 'valelead-daemon';
 
 type Response = ConstructorParameters<typeof ResponseSource>[0];
@@ -266,7 +267,7 @@
 
 When('an engine sends its status in a response that is {string}', async function (this: EndsWorld, name: string) {
 	this.end = await withSource(name, async port => {
-		const client = new EngineClient(`127.0.0.1:${port}`, STATUS_CODEC);
+		const client = new EngineClient(`127.0.0.1:${port}`, STATUS_CODEC, newSystemTimers());
 		try {
 			await client.getStatus();
 			return 'taken';
--- a/apps/valelead-daemon/tests/held-responses.steps.ts
+++ b/apps/valelead-daemon/tests/held-responses.steps.ts
@@ -8,6 +8,7 @@
 import {pino} from 'pino';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {newVirtualTimers} from '../../../tests/support/new-virtual-timers.js';
+import {newSystemTimers} from './new-system-timers.js';
 import {type EngineCodec, EngineClient, HeldResponses} from 'valelead-daemon';
 
 type HeldResponse = Parameters<HeldResponses['set']>[0];
@@ -149,7 +150,7 @@
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
-	const client = new EngineClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, CODEC);
+	const client = new EngineClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, CODEC, newSystemTimers());
 	const startedAt = performance.now();
 	let isFailed = false;
 	try {
--- a/apps/valelead-daemon/tests/send-attempt.ts
+++ b/apps/valelead-daemon/tests/send-attempt.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {newSystemTimers} from './new-system-timers.js';
 import {type CallerCodec, type UpstreamAgent, UpstreamAttempt} from 'valelead-daemon';
 
 type AttemptResult = {
@@ -52,5 +53,5 @@
 				onOver({end: `${code} ${outcome}`, body: '', connection});
 			},
 		},
-	});
+	}, newSystemTimers());
 };
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export type {OutcomeValue} from './outcome-value.js';
 export {ValeleadError} from './valelead-error.js';
 export {abortRequest} from './abort-request.js';
+export {abortRequestAfter} from './abort-request-after.js';
 export {limitInterimResponses} from './limit-interim-responses.js';
 export {isFinalStatus} from './is-final-status.js';
 export {receiveResponse} from './receive-response.js';
