--- a/apps/valelead-daemon/src/gateway/engine-choice.ts
+++ b/apps/valelead-daemon/src/gateway/engine-choice.ts
@@ -87,7 +87,7 @@
 			clock,
 			timers,
 			onPending: (address, samples) => {
-				if (this.#speeds.isNews(address, samples)) {
+				if (this.#speeds.isDeviating(address, samples)) {
 					sendMeasurements(address);
 				}
 			},
--- a/apps/valelead-daemon/src/gateway/engine-speeds.ts
+++ b/apps/valelead-daemon/src/gateway/engine-speeds.ts
@@ -20,8 +20,8 @@
 /** Factors are computed again after this time even without a new report, in milliseconds, as reports grow old. */
 const MAX_FACTORS_AGE_MS = 250;
 
-/** Fewer samples than this are no news: single gaps vary by more than any slow-down. */
-const MIN_NEWS_GAPS = 2;
+/** Fewer samples than this are ignored: single gaps vary by more than any slow-down. */
+const MIN_DEVIATING_GAPS = 2;
 
 const NO_FACTORS: ReadonlyMap<string, number> = new Map();
 
@@ -82,9 +82,9 @@
 	}
 
 	/** True if samples differ from the reported speed of their engine so much that its manager must know them soon. */
-	isNews(address: string, {upstreamId, gapMs, gaps}: SpeedSamples): boolean {
+	isDeviating(address: string, {upstreamId, gapMs, gaps}: SpeedSamples): boolean {
 		const known = this.#gaps.get(address);
-		if (gaps < MIN_NEWS_GAPS || known?.upstreamId !== upstreamId || known.eventGapMs === 0) {
+		if (gaps < MIN_DEVIATING_GAPS || known?.upstreamId !== upstreamId || known.eventGapMs === 0) {
 			return false;
 		}
 
--- a/apps/valelead-daemon/src/sidecar/summary-publisher.ts
+++ b/apps/valelead-daemon/src/sidecar/summary-publisher.ts
@@ -25,6 +25,8 @@
 const getOffer = ({upstreamId, loads, copiesOnDisk, models}: EngineSummary): unknown[] =>
 	[upstreamId, loads.map(load => load.model), copiesOnDisk, models.map(({name, version, adapters}) => [name, version, adapters])];
 
+const getOfferText = (summary: EngineSummary | undefined): string => JSON.stringify(summary && getOffer(summary));
+
 /** Publishes summaries of an engine to followers: changes of its offered models, loads and copies on disk at once, changes of counts in batches. */
 export class SummaryPublisher {
 	readonly #parts: PublisherOptions;
@@ -56,21 +58,17 @@
 	/** Publishes the summary at once if its models, loads or copies on disk have changed; schedules it otherwise. */
 	publish(): void {
 		const summary = this.#parts.getSummary();
-		const offer = JSON.stringify(summary && getOffer(summary));
-		if (offer === this.#publishedOffer) {
+		if (getOfferText(summary) === this.#publishedOffer) {
 			this.schedulePublish();
 			return;
 		}
 
-		this.#publishedOffer = offer;
-		this.#notify(summary, JSON.stringify(summary));
+		this.#publishAll(summary);
 	}
 
 	/** Publishes the summary at once, whatever has changed; the caller bounds how often. */
 	publishNow(): void {
-		const summary = this.#parts.getSummary();
-		this.#publishedOffer = JSON.stringify(summary && getOffer(summary));
-		this.#notify(summary, JSON.stringify(summary));
+		this.#publishAll(this.#parts.getSummary());
 	}
 
 	/** Schedules a check whether counts have changed; to be called after they may have. */
@@ -82,6 +80,11 @@
 		return Math.min(MAX_COALESCE_MS, Math.max(MIN_COALESCE_MS, this.#listeners.size * COALESCE_PER_FOLLOWER_MS));
 	}
 
+	#publishAll(summary: EngineSummary | undefined): void {
+		this.#publishedOffer = getOfferText(summary);
+		this.#notify(summary, JSON.stringify(summary));
+	}
+
 	#publishChange(now: number): void {
 		const summary = this.#parts.getSummary();
 		const text = JSON.stringify(summary);
--- a/packages/admission/src/mutate-admission.ts
+++ b/packages/admission/src/mutate-admission.ts
@@ -9,7 +9,7 @@
 import {mutateRequestRefusal} from './mutate-request-refusal.js';
 import {mutateAttemptFailure} from './mutate-attempt-failure.js';
 import {mutateResponseTimes} from './mutate-response-times.js';
-import {mutateHopelessRequests} from './mutate-hopeless-requests.js';
+import {mutateUnservableRequests} from './mutate-unservable-requests.js';
 import {mutateRequestState} from './mutate-request-state.js';
 import {mutateStopRefusals} from './mutate-stop-refusals.js';
 import {newCreditRequests} from './new-credit-requests.js';
@@ -131,7 +131,7 @@
 
 		case 'tick': {
 			mutateUnresponsiveLanes(state, settings, now);
-			return mutateHopelessRequests(state, settings, now);
+			return mutateUnservableRequests(state, settings, now);
 		}
 
 		default: {
--- a/packages/admission/src/mutate-hopeless-requests.ts
+++ b/packages/admission/src/mutate-unservable-requests.ts
@@ -9,13 +9,13 @@
  * Refuses the waiting requests whose callers leave before a response can reach them, so that the callers learn it at once and do not wait until their
  * deadline. A request that may have run before is kept, as it could not be refused as not run.
  */
-export const mutateHopelessRequests = (state: AdmissionState, {isOrderedByLatestStart}: AdmissionSettings, now: number): AdmissionEffect[] => {
+export const mutateUnservableRequests = (state: AdmissionState, {isOrderedByLatestStart}: AdmissionSettings, now: number): AdmissionEffect[] => {
 	if (!isOrderedByLatestStart) {
 		return [];
 	}
 
-	const hopeless = [...state.queues.values()].flatMap(queue => queue.filter(({request, runs}) => runs === 0 && isBeyondPatience(state, request, 0, now)));
-	return hopeless.flatMap(record => {
+	const unservable = [...state.queues.values()].flatMap(queue => queue.filter(({request, runs}) => runs === 0 && isBeyondPatience(state, request, 0, now)));
+	return unservable.flatMap(record => {
 		const isServed = (state.endpoints.get(record.request.target)?.length ?? 0) > 0;
 		return mutateRequestRefusal(state, record, isServed ? RESULT_CODE.WaitTooLong : RESULT_CODE.NoUpstream, OUTCOME.NotRun);
 	});
