--- a/packages/residency/src/get-engine-speed.ts
+++ b/packages/residency/src/get-engine-speed.ts
@@ -6,10 +6,10 @@
 const MIN_GAPS = 4;
 
 /**
- * The number of recent samples that weigh as much as the permanent speed. A slow engine sends few events, so the recent samples must count even if
- * there are only two or three of them.
+ * The number of recent samples that weigh as much as the permanent speed. A slow engine sends few events: at 12 a second, two recent samples must be
+ * enough to see it as twice as slow.
  */
-const PRIOR_GAPS = 2;
+const PRIOR_GAPS = 0.75;
 
 const UNKNOWN: EngineSpeed = {eventGapMs: 0, firstEventMs: 0};
 
--- a/packages/residency/src/new-speed-state.ts
+++ b/packages/residency/src/new-speed-state.ts
@@ -3,9 +3,9 @@
 
 /**
  * Half-life of the samples that show a slow-down, in milliseconds. An engine that is slow for 600 ms must be known as slow within a part of that time
- * and as recovered soon after it. At 70 events a second on an engine, about 15 samples count.
+ * and as recovered soon after it, also if it gets no more requests. At 70 events a second on an engine, about 9 samples count.
  */
-const RECENT_HALF_LIFE_MS = 150;
+const RECENT_HALF_LIFE_MS = 80;
 
 /**
  * Half-life of the samples that show the permanent speed of an engine, in milliseconds. They count where recent samples are few, as on an engine
