Accept an unframed response that ends with a full read as complete

Cause: Node.js reads again at once after a read that filled its buffer of 64 KiB, so the end of a connection that was closed in order arrives in the same turn as the last bytes, and the response was taken for a reset one. After such a read a reset is reported as an error and not as an end.

Change: a read that fills the buffer does not count as new data. The attempt notes the size of the read with which the head arrived.

--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -2,6 +2,7 @@
 import {
 	type ClientRequest, type IncomingMessage, request as newHttpRequest,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {RESPONSE_DEFECT, ReceivedResponse} from '@valelead/answer';
 import {
 	type TimerService, abortRequest, isFinalStatus, limitInterimResponses, OUTCOME, RESULT_CODE, type ResultCodeValue,
@@ -30,6 +31,8 @@
 	#hasBody = false;
 	#isOver = false;
 	#answer: IncomingMessage | undefined;
+	/** The number of bytes in the last read from the connection, until the response begins. */
+	#lastReadBytes = 0;
 
 	constructor(parts: AttemptOptions, timers: TimerService) {
 		this.#parts = parts;
@@ -113,6 +116,7 @@
 			headers: [...headers, ...(hasBody ? ['content-length', String(body.length)] : [])] as never,
 		});
 		request.on('socket', socket => {
+			this.#noteReads(socket, request);
 			if (!socket.connecting) {
 				this.#isSent = true;
 				return;
@@ -135,6 +139,21 @@
 		return request;
 	}
 
+	#noteReads(socket: Socket, request: ClientRequest): void {
+		const noteRead = (chunk: Buffer): void => {
+			this.#lastReadBytes = chunk.length;
+		};
+
+		const ignoreReads = (): void => {
+			socket.off('data', noteRead);
+		};
+
+		// This listener must run before that of Node's HTTP client, which reports the response.
+		socket.prependListener('data', noteRead);
+		request.once('response', ignoreReads);
+		request.once('close', ignoreReads);
+	}
+
 	#takeAnswer(answer: IncomingMessage): void {
 		const {codec, requestId, events} = this.#parts;
 		const head = codec.decodeAnswer(answer.statusCode ?? 0, answer.headers);
@@ -175,7 +194,7 @@
 	}
 
 	#pass(answer: IncomingMessage): void {
-		const received = new ReceivedResponse(answer, this.#parts.method);
+		const received = new ReceivedResponse(answer, this.#parts.method, this.#lastReadBytes);
 		answer.on('data', (chunk: Buffer) => {
 			received.addChunk(chunk);
 			this.#hasBody = true;
--- a/packages/answer/src/received-response.ts
+++ b/packages/answer/src/received-response.ts
@@ -8,6 +8,9 @@
 import type {ResponseDefectValue} from './response-defect-value.js';
 import type {ResponseFramingValue} from './response-framing-value.js';
 
+/** The most bytes that Node.js reads from a connection at once. */
+const FULL_READ_BYTES = 65_536;
+
 /** Returns true if the body is an event stream whose lines can be read, that is, one without a content coding such as gzip. */
 const isPlainEventStream = (headers: IncomingHttpHeaders): boolean => isEventStream(headers['content-type'] ?? '')
 	&& (headers['content-encoding'] ?? 'identity').toLowerCase() === 'identity';
@@ -17,25 +20,29 @@
  * the head of the response arrived.
  *
  * If a connection reset arrives together with data, Node reports it as a normal end in the same event-loop iteration as the data. A
- * connection that was really closed is reported in a later iteration. For a response that is delimited only by the end of its connection,
- * this is the only way to distinguish the two.
+ * connection that was really closed is reported in a later iteration, unless the last read filled its buffer: then Node.js reads again at once, and gets the
+ * end of a closed connection or the error of a reset one. For a response that is delimited only by the end of its connection, this is the only way to
+ * distinguish the two.
  */
 export class ReceivedResponse {
 	readonly #message: IncomingMessage;
 	readonly #framing: ResponseFramingValue;
 	readonly #events: EventScanner | undefined;
-	/** True if bytes arrived in the current event-loop iteration. */
+	/** True if bytes arrived in the current event-loop iteration, with a read that did not fill its buffer. */
 	#hasNewData = false;
 	#isEndedWithData = false;
 
-	/** @param method - The HTTP method of the request. */
-	constructor(message: IncomingMessage, method: string) {
+	/**
+	 * @param method - The HTTP method of the request.
+	 * @param headReadBytes - The number of bytes in the read with which the head arrived; 0 if it is not known.
+	 */
+	constructor(message: IncomingMessage, method: string, headReadBytes = 0) {
 		const {statusCode, headers} = message;
 		this.#message = message;
 		this.#framing = getResponseFraming({method, status: statusCode ?? 0, headers});
 		this.#events = isPlainEventStream(headers) ? new EventScanner() : undefined;
 		if (this.#framing === RESPONSE_FRAMING.Connection) {
-			this.#watchConnection();
+			this.#watchConnection(headReadBytes);
 		}
 	}
 
@@ -56,11 +63,11 @@
 		});
 	}
 
-	#watchConnection(): void {
+	#watchConnection(headReadBytes: number): void {
 		const {socket} = this.#message;
-		this.#noteNewData();
-		socket.on('data', () => {
-			this.#noteNewData();
+		this.#noteRead(headReadBytes);
+		socket.on('data', (chunk: Buffer) => {
+			this.#noteRead(chunk.length);
 		});
 		// This listener must run before that of Node's HTTP client, which ends the response.
 		socket.prependOnceListener('end', () => {
@@ -68,8 +75,8 @@
 		});
 	}
 
-	#noteNewData(): void {
-		this.#hasNewData = true;
+	#noteRead(bytes: number): void {
+		this.#hasNewData = bytes < FULL_READ_BYTES;
 		setImmediate(() => {
 			this.#hasNewData = false;
 		});
