Lend parts of the quotas' rates, so that gateways admit requests while no leader answers

Change: with quotaRateLoans, the leader divides up to 0.85 of a quota's rate and 0.8 of its bucket evenly among the gateways with recent demand. Each part is a token bucket that refills at the gateway without messages and ends 10 s after the last confirmed report. A new leader withholds the lendable part for 10 s, but takes over the parts that gateways report. The first term withholds nothing. Tests: random histories with rate loans, suspended gateways and several leaders. The requests of random histories now also count as demand, without which gateways in them kept no stock.

--- a/apps/valelead-daemon/src/control/quota-registry.ts
+++ b/apps/valelead-daemon/src/control/quota-registry.ts
@@ -3,7 +3,7 @@
 import {type QuotaGrant, type QuotaUsage, QuotaGrantSchema} from '@valelead/protocol';
 import {
 	type Loan, type Quota, type QuotaLedger, type QuotaTolerance, type TermSighting,
-	getPreviousTermStarts, getScarceSubjects, mutateConfirmedLoans, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateTermHistory, mutateUsage, newQuotaLedger,
+	getPreviousTermStarts, getScarceSubjects, mutateConfirmedLoans, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateAdoptedRate, mutateRateLoan, mutateReturnedRate, mutateTermHistory, mutateUsage, newQuotaLedger,
 } from '@valelead/quota';
 
 type RegistryParts = {
@@ -15,6 +15,8 @@
 	readonly waitingReserveShare?: number;
 	/** True if less is lent while the loans of more than one previous leader may be valid. The terms are known from `start` on. */
 	readonly areTermsCounted?: boolean;
+	/** True if parts of the rates are lent to gateways that ask for them. It must be the same for all voters. */
+	readonly areRatesLent?: boolean;
 	readonly clock: Clock;
 	readonly timers: TimerService;
 };
@@ -29,6 +31,9 @@
 /** Interval at which the loans of silent gateways are ended, in milliseconds: well below the lifetime of a loan. */
 const LOSS_CHECK_MS = 250;
 
+/** Term of the first leader of an installation. */
+const FIRST_TERM = 1;
+
 /** Lends gateways parts of the teams' quotas. Runs on the leader. */
 export class QuotaRegistry {
 	readonly #parts: RegistryParts;
@@ -62,8 +67,13 @@
 		const loans: Loan[] = [];
 		for (const usage of usages) {
 			mutateUsage(state.ledger, sessionId, usage, now);
+			mutateAdoptedRate(state.ledger, sessionId, usage, now);
+			mutateReturnedRate(state.ledger, sessionId, usage, now);
 			const loan = mutateLoan(state.ledger, sessionId, usage, now);
-			loans.push(...(loan ? [loan] : []));
+			const rate = mutateRateLoan(state.ledger, sessionId, usage, now);
+			if (loan ?? rate) {
+				loans.push({...(loan ?? {subject: usage.subject, amount: 0, waitMs: 0}), ...(rate && {rate})});
+			}
 		}
 
 		return loans.length > 0 ? loans : undefined;
@@ -81,7 +91,7 @@
 
 		const now = this.#parts.clock.now();
 		mutateConfirmedLoans(state.ledger, sessionId, now);
-		return create(QuotaGrantSchema, {term: state.term, loans: [...loans], scarceSubjects: getScarceSubjects(state.ledger, now)});
+		return create(QuotaGrantSchema, {term: state.term, loans: [...loans], scarceSubjects: getScarceSubjects(state.ledger, now), areRatesConfirmed: state.ledger.areRatesLent});
 	}
 
 	/** Remaining quota of each team, and the amount currently lent to gateways. */
@@ -102,7 +112,7 @@
 	 * term can no longer confirm them.
 	 */
 	#getState(): TermLedger | undefined {
-		const {voter: {node}, tolerance, waitingReserveShare, areTermsCounted, clock, getQuotas} = this.#parts;
+		const {voter: {node}, tolerance, waitingReserveShare, areTermsCounted, areRatesLent, clock, getQuotas} = this.#parts;
 		if (!node?.isCurrentLeader) {
 			return undefined;
 		}
@@ -112,7 +122,7 @@
 		if (this.#state?.term !== node.term) {
 			this.#state = {
 				term: node.term, ledger: newQuotaLedger(tolerance, now, {
-					waitingReserveShare, previousStarts: areTermsCounted ? getPreviousTermStarts(this.#terms) : [],
+					waitingReserveShare, areRatesLent, isFirstTerm: node.term === FIRST_TERM, previousStarts: areTermsCounted ? getPreviousTermStarts(this.#terms) : [],
 				}), quotas: undefined,
 			};
 		}
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -89,6 +89,7 @@
 		tolerance: {windowMs: settings.quotaWindowSeconds * MS_PER_SECOND, overshoot: settings.quotaOvershoot, slack: settings.quotaSlack},
 		waitingReserveShare: SMALL_WAITING_RESERVE_SHARE,
 		areTermsCounted: true,
+		areRatesLent: settings.quotaRateLoans,
 		clock: SYSTEM_CLOCK,
 		timers,
 	});
--- a/apps/valelead-daemon/src/follower/quota-exchange.ts
+++ b/apps/valelead-daemon/src/follower/quota-exchange.ts
@@ -7,6 +7,8 @@
 	readonly loans: readonly Loan[];
 	/** Subjects for which a process keeps no stock, because their quota is scarce. */
 	readonly scarceSubjects: readonly string[];
+	/** True if the update also renews the rate loans. */
+	readonly areRatesConfirmed: boolean;
 	/** When the process made the report to which the update replies, in its own monotonic milliseconds. */
 	readonly reportedAt: number;
 };
--- a/apps/valelead-daemon/src/gateway/quota-gate.ts
+++ b/apps/valelead-daemon/src/gateway/quota-gate.ts
@@ -2,7 +2,7 @@
 	type Clock, type ResultCodeValue, type SuspensionWatch, type TimerService, OUTCOME, type OutcomeValue, RESULT_CODE,
 } from '@valelead/common';
 import {
-	type Loan, type QuotaStock, type Reservation, type SubjectUsage, LARGE_STOCK_POLICY, LOAN_MS, mutateGrantedLoans, mutateDemand, mutateReservedUnits, mutateNewSession, mutateSettledReservation,
+	type Loan, type QuotaStock, type Reservation, type SubjectUsage, LARGE_STOCK_POLICY, LOAN_MS, RATE_LOAN_MS, mutateGrantedLoans, mutateDemand, mutateReservedUnits, mutateNewSession, mutateSettledReservation,
 	mutateSubjectReport, newQuotaStock,
 } from '@valelead/quota';
 import type {RouteTable} from '@valelead/routing';
@@ -155,7 +155,9 @@
 	}
 
 	/** Applies the leader's loans. Loans requested before a suspension of this process are ignored, as the length of the suspension is unknown. */
-	handleUpdate({term, loans, scarceSubjects, reportedAt}: Parameters<QuotaExchange['handleUpdate']>[0]): void {
+	handleUpdate({
+		term, loans, scarceSubjects, areRatesConfirmed, reportedAt,
+	}: Parameters<QuotaExchange['handleUpdate']>[0]): void {
 		const {suspensions} = this.#parts;
 		this.#answeredAt = this.#parts.clock.now();
 		if (suspensions.resumedAt >= reportedAt) {
@@ -164,6 +166,7 @@
 
 		mutateGrantedLoans(this.#stock, {
 			term, loans, scarceSubjects, validUntil: reportedAt + suspensions.lostMs + LOAN_MS,
+			...(areRatesConfirmed && {ratesValidUntil: reportedAt + suspensions.lostMs + RATE_LOAN_MS}),
 		}, this.#now);
 		if (term !== this.#term) {
 			this.#term = term;
--- a/apps/valelead-daemon/tests/quota-fleet.ts
+++ b/apps/valelead-daemon/tests/quota-fleet.ts
@@ -186,7 +186,7 @@
 		const quotas = new Map(this.teams.map(({name, quota}) => [name, quota]));
 		const registry = new QuotaRegistry({
 			voter: {node: {term: this.#term, isCurrentLeader: true}}, getQuotas: () => quotas,
-			tolerance: FLEET_TOLERANCE, waitingReserveShare: SMALL_WAITING_RESERVE_SHARE, areTermsCounted: true, clock: this.#clock,
+			tolerance: FLEET_TOLERANCE, waitingReserveShare: SMALL_WAITING_RESERVE_SHARE, areTermsCounted: true, areRatesLent: true, clock: this.#clock,
 			timers: newVirtualTimers(this.#time),
 		});
 		registry.start();
--- a/packages/quota/src/is-scarce.ts
+++ b/packages/quota/src/is-scarce.ts
@@ -1,4 +1,4 @@
-import {getBucketCapacity} from './get-bucket-capacity.js';
+import {getUnlentCapacity} from './get-unlent-capacity.js';
 import {getUncappedLevel} from './get-uncapped-level.js';
 import type {QuotaLedger} from './quota-ledger.js';
 import type {SubjectAccount} from './subject-account.js';
@@ -11,4 +11,4 @@
  * requests.
  */
 export const isScarce = (ledger: QuotaLedger, account: SubjectAccount, now: number): boolean =>
-	getUncappedLevel(account, now) < getBucketCapacity(ledger.tolerance, account.quota) * SCARCE_LEVEL_SHARE;
+	getUncappedLevel(account, now) < getUnlentCapacity(ledger, account, now) * SCARCE_LEVEL_SHARE;
--- a/packages/quota/src/mutate-loan.ts
+++ b/packages/quota/src/mutate-loan.ts
@@ -1,4 +1,8 @@
+import {getBucketCapacity} from './get-bucket-capacity.js';
+import {getUnlentCapacity} from './get-unlent-capacity.js';
 import {getCurrentBucketCapacity} from './get-current-bucket-capacity.js';
+import {getLendableRate} from './get-lendable-rate.js';
+import {getWithheldRate} from './get-withheld-rate.js';
 import {MAX_LENT_SHARE} from './max-lent-share.js';
 import {isScarce} from './is-scarce.js';
 import {mutateBucketLevel} from './mutate-bucket-level.js';
@@ -31,16 +35,33 @@
 /** Returns the units to lend for future requests. Units of whole requests are rounded down, as a part of a request is of no use. */
 const getLendableUnits = ({unit}: Quota, amount: number): number => unit === QUOTA_UNIT.Request ? Math.floor(amount) : amount;
 
+/**
+ * Returns the units that are reserved for waiting requests: a share of the whole capacity if a part of it is lent as rates, because the size of
+ * requests does not depend on it.
+ */
+const getWaitingReserve = (ledger: QuotaLedger, account: SubjectAccount, now: number): number => {
+	const capacity = getCurrentBucketCapacity(ledger, account, now);
+	const unlent = getUnlentCapacity(ledger, account, now);
+	return unlent === 0 ? 0 : ledger.waitingReserveShare * capacity * getBucketCapacity(ledger.tolerance, account.quota) / unlent;
+};
+
+/** Returns the capacity that rate loans of this subject may still take, if any borrower uses them; loans for future requests leave it free. */
+const getRateReserve = (ledger: QuotaLedger, account: SubjectAccount, subject: string, now: number): number => {
+	const isUsed = [...ledger.rateBorrowers.values()].some(({rates}) => rates.has(subject));
+	const {capacity} = getLendableRate(ledger.tolerance, account.quota);
+	return isUsed ? Math.max(0, capacity - account.lentRate.capacity - getWithheldRate(ledger, account, now).capacity) : 0;
+};
+
 const getLoan = (ledger: QuotaLedger, account: SubjectAccount, {subject, wanted, needs}: SubjectUsage, now: number): Loan => {
 	const {quota, level, lent} = account;
-	const capacity = getCurrentBucketCapacity(ledger, quota, now);
+	const capacity = getCurrentBucketCapacity(ledger, account, now);
 	const free = Math.max(0, Math.min(level, capacity * MAX_LENT_SHARE) - lent);
 	const {amount, missing} = getServedNeeds(needs, free);
 	if (missing !== undefined) {
 		return {subject, amount, waitMs: Math.ceil((amount + missing - free) * MS_PER_SECOND / quota.perSecond)};
 	}
 
-	const surplus = isScarce(ledger, account, now) ? 0 : Math.max(0, free - amount - (capacity * ledger.waitingReserveShare));
+	const surplus = isScarce(ledger, account, now) ? 0 : Math.max(0, free - amount - getWaitingReserve(ledger, account, now) - (getRateReserve(ledger, account, subject, now) * MAX_LENT_SHARE));
 	return {subject, amount: amount + getLendableUnits(quota, Math.min(wanted, surplus)), waitMs: 0};
 };
 
--- a/packages/quota/src/mutate-new-session.ts
+++ b/packages/quota/src/mutate-new-session.ts
@@ -1,3 +1,4 @@
+import {newSessionRates} from './new-session-rates.js';
 import {newSessionStock} from './new-session-stock.js';
 import type {QuotaStock} from './quota-stock.js';
 
@@ -10,5 +11,10 @@
 		stock.previous = stock.current;
 	}
 
+	if (stock.rates.subjects.size > 0) {
+		stock.earlierRates = [...stock.earlierRates, stock.rates];
+	}
+
+	stock.rates = newSessionRates(term);
 	stock.current = newSessionStock(term);
 };
--- a/packages/quota/src/mutate-subject-report.ts
+++ b/packages/quota/src/mutate-subject-report.ts
@@ -1,5 +1,6 @@
 import {getSubjectStock} from './get-subject-stock.js';
 import {getTargetStock} from './get-target-stock.js';
+import {mutateRateReport} from './mutate-rate-report.js';
 import type {QuotaStock} from './quota-stock.js';
 import type {SubjectUsage} from './subject-usage.js';
 
@@ -19,12 +20,13 @@
 	const wanted = free < target * stock.policy.refillBelowShare ? target - free : 0;
 	subjectStock.used = 0;
 	subjectStock.returned = 0;
-	const hasChanges = used > 0 || returned > 0 || wanted > 0 || needs.length > 0;
+	const rate = mutateRateReport(stock, subject, now);
+	const hasChanges = used > 0 || returned > 0 || wanted > 0 || needs.length > 0 || rate !== undefined;
 	if (!hasChanges) {
 		return undefined;
 	}
 
 	return {
-		subject, used, returned, wanted, needs,
+		subject, used, returned, wanted, needs, ...(rate && {rate}),
 	};
 };
--- a/packages/quota/src/quota-ledger.ts
+++ b/packages/quota/src/quota-ledger.ts
@@ -1,4 +1,5 @@
 import type {Borrower} from './borrower.js';
+import type {RateBorrower} from './rate-borrower.js';
 import type {QuotaTolerance} from './quota-tolerance.js';
 import type {SubjectAccount} from './subject-account.js';
 
@@ -15,8 +16,14 @@
 	readonly startedAt: number;
 	/** When the terms of previous leaders began whose loans may still be valid, in monotonic milliseconds. */
 	readonly previousStarts: readonly number[];
+	/** True if parts of the rates are lent too. It must be the same for all voters. */
+	readonly areRatesLent: boolean;
+	/** True if no other leader can have lent rates, because this is the first term of the installation. */
+	readonly isFirstTerm: boolean;
 	/** Accounts by subject. */
 	readonly accounts: Map<string, SubjectAccount>;
 	/** Borrowers by session id. */
 	readonly borrowers: Map<string, Borrower>;
+	/** Borrowers of rates by session id. */
+	readonly rateBorrowers: Map<string, RateBorrower>;
 };
--- a/packages/quota/src/stock-policy.ts
+++ b/packages/quota/src/stock-policy.ts
@@ -6,4 +6,6 @@
 	readonly minRequests: number;
 	/** The process borrows more units once its stock is below this share of the target. */
 	readonly refillBelowShare: number;
+	/** True if the process borrows parts of the rates. */
+	readonly areRatesBorrowed: boolean;
 };
--- a/packages/quota/src/subject-usage.ts
+++ b/packages/quota/src/subject-usage.ts
@@ -1,3 +1,5 @@
+import type {RateUsage} from './rate-usage.js';
+
 /** Report of a process on one subject since its previous report. */
 export type SubjectUsage = {
 	readonly subject: string;
@@ -9,4 +11,6 @@
 	readonly wanted: number;
 	/** Cost in units of each request that waits for units, in the order in which they are served. */
 	readonly needs: readonly number[];
+	/** Present if the process wants a part of the subject's rate. */
+	readonly rate?: RateUsage | undefined;
 };
--- a/packages/quota/tests/quota-model.ts
+++ b/packages/quota/tests/quota-model.ts
@@ -1,8 +1,8 @@
 import {
 	type Loan, type Quota, type QuotaLedger, type QuotaStock, type QuotaTolerance, type Reservation, type StockPolicy, type SubjectUsage, type TermSighting,
-	LOAN_MS, SMALL_WAITING_RESERVE_SHARE,
+	LOAN_MS, RATE_LOAN_MS, SMALL_WAITING_RESERVE_SHARE,
 	getPreviousTermStarts, getScarceSubjects,
-	mutateGrantedLoans, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateReservedUnits, mutateNewSession, mutateSettledReservation,
+	mutateGrantedLoans, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateAdoptedRate, mutateRateLoan, mutateReturnedRate, mutateReservedUnits, mutateNewSession, mutateSettledReservation,
 	mutateSubjectReport, mutateTermHistory, mutateUsage, newQuotaLedger, newQuotaStock,
 } from '@valelead/quota';
 
@@ -15,6 +15,8 @@
 	/** Reservations of requests in progress, oldest first. */
 	readonly reservations: HeldReservation[];
 	needs: number[];
+	/** The gateway does nothing before this time, and then ignores what was sent to it before. */
+	suspendedUntil: number;
 };
 
 /** A reservation of a request in progress, and the use that it is counted as. */
@@ -40,14 +42,19 @@
 	readonly gateways: ModelGateway[];
 	/** Number of reports that reached a leader. */
 	reportCount = 0;
+	/** The largest share of the quota's rate that a leader has lent. */
+	maxLentRateShare = 0;
 	readonly #tolerance: QuotaTolerance;
 	readonly #policy: StockPolicy | undefined;
 	readonly #terms: TermSighting[] = [{term: 0, at: Number.NEGATIVE_INFINITY}];
 	#ledger: QuotaLedger;
 	#term = 1;
 
-	/** @param policy - Stocks of the gateways; undefined for the default ones, and a leader that keeps the default reserve for waiting requests. */
-	constructor(count: number, public quota: Quota, tolerance: QuotaTolerance, policy?: StockPolicy) {
+	/**
+	 * @param policy - Stocks of the gateways; undefined for the default ones, and a leader that keeps the default reserve for waiting requests.
+	 * @param areRatesLent - True if leaders lend parts of the rate.
+	 */
+	constructor(count: number, public quota: Quota, tolerance: QuotaTolerance, policy?: StockPolicy, private readonly areRatesLent = false) {
 		this.#policy = policy;
 		this.#tolerance = tolerance;
 		this.gateways = Array.from({length: count}, () => this.#newGateway());
@@ -64,6 +71,13 @@
 		mutateExpiredLoans(this.#ledger, this.now);
 	}
 
+	/** Suspends a gateway; a response that has not arrived is ignored when it resumes. */
+	suspend(index: number, ms: number): void {
+		const gateway = this.gateways[index];
+		gateway.suspendedUntil = this.now + ms;
+		gateway.pending = undefined;
+	}
+
 	setQuota(quota: Quota): void {
 		this.quota = quota;
 		mutateQuotas(this.#ledger, new Map([[TEAM, quota]]), this.now);
@@ -72,6 +86,10 @@
 	/** Reserves units for a request at a gateway; returns false if the gateway does not have enough. */
 	serve(index: number, cost: number): boolean {
 		const gateway = this.gateways[index];
+		if (this.#isSuspended(gateway)) {
+			return false;
+		}
+
 		const reservation = mutateReservedUnits(gateway.stock, TEAM, cost, this.now);
 		if (!reservation) {
 			return false;
@@ -96,6 +114,10 @@
 	/** Sends a report to the leader; the response stays pending until it is delivered. */
 	report(index: number, needs: readonly number[] = []): void {
 		const gateway = this.gateways[index];
+		if (this.#isSuspended(gateway)) {
+			return;
+		}
+
 		const usage = this.#takeUsage(gateway, needs);
 		this.reportCount += 1;
 		const id = `${index}#${gateway.session}`;
@@ -115,7 +137,7 @@
 			return undefined;
 		}
 
-		mutateGrantedLoans(gateway.stock, {...pending, validUntil: pending.reportedAt + LOAN_MS}, this.now);
+		mutateGrantedLoans(gateway.stock, {...pending, validUntil: pending.reportedAt + LOAN_MS, ...(this.areRatesLent && {ratesValidUntil: pending.reportedAt + RATE_LOAN_MS})}, this.now);
 		return pending.loans[0];
 	}
 
@@ -163,19 +185,28 @@
 		return Math.max(0, ...uses.map(first => uses.reduce((sum, {at, cost}) => sum + (at >= first.at && at < first.at + spanMs ? cost : 0), 0)));
 	}
 
+	#isSuspended({suspendedUntil}: ModelGateway): boolean {
+		return this.now < suspendedUntil;
+	}
+
 	#takeUsage(gateway: ModelGateway, needs: readonly number[]): SubjectUsage | undefined {
 		return mutateSubjectReport(gateway.stock, TEAM, needs, this.now);
 	}
 
 	#lend(id: string, usage: SubjectUsage): Loan | undefined {
 		mutateUsage(this.#ledger, id, usage, this.now);
-		return mutateLoan(this.#ledger, id, usage, this.now);
+		mutateAdoptedRate(this.#ledger, id, usage, this.now);
+		mutateReturnedRate(this.#ledger, id, usage, this.now);
+		const loan = mutateLoan(this.#ledger, id, usage, this.now);
+		const rate = mutateRateLoan(this.#ledger, id, usage, this.now);
+		this.maxLentRateShare = Math.max(this.maxLentRateShare, (this.#ledger.accounts.get(TEAM)?.lentRate.perSecond ?? 0) / this.quota.perSecond);
+		return loan ?? rate ? {...(loan ?? {subject: TEAM, amount: 0, waitMs: 0}), ...(rate && {rate})} : undefined;
 	}
 
 	#newLedger(): QuotaLedger {
 		mutateTermHistory(this.#terms, this.#term, this.now);
 		const ledger = newQuotaLedger(this.#tolerance, this.now, {
-			previousStarts: getPreviousTermStarts(this.#terms), ...(this.#policy && {waitingReserveShare: SMALL_WAITING_RESERVE_SHARE}),
+			previousStarts: getPreviousTermStarts(this.#terms), areRatesLent: this.areRatesLent, ...(this.#policy && {waitingReserveShare: SMALL_WAITING_RESERVE_SHARE}),
 		});
 		mutateQuotas(ledger, new Map([[TEAM, this.quota]]), this.now);
 		return ledger;
@@ -183,7 +214,7 @@
 
 	#newGateway(): ModelGateway {
 		return {
-			stock: newQuotaStock(this.#policy), session: 1, pending: undefined, reservations: [], needs: [],
+			stock: newQuotaStock(this.#policy), session: 1, pending: undefined, reservations: [], needs: [], suspendedUntil: Number.NEGATIVE_INFINITY,
 		};
 	}
 }
--- a/packages/quota/tests/quota.feature
+++ b/packages/quota/tests/quota.feature
@@ -71,6 +71,27 @@
       | large  | 400  |
       | small  | 200  |
 
+  # Guards against rates that two leaders lend at the same time, and against accumulated units that a suspended or restarted gateway uses again.
+  Scenario: Random histories with rate loans, several leaders, suspended gateways and restarts
+    Then in 300 random histories with rate loans the usage in each window is within the quota and its tolerance
+
+  # Guards against a new leader that lends what gateways still accumulate from rate loans of an earlier one.
+  Scenario Outline: <leaders> leaders that follow each other every <gap> ms while gateways use everything that they hold
+    Then while <leaders> further leaders follow, one every <gap> ms, 3 gateways with rate loans use no more than the quota and its tolerance
+
+    Examples:
+      | leaders | gap   |
+      | 0       | 8000  |
+      | 1       | 1000  |
+      | 3       | 1000  |
+      | 2       | 4500  |
+      | 2       | 11000 |
+
+  # Guards against rate loans that nobody uses any more and that are lost for the other gateways.
+  Scenario: The rate of a gateway that is cut off is lent again
+    When 4 gateways with rate loans have little demand for 20000 ms, and then one of them is cut off
+    Then the leader again lends the whole lendable rate to the other 3 within 13000 ms
+
   Scenario Outline: <leaders> leaders that follow each other within the lifetime of a loan
     Then <leaders> further leaders, one every <gap> ms, lend no more than the quota and its tolerance together
 
--- a/packages/quota/tests/quota.steps.ts
+++ b/packages/quota/tests/quota.steps.ts
@@ -5,6 +5,7 @@
 import {QuotaModel} from './quota-model.js';
 import {FAULTY_MODEL_STEP} from './faulty-model-step.js';
 import {MODEL_STEP} from './model-step.js';
+import {RATE_MODEL_STEP} from './rate-model-step.js';
 import {replayHistory} from './replay-history.js';
 import {simulateTraffic} from './simulate-traffic.js';
 import {
@@ -208,6 +209,91 @@
 	assert.ok(used <= getMaxInWindow(quota, tolerance) + ROUNDING, `${used}`);
 });
 
+Then('in {int} random histories with rate loans the usage in each window is within the quota and its tolerance', {timeout: 60_000}, function (this: QuotaWorld, runs: number) {
+	const {quota, tolerance} = this;
+	const most = getMaxInWindow(quota, tolerance);
+	let withRates = 0;
+	fc.assert(fc.property(fc.array(RATE_MODEL_STEP, {minLength: 2 * HISTORY_STEPS, maxLength: 3 * HISTORY_STEPS, size: 'max'}), steps => {
+		const model = new QuotaModel(4, quota, tolerance, LARGE_STOCK_POLICY, true);
+		model.advance(TRAFFIC_MS);
+		replayHistory(model, steps);
+		withRates += model.maxLentRateShare > 0 ? 1 : 0;
+		assert.ok(model.getMaxUsed(tolerance.windowMs) <= most + ROUNDING);
+	}), {numRuns: runs, seed: SEED});
+	assert.ok(withRates >= runs / 2, `${withRates}`);
+});
+
+/** Sizes in which a gateway uses all that it holds. */
+const SPENT_COSTS = [100, 20, 5, 1];
+
+/** All gateways request and use everything that they can get. */
+const useAll = (model: QuotaModel, indexes: readonly number[], durationMs: number): void => {
+	const endsAt = model.now + durationMs;
+	while (model.now < endsAt) {
+		for (const index of indexes) {
+			model.recordDemand(index, 20);
+			model.exchange(index, Array.from({length: 20}, () => 1));
+			for (const cost of SPENT_COSTS) {
+				while (model.serve(index, cost)) {
+					model.settle(index, true);
+				}
+			}
+		}
+
+		model.advance(BORROW_INTERVAL_MS);
+	}
+};
+
+/** Reports of gateways with little demand, which fill their stocks and rate loans. */
+const reportAll = (model: QuotaModel, indexes: readonly number[], durationMs: number): void => {
+	const endsAt = model.now + durationMs;
+	while (model.now < endsAt) {
+		for (const index of indexes) {
+			model.recordDemand(index, 20);
+			model.exchange(index);
+		}
+
+		model.advance(BORROW_INTERVAL_MS);
+	}
+};
+
+Then('while {int} further leaders follow, one every {int} ms, {int} gateways with rate loans use no more than the quota and its tolerance', {timeout: 60_000}, function (
+	this: QuotaWorld,
+	leaders: number,
+	gapMs: number,
+	gateways: number,
+) {
+	const {quota, tolerance} = this;
+	const indexes = Array.from({length: gateways}, (_, index) => index);
+	const model = new QuotaModel(gateways, quota, tolerance, LARGE_STOCK_POLICY, true);
+	model.advance(TRAFFIC_MS);
+	reportAll(model, indexes, TRAFFIC_MS);
+	assert.ok(model.maxLentRateShare > 0.84, `${model.maxLentRateShare}`);
+	for (let leader = 0; leader < leaders; leader += 1) {
+		model.changeLeader(false);
+		useAll(model, indexes, gapMs);
+	}
+
+	useAll(model, indexes, tolerance.windowMs);
+	const used = model.getMaxUsed(tolerance.windowMs);
+	const most = getMaxInWindow(quota, tolerance);
+	assert.ok(used <= most + ROUNDING && used >= quota.perSecond * tolerance.windowMs / MS_PER_SECOND, `${used} of ${most}`);
+});
+
+When('{int} gateways with rate loans have little demand for {int} ms, and then one of them is cut off', function (this: QuotaWorld, gateways: number, durationMs: number) {
+	this.model = new QuotaModel(gateways, this.quota, this.tolerance, LARGE_STOCK_POLICY, true);
+	this.model.advance(TRAFFIC_MS);
+	reportAll(this.model, Array.from({length: gateways}, (_, index) => index), durationMs);
+});
+
+Then('the leader again lends the whole lendable rate to the other {int} within {int} ms', function (this: QuotaWorld, gateways: number, durationMs: number) {
+	const {model, quota} = this;
+	reportAll(model, Array.from({length: gateways}, (_, index) => index), durationMs);
+	const held = model.gateways.slice(0, gateways).map(({stock}) => stock.rates.subjects.get(TEAM)?.held.perSecond ?? 0);
+	const share = held.reduce((sum, perSecond) => sum + perSecond, 0) / quota.perSecond;
+	assert.ok(Math.abs(share - 0.85) < 0.01, `${held.join(', ')}`);
+});
+
 const simulateSmallTeam = (world: QuotaWorld, options: {readonly share: number; readonly gateways: number; readonly batchSize: number; readonly leaderlessMs: number}): void => {
 	const {share, gateways, batchSize, leaderlessMs} = options;
 	world.models = Array.from({length: TRAFFIC_RUNS}, () => new QuotaModel(gateways, SMALL_QUOTA, SMALL_TOLERANCE));
--- a/packages/quota/tests/replay-history.ts
+++ b/packages/quota/tests/replay-history.ts
@@ -1,9 +1,9 @@
 import {assertNever} from '@valelead/common';
 import type * as fc from 'fast-check';
 import type {QuotaModel} from './quota-model.js';
-import type {FAULTY_MODEL_STEP} from './faulty-model-step.js';
+import type {RATE_MODEL_STEP} from './rate-model-step.js';
 
-type Step = typeof FAULTY_MODEL_STEP extends fc.Arbitrary<infer Value> ? Value : never;
+type Step = typeof RATE_MODEL_STEP extends fc.Arbitrary<infer Value> ? Value : never;
 
 const applyStep = (model: QuotaModel, step: Step): void => {
 	switch (step.kind) {
@@ -13,6 +13,10 @@
 		}
 
 		case 'ask': {
+			for (const cost of step.costs) {
+				model.recordDemand(step.index, cost);
+			}
+
 			const missing = step.costs.filter(cost => !model.serve(step.index, cost));
 			model.exchange(step.index, missing);
 			for (const cost of missing) {
@@ -60,6 +64,11 @@
 			break;
 		}
 
+		case 'suspend': {
+			model.suspend(step.index, step.ms);
+			break;
+		}
+
 		case 'lead': {
 			model.changeLeader();
 			break;
