Order waiting requests by what their teams received at all gateways

A team's virtual time counted only what one gateway had dispatched, so a team that floods all gateways got a share at each of them.

Gateways report to the leader, with the reports that they send anyway, what they have dispatched of each team, and add what the leader returns of the other gateways to the virtual times. A team comes to lie ahead of a gateway's virtual time by at most what the others dispatched of it within a second.

--- a/apps/valelead-daemon/src/control/follower-session.ts
+++ b/apps/valelead-daemon/src/control/follower-session.ts
@@ -1,6 +1,7 @@
 import type {ServerDuplexStream} from '@grpc/grpc-js';
 import type {FollowerReport, SessionReport, SessionUpdate} from '@valelead/protocol';
 import type {Progress} from './progress.js';
+import type {SentTotals} from './sent-totals.js';
 
 /** The session of a gateway or sidecar that is connected to this voter. Times are monotonic milliseconds of this process unless stated otherwise. */
 export type FollowerSession = {
@@ -31,6 +32,8 @@
 	crashesObeyedUntil: number;
 	/** Version of the upstream rate limits that was last sent to the follower; 0 before the first. */
 	limitsVersion: number;
+	/** The totals of teams' dispatches that were sent to the follower. */
+	readonly teamTotals: SentTotals;
 	/** The state that the follower has applied, by its last report. */
 	confirmed: Progress;
 	/** Crash reports that arrived while this voter was not the leader, kept until it is. */
--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -23,6 +23,7 @@
 import type {QuotaRegistry} from './quota-registry.js';
 import type {QuarantineRegistry} from './quarantine-registry.js';
 import type {RoutingRollout} from './routing-rollout.js';
+import {TeamRegistry} from './team-registry.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 import type {Voter} from './voter.js';
 
@@ -94,6 +95,7 @@
 	readonly #clock: Clock;
 	readonly #gatewayRegistry: GatewayRegistry;
 	readonly #initialRetryShares: InitialRetryShares;
+	readonly #teams: TeamRegistry;
 	readonly #sessions = new Map<FollowerSession['stream'], FollowerSession>();
 	readonly #confirmations: ConfirmationQueue;
 	readonly #pushes: Coalescer;
@@ -120,6 +122,7 @@
 			},
 			getGatewayCount: () => this.#gatewayRegistry.count,
 		});
+		this.#teams = new TeamRegistry({getTerm: () => voter.node?.term ?? 0});
 		this.#directoryUpdates = new DirectoryUpdates({registry, timers});
 		this.#quarantineRollout = new QuarantineRollout({
 			clock,
@@ -176,6 +179,7 @@
 			crashesKnownUntil: 0,
 			crashesObeyedUntil: 0,
 			limitsVersion: 0,
+			teamTotals: {term: -1, counts: new Map()},
 			confirmed: getProgress(report),
 			unprocessedReports: [],
 		};
@@ -270,6 +274,7 @@
 		if (session.role === GATEWAY_ROLE) {
 			this.#gatewayLeases.noteReport(session);
 			this.#initialRetryShares.noteReport(session, report);
+			this.#teams.note(session.vm, report.teamDispatches);
 		}
 
 		this.#processCrashes(session, report);
@@ -384,7 +389,11 @@
 			isReportWanted: hasNewRouting || this.#confirmations.isWaiting || quarantine.quarantine !== undefined,
 			leases: this.#newLeases(session),
 			isRoutingConfirmed: isNewest && this.#voter.node!.canRead,
-			...(session.role === GATEWAY_ROLE && {quotaGrant: this.#quotas.newGrant(session.id, loans), limitGrant: this.#limits.newGrant(session.id, sends)}),
+			...(session.role === GATEWAY_ROLE && {
+				quotaGrant: this.#quotas.newGrant(session.id, loans),
+				limitGrant: this.#limits.newGrant(session.id, sends),
+				teamTotals: this.#teams.newTotals(session.vm, session.teamTotals),
+			}),
 			...this.#newLimits(session),
 			...quarantine,
 			crashesKnownUntil: session.crashesKnownUntil,
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -33,6 +33,7 @@
 import type {LimitExchange} from './limit-exchange.js';
 import type {OrderLeaseExchange} from './order-lease-exchange.js';
 import type {QuotaExchange} from './quota-exchange.js';
+import type {TeamExchange} from './team-exchange.js';
 
 type FollowerParts = {
 	readonly settings: FollowerSettings;
@@ -48,6 +49,8 @@
 	readonly crashes?: CrashExchange;
 	readonly quotas?: QuotaExchange;
 	readonly limits?: LimitExchange;
+	/** Undefined in processes that dispatch no requests of teams, or if gateways count their own dispatches only. */
+	readonly teams?: TeamExchange;
 	/** Called when the leader has confirmed that the routing was the newest at the time of a report of this process. */
 	readonly onConfirmed?: (askedAt: number) => void;
 	/** Called with the addresses of all voters, with each update of the leader. */
@@ -165,6 +168,7 @@
 			quarantineVersion: crashReport?.quarantineVersion ?? 0,
 			gatewayCount: this.#gateways.value,
 			quotaUsages: this.#parts.quotas?.getReport(isFirst).map(usage => encodeQuotaUsage(usage)) ?? [],
+			teamDispatches: this.#parts.teams?.getReport(sentAt, isFirst) ?? [],
 			...(limitReport && encodeLimitReport(limitReport, sentAt)),
 		});
 		return create(SessionReportSchema, {report: {case: 'follower', value}});
@@ -207,7 +211,7 @@
 		}
 	}
 
-	#handleGrants({isRoutingConfirmed, quotaGrant, upstreamLimits, limitGrant, sentAt}: SessionUpdate): void {
+	#handleGrants({isRoutingConfirmed, quotaGrant, upstreamLimits, limitGrant, teamTotals, sentAt}: SessionUpdate): void {
 		if (isRoutingConfirmed && !this.#isUnreadable) {
 			this.#parts.onConfirmed?.(sentAt);
 		}
@@ -219,6 +223,8 @@
 		if (upstreamLimits ?? limitGrant) {
 			this.#parts.limits?.handleUpdate({limits: upstreamLimits, grant: limitGrant, reportedAt: sentAt});
 		}
+
+		this.#parts.teams?.handleUpdate({totals: teamTotals, reportedAt: sentAt});
 	}
 
 	#applyRouting({version, document}: RoutingRecord): void {
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import {GrpcServer} from '../grpc-server.js';
 import {EngineManagers} from '../leased-engines/engine-managers.js';
 import {Metrics} from '../metrics/metrics.js';
+import {setTeamMetrics} from '../metrics/set-team-metrics.js';
 import type {GatewaySettings} from '../settings/gateway-settings.js';
 import {newResidencyService} from '../sidecar/new-residency-service.js';
 import type {Stoppable} from '../stoppable.js';
@@ -239,6 +240,7 @@
 				this.#metrics.heldResponseBytes.set(this.#held.totalBytes);
 				this.#metrics.limitedUpstreams.set(this.#dispatcher.limitedCount);
 				this.#metrics.quarantinedRequests.set(this.#dispatcher.quarantinedCount);
+				setTeamMetrics(this.#metrics, this.#dispatcher.teamShares.counts);
 			},
 		});
 		logger.info({event: 'started', http: settings.http, startMs: getStartupDurationMs()}, 'gateway started');
@@ -334,6 +336,14 @@
 					this.#dispatcher.limitExchange.handleUpdate(news);
 				},
 			},
+			...(settings.scheduling.teamShares && {
+				teams: {
+					getReport: (sentAt, isFirst) => this.#dispatcher.teamShares.getReport(sentAt, isFirst),
+					handleUpdate: news => {
+						this.#dispatcher.teamShares.handleUpdate(news);
+					},
+				},
+			}),
 			onVoterAddresses: addresses => {
 				this.#origins.setVoterAddresses(addresses);
 			},
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -28,6 +28,7 @@
 import {newOriginRecord} from './new-origin-record.js';
 import {newAttemptFailure} from './new-attempt-failure.js';
 import {newAdmissionRequest} from './new-admission-request.js';
+import {TeamShares} from './team-shares.js';
 import {UpstreamRateLimiter} from './upstream-rate-limiter.js';
 import {UpstreamTable} from './upstream-table.js';
 import type {AttemptFailure} from './attempt-failure.js';
@@ -87,6 +88,8 @@
 
 /** Dispatches the requests of a gateway to upstreams as its admission decides, forwards the responses, and retries or refuses requests. */
 export class RequestDispatcher {
+	/** Exchanges with the leader what is dispatched of each team. */
+	readonly teamShares: TeamShares;
 	readonly #parts: DispatcherParts;
 	readonly #state: AdmissionState = newAdmissionState(MIN_RETRY_AFTER_MS);
 	readonly #requests = new Map<string, GatewayRequest>();
@@ -103,6 +106,7 @@
 
 	constructor(parts: DispatcherParts) {
 		this.#parts = parts;
+		this.teamShares = new TeamShares({...parts, state: this.#state});
 		this.#log = new DispatchLog(parts.logger);
 		this.#stalls = new StallWatch(parts.clock, parts.timers, stalledMs => {
 			this.#log.logStall(stalledMs);
@@ -191,11 +195,7 @@
 
 		this.#requests.set(request.id, request);
 		this.#trackContinuation(request);
-		this.#take({
-			kind: 'arrive',
-			request: newAdmissionRequest(request),
-			limits: LIMITS,
-		});
+		this.#take({kind: 'arrive', request: newAdmissionRequest(request), limits: LIMITS});
 		this.#demand.scheduleReport();
 	}
 
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -22,6 +22,8 @@
 export {encodeQuotaUsage} from './follower/encode-quota-usage.js';
 export {QuotaRegistry} from './control/quota-registry.js';
 export {QuotaGate} from './gateway/quota-gate.js';
+export {TeamRegistry} from './control/team-registry.js';
+export {TeamShares} from './gateway/team-shares.js';
 export {LimitRegistry} from './control/limit-registry.js';
 export {LaneWriter} from './agent/lane-writer.js';
 export {ResponseForwarder} from './gateway/response-forwarder.js';
--- a/apps/valelead-daemon/src/metrics/metrics.ts
+++ b/apps/valelead-daemon/src/metrics/metrics.ts
@@ -52,6 +52,8 @@
 	/** Set by the leader: the quota units that each team may use at once, and the units of them lent to gateways. */
 	readonly quotaLevel: Gauge<'team'>;
 	readonly lentQuota: Gauge<'team'>;
+	/** Dispatches of each team that order its waiting requests: those of this gateway (`own`), and of the others as the leader told (`others`). */
+	readonly teamDispatches: Counter<'team' | 'gateway'>;
 	/** Lookups of the origins of streams that callers resume, by result: `own`, `found` or `unknown`. */
 	readonly streamOriginLookups: Counter<'result'>;
 	/** Number of stream origins that this voter stores. */
@@ -125,6 +127,12 @@
 		this.lentQuota = new Gauge({
 			name: 'valelead_quota_lent', help: 'Units of a team that the leader has lent to gateways.', labelNames: ['team'], registers,
 		});
+		this.teamDispatches = new Counter({
+			name: 'valelead_team_dispatches_total',
+			help: 'Dispatches of a team by which its waiting requests are ordered: of this gateway (own), and of the others (others).',
+			labelNames: ['team', 'gateway'],
+			registers,
+		});
 		this.streamOriginLookups = new Counter({
 			name: 'valelead_stream_origin_lookups_total', help: 'Lookups of where a stream began that a caller resumes, by result.', labelNames: ['result'], registers,
 		});
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -117,6 +117,7 @@
 	promptMemory: newSwitchSchema('Whether requests are refused whose prompt and response exceed the memory of every engine.'),
 	latestStart: newSwitchSchema('Whether waiting requests are ordered by the time at which they must start to meet their latency objective.'),
 	quotaReserve: newSwitchSchema('Whether more of each quota is borrowed, to serve while no leader answers.'),
+	teamShares: newSwitchSchema('Whether waiting requests are ordered by what their teams received at all gateways, in place of this gateway alone.'),
 	loadForecast: newSwitchSchema('Whether loads follow the measured capacity of the weight store and the urgency of requests, and refused callers are told when they can be served.'),
 });
 
--- a/packages/admission/src/get-team-usage.ts
+++ b/packages/admission/src/get-team-usage.ts
@@ -8,7 +8,9 @@
 		return known;
 	}
 
-	const usage: TeamUsage = {waiting: 0, inProgress: 0, virtualTime: state.virtualTime};
+	const usage: TeamUsage = {
+		waiting: 0, inProgress: 0, virtualTime: state.virtualTime, dispatched: 0, recentRemote: [],
+	};
 	state.teams.set(team, usage);
 	return usage;
 };
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -40,6 +40,7 @@
 	usage.inProgress += 1;
 	state.virtualTime = Math.max(state.virtualTime, usage.virtualTime);
 	usage.virtualTime += 1 / record.request.teamWeight;
+	usage.dispatched += 1 / record.request.teamWeight;
 };
 
 const newDispatch = (state: AdmissionState, record: RequestRecord, {vm, lane, isDirect}: BestLane, now: number): AdmissionEffect => {
--- a/packages/admission/tests/order-simulation.ts
+++ b/packages/admission/tests/order-simulation.ts
@@ -1,6 +1,7 @@
 import {OUTCOME, type OutcomeValue, type ResultCodeValue} from '@valelead/common';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import {
 	type AdmissionEffect, type AdmissionEvent, type AdmissionRequest, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
@@ -22,6 +23,8 @@
 	readonly startMs: number;
 	readonly endMs: number;
 	readonly isOrderedByLatestStart: boolean;
+	/** Seed of the arrivals and of the lengths of responses; the same for all simulations if absent. */
+	readonly seed?: number;
 };
 
 type Refusal = {
@@ -58,17 +61,22 @@
 	readonly #options: SimulationOptions;
 	readonly #settings: AdmissionSettings;
 	readonly #state: AdmissionState = newAdmissionState();
-	readonly #random = xoroshiro128plus(SEED);
+	readonly #random: RandomGenerator;
 	readonly #callers = new Map<string, Caller>();
 	#events: Array<{readonly at: number; readonly event: AdmissionEvent}> = [];
 	#now = 0;
 
 	constructor(options: SimulationOptions) {
 		this.#options = options;
+		this.#random = xoroshiro128plus(options.seed ?? SEED);
 		this.#settings = {...SETTINGS, isOrderedByLatestStart: options.isOrderedByLatestStart};
 		this.#take({kind: 'endpoints', endpoints: new Map(MODELS.map(model => [model, [{vm: 'vm', dataCentre: 'dc', concurrencyLimit: options.slots}]]))});
 	}
 
+	get state(): AdmissionState {
+		return this.#state;
+	}
+
 	/** The ids of the requests whose callers have left without an answer or a refusal. */
 	get leftUnanswered(): string[] {
 		return [...this.#callers.values()]
