--- a/apps/valelead-daemon/src/control/team-registry.ts
+++ b/apps/valelead-daemon/src/control/team-registry.ts
@@ -8,6 +8,9 @@
 	readonly getTerm: () => number;
 };
 
+/** Smallest change of a total that is sent, in dispatches: far above the rounding errors of sums of fractions, and below a dispatch of any team. */
+const MIN_CHANGE = 0.001;
+
 /** Sums what the gateways have dispatched of each team. Runs on the leader; begins with zero in each term. */
 export class TeamRegistry {
 	readonly #parts: RegistryParts;
@@ -47,7 +50,7 @@
 		const teams: TeamDispatches[] = [];
 		for (const [team, total] of this.#totals) {
 			const count = total - (own?.get(team) ?? 0);
-			if (count > (sent.counts.get(team) ?? 0)) {
+			if (count - (sent.counts.get(team) ?? 0) > MIN_CHANGE) {
 				sent.counts.set(team, count);
 				teams.push(create(TeamDispatchesSchema, {team, count}));
 			}
--- a/apps/valelead-daemon/tests/team-shares.feature
+++ b/apps/valelead-daemon/tests/team-shares.feature
@@ -38,12 +38,17 @@
     And 200 requests of the small team and then 1 of the large team arrive at the gateway
     Then the request of the large team is among the first 52 that are dispatched
 
-  # Guards against a late report that stops a team.
-  Scenario: A late update counts as the dispatches of one second
+  # Guards against a late report that stops a team, also at a gateway that was suspended.
+  Scenario Outline: A late update counts as the dispatches of one second
     Given a gateway without requests
-    When an update after 8 s tells of 400 dispatches of the large team by other gateways
+    When an update after <passed> ms and a suspension of <suspended> ms tells of 400 dispatches of the large team by other gateways
     Then the large team is ahead by at most 50
 
+    Examples:
+      | passed | suspended |
+      | 8000   | 0         |
+      | 300    | 7700      |
+
   # Guards against an endless order of what a process of an older leader's term has counted.
   Scenario: A restarted gateway counts nothing that was dispatched before its start
     Given a gateway without requests
@@ -63,3 +68,9 @@
     Given a gateway without teams that has dispatched 3 requests
     When it reports in a session whose leader does not answer, and then in a new one
     Then the last report tells of nothing
+
+  # Guards against an order that nobody can explain afterwards, and against log lines that grow with the number of updates.
+  Scenario: The gateway logs at most once a second by what several waiting teams are ordered
+    Given a gateway without requests
+    When 200 requests of the small team and then 200 of the large team arrive, and updates tell each 100 ms for 2950 ms of 5 dispatches of the large team
+    Then 3 log lines "team-shares" name both teams, with the large team ahead from the second on
--- a/apps/valelead-daemon/tests/team-shares.steps.ts
+++ b/apps/valelead-daemon/tests/team-shares.steps.ts
@@ -9,6 +9,11 @@
 
 type FleetOptions = ConstructorParameters<typeof TeamFleet>[0];
 
+type LogLine = {
+	readonly event: string;
+	readonly teams: ReadonlyArray<{readonly team: string; readonly ahead: number; readonly others: number}>;
+};
+
 type SharesWorld = {
 	options: FleetOptions;
 	fleet: TeamFleet;
@@ -17,7 +22,10 @@
 	simulation: OrderSimulation;
 	shares: TeamShares;
 	now: number;
+	/** Time that the gateway's clock missed in suspensions, in milliseconds. */
+	lostMs: number;
 	lastReport: TeamDispatches[];
+	logged: LogLine[];
 };
 
 const MS_PER_SECOND = 1000;
@@ -43,12 +51,22 @@
 	});
 	const table: Readonly<Record<string, unknown>> = {teams: new Map(teams.map(team => [team, {}]))};
 	world.now = 0;
+	world.lostMs = 0;
+	world.logged = [];
 	world.shares = new TeamShares({
 		state: world.simulation.state,
 		getTable: () => table as never,
 		clock: {now: () => world.now, wallNow: () => world.now},
-		suspensions: {lostMs: 0},
-		logger: pino({level: 'silent'}),
+		suspensions: {
+			get lostMs() {
+				return world.lostMs;
+			},
+		},
+		logger: pino({}, {
+			write(line) {
+				world.logged.push(JSON.parse(line) as LogLine);
+			},
+		}),
 	});
 };
 
@@ -128,9 +146,15 @@
 	this.simulation.run((small + large) * 50);
 });
 
-When('an update after {int} s tells of {int} dispatches of the large team by other gateways', function (this: SharesWorld, seconds: number, count: number) {
+When('an update after {int} ms and a suspension of {int} ms tells of {int} dispatches of the large team by other gateways', function (
+	this: SharesWorld,
+	passedMs: number,
+	suspendedMs: number,
+	count: number,
+) {
 	sendUpdate(this, 0);
-	this.now = seconds * MS_PER_SECOND;
+	this.now = passedMs;
+	this.lostMs = suspendedMs;
 	sendUpdate(this, count);
 	assert.ok(getAhead(this, 'large') > 0);
 });
@@ -140,6 +164,26 @@
 	sendUpdate(this, count);
 });
 
+When('{int} requests of the small team and then {int} of the large team arrive, and updates tell each {int} ms for {int} ms of {int} dispatches of the large team', function (
+	this: SharesWorld,
+	small: number,
+	large: number,
+	stepMs: number,
+	forMs: number,
+	count: number,
+) {
+	for (let sent = 0; sent < small + large; sent += 1) {
+		this.simulation.arrive({...(sent < small ? SMALL : FLOOD), objectiveMs: 60_000, patienceMs: 60_000});
+	}
+
+	let total = 0;
+	for (let at = 0; at < forMs; at += stepMs) {
+		this.now = at;
+		sendUpdate(this, total);
+		total += count;
+	}
+});
+
 When('it reports in a session whose leader does not answer, and then in a new one', function (this: SharesWorld) {
 	this.shares.getReport(this.now, true);
 	this.now += HEARTBEAT_MS;
@@ -198,3 +242,13 @@
 Then('the last report tells of nothing', function (this: SharesWorld) {
 	assert.deepEqual(this.lastReport, []);
 });
+
+Then('{int} log lines {string} name both teams, with the large team ahead from the second on', function (this: SharesWorld, count: number, event: string) {
+	const lines = this.logged.filter(line => line.event === event);
+	assert.equal(lines.length, count);
+	// The first line is logged before any dispatch of another gateway is known.
+	for (const [index, {teams}] of lines.entries()) {
+		const [large, small] = ['large', 'small'].map(name => teams.find(({team}) => team === name)!);
+		assert.ok(index === 0 || large.ahead > small.ahead, `${large.ahead} and ${small.ahead}`);
+	}
+});
