--- a/packages/quota/tests/quota.feature
+++ b/packages/quota/tests/quota.feature
@@ -87,6 +87,10 @@
       | 2       | 4500  |
       | 2       | 11000 |
 
+  # Guards against a new leader that lends the rate of gateways that are cut off from it.
+  Scenario: Gateways that are cut off use their rate loans while others borrow everything from a new leader
+    Then 3 gateways that are cut off and 3 others with a new leader use no more than the quota and its tolerance
+
   # Guards against rate loans that nobody uses any more and that are lost for the other gateways.
   Scenario: The rate of a gateway that is cut off is lent again
     When 4 gateways with rate loans have little demand for 20000 ms, and then one of them is cut off
--- a/packages/quota/tests/quota.steps.ts
+++ b/packages/quota/tests/quota.steps.ts
@@ -280,6 +280,33 @@
 	assert.ok(used <= most + ROUNDING && used >= quota.perSecond * tolerance.windowMs / MS_PER_SECOND, `${used} of ${most}`);
 });
 
+Then('{int} gateways that are cut off and {int} others with a new leader use no more than the quota and its tolerance', {timeout: 60_000}, function (
+	this: QuotaWorld,
+	cutOff: number,
+	others: number,
+) {
+	const {quota, tolerance} = this;
+	const model = new QuotaModel(cutOff + others, quota, tolerance, LARGE_STOCK_POLICY, true);
+	const earlier = Array.from({length: cutOff}, (_, index) => index);
+	const later = Array.from({length: others}, (_, index) => cutOff + index);
+	model.advance(TRAFFIC_MS);
+	reportAll(model, earlier, TRAFFIC_MS);
+	model.changeLeader(false);
+	for (let at = 0; at < TRAFFIC_MS; at += BORROW_INTERVAL_MS) {
+		for (const index of earlier) {
+			while (model.serve(index, 1)) {
+				model.settle(index, true);
+			}
+		}
+
+		useAll(model, later, BORROW_INTERVAL_MS);
+	}
+
+	const used = model.getMaxUsed(tolerance.windowMs);
+	const most = getMaxInWindow(quota, tolerance);
+	assert.ok(used <= most + ROUNDING && used >= quota.perSecond * tolerance.windowMs / MS_PER_SECOND, `${used} of ${most}`);
+});
+
 When('{int} gateways with rate loans have little demand for {int} ms, and then one of them is cut off', function (this: QuotaWorld, gateways: number, durationMs: number) {
 	this.model = new QuotaModel(gateways, this.quota, this.tolerance, LARGE_STOCK_POLICY, true);
 	this.model.advance(TRAFFIC_MS);
