--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -33,6 +33,7 @@
 import {ResidencyClients} from './residency-clients.js';
 import {startReadinessServer} from './start-readiness-server.js';
 import {UpstreamAttempt} from './upstream-attempt.js';
+import {WaitRecorder} from './wait-recorder.js';
 import type {GracePeriod} from './grace-period.js';
 
 type GatewayParts = {
@@ -157,6 +158,7 @@
 				this.#follower.scheduleReport();
 			},
 		});
+		const waits = new WaitRecorder({clock: SYSTEM_CLOCK, logger, metrics: this.#metrics});
 		this.#dispatcher = new RequestDispatcher({
 			getSettings: () => this.#getAdmission(),
 			codec: adapter.caller,
@@ -181,6 +183,9 @@
 			onLimitReportDue: () => {
 				this.#follower.scheduleReport();
 			},
+			onWaited(effect, requestId) {
+				waits.note(effect, requestId);
+			},
 			onRetry: (service, isAllowed) => {
 				this.#metrics.retries.inc({service, result: isAllowed ? 'sent' : 'refused'});
 			},
@@ -387,6 +392,7 @@
 				countedSince,
 				isUnspent,
 				isOrderedByLatestStart: scheduling.latestStart,
+				areClassesBalanced: scheduling.latestStart && scheduling.classBalance,
 			}),
 			getLaneCost: getSummedLaneCost(this.#choice.costs),
 		};
--- a/apps/valelead-daemon/src/gateway/new-gateway-admission.ts
+++ b/apps/valelead-daemon/src/gateway/new-gateway-admission.ts
@@ -41,6 +41,8 @@
 	readonly isUnspent?: boolean;
 	/** True if waiting requests are ordered by the time at which they must start to be in time. */
 	readonly isOrderedByLatestStart?: boolean;
+	/** True if classes that got a smaller share of their demand go first among them. */
+	readonly areClassesBalanced?: boolean;
 };
 
 /**
@@ -49,10 +51,10 @@
  * been sent yet.
  */
 export const newGatewayAdmission = ({
-	dataCentre, ratio, reserve, windowMs, gatewayCount, countedSince, isUnspent, isOrderedByLatestStart,
+	dataCentre, ratio, reserve, windowMs, gatewayCount, countedSince, isUnspent, isOrderedByLatestStart, areClassesBalanced,
 }: BudgetOptions): AdmissionSettings => {
 	const common = {
-		...GATEWAY_ADMISSION, dataCentre, retryTokensPerRequest: ratio * BUDGET_SHARE, isOrderedByLatestStart,
+		...GATEWAY_ADMISSION, dataCentre, retryTokensPerRequest: ratio * BUDGET_SHARE, isOrderedByLatestStart, areClassesBalanced,
 	};
 	if (countedSince === undefined) {
 		return {
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -109,7 +109,7 @@
 	graceSeconds: newNumberSchema(30, 'Time between the stop signal and the end that the platform forces. In seconds.'),
 };
 
-const newSwitchSchema = (description: string) => Schema.Boolean.annotate({description}).pipe(Schema.withDecodingDefaultKey(Effect.succeed(true)));
+const newSwitchSchema = (description: string, isOn = true) => Schema.Boolean.annotate({description}).pipe(Schema.withDecodingDefaultKey(Effect.succeed(isOn)));
 
 const SCHEDULING = Schema.Struct({
 	speed: newSwitchSchema('Whether requests avoid engines that are measured to be slow.'),
@@ -117,7 +117,8 @@
 	promptMemory: newSwitchSchema('Whether requests are refused whose prompt and response exceed the memory of every engine.'),
 	latestStart: newSwitchSchema('Whether waiting requests are ordered by the time at which they must start to meet their latency objective.'),
 	quotaReserve: newSwitchSchema('Whether more of each quota is borrowed, to serve while no leader answers.'),
-	teamShares: newSwitchSchema('Whether waiting requests are ordered by what their teams received at all gateways, in place of this gateway alone.'),
+	classBalance: newSwitchSchema('Whether classes that got a smaller share of their demand go first among requests that are due.', false),
+	teamShares: newSwitchSchema('Whether waiting requests are ordered by what their teams received at all gateways, in place of this gateway alone.', false),
 	loadForecast: newSwitchSchema('Whether loads follow the measured capacity of the weight store and the urgency of requests, and refused callers are told when they can be served.'),
 });
 
--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -38,6 +38,11 @@
 	 * leave before they can be answered; absent for the order by rank alone.
 	 */
 	readonly isOrderedByLatestStart?: boolean;
+	/**
+	 * True if, among requests ordered by their latest start, those of classes that got a smaller share of their demand go first; absent for the latest start
+	 * alone.
+	 */
+	readonly areClassesBalanced?: boolean;
 	/** Gives the cost of each upstream for a request; absent if upstreams are compared by their requests in progress only. */
 	readonly getLaneCost?: LaneCost;
 	/** The data centre of the entry. */
--- a/packages/admission/src/mutate-arrival.ts
+++ b/packages/admission/src/mutate-arrival.ts
@@ -7,6 +7,7 @@
 import {isBeyondPatience} from './is-beyond-patience.js';
 import {getQueueWaitMs} from './get-queue-wait-ms.js';
 import {mutateEnqueued} from './mutate-enqueued.js';
+import {newRequestWait} from './new-request-wait.js';
 import type {AdmissionEffect} from './admission-effect.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
@@ -40,13 +41,14 @@
 			requestId: request.requestId,
 			code,
 			outcome: OUTCOME.NotRun,
+			wait: code === RESULT_CODE.WaitTooLong ? newRequestWait(state, settings, {request, runs: 0, attempts: 0}, true, now) : undefined,
 			retryAfterMs: Math.max(getRetryAfterMs(state, request.target), getRateLimitedWaitMs(state, settings, request.target)),
 		}];
 	}
 
 	mutateRetryTokens(state, settings, request, settings.retryTokensPerRequest, now);
 	const record = {
-		request, limits, state: 'waiting', attempts: 0, attemptId: '', vm: '', runs: 0, dispatchedAt: 0,
+		request, limits, state: 'waiting', attempts: 0, attemptId: '', vm: '', runs: 0, isCounted: false, dispatchedAt: 0,
 	};
 	state.requests.set(request.requestId, record);
 	mutateEnqueued(state, record);
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -1,15 +1,32 @@
 import {getBestLane} from './get-best-lane.js';
 import {getNextRequest} from './get-next-request.js';
+import {getRequestStage} from './get-request-stage.js';
 import {getTeamUsage} from './get-team-usage.js';
 import {hasUsableLane} from './has-usable-lane.js';
+import {isHeldForUrgent} from './is-held-for-urgent.js';
+import {mutateClassService} from './mutate-class-service.js';
 import {mutateRequestState} from './mutate-request-state.js';
 import {mutateDequeued} from './mutate-dequeued.js';
+import {newRequestWait} from './new-request-wait.js';
+import {REQUEST_STAGE} from './request-stage.js';
 import type {AdmissionEffect} from './admission-effect.js';
 import type {BestLane} from './best-lane.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
+import type {RecentDispatch} from './recent-dispatch.js';
 import type {RequestRecord} from './request-record.js';
 
+/** Number of dispatches that are remembered. A gateway dispatches about ten requests a second, and callers wait for a few seconds. */
+const MAX_RECENT_DISPATCHES = 64;
+
+type DispatchRound = {
+	readonly state: AdmissionState;
+	readonly settings: AdmissionSettings;
+	/** The number of requests that may still be sent to each upstream that limits its request rate, by VM. */
+	readonly sendsLeft: Map<string, number>;
+	readonly now: number;
+};
+
 /** Weight of the newest sample in the exponential moving average of the time between dispatches. */
 const INTERVAL_SMOOTHING = 0.2;
 
@@ -43,8 +60,24 @@
 	usage.dispatched += 1 / record.request.teamWeight;
 };
 
-const newDispatch = (state: AdmissionState, record: RequestRecord, {vm, lane, isDirect}: BestLane, now: number): AdmissionEffect => {
+const mutateRecentDispatches = ({recentDispatches}: AdmissionState, dispatch: RecentDispatch): void => {
+	recentDispatches.push(dispatch);
+	if (recentDispatches.length > MAX_RECENT_DISPATCHES) {
+		recentDispatches.shift();
+	}
+};
+
+/** Counts the dispatch for the service that the request's class receives. A stream that is continued was counted before. */
+const mutateServiceAtDispatch = (state: AdmissionState, {areClassesBalanced}: AdmissionSettings, record: RequestRecord, now: number): void => {
+	if (areClassesBalanced) {
+		mutateClassService(state, record, getRequestStage(state, record, now) !== REQUEST_STAGE.Late, now);
+	}
+};
+
+const newDispatch = ({state, settings, now}: DispatchRound, record: RequestRecord, {vm, lane, isDirect}: BestLane): AdmissionEffect => {
 	const creditId = isDirect ? '' : lane.credits.shift()!.id;
+	const wait = newRequestWait(state, settings, record, false, now);
+	mutateServiceAtDispatch(state, settings, record, now);
 	mutateDequeued(state, record);
 	mutateRequestState(record, 'dispatch');
 	mutateUsage(state, record);
@@ -57,6 +90,11 @@
 	lane.inProgress += 1;
 	lane.unansweredSince ??= now;
 	lane.lastUsedAt = now;
+	if (settings.isOrderedByLatestStart) {
+		lane.classUses.set(record.request.className, now);
+		mutateRecentDispatches(state, {className: record.request.className, vm, at: now});
+	}
+
 	return {
 		kind: 'dispatch',
 		requestId: record.request.requestId,
@@ -64,6 +102,7 @@
 		vm,
 		creditId,
 		remainingMs: record.request.deadlineAt - now,
+		wait,
 	};
 };
 
@@ -79,14 +118,6 @@
 	}
 };
 
-type DispatchRound = {
-	readonly state: AdmissionState;
-	readonly settings: AdmissionSettings;
-	/** The number of requests that may still be sent to each upstream that limits its request rate, by VM. */
-	readonly sendsLeft: Map<string, number>;
-	readonly now: number;
-};
-
 /** Returns the next request of a target, if an upstream can take one. */
 const getTargetRequest = ({state, settings, sendsLeft, now}: DispatchRound, target: string): RequestRecord | undefined => {
 	const queue = state.queues.get(target);
@@ -94,17 +125,21 @@
 		return undefined;
 	}
 
-	return getNextRequest(state, settings, queue.filter(record => isAllowed(state, record, now)), now);
+	const allowed = queue.filter(record => isAllowed(state, record, now));
+	const next = getNextRequest(state, settings, allowed, now);
+	const isHeld = next !== undefined && settings.isOrderedByLatestStart === true && isHeldForUrgent(state, next, sendsLeft, now);
+	return isHeld ? getNextRequest(state, settings, allowed.filter(record => !isHeldForUrgent(state, record, sendsLeft, now)), now) : next;
 };
 
 /** Sends a request to its best upstream; returns undefined if none can take it now. */
-const mutateDispatch = ({state, settings, sendsLeft, now}: DispatchRound, record: RequestRecord): AdmissionEffect | undefined => {
+const mutateDispatch = (round: DispatchRound, record: RequestRecord): AdmissionEffect | undefined => {
+	const {state, settings, sendsLeft, now} = round;
 	const chosen = getBestLane(state, settings, {request: record.request, previousVm: record.vm, sendsLeft}, now);
 	if (!chosen) {
 		return undefined;
 	}
 
-	const effect = newDispatch(state, record, chosen, now);
+	const effect = newDispatch(round, record, chosen);
 	mutateSendsLeft(sendsLeft, chosen.vm);
 	return effect;
 };
--- a/packages/admission/tests/order-simulation.ts
+++ b/packages/admission/tests/order-simulation.ts
@@ -3,7 +3,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import {
-	type AdmissionEffect, type AdmissionEvent, type AdmissionRequest, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
+	type AdmissionEffect, type AdmissionEvent, type AdmissionRequest, type AdmissionSettings, type AdmissionState, type RequestWait, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
 
 /** Requests that arrive at random times. Times in milliseconds. */
@@ -58,6 +58,8 @@
 	/** The ids of the dispatched requests, in order. */
 	readonly dispatched: string[] = [];
 	readonly refusals: Refusal[] = [];
+	/** How the requests have waited that were dispatched or refused, in order. */
+	readonly waits: RequestWait[] = [];
 	readonly #options: SimulationOptions;
 	readonly #settings: AdmissionSettings;
 	readonly #state: AdmissionState = newAdmissionState();
@@ -69,7 +71,7 @@
 	constructor(options: SimulationOptions) {
 		this.#options = options;
 		this.#random = xoroshiro128plus(options.seed ?? SEED);
-		this.#settings = {...SETTINGS, isOrderedByLatestStart: options.isOrderedByLatestStart};
+		this.#settings = {...SETTINGS, isOrderedByLatestStart: options.isOrderedByLatestStart, areClassesBalanced: options.isOrderedByLatestStart};
 		this.#take({kind: 'endpoints', endpoints: new Map(MODELS.map(model => [model, [{vm: 'vm', dataCentre: 'dc', concurrencyLimit: options.slots}]]))});
 	}
 
@@ -165,6 +167,10 @@
 	}
 
 	#carryOut(effect: AdmissionEffect): void {
+		if ('wait' in effect && effect.wait) {
+			this.waits.push(effect.wait);
+		}
+
 		if (effect.kind === 'dispatch') {
 			const {requestId, attemptId} = effect;
 			this.dispatched.push(requestId);
