--- a/packages/admission/tests/latest-start.feature
+++ b/packages/admission/tests/latest-start.feature
@@ -44,6 +44,49 @@
     When they arrive for 11 s
     Then at least 97 of 100 requests of kind "quiet" are in time
 
+  # Guards against less urgent requests that get nothing while more urgent ones exceed the capacity, although they have waited for long.
+  Scenario: Each kind of request gets a similar share of its demand with balanced classes
+    Given an engine with 4 slots and balanced classes, whose responses begin after 100 ms and end after 400 ms
+    And these kinds of requests
+      | kind    | team | model | rank | objective | patience | per second |
+      | routine |      | a     | 0    | 1000      | 4000     | 10         |
+      | rare    |      | a     | 2    | 5000      | 20000    | 2          |
+    When they arrive for 60 s
+    Then at least 70 of 100 requests of kind "routine" are in time
+    And at least 70 of 100 requests of kind "rare" are in time
+    And requests of kind "routine" are in time as often as those of kind "rare", give or take 10 of 100
+
+  # Guards against urgent requests with a short objective that are late, while less urgent ones are in time, under an excess of a third.
+  Scenario: Urgent requests with a short objective are in time as often as less urgent ones with balanced classes under an excess of a third
+    Given an engine with 4 slots and balanced classes, whose responses begin after 100 ms and end after 400 ms
+    And these kinds of requests
+      | kind    | team | model | rank | objective | patience | per second |
+      | routine |      | a     | 0    | 308       | 2400     | 11         |
+      | rare    |      | a     | 2    | 2508      | 10000    | 2          |
+    When they arrive for 30 s
+    Then requests of kind "routine" are in time as often as those of kind "rare", give or take 10 of 100
+
+  # Guards against urgent requests that wait for others with time to spare.
+  Scenario: A burst of requests that can wait delays no urgent request with balanced classes
+    Given an engine with 4 slots and balanced classes, whose responses begin after 100 ms and end after 400 ms
+    And these kinds of requests
+      | kind    | team | model | rank | objective | patience | per second |
+      | routine |      | a     | 2    | 600       | 2400     | 6          |
+      | rare    |      | a     | 0    | 20000     | 80000    | 10         |
+    When they arrive for 10 s
+    Then at least 99 of 100 requests of kind "routine" are in time
+    And at least 99 of 100 requests of kind "rare" are in time
+
+  # Guards against a team whose flood fills the queue with due requests.
+  Scenario: A team that sends many times its usual rate takes no time from another team with balanced classes
+    Given an engine with 4 slots and balanced classes, whose responses begin after 100 ms and end after 400 ms
+    And these kinds of requests
+      | kind  | team  | model | rank | objective | patience | per second |
+      | flood | large | a     | 0    | 1000      | 4000     | 36         |
+      | quiet | small | a     | 0    | 1000      | 4000     | 3          |
+    When they arrive for 11 s
+    Then at least 97 of 100 requests of kind "quiet" are in time
+
   # Guards against a model whose queue never empties and takes every slot of an engine that has several models loaded.
   Scenario: Requests for two models of an engine are dispatched in one order
     Given an engine with 4 slots, whose responses begin after 100 ms and end after 400 ms
--- a/packages/admission/tests/latest-start.steps.ts
+++ b/packages/admission/tests/latest-start.steps.ts
@@ -50,6 +50,13 @@
 	});
 });
 
+Given('an engine with {int} slots and balanced classes, whose responses begin after {int} ms and end after {int} ms', function (this: OrderWorld, slots: number, startMs: number, endMs: number) {
+	this.kinds = [];
+	this.simulation = new OrderSimulation({
+		slots, startMs, endMs, isOrderedByLatestStart: true, areClassesBalanced: true,
+	});
+});
+
 Given('these kinds of requests', function (this: OrderWorld, table: DataTable) {
 	this.kinds = table.hashes().map(row => ({
 		kind: row.kind, team: row.team, model: row.model, rank: Number(row.rank), objectiveMs: Number(row.objective), patienceMs: Number(row.patience), perSecond: Number(row['per second']),
--- a/packages/quota/src/mutate-rate-loan.ts
+++ b/packages/quota/src/mutate-rate-loan.ts
@@ -29,13 +29,15 @@
 const getAddedRate = (ledger: QuotaLedger, account: SubjectAccount, {max, held}: {readonly max: Rate; readonly held: Rate}, now: number): Rate => {
 	const lendable = getLendableRate(ledger.tolerance, account.quota);
 	const withheld = getWithheldRate(ledger, account, now);
-	const share = isScarce(ledger, account, now) ? 0 : Math.max(0, Math.min(
-		1 - (held.perSecond / max.perSecond),
-		1 - (held.capacity / max.capacity),
-		(lendable.perSecond - account.lentRate.perSecond - withheld.perSecond) / max.perSecond,
-		(lendable.capacity - account.lentRate.capacity - withheld.capacity) / max.capacity,
-		getFreeCapacity(ledger, account, now) / max.capacity,
-	));
+	const share = isScarce(ledger, account, now)
+		? 0
+		: Math.max(0, Math.min(
+			1 - (held.perSecond / max.perSecond),
+			1 - (held.capacity / max.capacity),
+			(lendable.perSecond - account.lentRate.perSecond - withheld.perSecond) / max.perSecond,
+			(lendable.capacity - account.lentRate.capacity - withheld.capacity) / max.capacity,
+			getFreeCapacity(ledger, account, now) / max.capacity,
+		));
 	return {perSecond: max.perSecond * share, capacity: max.capacity * share};
 };
 
@@ -78,7 +80,9 @@
 	mutateBucketLevel(ledger, account, now);
 	const isUnchanged = added.perSecond === 0 && entry.max?.perSecond === max.perSecond && entry.max.capacity === max.capacity;
 	entry.max = max;
-	return isUnchanged ? undefined : {
-		...added, level: addedLevel, maxPerSecond: max.perSecond, maxCapacity: max.capacity,
-	};
+	return isUnchanged
+		? undefined
+		: {
+			...added, level: addedLevel, maxPerSecond: max.perSecond, maxCapacity: max.capacity,
+		};
 };
