Count others' dispatches by the time in which they took place, in one function

Cause: the bound of one second and the log line computed what other gateways dispatched lately in two places, and three reports could fall into one second. Change: one function, in which a report counts for the part of its time that lies in the last second.

--- a/apps/valelead-daemon/src/gateway/team-shares.ts
+++ b/apps/valelead-daemon/src/gateway/team-shares.ts
@@ -1,6 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import {
-	type AdmissionState, type TeamUsage, REMOTE_WINDOW_MS, getBoundedDispatches, mutateRemoteDispatches,
+	type AdmissionState, getBoundedDispatches, getRecentDispatches, mutateRemoteDispatches,
 } from '@valelead/admission';
 import type {Clock, SuspensionWatch} from '@valelead/common';
 import {type TeamDispatches, type TeamTotals, TeamDispatchesSchema} from '@valelead/protocol';
@@ -29,15 +29,6 @@
 /** Maximum number of teams in a log line; those with the most waiting requests are logged. */
 const MAX_LOGGED_TEAMS = 8;
 
-const getRecentCount = ({recentRemote}: TeamUsage, now: number): number => {
-	let sum = 0;
-	for (const {at, count} of recentRemote) {
-		sum += now - at < REMOTE_WINDOW_MS ? count : 0;
-	}
-
-	return sum;
-};
-
 const round = (count: number): number => Math.round(count * 10) / 10;
 
 /**
@@ -177,7 +168,7 @@
 			ahead: round(usage.virtualTime - state.virtualTime),
 			own: round(usage.dispatched),
 			others: round(this.#others.get(team) ?? 0),
-			othersLately: round(getRecentCount(usage, now)),
+			othersLately: round(getRecentDispatches(usage, now)),
 		}));
 		logger.info({
 			event: 'team-shares', teamCount: waiting.length, teams, term: this.#term,
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -21,4 +21,4 @@
 export {newAdmissionState} from './new-admission-state.js';
 export {getBoundedDispatches} from './get-bounded-dispatches.js';
 export {mutateRemoteDispatches} from './mutate-remote-dispatches.js';
-export {REMOTE_WINDOW_MS} from './remote-window-ms.js';
+export {getRecentDispatches} from './get-recent-dispatches.js';
--- a/packages/admission/src/mutate-remote-dispatches.ts
+++ b/packages/admission/src/mutate-remote-dispatches.ts
@@ -1,4 +1,5 @@
 import {getBoundedDispatches} from './get-bounded-dispatches.js';
+import {getRecentDispatches} from './get-recent-dispatches.js';
 import {getTeamUsage} from './get-team-usage.js';
 import {REMOTE_WINDOW_MS} from './remote-window-ms.js';
 import type {AdmissionState} from './admission-state.js';
@@ -14,11 +15,11 @@
  * @param now - In monotonic milliseconds.
  */
 export const mutateRemoteDispatches = (state: AdmissionState, dispatches: ReadonlyMap<string, number>, forMs: number, now: number): void => {
+	const spreadMs = Math.max(1, Math.min(forMs, REMOTE_WINDOW_MS));
 	for (const [team, total] of dispatches) {
 		const usage = getTeamUsage(state, team);
 		const count = getBoundedDispatches(total, forMs);
-		usage.recentRemote = [...usage.recentRemote.filter(({at}) => now - at < REMOTE_WINDOW_MS), {at: now, count}];
-		const recent = usage.recentRemote.reduce((sum, remote) => sum + remote.count, 0);
-		usage.virtualTime = Math.max(usage.virtualTime, Math.min(usage.virtualTime + count, state.virtualTime + recent));
+		usage.recentRemote = [...usage.recentRemote.filter(({at}) => now - at < REMOTE_WINDOW_MS), {at: now, forMs: spreadMs, count}];
+		usage.virtualTime = Math.max(usage.virtualTime, Math.min(usage.virtualTime + count, state.virtualTime + getRecentDispatches(usage, now)));
 	}
 };
