--- a/apps/valelead-daemon/src/control/quota-registry.ts
+++ b/apps/valelead-daemon/src/control/quota-registry.ts
@@ -91,7 +91,9 @@
 
 		const now = this.#parts.clock.now();
 		mutateConfirmedLoans(state.ledger, sessionId, now);
-		return create(QuotaGrantSchema, {term: state.term, loans: [...loans], scarceSubjects: getScarceSubjects(state.ledger, now), areRatesConfirmed: state.ledger.areRatesLent});
+		return create(QuotaGrantSchema, {
+			term: state.term, loans: [...loans], scarceSubjects: getScarceSubjects(state.ledger, now), areRatesConfirmed: state.ledger.areRatesLent,
+		});
 	}
 
 	/** Remaining quota of each team, and the amount currently lent to gateways. */
