--- a/apps/valelead-daemon/src/control/quota-registry.ts
+++ b/apps/valelead-daemon/src/control/quota-registry.ts
@@ -3,7 +3,8 @@
 import {type QuotaGrant, type QuotaUsage, QuotaGrantSchema} from '@valelead/protocol';
 import {
 	type Loan, type Quota, type QuotaLedger, type QuotaTolerance, type TermSighting,
-	getPreviousTermStarts, getScarceSubjects, mutateConfirmedLoans, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateAdoptedRate, mutateRateLoan, mutateReturnedRate, mutateTermHistory, mutateUsage, newQuotaLedger,
+	getPreviousTermStarts, getScarceSubjects, mutateConfirmedLoans, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateAdoptedRate, mutateRateLoan,
+	mutateReturnedRate, mutateTermHistory, mutateUsage, newQuotaLedger,
 } from '@valelead/quota';
 
 type RegistryParts = {
--- a/apps/valelead-daemon/src/gateway/quota-gate.ts
+++ b/apps/valelead-daemon/src/gateway/quota-gate.ts
@@ -2,7 +2,8 @@
 	type Clock, type ResultCodeValue, type SuspensionWatch, type TimerService, OUTCOME, type OutcomeValue, RESULT_CODE,
 } from '@valelead/common';
 import {
-	type Loan, type QuotaStock, type Reservation, type SubjectUsage, LARGE_STOCK_POLICY, LOAN_MS, RATE_LOAN_MS, mutateGrantedLoans, mutateDemand, mutateReservedUnits, mutateNewSession, mutateSettledReservation,
+	type Loan, type QuotaStock, type Reservation, type SubjectUsage, LARGE_STOCK_POLICY, LOAN_MS, RATE_LOAN_MS, mutateGrantedLoans, mutateDemand,
+	mutateReservedUnits, mutateNewSession, mutateSettledReservation,
 	mutateSubjectReport, newQuotaStock,
 } from '@valelead/quota';
 import type {RouteTable} from '@valelead/routing';
--- a/apps/valelead-daemon/src/settings/settings-schema.ts
+++ b/apps/valelead-daemon/src/settings/settings-schema.ts
@@ -167,7 +167,7 @@
 	quotaWindowSeconds: newNumberSchema(10, 'The span over which use of a team\'s quota is counted. In seconds.'),
 	quotaOvershoot: newNumberSchema(0, 'The share of what a quota allows in such a span that all gateways together may let through beyond it.'),
 	quotaSlack: newNumberSchema(0, 'Units of a quota that may come on top of that.'),
-	quotaRateLoans: Schema.Boolean.annotate({description: 'Whether parts of the quotas\' rates are lent to gateways. Switch it on once all controllers know it.'}).pipe(Schema.withDecodingDefaultKey(Effect.succeed(false))),
+	quotaRateLoans: newSwitchSchema('Whether parts of the quotas\' rates are lent to gateways. Switch it on once all controllers know it.', false),
 	orderGapMs: newMillisecondsSchema(3000, 'Between the last order of one process to an engine without a sidecar and the first of the next one.'),
 });
 
--- a/packages/quota/tests/quota-model.ts
+++ b/packages/quota/tests/quota-model.ts
@@ -2,7 +2,8 @@
 	type Loan, type Quota, type QuotaLedger, type QuotaStock, type QuotaTolerance, type Reservation, type StockPolicy, type SubjectUsage, type TermSighting,
 	LOAN_MS, RATE_LOAN_MS, SMALL_WAITING_RESERVE_SHARE,
 	getPreviousTermStarts, getScarceSubjects,
-	mutateGrantedLoans, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateAdoptedRate, mutateRateLoan, mutateReturnedRate, mutateReservedUnits, mutateNewSession, mutateSettledReservation,
+	mutateGrantedLoans, mutateConfirmedLoans, mutateDemand, mutateLoan, mutateExpiredLoans, mutateQuotas, mutateAdoptedRate, mutateRateLoan,
+	mutateReturnedRate, mutateReservedUnits, mutateNewSession, mutateSettledReservation,
 	mutateSubjectReport, mutateTermHistory, mutateUsage, newQuotaLedger, newQuotaStock,
 } from '@valelead/quota';
 
