Check the switch of the balance of classes in one place, and compute the stage of a dispatch once

Cause: three callers checked the switch, of which one had missed it before; a dispatch computed the stage of its request twice. Change: mutateClassService checks it, and a dispatch takes the stage from how the request waited.

--- a/packages/admission/src/get-first-by-latest-start.ts
+++ b/packages/admission/src/get-first-by-latest-start.ts
@@ -44,8 +44,8 @@
  * those that can no longer be in time. Requests that can wait, and late ones, are compared by `isRequestBefore`.
  *
  * Among due requests, first the team is chosen, by the rank of its most urgent one and by its share. So a team that floods the entry takes no time from
- * others. Then its request goes whose class got the smallest share of its demand recently (`getClassShare`), and of those the one with the earliest latest
- * start. If rank decided within a team, a steady excess of urgent requests would leave nothing to less urgent ones. If the latest start alone decided,
+ * others. Then its request goes whose class got the smallest share of its demand recently (`getClassShare`; all are equal unless classes are balanced), and of
+ * those the one with the earliest latest start. If rank decided within a team, a steady excess of urgent requests would leave nothing to less urgent ones. If the latest start alone decided,
  * requests with a short objective would be late more often than those that can use every free slot of a longer time: with an excess of a third, 70 of 100
  * requests with an objective of 308 ms were in time, and 94 of 100 with 2,508 ms.
  */
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -1,6 +1,5 @@
 import {getBestLane} from './get-best-lane.js';
 import {getNextRequest} from './get-next-request.js';
-import {getRequestStage} from './get-request-stage.js';
 import {getTeamUsage} from './get-team-usage.js';
 import {hasUsableLane} from './has-usable-lane.js';
 import {isHeldForUrgent} from './is-held-for-urgent.js';
@@ -67,17 +66,13 @@
 	}
 };
 
-/** Counts the dispatch for the service that the request's class receives. A stream that is continued was counted before. */
-const mutateServiceAtDispatch = (state: AdmissionState, {areClassesBalanced}: AdmissionSettings, record: RequestRecord, now: number): void => {
-	if (areClassesBalanced) {
-		mutateClassService(state, record, getRequestStage(state, record, now) !== REQUEST_STAGE.Late, now);
-	}
-};
-
 const newDispatch = ({state, settings, now}: DispatchRound, record: RequestRecord, {vm, lane, isDirect}: BestLane): AdmissionEffect => {
 	const creditId = isDirect ? '' : lane.credits.shift()!.id;
 	const wait = newRequestWait(state, settings, record, false, now);
-	mutateServiceAtDispatch(state, settings, record, now);
+	if (wait) {
+		mutateClassService(state, settings, record, wait.stage !== REQUEST_STAGE.Late, now);
+	}
+
 	mutateDequeued(state, record);
 	mutateRequestState(record, 'dispatch');
 	mutateUsage(state, record);
--- a/packages/admission/src/mutate-unservable-requests.ts
+++ b/packages/admission/src/mutate-unservable-requests.ts
@@ -19,10 +19,7 @@
 	const unservable = [...state.queues.values()].flatMap(queue => queue.filter(({request, runs}) => runs === 0 && isBeyondPatience(state, request, 0, now)));
 	return unservable.flatMap(record => {
 		const wait = newRequestWait(state, settings, record, true, now);
-		if (settings.areClassesBalanced) {
-			mutateClassService(state, record, false, now);
-		}
-
+		mutateClassService(state, settings, record, false, now);
 		const isServed = (state.endpoints.get(record.request.target)?.length ?? 0) > 0;
 		const effects = mutateRequestRefusal(state, record, isServed ? RESULT_CODE.WaitTooLong : RESULT_CODE.NoUpstream, OUTCOME.NotRun);
 		return effects.map(effect => effect.kind === 'refuse' && isServed ? {...effect, wait} : effect);
