--- a/packages/quota/src/mutate-adopted-rate.ts
+++ b/packages/quota/src/mutate-adopted-rate.ts
@@ -1,5 +1,6 @@
 import {mutateBucketLevel} from './mutate-bucket-level.js';
-import {RATE_LOAN_MS} from './rate-loan-ms.js';
+import {getRateEntry} from './get-rate-entry.js';
+import {getRateSum} from './get-rate-sum.js';
 import type {QuotaLedger} from './quota-ledger.js';
 import type {SubjectUsage} from './subject-usage.js';
 
@@ -14,17 +15,14 @@
 	}
 
 	mutateBucketLevel(ledger, account, now);
-	const borrower = ledger.rateBorrowers.get(borrowerId) ?? {rates: new Map<string, never>(), hasEnded: false, expiresAt: now + RATE_LOAN_MS};
-	ledger.rateBorrowers.set(borrowerId, borrower);
-	if (borrower.hasEnded) {
+	const entry = getRateEntry(ledger, borrowerId, subject, now);
+	if (!entry) {
 		return;
 	}
 
-	const entry = borrower.rates.get(subject) ?? {held: {perSecond: 0, capacity: 0}, reportedAt: now, max: undefined};
-	borrower.rates.set(subject, entry);
-	const {adoptedPerSecond, adoptedCapacity} = rate;
-	entry.held = {perSecond: entry.held.perSecond + adoptedPerSecond, capacity: entry.held.capacity + adoptedCapacity};
-	account.lentRate = {perSecond: account.lentRate.perSecond + adoptedPerSecond, capacity: account.lentRate.capacity + adoptedCapacity};
-	account.adoptedRate = {perSecond: account.adoptedRate.perSecond + adoptedPerSecond, capacity: account.adoptedRate.capacity + adoptedCapacity};
+	const adopted = {perSecond: rate.adoptedPerSecond, capacity: rate.adoptedCapacity};
+	entry.held = getRateSum(entry.held, adopted);
+	account.lentRate = getRateSum(account.lentRate, adopted);
+	account.adoptedRate = getRateSum(account.adoptedRate, adopted);
 	mutateBucketLevel(ledger, account, now);
 };
--- a/packages/quota/src/mutate-rate-loan.ts
+++ b/packages/quota/src/mutate-rate-loan.ts
@@ -4,7 +4,8 @@
 import {getLendableRate} from './get-lendable-rate.js';
 import {MAX_LENT_SHARE} from './max-lent-share.js';
 import {mutateBucketLevel} from './mutate-bucket-level.js';
-import {RATE_LOAN_MS} from './rate-loan-ms.js';
+import {getRateEntry} from './get-rate-entry.js';
+import {getRateSum} from './get-rate-sum.js';
 import type {QuotaLedger} from './quota-ledger.js';
 import type {Rate} from './rate.js';
 import type {RateLoan} from './rate-loan.js';
@@ -49,8 +50,7 @@
 
 /**
  * Lends a borrower that reports on its rate loans a part of the rate. Rates are divided evenly among the borrowers with recent demand, and
- * none is added while the subject is scarce, as waiting requests then need the bucket. Returns
- * undefined if nothing changes for the borrower.
+ * none is added while the subject is scarce, as waiting requests then need the bucket. Returns undefined if nothing changes for the borrower.
  */
 export const mutateRateLoan = (ledger: QuotaLedger, borrowerId: string, {subject, rate}: SubjectUsage, now: number): RateLoan | undefined => {
 	const account = ledger.accounts.get(subject);
@@ -59,24 +59,21 @@
 	}
 
 	mutateBucketLevel(ledger, account, now);
-	const borrower = ledger.rateBorrowers.get(borrowerId) ?? {rates: new Map<string, never>(), hasEnded: false, expiresAt: now + RATE_LOAN_MS};
-	ledger.rateBorrowers.set(borrowerId, borrower);
-	if (borrower.hasEnded) {
+	const entry = getRateEntry(ledger, borrowerId, subject, now);
+	if (!entry) {
 		return undefined;
 	}
 
-	const entry = borrower.rates.get(subject) ?? {held: {perSecond: 0, capacity: 0}, reportedAt: now, max: undefined};
-	borrower.rates.set(subject, entry);
 	entry.reportedAt = now;
 	const max = getMaxRate(ledger, account, subject, now);
 	const elsewhereShare = rate.heldElsewhere / max.perSecond;
 	const added = getAddedRate(ledger, account, {
 		max, held: {perSecond: entry.held.perSecond + rate.heldElsewhere, capacity: entry.held.capacity + (max.capacity * elsewhereShare)},
 	}, now);
-	entry.held = {perSecond: entry.held.perSecond + added.perSecond, capacity: entry.held.capacity + added.capacity};
+	entry.held = getRateSum(entry.held, added);
 	const addedLevel = getAddedLevel(ledger, account, added.capacity, now);
 	account.level -= addedLevel;
-	account.lentRate = {perSecond: account.lentRate.perSecond + added.perSecond, capacity: account.lentRate.capacity + added.capacity};
+	account.lentRate = getRateSum(account.lentRate, added);
 	mutateBucketLevel(ledger, account, now);
 	const isUnchanged = added.perSecond === 0 && entry.max?.perSecond === max.perSecond && entry.max.capacity === max.capacity;
 	entry.max = max;
