--- a/packages/quota/src/mutate-confirmed-rates.ts
+++ b/packages/quota/src/mutate-confirmed-rates.ts
@@ -1,3 +1,4 @@
+import {getRateSum} from './get-rate-sum.js';
 import type {QuotaStock} from './quota-stock.js';
 import type {RateStock} from './rate-stock.js';
 
@@ -9,7 +10,7 @@
 		return;
 	}
 
-	rate.held = {perSecond: rate.held.perSecond + adopted.held.perSecond, capacity: rate.held.capacity + adopted.held.capacity};
+	rate.held = getRateSum(rate.held, adopted.held);
 	rate.level += adopted.level;
 };
 
--- a/packages/quota/src/mutate-expired-rates.ts
+++ b/packages/quota/src/mutate-expired-rates.ts
@@ -1,9 +1,10 @@
+import {getRateSum} from './get-rate-sum.js';
 import type {QuotaStock} from './quota-stock.js';
 import type {RateStock} from './rate-stock.js';
 
 const mutateEndedStock = (rate: RateStock): void => {
 	const {held, ended} = rate;
-	rate.ended = {perSecond: ended.perSecond + held.perSecond, capacity: ended.capacity + held.capacity};
+	rate.ended = getRateSum(ended, held);
 	rate.held = {perSecond: 0, capacity: 0};
 	rate.level = 0;
 };
@@ -13,7 +14,7 @@
 	mutateEndedStock(adopted);
 	const rate = subjects.get(subject);
 	if (rate) {
-		rate.ended = {perSecond: rate.ended.perSecond + adopted.ended.perSecond, capacity: rate.ended.capacity + adopted.ended.capacity};
+		rate.ended = getRateSum(rate.ended, adopted.ended);
 	} else {
 		subjects.set(subject, adopted);
 	}
--- a/packages/quota/src/mutate-granted-rate.ts
+++ b/packages/quota/src/mutate-granted-rate.ts
@@ -1,3 +1,4 @@
+import {getRateSum} from './get-rate-sum.js';
 import {mutateRateLevel} from './mutate-rate-level.js';
 import type {QuotaStock} from './quota-stock.js';
 import type {RateLoan} from './rate-loan.js';
@@ -9,7 +10,7 @@
 	};
 	subjects.set(subject, rate);
 	mutateRateLevel(rate, now);
-	rate.held = {perSecond: rate.held.perSecond + loan.perSecond, capacity: rate.held.capacity + loan.capacity};
+	rate.held = getRateSum(rate.held, loan);
 	rate.level += loan.level;
 	maxRates.set(subject, {perSecond: loan.maxPerSecond, capacity: loan.maxCapacity});
 };
