Log how recent the routing is that a gateway refuses or ends a request by

Change: request-refused and request-ended name the voter of the session, the version and the ages of the last update and of the last confirmation. No decision changes.

--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -26,6 +26,7 @@
 import type {FollowerSettings} from '../settings/follower-settings.js';
 import {getPeerAddresses} from './get-peer-addresses.js';
 import type {CrashExchange} from './crash-exchange.js';
+import type {FollowerContact} from './follower-contact.js';
 import {encodeCrash} from './encode-crash.js';
 import {encodeLimitReport} from './encode-limit-report.js';
 import {encodeQuotaUsage} from './encode-quota-usage.js';
@@ -76,6 +77,8 @@
 	readonly #gateways: GatewayCount;
 	#reportedEngineCount = 0;
 	#updatedAt: number;
+	/** When this process made the report on which a leader last confirmed the routing, in monotonic milliseconds. */
+	#confirmedAt: number | undefined;
 
 	constructor(parts: FollowerParts) {
 		this.#parts = parts;
@@ -130,6 +133,15 @@
 		return this.#parts.clock.now() - this.#updatedAt;
 	}
 
+	get contact(): FollowerContact {
+		return {
+			voterAddress: this.#session.address,
+			routingVersion: this.#table?.routing.version ?? 0,
+			leaderAgeMs: Math.round(this.ageMs),
+			confirmedAgeMs: this.#confirmedAt === undefined ? undefined : Math.round(this.#parts.clock.now() - this.#confirmedAt),
+		};
+	}
+
 	start(): void {
 		this.#session.start();
 		this.#parts.timers.repeat(CHECK_MS, now => {
@@ -213,6 +225,7 @@
 
 	#handleGrants({isRoutingConfirmed, quotaGrant, upstreamLimits, limitGrant, teamTotals, sentAt}: SessionUpdate): void {
 		if (isRoutingConfirmed && !this.#isUnreadable) {
+			this.#confirmedAt = sentAt;
 			this.#parts.onConfirmed?.(sentAt);
 		}
 
--- a/apps/valelead-daemon/src/gateway/completion-recorder.ts
+++ b/apps/valelead-daemon/src/gateway/completion-recorder.ts
@@ -1,5 +1,6 @@
 import type {Clock, OutcomeValue, ResultCodeValue} from '@valelead/common';
 import type {Logger} from 'pino';
+import type {FollowerContact} from '../follower/follower-contact.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {GracePeriod} from './grace-period.js';
@@ -8,8 +9,8 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
-	/** Returns the time since the last message of the leader, in milliseconds. */
-	readonly getRoutingAgeMs: () => number;
+	/** Returns how recent the routing is, for the log. */
+	readonly getContact: () => FollowerContact;
 	/** Returns the grace period of the shutdown, or undefined before the stop signal. */
 	readonly getGrace: () => GracePeriod | undefined;
 };
@@ -60,6 +61,7 @@
 
 	#log(request: GatewayRequest, end: {readonly code: ResultCodeValue; readonly outcome: OutcomeValue; readonly reason: string}, now: number): void {
 		const {caller, route, head, arrivedAt, dispatchedAt, firstChunkAt} = request;
+		const {voterAddress, leaderAgeMs, confirmedAgeMs} = this.#parts.getContact();
 		this.#parts.logger.info({
 			event: 'request-ended',
 			requestId: head.id,
@@ -82,7 +84,9 @@
 			answerBytes: request.answerBytes,
 			maxNewTokens: head.maxNewTokens,
 			...this.#getStopFields(request),
-			routingAgeMs: Math.round(this.#parts.getRoutingAgeMs()),
+			voterAddress,
+			routingAgeMs: leaderAgeMs,
+			confirmedAgeMs,
 		}, 'request ended');
 	}
 
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -8,6 +8,7 @@
 import type {Logger} from 'pino';
 import type {CallerCodec} from '../adapter/caller-codec.js';
 import type {CallerRequest} from '../adapter/caller-request.js';
+import type {FollowerContact} from '../follower/follower-contact.js';
 import {readBody} from '../read-body.js';
 import type {HeldResponses} from './held-responses.js';
 import {HttpResponseWriter} from './http-response-writer.js';
@@ -32,6 +33,8 @@
 	readonly getTable: () => RouteTable | undefined;
 	/** Returns true if the routing is recent enough to rule out that one of its keys has been revoked since. */
 	readonly isConfirmed: () => boolean;
+	/** Returns how recent the routing is, for the log. */
+	readonly getContact: () => FollowerContact;
 	readonly isStopping: () => boolean;
 };
 
@@ -142,7 +145,7 @@
 		const known = error instanceof ValeleadError ? error : undefined;
 		const code = known?.code ?? RESULT_CODE.MalformedRequest;
 		this.#parts.logger.info({
-			event: 'request-refused', requestId: head.id, host: message.headers.host, url: message.url, code, outcome: OUTCOME.NotRun, reason: (error as Error).message,
+			event: 'request-refused', requestId: head.id, host: message.headers.host, url: message.url, code, outcome: OUTCOME.NotRun, reason: (error as Error).message, ...this.#parts.getContact(),
 		}, 'request refused');
 		answer.refuse({
 			code, message: known?.message ?? RESULT_DETAILS[code].meaning, outcome: OUTCOME.NotRun, retryAfterMs: known?.retryAfterMs ?? 0,
--- a/apps/valelead-daemon/src/gateway/request-receiver.ts
+++ b/apps/valelead-daemon/src/gateway/request-receiver.ts
@@ -4,6 +4,7 @@
 } from '@valelead/common';
 import type {RouteTable} from '@valelead/routing';
 import type {Logger} from 'pino';
+import type {FollowerContact} from '../follower/follower-contact.js';
 import type {QuotaExchange} from '../follower/quota-exchange.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {CompletionRecorder} from './completion-recorder.js';
@@ -20,8 +21,8 @@
 	readonly metrics: Metrics;
 	readonly getDispatcher: () => Pick<RequestDispatcher, 'arrive' | 'refuse' | 'abandon'>;
 	readonly getTable: () => RouteTable | undefined;
-	/** Returns the time since the last message of the leader, in milliseconds. */
-	readonly getRoutingAgeMs: () => number;
+	/** Returns how recent the routing is, for the log. */
+	readonly getContact: () => FollowerContact;
 	/** Returns the grace period of the shutdown, or undefined before the stop signal. */
 	readonly getGrace: () => GracePeriod | undefined;
 	/** True if requests are refused that no engine of their service has enough memory for. */
--- a/apps/valelead-daemon/src/session-client.ts
+++ b/apps/valelead-daemon/src/session-client.ts
@@ -106,6 +106,11 @@
 		this.#stream?.end();
 	}
 
+	/** Address of the voter to which the session is open or was opened last; empty before the first session. */
+	get address(): string {
+		return this.#address;
+	}
+
 	/** Schedules a report. Changes until it is sent share the same report. */
 	scheduleReport(): void {
 		this.#reports.schedule();
