Register software versions in the replicated log, and let a leader tell whether there is only one

Cause: getSoleVersion took the only version that this process had seen for the only one of the last 60 s; a history that begins empty counted as a history without events. Change: the leader publishes an upstream only after its version is committed, and a gateway asks the leader, whose reads are linearizable; a caller that keeps the id of its first attempt is helped by the origin recorded under it. Why it works: no stream can begin at a version that the register lacks.

--- a/apps/valelead-daemon/src/control/control-machine.ts
+++ b/apps/valelead-daemon/src/control/control-machine.ts
@@ -2,6 +2,7 @@
 	type Claims, type ClaimResult, type CommandResult, type ControlRecord, type Intent, decodeIntent, encodeIntent, mutateClaims, mutateIntent, newIntent,
 } from '@valelead/intent';
 import type {StateMachine} from '@valelead/consensus';
+import {type VersionRegister, mutateVersionRegister} from '@valelead/stream-origin';
 import type {StoredRouting} from './stored-routing.js';
 import type {AppliedProposal} from './applied-proposal.js';
 
@@ -12,6 +13,8 @@
 	readonly intent: string;
 	readonly claims: ReadonlyArray<[string, never]>;
 	readonly routing?: StoredRouting;
+	/** Software versions by service; missing in snapshots of earlier builds. */
+	readonly versions?: ReadonlyArray<[string, readonly string[]]>;
 };
 
 /** The replicated state machine that the consensus log drives: the configuration, the claims on idempotency keys and the routing configuration. */
@@ -19,6 +22,7 @@
 	#intent: Intent = newIntent();
 	#claims: Claims = new Map();
 	#routing: StoredRouting | undefined;
+	#versions: VersionRegister = new Map();
 	#firstRoutingIndex: number | undefined;
 	#recent: AppliedProposal[] = [];
 	readonly #results = new Map<number, CommandResult | readonly ClaimResult[]>();
@@ -37,6 +41,11 @@
 		return this.#routing;
 	}
 
+	/** The software versions of upstreams at which streams may have begun. */
+	get versions(): VersionRegister {
+		return this.#versions;
+	}
+
 	/** The log index of the installation's first routing configuration; undefined before that entry, or if the routing came with a snapshot. */
 	get firstRoutingIndex(): number | undefined {
 		return this.#firstRoutingIndex;
@@ -68,6 +77,10 @@
 		const record = JSON.parse(data) as ControlRecord;
 		if (record.kind === 'claims') {
 			this.#storeResult(index, record.commands.map(command => mutateClaims(this.#claims, record.at, command)));
+			if (record.versionChange) {
+				mutateVersionRegister(this.#versions, record.versionChange);
+			}
+
 			return;
 		}
 
@@ -91,13 +104,17 @@
 		this.#intent = decodeIntent(saved.intent);
 		this.#claims = new Map(saved.claims);
 		this.#routing = saved.routing;
+		this.#versions = new Map((saved.versions ?? []).map(([service, versions]) => [service, new Set(versions)]));
 		this.#firstRoutingIndex = undefined;
 		this.#recent = [];
 		this.#notify();
 	}
 
 	save(): string {
-		return JSON.stringify({intent: encodeIntent(this.#intent), claims: [...this.#claims], routing: this.#routing});
+		const versions = [...this.#versions].map(([service, names]) => [service, [...names]]);
+		return JSON.stringify({
+			intent: encodeIntent(this.#intent), claims: [...this.#claims], routing: this.#routing, versions,
+		});
 	}
 
 	/** The latest applied proposals, oldest first. */
--- a/apps/valelead-daemon/src/control/new-control-plane.ts
+++ b/apps/valelead-daemon/src/control/new-control-plane.ts
@@ -17,6 +17,7 @@
 import type {ControlPlane} from './control-plane.js';
 import type {FollowerSessions} from './follower-sessions.js';
 import type {LeaderWatch} from './leader-watch.js';
+import type {SoftwareVersions} from './software-versions.js';
 import type {Voter} from './voter.js';
 
 type ControlPlaneParts = {
@@ -28,8 +29,8 @@
 	/** Sessions with gateways and sidecars, if the voter serves these. */
 	readonly followers?: FollowerSessions;
 	readonly watch: LeaderWatch;
-	/** Origins of gateways' streams, if the voter stores them. */
-	readonly origins?: OriginStore;
+	/** Origins of gateways' streams and the versions at which they may have begun, if the voter stores them. */
+	readonly origins?: {readonly store: OriginStore; readonly versions: SoftwareVersions};
 	readonly timers: TimerService;
 	readonly logger: Logger;
 };
@@ -54,7 +55,7 @@
 				voter, leader, sessions, initialOperatorHash,
 			}),
 		},
-		...(origins ? [{definition: newServiceDefinition(StreamOrigins), implementation: newOriginService(origins, SYSTEM_CLOCK)}] : []),
+		...(origins ? [{definition: newServiceDefinition(StreamOrigins), implementation: newOriginService({...origins, clock: SYSTEM_CLOCK})}] : []),
 	]);
 	return {
 		voter, leader, sessions, server,
--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -8,6 +8,7 @@
 	type FormationDecision, type DiscoveredVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormationDecision,
 } from '@valelead/consensus';
 import type {ChannelPool} from '@valelead/protocol';
+import type {VersionChange} from '@valelead/stream-origin';
 import type {
 	ClaimCommand, ClaimResult, CommandResult, Proposal,
 } from '@valelead/intent';
@@ -156,6 +157,14 @@
 		await this.#propose({kind: 'routing', at: SYSTEM_CLOCK.wallNow(), ...routing});
 	}
 
+	/** Commits a change of the software versions at which streams may have begun. */
+	async changeVersions(versionChange: VersionChange): Promise<void> {
+		const index = await this.#propose({
+			kind: 'claims', at: SYSTEM_CLOCK.wallNow(), commands: [], versionChange,
+		});
+		this.machine.takeResult(index);
+	}
+
 	/** Resolves once the quorum tolerates the configured number of failures, or has stopped growing. */
 	async waitForVoters(): Promise<void> {
 		await this.#membership.waitForVoters();
--- a/apps/valelead-daemon/src/controller/control-server.ts
+++ b/apps/valelead-daemon/src/controller/control-server.ts
@@ -5,11 +5,13 @@
 import {
 	RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, SYSTEM_CLOCK, type TimerService, ValeleadError,
 } from '@valelead/common';
+import type {Upstream} from '@valelead/discovery';
 import {getRoutingFaults} from '@valelead/routing';
 import type {Logger} from 'pino';
 import type {ControlCall} from '../adapter/control-call.js';
 import type {ControlCodec} from '../adapter/control-codec.js';
 import type {FollowerSessions} from '../control/follower-sessions.js';
+import type {SoftwareVersions} from '../control/software-versions.js';
 import type {UpstreamRegistry} from '../control/upstream-registry.js';
 import type {Voter} from '../control/voter.js';
 import {readBody} from '../read-body.js';
@@ -26,6 +28,7 @@
 	readonly codec: ControlCodec;
 	readonly voter: Voter;
 	readonly registry: UpstreamRegistry;
+	readonly versions: Pick<SoftwareVersions, 'register'>;
 	readonly followers: FollowerSessions;
 	/** IP address and port of this server. */
 	readonly address: string;
@@ -102,7 +105,7 @@
 			}
 
 			case 'announce': {
-				const isLeaving = this.#parts.registry.announce(this.#parts.codec.decodeAnnouncement(call.instanceId, body));
+				const isLeaving = await this.#announce(this.#parts.codec.decodeAnnouncement(call.instanceId, body));
 				await (isLeaving ? this.#parts.followers.waitForFollowers() : undefined);
 				return {status: 200, body: this.#parts.codec.newAnnouncementReply(this.#parts.address)};
 			}
@@ -119,6 +122,18 @@
 		}
 	}
 
+	/** Adds an announcement to the directory once the upstream's version is registered. Returns true if the upstream has left the ready state with it. */
+	async #announce(upstream: Upstream): Promise<boolean> {
+		const {versions, registry, voter, timers} = this.#parts;
+		const error = new ValeleadError('The quorum did not confirm the software version in time', {code: RESULT_CODE.CommandTimeout});
+		await withTimeout(versions.register(upstream), timers, COMMIT_TIMEOUT_MS, error);
+		if (!voter.node?.isCurrentLeader) {
+			throw new ValeleadError('This voter does not lead any more', {code: RESULT_CODE.NotLeader});
+		}
+
+		return registry.announce(upstream);
+	}
+
 	async #replaceRouting(document: string): Promise<ControlResponse> {
 		const {codec, voter, logger} = this.#parts;
 		const routing = codec.decodeRouting(document);
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -17,6 +17,7 @@
 import {QuorumWatch} from '../control/quorum-watch.js';
 import {QuotaRegistry} from '../control/quota-registry.js';
 import {RoutingRollout} from '../control/routing-rollout.js';
+import {SoftwareVersions} from '../control/software-versions.js';
 import {UpstreamRegistry} from '../control/upstream-registry.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
 import {Metrics} from '../metrics/metrics.js';
@@ -69,6 +70,9 @@
 			followers.sendToLeaseHolder(upstream);
 		},
 	});
+	const versions = new SoftwareVersions({
+		voter, getUpstreams: () => [...registry.directory.entries.values()].map(({upstream}) => upstream), timers, logger,
+	});
 	const leases = new OrderLeases({
 		voter, registry, getEngineServices: () => routing.engineServices, settings, timers, clock: SYSTEM_CLOCK, logger,
 	});
@@ -125,7 +129,7 @@
 		operatorKeyFile: settings.operatorKeyFile,
 		followers,
 		watch,
-		origins,
+		origins: {store: origins, versions},
 		timers,
 		logger,
 	});
@@ -133,6 +137,7 @@
 		codec: adapter.control,
 		voter,
 		registry,
+		versions,
 		followers,
 		address: settings.control,
 		timers,
@@ -149,6 +154,7 @@
 	leader.start();
 	sessions.start();
 	registry.start();
+	versions.start();
 	leases.start();
 	quarantine.start();
 	quotas.start();
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -5,7 +5,6 @@
 import type {AdmissionSettings} from '@valelead/admission';
 import {type ChannelPool, Residency, newServiceDefinition} from '@valelead/protocol';
 import type {RouteTable} from '@valelead/routing';
-import {mutateVersionHistory, newVersionHistory} from '@valelead/stream-origin';
 import type {Logger} from 'pino';
 import type {Adapter} from '../adapter/adapter.js';
 import {startAdminServer} from '../admin-server.js';
@@ -76,7 +75,6 @@
 	readonly #residencyServer: GrpcServer;
 	readonly #confirmation: RoutingConfirmation;
 	readonly #origins: OriginClient;
-	readonly #versions = newVersionHistory();
 	readonly #intake: RequestReceiver;
 	readonly #dispatcher: RequestDispatcher;
 	readonly #server: RequestServer;
@@ -224,7 +222,7 @@
 			isConfirmed: () => this.#confirmation.isFresh,
 			getContact: () => this.#follower.contact,
 			isStopping: () => this.#grace !== undefined,
-			getVersions: () => this.#versions,
+			findSoleVersion: async service => this.#origins.findSoleVersion(service),
 			findOrigin: async (key, requestId) => this.#origins.lookUp(key, requestId),
 		}));
 	}
@@ -360,7 +358,6 @@
 				this.#takeRouting(table);
 			},
 			onDirectory: upstreams => {
-				mutateVersionHistory(this.#versions, upstreams, SYSTEM_CLOCK.now());
 				this.#engineManagers.setUpstreams(upstreams);
 				this.#choice.setUpstreams(upstreams);
 				this.#dispatcher.takeDirectory(upstreams);
--- a/apps/valelead-daemon/src/gateway/get-resumed-origin.ts
+++ b/apps/valelead-daemon/src/gateway/get-resumed-origin.ts
@@ -4,7 +4,7 @@
 import type {Route} from '@valelead/routing';
 import {type StreamOrigin, getOriginKey} from '@valelead/stream-origin';
 import type {CallerRequest} from '../adapter/caller-request.js';
-import {getSoleOrigin} from './get-sole-origin.js';
+import {findUnnamedOrigin} from './find-unnamed-origin.js';
 import {isResumption} from './is-resumption.js';
 import type {Caller} from './caller.js';
 import type {OriginSource} from './origin-source.js';
@@ -20,16 +20,16 @@
 /**
  * Returns where the stream began that a request resumes; undefined if the request begins anew. Throws StreamOriginUnknown if it is not known, and
  * StreamNotContinuable if the route no longer leads to the service that began the stream. A caller that does not name the attempt which began its
- * stream can resume it only while there is no second software version.
+ * stream can resume it only if the version is certain all the same.
  */
-export const getResumedOrigin = async ({route, caller, head}: ResumedRequest, {clock, findOrigin, getVersions}: OriginSource): Promise<StreamOrigin | undefined> => {
+export const getResumedOrigin = async ({route, caller, head}: ResumedRequest, source: OriginSource): Promise<StreamOrigin | undefined> => {
 	if (!isResumption({route, head, lastEventId: undefined})) {
 		return undefined;
 	}
 
 	const origin = head.resumedRequestId === ''
-		? getSoleOrigin(route, getVersions(), clock.now())
-		: await findOrigin(getOriginKey(caller.team?.name ?? '', head.resumedRequestId), head.id);
+		? await findUnnamedOrigin({route, caller, head}, source)
+		: await source.findOrigin(getOriginKey(caller.team?.name ?? '', head.resumedRequestId), head.id);
 	if (!origin) {
 		throw newError(RESULT_CODE.StreamOriginUnknown);
 	}
--- a/apps/valelead-daemon/src/gateway/origin-source.ts
+++ b/apps/valelead-daemon/src/gateway/origin-source.ts
@@ -1,14 +1,15 @@
-import type {Clock} from '@valelead/common';
-import type {StreamOrigin, VersionHistory} from '@valelead/stream-origin';
+import type {StreamOrigin} from '@valelead/stream-origin';
 
 /** Provides what is known of where streams began. */
 export type OriginSource = {
-	readonly clock: Clock;
 	/**
 	 * Finds where a stream began; resolves with undefined if nobody knows.
 	 * @param requestId - The id of the attempt that resumes the stream, for the log.
 	 */
 	readonly findOrigin: (key: string, requestId: string) => Promise<StreamOrigin | undefined>;
-	/** Returns the software versions that upstreams have had lately. */
-	readonly getVersions: () => VersionHistory;
+	/**
+	 * Finds the software version at which every stream of a service began, as of now; resolves with an empty string if there are several or an unknown
+	 * one, and with undefined if no leader replies.
+	 */
+	readonly findSoleVersion: (service: string) => Promise<string | undefined>;
 };
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	OUTCOME, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, ValeleadError,
+	type Clock, OUTCOME, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, ValeleadError,
 } from '@valelead/common';
 import {
 	type Route, type RouteTable, getRoute, getServiceByWeight,
@@ -23,6 +23,7 @@
 
 type HandlerParts = OriginSource & {
 	readonly codec: CallerCodec;
+	readonly clock: Clock;
 	readonly logger: Logger;
 	/** Bounds the memory of all responses. */
 	readonly held: HeldResponses;
--- a/apps/valelead-daemon/src/stream-origins/new-origin-service.ts
+++ b/apps/valelead-daemon/src/stream-origins/new-origin-service.ts
@@ -2,17 +2,32 @@
 import {create} from '@bufbuild/protobuf';
 import type {Clock} from '@valelead/common';
 import {
-	type LookUpReply, type LookUpRequest, type RecordReply, type StreamOriginBatch, LookUpReplySchema, RecordReplySchema,
+	type LookUpReply,
+	type LookUpRequest,
+	type RecordReply,
+	type SoleVersionReply,
+	type SoleVersionRequest,
+	type StreamOriginBatch,
+	LookUpReplySchema,
+	RecordReplySchema,
+	SoleVersionReplySchema,
 } from '@valelead/protocol';
 import type {
 	sendUnaryData, ServerDuplexStream, ServerUnaryCall, UntypedServiceImplementation,
 } from '@grpc/grpc-js';
+import type {SoftwareVersions} from '../control/software-versions.js';
 import {decodeOrigin} from './decode-origin.js';
 import {encodeOrigin} from './encode-origin.js';
 import type {OriginStore} from './origin-store.js';
 
+type ServiceParts = {
+	readonly store: Pick<OriginStore, 'record' | 'get'>;
+	readonly versions: Pick<SoftwareVersions, 'getSole'>;
+	readonly clock: Clock;
+};
+
 /** Creates the gRPC service through which gateways store and look up the origins of streams. */
-export const newOriginService = (store: Pick<OriginStore, 'record' | 'get'>, clock: Clock): UntypedServiceImplementation => ({
+export const newOriginService = ({store, versions, clock}: ServiceParts): UntypedServiceImplementation => ({
 	record(stream: ServerDuplexStream<StreamOriginBatch, RecordReply>) {
 		stream.once('data', () => {
 			// Tells the gateway that the connection works.
@@ -34,4 +49,8 @@
 		const origin = store.get(Buffer.from(request.key).toString('hex'));
 		reply(null, create(LookUpReplySchema, origin && {origin: encodeOrigin(origin, clock.now())}));
 	},
+	getSoleVersion({request}: ServerUnaryCall<SoleVersionRequest, SoleVersionReply>, reply: sendUnaryData<SoleVersionReply>) {
+		const softwareVersion = versions.getSole(request.service);
+		reply(null, create(SoleVersionReplySchema, {isKnown: softwareVersion !== undefined, softwareVersion: softwareVersion ?? ''}));
+	},
 });
--- a/apps/valelead-daemon/src/stream-origins/origin-client.ts
+++ b/apps/valelead-daemon/src/stream-origins/origin-client.ts
@@ -3,7 +3,9 @@
 import {
 	type Clock, type TimerService, RESULT_CODE, ValeleadError,
 } from '@valelead/common';
-import {type ChannelPool, LookUpRequestSchema, StreamOrigins} from '@valelead/protocol';
+import {
+	type ChannelPool, LookUpRequestSchema, SoleVersionRequestSchema, StreamOrigins,
+} from '@valelead/protocol';
 import {type OriginRecord, type StreamOrigin, getHolders} from '@valelead/stream-origin';
 import type {Logger} from 'pino';
 import {afterEventLoopIterations} from '../after-event-loop-iterations.js';
@@ -110,6 +112,14 @@
 		return origin;
 	}
 
+	/**
+	 * Returns the version at which every stream of a service began, by a leader that is asked now; empty if there are several or an unknown one.
+	 * Resolves with undefined if no leader replies.
+	 */
+	async findSoleVersion(service: string): Promise<string | undefined> {
+		return this.#askAll(async address => this.#askVersion(address, service));
+	}
+
 	stop(): void {
 		for (const link of this.#links.values()) {
 			link.stop();
@@ -128,24 +138,38 @@
 
 	/** Asks all voters, as another gateway may have known other ones when it chose the holders. */
 	async #lookUpAtHolders(key: string): Promise<StreamOrigin | undefined> {
+		return this.#askAll(async address => this.#ask(address, key));
+	}
+
+	/** Asks all voters at once, some times, and returns the first answer; undefined if none gives one. */
+	async #askAll<Value>(ask: (address: string) => Promise<Value>): Promise<Value | undefined> {
 		for (const [round, waitMs] of LOOK_UP_WAITS_MS.entries()) {
 			if (waitMs > 0) {
 				await this.#parts.timers.wait(waitMs);
 			}
 
 			try {
-				return await Promise.any(this.#addresses.map(async address => this.#ask(address, key)));
+				return await Promise.any(this.#addresses.map(async address => ask(address)));
 			} catch (error) {
 				const reasons = (error as AggregateError).errors.map(String);
-				this.#parts.logger.debug({
-					event: 'origin-not-found', key, round, reasons,
-				}, 'no voter knows where a stream began');
+				this.#parts.logger.debug({event: 'origin-not-found', round, reasons}, 'no voter knows where a stream began');
 			}
 		}
 
 		return undefined;
 	}
 
+	async #askVersion(address: string, service: string): Promise<string> {
+		const call = this.#parts.pool.get(address).unary(StreamOrigins.method.getSoleVersion, create(SoleVersionRequestSchema, {service}), LOOK_UP_TIMEOUT_MS);
+		const error = new ValeleadError(`${address} does not know the versions`, {code: RESULT_CODE.StreamOriginUnknown});
+		const {isKnown, softwareVersion} = await withTimeout(call, this.#parts.timers, LOOK_UP_TIMEOUT_MS, error);
+		if (!isKnown) {
+			throw error;
+		}
+
+		return softwareVersion;
+	}
+
 	async #ask(address: string, key: string): Promise<StreamOrigin> {
 		const request = create(LookUpRequestSchema, {key: Buffer.from(key, 'hex')});
 		const call = this.#parts.pool.get(address).unary(StreamOrigins.method.lookUp, request, LOOK_UP_TIMEOUT_MS);
--- a/apps/valelead-daemon/tests/resumed-origin.feature
+++ b/apps/valelead-daemon/tests/resumed-origin.feature
@@ -36,6 +36,27 @@
     When team "red" sends a request with last event "3" that resumes ""
     Then the request is "at s, v2"
 
+  # Guards against a leader that has just begun and takes the only version that it has heard of for the only one that there was.
+  Scenario: No attempt is named, and another version has left just before a change of leader
+    Given upstreams of versions "v1, v2"
+    And another leader, which knows upstreams of versions "v2"
+    When team "red" sends a request with last event "3" that resumes ""
+    Then the request is "refused, 2018"
+
+  # Guards against streams that go on somewhere because a gateway out of reach of the leader takes what it knows for all that there is.
+  Scenario: No attempt is named, and no leader replies
+    Given upstreams of versions "v1"
+    And no leader replies
+    When team "red" sends a request with last event "3" that resumes ""
+    Then the request is "refused, 2018"
+
+  # Guards against callers that are refused although their id, which they have kept, identifies their stream.
+  Scenario: No attempt is named, and the caller keeps the id of the attempt that began its stream
+    Given upstreams of versions "v1, v2"
+    And the request has the id "a1"
+    When team "red" sends a request with last event "3" that resumes ""
+    Then the request is "at s, v1"
+
   # Guards against a service that runs requests which the routing no longer sends there.
   Scenario: The route leads to another service since
     Given a resumable route to service "t"
@@ -43,6 +64,14 @@
     When team "red" sends a request with last event "3" that resumes "a1"
     Then the request is "refused, 2019"
 
+  # Guards against a stream of the service to which the route led before that goes on at the present one.
+  Scenario: No attempt is named, and the route led to another service when the stream began
+    Given upstreams of versions "v1"
+    And a resumable route to service "t"
+    And an upstream of service "t" and version "v1"
+    When team "red" sends a request with last event "3" that resumes ""
+    Then the request is "refused, 2018"
+
   # Guards against requests of other routes that are taken for resumed streams.
   Scenario: The route is not resumable
     Given a route to service "s" that is not resumable
--- a/apps/valelead-daemon/tests/resumed-origin.steps.ts
+++ b/apps/valelead-daemon/tests/resumed-origin.steps.ts
@@ -1,20 +1,27 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {ValeleadError} from '@valelead/common';
+import type {Upstream} from '@valelead/discovery';
 import {type Route, type Team, ROUTE_KIND} from '@valelead/routing';
-import {
-	type StreamOrigin, getOriginKey, mutateVersionHistory, newVersionHistory,
-} from '@valelead/stream-origin';
+import {type StreamOrigin, getOriginKey} from '@valelead/stream-origin';
+import {pino} from 'pino';
 import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {VirtualProcess} from '../../../tests/support/virtual-process.js';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
-import {type CallerRequest, OriginStore, getResumedOrigin} from 'valelead-daemon';
+import {SimulatedVersionLog} from './simulated-version-log.js';
+import {
+	type CallerRequest, OriginStore, SoftwareVersions, getResumedOrigin,
+} from 'valelead-daemon';
 
 type OriginWorld = {
 	time: VirtualTime;
 	store: OriginStore;
-	versions: ReturnType<typeof newVersionHistory>;
+	versionLog: SimulatedVersionLog;
+	upstreams: readonly Upstream[];
+	/** What the leader knows of versions; undefined while no leader replies. */
+	versions: SoftwareVersions | undefined;
+	requestId: string | undefined;
 	route: Route;
 	result: string;
 };
@@ -45,10 +52,20 @@
 
 const getClock = ({time}: OriginWorld): {now: () => number; wallNow: () => number} => ({now: () => time.now, wallNow: () => time.now});
 
+const newLeader = (world: OriginWorld): SoftwareVersions => {
+	const versions = new SoftwareVersions({
+		voter: world.versionLog, getUpstreams: () => world.upstreams, timers: newProcessTimers(world.time, new VirtualProcess(world.time)), logger: pino({enabled: false}),
+	});
+	versions.start();
+	return versions;
+};
+
 Given('a resumable route to service {string}', function (this: OriginWorld, service: string) {
 	this.time ??= new VirtualTime();
 	this.store ??= new OriginStore({clock: getClock(this), timers: newProcessTimers(this.time, new VirtualProcess(this.time))});
-	this.versions ??= newVersionHistory();
+	this.versionLog ??= new SimulatedVersionLog();
+	this.upstreams ??= [];
+	this.versions ??= newLeader(this);
 	this.route = newRoute(service, true);
 });
 
@@ -68,26 +85,49 @@
 	});
 });
 
-const setVersions = (world: OriginWorld, versions: string): void => {
+const setVersions = async (world: OriginWorld, versions: string): Promise<void> => {
 	const upstreams = versions.split(', ').map((softwareVersion, index) => newUpstream(`u${index}`, {softwareVersion}));
-	mutateVersionHistory(world.versions, upstreams, world.time.now);
+	await Promise.all(upstreams.map(async upstream => world.versions!.register(upstream)));
+	world.upstreams = upstreams;
 };
 
-Given('upstreams of versions {string}', function (this: OriginWorld, versions: string) {
-	setVersions(this, versions);
+Given('upstreams of versions {string}', async function (this: OriginWorld, versions: string) {
+	await setVersions(this, versions);
 });
 
-Given('{int} seconds later upstreams of versions {string}', function (this: OriginWorld, seconds: number, versions: string) {
+Given('{int} seconds later upstreams of versions {string}', async function (this: OriginWorld, seconds: number, versions: string) {
 	this.time.advance(seconds * MS_PER_SECOND);
-	setVersions(this, versions);
+	await setVersions(this, versions);
+});
+
+Given('an upstream of service {string} and version {string}', async function (this: OriginWorld, service: string, softwareVersion: string) {
+	const upstream = newUpstream('other', {service, softwareVersion});
+	await this.versions!.register(upstream);
+	this.upstreams = [...this.upstreams, upstream];
+});
+
+Given('another leader, which knows upstreams of versions {string}', async function (this: OriginWorld, versions: string) {
+	this.versionLog.lead();
+	this.versions = newLeader(this);
+	await setVersions(this, versions);
+});
+
+Given('no leader replies', function (this: OriginWorld) {
+	this.versions = undefined;
+});
+
+Given('the request has the id {string}', function (this: OriginWorld, id: string) {
+	this.requestId = id;
 });
 
 When('team {string} sends a request with last event {string} that resumes {string}', async function (this: OriginWorld, team: string, lastEventId: string, resumedRequestId: string) {
-	const head: CallerRequest = {...NEW_REQUEST, lastEventId, resumedRequestId};
+	const head: CallerRequest = {
+		...NEW_REQUEST, id: this.requestId ?? NEW_REQUEST.id, lastEventId, resumedRequestId,
+	};
 	const caller = {team: newTeam(team), rank: 0, cost: 0};
 	const findOrigin = async (key: string): Promise<StreamOrigin | undefined> => this.store.get(key);
 	try {
-		const origin = await getResumedOrigin({route: this.route, caller, head}, {clock: getClock(this), findOrigin, getVersions: () => this.versions});
+		const origin = await getResumedOrigin({route: this.route, caller, head}, {findOrigin, findSoleVersion: async service => this.versions?.getSole(service)});
 		this.result = origin ? `at ${origin.service}, ${origin.softwareVersion}` : 'new';
 	} catch (error) {
 		this.result = `refused, ${(error as ValeleadError).code}`;
--- a/apps/valelead-daemon/tests/stream-simulation.ts
+++ b/apps/valelead-daemon/tests/stream-simulation.ts
@@ -1,7 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {Clock} from '@valelead/common';
 import {type Route, ROUTE_KIND, newRouteTable} from '@valelead/routing';
-import {type VersionHistory, mutateVersionHistory, newVersionHistory} from '@valelead/stream-origin';
 import {pino} from 'pino';
 import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
@@ -34,7 +33,6 @@
 	readonly pool: SimulatedOriginPool;
 	readonly origins: OriginClient;
 	readonly dispatcher: RequestDispatcher;
-	readonly versions: VersionHistory;
 };
 
 type SimulationOptions = {
@@ -261,9 +259,7 @@
 			suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
 			onEnd: ignore,
 		});
-		return {
-			pool, origins, dispatcher, versions: newVersionHistory(),
-		};
+		return {pool, origins, dispatcher};
 	}
 
 	#getEngine(id: string): SimulatedStreamEngine {
@@ -283,7 +279,6 @@
 		process.after(this.#options.random() * DIRECTORY_MS, () => {
 			if (!gateway.isDirectoryStale) {
 				const upstreams = this.engines.map(({id, service, softwareVersion}) => newUpstream(id, {service, softwareVersion}));
-				mutateVersionHistory(parts.versions, upstreams, this.time.now);
 				parts.dispatcher.takeDirectory(upstreams);
 			}
 		});
@@ -371,7 +366,7 @@
 		try {
 			const origin = this.#options.isOriginUsed
 				? await getResumedOrigin({route: ROUTE, caller, head}, {
-					clock: this.clock, findOrigin: async (key, requestId) => parts.origins.lookUp(key, requestId), getVersions: () => parts.versions,
+					findOrigin: async (key, requestId) => parts.origins.lookUp(key, requestId), findSoleVersion: async service => parts.origins.findSoleVersion(service),
 				})
 				: undefined;
 			if (process.run !== run || attempt.isOver) {
--- a/packages/stream-origin/src/get-sole-version.ts
+++ b/packages/stream-origin/src/get-sole-version.ts
@@ -1,8 +1,7 @@
-import {VERSION_RETENTION_MS} from './version-retention-ms.js';
-import type {VersionHistory} from './version-history.js';
+import type {VersionRegister} from './version-register.js';
 
-/** Returns the version that all upstreams of a service have had lately; undefined if there were several, none, or one without a known version. */
-export const getSoleVersion = ({leftAt}: VersionHistory, service: string, now: number): string | undefined => {
-	const recent = [...leftAt.get(service) ?? []].filter(([, at]) => now - at <= VERSION_RETENTION_MS).map(([version]) => version);
-	return recent.length === 1 && recent[0] !== '' ? recent[0] : undefined;
+/** Returns the version at which every stream of a service began; undefined if there are several versions, none, or an unknown one. */
+export const getSoleVersion = (register: VersionRegister, service: string): string | undefined => {
+	const [version, ...others] = register.get(service) ?? [];
+	return others.length === 0 && version !== '' ? version : undefined;
 };
--- a/packages/stream-origin/src/version-retention-ms.ts
+++ b/packages/stream-origin/src/version-retention-ms.ts
@@ -1,2 +1,2 @@
-/** Time for which a software version counts after its last upstream has left, in milliseconds: longer than streams usually last. */
+/** Time for which a software version counts without an upstream, in milliseconds: longer than streams usually last. */
 export const VERSION_RETENTION_MS = 60_000;
