Keep the number of budget shares in the replicated log

What operators saw: more repeats than the retry budget allows. Class: what a process has not heard counted as what does not exist. Change: the leader commits the number of gateways when it grows, lowers it only after it has heard fewer for 20 s, and tells gateways the larger of both. Why it works: a gateway gets a share a window after it was counted, long after the number is committed, and the lease of an earlier share and its window end before the number falls.

--- a/apps/valelead-daemon/src/control/control-machine.ts
+++ b/apps/valelead-daemon/src/control/control-machine.ts
@@ -15,6 +15,8 @@
 	readonly routing?: StoredRouting;
 	/** Software versions by service; missing in snapshots of earlier builds. */
 	readonly versions?: ReadonlyArray<[string, readonly string[]]>;
+	/** Missing in snapshots of earlier builds. */
+	readonly gatewayCount?: number;
 };
 
 /** The replicated state machine that the consensus log drives: the configuration, the claims on idempotency keys and the routing configuration. */
@@ -23,6 +25,7 @@
 	#claims: Claims = new Map();
 	#routing: StoredRouting | undefined;
 	#versions: VersionRegister = new Map();
+	#gatewayCount = 0;
 	#firstRoutingIndex: number | undefined;
 	#recent: AppliedProposal[] = [];
 	readonly #results = new Map<number, CommandResult | readonly ClaimResult[]>();
@@ -46,6 +49,11 @@
 		return this.#versions;
 	}
 
+	/** Number of gateways that may have a share of the common budgets; 0 before any gateway was counted. */
+	get gatewayCount(): number {
+		return this.#gatewayCount;
+	}
+
 	/** The log index of the installation's first routing configuration; undefined before that entry, or if the routing came with a snapshot. */
 	get firstRoutingIndex(): number | undefined {
 		return this.#firstRoutingIndex;
@@ -81,6 +89,7 @@
 				mutateVersionRegister(this.#versions, record.versionChange);
 			}
 
+			this.#gatewayCount = record.gatewayCount ?? this.#gatewayCount;
 			return;
 		}
 
@@ -104,6 +113,7 @@
 		this.#intent = decodeIntent(saved.intent);
 		this.#claims = new Map(saved.claims);
 		this.#routing = saved.routing;
+		this.#gatewayCount = saved.gatewayCount ?? 0;
 		this.#versions = new Map((saved.versions ?? []).map(([service, versions]) => [service, new Set(versions)]));
 		this.#firstRoutingIndex = undefined;
 		this.#recent = [];
@@ -113,7 +123,7 @@
 	save(): string {
 		const versions = [...this.#versions].map(([service, names]) => [service, [...names]]);
 		return JSON.stringify({
-			intent: encodeIntent(this.#intent), claims: [...this.#claims], routing: this.#routing, versions,
+			intent: encodeIntent(this.#intent), claims: [...this.#claims], routing: this.#routing, versions, gatewayCount: this.#gatewayCount,
 		});
 	}
 
--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -7,6 +7,7 @@
 import {
 	type FollowerReport, type HeldLease, type QuarantineList, type UpstreamLimits, HeldLeaseSchema, SessionUpdateSchema,
 } from '@valelead/protocol';
+import type {BudgetShares} from './budget-shares.js';
 import {DirectoryUpdates} from './directory-updates.js';
 import {InitialRetryShares} from './initial-retry-shares.js';
 import {GatewayRegistry} from './gateway-registry.js';
@@ -33,6 +34,7 @@
 	readonly leases: OrderLeases;
 	readonly quarantine: QuarantineRegistry;
 	readonly gatewayLeases: GatewayLeases;
+	readonly shares: Pick<BudgetShares, 'count' | 'note'>;
 	readonly quotas: QuotaRegistry;
 	readonly limits: Pick<LimitRegistry, 'version' | 'note' | 'getList' | 'newGrant'>;
 	readonly watch: Pick<LeaderWatch, 'isOutside'>;
@@ -87,6 +89,7 @@
 	readonly #quarantine: QuarantineRegistry;
 	readonly #gatewayLeases: GatewayLeases;
 	readonly #quarantineRollout: QuarantineRollout;
+	readonly #shares: SessionsParts['shares'];
 	readonly #quotas: QuotaRegistry;
 	readonly #limits: SessionsParts['limits'];
 	readonly #watch: Pick<LeaderWatch, 'isOutside'>;
@@ -101,11 +104,12 @@
 	readonly #pushes: Coalescer;
 	#nextSession = 1;
 
-	constructor({voter, registry, leases, quarantine, gatewayLeases, quotas, limits, watch, rollout, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
+	constructor({voter, registry, leases, quarantine, gatewayLeases, shares, quotas, limits, watch, rollout, timers, clock = SYSTEM_CLOCK}: SessionsParts) {
 		this.#voter = voter;
 		this.#leases = leases;
 		this.#quarantine = quarantine;
 		this.#gatewayLeases = gatewayLeases;
+		this.#shares = shares;
 		this.#quotas = quotas;
 		this.#limits = limits;
 		this.#watch = watch;
@@ -145,6 +149,7 @@
 		this.#directoryUpdates.start();
 		this.#timers.repeat(CHECK_MS, () => {
 			this.#gatewayRegistry.removeSilent();
+			this.#noteGatewayCount();
 			this.#checkLeases();
 		});
 		this.#rollout.start(() => this.#voter.node?.isCurrentLeader ? [...this.#sessions.values()] : []);
@@ -253,6 +258,7 @@
 		session.sentAt = report.sentAt;
 		if (session.role === GATEWAY_ROLE) {
 			this.#gatewayRegistry.noteReport(session.vm);
+			this.#noteGatewayCount();
 		}
 
 		this.#rollout.noteConfirmed(session.role, session.confirmed.routingVersion, report.routingVersion);
@@ -301,6 +307,12 @@
 		this.#quarantine.note({vm, crashes: [...held, ...crashes], served});
 	}
 
+	#noteGatewayCount(): void {
+		if (this.#voter.node?.isCurrentLeader) {
+			this.#shares.note(this.#gatewayRegistry.count);
+		}
+	}
+
 	/** Checks for expired leases, as no message announces that a lease has expired. */
 	#checkLeases(): void {
 		if (this.#voter.node?.isCurrentLeader) {
@@ -385,6 +397,7 @@
 			...(hasNewRouting && {routing, unspentShares: session.role === GATEWAY_ROLE ? this.#initialRetryShares.claimShare(session) : 0}),
 			directory: this.#directoryUpdates.getDelta(session.sent),
 			gatewayCount: this.#gatewayRegistry.count,
+			budgetShares: this.#shares.count,
 			voterAddresses: this.#voter.node!.voters.map(voter => voter.address),
 			isReportWanted: hasNewRouting || this.#confirmations.isWaiting || quarantine.quarantine !== undefined,
 			leases: this.#newLeases(session),
--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -159,10 +159,12 @@
 
 	/** Commits a change of the software versions at which streams may have begun. */
 	async changeVersions(versionChange: VersionChange): Promise<void> {
-		const index = await this.#propose({
-			kind: 'claims', at: SYSTEM_CLOCK.wallNow(), commands: [], versionChange,
-		});
-		this.machine.takeResult(index);
+		await this.#proposeChange({versionChange});
+	}
+
+	/** Commits the number of gateways that may have a share of the common budgets. */
+	async changeGatewayCount(gatewayCount: number): Promise<void> {
+		await this.#proposeChange({gatewayCount});
 	}
 
 	/** Resolves once the quorum tolerates the configured number of failures, or has stopped growing. */
@@ -207,6 +209,13 @@
 		this.#isCommittingClaims = false;
 	}
 
+	async #proposeChange(change: {readonly versionChange: VersionChange} | {readonly gatewayCount: number}): Promise<void> {
+		const index = await this.#propose({
+			kind: 'claims', at: SYSTEM_CLOCK.wallNow(), commands: [], ...change,
+		});
+		this.machine.takeResult(index);
+	}
+
 	async #propose(record: object): Promise<number> {
 		if (!this.#node) {
 			throw new ValeleadError('This voter has no quorum yet', {code: RESULT_CODE.NotLeader});
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -4,6 +4,7 @@
 import type {Logger} from 'pino';
 import type {Adapter} from '../adapter/adapter.js';
 import {startAdminServer} from '../admin-server.js';
+import {BudgetShares} from '../control/budget-shares.js';
 import {CommittedRouting} from '../control/committed-routing.js';
 import {FollowerSessions} from '../control/follower-sessions.js';
 import {GatewayLeases} from '../control/gateway-leases.js';
@@ -118,8 +119,9 @@
 			metrics.routingLag.observe({role}, lagMs / MS_PER_SECOND);
 		},
 	});
+	const shares = new BudgetShares({voter, clock: SYSTEM_CLOCK, logger});
 	const followers = new FollowerSessions({
-		voter, registry, leases, quarantine, gatewayLeases, quotas, limits, watch, rollout, timers,
+		voter, registry, leases, quarantine, gatewayLeases, shares, quotas, limits, watch, rollout, timers,
 	});
 	const origins = new OriginStore({clock: SYSTEM_CLOCK, timers});
 	const {leader, sessions, server} = newControlPlane({
--- a/apps/valelead-daemon/src/follower/gateway-count.ts
+++ b/apps/valelead-daemon/src/follower/gateway-count.ts
@@ -16,6 +16,8 @@
 	readonly isServing: boolean;
 	/** Number of shares into which the retry budget is divided while no gateway can have spent from it; 0 if one may have. */
 	readonly unspentShares: number;
+	/** Number of shares into which the retry budget is divided by the replicated log; 0 if the leader cannot tell. */
+	readonly budgetShares: number;
 };
 
 /** A lower number of gateways is accepted only after this time, in milliseconds. */
@@ -43,6 +45,8 @@
 	#countedSince = Number.NEGATIVE_INFINITY;
 	/** Number of shares of the retry budget if no gateway had spent from it when this one was first counted; 0 if one may have. */
 	#unspentShares = 0;
+	/** Number of shares of the retry budget by the latest leader that could tell. */
+	#budgetShares = 0;
 
 	constructor({clock, suspensions}: CountParts) {
 		this.#clock = clock;
@@ -70,12 +74,13 @@
 	/** Number of shares into which the retry budget is divided; one of them belongs to this gateway. */
 	get shares(): number {
 		const isInitialShare = this.isUnspent && this.#clock.now() - this.#countedSince < INITIAL_SHARES_MS;
-		return isInitialShare ? Math.max(this.#value, this.#unspentShares) : this.#value;
+		return Math.max(this.#value, this.#budgetShares, isInitialShare ? this.#unspentShares : 0);
 	}
 
 	/** Processes an update of the leader. A new leader may not have reports from all gateways yet, so a lower count is accepted only after 20 s. */
-	handleUpdate({count, askedAt, isServing, unspentShares}: GatewayCountUpdate): void {
+	handleUpdate({count, askedAt, isServing, unspentShares, budgetShares}: GatewayCountUpdate): void {
 		const now = this.#clock.now();
+		this.#budgetShares = budgetShares === 0 ? this.#budgetShares : budgetShares;
 		if (count >= this.#value || now - this.#acceptedAt > LOWER_COUNT_DELAY_MS) {
 			this.#value = Math.max(1, count);
 			this.#acceptedAt = now;
--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -212,7 +212,11 @@
 		});
 		this.#handleGrants(update);
 		this.#gateways.handleUpdate({
-			count: update.gatewayCount, askedAt: update.sentAt, isServing: this.#table !== undefined, unspentShares: hadTable ? 0 : update.unspentShares,
+			count: update.gatewayCount,
+			askedAt: update.sentAt,
+			isServing: this.#table !== undefined,
+			unspentShares: hadTable ? 0 : update.unspentShares,
+			budgetShares: update.budgetShares,
 		});
 		if (update.directory.length > 0) {
 			this.#applyDirectory(fromBinary(DirectoryDeltaSchema, update.directory));
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -104,6 +104,8 @@
 export {isLoadTooLate} from './gateway/is-load-too-late.js';
 export {ControllerPeers} from './control/controller-peers.js';
 export {LeaderFinder} from './standby/leader-finder.js';
+export {BudgetShares} from './control/budget-shares.js';
+export type {GatewayLog} from './control/gateway-log.js';
 export {SoftwareVersions} from './control/software-versions.js';
 export type {VersionLog} from './control/version-log.js';
 export {getResumedOrigin} from './gateway/get-resumed-origin.js';
--- a/apps/valelead-daemon/tests/crash-simulation.ts
+++ b/apps/valelead-daemon/tests/crash-simulation.ts
@@ -8,6 +8,7 @@
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {NO_LIMITS} from '../../../tests/support/no-limits.js';
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
+import {NO_SHARES} from '../../../tests/support/no-shares.js';
 import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
 import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
 import {VirtualProcess} from '../../../tests/support/virtual-process.js';
@@ -209,6 +210,7 @@
 			gatewayLeases,
 			quotas: NO_QUOTAS,
 			limits: NO_LIMITS,
+			shares: NO_SHARES,
 			watch: {isOutside: false},
 			rollout: NO_ROLLOUT,
 			timers,
--- a/apps/valelead-daemon/tests/directory-updates.steps.ts
+++ b/apps/valelead-daemon/tests/directory-updates.steps.ts
@@ -14,6 +14,7 @@
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
 import {NO_LIMITS} from '../../../tests/support/no-limits.js';
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
+import {NO_SHARES} from '../../../tests/support/no-shares.js';
 import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {FollowerSessions, UpstreamRegistry} from 'valelead-daemon';
@@ -131,7 +132,7 @@
 		note: () => undefined, getGrants: () => [], getSidecarDelayMs: () => 0, getLeaseHolder: (address: string) => world.leaseHolders.get(address),
 	};
 	world.sessions = new FollowerSessions({
-		voter: voter as never, registry: world.registry, leases: leases as never, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS, gatewayLeases: NO_GATEWAY_LEASES,
+		voter: voter as never, registry: world.registry, leases: leases as never, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS, shares: NO_SHARES, gatewayLeases: NO_GATEWAY_LEASES,
 		watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock,
 	});
 	world.sessions.start();
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -19,6 +19,7 @@
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
 import {NO_LIMITS} from '../../../tests/support/no-limits.js';
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
+import {NO_SHARES} from '../../../tests/support/no-shares.js';
 import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
 import {
 	FollowerSessions, GatewayLeases, LeaderWatch, SessionClient, encodeCrash, newStandbyControlService,
@@ -297,7 +298,7 @@
 	const registry = {epoch: 'e', directory: newDirectory()};
 	const leases = {note: ignore, getGrants: () => [], getSidecarDelayMs: () => 0};
 	world.sessions = new FollowerSessions({
-		voter: voter as never, registry, leases: leases as never, quotas: NO_QUOTAS, limits: NO_LIMITS, gatewayLeases, quarantine,
+		voter: voter as never, registry, leases: leases as never, quotas: NO_QUOTAS, limits: NO_LIMITS, shares: NO_SHARES, gatewayLeases, quarantine,
 		watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: world.timers, clock: world.clock,
 	});
 };
--- a/apps/valelead-daemon/tests/order-leases.steps.ts
+++ b/apps/valelead-daemon/tests/order-leases.steps.ts
@@ -13,6 +13,7 @@
 import {NO_QUARANTINE} from '../../../tests/support/no-quarantine.js';
 import {NO_LIMITS} from '../../../tests/support/no-limits.js';
 import {NO_QUOTAS} from '../../../tests/support/no-quotas.js';
+import {NO_SHARES} from '../../../tests/support/no-shares.js';
 import {NO_ROLLOUT} from '../../../tests/support/no-rollout.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {FollowerSessions, OrderLeases} from 'valelead-daemon';
@@ -77,7 +78,7 @@
 		logger: pino({level: 'silent'}),
 	});
 	this.sessions = new FollowerSessions({
-		voter: voter as never, registry, leases: this.leases, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS, gatewayLeases: NO_GATEWAY_LEASES,
+		voter: voter as never, registry, leases: this.leases, quarantine: NO_QUARANTINE, quotas: NO_QUOTAS, limits: NO_LIMITS, shares: NO_SHARES, gatewayLeases: NO_GATEWAY_LEASES,
 		watch: {isOutside: false}, rollout: NO_ROLLOUT, timers: this.timers, clock,
 	});
 	this.streams = new Map();
--- a/apps/valelead-daemon/tests/retry-budget.feature
+++ b/apps/valelead-daemon/tests/retry-budget.feature
@@ -46,6 +46,20 @@
     And every request fails for 8000 ms
     Then the service gets no more repeats than its budget allows
 
+  # Guards against a leader that gives the whole reserve to the one gateway that it has heard while eight others still spend their shares.
+  Scenario: Eight gateways that a new leader has not heard still count
+    Given 9 gateways whose leader has counted them
+    When all but the first one hear no leader any more, another leader begins and the first one is killed
+    And no request fails for 8000 ms
+    And every request fails for 8000 ms
+    Then the service gets no more repeats than its budget allows
+
+  # Guards against a reserve that stays divided among gateways that are gone.
+  Scenario: A gateway has the shares of those that are gone for long
+    Given 9 gateways whose leader has counted them
+    When all but the first one are removed for 120000 ms, and then every request fails for 10000 ms
+    Then the service gets between 40 and 64 repeats
+
   # Guards against failed requests at the first start of an installation, when no retry can have been spent yet.
   Scenario: Gateways of an installation that gets its first routing may retry at once
     Given 9 gateways that follow the leader of an installation without a routing
--- a/apps/valelead-daemon/tests/retry-budget.steps.ts
+++ b/apps/valelead-daemon/tests/retry-budget.steps.ts
@@ -167,6 +167,24 @@
 	this.retries.kill(0);
 });
 
+When('all but the first one hear no leader any more, another leader begins and the first one is killed', function (this: RetryWorld) {
+	for (let index = 1; index < this.retries.gatewayCount; index += 1) {
+		this.retries.cut(index);
+	}
+
+	this.retries.lead();
+	this.retries.kill(0);
+});
+
+When('all but the first one are removed for {int} ms, and then every request fails for {int} ms', function (this: RetryWorld, removedMs: number, failingMs: number) {
+	for (let index = 1; index < this.retries.gatewayCount; index += 1) {
+		this.retries.remove(index);
+	}
+
+	this.retries.pass(removedMs, 0);
+	this.retries.pass(failingMs, 1);
+});
+
 When('no request fails for {int} ms', function (this: RetryWorld, ms: number) {
 	this.retries.pass(ms, 0);
 });
--- a/apps/valelead-daemon/tests/retry-model.ts
+++ b/apps/valelead-daemon/tests/retry-model.ts
@@ -2,9 +2,10 @@
 import {
 	type AdmissionEvent, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
+import {pino} from 'pino';
 import {newPlainArrival} from '../../../tests/support/new-plain-arrival.js';
 import {
-	InitialRetryShares, GatewayRegistry, GatewayCount, newGatewayAdmission,
+	type GatewayLog, BudgetShares, InitialRetryShares, GatewayRegistry, GatewayCount, newGatewayAdmission,
 } from 'valelead-daemon';
 
 /** An update of the leader to a gateway. */
@@ -14,6 +15,7 @@
 	readonly askedAt: number;
 	readonly hasRouting: boolean;
 	readonly unspentShares: number;
+	readonly budgetShares: number;
 };
 
 type ModelGateway = {
@@ -77,6 +79,9 @@
 	#firstRoutingTerm: number | undefined;
 	#firstShares: InitialRetryShares;
 	#sessions = new Map<ModelGateway, ModelSession>();
+	/** The number of gateways in the replicated log. */
+	#committedCount = 0;
+	#shares = this.#newShares();
 
 	constructor(gateways: number, {hasRouting = true, isFirstShared = true}: Partial<ModelOptions> = {}) {
 		this.#options = {hasRouting, isFirstShared};
@@ -95,6 +100,7 @@
 			this.#now += TICK_MS;
 			this.ticks.push({requests: 0, repeats: 0});
 			this.#census.removeSilent();
+			this.#noteCount();
 			for (const [index, gateway] of this.#gateways.entries()) {
 				if (gateway) {
 					this.#exchange(gateway);
@@ -126,6 +132,7 @@
 		this.#term += 1;
 		this.#census = new GatewayRegistry(this.#clock);
 		this.#firstShares = this.#newFirstShares();
+		this.#shares = this.#newShares();
 		this.#sessions = new Map();
 	}
 
@@ -217,6 +224,30 @@
 		});
 	}
 
+	#noteCount(): void {
+		if (this.#hasLeader) {
+			this.#shares.note(this.#census.count);
+		}
+	}
+
+	/** Creates the part of a leader that decides on shares; its log commits at once. */
+	#newShares(): BudgetShares {
+		const term = this.#term;
+		const getCount = (): number => this.#committedCount;
+		const voter: GatewayLog = {
+			node: {term, canRead: true},
+			machine: {
+				get gatewayCount() {
+					return getCount();
+				},
+			},
+			changeGatewayCount: async count => {
+				this.#committedCount = count;
+			},
+		};
+		return new BudgetShares({voter, clock: this.#clock, logger: pino({enabled: false})});
+	}
+
 	#newGateway(index: number): ModelGateway {
 		const gateway = {
 			vm: `gateway-${index}`,
@@ -247,6 +278,7 @@
 	#report(gateway: ModelGateway): void {
 		if (!gateway.isMute && !gateway.isPaused) {
 			this.#census.noteReport(gateway.vm);
+			this.#noteCount();
 			this.#firstShares.noteReport(gateway, {routingVersion: gateway.hasRouting ? 1 : 0});
 			const known = this.#sessions.get(gateway);
 			this.#sessions.set(gateway, {askedAt: this.#now, hasRouting: known?.hasRouting ?? gateway.hasRouting});
@@ -263,16 +295,16 @@
 		session.hasRouting ||= hasRouting;
 		const unspentShares = hasRouting && this.#options.isFirstShared ? this.#firstShares.claimShare({vm}) : 0;
 		return {
-			count: this.#census.count, askedAt: session.askedAt, hasRouting, unspentShares,
+			count: this.#census.count, askedAt: session.askedAt, hasRouting, unspentShares, budgetShares: this.#shares.count,
 		};
 	}
 
 	#hear(gateway: ModelGateway): void {
-		for (const {count, askedAt, hasRouting, unspentShares} of gateway.updates.splice(0)) {
+		for (const {count, askedAt, hasRouting, unspentShares, budgetShares} of gateway.updates.splice(0)) {
 			const hadRouting = gateway.hasRouting;
 			gateway.hasRouting ||= hasRouting;
 			gateway.count.handleUpdate({
-				count, askedAt, isServing: gateway.hasRouting, unspentShares: hadRouting ? 0 : unspentShares,
+				count, askedAt, isServing: gateway.hasRouting, unspentShares: hadRouting ? 0 : unspentShares, budgetShares,
 			});
 		}
 	}
