Refuse requests on unknown routes for the time being while no leader confirms the routing

What callers may see: 404, after which nobody tries again, for a route that has been acknowledged (the refusals in the record of CONFIG; that this was their cause is not shown). Cause: a gateway that has lost its leader takes the routes that it lacks for routes that do not exist. Class: what a process has not heard counts as what did not happen. Change: after 1.5 s without a confirmation such a request gets 503 with 2006 and a Retry-After time. Earlier routes go on. Result: "A gateway that is cut off while a route is added ..." failed before (404) and passes; a gateway in touch answers 404 as before.

--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -34,7 +34,7 @@
 	readonly getTable: () => RouteTable | undefined;
 	/** Returns true if the routing is recent enough to rule out that one of its keys has been revoked since. */
 	readonly isConfirmed: () => boolean;
-	/** Returns how recent the routing is, for the log. */
+	/** Returns how recent the routing is. */
 	readonly getContact: () => FollowerContact;
 	readonly isStopping: () => boolean;
 };
@@ -45,6 +45,12 @@
  */
 const ROUTING_STARTUP_MS = 2500;
 
+/**
+ * A routing that no leader has confirmed for this time may lack a route that was acknowledged since, in milliseconds: three heartbeats, and less than the
+ * time in which an acknowledged change must be in force.
+ */
+const MAX_CONFIRMATION_AGE_MS = 1500;
+
 /** The shortest Retry-After time that a caller is given, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 300;
 
@@ -90,7 +96,7 @@
 
 		const route = getRoute(table, message.headers.host ?? '', message.url ?? '/');
 		if (!route) {
-			throw this.#newError(RESULT_CODE.UnknownRoute);
+			throw this.#newError(this.#isRoutingRecent ? RESULT_CODE.UnknownRoute : RESULT_CODE.ConfigurationTooOld);
 		}
 
 		const caller = this.#getCaller(table, route, head);
@@ -119,6 +125,12 @@
 		});
 	}
 
+	/** True if a route that the routing lacks cannot have been acknowledged long ago. */
+	get #isRoutingRecent(): boolean {
+		const {confirmedAgeMs} = this.#parts.getContact();
+		return confirmedAgeMs !== undefined && confirmedAgeMs <= MAX_CONFIRMATION_AGE_MS;
+	}
+
 	/** Authenticates the caller. This happens before the body is read, so that a refused caller need not send it. */
 	#getCaller(table: RouteTable, route: Route, head: CallerRequest): Caller {
 		const check = getCallerCheck({
