Test heads of responses that break off at each byte

Reported by another operator: an engine that stops in the middle of its response head and a 200 with an empty body. Change: 14 kinds of heads (interim heads, HTTP/1.0, 204, 304, a refusal, bare line feeds) break off at each byte, in one part or two, by three ends, against the shipped sending.

--- a/apps/valelead-daemon/tests/answer-ends.feature
+++ b/apps/valelead-daemon/tests/answer-ends.feature
@@ -56,6 +56,11 @@
       | a stream, in chunks, ended inside an event          | intact     |
       | a stream, with a length, ended inside an event      | intact     |
 
+  # Guards against an upstream that stops in the middle of its response head, after which callers get an empty or short body as a whole response.
+  Scenario: A response head that breaks off at any byte is never accepted as a response
+    When heads of each kind are sent and break off at each byte, in one part or in two
+    Then none of them is accepted as complete or as a refusal
+
   # Guards against positions and kinds of truncation that the examples above do not cover.
   Scenario: A random stream that is truncated at any byte is never accepted as complete
     When random streams are sent in each framing, truncated at each byte and in each way
--- a/apps/valelead-daemon/tests/answer-ends.steps.ts
+++ b/apps/valelead-daemon/tests/answer-ends.steps.ts
@@ -111,6 +111,27 @@
 	readonly outside: ReadonlyMap<number, boolean>;
 };
 
+const INTERIM = 'HTTP/1.1 100 Continue\r\n\r\n';
+const EARLY_HINTS = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
+
+/** Response heads, each with its last line. */
+const HEADS: Readonly<Record<string, string>> = {
+	unframed: `${HEAD}\r\n`,
+	'with a length': `${HEAD}content-length: 2\r\n\r\n`,
+	'with a length of 0': `${HEAD}content-length: 0\r\n\r\n`,
+	'in chunks': CHUNKED,
+	'a stream, unframed': `${STREAM}\r\n`,
+	'HTTP/1.0': `${HEAD.replace('HTTP/1.1', 'HTTP/1.0')}\r\n`,
+	'HTTP/1.0 with a length': `${HEAD.replace('HTTP/1.1', 'HTTP/1.0')}content-length: 2\r\n\r\n`,
+	'without a body': 'HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n',
+	'not modified': 'HTTP/1.1 304 Not Modified\r\nid: 1\r\n\r\n',
+	'a refusal': 'HTTP/1.1 503 Service Unavailable\r\nid: 1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n',
+	'after an interim head': `${INTERIM}${HEAD}content-length: 0\r\n\r\n`,
+	'after early hints': `${EARLY_HINTS}${HEAD}\r\n`,
+	'after two interim heads': `${INTERIM}${EARLY_HINTS}${STREAM}\r\n`,
+	'with bare line feeds': `${HEAD}content-length: 0\r\n\r\n`.replaceAll('\r\n', '\n'),
+};
+
 type Framing = 'connection' | 'chunks' | 'length';
 
 type SentEnd = Parameters<Parameters<typeof sendAttempt>[2]>[0];
@@ -238,6 +259,38 @@
 	assert.equal(this.mistaken.length, 0, `${this.mistaken.length}: ${this.mistaken.slice(0, 5).join('\n')}`);
 });
 
+/** Returns a head that breaks off after `length` bytes, in each way. */
+const newBrokenHeads = (name: string, head: string, length: number): Truncation[] => {
+	const bytes = head.slice(0, length);
+	const half = Math.floor(length / 2);
+	const newBroken = (response: Response, parts: string): Truncation => ({...response, name: `${name}, ${length} bytes in ${parts}, ${response.end}`, isWhole: false});
+	return [
+		...BROKEN_ENDS.map(end => newBroken({bytes, end}, 'one part')),
+		newBroken({bytes, end: 'close'}, 'one part'),
+		newBroken({bytes: head.slice(0, half), laterBytes: head.slice(half, length), end: 'close'}, 'two parts'),
+	];
+};
+
+When('heads of each kind are sent and break off at each byte, in one part or in two', {timeout: 60_000}, async function (this: EndsWorld) {
+	const cuts = Object.entries(HEADS).flatMap(([name, head]) =>
+		Array.from({length: head.length - 1}, (_, index) => newBrokenHeads(name, head, index + 1)).flat());
+	this.mistaken = [];
+	const sendNext = async (): Promise<void> => {
+		for (let cut = cuts.pop(); cut; cut = cuts.pop()) {
+			const {end} = await send(cut);
+			if (!end.endsWith(' unknown')) {
+				this.mistaken.push(`${cut.name}: ${end}`);
+			}
+		}
+	};
+
+	await Promise.all(Array.from({length: PARALLEL}, sendNext));
+});
+
+Then('none of them is accepted as complete or as a refusal', function (this: EndsWorld) {
+	assert.equal(this.mistaken.length, 0, `${this.mistaken.length}: ${this.mistaken.slice(0, 10).join('\n')}`);
+});
+
 const withSource = async <Result>(name: string, ask: (port: number) => Promise<Result>): Promise<Result> => {
 	const source = new ResponseSource(RESPONSES[name]);
 	try {
