Expect the gateways of the replicated log before a leader grants crash leases

What callers may see: one more engine lost to a request that crashes engines. Change: the leader also expects the number in its log.

--- a/apps/valelead-daemon/src/control/gateway-leases.ts
+++ b/apps/valelead-daemon/src/control/gateway-leases.ts
@@ -6,6 +6,8 @@
 type LeasesParts = {
 	readonly clock: Clock;
 	readonly getTerm: () => number;
+	/** Returns the number of gateways in the replicated log. Gateways that have just started report none that they followed a leader with. */
+	readonly getCommittedCount: () => number;
 };
 
 type KnownGateway = {
@@ -99,7 +101,8 @@
 
 	/** Returns true if the term is at most this old and a gateway that followed an earlier leader has not reported yet. */
 	#isReportMissing(withinMs: number): boolean {
-		return this.#gateways.size < this.#expectedCount && this.#parts.clock.now() - this.#termStartedAt <= withinMs;
+		const expectedCount = Math.max(this.#expectedCount, this.#parts.getCommittedCount());
+		return this.#gateways.size < expectedCount && this.#parts.clock.now() - this.#termStartedAt <= withinMs;
 	}
 
 	#checkTerm(): void {
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -77,7 +77,7 @@
 	const leases = new OrderLeases({
 		voter, registry, getEngineServices: () => routing.engineServices, settings, timers, clock: SYSTEM_CLOCK, logger,
 	});
-	const gatewayLeases = new GatewayLeases({clock: SYSTEM_CLOCK, getTerm: () => voter.node?.term ?? 0});
+	const gatewayLeases = new GatewayLeases({clock: SYSTEM_CLOCK, getTerm: () => voter.node?.term ?? 0, getCommittedCount: () => voter.machine.gatewayCount});
 	const quarantine = new QuarantineRegistry({
 		voter,
 		getPauseThreshold: () => gatewayLeases.pauseThreshold,
--- a/apps/valelead-daemon/tests/crash-simulation.ts
+++ b/apps/valelead-daemon/tests/crash-simulation.ts
@@ -168,7 +168,7 @@
 		const {clock} = this;
 		const timers = newProcessTimers(this.time, process);
 		const log = this.voters.getLog(index);
-		const gatewayLeases = new GatewayLeases({clock, getTerm: () => log.node!.term});
+		const gatewayLeases = new GatewayLeases({clock, getTerm: () => log.node!.term, getCommittedCount: () => 0});
 		const quarantine = new QuarantineRegistry({
 			voter: log,
 			clock,
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -118,6 +118,14 @@
     And "g1" reports as before
     Then its quarantine registry has received the crash of run "a"
 
+  # Guards against a leader that takes the gateways that it has heard for all that there are, while another one still sends and knows of crashes.
+  Scenario: A leader that hears only a gateway that has just started grants it no crash lease while its log says that there are more
+    Given a voter that is not the leader yet and decides on quarantines
+    And its log says that 2 gateways follow the leader, and a gateway that has just started knows of none
+    When the voter becomes leader
+    And "g1" reports for the first time, with a crash of run "e1"
+    Then "g1" received an update of a leader without a crash lease
+
   # Guards against a fourth crashed engine: gateways took the first update of a new leader, which had processed no crash report yet, as permission
   # to send.
   Scenario: A voter that becomes leader grants crash leases only after all gateways have reported to it as the leader
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -53,6 +53,8 @@
 	applied: number;
 	/** Number of gateways that share budgets, which each gateway reports. */
 	gatewayCount: number;
+	/** Number of gateways in the replicated log. */
+	committedGateways: number;
 	/** Runs whose crash the quarantine registry has received. */
 	notedRuns: string[];
 	reportedCommitIndex: number;
@@ -321,7 +323,9 @@
 	const list = create(QuarantineListSchema);
 	this.notedRuns = [];
 	const getNow = (): number => this.time.now;
-	const leases = new GatewayLeases({clock: {now: getNow, wallNow: getNow}, getTerm: () => this.node.isCurrentLeader ? 2 : 1});
+	const leases = new GatewayLeases({
+		clock: {now: getNow, wallNow: getNow}, getTerm: () => this.node.isCurrentLeader ? 2 : 1, getCommittedCount: () => this.committedGateways,
+	});
 	startVoter(this, false, {
 		version: 1,
 		note: ({crashes}: FollowerReport) => {
@@ -330,6 +334,12 @@
 		getList: () => list,
 	} as unknown as typeof NO_QUARANTINE, leases);
 	this.gatewayCount = 2;
+	this.committedGateways = 0;
+});
+
+Given('its log says that {int} gateways follow the leader, and a gateway that has just started knows of none', function (this: FollowerWorld, count: number) {
+	this.committedGateways = count;
+	this.gatewayCount = 0;
 });
 
 When('{string} reports for the first time, with a crash of run {string}', function (this: FollowerWorld, vm: string, runId: string) {
--- a/apps/valelead-daemon/tests/quarantine.steps.ts
+++ b/apps/valelead-daemon/tests/quarantine.steps.ts
@@ -277,7 +277,7 @@
 	this.sessions = new Map(splitNames(names).map(vm => [vm, {
 		vm, heardAt: this.time.now, quarantineConfirmed: 0, crashesKnownUntil: 0, crashesObeyedUntil: 0,
 	} as unknown as FollowerSession]));
-	const leases = new GatewayLeases({clock: newClock(this.time), getTerm: () => 1});
+	const leases = new GatewayLeases({clock: newClock(this.time), getTerm: () => 1, getCommittedCount: () => 0});
 	for (const session of this.sessions.values()) {
 		leases.noteReport(session);
 	}
