Commit a software version by its service and its name alone

Result: "A version is committed by its service and its name alone" fails without the change and passes.

--- a/apps/valelead-daemon/src/control/software-versions.ts
+++ b/apps/valelead-daemon/src/control/software-versions.ts
@@ -42,14 +42,14 @@
 	}
 
 	/** Resolves once the version of an upstream is in the register. */
-	async register(version: SoftwareVersion): Promise<void> {
+	async register({service, softwareVersion}: SoftwareVersion): Promise<void> {
 		this.#checkTerm();
-		const key = getKey(version);
+		const key = getKey({service, softwareVersion});
 		this.#absentSince.delete(key);
 		const {voter} = this.#parts;
-		const isRegistered = voter.node?.canRead === true && voter.machine.versions.get(version.service)?.has(version.softwareVersion) === true;
+		const isRegistered = voter.node?.canRead === true && voter.machine.versions.get(service)?.has(softwareVersion) === true;
 		if (!isRegistered || this.#removing.has(key)) {
-			await this.#change({kind: 'add', ...version});
+			await this.#change({kind: 'add', service, softwareVersion});
 			this.#removing.delete(key);
 		}
 	}
--- a/apps/valelead-daemon/tests/simulated-version-log.ts
+++ b/apps/valelead-daemon/tests/simulated-version-log.ts
@@ -12,9 +12,12 @@
 	readonly node = {term: 1, canRead: true};
 	/** True if changes are committed at once. */
 	isFast = true;
+	/** All changes that were proposed. */
+	readonly proposed: VersionChange[] = [];
 	readonly #pending: PendingChange[] = [];
 
 	readonly changeVersions = async (change: VersionChange): Promise<void> => new Promise(resolve => {
+		this.proposed.push(change);
 		this.#pending.push({change, resolve});
 		if (this.isFast) {
 			this.commit();
--- a/apps/valelead-daemon/tests/software-versions.feature
+++ b/apps/valelead-daemon/tests/software-versions.feature
@@ -8,6 +8,11 @@
     When an upstream of version "v1" joins and the log commits what it was given
     Then the register holds "v1, v2"
 
+  # Guards against entries of the log that hold the whole announcement of an upstream.
+  Scenario: A version is committed by its service and its name alone
+    Given a leader that knows upstreams of versions "v1"
+    Then the log was given "kind, service, softwareVersion"
+
   # Guards against a voter that leads again and counts the time since it last knew a version, in which another leader may have known it.
   Scenario: A voter that leads again counts the absence of a version anew
     Given a leader that knows upstreams of versions "v1"
--- a/apps/valelead-daemon/tests/software-versions.steps.ts
+++ b/apps/valelead-daemon/tests/software-versions.steps.ts
@@ -137,6 +137,10 @@
 	assert.equal(this.model.registered.join(', '), versions);
 });
 
+Then('the log was given {string}', function (this: VersionsWorld, fields: string) {
+	assert.deepEqual(this.model.log.proposed.map(change => Object.keys(change).join(', ')), [fields]);
+});
+
 const VERSION = fc.constantFrom('v1', 'v2');
 
 const STEP = fc.oneof(
