Wait for the gateways of the log before a new leader acknowledges a change

Callers saw: 404 or 2006 on a route that had been acknowledged, at every gateway, until the gateways had found the new leader; a drain that a new leader acknowledged could be followed by requests in the same way. Cause: an acknowledgement waits for the sessions that are open; a leader that has just been elected has none. Class: what a process has not heard counts as what did not happen. Change: the number of gateways is in the replicated log, so a new leader knows that some are missing and waits for them, for at most 1.5 s from the start of its term. A gateway that is gone holds changes back for that time only.

--- a/apps/valelead-daemon/src/control/confirmation-queue.ts
+++ b/apps/valelead-daemon/src/control/confirmation-queue.ts
@@ -7,6 +7,8 @@
 	readonly timers: TimerService;
 	readonly clock: Clock;
 	readonly getSessions: () => Iterable<FollowerSession>;
+	/** Returns how much longer an acknowledgement waits for gateways that have not reported to this leader yet, in milliseconds; 0 if none is missing. */
+	readonly getMissingMs: () => number;
 };
 
 type Waiter = {
@@ -33,7 +35,7 @@
 		return this.#waiters.size > 0;
 	}
 
-	/** Resolves once every reachable follower has confirmed the target state, or after 300 ms. */
+	/** Resolves once every reachable follower has confirmed the target state, or after 300 ms; later if gateways are still to find a new leader. */
 	async wait(target: Progress): Promise<void> {
 		if (this.#isConfirmed(target)) {
 			return;
@@ -42,7 +44,7 @@
 		return new Promise(resolve => {
 			const waiter = {target, resolve};
 			this.#waiters.add(waiter);
-			this.#parts.timers.after(MAX_WAIT_MS, () => {
+			this.#parts.timers.after(Math.max(MAX_WAIT_MS, this.#parts.getMissingMs()), () => {
 				this.#waiters.delete(waiter);
 				resolve();
 			});
@@ -61,6 +63,6 @@
 
 	#isConfirmed(target: Progress): boolean {
 		const now = this.#parts.clock.now();
-		return [...this.#parts.getSessions()].every(session => now - session.heardAt > FOLLOWER_SILENCE_MS || !isBehind(session.confirmed, target));
+		return this.#parts.getMissingMs() === 0 && [...this.#parts.getSessions()].every(session => now - session.heardAt > FOLLOWER_SILENCE_MS || !isBehind(session.confirmed, target));
 	}
 }
--- a/apps/valelead-daemon/src/control/follower-sessions.ts
+++ b/apps/valelead-daemon/src/control/follower-sessions.ts
@@ -78,6 +78,12 @@
  */
 const MAX_UNPROCESSED_REPORTS = 16;
 
+/**
+ * Time after the start of a term in which gateways find the new leader, in milliseconds. Until then a change is not acknowledged while a gateway that
+ * followed the leader before is missing.
+ */
+const FIND_LEADER_MS = 1500;
+
 const GATEWAY_ROLE = 'gateway';
 const SIDECAR_ROLE = 'sidecar';
 
@@ -139,7 +145,9 @@
 				this.#send(session);
 			},
 		});
-		this.#confirmations = new ConfirmationQueue({timers, clock, getSessions: () => this.#sessions.values()});
+		this.#confirmations = new ConfirmationQueue({
+			timers, clock, getSessions: () => this.#sessions.values(), getMissingMs: () => gatewayLeases.getMissingMs(FIND_LEADER_MS),
+		});
 		this.#pushes = new Coalescer(timers, COALESCE_MS, () => {
 			this.#push();
 		});
@@ -228,7 +236,8 @@
 
 	/**
 	 * Resolves once every reachable follower has confirmed the present routing and directory, or after 300 ms. A change that is acknowledged after all
-	 * have confirmed stays applied even if this voter fails right after the acknowledgement.
+	 * have confirmed stays applied even if this voter fails right after the acknowledgement. A new leader also waits for the gateways that are still to
+	 * find it, for 1.5 s from the start of its term.
 	 */
 	async waitForFollowers(): Promise<void> {
 		const settled = this.#confirmations.wait(this.#progress);
--- a/apps/valelead-daemon/src/control/gateway-leases.ts
+++ b/apps/valelead-daemon/src/control/gateway-leases.ts
@@ -94,6 +94,12 @@
 		return absentCount > 0 ? Math.max(1, BEGUN_CRASH_THRESHOLD - absentCount) : undefined;
 	}
 
+	/** Time for which a gateway that followed an earlier leader and has not reported yet is still expected, in milliseconds; 0 if all have reported. */
+	getMissingMs(withinMs: number): number {
+		this.#checkTerm();
+		return this.#isReportMissing(withinMs) ? withinMs - (this.#parts.clock.now() - this.#termStartedAt) : 0;
+	}
+
 	get #hasAllReports(): boolean {
 		this.#checkTerm();
 		return !this.#isReportMissing(ABSENCE_LIMIT_MS);
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -70,6 +70,33 @@
     And 350 ms pass
     Then the leader is no longer waiting
 
+  # Guards against a change that a new leader acknowledges before the gateways have found it, so that for a while none of them applies the change.
+  Scenario: An acknowledgement of a new leader waits for the gateways that followed the one before
+    Given a voter that is not the leader yet and decides on quarantines
+    And its log says that 2 gateways follow the leader, and a gateway that has just started knows of none
+    When the voter becomes leader
+    And "g1" reports for the first time, with a crash of run "r1"
+    And a newer routing is committed and the leader waits for its followers
+    And "g1" confirms
+    And 900 ms pass
+    Then the leader is still waiting
+    When "g2" reports for the first time, with an older routing
+    Then the leader is still waiting
+    When "g2" confirms
+    Then the leader is no longer waiting
+
+  # Guards against operators whose changes are held back by gateways that are gone.
+  Scenario: An acknowledgement of a new leader waits for missing gateways for a limited time
+    Given a voter that is not the leader yet and decides on quarantines
+    And its log says that 2 gateways follow the leader, and a gateway that has just started knows of none
+    When the voter becomes leader
+    And "g1" reports for the first time, with a crash of run "r1"
+    And 1600 ms pass
+    And "g1" reports as before
+    And a newer routing is committed and the leader waits for its followers
+    And "g1" confirms
+    Then the leader is no longer waiting
+
   Scenario: An acknowledgement does not wait for a follower that has stopped reporting
     Given a leader with followers "g1" and "g2"
     When 1200 ms pass
