Look up where an unnamed stream began at the leader and at the voters at the same time

Callers saw: with no leader, a refusal (2018) only after up to 2.3 s, and without a time at which to come back. Cause: the leader is asked for the version, then the voters for the caller's own id, each for up to 1.15 s. A refusal that an election ends was not told from one that is final. Change: both are asked at once; if no leader replied, the refusal has a Retry-After time of 1 s. Result: "No attempt is named, and no leader replies" failed before and passes.

--- a/apps/valelead-daemon/src/gateway/find-unnamed-origin.ts
+++ b/apps/valelead-daemon/src/gateway/find-unnamed-origin.ts
@@ -10,16 +10,29 @@
 	readonly head: CallerRequest;
 };
 
-/** Returns where every stream of the route began, whichever it is: at the only software version of the route's only service. */
-const findSoleOrigin = async ({shares}: Route, {findSoleVersion}: OriginSource): Promise<StreamOrigin | undefined> => {
+type UnnamedOrigin = {
+	/** Undefined if it is not certain where the stream began. */
+	readonly origin: StreamOrigin | undefined;
+	/** True if no leader replied, so that a later attempt may succeed. */
+	readonly isLeaderSilent: boolean;
+};
+
+const getSoleService = ({shares}: Route): string | undefined => {
 	const [service, ...others] = shares.filter(({weight}) => weight > 0).map(share => share.service);
-	const softwareVersion = others.length === 0 ? await findSoleVersion(service) : '';
-	return softwareVersion ? {service, softwareVersion, runId: ''} : undefined;
+	return others.length === 0 ? service : undefined;
 };
 
 /**
- * Returns where a stream began whose caller does not name the attempt that began it; undefined if that is not certain. Either there is only one version at
- * which it can have begun, or the caller has kept the id of its first attempt.
+ * Finds where a stream began whose caller does not name the attempt that began it. That is certain if there is only one software version of the route's only
+ * service at which it can have begun, or if the caller has kept the id of its first attempt. Both are looked up at the same time.
  */
-export const findUnnamedOrigin = async ({route, caller, head}: UnnamedRequest, source: OriginSource): Promise<StreamOrigin | undefined> =>
-	await findSoleOrigin(route, source) ?? source.findOrigin(getOriginKey(caller.team?.name ?? '', head.id), head.id);
+export const findUnnamedOrigin = async ({route, caller, head}: UnnamedRequest, source: OriginSource): Promise<UnnamedOrigin> => {
+	const own = source.findOrigin(getOriginKey(caller.team?.name ?? '', head.id), head.id);
+	const service = getSoleService(route);
+	const softwareVersion = service === undefined ? '' : await source.findSoleVersion(service);
+	if (service !== undefined && softwareVersion) {
+		return {origin: {service, softwareVersion, runId: ''}, isLeaderSilent: false};
+	}
+
+	return {origin: await own, isLeaderSilent: softwareVersion === undefined};
+};
--- a/apps/valelead-daemon/src/gateway/get-resumed-origin.ts
+++ b/apps/valelead-daemon/src/gateway/get-resumed-origin.ts
@@ -15,7 +15,11 @@
 	readonly head: CallerRequest;
 };
 
-const newError = (code: ResultCodeValue): ValeleadError => new ValeleadError(RESULT_DETAILS[code].meaning, {code, outcome: OUTCOME.NotRun});
+/** Time after which a caller that was refused because no leader replied may try again, in milliseconds: about that of an election. */
+const LEADERLESS_RETRY_AFTER_MS = 1000;
+
+const newError = (code: ResultCodeValue, retryAfterMs = 0): ValeleadError =>
+	new ValeleadError(RESULT_DETAILS[code].meaning, {code, outcome: OUTCOME.NotRun, retryAfterMs});
 
 /**
  * Returns where the stream began that a request resumes; undefined if the request begins anew. Throws StreamOriginUnknown if it is not known, and
@@ -27,11 +31,11 @@
 		return undefined;
 	}
 
-	const origin = head.resumedRequestId === ''
+	const {origin, isLeaderSilent} = head.resumedRequestId === ''
 		? await findUnnamedOrigin({route, caller, head}, source)
-		: await source.findOrigin(getOriginKey(caller.team?.name ?? '', head.resumedRequestId), head.id);
+		: {origin: await source.findOrigin(getOriginKey(caller.team?.name ?? '', head.resumedRequestId), head.id), isLeaderSilent: false};
 	if (!origin) {
-		throw newError(RESULT_CODE.StreamOriginUnknown);
+		throw newError(RESULT_CODE.StreamOriginUnknown, isLeaderSilent ? LEADERLESS_RETRY_AFTER_MS : 0);
 	}
 
 	if (!route.shares.some(({service, weight}) => service === origin.service && weight > 0)) {
--- a/apps/valelead-daemon/tests/resumed-origin.feature
+++ b/apps/valelead-daemon/tests/resumed-origin.feature
@@ -46,9 +46,10 @@
   # Guards against streams that go on somewhere because a gateway out of reach of the leader takes what it knows for all that there is.
   Scenario: No attempt is named, and no leader replies
     Given upstreams of versions "v1"
-    And no leader replies
+    And no leader replies within 1150 ms, and no voter knows the stream within 1150 ms
     When team "red" sends a request with last event "3" that resumes ""
     Then the request is "refused, 2018"
+    And the caller may try again after 1000 ms, and had its answer within 1200 ms
 
   # Guards against callers that are refused although their id, which they have kept, identifies their stream.
   Scenario: No attempt is named, and the caller keeps the id of the attempt that began its stream
--- a/apps/valelead-daemon/tests/resumed-origin.steps.ts
+++ b/apps/valelead-daemon/tests/resumed-origin.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {setImmediate} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {ValeleadError} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
@@ -24,10 +25,15 @@
 	requestId: string | undefined;
 	route: Route;
 	result: string;
+	/** How long the leader and the voters take to reply; undefined if they do at once. */
+	replyMs: {readonly leader: number; readonly voter: number} | undefined;
+	retryAfterMs: number | undefined;
+	tookMs: number;
 };
 
 const MS_PER_SECOND = 1000;
 const LIFETIME_MS = 1_000_000;
+const STEP_MS = 10;
 
 const NEW_REQUEST: CallerRequest = {
 	id: 'b1',
@@ -112,8 +118,9 @@
 	await setVersions(this, versions);
 });
 
-Given('no leader replies', function (this: OriginWorld) {
+Given('no leader replies within {int} ms, and no voter knows the stream within {int} ms', function (this: OriginWorld, leaderMs: number, voterMs: number) {
 	this.versions = undefined;
+	this.replyMs = {leader: leaderMs, voter: voterMs};
 });
 
 Given('the request has the id {string}', function (this: OriginWorld, id: string) {
@@ -125,13 +132,41 @@
 		...NEW_REQUEST, id: this.requestId ?? NEW_REQUEST.id, lastEventId, resumedRequestId,
 	};
 	const caller = {team: newTeam(team), rank: 0, cost: 0};
-	const findOrigin = async (key: string): Promise<StreamOrigin | undefined> => this.store.get(key);
-	try {
-		const origin = await getResumedOrigin({route: this.route, caller, head}, {findOrigin, findSoleVersion: async service => this.versions?.getSole(service)});
-		this.result = origin ? `at ${origin.service}, ${origin.softwareVersion}` : 'new';
-	} catch (error) {
-		this.result = `refused, ${(error as ValeleadError).code}`;
+	const timers = newProcessTimers(this.time, new VirtualProcess(this.time));
+	const findOrigin = async (key: string): Promise<StreamOrigin | undefined> => {
+		await (this.replyMs && timers.wait(this.replyMs.voter));
+		return this.store.get(key);
+	};
+
+	const findSoleVersion = async (service: string): Promise<string | undefined> => {
+		await (this.replyMs && timers.wait(this.replyMs.leader));
+		return this.versions?.getSole(service);
+	};
+
+	const startedAt = this.time.now;
+	this.result = '';
+	void (async () => {
+		try {
+			const origin = await getResumedOrigin({route: this.route, caller, head}, {findOrigin, findSoleVersion});
+			this.result = origin ? `at ${origin.service}, ${origin.softwareVersion}` : 'new';
+		} catch (error) {
+			const {code, retryAfterMs} = error as ValeleadError;
+			this.result = `refused, ${code}`;
+			this.retryAfterMs = retryAfterMs;
+		}
+	})();
+
+	for (let passedMs = 0; this.result === '' && passedMs < LIFETIME_MS; passedMs += STEP_MS) {
+		await setImmediate();
+		this.time.advance(STEP_MS);
 	}
+
+	this.tookMs = this.time.now - startedAt;
+});
+
+Then('the caller may try again after {int} ms, and had its answer within {int} ms', function (this: OriginWorld, retryAfterMs: number, limitMs: number) {
+	assert.equal(this.retryAfterMs, retryAfterMs);
+	assert.ok(this.tookMs <= limitMs, `${this.tookMs} ms`);
 });
 
 Then('the request is {string}', function (this: OriginWorld, result: string) {
