Register the services of a route of streams before a routing moves the route

Callers saw: a stream taken up without the name of its attempt went on at the route's present service, though another service had begun it. Cause: the register told the software versions of a service, not the services of a route; the gateway took the present one for the only one. Class: what a process has not heard counts as what did not happen. Change: the leader compares a new routing with those in force and on their way, and commits the earlier services of the routes that it moves before it commits the routing; a gateway names the route when it asks for the only version. Both registers share one class.

--- a/apps/valelead-daemon/src/control/committed-routing.ts
+++ b/apps/valelead-daemon/src/control/committed-routing.ts
@@ -1,6 +1,6 @@
 import {ValeleadError} from '@valelead/common';
 import type {Quota} from '@valelead/quota';
-import type {Routing} from '@valelead/routing';
+import {type RouteTable, type Routing, newRouteTable} from '@valelead/routing';
 import type {Logger} from 'pino';
 import type {StoredRouting} from './stored-routing.js';
 
@@ -18,14 +18,19 @@
 	readonly engineServices: ReadonlySet<string>;
 	/** Quotas by team. */
 	readonly quotas: ReadonlyMap<string, Quota>;
+	/** Undefined before the first routing. */
+	readonly table: RouteTable | undefined;
 };
 
-const EMPTY_SUMMARY: RoutingSummary = {services: new Set(), engineServices: new Set(), quotas: new Map()};
+const EMPTY_SUMMARY: RoutingSummary = {
+	services: new Set(), engineServices: new Set(), quotas: new Map(), table: undefined,
+};
 
-const newSummary = ({services, teams}: Routing): RoutingSummary => ({
-	services: new Set(services.map(service => service.name)),
-	engineServices: new Set(services.filter(service => service.engine !== undefined).map(service => service.name)),
-	quotas: new Map((teams ?? []).flatMap(({name, quota}) => quota ? [[name, quota]] : [])),
+const newSummary = (routing: Routing): RoutingSummary => ({
+	services: new Set(routing.services.map(service => service.name)),
+	engineServices: new Set(routing.services.filter(service => service.engine !== undefined).map(service => service.name)),
+	quotas: new Map((routing.teams ?? []).flatMap(({name, quota}) => quota ? [[name, quota]] : [])),
+	table: newRouteTable(routing),
 });
 
 /** Reads services and quotas from the routing configuration that this voter holds, and decodes it again when its version changes. */
@@ -52,6 +57,11 @@
 		return (this.#read() ?? EMPTY_SUMMARY).quotas;
 	}
 
+	/** The routing with its look-up tables; undefined before the first one. */
+	get table(): RouteTable | undefined {
+		return this.#read()?.table;
+	}
+
 	#read(): RoutingSummary | undefined {
 		const routing = this.#parts.getRouting();
 		if (routing && routing.version !== this.#version) {
--- a/apps/valelead-daemon/src/control/control-machine.ts
+++ b/apps/valelead-daemon/src/control/control-machine.ts
@@ -2,7 +2,7 @@
 	type Claims, type ClaimResult, type CommandResult, type ControlRecord, type Intent, decodeIntent, encodeIntent, mutateClaims, mutateIntent, newIntent,
 } from '@valelead/intent';
 import type {StateMachine} from '@valelead/consensus';
-import {type VersionRegister, mutateVersionRegister} from '@valelead/stream-origin';
+import {type OriginRegister, mutateOriginRegister} from '@valelead/stream-origin';
 import type {StoredRouting} from './stored-routing.js';
 import type {AppliedProposal} from './applied-proposal.js';
 
@@ -15,16 +15,23 @@
 	readonly routing?: StoredRouting;
 	/** Software versions by service; missing in snapshots of earlier builds. */
 	readonly versions?: ReadonlyArray<[string, readonly string[]]>;
+	/** Services by route; missing in snapshots of earlier builds. */
+	readonly routes?: ReadonlyArray<[string, readonly string[]]>;
 	/** Missing in snapshots of earlier builds. */
 	readonly gatewayCount?: number;
 };
 
+const encodeRegister = (register: OriginRegister): Array<[string, string[]]> => [...register].map(([name, values]) => [name, [...values]]);
+
+const decodeRegister = (saved: ReadonlyArray<[string, readonly string[]]> = []): OriginRegister => new Map(saved.map(([name, values]) => [name, new Set(values)]));
+
 /** The replicated state machine that the consensus log drives: the configuration, the claims on idempotency keys and the routing configuration. */
 export class ControlMachine implements StateMachine {
 	#intent: Intent = newIntent();
 	#claims: Claims = new Map();
 	#routing: StoredRouting | undefined;
-	#versions: VersionRegister = new Map();
+	#versions: OriginRegister = new Map();
+	#routes: OriginRegister = new Map();
 	#gatewayCount = 0;
 	#firstRoutingIndex: number | undefined;
 	#recent: AppliedProposal[] = [];
@@ -45,10 +52,15 @@
 	}
 
 	/** The software versions of upstreams at which streams may have begun. */
-	get versions(): VersionRegister {
+	get versions(): OriginRegister {
 		return this.#versions;
 	}
 
+	/** The services to which routes of streams led lately, of routes that were moved. */
+	get routes(): OriginRegister {
+		return this.#routes;
+	}
+
 	/** Number of gateways that may have a share of the common budgets; 0 before any gateway was counted. */
 	get gatewayCount(): number {
 		return this.#gatewayCount;
@@ -86,7 +98,13 @@
 		if (record.kind === 'claims') {
 			this.#storeResult(index, record.commands.map(command => mutateClaims(this.#claims, record.at, command)));
 			if (record.versionChange) {
-				mutateVersionRegister(this.#versions, record.versionChange);
+				const {kind, service, softwareVersion} = record.versionChange;
+				mutateOriginRegister(this.#versions, kind, {name: service, value: softwareVersion});
+			}
+
+			if (record.routeChange) {
+				const {kind, route, service} = record.routeChange;
+				mutateOriginRegister(this.#routes, kind, {name: route, value: service});
 			}
 
 			this.#gatewayCount = record.gatewayCount ?? this.#gatewayCount;
@@ -114,16 +132,21 @@
 		this.#claims = new Map(saved.claims);
 		this.#routing = saved.routing;
 		this.#gatewayCount = saved.gatewayCount ?? 0;
-		this.#versions = new Map((saved.versions ?? []).map(([service, versions]) => [service, new Set(versions)]));
+		this.#versions = decodeRegister(saved.versions);
+		this.#routes = decodeRegister(saved.routes);
 		this.#firstRoutingIndex = undefined;
 		this.#recent = [];
 		this.#notify();
 	}
 
 	save(): string {
-		const versions = [...this.#versions].map(([service, names]) => [service, [...names]]);
 		return JSON.stringify({
-			intent: encodeIntent(this.#intent), claims: [...this.#claims], routing: this.#routing, versions, gatewayCount: this.#gatewayCount,
+			intent: encodeIntent(this.#intent),
+			claims: [...this.#claims],
+			routing: this.#routing,
+			versions: encodeRegister(this.#versions),
+			routes: encodeRegister(this.#routes),
+			gatewayCount: this.#gatewayCount,
 		});
 	}
 
--- a/apps/valelead-daemon/src/control/new-control-plane.ts
+++ b/apps/valelead-daemon/src/control/new-control-plane.ts
@@ -17,6 +17,7 @@
 import type {ControlPlane} from './control-plane.js';
 import type {FollowerSessions} from './follower-sessions.js';
 import type {LeaderWatch} from './leader-watch.js';
+import type {RouteServices} from './route-services.js';
 import type {SoftwareVersions} from './software-versions.js';
 import type {Voter} from './voter.js';
 
@@ -30,7 +31,7 @@
 	readonly followers?: FollowerSessions;
 	readonly watch: LeaderWatch;
 	/** Origins of gateways' streams and the versions at which they may have begun, if the voter stores them. */
-	readonly origins?: {readonly store: OriginStore; readonly versions: SoftwareVersions};
+	readonly origins?: {readonly store: OriginStore; readonly versions: SoftwareVersions; readonly routes: RouteServices};
 	readonly timers: TimerService;
 	readonly logger: Logger;
 };
--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -8,7 +8,7 @@
 	type FormationDecision, type DiscoveredVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormationDecision,
 } from '@valelead/consensus';
 import type {ChannelPool} from '@valelead/protocol';
-import type {VersionChange} from '@valelead/stream-origin';
+import type {RouteChange, VersionChange} from '@valelead/stream-origin';
 import type {
 	ClaimCommand, ClaimResult, CommandResult, Proposal,
 } from '@valelead/intent';
@@ -162,6 +162,11 @@
 		await this.#proposeChange({versionChange});
 	}
 
+	/** Commits a change of the services at which streams of a route may have begun. */
+	async changeRoutes(routeChange: RouteChange): Promise<void> {
+		await this.#proposeChange({routeChange});
+	}
+
 	/** Commits the number of gateways that may have a share of the common budgets. */
 	async changeGatewayCount(gatewayCount: number): Promise<void> {
 		await this.#proposeChange({gatewayCount});
@@ -209,7 +214,7 @@
 		this.#isCommittingClaims = false;
 	}
 
-	async #proposeChange(change: {readonly versionChange: VersionChange} | {readonly gatewayCount: number}): Promise<void> {
+	async #proposeChange(change: {readonly versionChange: VersionChange} | {readonly routeChange: RouteChange} | {readonly gatewayCount: number}): Promise<void> {
 		const index = await this.#propose({
 			kind: 'claims', at: SYSTEM_CLOCK.wallNow(), commands: [], ...change,
 		});
--- a/apps/valelead-daemon/src/controller/control-server.ts
+++ b/apps/valelead-daemon/src/controller/control-server.ts
@@ -6,11 +6,12 @@
 	RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, SYSTEM_CLOCK, type TimerService, ValeleadError,
 } from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
-import {getRoutingFaults} from '@valelead/routing';
+import {type Routing, getRoutingFaults} from '@valelead/routing';
 import type {Logger} from 'pino';
 import type {ControlCall} from '../adapter/control-call.js';
 import type {ControlCodec} from '../adapter/control-codec.js';
 import type {FollowerSessions} from '../control/follower-sessions.js';
+import type {RouteServices} from '../control/route-services.js';
 import type {SoftwareVersions} from '../control/software-versions.js';
 import type {UpstreamRegistry} from '../control/upstream-registry.js';
 import type {Voter} from '../control/voter.js';
@@ -29,6 +30,7 @@
 	readonly voter: Voter;
 	readonly registry: UpstreamRegistry;
 	readonly versions: Pick<SoftwareVersions, 'register'>;
+	readonly routes: Pick<RouteServices, 'register'>;
 	readonly followers: FollowerSessions;
 	/** IP address and port of this server. */
 	readonly address: string;
@@ -144,7 +146,7 @@
 
 		const before = voter.machine.routing?.version ?? 0;
 		if (routing.version > before) {
-			await this.#commitRouting(routing.version, document);
+			await this.#commitRouting(routing, document);
 		}
 
 		const committedAt = SYSTEM_CLOCK.now();
@@ -157,10 +159,15 @@
 		return {status: 200, body: JSON.stringify({version: routing.version})};
 	}
 
-	async #commitRouting(version: number, document: string): Promise<void> {
-		const {voter, timers} = this.#parts;
+	async #commitRouting(routing: Routing, document: string): Promise<void> {
+		const {routes, voter, timers} = this.#parts;
+		const commit = async (): Promise<void> => {
+			await routes.register(routing);
+			await voter.replaceRouting({version: routing.version, document});
+		};
+
 		await withTimeout(
-			voter.replaceRouting({version, document}),
+			commit(),
 			timers,
 			COMMIT_TIMEOUT_MS,
 			new ValeleadError('The quorum did not confirm the routing in time', {code: RESULT_CODE.CommandTimeout}),
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -18,6 +18,7 @@
 import {QuorumWatch} from '../control/quorum-watch.js';
 import {QuotaRegistry} from '../control/quota-registry.js';
 import {RoutingRollout} from '../control/routing-rollout.js';
+import {RouteServices} from '../control/route-services.js';
 import {SoftwareVersions} from '../control/software-versions.js';
 import {UpstreamRegistry} from '../control/upstream-registry.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
@@ -74,6 +75,9 @@
 	const versions = new SoftwareVersions({
 		voter, getUpstreams: () => [...registry.directory.entries.values()].map(({upstream}) => upstream), timers, logger,
 	});
+	const routes = new RouteServices({
+		voter, getTable: () => routing.table, timers, logger,
+	});
 	const leases = new OrderLeases({
 		voter, registry, getEngineServices: () => routing.engineServices, settings, timers, clock: SYSTEM_CLOCK, logger,
 	});
@@ -131,7 +135,7 @@
 		operatorKeyFile: settings.operatorKeyFile,
 		followers,
 		watch,
-		origins: {store: origins, versions},
+		origins: {store: origins, versions, routes},
 		timers,
 		logger,
 	});
@@ -140,6 +144,7 @@
 		voter,
 		registry,
 		versions,
+		routes,
 		followers,
 		address: settings.control,
 		timers,
@@ -157,6 +162,7 @@
 	sessions.start();
 	registry.start();
 	versions.start();
+	routes.start();
 	leases.start();
 	quarantine.start();
 	quotas.start();
--- a/apps/valelead-daemon/src/gateway/find-unnamed-origin.ts
+++ b/apps/valelead-daemon/src/gateway/find-unnamed-origin.ts
@@ -1,4 +1,4 @@
-import type {Route} from '@valelead/routing';
+import {type Route, getRouteKey} from '@valelead/routing';
 import {type StreamOrigin, getOriginKey} from '@valelead/stream-origin';
 import type {CallerRequest} from '../adapter/caller-request.js';
 import type {Caller} from './caller.js';
@@ -29,7 +29,7 @@
 export const findUnnamedOrigin = async ({route, caller, head}: UnnamedRequest, source: OriginSource): Promise<UnnamedOrigin> => {
 	const own = source.findOrigin(getOriginKey(caller.team?.name ?? '', head.id), head.id);
 	const service = getSoleService(route);
-	const softwareVersion = service === undefined ? '' : await source.findSoleVersion(service);
+	const softwareVersion = service === undefined ? '' : await source.findSoleVersion(getRouteKey(route), service);
 	if (service !== undefined && softwareVersion) {
 		return {origin: {service, softwareVersion, runId: ''}, isLeaderSilent: false};
 	}
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -222,7 +222,7 @@
 			isConfirmed: () => this.#confirmation.isFresh,
 			getContact: () => this.#follower.contact,
 			isStopping: () => this.#grace !== undefined,
-			findSoleVersion: async service => this.#origins.findSoleVersion(service),
+			findSoleVersion: async (route, service) => this.#origins.findSoleVersion(route, service),
 			findOrigin: async (key, requestId) => this.#origins.lookUp(key, requestId),
 		}));
 	}
--- a/apps/valelead-daemon/src/gateway/origin-source.ts
+++ b/apps/valelead-daemon/src/gateway/origin-source.ts
@@ -8,8 +8,9 @@
 	 */
 	readonly findOrigin: (key: string, requestId: string) => Promise<StreamOrigin | undefined>;
 	/**
-	 * Finds the software version at which every stream of a service began, as of now; resolves with an empty string if there are several or an unknown
-	 * one, and with undefined if no leader replies.
+	 * Finds the software version at which every stream of a route began, as of now; resolves with an empty string if there are several, an unknown one or
+	 * other services than the given one, and with undefined if no leader replies.
+	 * @param route - The key of the route.
 	 */
-	readonly findSoleVersion: (service: string) => Promise<string | undefined>;
+	readonly findSoleVersion: (route: string, service: string) => Promise<string | undefined>;
 };
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -106,6 +106,8 @@
 export {LeaderFinder} from './standby/leader-finder.js';
 export {BudgetShares} from './control/budget-shares.js';
 export type {GatewayLog} from './control/gateway-log.js';
+export {RouteServices} from './control/route-services.js';
+export type {RouteLog} from './control/route-log.js';
 export {SoftwareVersions} from './control/software-versions.js';
 export type {VersionLog} from './control/version-log.js';
 export {getResumedOrigin} from './gateway/get-resumed-origin.js';
--- a/apps/valelead-daemon/src/stream-origins/new-origin-service.ts
+++ b/apps/valelead-daemon/src/stream-origins/new-origin-service.ts
@@ -15,6 +15,7 @@
 import type {
 	sendUnaryData, ServerDuplexStream, ServerUnaryCall, UntypedServiceImplementation,
 } from '@grpc/grpc-js';
+import type {RouteServices} from '../control/route-services.js';
 import type {SoftwareVersions} from '../control/software-versions.js';
 import {decodeOrigin} from './decode-origin.js';
 import {encodeOrigin} from './encode-origin.js';
@@ -23,11 +24,12 @@
 type ServiceParts = {
 	readonly store: Pick<OriginStore, 'record' | 'get'>;
 	readonly versions: Pick<SoftwareVersions, 'getSole'>;
+	readonly routes: Pick<RouteServices, 'isSole'>;
 	readonly clock: Clock;
 };
 
 /** Creates the gRPC service through which gateways store and look up the origins of streams. */
-export const newOriginService = ({store, versions, clock}: ServiceParts): UntypedServiceImplementation => ({
+export const newOriginService = ({store, versions, routes, clock}: ServiceParts): UntypedServiceImplementation => ({
 	record(stream: ServerDuplexStream<StreamOriginBatch, RecordReply>) {
 		stream.once('data', () => {
 			// Tells the gateway that the connection works.
@@ -50,7 +52,8 @@
 		reply(null, create(LookUpReplySchema, origin && {origin: encodeOrigin(origin, clock.now())}));
 	},
 	getSoleVersion({request}: ServerUnaryCall<SoleVersionRequest, SoleVersionReply>, reply: sendUnaryData<SoleVersionReply>) {
-		const softwareVersion = versions.getSole(request.service);
+		const {route, service} = request;
+		const softwareVersion = routes.isSole(route, service) === false ? '' : versions.getSole(service);
 		reply(null, create(SoleVersionReplySchema, {isKnown: softwareVersion !== undefined, softwareVersion: softwareVersion ?? ''}));
 	},
 });
--- a/apps/valelead-daemon/src/stream-origins/origin-client.ts
+++ b/apps/valelead-daemon/src/stream-origins/origin-client.ts
@@ -113,11 +113,12 @@
 	}
 
 	/**
-	 * Returns the version at which every stream of a service began, by a leader that is asked now; empty if there are several or an unknown one.
+	 * Returns the version at which every stream of a route began, by a leader that is asked now; empty if there are several, an unknown one or other services
+	 * than the given one.
 	 * Resolves with undefined if no leader replies.
 	 */
-	async findSoleVersion(service: string): Promise<string | undefined> {
-		return this.#askAll(async address => this.#askVersion(address, service));
+	async findSoleVersion(route: string, service: string): Promise<string | undefined> {
+		return this.#askAll(async address => this.#askVersion(address, route, service));
 	}
 
 	stop(): void {
@@ -159,8 +160,9 @@
 		return undefined;
 	}
 
-	async #askVersion(address: string, service: string): Promise<string> {
-		const call = this.#parts.pool.get(address).unary(StreamOrigins.method.getSoleVersion, create(SoleVersionRequestSchema, {service}), LOOK_UP_TIMEOUT_MS);
+	async #askVersion(address: string, route: string, service: string): Promise<string> {
+		const request = create(SoleVersionRequestSchema, {route, service});
+		const call = this.#parts.pool.get(address).unary(StreamOrigins.method.getSoleVersion, request, LOOK_UP_TIMEOUT_MS);
 		const error = new ValeleadError(`${address} does not know the versions`, {code: RESULT_CODE.StreamOriginUnknown});
 		const {isKnown, softwareVersion} = await withTimeout(call, this.#parts.timers, LOOK_UP_TIMEOUT_MS, error);
 		if (!isKnown) {
--- a/apps/valelead-daemon/tests/resumed-origin.feature
+++ b/apps/valelead-daemon/tests/resumed-origin.feature
@@ -73,6 +73,15 @@
     When team "red" sends a request with last event "3" that resumes ""
     Then the request is "refused, 2018"
 
+  # Guards against callers that are refused for good because a route was moved once.
+  Scenario: No attempt is named, and the route led to another service long ago
+    Given a resumable route to service "t"
+    And an upstream of service "t" and version "v1"
+    And 90 seconds later upstreams of versions "v1"
+    And an upstream of service "t" and version "v1"
+    When team "red" sends a request with last event "3" that resumes ""
+    Then the request is "at t, v1"
+
   # Guards against requests of other routes that are taken for resumed streams.
   Scenario: The route is not resumable
     Given a route to service "s" that is not resumable
--- a/apps/valelead-daemon/tests/resumed-origin.steps.ts
+++ b/apps/valelead-daemon/tests/resumed-origin.steps.ts
@@ -3,7 +3,9 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {ValeleadError} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
-import {type Route, type Team, ROUTE_KIND} from '@valelead/routing';
+import {
+	type Route, type Routing, type Team, ROUTE_KIND, newRouteTable,
+} from '@valelead/routing';
 import {type StreamOrigin, getOriginKey} from '@valelead/stream-origin';
 import {pino} from 'pino';
 import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
@@ -12,7 +14,7 @@
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
 import {SimulatedVersionLog} from './simulated-version-log.js';
 import {
-	type CallerRequest, OriginStore, SoftwareVersions, getResumedOrigin,
+	type CallerRequest, OriginStore, RouteServices, SoftwareVersions, getResumedOrigin,
 } from 'valelead-daemon';
 
 type OriginWorld = {
@@ -23,6 +25,9 @@
 	/** What the leader knows of versions; undefined while no leader replies. */
 	versions: SoftwareVersions | undefined;
 	requestId: string | undefined;
+	/** What the leader knows of the services of moved routes. */
+	routes: RouteServices;
+	routing: Routing | undefined;
 	route: Route;
 	result: string;
 	/** How long the leader and the voters take to reply; undefined if they do at once. */
@@ -54,7 +59,11 @@
 	name, keyHashes: [], priority: 0, quota: undefined,
 });
 
-const newRoute = (service: string, isResumable: boolean): Route => ({kind: ROUTE_KIND.Stream, isResumable, shares: [{service, weight: 1}]}) as unknown as Route;
+const newRoute = (service: string, isResumable: boolean): Route => ({
+	host: 'a.example', pathPrefix: '/chat/', kind: ROUTE_KIND.Stream, isResumable, shares: [{service, weight: 1}],
+}) as unknown as Route;
+
+const newRouting = (version: number, routes: readonly Route[]): Routing => ({version, routes, services: []}) as unknown as Routing;
 
 const getClock = ({time}: OriginWorld): {now: () => number; wallNow: () => number} => ({now: () => time.now, wallNow: () => time.now});
 
@@ -66,13 +75,33 @@
 	return versions;
 };
 
-Given('a resumable route to service {string}', function (this: OriginWorld, service: string) {
+const newRouteServices = (world: OriginWorld): RouteServices => {
+	const routes = new RouteServices({
+		voter: world.versionLog,
+		getTable: () => world.routing && newRouteTable(world.routing),
+		timers: newProcessTimers(world.time, new VirtualProcess(world.time)),
+		logger: pino({enabled: false}),
+	});
+	routes.start();
+	return routes;
+};
+
+/** A routing with one route comes into force, as a leader commits it. */
+const replaceRouting = async (world: OriginWorld, route: Route): Promise<void> => {
+	const routing = newRouting((world.routing?.version ?? 0) + 1, [route]);
+	await world.routes.register(routing);
+	world.routing = routing;
+	world.route = route;
+};
+
+Given('a resumable route to service {string}', async function (this: OriginWorld, service: string) {
 	this.time ??= new VirtualTime();
 	this.store ??= new OriginStore({clock: getClock(this), timers: newProcessTimers(this.time, new VirtualProcess(this.time))});
 	this.versionLog ??= new SimulatedVersionLog();
 	this.upstreams ??= [];
 	this.versions ??= newLeader(this);
-	this.route = newRoute(service, true);
+	this.routes ??= newRouteServices(this);
+	await replaceRouting(this, newRoute(service, true));
 });
 
 Given('a route to service {string} that is not resumable', function (this: OriginWorld, service: string) {
@@ -138,9 +167,9 @@
 		return this.store.get(key);
 	};
 
-	const findSoleVersion = async (service: string): Promise<string | undefined> => {
+	const findSoleVersion = async (route: string, service: string): Promise<string | undefined> => {
 		await (this.replyMs && timers.wait(this.replyMs.leader));
-		return this.versions?.getSole(service);
+		return this.routes.isSole(route, service) ? this.versions?.getSole(service) : '';
 	};
 
 	const startedAt = this.time.now;
--- a/apps/valelead-daemon/tests/simulated-origin-pool.ts
+++ b/apps/valelead-daemon/tests/simulated-origin-pool.ts
@@ -27,6 +27,7 @@
 
 /** Callers name the attempt that began their stream, so versions are not asked for. */
 const NO_VERSIONS = {getSole: () => undefined};
+const NO_ROUTES = {isSole: () => undefined};
 
 /** Time after which the end of a process, or a lost connection, is noticed, in milliseconds. */
 const RESET_MS = 5;
@@ -107,7 +108,9 @@
 		const server = Object.assign(new PassThrough(), {write: () => undefined, end: () => undefined});
 		const call = {address, client, holderRun: holder.process.run};
 		this.#calls.add(call);
-		newOriginService({store: holder.store, versions: NO_VERSIONS, clock}).record(server as never, undefined as never);
+		newOriginService({
+			store: holder.store, versions: NO_VERSIONS, routes: NO_ROUTES, clock,
+		}).record(server as never, undefined as never);
 		if (!holder.process.isUp || isCut(address)) {
 			this.#breakCall(call, holder.process.isUp ? KEEPALIVE_MS : RESET_MS);
 		}
@@ -129,7 +132,9 @@
 		const {run} = holders.get(address)!.process;
 		return new Promise(resolve => {
 			this.#toHolder(address, run, ({store}) => {
-				newOriginService({store, versions: NO_VERSIONS, clock}).lookUp({request} as never, ((_error: unknown, reply: LookUpReply) => {
+				newOriginService({
+					store, versions: NO_VERSIONS, routes: NO_ROUTES, clock,
+				}).lookUp({request} as never, ((_error: unknown, reply: LookUpReply) => {
 					if (!isCut(address)) {
 						this.#toGateway(getDelayMs(), () => {
 							resolve(reply);
--- a/apps/valelead-daemon/tests/stream-simulation.ts
+++ b/apps/valelead-daemon/tests/stream-simulation.ts
@@ -366,7 +366,7 @@
 		try {
 			const origin = this.#options.isOriginUsed
 				? await getResumedOrigin({route: ROUTE, caller, head}, {
-					findOrigin: async (key, requestId) => parts.origins.lookUp(key, requestId), findSoleVersion: async service => parts.origins.findSoleVersion(service),
+					findOrigin: async (key, requestId) => parts.origins.lookUp(key, requestId), findSoleVersion: async (route, service) => parts.origins.findSoleVersion(route, service),
 				})
 				: undefined;
 			if (process.run !== run || attempt.isOver) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,3 +20,7 @@
 export {getServiceByWeight} from './get-service-by-weight.js';
 export {isResumableStream} from './is-resumable-stream.js';
 export {isRepeatable} from './is-repeatable.js';
+export type {RouteService} from './route-service.js';
+export {getRouteKey} from './get-route-key.js';
+export {getStreamServices} from './get-stream-services.js';
+export {getMovedServices} from './get-moved-services.js';
