Spread the first totals of a new leader over a second

Cause, traced: each gateway reports up to a second of the silence to the new leader, as designed. The others were told the sum as dispatched since their last update, 500 ms before, and 500 ms later the next one, so 1.5 s of dispatches counted as those of one second: 245 and 129. Change: what a gateway is told in the first second of a term counts as spread over a second.

--- a/apps/valelead-daemon/src/gateway/team-shares.ts
+++ b/apps/valelead-daemon/src/gateway/team-shares.ts
@@ -1,6 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import {
-	type AdmissionState, getBoundedDispatches, getRecentDispatches, mutateRemoteDispatches,
+	type AdmissionState, REMOTE_WINDOW_MS, getBoundedDispatches, getRecentDispatches, mutateRemoteDispatches,
 } from '@valelead/admission';
 import type {Clock, SuspensionWatch} from '@valelead/common';
 import {type TeamDispatches, type TeamTotals, TeamDispatchesSchema} from '@valelead/protocol';
@@ -50,6 +50,8 @@
 	readonly #others = new Map<string, number>();
 	/** The term of the totals; undefined before the first ones. */
 	#term: number | undefined;
+	/** When the first totals of the present term came. */
+	#newTermAt = Number.NEGATIVE_INFINITY;
 	/** When the leader last sent an update; undefined before the first one. */
 	#updatedAt: number | undefined;
 	#loggedAt = Number.NEGATIVE_INFINITY;
@@ -98,7 +100,8 @@
 			// What was dispatched before this process started says nothing about the requests that wait here.
 			this.#setKnown(totals);
 		} else if (totals) {
-			mutateRemoteDispatches(this.#parts.state, this.#takeDifferences(totals), now - this.#updatedAt, now);
+			const differences = this.#takeDifferences(totals, now);
+			mutateRemoteDispatches(this.#parts.state, differences, this.#getSpreadMs(now - this.#updatedAt, now), now);
 		}
 
 		this.#updatedAt = now;
@@ -128,9 +131,18 @@
 		this.#known = new Map(totals?.teams.map(({team, count}) => [team, count]));
 	}
 
+	/**
+	 * Returns the time in which the dispatches of an update took place, in milliseconds. Gateways report up to a second of a silence to a new leader, whose
+	 * first updates therefore hold more than the time since the last update.
+	 */
+	#getSpreadMs(passedMs: number, now: number): number {
+		return now - this.#newTermAt < REMOTE_WINDOW_MS ? Math.max(passedMs, REMOTE_WINDOW_MS) : passedMs;
+	}
+
 	/** Returns what the other gateways have dispatched since the last totals. A new leader begins with zero, as it gets only what no leader has yet. */
-	#takeDifferences({term, teams}: Pick<TeamTotals, 'term' | 'teams'>): Map<string, number> {
+	#takeDifferences({term, teams}: Pick<TeamTotals, 'term' | 'teams'>, now: number): Map<string, number> {
 		if (term !== this.#term) {
+			this.#newTermAt = now;
 			this.#setKnown({term, teams: []});
 		}
 
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -22,3 +22,4 @@
 export {getBoundedDispatches} from './get-bounded-dispatches.js';
 export {mutateRemoteDispatches} from './mutate-remote-dispatches.js';
 export {getRecentDispatches} from './get-recent-dispatches.js';
+export {REMOTE_WINDOW_MS} from './remote-window-ms.js';
