--- a/apps/valelead-daemon/tests/logger.feature
+++ b/apps/valelead-daemon/tests/logger.feature
@@ -4,3 +4,8 @@
   Scenario: A process whose log is not read continues and exits
     When a process writes 8 MB of log lines to a pipe that is not read
     Then it writes all of them without waiting, uses at most 40 MB more memory, and exits
+
+  # Guards against a daemon that was stopped as planned and ends by a signal, because it stood still while its last log lines were written.
+  Scenario: A process that stands still while its log is flushed exits with its status
+    When a process that stands still for 700 ms flushes its log and exits
+    Then it ended with status 0, and its last line is in the log
