Take stop signals from the start of a process on

Operators saw, where restarts come in series: a process that was stopped as planned while it started ended by the signal, in place of status 0. Cause: the handlers of stop signals were registered once the start was over; before that a signal ends the process by itself. Change: they are registered before the start. A signal during the start is remembered, and the planned stop follows the start; a second signal, or 2 s without the end of the start, ends the process with status 0, as nothing is in progress in it.

--- a/apps/valelead-daemon/src/run-daemon.ts
+++ b/apps/valelead-daemon/src/run-daemon.ts
@@ -19,6 +19,7 @@
 import {startSidecar} from './sidecar/start-sidecar.js';
 import {startStandby} from './standby/start-standby.js';
 import type {Stoppable} from './stoppable.js';
+import {StopSignals} from './stop-signals.js';
 
 const requireAdapter = (adapter: Adapter | undefined, settings: Settings): Adapter => {
 	if (!adapter) {
@@ -58,23 +59,19 @@
 	}
 };
 
-/** Resolves at the first stop signal. A second signal stops the daemon immediately. */
-const waitForStop = (running: Stoppable, logger: Logger): Effect.Effect<void> => Effect.callback<void>(resume => {
-	let signals = 0;
-	const handleSignal = (): void => {
-		signals += 1;
-		logger.info({event: 'stop-signal', signals}, 'stop signal');
-		if (signals > 1) {
-			running.stopNow();
-			return;
-		}
-
-		resume(Effect.void);
-	};
+/** A daemon that has not started this long after a stop signal serves nothing yet and exits, in milliseconds. */
+const START_LIMIT_MS = 2000;
 
-	process.on('SIGTERM', handleSignal);
-	process.on('SIGINT', handleSignal);
-});
+/** Exits the process if it is stopped and has not started in time. */
+const exitUnlessStarted = async (signals: StopSignals, part: {readonly running?: Stoppable}, logger: Logger): Promise<void> => {
+	await signals.waitForFirst();
+	new TimerService(SYSTEM_CLOCK).after(START_LIMIT_MS, () => {
+		if (!part.running) {
+			logger.info({event: 'stopped', isStarted: false}, 'stopped before it had started');
+			flushLogsAndExit(logger, 0);
+		}
+	});
+};
 
 /** Returns the text of the settings file, or an empty string if it cannot be read. The reason is reported when the settings are loaded. */
 const readTextOrEmpty = (file: string): string => {
@@ -108,6 +105,17 @@
 /** Creates the program of the daemon, from its start to its planned stop. */
 const newProgram = ({file, text, settings, logger, adapter}: ProgramParts): Effect.Effect<void, unknown> => Effect.scoped(Effect.gen(function * () {
 	const part: {running?: Stoppable} = {};
+	const signals = new StopSignals({
+		logger,
+		onRepeated() {
+			if (part.running) {
+				part.running.stopNow();
+			} else {
+				flushLogsAndExit(logger, 0);
+			}
+		},
+	});
+	void exitUnlessStarted(signals, part, logger);
 	const reload = (): void => {
 		handleReload(file, logger, part.running);
 	};
@@ -126,7 +134,7 @@
 		watch.start();
 	}
 
-	yield * waitForStop(running, logger);
+	yield * Effect.promise(async () => signals.waitForFirst());
 	watch.stop();
 	timers.stop();
 }));
