End the wait for a gateway that has found the new leader after the usual time

Found by reading the wait of new leaders again: where a gateway had found the leader and did not confirm, an acknowledgement waited for it until 1.5 s of the term had passed, as for one that had not been found. Change: the wait is looked at after 300 ms, and goes on only while a gateway is still missing.

--- a/apps/valelead-daemon/src/control/confirmation-queue.ts
+++ b/apps/valelead-daemon/src/control/confirmation-queue.ts
@@ -44,10 +44,7 @@
 		return new Promise(resolve => {
 			const waiter = {target, resolve};
 			this.#waiters.add(waiter);
-			this.#parts.timers.after(Math.max(MAX_WAIT_MS, this.#parts.getMissingMs()), () => {
-				this.#waiters.delete(waiter);
-				resolve();
-			});
+			this.#endAfter(MAX_WAIT_MS, waiter);
 		});
 	}
 
@@ -61,6 +58,20 @@
 		}
 	}
 
+	/** Ends a wait after a time, or once the last gateway is no longer expected. */
+	#endAfter(delayMs: number, waiter: Waiter): void {
+		this.#parts.timers.after(delayMs, () => {
+			const missingMs = this.#parts.getMissingMs();
+			if (missingMs > 0 && this.#waiters.has(waiter)) {
+				this.#endAfter(missingMs, waiter);
+				return;
+			}
+
+			this.#waiters.delete(waiter);
+			waiter.resolve();
+		});
+	}
+
 	#isConfirmed(target: Progress): boolean {
 		const now = this.#parts.clock.now();
 		return this.#parts.getMissingMs() === 0 && [...this.#parts.getSessions()].every(session => now - session.heardAt > FOLLOWER_SILENCE_MS || !isBehind(session.confirmed, target));
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -85,6 +85,19 @@
     When "g2" confirms
     Then the leader is no longer waiting
 
+  # Guards against operators who wait for a gateway that has found the leader and does not confirm as long as for one that has not.
+  Scenario: An acknowledgement of a new leader waits for a gateway that has found it for the usual time
+    Given a voter that is not the leader yet and decides on quarantines
+    And its log says that 2 gateways follow the leader, and a gateway that has just started knows of none
+    When the voter becomes leader
+    And "g1" reports for the first time, with a crash of run "r1"
+    And a newer routing is committed and the leader waits for its followers
+    And "g1" confirms
+    And 100 ms pass
+    And "g2" reports for the first time, with an older routing
+    And 250 ms pass
+    Then the leader is no longer waiting
+
   # Guards against operators whose changes are held back by gateways that are gone.
   Scenario: An acknowledgement of a new leader waits for missing gateways for a limited time
     Given a voter that is not the leader yet and decides on quarantines
