Read the leader's answer on a quota before refusing a request after a stall

Callers saw: 503 with 2016 though the leader had answered, at a gateway that had stood still for longer than the request may wait. Cause: after a stall, timers run before what lies in the sockets is read. Class: a stall of this process taken for silence of another. Change: the first tick after a stall refuses nobody; the next one, 50 ms later, does, also where ticks go on being late. Result: "A gateway that stood still reads the leader's answer before it refuses" failed before and passes; a request without an answer is still refused within 350 ms after one stall of 300 ms and within 450 ms after five of 150 ms.

--- a/apps/valelead-daemon/src/gateway/quota-gate.ts
+++ b/apps/valelead-daemon/src/gateway/quota-gate.ts
@@ -51,6 +51,9 @@
 
 const TICK_MS = 50;
 
+/** A tick that is later than this shows that the process was stalled, so that an answer may not have been read yet, in milliseconds. */
+const LATE_TICK_MS = 100;
+
 /**
  * The longest time for which no quota is requested for a team that has used up its quota, in milliseconds. It is shorter if the leader expects more
  * quota earlier.
@@ -78,12 +81,16 @@
 	#term = -1;
 	/** When the leader last answered a report, in monotonic milliseconds; undefined before its first answer. */
 	#answeredAt: number | undefined;
+	/** When the last tick was, in monotonic milliseconds, and whether it was late. */
+	#tickedAt: number;
+	#wasLate = false;
 
 	constructor(parts: GateParts) {
 		this.#parts = parts;
 		this.#stock = newQuotaStock(parts.isReserveUsed ? LARGE_STOCK_POLICY : undefined);
+		this.#tickedAt = parts.clock.now();
 		parts.timers.repeat(TICK_MS, () => {
-			this.#refuseOverdue();
+			this.#tick();
 		});
 	}
 
@@ -278,6 +285,16 @@
 		this.#parts.onRefused(request, RESULT_CODE.QuotaUnknown, LEADERLESS_RETRY_AFTER_MS);
 	}
 
+	/** Refuses overdue requests, but not at the first tick after a stall. */
+	#tick(): void {
+		const now = this.#parts.clock.now();
+		this.#wasLate = !this.#wasLate && now - this.#tickedAt > LATE_TICK_MS;
+		this.#tickedAt = now;
+		if (!this.#wasLate) {
+			this.#refuseOverdue();
+		}
+	}
+
 	#refuseOverdue(): void {
 		const now = this.#parts.clock.now();
 		for (const [team, queue] of this.#waiting) {
