Build look-up tables of a routing only where a leader compares routings

Found in the review: each voter built the look-up tables of every committed routing, with those of keys, though only a leader that takes a new routing compares the two. Change: a voter keeps the decoded routing that it has read anyway; the leader builds the table when it compares. Behaviour is unchanged.

--- a/apps/valelead-daemon/src/control/committed-routing.ts
+++ b/apps/valelead-daemon/src/control/committed-routing.ts
@@ -1,6 +1,6 @@
 import {ValeleadError} from '@valelead/common';
 import type {Quota} from '@valelead/quota';
-import {type RouteTable, type Routing, newRouteTable} from '@valelead/routing';
+import type {Routing} from '@valelead/routing';
 import type {Logger} from 'pino';
 import type {StoredRouting} from './stored-routing.js';
 
@@ -19,18 +19,18 @@
 	/** Quotas by team. */
 	readonly quotas: ReadonlyMap<string, Quota>;
 	/** Undefined before the first routing. */
-	readonly table: RouteTable | undefined;
+	readonly routing: Routing | undefined;
 };
 
 const EMPTY_SUMMARY: RoutingSummary = {
-	services: new Set(), engineServices: new Set(), quotas: new Map(), table: undefined,
+	services: new Set(), engineServices: new Set(), quotas: new Map(), routing: undefined,
 };
 
 const newSummary = (routing: Routing): RoutingSummary => ({
 	services: new Set(routing.services.map(service => service.name)),
 	engineServices: new Set(routing.services.filter(service => service.engine !== undefined).map(service => service.name)),
 	quotas: new Map((routing.teams ?? []).flatMap(({name, quota}) => quota ? [[name, quota]] : [])),
-	table: newRouteTable(routing),
+	routing,
 });
 
 /** Reads services and quotas from the routing configuration that this voter holds, and decodes it again when its version changes. */
@@ -57,9 +57,9 @@
 		return (this.#read() ?? EMPTY_SUMMARY).quotas;
 	}
 
-	/** The routing with its look-up tables; undefined before the first one. */
-	get table(): RouteTable | undefined {
-		return this.#read()?.table;
+	/** The whole configuration; undefined before the first one. */
+	get routing(): Routing | undefined {
+		return this.#read()?.routing;
 	}
 
 	#read(): RoutingSummary | undefined {
--- a/apps/valelead-daemon/src/control/route-services.ts
+++ b/apps/valelead-daemon/src/control/route-services.ts
@@ -10,7 +10,7 @@
 type ServicesParts = {
 	readonly voter: RouteLog;
 	/** Returns the routing that this voter has applied; undefined before the first one. */
-	readonly getTable: () => RouteTable | undefined;
+	readonly getRouting: () => Routing | undefined;
 	readonly timers: TimerService;
 	readonly logger: Logger;
 };
@@ -53,11 +53,11 @@
 	/** Resolves once the routing may be committed. Throws NotLeader if the state of this voter stays behind the log. */
 	async register(routing: Routing): Promise<void> {
 		await this.#waitForState();
-		const {voter, getTable} = this.#parts;
-		const current = getTable();
+		const {voter, getRouting} = this.#parts;
+		const current = getRouting();
 		const table = newRouteTable(routing);
 		const proposed = this.#getUnapplied();
-		const earlier = [...(current ? [current] : []), ...proposed.map(other => other.table)];
+		const earlier = [...(current ? [newRouteTable(current)] : []), ...proposed.map(other => other.table)];
 		const moved = getMovedServices(earlier, table, voter.machine.routes);
 		this.#proposed = [...proposed, {table, moved}];
 		await Promise.all(moved.map(async ({route, service}) => this.#register.add({name: route, value: service})));
@@ -71,7 +71,7 @@
 
 	/** Entries of routings that may be committed count as present, so that none is removed while its routing is on its way through the log. */
 	#getPresent(): OriginEntry[] {
-		const routes = this.#parts.getTable()?.routing.routes ?? [];
+		const routes = this.#parts.getRouting()?.routes ?? [];
 		const present = routes.flatMap(route => getStreamServices(route).map(value => ({name: getRouteKey(route), value})));
 		return [...present, ...this.#getUnapplied().flatMap(({moved}) => moved.map(({route, service}) => ({name: route, value: service})))];
 	}
@@ -83,7 +83,7 @@
 			this.#proposed = [];
 		}
 
-		const version = this.#parts.getTable()?.routing.version ?? 0;
+		const version = this.#parts.getRouting()?.version ?? 0;
 		return this.#proposed.filter(({table}) => table.routing.version > version);
 	}
 
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -76,7 +76,7 @@
 		voter, getUpstreams: () => [...registry.directory.entries.values()].map(({upstream}) => upstream), timers, logger,
 	});
 	const routes = new RouteServices({
-		voter, getTable: () => routing.table, timers, logger,
+		voter, getRouting: () => routing.routing, timers, logger,
 	});
 	const leases = new OrderLeases({
 		voter, registry, getEngineServices: () => routing.engineServices, settings, timers, clock: SYSTEM_CLOCK, logger,
--- a/apps/valelead-daemon/tests/resumed-origin.steps.ts
+++ b/apps/valelead-daemon/tests/resumed-origin.steps.ts
@@ -4,7 +4,7 @@
 import type {ValeleadError} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import {
-	type Route, type Routing, type Team, ROUTE_KIND, newRouteTable,
+	type Route, type Routing, type Team, ROUTE_KIND,
 } from '@valelead/routing';
 import {type StreamOrigin, getOriginKey} from '@valelead/stream-origin';
 import {pino} from 'pino';
@@ -78,7 +78,7 @@
 const newRouteServices = (world: OriginWorld): RouteServices => {
 	const routes = new RouteServices({
 		voter: world.versionLog,
-		getTable: () => world.routing && newRouteTable(world.routing),
+		getRouting: () => world.routing,
 		timers: newProcessTimers(world.time, new VirtualProcess(world.time)),
 		logger: pino({enabled: false}),
 	});
--- a/apps/valelead-daemon/tests/route-services.steps.ts
+++ b/apps/valelead-daemon/tests/route-services.steps.ts
@@ -102,7 +102,7 @@
 		const getNode = (): RouteLog['node'] => ({term: this.log.node.term, canRead: this.log.node.term === voter.term});
 		voter.routes = new RouteServices({
 			voter: Object.create(this.log, {node: {get: getNode}}) as SimulatedVersionLog,
-			getTable: () => this.#table,
+			getRouting: () => this.#table?.routing,
 			timers: newProcessTimers(this.time, new VirtualProcess(this.time)),
 			logger: pino({enabled: false}),
 		});
