--- a/apps/valelead-daemon/src/control/controller-peers.ts
+++ b/apps/valelead-daemon/src/control/controller-peers.ts
@@ -1,9 +1,10 @@
 import {create} from '@bufbuild/protobuf';
-import {RESULT_CODE, type TimerService, ValeleadError} from '@valelead/common';
+import {RESULT_CODE, type TimerService} from '@valelead/common';
 import type {DiscoveredVoter, Voter as VoterRecord} from '@valelead/consensus';
 import {
 	type ChannelPool, type IdentifyReply, type JoinReply, Consensus, IdentifyRequestSchema, JoinRequestSchema,
 } from '@valelead/protocol';
+import {newCallTimeoutError} from '../new-call-timeout-error.js';
 import {withTimeout} from '../with-timeout.js';
 
 /** A controller that replied to an identify call. */
@@ -24,8 +25,6 @@
 
 const CALL_TIMEOUT_MS = 1000;
 
-const newTimeoutError = (): ValeleadError => new ValeleadError('No reply before the call timeout', {code: RESULT_CODE.NoQuorum});
-
 /** Maximum rounds of join calls: to the known leader, to the controllers of the settings and those they know, and to the leader named by these. */
 const MAX_JOIN_ROUNDS = 3;
 
@@ -138,6 +137,6 @@
 
 	/** Limits a call by the monotonic clock, because the gRPC library computes deadlines from the wall clock, which may step. */
 	async #withCallTimeout<Reply>(call: Promise<Reply>): Promise<Reply> {
-		return withTimeout(call, this.#parts.timers, CALL_TIMEOUT_MS, newTimeoutError);
+		return withTimeout(call, this.#parts.timers, CALL_TIMEOUT_MS, newCallTimeoutError);
 	}
 }
--- a/apps/valelead-daemon/src/gateway/find-unnamed-origin.ts
+++ b/apps/valelead-daemon/src/gateway/find-unnamed-origin.ts
@@ -1,4 +1,4 @@
-import {type Route, getRouteKey} from '@valelead/routing';
+import {type Route, getRouteKey, getStreamServices} from '@valelead/routing';
 import {type StreamOrigin, getOriginKey} from '@valelead/stream-origin';
 import type {CallerRequest} from '../adapter/caller-request.js';
 import type {Caller} from './caller.js';
@@ -17,8 +17,8 @@
 	readonly isLeaderSilent: boolean;
 };
 
-const getSoleService = ({shares}: Route): string | undefined => {
-	const [service, ...others] = shares.filter(({weight}) => weight > 0).map(share => share.service);
+const getSoleService = (route: Route): string | undefined => {
+	const [service, ...others] = getStreamServices(route);
 	return others.length === 0 ? service : undefined;
 };
 
--- a/apps/valelead-daemon/src/gateway/get-resumed-origin.ts
+++ b/apps/valelead-daemon/src/gateway/get-resumed-origin.ts
@@ -1,7 +1,7 @@
 import {
 	OUTCOME, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, ValeleadError,
 } from '@valelead/common';
-import type {Route} from '@valelead/routing';
+import {type Route, getStreamServices} from '@valelead/routing';
 import {type StreamOrigin, getOriginKey} from '@valelead/stream-origin';
 import type {CallerRequest} from '../adapter/caller-request.js';
 import {findUnnamedOrigin} from './find-unnamed-origin.js';
@@ -38,7 +38,7 @@
 		throw newError(RESULT_CODE.StreamOriginUnknown, isLeaderSilent ? LEADERLESS_RETRY_AFTER_MS : 0);
 	}
 
-	if (!route.shares.some(({service, weight}) => service === origin.service && weight > 0)) {
+	if (!getStreamServices(route).includes(origin.service)) {
 		throw newError(RESULT_CODE.StreamNotContinuable);
 	}
 
--- a/apps/valelead-daemon/src/standby/leader-finder.ts
+++ b/apps/valelead-daemon/src/standby/leader-finder.ts
@@ -1,11 +1,10 @@
 import {create} from '@bufbuild/protobuf';
-import {
-	type Clock, type TimerService, RESULT_CODE, ValeleadError,
-} from '@valelead/common';
+import type {Clock, TimerService} from '@valelead/common';
 import {
 	type ChannelPool, type IdentifyReply, Consensus, IdentifyRequestSchema,
 } from '@valelead/protocol';
 import type {Logger} from 'pino';
+import {newCallTimeoutError} from '../new-call-timeout-error.js';
 import {withTimeout} from '../with-timeout.js';
 
 /** A controller that replied, with the leader and the voters that it knows. */
@@ -31,8 +30,6 @@
 /** Timeout of a call to a controller, in milliseconds; a controller that works replies within a few milliseconds. */
 const CALL_TIMEOUT_MS = 400;
 
-const newTimeoutError = (): ValeleadError => new ValeleadError('No reply before the call timeout', {code: RESULT_CODE.NoQuorum});
-
 /** Maximum number of learned addresses: several times more than an installation has. Any process can report addresses, so the number is limited. */
 const MAX_ADDRESSES = 64;
 
@@ -131,7 +128,7 @@
 		try {
 			const call = pool.get(address).unary(Consensus.method.identify, create(IdentifyRequestSchema, {vm}), CALL_TIMEOUT_MS);
 			// Needed because the gRPC library computes deadlines from the wall clock, which may step.
-			const {leaderAddress, voterAddresses} = await withTimeout(call, timers, CALL_TIMEOUT_MS, newTimeoutError);
+			const {leaderAddress, voterAddresses} = await withTimeout(call, timers, CALL_TIMEOUT_MS, newCallTimeoutError);
 			return {address, leaderAddress, voterAddresses};
 		} catch {
 			// An unreachable controller is skipped. Its connection may be broken without an error, so the next call opens a new one.
