Log the error that ends a process, and the failed attempts of each request

A process now writes one line, fatal-error, before it ends with status 1, and does nothing after it: its state may be inconsistent. request-ended lists the failed attempts with their upstreams, codes and outcomes. No decision changes.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -211,6 +211,7 @@
 
 	#fail(request: GatewayRequest, {attemptId, upstream}: Omit<AttemptTarget, 'remainingMs'>, end: AttemptFailure): void {
 		this.#forget(attemptId);
+		request.failedAttempts.push(`${upstream.id} ${end.code} ${end.outcome}`);
 		this.#parts.onFailed(request, attemptId, upstream, end);
 	}
 
--- a/apps/valelead-daemon/src/gateway/completion-recorder.ts
+++ b/apps/valelead-daemon/src/gateway/completion-recorder.ts
@@ -75,6 +75,7 @@
 			softwareVersion: request.softwareVersion,
 			awaitedUpstreamId: request.awaitedUpstreamId,
 			attempts: request.attempts,
+			failedAttempts: request.failedAttempts,
 			...end,
 			waitedMs: Math.round((dispatchedAt ?? now) - arrivedAt),
 			firstPartMs: firstChunkAt === undefined ? undefined : Math.round(firstChunkAt - arrivedAt),
--- a/apps/valelead-daemon/src/gateway/gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/gateway-request.ts
@@ -39,6 +39,8 @@
 	/** The engine that was last chosen to load the model while the request waited, or an empty string. */
 	awaitedUpstreamId: string;
 	attempts: number;
+	/** The attempts that failed, oldest first, each as upstream, result code and outcome. */
+	failedAttempts: string[];
 	/** Where the stream began, once its first event has been forwarded or if the caller resumes it. Only fitting upstreams may continue it. */
 	origin: StreamOrigin | undefined;
 	/** True once an event of the stream has been forwarded; comments are none. */
--- a/apps/valelead-daemon/src/gateway/new-gateway-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-gateway-request.ts
@@ -10,6 +10,7 @@
 	| 'softwareVersion'
 	| 'awaitedUpstreamId'
 	| 'attempts'
+	| 'failedAttempts'
 	| 'hasForwardedEvents'
 	| 'lastEventId'
 	| 'firstChunkAt'
@@ -29,6 +30,7 @@
 	softwareVersion: '',
 	awaitedUpstreamId: '',
 	attempts: 0,
+	failedAttempts: [],
 	hasForwardedEvents: false,
 	lastEventId: undefined,
 	firstChunkAt: undefined,
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -41,6 +41,7 @@
 export {newAttemptFailure} from './gateway/new-attempt-failure.js';
 export {newGatewayAdmission} from './gateway/new-gateway-admission.js';
 export {newLogger} from './logger.js';
+export {exitOnFatalError} from './exit-on-fatal-error.js';
 export {flushLogsAndExit} from './flush-logs-and-exit.js';
 export type {FollowerSession} from './control/follower-session.js';
 export {StallWatch} from './stall-watch.js';
--- a/apps/valelead-daemon/src/run-daemon.ts
+++ b/apps/valelead-daemon/src/run-daemon.ts
@@ -10,6 +10,7 @@
 import {startController} from './controller/start-controller.js';
 import {startEntry} from './entry/start-entry.js';
 import {startGateway} from './gateway/start-gateway.js';
+import {exitOnFatalError} from './exit-on-fatal-error.js';
 import {flushLogsAndExit} from './flush-logs-and-exit.js';
 import {newLogger} from './logger.js';
 import {loadSettingsOrExit} from './settings/load-settings-or-exit.js';
@@ -144,6 +145,7 @@
 	const text = readTextOrEmpty(file);
 	const settings = loadSettingsOrExit(file);
 	const logger = newLogger(settings.logLevel, {vm: settings.vm, role: settings.role});
+	exitOnFatalError(logger);
 	try {
 		await Effect.runPromise(newProgram({
 			file, text, settings, logger, adapter,
--- a/apps/valelead-daemon/tests/logger.feature
+++ b/apps/valelead-daemon/tests/logger.feature
@@ -9,3 +9,14 @@
   Scenario: A process that stands still while its log is flushed exits with its status
     When a process that stands still for 700 ms flushes its log and exits
     Then it ended with status 0, and its last line is in the log
+
+  # Guards against a process that ends by an error without a word in its log, or goes on after it.
+  Scenario Outline: A process that ends by an error that nothing caught says so
+    When a process logs a line and then meets "<an error>"
+    Then it ended with status 1, and the last line in its log names the error
+
+    Examples:
+      | an error               |
+      | a throw in a timer     |
+      | a rejection            |
+      | a value that is thrown |
--- a/apps/valelead-daemon/tests/logger.steps.ts
+++ b/apps/valelead-daemon/tests/logger.steps.ts
@@ -13,6 +13,7 @@
 };
 
 const PROGRAM = fileURLToPath(new URL('logger-program.js', import.meta.url));
+const FATAL_PROGRAM = fileURLToPath(new URL('fatal-error-program.js', import.meta.url));
 const STALLED_PROGRAM = fileURLToPath(new URL('stalled-exit-program.js', import.meta.url));
 const MEGABYTE = 1_000_000;
 
@@ -30,14 +31,29 @@
 	assert.ok(this.isEnded);
 });
 
-When('a process that stands still for {int} ms flushes its log and exits', async function (this: LoggerWorld, stalledMs: number) {
-	const child = spawn(process.execPath, [STALLED_PROGRAM, String(stalledMs)], {stdio: ['ignore', 'pipe', 'inherit']});
-	this.log = '';
+const run = async (world: LoggerWorld, program: string, parameter: string): Promise<void> => {
+	const child = spawn(process.execPath, [program, parameter], {stdio: ['ignore', 'pipe', 'inherit']});
+	world.log = '';
 	child.stdout.on('data', (part: Uint8Array) => {
-		this.log += String(part);
+		world.log += String(part);
 	});
 	const [status] = await once(child, 'close') as [number | null];
-	this.status = status;
+	world.status = status;
+};
+
+When('a process that stands still for {int} ms flushes its log and exits', async function (this: LoggerWorld, stalledMs: number) {
+	await run(this, STALLED_PROGRAM, String(stalledMs));
+});
+
+When('a process logs a line and then meets {string}', async function (this: LoggerWorld, error: string) {
+	await run(this, FATAL_PROGRAM, error);
+});
+
+Then('it ended with status {int}, and the last line in its log names the error', function (this: LoggerWorld, status: number) {
+	assert.equal(this.status, status);
+	const lines = this.log.trim().split('\n').map(line => JSON.parse(line) as {event: string; reason?: string});
+	assert.deepEqual(lines.map(({event}) => event), ['before', 'fatal-error']);
+	assert.equal(lines[1].reason, 'faulty');
 });
 
 Then('it ended with status {int}, and its last line is in the log', function (this: LoggerWorld, status: number) {
