Refuse announced addresses that no connection can be opened to

Cause: an upstream's address was checked by its form, so that a port of 65536 or a host of 999.1.1.1 passed and reached the directory of every gateway. Node.js throws at such a port as the request is created, in whatever turn of the event loop it is sent, and nothing catches that outside the turn of an arrival.

An address now has a type that only parseAddress returns, and what connects to upstreams takes nothing else.

--- a/apps/valelead-daemon/src/follower/routing-follower.ts
+++ b/apps/valelead-daemon/src/follower/routing-follower.ts
@@ -4,7 +4,7 @@
 	type Clock, type SuspensionWatch, type TimerService, ValeleadError,
 } from '@valelead/common';
 import {
-	type DirectoryCopy, type Upstream, type UpstreamChange, mutateDirectoryCopy, mutateUnconfirmedUpstreams, newDirectoryCopy,
+	type DirectoryCopy, type Upstream, mutateDirectoryCopy, mutateUnconfirmedUpstreams, newDirectoryCopy,
 } from '@valelead/discovery';
 import {
 	type ChannelPool,
@@ -31,6 +31,7 @@
 import {encodeLimitReport} from './encode-limit-report.js';
 import {encodeQuotaUsage} from './encode-quota-usage.js';
 import {GatewayCount} from './gateway-count.js';
+import {getUsableChanges} from './get-usable-changes.js';
 import type {LimitExchange} from './limit-exchange.js';
 import type {OrderLeaseExchange} from './order-lease-exchange.js';
 import type {QuotaExchange} from './quota-exchange.js';
@@ -268,8 +269,7 @@
 	}
 
 	#applyDirectory(delta: DirectoryDelta): void {
-		const upstreams = delta.upstreams as unknown as readonly UpstreamChange[];
-		if (mutateDirectoryCopy(this.#copy, {...delta, upstreams}, this.#parts.clock.now())) {
+		if (mutateDirectoryCopy(this.#copy, {...delta, upstreams: getUsableChanges(delta.upstreams)}, this.#parts.clock.now())) {
 			this.#publishDirectory();
 		}
 	}
--- a/apps/valelead-daemon/src/gateway/attempt-options.ts
+++ b/apps/valelead-daemon/src/gateway/attempt-options.ts
@@ -1,4 +1,5 @@
 import type {Buffer} from 'node:buffer';
+import type {Address} from '@valelead/common';
 import type {CallerCodec} from '../adapter/caller-codec.js';
 import type {ResponseHead} from './response-head.js';
 import type {AttemptFailure} from './attempt-failure.js';
@@ -21,7 +22,7 @@
 	readonly requestId: string;
 	readonly upstreamId: string;
 	/** IP address and port of the upstream. */
-	readonly address: string;
+	readonly address: Address;
 	readonly agent: UpstreamAgent;
 	readonly codec: CallerCodec;
 	readonly method: string;
--- a/apps/valelead-daemon/src/gateway/crash-observer.ts
+++ b/apps/valelead-daemon/src/gateway/crash-observer.ts
@@ -1,4 +1,4 @@
-import type {Clock, TimerService} from '@valelead/common';
+import type {Address, Clock, TimerService} from '@valelead/common';
 import {type Upstream, UPSTREAM_STATE} from '@valelead/discovery';
 import {
 	type CrashWatch, type Suspect, type WatchedRun, getReplacedRuns, mutateBrokenConnection, mutateEndedRun, mutateExpiredWatches, newCrashWatch,
@@ -14,7 +14,7 @@
 	readonly logger: Logger;
 	readonly stalls: Pick<StallWatch, 'isStalled'>;
 	/** Resolves with true if no process listens at an address any more. */
-	readonly isPortRefused: (address: string) => Promise<boolean>;
+	readonly isPortRefused: (address: Address) => Promise<boolean>;
 	/** Called when an upstream has crashed, and again when further requests are found to have been in progress there. */
 	readonly onCrash: (run: WatchedRun, isFirst: boolean) => void;
 	/** Called when a process still listens at the address of an upstream whose connections broke. */
@@ -23,7 +23,7 @@
 
 type BrokenRun = {
 	readonly upstreamId: string;
-	readonly address: string;
+	readonly address: Address;
 	readonly suspect: Suspect;
 };
 
@@ -96,7 +96,7 @@
 		}
 	}
 
-	async #probe(upstreamId: string, address: string): Promise<void> {
+	async #probe(upstreamId: string, address: Address): Promise<void> {
 		this.#probing.add(upstreamId);
 		// After a stall of this process, the next run of a crashed upstream may already listen at the address.
 		const isSameRun = !this.#parts.stalls.isStalled;
--- a/apps/valelead-daemon/src/gateway/new-port-check.ts
+++ b/apps/valelead-daemon/src/gateway/new-port-check.ts
@@ -1,5 +1,5 @@
 import {connect} from 'node:net';
-import type {TimerService} from '@valelead/common';
+import type {Address, TimerService} from '@valelead/common';
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
 
@@ -7,7 +7,7 @@
 const CONNECT_MS = 500;
 
 /** Returns a function that probes an address with one connection and resolves with true if the connection is refused, so no process listens there. */
-export const newPortCheck = (timers: TimerService) => async (address: string): Promise<boolean> => new Promise(resolve => {
+export const newPortCheck = (timers: TimerService) => async (address: Address): Promise<boolean> => new Promise(resolve => {
 	const socket = connect({host: getHost(address), port: getPort(address)});
 	const end = (isRefused: boolean): void => {
 		timeout.cancel();
--- a/apps/valelead-daemon/src/gateway/residency-clients.ts
+++ b/apps/valelead-daemon/src/gateway/residency-clients.ts
@@ -46,7 +46,7 @@
 	/** Creates clients for these engines and stops the clients of all others. */
 	follow(engines: readonly Upstream[]): void {
 		this.#addresses = new Map(engines.map(engine => [engine.id, engine.address]));
-		const managers = new Map(engines.map(engine => [engine.address, engine.keeperAddress]));
+		const managers = new Map<string, string>(engines.map(engine => [engine.address, engine.keeperAddress]));
 		for (const [address, {client, managerAddress}] of this.#links) {
 			if (managers.get(address) !== managerAddress) {
 				client.stop();
--- a/apps/valelead-daemon/tests/send-attempt.ts
+++ b/apps/valelead-daemon/tests/send-attempt.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {parseAddress} from '@valelead/common';
 import {newSystemTimers} from './new-system-timers.js';
 import {type CallerCodec, type UpstreamAgent, UpstreamAttempt} from 'valelead-daemon';
 
@@ -32,7 +33,7 @@
 	return new UpstreamAttempt({
 		requestId: '1',
 		upstreamId: 'u',
-		address: `127.0.0.1:${port}`,
+		address: parseAddress(`127.0.0.1:${port}`)!,
 		agent,
 		codec: CODEC,
 		method: 'GET',
--- a/apps/valelead-lab/src/lab-engine.ts
+++ b/apps/valelead-lab/src/lab-engine.ts
@@ -1,4 +1,4 @@
-import type {TimerService} from '@valelead/common';
+import type {Address, TimerService} from '@valelead/common';
 import {type Upstream, type UpstreamStateValue, UPSTREAM_STATE} from '@valelead/discovery';
 import type {EmulatedEngine, VirtualClock} from '@valelead/emulator';
 import {ORDER_RESULT, type OrderResultValue} from '@valelead/residency';
@@ -76,8 +76,8 @@
 		return this.#parts.id;
 	}
 
-	get address(): string {
-		return `${this.#parts.id}:1`;
+	get address(): Address {
+		return `${this.#parts.id}:1` as Address;
 	}
 
 	get engine(): EmulatedEngine {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,8 @@
 export {OUTCOME} from './outcome.js';
 export type {OutcomeValue} from './outcome-value.js';
 export {ValeleadError} from './valelead-error.js';
+export type {Address} from './address.js';
+export {parseAddress} from './parse-address.js';
 export {abortRequest} from './abort-request.js';
 export {abortRequestAfter} from './abort-request-after.js';
 export {limitInterimResponses} from './limit-interim-responses.js';
--- a/packages/discovery/src/mutate-departure.ts
+++ b/packages/discovery/src/mutate-departure.ts
@@ -1,3 +1,4 @@
+import type {Address} from '@valelead/common';
 import {UPSTREAM_STATE} from './upstream-state.js';
 import {getNewestRun} from './get-newest-run.js';
 import {getRunId} from './get-run-id.js';
@@ -11,7 +12,7 @@
 	instanceId,
 	bornAt,
 	service: '',
-	address: '',
+	address: '' as Address,
 	dataCentre: '',
 	softwareVersion: '',
 	state: UPSTREAM_STATE.Gone,
--- a/packages/discovery/src/upstream.ts
+++ b/packages/discovery/src/upstream.ts
@@ -1,3 +1,4 @@
+import type {Address} from '@valelead/common';
 import type {LoadedModel} from './loaded-model.js';
 import type {Run} from './run.js';
 import type {UpstreamStateValue} from './upstream-state-value.js';
@@ -7,8 +8,8 @@
 	/** The run id, as `getRunId` returns it; new at each start. */
 	readonly id: string;
 	readonly service: string;
-	/** IP address and port. */
-	readonly address: string;
+	/** IP address and port; empty for an unknown run that announced its departure. Nothing connects to a run that is gone. */
+	readonly address: Address;
 	readonly dataCentre: string;
 	/** The version of the software that the run executes, as it announces it; empty if unknown. Not the version of model weights. */
 	readonly softwareVersion: string;
--- a/tests/support/new-upstream.ts
+++ b/tests/support/new-upstream.ts
@@ -1,12 +1,18 @@
+import type {Address} from '@valelead/common';
 import {type Upstream, UPSTREAM_STATE} from '@valelead/discovery';
 
+type UpstreamChoice = Partial<Omit<Upstream, 'address'>> & {
+	/** Any text; most tests connect to nothing. */
+	readonly address?: string;
+};
+
 /** A run of an engine that holds nothing, with what a test says of it. */
-export const newUpstream = (id: string, changes: Partial<Upstream> = {}): Upstream => ({
+export const newUpstream = (id: string, {address = id, ...changes}: UpstreamChoice = {}): Upstream => ({
 	id,
 	instanceId: id,
 	bornAt: 0,
 	service: 's',
-	address: id,
+	address: address as Address,
 	dataCentre: 'z',
 	state: UPSTREAM_STATE.Ready,
 	slots: 64,
