End an attempt that cannot be started with its own outcome

By reading, the request then stayed in its queue, and the actions after it in the same turn were left out.

The throw is caught where the attempt is started and ends that attempt as not run, with the new code 3013. It counts neither as an answer nor as a failure of the upstream, costs no retry, and the request is tried elsewhere within its number of attempts. An action that throws no longer keeps the actions after it from being carried out. An unexpected error in the turn of an arrival withdraws that request and is told as 5006 with an unknown outcome; only a body that breaks off is 1001.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -68,26 +68,17 @@
 		this.#parts = parts;
 	}
 
+	/** Sends a request to an upstream. An attempt that cannot be started fails like one that was refused before it ran. */
 	send(request: GatewayRequest, sending: AttemptTarget): void {
-		const {codec, clock, newAttempt, getAgent} = this.#parts;
-		const {attemptId, upstream, remainingMs} = sending;
-		const startedAt = clock.now();
-		const attempt = newAttempt({
-			requestId: request.head.id,
-			upstreamId: upstream.id,
-			address: upstream.address,
-			agent: getAgent(upstream.id, request.service),
-			codec,
-			method: request.method,
-			url: request.url,
-			headers: codec.newUpstreamHeaders(request.rawHeaders, {
-				instanceId: upstream.instanceId, remainingMs, priority: request.caller.rank, team: request.caller.team?.name ?? '', lastEventId: request.lastEventId,
-			}),
-			body: request.body,
-			startedAt,
-			events: this.#newEvents(request, sending, startedAt),
-		});
-		this.#sent.set(attemptId, attempt);
+		let attempt: SentAttempt;
+		try {
+			attempt = this.#newAttempt(request, sending);
+		} catch (error) {
+			this.#fail(request, sending, newAttemptFailure(RESULT_CODE.AttemptNotStarted, OUTCOME.NotRun, (error as Error).message));
+			return;
+		}
+
+		this.#sent.set(sending.attemptId, attempt);
 	}
 
 	/** Cancels an attempt at its upstream without calling `onFailed`. */
@@ -120,6 +111,27 @@
 		}
 	}
 
+	#newAttempt(request: GatewayRequest, sending: AttemptTarget): SentAttempt {
+		const {codec, clock, newAttempt, getAgent} = this.#parts;
+		const {upstream, remainingMs} = sending;
+		const startedAt = clock.now();
+		return newAttempt({
+			requestId: request.head.id,
+			upstreamId: upstream.id,
+			address: upstream.address,
+			agent: getAgent(upstream.id, request.service),
+			codec,
+			method: request.method,
+			url: request.url,
+			headers: codec.newUpstreamHeaders(request.rawHeaders, {
+				instanceId: upstream.instanceId, remainingMs, priority: request.caller.rank, team: request.caller.team?.name ?? '', lastEventId: request.lastEventId,
+			}),
+			body: request.body,
+			startedAt,
+			events: this.#newEvents(request, sending, startedAt),
+		});
+	}
+
 	#newEvents(request: GatewayRequest, {attemptId, upstream}: AttemptTarget, startedAt: number): AttemptOptions['events'] {
 		let isSuccessful = false;
 		let parts = 0;
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, Coalescer, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type SuspensionWatch, type TimerService,
+	type Clock, Coalescer, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type SuspensionWatch, type TimerService, visitAll,
 } from '@valelead/common';
 import {
 	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
@@ -382,13 +382,13 @@
 	}
 
 	#take(event: AdmissionEvent): void {
-		for (const effect of mutateAdmission(this.#state, this.#getSettings(), event, this.#parts.clock.now())) {
+		visitAll(mutateAdmission(this.#state, this.#getSettings(), event, this.#parts.clock.now()), effect => {
 			if ((effect.kind === 'dispatch' || effect.kind === 'refuse') && effect.wait) {
 				this.#parts.onWaited?.(effect, this.#requests.get(effect.requestId)?.head.id);
 			}
 
 			this.#carryOut(effect);
-		}
+		});
 
 		this.#limits.noteWaiting();
 	}
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -98,12 +98,33 @@
 				return;
 			}
 
-			this.#parts.onRequest(request);
+			this.#dispatch(request);
 		} catch (error) {
 			this.#refuse(answer, head, message, error);
 		}
 	}
 
+	/**
+	 * Passes a request on to be dispatched. An unexpected error there may concern other requests in the same turn, or this one after it was sent, so that this
+	 * one is withdrawn and its outcome is unknown.
+	 */
+	#dispatch(request: GatewayRequest): void {
+		try {
+			this.#parts.onRequest(request);
+		} catch (error) {
+			const {message, stack} = error as Error;
+			this.#parts.logger.error({
+				event: 'request-error', requestId: request.head.id, reason: message, stack,
+			}, 'an unexpected error while a request was dispatched');
+			this.#parts.onCallerDisconnected(request);
+			if (!request.answer.isEnded) {
+				request.answer.refuse({
+					code: RESULT_CODE.Internal, message: RESULT_DETAILS[RESULT_CODE.Internal].meaning, outcome: OUTCOME.Unknown, retryAfterMs: 0,
+				});
+			}
+		}
+	}
+
 	/** Returns true for the first request on a connection. */
 	#isFirst(connection: Socket): boolean {
 		const isFirst = !this.#usedConnections.has(connection);
@@ -179,7 +200,8 @@
 
 	#refuse(answer: HttpResponseWriter, head: CallerRequest, message: IncomingMessage, error: unknown): void {
 		const known = error instanceof ValeleadError ? error : undefined;
-		const code = known?.code ?? RESULT_CODE.MalformedRequest;
+		// Only a body that breaks off is the caller's fault.
+		const code = known?.code ?? (message.complete ? RESULT_CODE.Internal : RESULT_CODE.MalformedRequest);
 		this.#parts.logger.info({
 			event: 'request-refused', requestId: head.id, host: message.headers.host, url: message.url, code, outcome: OUTCOME.NotRun, reason: (error as Error).message, ...this.#parts.getContact(),
 		}, 'request refused');
--- /dev/null
+++ b/apps/valelead-daemon/tests/attempt-faults.feature
@@ -0,0 +1,17 @@
+Feature: Attempts that cannot be started
+  Libraries throw at values that they cannot send. Such a throw ends its own attempt, in whatever turn of the event loop the attempt is started.
+
+  # Guards against a throw that ends the gateway, leaves a place taken, or is told to another caller, as several requests are sent in one turn.
+  Scenario Outline: Other requests are served while attempts for <share> of 100 requests throw
+    Given a gateway with two upstreams that serve 4 requests at a time
+    When 400 requests arrive, and starting an attempt throws for <share> of 100 of them
+    Then nothing is thrown into the turns of the gateway
+    And each of these requests is refused as not run with 3013, and nothing of it was sent
+    And each other request is sent once and served
+    And both upstreams have all their places free
+
+    Examples:
+      | share |
+      | 10    |
+      | 50    |
+      | 100   |
--- /dev/null
+++ b/apps/valelead-daemon/tests/attempt-faults.steps.ts
@@ -0,0 +1,209 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {OUTCOME, RESULT_CODE} from '@valelead/common';
+import {type Route, ROUTE_KIND, newRouteTable} from '@valelead/routing';
+import {pino} from 'pino';
+import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
+import {newUpstream} from '../../../tests/support/new-upstream.js';
+import {VirtualProcess} from '../../../tests/support/virtual-process.js';
+import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {
+	type CallerCodec, type ResponseWriter, RequestDispatcher, getTarget, newGatewayAdmission, newGatewayRequest,
+} from 'valelead-daemon';
+
+type RequestEnd = {
+	readonly code: number;
+	readonly outcome: string;
+};
+
+type FaultsWorld = {
+	time: VirtualTime;
+	dispatcher: RequestDispatcher;
+	/** Ids of the requests for which starting an attempt throws. */
+	faulty: Set<string>;
+	/** Attempts that were started, by request. */
+	sent: Map<string, number>;
+	/** Requests in progress at each upstream. */
+	busy: Map<string, number>;
+	ends: Map<string, RequestEnd>;
+	thrown: unknown[];
+};
+
+const UPSTREAMS = ['a', 'b'];
+const SERVICE = 's';
+const SERVICE_MS = 20;
+const ARRIVAL_MS = 2;
+const ALL = 100;
+
+const ROUTE: Route = {
+	name: 'r', host: 'h', pathPrefix: '/', kind: ROUTE_KIND.Idempotent, isOpen: true, isResumable: false, timeoutMs: 60_000, objectiveMs: 400, pauseObjectiveMs: 300, callerPatienceMs: 60_000,
+	priority: 0, maxAttempts: 2, shares: [{service: SERVICE, weight: 1}],
+};
+
+const newTable = () => newRouteTable({
+	version: 1,
+	routes: [ROUTE],
+	services: [{
+		name: SERVICE, healthPath: '/', maxConnections: 100, engine: undefined,
+	}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	teams: undefined,
+});
+
+const CODEC = {newUpstreamHeaders: () => []} as unknown as CallerCodec;
+
+const ignore = (): void => undefined;
+
+/** Starts an attempt that is answered after a while, or throws as libraries do. */
+const startAttempt = (world: FaultsWorld, {requestId, upstreamId, events}: Parameters<ConstructorParameters<typeof RequestDispatcher>[0]['newAttempt']>[0]) => {
+	if (world.faulty.has(requestId)) {
+		throw new RangeError('Port should be >= 0 and < 65536.');
+	}
+
+	world.sent.set(requestId, (world.sent.get(requestId) ?? 0) + 1);
+	world.busy.set(upstreamId, world.busy.get(upstreamId)! + 1);
+	world.time.after(SERVICE_MS, () => {
+		world.busy.set(upstreamId, world.busy.get(upstreamId)! - 1);
+		events.onHead({statusCode: 200, headers: {'content-length': '0'}, rawHeaders: ['content-length', '0']});
+		events.onEnd();
+	});
+	return {
+		requestId, upstreamId, startedAt: world.time.now, isSent: true, isAnswered: false, isConnectionReused: false, cancel: ignore, fail: ignore,
+	};
+};
+
+Given('a gateway with two upstreams that serve {int} requests at a time', function (this: FaultsWorld, slots: number) {
+	this.time = new VirtualTime();
+	this.faulty = new Set();
+	this.sent = new Map();
+	this.busy = new Map(UPSTREAMS.map(id => [id, 0]));
+	this.ends = new Map();
+	this.thrown = [];
+	const clock = {now: () => this.time.now, wallNow: () => this.time.now};
+	const table = newTable();
+	const admission = newGatewayAdmission({
+		dataCentre: 'z', ratio: 1, reserve: 1000, windowMs: 1000, gatewayCount: 1, countedSince: -1000, isUnspent: true,
+	});
+	this.dispatcher = new RequestDispatcher({
+		getSettings: () => admission,
+		codec: CODEC,
+		timers: newProcessTimers(this.time, new VirtualProcess(this.time)),
+		clock,
+		logger: pino({enabled: false}),
+		residency: {follow: ignore, setNeeds: ignore},
+		origins: undefined as never,
+		getTable: () => table,
+		getGatewayCount: () => 1,
+		random: () => 0.5,
+		newAttempt: terms => startAttempt(this, terms),
+		getLeaderAgeMs: () => 0,
+		isPortRefused: async () => false,
+		onCrash: ignore,
+		onCrashReportDue: ignore,
+		onLimitReportDue: ignore,
+		onRetry: ignore,
+		onAborted: ignore,
+		onCancelled: ignore,
+		suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
+		onEnd: ({head}, code, outcome) => {
+			this.ends.set(head.id, {code, outcome});
+		},
+	});
+	this.dispatcher.takeDirectory(UPSTREAMS.map(id => newUpstream(id, {service: SERVICE, slots})));
+});
+
+const newAnswer = (): ResponseWriter => ({
+	isStarted: false, isEnded: false, isCallerDisconnected: false, start: ignore, data: ignore, end: ignore, refuse: ignore,
+});
+
+const arrive = ({dispatcher, time}: FaultsWorld, id: string): void => {
+	dispatcher.arrive(newGatewayRequest({
+		id,
+		head: {
+			id,
+			deadlineMs: undefined,
+			model: '',
+			adapter: '',
+			promptTokens: 0,
+			maxNewTokens: 0,
+			sharedSegments: [],
+			hasTokenCount: false,
+			isTokenCountValid: true,
+			lastEventId: '',
+			resumedRequestId: '',
+			key: undefined,
+		},
+		caller: {team: undefined, rank: 0, cost: 0},
+		service: SERVICE,
+		target: getTarget(SERVICE, '', ''),
+		answer: newAnswer(),
+		host: 'h',
+		route: ROUTE,
+		method: 'POST',
+		url: '/',
+		rawHeaders: [],
+		body: Buffer.alloc(0),
+		arrivedAt: time.now,
+		deadlineAt: time.now + ROUTE.timeoutMs,
+		routingVersion: 1,
+	}));
+};
+
+/** Runs virtual time until nothing is left, and notes what the callbacks of the gateway throw. */
+const runUntil = (world: FaultsWorld, endsAt: number): void => {
+	while (world.time.now < endsAt) {
+		try {
+			world.time.advance(1);
+		} catch (error) {
+			world.thrown.push(error);
+		}
+	}
+};
+
+When('{int} requests arrive, and starting an attempt throws for {int} of 100 of them', function (this: FaultsWorld, count: number, share: number) {
+	for (let index = 0; index < count; index += 1) {
+		const id = `r${index}`;
+		if (index * 37 % ALL < share) {
+			this.faulty.add(id);
+		}
+
+		this.time.after(Math.floor(index / UPSTREAMS.length) * ARRIVAL_MS, () => {
+			arrive(this, id);
+		});
+	}
+
+	runUntil(this, 30_000);
+});
+
+Then('nothing is thrown into the turns of the gateway', function (this: FaultsWorld) {
+	assert.deepEqual(this.thrown, []);
+});
+
+Then('each of these requests is refused as not run with 3013, and nothing of it was sent', function (this: FaultsWorld) {
+	for (const id of this.faulty) {
+		assert.deepEqual(this.ends.get(id), {code: RESULT_CODE.AttemptNotStarted, outcome: OUTCOME.NotRun}, id);
+		assert.equal(this.sent.has(id), false, id);
+	}
+});
+
+Then('each other request is sent once and served', function (this: FaultsWorld) {
+	const others = [...this.ends].filter(([id]) => !this.faulty.has(id));
+	assert.equal(this.ends.size, 400);
+	for (const [id, {code}] of others) {
+		assert.equal(code, RESULT_CODE.Ok, id);
+		assert.equal(this.sent.get(id), 1, id);
+	}
+});
+
+Then('both upstreams have all their places free', function (this: FaultsWorld) {
+	assert.equal(this.dispatcher.inProgress, 0);
+	this.faulty.clear();
+	for (let index = 0; index < 8; index += 1) {
+		arrive(this, `later-${index}`);
+	}
+
+	assert.deepEqual([...this.busy.values()], [4, 4]);
+});
--- a/packages/admission/src/mutate-attempt-failure.ts
+++ b/packages/admission/src/mutate-attempt-failure.ts
@@ -34,12 +34,15 @@
 	RESULT_CODE.ConfigurationTooOld,
 ]);
 
+/** Result codes of attempts that never became known to their upstream. Retries of them cost nothing. */
+const UNSENT_CODES: ReadonlySet<ResultCodeValue> = new Set([RESULT_CODE.UpstreamUnreachable, RESULT_CODE.AttemptNotStarted]);
+
 /** Result codes of attempts to which the upstream sent no response at all. */
 const UNANSWERED_CODES: ReadonlySet<ResultCodeValue> = new Set([RESULT_CODE.UpstreamUnreachable, RESULT_CODE.UpstreamSilent]);
 
 /** Returns the tokens that a retry costs: none if the request reached no upstream, or if it was refused and the settings do not charge refusals. */
 const getRetryCost = (settings: AdmissionSettings, code: ResultCodeValue): number => {
-	const isFree = code === RESULT_CODE.UpstreamUnreachable || (NOT_ACCEPTING_CODES.has(code) && !settings.isRefusalCharged);
+	const isFree = UNSENT_CODES.has(code) || (NOT_ACCEPTING_CODES.has(code) && !settings.isRefusalCharged);
 	return isFree ? 0 : 1;
 };
 
@@ -66,21 +69,28 @@
 	};
 };
 
-/**
- * Handles an attempt that ended without a complete response. The request is queued again only if it did not run or may run again, if none of
- * the response has been passed on or the stream can be resumed, and if the retry budget allows it. Otherwise it is refused.
- */
-export const mutateAttemptFailure = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, failure: Failure, now: number): AdmissionEffect[] => {
-	const isNotAccepting = NOT_ACCEPTING_CODES.has(failure.code);
+/** Records what a failed attempt tells about its upstream. */
+const mutateFailedLane = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, {code, jitter}: Failure, now: number): void => {
 	const lane = getLane(state, record.vm);
-	if (!UNANSWERED_CODES.has(failure.code)) {
+	if (!UNANSWERED_CODES.has(code)) {
 		mutateLaneAnswered(lane, now);
 	}
 
-	if (isNotAccepting) {
+	if (NOT_ACCEPTING_CODES.has(code)) {
 		lane.avoided.set(record.request.target, now + settings.refusedTargetAvoidMs);
 	} else {
-		mutateLaneFailure(lane, settings, {jitter: failure.jitter, isUnreachable: failure.code === RESULT_CODE.UpstreamUnreachable}, now);
+		mutateLaneFailure(lane, settings, {jitter, isUnreachable: code === RESULT_CODE.UpstreamUnreachable}, now);
+	}
+};
+
+/**
+ * Handles an attempt that ended without a complete response. The request is queued again only if it did not run or may run again, if none of
+ * the response has been passed on or the stream can be resumed, and if the retry budget allows it. Otherwise it is refused.
+ */
+export const mutateAttemptFailure = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, failure: Failure, now: number): AdmissionEffect[] => {
+	// An attempt that this process could not begin says nothing about its upstream.
+	if (failure.code !== RESULT_CODE.AttemptNotStarted) {
+		mutateFailedLane(state, settings, record, failure, now);
 	}
 
 	const effects: AdmissionEffect[] = [];
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,6 +14,7 @@
 export {receiveResponse} from './receive-response.js';
 export {assertNever} from './assert-never.js';
 export {invariant} from './invariant.js';
+export {visitAll} from './visit-all.js';
 export type {Clock} from './clock.js';
 export {SuspensionWatch} from './suspension-watch.js';
 export {Lease} from './lease.js';
--- a/packages/common/src/result-code.ts
+++ b/packages/common/src/result-code.ts
@@ -47,6 +47,7 @@
 	InvalidAnswer: 3010,
 	UnroutedService: 3011,
 	AnswerTooLarge: 3012,
+	AttemptNotStarted: 3013,
 	NotLeader: 4001,
 	RevisionConflict: 4002,
 	AlreadyExists: 4003,
--- a/packages/common/src/result-details.ts
+++ b/packages/common/src/result-details.ts
@@ -89,6 +89,12 @@
 		'The upstream sent a larger answer than a gateway holds.',
 		'Retry if the request is idempotent; operators: section 13 of OPERATIONS.md.',
 	),
+	[RESULT_CODE.AttemptNotStarted]: newDetail(
+		'AttemptNotStarted',
+		503,
+		'The process could not begin to send the request, so it has not run.',
+		'Retry after the stated time; operators: the reason in attempt-failed.',
+	),
 	[RESULT_CODE.NotLeader]: newDetail('NotLeader', 503, 'The voter is not the leader.', 'Ask the leader named in the reply.'),
 	[RESULT_CODE.RevisionConflict]: newDetail('RevisionConflict', 409, 'The configuration changed since the expected revision.', 'Read it again and decide anew.'),
 	[RESULT_CODE.AlreadyExists]: newDetail('AlreadyExists', 409, 'An object of this name exists.', 'Use alter, or another name.'),
