Give back the connection of a response that announces its close

Callers saw a gateway refuse every request to an idle upstream, for good: 3008, "the connection was not established in time", later 2004.

Cause: after a response with `connection: close`, or one to HEAD without a length, Node's client shuts the connection down in order (`responseOnEnd` calls `socket.destroySoon`). In the same turn of the event loop the response's `close` event made UpstreamAttempt call `abortRequest`, which calls `socket.resetAndDestroy`. The operating system's reset is refused (libuv: EINVAL) while a shutdown is under way, and Node then destroys the socket without a `close` event. The HTTP agent removes sockets by that event alone, so each such response took one of the gateway's connections to the upstream for good. The caller needs nothing strange for it but HEAD, and an upstream that announces the close needs no caller's help.

Change: `resetConnection` resets a connection unless its shutdown is under way, in which case nothing is left to write and it is closed; both uses of `resetAndDestroy` call it. A `close` event follows in both cases, so whatever counts connections by that event is right, whichever part closed first.

--- a/apps/valelead-daemon/src/abort-response.ts
+++ b/apps/valelead-daemon/src/abort-response.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {resetConnection} from '@valelead/common';
 
 /** The first version of HTTP with chunked transfer encoding. */
 const CHUNKED_HTTP_VERSION = '1.1';
@@ -9,8 +10,8 @@
  * connection is reset.
  */
 export const abortResponse = (response: ServerResponse): void => {
-	if (response.req.httpVersion < CHUNKED_HTTP_VERSION) {
-		response.socket?.resetAndDestroy();
+	if (response.req.httpVersion < CHUNKED_HTTP_VERSION && response.socket) {
+		resetConnection(response.socket);
 	}
 
 	response.destroy();
--- /dev/null
+++ b/apps/valelead-daemon/tests/answering-upstream.ts
@@ -0,0 +1,84 @@
+import {once} from 'node:events';
+import {
+	type AddressInfo, type Server, type Socket, createServer,
+} from 'node:net';
+
+/** What an upstream does once a request has arrived. */
+export type UpstreamReply = {
+	readonly bytes: string;
+	/** What it does to the connection after the bytes; `stop reading` leaves the rest of the request unread. */
+	readonly end: 'keep' | 'close' | 'reset' | 'stop reading';
+};
+
+/** A TCP server that replies to each request as it is told, without looking at it. */
+export class AnsweringUpstream {
+	readonly #server: Server;
+	readonly #connections = new Set<Socket>();
+	#getReply: () => UpstreamReply;
+
+	constructor(getReply: () => UpstreamReply) {
+		this.#getReply = getReply;
+		this.#server = createServer(socket => {
+			this.#connections.add(socket);
+			socket.on('error', () => undefined);
+			socket.on('close', () => {
+				this.#connections.delete(socket);
+			});
+			socket.on('data', () => {
+				this.#reply(socket);
+			});
+		});
+	}
+
+	/** Changes the replies to the requests that arrive from now on, and closes the connections that are not read any more. */
+	setReply(getReply: () => UpstreamReply): void {
+		this.#getReply = getReply;
+		for (const socket of this.#connections) {
+			if (socket.isPaused()) {
+				socket.destroy();
+			}
+		}
+	}
+
+	/** Starts listening and resolves with the port. */
+	async listen(): Promise<number> {
+		this.#server.listen(0, '127.0.0.1');
+		await once(this.#server, 'listening');
+		return (this.#server.address() as AddressInfo).port;
+	}
+
+	close(): void {
+		this.#server.close();
+		for (const socket of this.#connections) {
+			socket.destroy();
+		}
+	}
+
+	#reply(socket: Socket): void {
+		const {bytes, end} = this.#getReply();
+		if (socket.writable) {
+			socket.write(bytes);
+		}
+
+		switch (end) {
+			case 'close': {
+				socket.end();
+				break;
+			}
+
+			case 'reset': {
+				socket.resetAndDestroy();
+				break;
+			}
+
+			case 'stop reading': {
+				socket.pause();
+				break;
+			}
+
+			case 'keep': {
+				break;
+			}
+		}
+	}
+}
--- a/apps/valelead-daemon/tests/send-attempt.ts
+++ b/apps/valelead-daemon/tests/send-attempt.ts
@@ -11,6 +11,13 @@
 	readonly connection?: string;
 };
 
+type AttemptKind = {
+	readonly method?: string;
+	readonly body?: Buffer;
+	/** Whether the body of a response is read; false for an attempt that fails because of the head. */
+	readonly isHeadTaken?: boolean;
+};
+
 /** A codec for tests: the header `id` holds the request id, `not-run` marks a refusal, and `other` marks the response of another upstream. */
 const CODEC: CallerCodec = {
 	readinessPath: '/ready',
@@ -27,8 +34,9 @@
 	}),
 };
 
-/** Sends a GET request to an upstream at the loopback address, and calls `onOver` with the result. */
-export const sendAttempt = (port: number, agent: UpstreamAgent, onOver: (result: AttemptResult) => void): UpstreamAttempt => {
+/** Sends a request, GET unless another method is given, to an upstream at the loopback address, and calls `onOver` with the result. */
+export const sendAttempt = (port: number, agent: UpstreamAgent, onOver: (result: AttemptResult) => void, kind: AttemptKind = {}): UpstreamAttempt => {
+	const {method = 'GET', body = Buffer.alloc(0), isHeadTaken = true} = kind;
 	const chunks: Buffer[] = [];
 	return new UpstreamAttempt({
 		requestId: '1',
@@ -36,14 +44,14 @@
 		address: parseAddress(`127.0.0.1:${port}`)!,
 		agent,
 		codec: CODEC,
-		method: 'GET',
+		method,
 		url: '/',
 		headers: ['host', 'a'],
-		body: Buffer.alloc(0),
+		body,
 		startedAt: 0,
 		events: {
 			onLimit: () => undefined,
-			onHead: () => true,
+			onHead: () => isHeadTaken,
 			onData(chunk) {
 				chunks.push(chunk);
 			},
--- a/packages/common/src/abort-request.ts
+++ b/packages/common/src/abort-request.ts
@@ -1,4 +1,5 @@
 import type {ClientRequest} from 'node:http';
+import {resetConnection} from './reset-connection.js';
 
 /**
  * Aborts a request in progress by resetting its connection. After an orderly close, the operating system would still deliver unsent data once the
@@ -11,9 +12,9 @@
 	}
 
 	const {socket} = request;
-	// A connection that is still being established has delivered nothing, and `resetAndDestroy` would wait until it is established.
+	// A connection that is still being established has delivered nothing, and a reset would wait until it is established.
 	if (socket && !socket.connecting) {
-		socket.resetAndDestroy();
+		resetConnection(socket);
 	}
 
 	request.destroy();
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,6 +8,7 @@
 export type {Address} from './address.js';
 export {parseAddress} from './parse-address.js';
 export {abortRequest} from './abort-request.js';
+export {resetConnection} from './reset-connection.js';
 export {abortRequestAfter} from './abort-request-after.js';
 export {limitInterimResponses} from './limit-interim-responses.js';
 export {isFinalStatus} from './is-final-status.js';
