Give up an attempt only if its retry is allowed

Callers of safe routes got 504 (3009) after 0.9 to 1.1 s of their 5 s from upstreams that need 2 s and were at work.

Cause: getAttemptTimeout asked whether the route allows another attempt; whether the retry budget has a token left was asked only after the connection to the upstream had been reset. Without a token the caller lost a response that would have come.

isRetryAllowed asks what mutateAttemptFailure asks: the same isRetryable and getRetryCost, now files of their own, and the budget without a charge. The attempt fails in the same turn, synchronously, so nothing is charged in between; attempts that are overdue in the same tick are asked one after the other, each after the charge of the one before. An attempt that goes on is asked again each tick, as requests earn retries.

Evidence: retries-not-allowed.feature, the shipped dispatcher and admission on virtual time, 20 safe requests at two upstreams that answer after 2 s. After: 20 of 20 are served, and exactly 0 and 3 attempts were given up.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -1,6 +1,8 @@
 import type {Buffer} from 'node:buffer';
 import {RESPONSE_FRAMING, getResponseFraming} from '@valelead/answer';
-import {type Clock, OUTCOME, RESULT_CODE} from '@valelead/common';
+import {
+	type Clock, OUTCOME, RESULT_CODE, type ResultCodeValue,
+} from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import {ROUTE_KIND, isRepeatable} from '@valelead/routing';
 import type {CallerCodec} from '../adapter/caller-codec.js';
@@ -22,6 +24,8 @@
 	readonly newAttempt: (terms: AttemptOptions) => SentAttempt;
 	/** Returns the connection pool of an upstream. */
 	readonly getAgent: (upstreamId: string, service: string) => UpstreamAgent;
+	/** Returns true if the request of an attempt would be sent again after the attempt failed with this code and an unknown outcome. */
+	readonly isRetryAllowed: (attempt: {readonly requestId: string; readonly attemptId: string; readonly code: ResultCodeValue}) => boolean;
 	/** Called for each response head and each complete response of an upstream, whatever the status. */
 	readonly onAnswer: (upstreamId: string) => void;
 	/**
@@ -99,18 +103,23 @@
 	}
 
 	/**
-	 * Fails the attempts that have timed out.
+	 * Fails the attempts that have timed out, one after the other, as each retry leaves less of the retry budget for the next one.
 	 * @param getElsewhere - Returns the request of an attempt if another upstream could serve it, or undefined.
 	 */
 	giveUpOverdue(now: number, getElsewhere: (attemptId: string) => GatewayRequest | undefined): void {
 		for (const [attemptId, attempt] of this.#sent) {
-			const failure = getAttemptTimeout(attempt, getElsewhere(attemptId), now);
+			const failure = getAttemptTimeout(attempt, code => this.#getRetried(attemptId, code, getElsewhere), now);
 			if (failure) {
 				attempt.fail(failure.code, failure.reason);
 			}
 		}
 	}
 
+	#getRetried(attemptId: string, code: ResultCodeValue, getElsewhere: (attemptId: string) => GatewayRequest | undefined): GatewayRequest | undefined {
+		const request = getElsewhere(attemptId);
+		return request && this.#parts.isRetryAllowed({requestId: request.id, attemptId, code}) ? request : undefined;
+	}
+
 	#newAttempt(request: GatewayRequest, sending: AttemptTarget): SentAttempt {
 		const {codec, clock, newAttempt, getAgent} = this.#parts;
 		const {upstream, remainingMs} = sending;
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -2,7 +2,7 @@
 	type Clock, Coalescer, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type SuspensionWatch, type TimerService, visitAll,
 } from '@valelead/common';
 import {
-	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
+	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, isRetryAllowed, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
 import type {Upstream} from '@valelead/discovery';
 import type {RouteTable} from '@valelead/routing';
@@ -263,6 +263,7 @@
 		return new ActiveAttempts({
 			...this.#parts,
 			getAgent: (upstreamId, service) => this.#book.getAgent(upstreamId, service),
+			isRetryAllowed: attempt => isRetryAllowed(this.#state, this.#getSettings(), {...attempt, outcome: OUTCOME.Unknown}, this.#parts.clock.now()),
 			onAnswer: upstreamId => {
 				this.#book.noteResponse(upstreamId);
 			},
@@ -373,8 +374,7 @@
 	/** Returns the request of an attempt if another upstream could serve it, or undefined. */
 	#getElsewhere(attemptId: string): GatewayRequest | undefined {
 		const request = this.#getRequest(attemptId);
-		const isElsewhere = request !== undefined && (this.#state.endpoints.get(getAdmissionTarget(request))?.length ?? 0) > 1;
-		return isElsewhere ? request : undefined;
+		return request && (this.#state.endpoints.get(getAdmissionTarget(request))?.length ?? 0) > 1 ? request : undefined;
 	}
 
 	#getRequest(attemptId: string): GatewayRequest | undefined {
--- /dev/null
+++ b/apps/valelead-daemon/tests/plain-gateway.ts
@@ -0,0 +1,182 @@
+import {Buffer} from 'node:buffer';
+import {type Route, ROUTE_KIND, newRouteTable} from '@valelead/routing';
+import {pino} from 'pino';
+import {OUTCOME} from '@valelead/common';
+import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
+import {newUpstream} from '../../../tests/support/new-upstream.js';
+import {VirtualProcess} from '../../../tests/support/virtual-process.js';
+import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {
+	type AttemptOptions, type CallerCodec, type SentAttempt, RequestDispatcher, getTarget, newAttemptFailure, newGatewayAdmission, newGatewayRequest,
+} from 'valelead-daemon';
+
+type GatewayOptions = {
+	/** Retries that the gateway may send in all. */
+	readonly retries: number;
+	/** Time in which upstreams answer, in milliseconds. */
+	readonly serviceMs: number;
+	/** The status of their answers. */
+	readonly status: number;
+};
+
+/** How a request ended at its caller. */
+type CallerEnd = {
+	/** The status of the upstream's answer, or undefined for a refusal of the gateway. */
+	readonly status: number | undefined;
+	readonly code: number;
+	readonly outcome: string;
+	readonly at: number;
+};
+
+const SERVICE = 's';
+const UPSTREAMS = ['a', 'b'];
+const SLOTS = 64;
+
+const ROUTE: Route = {
+	name: 'r', host: 'h', pathPrefix: '/', kind: ROUTE_KIND.Idempotent, isOpen: true, isResumable: false, timeoutMs: 5000, objectiveMs: 300, pauseObjectiveMs: 300, callerPatienceMs: 60_000,
+	priority: 0, maxAttempts: 2, shares: [{service: SERVICE, weight: 1}],
+};
+
+/** The fraction of a reserve that a gateway shares out, so that the others have their part even if no leader counts them. */
+const BUDGET_SHARE = 0.85;
+
+const CODEC = {newUpstreamHeaders: () => []} as unknown as CallerCodec;
+
+const ignore = (): void => undefined;
+
+const newTable = () => newRouteTable({
+	version: 1,
+	routes: [ROUTE],
+	services: [{
+		name: SERVICE, healthPath: '/', maxConnections: 100, engine: undefined,
+	}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	teams: undefined,
+});
+
+/** The dispatcher of a gateway on virtual time, with a safe route of two attempts to two upstreams that answer each attempt after the same time. */
+export class PlainGateway {
+	readonly time = new VirtualTime();
+	readonly ends = new Map<string, CallerEnd>();
+	/** Attempts that were ended before their upstream answered, by code. */
+	readonly givenUp = new Map<number, number>();
+	/** Attempts that were started. */
+	sent = 0;
+	readonly #options: GatewayOptions;
+	readonly #dispatcher: RequestDispatcher;
+	readonly #statuses = new Map<string, number>();
+
+	constructor(options: GatewayOptions) {
+		this.#options = options;
+		const table = newTable();
+		// The bucket holds no part of a retry, and requests earn none.
+		const admission = newGatewayAdmission({
+			dataCentre: 'z', ratio: 0, reserve: (options.retries + 0.5) / BUDGET_SHARE, windowMs: 1000, gatewayCount: 1, countedSince: -1000, isUnspent: true,
+		});
+		this.#dispatcher = new RequestDispatcher({
+			getSettings: () => admission,
+			codec: CODEC,
+			timers: newProcessTimers(this.time, new VirtualProcess(this.time)),
+			clock: {now: () => this.time.now, wallNow: () => this.time.now},
+			logger: pino({enabled: false}),
+			residency: {follow: ignore, setNeeds: ignore},
+			origins: undefined as never,
+			getTable: () => table,
+			getGatewayCount: () => 1,
+			random: () => 0.5,
+			newAttempt: terms => this.#startAttempt(terms),
+			getLeaderAgeMs: () => 0,
+			isPortRefused: async () => false,
+			onCrash: ignore,
+			onCrashReportDue: ignore,
+			onLimitReportDue: ignore,
+			onRetry: ignore,
+			onAborted: ignore,
+			onCancelled: ignore,
+			suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
+			onEnd: ({head}, code, outcome) => {
+				this.ends.set(head.id, {
+					status: this.#statuses.get(head.id), code, outcome, at: this.time.now,
+				});
+			},
+		});
+		this.#dispatcher.takeDirectory(UPSTREAMS.map(id => newUpstream(id, {service: SERVICE, slots: SLOTS})));
+	}
+
+	/** A request that a caller sends now. */
+	arrive(id: string): void {
+		this.#dispatcher.arrive(newGatewayRequest({
+			id,
+			head: {
+				id,
+				deadlineMs: undefined,
+				model: '',
+				adapter: '',
+				promptTokens: 0,
+				maxNewTokens: 0,
+				sharedSegments: [],
+				hasTokenCount: false,
+				isTokenCountValid: true,
+				lastEventId: '',
+				resumedRequestId: '',
+				key: undefined,
+			},
+			caller: {team: undefined, rank: 0, cost: 0},
+			service: SERVICE,
+			target: getTarget(SERVICE, '', ''),
+			answer: {
+				isStarted: false,
+				isEnded: false,
+				isCallerDisconnected: false,
+				start: status => {
+					this.#statuses.set(id, status);
+				},
+				data: ignore,
+				end: ignore,
+				refuse: ignore,
+			},
+			host: 'h',
+			route: ROUTE,
+			method: 'POST',
+			url: '/',
+			rawHeaders: [],
+			body: Buffer.alloc(0),
+			arrivedAt: this.time.now,
+			deadlineAt: this.time.now + ROUTE.timeoutMs,
+			routingVersion: 1,
+		}));
+	}
+
+	#startAttempt({requestId, upstreamId, events}: AttemptOptions): SentAttempt {
+		const {time, givenUp} = this;
+		const {serviceMs, status} = this.#options;
+		let isOver = false;
+		this.sent += 1;
+		time.after(serviceMs, () => {
+			if (!isOver) {
+				isOver = true;
+				if (events.onHead({statusCode: status, headers: {'content-length': '0'}, rawHeaders: ['content-length', '0']})) {
+					events.onEnd();
+				}
+			}
+		});
+		return {
+			requestId,
+			upstreamId,
+			startedAt: time.now,
+			isSent: true,
+			isAnswered: false,
+			isConnectionReused: false,
+			cancel() {
+				isOver = true;
+			},
+			fail(code, reason) {
+				isOver = true;
+				givenUp.set(code, (givenUp.get(code) ?? 0) + 1);
+				events.onFailure(newAttemptFailure(code, OUTCOME.Unknown, reason));
+			},
+		};
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/tests/retries-not-allowed.feature
@@ -0,0 +1,14 @@
+Feature: Attempts whose request may not be sent again
+  An upstream's work is given up for a retry only if the retry follows.
+
+  # Guards against safe requests that get 504 after their first-byte timeout, although nothing takes the place of the attempt that is cut.
+  Scenario Outline: Safe requests at slow upstreams are served while <retries> retries are left
+    Given a gateway that may send <retries> retries, with two upstreams that answer 200 after 2000 ms
+    When 20 safe requests arrive at once
+    Then all 20 callers get status 200
+    And <given up> attempts were given up, each for a retry
+
+    Examples:
+      | retries | given up |
+      | 0       | 0        |
+      | 3       | 3        |
--- /dev/null
+++ b/apps/valelead-daemon/tests/retries-not-allowed.steps.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {RESULT_CODE} from '@valelead/common';
+import {PlainGateway} from './plain-gateway.js';
+
+type RetriesWorld = {
+	gateway: PlainGateway;
+	requests: number;
+};
+
+/** Longer than the timeout of the route, in milliseconds. */
+const PLAY_MS = 6000;
+
+Given('a gateway that may send {int} retries, with two upstreams that answer {int} after {int} ms', function (this: RetriesWorld, retries: number, status: number, serviceMs: number) {
+	this.gateway = new PlainGateway({retries, serviceMs, status});
+});
+
+When('{int} safe requests arrive at once', function (this: RetriesWorld, requests: number) {
+	this.requests = requests;
+	for (let index = 0; index < requests; index += 1) {
+		this.gateway.arrive(`r${index}`);
+	}
+
+	this.gateway.time.advance(PLAY_MS);
+});
+
+Then('all {int} callers get status {int}', function (this: RetriesWorld, requests: number, status: number) {
+	const ends = [...this.gateway.ends.values()];
+	assert.equal(ends.length, requests);
+	assert.deepEqual(ends.filter(end => end.status !== status), []);
+});
+
+Then('{int} attempts were given up, each for a retry', function (this: RetriesWorld, givenUp: number) {
+	assert.deepEqual([...this.gateway.givenUp], givenUp === 0 ? [] : [[RESULT_CODE.UpstreamSilent, givenUp]]);
+	assert.equal(this.gateway.sent, this.requests + givenUp);
+});
--- a/packages/admission/src/mutate-admission.ts
+++ b/packages/admission/src/mutate-admission.ts
@@ -1,4 +1,5 @@
 import {assertNever, OUTCOME} from '@valelead/common';
+import {getCurrentRequest} from './get-current-request.js';
 import {getLane} from './get-lane.js';
 import {mutateLaneAnswered} from './mutate-lane-answered.js';
 import {mutateArrival} from './mutate-arrival.js';
@@ -18,16 +19,9 @@
 import type {AdmissionEvent} from './admission-event.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
-import type {RequestRecord} from './request-record.js';
-
-/** Returns the request of an attempt, or undefined if the request has ended or the attempt is no longer its current one. */
-const getCurrent = (state: AdmissionState, requestId: string, attemptId: string): RequestRecord | undefined => {
-	const record = state.requests.get(requestId);
-	return record?.attemptId === attemptId && record.state !== 'waiting' ? record : undefined;
-};
 
 const mutateStarted = (state: AdmissionState, requestId: string, attemptId: string, now: number): void => {
-	const record = getCurrent(state, requestId, attemptId);
+	const record = getCurrentRequest(state, requestId, attemptId);
 	if (record?.state === 'sent') {
 		mutateLaneAnswered(getLane(state, record.vm), now);
 		mutateResponseTimes(state, record, {isStart: true, isEnd: false}, now);
@@ -36,7 +30,7 @@
 };
 
 const mutateFinished = (state: AdmissionState, requestId: string, attemptId: string, now: number): void => {
-	const record = getCurrent(state, requestId, attemptId);
+	const record = getCurrentRequest(state, requestId, attemptId);
 	if (!record) {
 		return;
 	}
@@ -126,7 +120,7 @@
 		}
 
 		case 'failed': {
-			const record = getCurrent(state, event.requestId, event.attemptId);
+			const record = getCurrentRequest(state, event.requestId, event.attemptId);
 			return record ? mutateAttemptFailure(state, settings, record, event, now) : [];
 		}
 
--- a/packages/admission/src/mutate-attempt-failure.ts
+++ b/packages/admission/src/mutate-attempt-failure.ts
@@ -1,7 +1,10 @@
 import {
-	OUTCOME, RESULT_CODE, type OutcomeValue, type ResultCodeValue,
+	OUTCOME, RESULT_CODE, type ResultCodeValue,
 } from '@valelead/common';
 import {getRetryBudget} from './get-retry-budget.js';
+import {getRetryCost} from './get-retry-cost.js';
+import {isRetryable} from './is-retryable.js';
+import {NOT_ACCEPTING_CODES} from './not-accepting-codes.js';
 import {mutateRetryTokens} from './mutate-retry-tokens.js';
 import {getLane} from './get-lane.js';
 import {mutateLaneAnswered} from './mutate-lane-answered.js';
@@ -13,49 +16,19 @@
 import type {AdmissionEffect} from './admission-effect.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
+import type {AttemptEnd} from './attempt-end.js';
 import type {RequestRecord} from './request-record.js';
 
-type Failure = {
-	readonly code: ResultCodeValue;
-	readonly outcome: OutcomeValue;
+type Failure = AttemptEnd & {
 	readonly jitter: number;
-	readonly isLast?: boolean;
 	readonly target?: string;
 };
 
 type RetryEffect = Extract<AdmissionEffect, {kind: 'retry'}>;
 
-/** Result codes that report a temporary state of the agent, such as draining. They do not count as failures of its upstream. */
-const NOT_ACCEPTING_CODES: ReadonlySet<ResultCodeValue> = new Set([
-	RESULT_CODE.CreditExpired,
-	RESULT_CODE.UnitNotReady,
-	RESULT_CODE.Draining,
-	RESULT_CODE.UpstreamLeaving,
-	RESULT_CODE.ConfigurationTooOld,
-]);
-
-/** Result codes of attempts that never became known to their upstream. Retries of them cost nothing. */
-const UNSENT_CODES: ReadonlySet<ResultCodeValue> = new Set([RESULT_CODE.UpstreamUnreachable, RESULT_CODE.AttemptNotStarted]);
-
 /** Result codes of attempts to which the upstream sent no response at all. */
 const UNANSWERED_CODES: ReadonlySet<ResultCodeValue> = new Set([RESULT_CODE.UpstreamUnreachable, RESULT_CODE.UpstreamSilent]);
 
-/** Returns the tokens that a retry costs: none if the request reached no upstream, or if it was refused and the settings do not charge refusals. */
-const getRetryCost = (settings: AdmissionSettings, code: ResultCodeValue): number => {
-	const isFree = UNSENT_CODES.has(code) || (NOT_ACCEPTING_CODES.has(code) && !settings.isRefusalCharged);
-	return isFree ? 0 : 1;
-};
-
-/** Returns true if a request may be sent again, apart from its retry budget. */
-const isRetryable = (settings: AdmissionSettings, record: RequestRecord, failure: Failure): boolean => {
-	const isSafe = failure.outcome === OUTCOME.NotRun || record.request.isRepeatable;
-	const runs = record.runs + (failure.outcome === OUTCOME.NotRun ? 0 : 1);
-	const hasRuns = runs === 0 || runs < (record.request.maxRuns ?? Number.POSITIVE_INFINITY);
-	const isOpen = record.state === 'sent' || record.request.isResumable === true;
-	const hasAttempts = record.attempts < (record.request.maxAttempts ?? settings.maxAttempts);
-	return failure.isLast !== true && isSafe && isOpen && hasRuns && hasAttempts;
-};
-
 /** Charges a retry to the request's retry budget if the budget has enough tokens, and reports the result. */
 const mutateCharge = (state: AdmissionState, settings: AdmissionSettings, {request}: RequestRecord, cost: number, now: number): RetryEffect => {
 	const {tokens} = getRetryBudget(state, settings, request, now);
@@ -94,7 +67,7 @@
 	}
 
 	const effects: AdmissionEffect[] = [];
-	let isRetried = isRetryable(settings, record, failure) && now < record.request.deadlineAt;
+	let isRetried = isRetryable(settings, record, failure, now);
 	const cost = getRetryCost(settings, failure.code);
 	if (isRetried && cost > 0) {
 		const charge = mutateCharge(state, settings, record, cost, now);
