Give up an attempt only while another upstream is not ejected

Of 20 safe requests at two upstreams that answer after 2 s, with retries enough, 15 got 504 (2001) at their deadline of 5 s.

Cause: attempts that are overdue in the same tick are failures of their upstreams, so that the first ones ejected both upstreams and the others were given up for retries that had nowhere to go until the ejections ended.

--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -371,10 +371,10 @@
 		this.#refuse(request, RESULT_CODE.DeadlineExceeded, OUTCOME.Unknown, 0, 'the deadline passed during the answer');
 	}
 
-	/** Returns the request of an attempt if another upstream could serve it, or undefined. */
+	/** Returns the request of an attempt if another upstream, which is not ejected, could serve it, or undefined. */
 	#getElsewhere(attemptId: string): GatewayRequest | undefined {
 		const request = this.#getRequest(attemptId);
-		return request && (this.#state.endpoints.get(getAdmissionTarget(request))?.length ?? 0) > 1 ? request : undefined;
+		return request && this.#state.endpoints.get(getAdmissionTarget(request))?.some(({vm}) => vm !== request.upstreamId && this.#isUsable(vm)) ? request : undefined;
 	}
 
 	#getRequest(attemptId: string): GatewayRequest | undefined {
--- a/apps/valelead-daemon/tests/plain-gateway.ts
+++ b/apps/valelead-daemon/tests/plain-gateway.ts
@@ -64,6 +64,8 @@
 	readonly givenUp = new Map<number, number>();
 	/** Attempts that were started. */
 	sent = 0;
+	/** When the last of them was started, in milliseconds. */
+	lastSentAt = 0;
 	readonly #options: GatewayOptions;
 	readonly #dispatcher: RequestDispatcher;
 	readonly #statuses = new Map<string, number>();
@@ -154,6 +156,7 @@
 		const {serviceMs, status} = this.#options;
 		let isOver = false;
 		this.sent += 1;
+		this.lastSentAt = time.now;
 		time.after(serviceMs, () => {
 			if (!isOver) {
 				isOver = true;
--- a/apps/valelead-daemon/tests/retries-not-allowed.feature
+++ b/apps/valelead-daemon/tests/retries-not-allowed.feature
@@ -12,3 +12,10 @@
       | retries | given up |
       | 0       | 0        |
       | 3       | 3        |
+
+  # Guards against requests that lose their upstreams to retries which have nowhere to go: attempts that time out in one tick eject all upstreams.
+  Scenario: Attempts that are overdue at once are not given up after the last upstream is ejected
+    Given a gateway that may send 100 retries, with two upstreams that answer 200 after 2000 ms
+    When 20 safe requests arrive at once
+    Then all 20 callers get status 200
+    And every retry was sent within 1050 ms of the arrival
--- a/apps/valelead-daemon/tests/retries-not-allowed.steps.ts
+++ b/apps/valelead-daemon/tests/retries-not-allowed.steps.ts
@@ -34,3 +34,8 @@
 	assert.deepEqual([...this.gateway.givenUp], givenUp === 0 ? [] : [[RESULT_CODE.UpstreamSilent, givenUp]]);
 	assert.equal(this.gateway.sent, this.requests + givenUp);
 });
+
+Then('every retry was sent within {int} ms of the arrival', function (this: RetriesWorld, ms: number) {
+	assert.ok(this.gateway.sent > this.requests);
+	assert.ok(this.gateway.lastSentAt <= ms, `${this.gateway.lastSentAt} ms`);
+});
