Pass on an upstream's failure if its retry is not allowed

20 of 20 safe requests whose upstream answered 500 got 502 (3003) of the gateway where no retry was left, 17 of 20 where 3 were left.

Cause: as with attempts that are overdue, the response was dropped for a retry if the route allows another attempt, and the retry budget was asked after that. The platform returns the status and body of an upstream unchanged, and its caller could learn from them.

The response is dropped only if isRetryAllowed. After: 20 of 20 get the 500 of their upstream, and exactly 0 and 3 requests are sent again (retries-not-allowed.feature, red before).

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -187,7 +187,8 @@
 		this.#parts.onAnswer(sending.upstream.id);
 		request.answerFraming = getResponseFraming({method: request.method, status, headers: answer.headers});
 		request.answerBytes = 0;
-		const isRetried = status >= HTTP_SERVER_ERROR && isRepeatable(request.route) && request.attempts < request.route.maxAttempts;
+		const isRetried = status >= HTTP_SERVER_ERROR && isRepeatable(request.route) && request.attempts < request.route.maxAttempts
+			&& this.#parts.isRetryAllowed({requestId: request.id, attemptId: sending.attemptId, code: RESULT_CODE.UpstreamFailed});
 		const isBroken = request.answer.isStarted && status !== HTTP_OK;
 		if (isRetried || isBroken) {
 			this.#fail(request, sending, newAttemptFailure(RESULT_CODE.UpstreamFailed, OUTCOME.Unknown, `status ${status}`));
--- a/apps/valelead-daemon/tests/retries-not-allowed.feature
+++ b/apps/valelead-daemon/tests/retries-not-allowed.feature
@@ -19,3 +19,15 @@
     When 20 safe requests arrive at once
     Then all 20 callers get status 200
     And every retry was sent within 1050 ms of the arrival
+
+  # Guards against a 502 of the gateway in place of the response that the upstream sent.
+  Scenario Outline: A failure of the upstream is passed on while <retries> retries are left
+    Given a gateway that may send <retries> retries, with two upstreams that answer 500 after 20 ms
+    When 20 safe requests arrive at once
+    Then all 20 callers get status 500
+    And <retries> requests were sent again
+
+    Examples:
+      | retries |
+      | 0       |
+      | 3       |
--- a/apps/valelead-daemon/tests/retries-not-allowed.steps.ts
+++ b/apps/valelead-daemon/tests/retries-not-allowed.steps.ts
@@ -39,3 +39,7 @@
 	assert.ok(this.gateway.sent > this.requests);
 	assert.ok(this.gateway.lastSentAt <= ms, `${this.gateway.lastSentAt} ms`);
 });
+
+Then('{int} requests were sent again', function (this: RetriesWorld, repeats: number) {
+	assert.equal(this.gateway.sent - this.requests, repeats);
+});
