Answer a running request although other input follows it

A caller whose request is running got 408, which promises that it has not run, or 400 as its answer.

Cause: where a connection has the begin of a further head for longer than header_timeout_ms, or bytes that are no HTTP, Node's server writes 408 or 400 by itself, also if the response to the request before has not begun. That request goes on at its upstream.

Evidence: caller-errors.feature; on Node's own handling 2 of its 5 scenarios are red (408 and 400 in place of 200).

CallerErrors lets the requests that were read to their end be answered and closes the connection after the last one. Without such a request the statuses are those of Node. After: 5 of 5 green.

--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/caller-errors.ts
@@ -0,0 +1,59 @@
+import {type ServerResponse, STATUS_CODES} from 'node:http';
+import type {Duplex} from 'node:stream';
+
+/** Statuses of Node's own responses to input that it could not read as a request; 400 for any other error. */
+const STATUSES: Readonly<Record<string, number>> = {ERR_HTTP_REQUEST_TIMEOUT: 408, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, HPE_HEADER_OVERFLOW: 431};
+
+const BAD_REQUEST = 400;
+
+/**
+ * Handles input on callers' connections that is no complete request. Node's own handling answers 408 or 400 at once, also while a request that was read before
+ * on the connection is running: its caller takes that status for the answer, and 408 promises that the request was not run.
+ */
+export class CallerErrors {
+	/** Responses that have not been sent completely, oldest first, by connection. */
+	readonly #unfinished = new WeakMap<Duplex, Set<ServerResponse>>();
+	readonly #closing = new WeakSet<Duplex>();
+
+	/** Registers the response to a request that has arrived. */
+	addResponse(response: ServerResponse): void {
+		const {socket} = response.req;
+		const responses = this.#unfinished.get(socket) ?? new Set();
+		responses.add(response);
+		this.#unfinished.set(socket, responses);
+		response.once('close', () => {
+			responses.delete(response);
+		});
+	}
+
+	/** Closes a connection on which an error occurred, once the requests that were read before it are answered. */
+	handle(error: NodeJS.ErrnoException, socket: Duplex): void {
+		const last = [...this.#unfinished.get(socket) ?? []].findLast(({req}) => req.complete);
+		if (last && socket.writable) {
+			this.#closeAfter(last, socket);
+			return;
+		}
+
+		if (socket.writable) {
+			const status = STATUSES[error.code ?? ''] ?? BAD_REQUEST;
+			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+		}
+
+		socket.destroy(error);
+	}
+
+	#closeAfter(response: ServerResponse, socket: Duplex): void {
+		if (this.#closing.has(socket)) {
+			return;
+		}
+
+		this.#closing.add(socket);
+		if (!response.headersSent) {
+			response.setHeader('connection', 'close');
+		}
+
+		response.once('close', () => {
+			socket.destroy();
+		});
+	}
+}
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -5,6 +5,7 @@
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
 import {stopListening} from '../stop-listening.js';
+import {CallerErrors} from './caller-errors.js';
 import type {RequestHandler} from './request-handler.js';
 
 /** The largest request head (request line and headers) that a configuration can allow, in bytes. */
@@ -15,13 +16,18 @@
 	readonly #address: string;
 	readonly #server: Server;
 	readonly #connections = new CallerConnections();
+	readonly #errors = new CallerErrors();
 
 	constructor(address: string, handler: RequestHandler) {
 		this.#address = address;
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (message, response) => {
 			this.#connections.addResponse(response);
+			this.#errors.addResponse(response);
 			void handler.handle(message, response);
 		});
+		this.#server.on('clientError', (error, socket) => {
+			this.#errors.handle(error, socket);
+		});
 		this.#server.on('connection', socket => {
 			this.#connections.add(socket);
 		});
--- /dev/null
+++ b/apps/valelead-daemon/tests/caller-errors.feature
@@ -0,0 +1,30 @@
+Feature: Input after a request that is no request
+  A status that a gateway sends belongs to the request that its caller waits for.
+
+  # Guards against a 408, which promises that nothing has run, or a 400 as the answer to a request that is running: Node sends them by itself.
+  Scenario Outline: A request that is running gets its own answer although <input> follows it
+    Given a server that answers requests after 400 ms and gives heads 100 ms
+    When a caller sends a request, and then "<bytes>"
+    Then it gets the answer 200, nothing else, and a closed connection
+
+    Examples:
+      | input                     | bytes    |
+      | the begin of another head | POST /w  |
+      | what is no HTTP           | no HTTP at all |
+
+  # Guards against connections that are left open without an answer, where no request is running.
+  Scenario Outline: A connection on which <input> comes first is answered <status> and closed
+    Given a server that answers requests after 400 ms and gives heads 100 ms
+    When a caller sends only "<bytes>"
+    Then it gets the answer <status>, nothing else, and a closed connection
+
+    Examples:
+      | input                   | bytes    | status |
+      | the begin of a head     | POST /w  | 408    |
+      | what is no HTTP         | no HTTP at all | 400    |
+
+  # Guards against a request that waits for ever for a body that cannot be read.
+  Scenario: A request whose body breaks off is answered 400 and its connection is closed
+    Given a server that answers requests after 400 ms and gives heads 100 ms
+    When a caller sends a request whose chunked body cannot be read
+    Then it gets the answer 400, nothing else, and a closed connection
--- /dev/null
+++ b/apps/valelead-daemon/tests/caller-errors.steps.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {type Server, createServer} from 'node:http';
+import {type AddressInfo, connect} from 'node:net';
+import {
+	After, Given, Then, When,
+} from '@cucumber/cucumber';
+import {CallerErrors} from 'valelead-daemon';
+
+type ErrorsWorld = {
+	errorsServer: Server | undefined;
+	received: string;
+};
+
+/** From the request to the bytes that follow it, in milliseconds. */
+const GAP_MS = 50;
+
+const REQUEST = 'POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\nx';
+const UNREADABLE_BODY = 'POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nno length\r\n';
+
+After(function (this: ErrorsWorld) {
+	this.errorsServer?.closeAllConnections();
+	this.errorsServer?.close();
+});
+
+Given('a server that answers requests after {int} ms and gives heads {int} ms', async function (this: ErrorsWorld, answerMs: number, headMs: number) {
+	const errors = new CallerErrors();
+	const server = createServer({requestTimeout: 0, headersTimeout: headMs, connectionsCheckingInterval: headMs / 2}, (message, response) => {
+		errors.addResponse(response);
+		message.resume();
+		message.once('end', () => {
+			setTimeout(() => {
+				response.end('own');
+			}, answerMs);
+		});
+	});
+	server.on('clientError', (error, socket) => {
+		errors.handle(error, socket);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	this.errorsServer = server;
+});
+
+/** Sends parts one after the other on a connection of its own; resolves with everything received, once the connection is closed. */
+const send = async ({errorsServer}: ErrorsWorld, parts: readonly string[]): Promise<string> => {
+	const socket = connect((errorsServer!.address() as AddressInfo).port, '127.0.0.1');
+	let text = '';
+	socket.on('data', (chunk: Uint8Array) => {
+		text += String(chunk);
+	});
+	for (const [index, part] of parts.entries()) {
+		setTimeout(() => {
+			socket.write(part);
+		}, index * GAP_MS);
+	}
+
+	await once(socket, 'close');
+	return text;
+};
+
+When('a caller sends a request, and then {string}', async function (this: ErrorsWorld, bytes: string) {
+	this.received = await send(this, [REQUEST, bytes]);
+});
+
+When('a caller sends only {string}', async function (this: ErrorsWorld, bytes: string) {
+	this.received = await send(this, [bytes]);
+});
+
+When('a caller sends a request whose chunked body cannot be read', async function (this: ErrorsWorld) {
+	this.received = await send(this, [UNREADABLE_BODY]);
+});
+
+Then('it gets the answer {int}, nothing else, and a closed connection', function (this: ErrorsWorld, status: number) {
+	assert.deepEqual(this.received.match(/HTTP\/1\.1 \d+/gv), [`HTTP/1.1 ${status}`], this.received);
+	assert.equal(this.received.endsWith('own'), status === 200, this.received);
+});
