Replace a promise that the upstream of an unsafe request did not make

An unsafe request whose upstream answered 408, 429 or 503 without X-Not-Executed got that status, which promises its caller that the request has not run and never will, so that the caller sends it again.

Cause: such an answer was taken for any other failure of the upstream and passed on unchanged. Only X-Not-Executed, or 421, shows that an upstream has not run a request.

The gateway now answers 502 (3003) of its own, without the upstream's stamp.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -57,6 +57,9 @@
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_SERVER_ERROR = 500;
 
+/** Statuses that promise callers that their request has not run and never will: 408, 421, 429 and 503. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Number of parts of a response body that show that the upstream runs the request: it may crash while it sends the first. */
 const RUNNING_PARTS = 2;
 
@@ -190,7 +193,9 @@
 		const isRetried = status >= HTTP_SERVER_ERROR && isRepeatable(request.route) && request.attempts < request.route.maxAttempts
 			&& this.#parts.isRetryAllowed({requestId: request.id, attemptId: sending.attemptId, code: RESULT_CODE.UpstreamFailed});
 		const isBroken = request.answer.isStarted && status !== HTTP_OK;
-		if (isRetried || isBroken) {
+		// Only a rejection, which does not come here, shows that the request has not run. Callers repeat an unsafe request after these statuses.
+		const isUnproven = PROMISES.has(status) && !isRepeatable(request.route);
+		if (isRetried || isBroken || isUnproven) {
 			this.#fail(request, sending, newAttemptFailure(RESULT_CODE.UpstreamFailed, OUTCOME.Unknown, `status ${status}`));
 			return false;
 		}
--- a/apps/valelead-daemon/tests/plain-gateway.ts
+++ b/apps/valelead-daemon/tests/plain-gateway.ts
@@ -17,6 +17,8 @@
 	readonly serviceMs: number;
 	/** The status of their answers. */
 	readonly status: number;
+	/** The kind of the route; one of safe requests if it is left out. */
+	readonly kind?: Route['kind'];
 };
 
 /** How a request ended at its caller. */
@@ -56,7 +58,7 @@
 	teams: undefined,
 });
 
-/** The dispatcher of a gateway on virtual time, with a safe route of two attempts to two upstreams that answer each attempt after the same time. */
+/** The dispatcher of a gateway on virtual time, with a route of two attempts to two upstreams that answer each attempt after the same time. */
 export class PlainGateway {
 	readonly time = new VirtualTime();
 	readonly ends = new Map<string, CallerEnd>();
@@ -140,7 +142,7 @@
 				refuse: ignore,
 			},
 			host: 'h',
-			route: ROUTE,
+			route: {...ROUTE, kind: this.#options.kind ?? ROUTE.kind},
 			method: 'POST',
 			url: '/',
 			rawHeaders: [],
--- a/apps/valelead-daemon/tests/retries-not-allowed.steps.ts
+++ b/apps/valelead-daemon/tests/retries-not-allowed.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {RESULT_CODE} from '@valelead/common';
+import {OUTCOME, RESULT_CODE} from '@valelead/common';
+import {ROUTE_KIND} from '@valelead/routing';
 import {PlainGateway} from './plain-gateway.js';
 
 type RetriesWorld = {
@@ -15,7 +16,13 @@
 	this.gateway = new PlainGateway({retries, serviceMs, status});
 });
 
-When('{int} safe requests arrive at once', function (this: RetriesWorld, requests: number) {
+Given('a gateway with a route of unsafe requests to two upstreams that answer {int} after {int} ms', function (this: RetriesWorld, status: number, serviceMs: number) {
+	this.gateway = new PlainGateway({
+		retries: 100, serviceMs, status, kind: ROUTE_KIND.Once,
+	});
+});
+
+When('{int} safe/unsafe requests arrive at once', function (this: RetriesWorld, requests: number) {
 	this.requests = requests;
 	for (let index = 0; index < requests; index += 1) {
 		this.gateway.arrive(`r${index}`);
@@ -43,3 +50,8 @@
 Then('{int} requests were sent again', function (this: RetriesWorld, repeats: number) {
 	assert.equal(this.gateway.sent - this.requests, repeats);
 });
+
+Then('all {int} callers get the refusal 3003, which promises nothing', function (this: RetriesWorld, requests: number) {
+	const ends = [...this.gateway.ends.values()].map(({status, code, outcome}) => ({status, code, outcome}));
+	assert.deepEqual(ends, Array.from({length: requests}, () => ({status: undefined, code: RESULT_CODE.UpstreamFailed, outcome: OUTCOME.Unknown})));
+});
