--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import {RESPONSE_FRAMING, getResponseFraming} from '@valelead/answer';
 import {
-	type Clock, OUTCOME, RESULT_CODE, type ResultCodeValue,
+	type Clock, OUTCOME, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue,
 } from '@valelead/common';
 import type {Upstream} from '@valelead/discovery';
 import {ROUTE_KIND, isRepeatable} from '@valelead/routing';
@@ -175,7 +175,7 @@
 				}
 
 				this.#parts.onEnded(request, attemptId, () => {
-					pipe?.end();
+					this.#passOnEnd(request, upstream, pipe);
 				});
 			},
 			onFailure: end => {
@@ -223,11 +223,29 @@
 		return true;
 	}
 
-	/** Forwards a part of a response, and pauses the upstream until the caller has read enough. */
+	/** Forwards the end of a response. An error ends this request only, as others depend on the same turn of the event loop. */
+	#passOnEnd(request: GatewayRequest, upstream: Upstream, pipe: ResponseForwarder | undefined): void {
+		try {
+			pipe?.end();
+		} catch {
+			request.failedAttempts.push(`${upstream.id} ${RESULT_CODE.Internal} ${OUTCOME.Unknown}`);
+			request.answer.refuse({
+				code: RESULT_CODE.Internal, message: RESULT_DETAILS[RESULT_CODE.Internal].meaning, outcome: OUTCOME.Unknown, retryAfterMs: 0,
+			});
+		}
+	}
+
+	/** Forwards a part of a response, and pauses the upstream until the caller has read enough. An attempt whose response cannot be forwarded fails. */
 	#forward(attemptId: string, chunk: Buffer): void {
 		const pipe = this.#pipes.get(attemptId);
-		pipe?.data(chunk);
 		const attempt = this.#sent.get(attemptId);
+		try {
+			pipe?.data(chunk);
+		} catch (error) {
+			attempt?.fail(RESULT_CODE.InvalidAnswer, (error as Error).message);
+			return;
+		}
+
 		if (attempt?.pause && pipe?.isFull) {
 			attempt.pause();
 			pipe.onceWritable(() => {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,6 +7,7 @@
 export {ValeleadError} from './valelead-error.js';
 export type {Address} from './address.js';
 export {parseAddress} from './parse-address.js';
+export {isHeaderName} from './is-header-name.js';
 export {abortRequest} from './abort-request.js';
 export {resetConnection} from './reset-connection.js';
 export {abortRequestAfter} from './abort-request-after.js';
