Refuse requests whose heads cannot be sent to an upstream

One caller could so end a gateway whose requests wait or are tried again; since attempts that cannot be started end on their own, its request was tried at several upstreams and told 503, which asks the caller to try again, or was served without the header.

The head is now checked where it arrives, and the caller told 400 with the outcome not run (RFC 9112, section 5.1, demands 400 for such names).

--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -18,6 +18,7 @@
 import {getForwardedHeaders} from './get-forwarded-headers.js';
 import {getResumedOrigin} from './get-resumed-origin.js';
 import {getTarget} from './get-target.js';
+import {isForwardable} from './is-forwardable.js';
 import {newGatewayRequest} from './new-gateway-request.js';
 import type {Caller} from './caller.js';
 import type {GatewayRequest} from './gateway-request.js';
@@ -133,6 +134,10 @@
 	}
 
 	async #read(message: IncomingMessage, head: CallerRequest, answer: HttpResponseWriter, arrivedAt: number): Promise<GatewayRequest> {
+		if (!isForwardable({url: message.url ?? '/', rawHeaders: message.rawHeaders})) {
+			throw this.#newError(RESULT_CODE.MalformedRequest);
+		}
+
 		const table = this.#parts.getTable();
 		if (!table) {
 			throw this.#newError(RESULT_CODE.NoRouting);
