Collect the buffers of answers that a gateway has given up

Cause: the budget for answers holds, but V8 collects buffers outside its heap only after 64 MB of them as long as the heap grows little. Measured with process.memoryUsage in a real gateway: 0.3 s after three answers without end 64 to 74 MB of buffers, of which nothing is referenced, at 16 MB of used heap; the allocator then keeps what was freed. Another 40 to 50 MB are V8's new space, which grows under any traffic (heapTotal 23 to 69 MB).

HeldResponses now collects garbage in the tick after it has ended a response, at most four times a second.

--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import {getStartupDurationMs} from '../get-startup-duration-ms.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
 import {HeldResponses} from './held-responses.js';
+import {newGarbageCollection} from './new-garbage-collection.js';
 import {newPortCheck} from './new-port-check.js';
 import {newGatewayAdmission} from './new-gateway-admission.js';
 import {EngineChoice} from './engine-choice.js';
@@ -206,6 +207,7 @@
 			onEnded: reason => {
 				this.#metrics.endedResponses.inc({reason});
 			},
+			collectGarbage: newGarbageCollection(),
 		});
 		this.#server = new RequestServer(settings.http, new RequestHandler({
 			held: this.#held,
--- a/apps/valelead-daemon/src/gateway/held-responses.ts
+++ b/apps/valelead-daemon/src/gateway/held-responses.ts
@@ -12,6 +12,8 @@
 	readonly logger: Logger;
 	/** Called for each response that is ended, with the reason. */
 	readonly onEnded: (reason: EndReason) => void;
+	/** Collects the buffers of responses that have been ended, at once; absent if they are left to the regular collection. */
+	readonly collectGarbage?: () => void;
 };
 
 /** Why a response is ended: its own size, the budget of all responses, or a caller that does not read. */
@@ -33,6 +35,7 @@
 /** The share of the budget that one response may occupy, so that a single one leaves room for others. At 210 MB it is 19 MB. */
 const RESPONSE_SHARE = 3 / 4;
 
+/** Interval at which stalled callers are looked for, and at which the buffers of ended responses are collected, in milliseconds. A collection takes 10 to 30 ms. */
 const TICK_MS = 250;
 
 const REASON_TEXTS: Readonly<Record<EndReason, string>> = {
@@ -49,6 +52,8 @@
 	readonly #budget: ResponseBudget<HeldResponse>;
 	readonly #maxTicks: number;
 	#progress = new Map<HeldResponse, Progress>();
+	/** True if buffers of responses that were ended may still occupy memory. */
+	#isCollectionDue = false;
 
 	constructor(parts: HeldResponsesParts) {
 		const budgetBytes = parts.memoryMb * BYTES_PER_MB * BUDGET_SHARE;
@@ -58,6 +63,7 @@
 		this.maxResponseBytes = budgetBytes * RESPONSE_SHARE;
 		parts.timers.repeat(TICK_MS, () => {
 			this.#endStalled();
+			this.#collect();
 		});
 	}
 
@@ -98,11 +104,20 @@
 		}
 	}
 
+	/** Frees the buffers of ended responses: V8 would keep up to 64 MB of them for as long as its heap does not grow. */
+	#collect(): void {
+		if (this.#isCollectionDue) {
+			this.#isCollectionDue = false;
+			this.#parts.collectGarbage?.();
+		}
+	}
+
 	#end(response: HeldResponse, reason: EndReason): void {
 		this.#parts.logger.info({
 			event: 'answer-given-up', requestId: response.requestId, reason, heldBytes: this.#budget.totalBytes,
 		}, REASON_TEXTS[reason]);
 		this.#parts.onEnded(reason);
 		response.endHeld(REASON_TEXTS[reason]);
+		this.#isCollectionDue = true;
 	}
 }
