Dispatch the requests of one connection one after the other

Cause, shown here for requests that a caller sends before its last answer has come: Node.js hands over each request of a connection as it arrives, and the gateway sent all of them on at once. From the stop signal on, each answer says that it is the last of its connection, so the connection closed with the first one while the others ran. The same happened at any time behind a stream that breaks off, and requests of a caller that had left ran on, as Node.js does not close a response that waits behind another one; its entry in CallerConnections was never removed.

A request is now dispatched once it is the first of its connection without an answer, and never if the connection ends before; HTTP allows only safe requests to be worked on together. A stopping gateway closes a connection with the answer to the latest request.

The other data plane (entry) still passes such requests on together.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -2,8 +2,8 @@
 import type {Socket} from 'node:net';
 
 type Connection = {
-	/** Number of responses that this process has not completely handed to the operating system. */
-	unfinished: number;
+	/** Responses that this process has not completely handed to the operating system, in the order of their requests, with what waits for their turn. */
+	readonly unfinished: Map<ServerResponse, (isTurn: boolean) => void>;
 	/** Bytes received on the connection when its last response finished. */
 	readBytes: number;
 };
@@ -19,7 +19,7 @@
 
 	/** Number of responses with data still buffered in this process. The data is lost if the process exits. */
 	get unfinishedCount(): number {
-		return [...this.#connections.values()].reduce((sum, connection) => sum + connection.unfinished, 0);
+		return [...this.#connections.values()].reduce((sum, connection) => sum + connection.unfinished.size, 0);
 	}
 
 	get size(): number {
@@ -27,33 +27,59 @@
 	}
 
 	add(socket: Socket): void {
-		this.#connections.set(socket, {unfinished: 0, readBytes: 0});
+		const connection: Connection = {unfinished: new Map(), readBytes: 0};
+		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
+			// Node.js does not close responses that wait for an earlier one on their connection.
+			for (const [response, takeTurn] of connection.unfinished) {
+				this.#unfinished.delete(response);
+				takeTurn(false);
+			}
+
+			connection.unfinished.clear();
 		});
 	}
 
-	/** Registers the response to a request that has arrived. */
-	addResponse(response: ServerResponse): void {
-		const {socket} = response;
-		const connection = socket ? this.#connections.get(socket) : undefined;
+	/**
+	 * Registers the response to a request that has arrived. Resolves with true once it is the first unfinished response of its connection, and with false if
+	 * the connection ends before: with a response that fails or closes it, those behind it are lost.
+	 */
+	async addResponse(response: ServerResponse): Promise<boolean> {
+		const {socket} = response.req;
+		const connection = this.#connections.get(socket);
 		if (!connection) {
-			return;
+			return false;
 		}
 
-		connection.unfinished += 1;
 		this.#unfinished.add(response);
 		if (this.#isClosing) {
 			response.setHeader('connection', 'close');
 		}
 
-		response.once('close', () => {
-			this.#unfinished.delete(response);
-			connection.unfinished -= 1;
-			connection.readBytes = socket!.bytesRead;
+		return new Promise(resolve => {
+			connection.unfinished.set(response, resolve);
+			if (connection.unfinished.size === 1) {
+				resolve(true);
+			}
+
+			response.once('close', () => {
+				this.#unfinished.delete(response);
+				connection.unfinished.delete(response);
+				connection.readBytes = socket.bytesRead;
+				const [next] = connection.unfinished;
+				// A connection that is about to be closed has taken up no further response.
+				next?.[1](next[0].socket !== null);
+			});
 		});
 	}
 
+	/** True if no request has arrived on a response's connection since its own. */
+	isLatest(response: ServerResponse): boolean {
+		const responses = this.#connections.get(response.req.socket)?.unfinished.keys() ?? [];
+		return [...responses].at(-1) === response;
+	}
+
 	/** Sets `connection: close` on all responses whose headers have not been sent, now and in the future. */
 	closeAfterResponses(): void {
 		this.#isClosing = true;
@@ -67,7 +93,7 @@
 	/** Closes connections that have no unfinished response and no partially received request. */
 	closeIdle(): void {
 		for (const [socket, {unfinished, readBytes}] of this.#connections) {
-			if (unfinished === 0 && socket.bytesRead === readBytes) {
+			if (unfinished.size === 0 && socket.bytesRead === readBytes) {
 				socket.destroy();
 			}
 		}
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -34,7 +34,7 @@
 		this.#server = createServer({
 			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS,
 		}, (message, response) => {
-			this.#connections.addResponse(response);
+			void this.#connections.addResponse(response);
 			this.#handle(message, response);
 		});
 		this.#server.maxConnections = settings.maxConnections + REFUSED_CONNECTIONS;
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -12,6 +12,7 @@
 import {afterEventLoopIterations} from '../after-event-loop-iterations.js';
 import type {FollowerContact} from '../follower/follower-contact.js';
 import {readBody} from '../read-body.js';
+import type {CallerPlace} from './caller-place.js';
 import type {HeldResponses} from './held-responses.js';
 import {HttpResponseWriter} from './http-response-writer.js';
 import {getCallerCheck} from './get-caller-check.js';
@@ -76,11 +77,15 @@
 		this.#startedAt = parts.clock.now();
 	}
 
-	async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+	/**
+	 * Handles a request. Requests of one connection are dispatched one after the other: a response that fails or closes the connection would take the responses
+	 * behind it along, although their requests have run.
+	 */
+	async handle(message: IncomingMessage, response: ServerResponse, place: CallerPlace): Promise<void> {
 		const arrivedAt = this.#parts.clock.now();
 		const head = this.#parts.codec.decodeRequest(message.headers);
 		const answer = new HttpResponseWriter({
-			response, requestId: head.id, isLast: this.#parts.isStopping, held: this.#parts.held,
+			response, requestId: head.id, isLast: () => this.#parts.isStopping() && place.isLatest(), held: this.#parts.held,
 		});
 		try {
 			const request = await this.#read(message, head, answer, arrivedAt);
@@ -95,11 +100,9 @@
 				});
 			}
 
-			if (answer.isCallerDisconnected) {
-				return;
+			if (await place.turn && !answer.isCallerDisconnected) {
+				this.#dispatch(request);
 			}
-
-			this.#dispatch(request);
 		} catch (error) {
 			this.#refuse(answer, head, message, error);
 		}
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -21,9 +21,9 @@
 	constructor(address: string, handler: RequestHandler) {
 		this.#address = address;
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (message, response) => {
-			this.#connections.addResponse(response);
+			const turn = this.#connections.addResponse(response);
 			this.#errors.addResponse(response);
-			void handler.handle(message, response);
+			void handler.handle(message, response, {turn, isLatest: () => this.#connections.isLatest(response)});
 		});
 		this.#server.on('clientError', (error, socket) => {
 			this.#errors.handle(error, socket);
