Close the connections to an upstream that has left after their requests

When an upstream leaves the directory, its idle connections are closed and its agent is dropped. Connections in use at that moment went back to the dropped agent's idle ones, where no request finds them: each leave and return of an upstream that goes on running held up to 16 of its connections for as long as it keeps idle connections open.

The dropped agent now keeps no idle connection, so that each is closed after the request that uses it. Found by reading, not seen in a deployment.

Measured: 3 of 4 connections in use at the leave were open after their requests (a server that closes no idle connection), then none.

--- a/apps/valelead-daemon/src/gateway/upstream-pool.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-pool.ts
@@ -16,7 +16,7 @@
 		return agent;
 	}
 
-	/** Closes the idle connections to upstreams that are gone. Requests in progress keep theirs. */
+	/** Closes the connections to upstreams that are gone: idle ones at once, others after the requests that use them. */
 	retain(upstreamIds: ReadonlySet<string>): void {
 		for (const [id, agent] of this.#agents) {
 			if (!upstreamIds.has(id)) {
@@ -35,6 +35,8 @@
 	}
 
 	#closeIdle(agent: UpstreamAgent): void {
+		// A connection that becomes idle later would be kept open for requests that no longer come.
+		agent.maxFreeSockets = 0;
 		for (const socket of Object.values(agent.freeSockets).flat()) {
 			socket?.destroy();
 		}
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -28,6 +28,7 @@
 export {LaneWriter} from './agent/lane-writer.js';
 export {ResponseForwarder} from './gateway/response-forwarder.js';
 export {UpstreamAgent} from './gateway/upstream-agent.js';
+export {UpstreamPool} from './gateway/upstream-pool.js';
 export {UpstreamRateLimiter} from './gateway/upstream-rate-limiter.js';
 export {HeldResponses} from './gateway/held-responses.js';
 export {Metrics} from './metrics/metrics.js';
--- a/apps/valelead-daemon/tests/answering-upstream.ts
+++ b/apps/valelead-daemon/tests/answering-upstream.ts
@@ -30,6 +30,10 @@
 		});
 	}
 
+	get connectionCount(): number {
+		return this.#connections.size;
+	}
+
 	/** Changes the replies to the requests that arrive from now on, and closes the connections that are not read any more. */
 	setReply(getReply: () => UpstreamReply): void {
 		this.#getReply = getReply;
--- a/apps/valelead-daemon/tests/returned-connections.feature
+++ b/apps/valelead-daemon/tests/returned-connections.feature
@@ -26,6 +26,11 @@
       | GET    | switches protocols                               |
       | GET    | is not HTTP                                      |
 
+  # Guards against idle connections that nobody will use again and that take up places at an upstream, each time that it leaves the directory and comes back.
+  Scenario: The connections to an upstream that has left are closed once their requests have ended
+    When an upstream leaves the directory while 3 of its 4 connections are in use
+    Then it serves the 3 requests, and all 4 connections are closed
+
   # Guards against a connection of a caller or an upstream that never reports its close, so that it counts as open for ever.
   Scenario: A connection that is reset while it is being shut down reports its close
     When a connection to an upstream is reset while it is being shut down
--- a/apps/valelead-daemon/tests/returned-connections.steps.ts
+++ b/apps/valelead-daemon/tests/returned-connections.steps.ts
@@ -9,7 +9,7 @@
 import {newRandom} from '../../../tests/support/new-random.js';
 import {AnsweringUpstream, type UpstreamReply} from './answering-upstream.js';
 import {sendAttempt} from './send-attempt.js';
-import {UpstreamAgent} from 'valelead-daemon';
+import {UpstreamAgent, UpstreamPool} from 'valelead-daemon';
 
 type Place = {
 	readonly agent: UpstreamAgent;
@@ -20,6 +20,7 @@
 type ConnectionsWorld = {
 	places: Place[] | undefined;
 	connection: Socket;
+	ends: string[];
 	/** Descriptions of the histories after which something is taken or not served. */
 	faulty: string[];
 };
@@ -38,6 +39,9 @@
 const REST_LIMIT_MS = 5000;
 const POLL_MS = 20;
 
+/** Time in which a connection that is closed is seen to be closed at the other side, in milliseconds. */
+const CLOSE_LIMIT_MS = 2000;
+
 /** A request that gets a connection at once is served well within this time, in milliseconds. */
 const SERVED_LIMIT_MS = 2000;
 
@@ -200,6 +204,30 @@
 	return taken === undefined && ends.every(end => end === 'whole') ? undefined : `seed ${seed}: ${taken ?? 'nothing taken'}, ${ends.join(' ')}`;
 };
 
+When('an upstream leaves the directory while {int} of its {int} connections are in use', async function (this: ConnectionsWorld, used: number, connections: number) {
+	const pool = new UpstreamPool();
+	const agent = pool.get('u', connections);
+	const place = {...await newPlace(this, () => SOUND), agent};
+	this.places!.push(place);
+	await Promise.all(Array.from({length: connections}, async () => send(place, 'GET', NO_BODY, SERVED_LIMIT_MS)));
+	await wait(POLL_MS);
+	assert.equal(Object.values(agent.freeSockets).flat().length, connections);
+	const requests = Array.from({length: used}, async () => send(place, 'GET', NO_BODY, SERVED_LIMIT_MS));
+	pool.retain(new Set());
+	this.ends = await Promise.all(requests);
+});
+
+Then('it serves the {int} requests, and all {int} connections are closed', async function (this: ConnectionsWorld, requests: number, connections: number) {
+	assert.deepEqual(this.ends, Array.from({length: requests}, () => 'whole'));
+	const {upstream} = this.places!.at(-1)!;
+	const endsAt = performance.now() + CLOSE_LIMIT_MS;
+	while (upstream.connectionCount > 0 && performance.now() < endsAt) {
+		await wait(POLL_MS);
+	}
+
+	assert.equal(upstream.connectionCount, 0, `of ${connections}`);
+});
+
 When('a connection to an upstream is reset while it is being shut down', async function (this: ConnectionsWorld) {
 	const {port} = await newPlace(this, () => ({bytes: '', end: 'keep'}));
 	const socket = connect(port, '127.0.0.1');
