Count waiting retries as part of what a retry budget holds

A service got up to 276 repeats in 10 s where its budget allows 264 (BUDGET), from one gateway that never restarted.

Cause: a retry is charged when its attempt fails, but reaches the service when it is dispatched. If the upstreams are lost for 3 to 4 s, the charged retries wait, and the requests of that time fill the bucket again; the waiting retries, a full bucket and what is earned after that reach the service in one window. The bound assumed that retries are sent when they are charged.

The bucket now holds at most its maximum less the charged retries that wait, so that both together never exceed the maximum, and the repeats of any window are at most the maximum and what is earned in it. A charged retry whose attempt did not reach its upstream (3008, 3013) is sent again for nothing and counts as waiting again.

Whether this is what operators saw is not known: their record has no case.

--- a/packages/admission/src/admission-state.ts
+++ b/packages/admission/src/admission-state.ts
@@ -35,6 +35,8 @@
 	readonly minRetryAfterMs: number;
 	/** The retry budgets by name. */
 	readonly retryBudgets: Map<string, RetryBudget>;
+	/** The waiting requests whose retry is charged, by the name of their retry budget. */
+	readonly waitingRetries: Map<string, number>;
 	/** The virtual time of weighted fair queueing: the service, divided by weight, that the least served waiting team has received. */
 	virtualTime: number;
 	/** The earliest deadline of a request whose response has not begun; infinite if there is none. */
--- a/packages/admission/src/get-retry-budget.ts
+++ b/packages/admission/src/get-retry-budget.ts
@@ -1,3 +1,4 @@
+import {getMostRetryTokens} from './get-most-retry-tokens.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
 import type {RetryBudget} from './retry-budget.js';
@@ -18,5 +19,5 @@
 	const isOpening = !budget.isOpened && now >= opensAt;
 	// Retries spent before the budget opened are subtracted; otherwise they would add to the initial retries within one budget window.
 	const initial = isOpening ? Math.max(0, (settings.initialRetryTokens ?? INITIAL_TOKENS) - budget.spent) : 0;
-	return {...budget, isOpened: budget.isOpened || isOpening, tokens: Math.min(settings.maxRetryTokens, budget.tokens + initial)};
+	return {...budget, isOpened: budget.isOpened || isOpening, tokens: Math.min(getMostRetryTokens(state, settings, request), budget.tokens + initial)};
 };
--- a/packages/admission/src/mutate-attempt-failure.ts
+++ b/packages/admission/src/mutate-attempt-failure.ts
@@ -69,10 +69,16 @@
 	const effects: AdmissionEffect[] = [];
 	let isRetried = isRetryable(settings, record, failure, now);
 	const cost = getRetryCost(settings, failure.code);
+	if (cost > 0) {
+		// The charge of an attempt that reached its upstream is used up.
+		record.isRetryCharged = false;
+	}
+
 	if (isRetried && cost > 0) {
 		const charge = mutateCharge(state, settings, record, cost, now);
 		effects.push(charge);
 		isRetried = charge.isAllowed;
+		record.isRetryCharged = charge.isAllowed;
 	}
 
 	if (failure.outcome !== OUTCOME.NotRun) {
--- a/packages/admission/src/mutate-dequeued.ts
+++ b/packages/admission/src/mutate-dequeued.ts
@@ -1,4 +1,5 @@
 import {mutateWaitingCount} from './mutate-waiting-count.js';
+import {mutateWaitingRetries} from './mutate-waiting-retries.js';
 import type {AdmissionState} from './admission-state.js';
 import type {RequestRecord} from './request-record.js';
 
@@ -11,4 +12,5 @@
 	}
 
 	mutateWaitingCount(state, record, -1);
+	mutateWaitingRetries(state, record, -1);
 };
--- a/packages/admission/src/mutate-enqueued.ts
+++ b/packages/admission/src/mutate-enqueued.ts
@@ -1,5 +1,6 @@
 import {getTeamUsage} from './get-team-usage.js';
 import {mutateWaitingCount} from './mutate-waiting-count.js';
+import {mutateWaitingRetries} from './mutate-waiting-retries.js';
 import type {AdmissionState} from './admission-state.js';
 import type {RequestRecord} from './request-record.js';
 
@@ -15,4 +16,5 @@
 	state.queues.set(record.request.target, queue);
 	state.nextDeadlineAt = Math.min(state.nextDeadlineAt, record.request.deadlineAt);
 	mutateWaitingCount(state, record, 1);
+	mutateWaitingRetries(state, record, 1);
 };
--- a/packages/admission/src/mutate-retry-tokens.ts
+++ b/packages/admission/src/mutate-retry-tokens.ts
@@ -1,3 +1,4 @@
+import {getMostRetryTokens} from './get-most-retry-tokens.js';
 import {getRetryBudget} from './get-retry-budget.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
@@ -7,6 +8,6 @@
 export const mutateRetryTokens = (state: AdmissionState, settings: AdmissionSettings, request: AdmissionRequest, change: number, now: number): void => {
 	const budget = getRetryBudget(state, settings, request, now);
 	state.retryBudgets.set(request.retryBudget ?? '', {
-		...budget, tokens: Math.min(settings.maxRetryTokens, budget.tokens + change), spent: budget.spent + Math.max(0, -change),
+		...budget, tokens: Math.min(getMostRetryTokens(state, settings, request), budget.tokens + change), spent: budget.spent + Math.max(0, -change),
 	});
 };
--- a/packages/admission/src/new-admission-state.ts
+++ b/packages/admission/src/new-admission-state.ts
@@ -22,6 +22,7 @@
 	endsAt: undefined,
 	arrivals: new Map(),
 	retryBudgets: new Map(),
+	waitingRetries: new Map(),
 	virtualTime: 0,
 	nextDeadlineAt: Number.POSITIVE_INFINITY,
 });
--- a/packages/admission/src/request-record.ts
+++ b/packages/admission/src/request-record.ts
@@ -16,6 +16,8 @@
 	vm: string;
 	/** The number of earlier attempts that may have run. */
 	runs: number;
+	/** True if a retry was charged to the retry budget and has not reached an upstream yet. */
+	isRetryCharged: boolean;
 	/** True once the request was counted for the service that its class receives (`mutateClassService`). */
 	isCounted: boolean;
 	/** The time of the last dispatch, in monotonic milliseconds. */
