Pass on responses without a body at their heads, with no length

Cause: Node.js reads a body after the status 204 if the head names a length or chunks, and the length of the bytes that were read was written to the caller. Such a response is now complete at its head, as are 304 and responses to HEAD; its rest is discarded, and its connection is closed if the rest does not end. 204 and 304 are written without a length.

--- a/apps/valelead-daemon/src/gateway/http-response-writer.ts
+++ b/apps/valelead-daemon/src/gateway/http-response-writer.ts
@@ -25,6 +25,9 @@
 
 const MS_PER_SECOND = 1000;
 
+/** Status codes of responses without a body, 204 No Content and 304 Not Modified: a caller may wait for as many bytes as their heads name. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** Writes the response to one caller over HTTP: either the unchanged response of an upstream or an error response of the gateway. */
 export class HttpResponseWriter implements ResponseWriter, HeldResponse {
 	readonly #parts: AnswerParts;
@@ -118,7 +121,7 @@
 		const {response} = this.#parts;
 		this.#isStream = length === undefined;
 		const headers = [...rawHeaders];
-		if (length !== undefined) {
+		if (length !== undefined && !BODYLESS_STATUSES.has(status)) {
 			headers.push('content-length', String(length));
 		}
 
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -3,7 +3,9 @@
 	type ClientRequest, type IncomingMessage, request as newHttpRequest,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import {RESPONSE_DEFECT, ReceivedResponse} from '@valelead/answer';
+import {
+	RESPONSE_DEFECT, RESPONSE_FRAMING, ReceivedResponse, getResponseFraming,
+} from '@valelead/answer';
 import {
 	type TimerService, abortRequest, isFinalStatus, limitInterimResponses, OUTCOME, RESULT_CODE, type ResultCodeValue,
 } from '@valelead/common';
@@ -189,10 +191,21 @@
 			return;
 		}
 
+		if (this.#isBodyless(answer)) {
+			// Node.js waits for a body where the head of a response without one names a length or chunks.
+			discardRest(this.#request, answer, this.#timers);
+			this.#end(events.onEnd);
+			return;
+		}
+
 		this.#answer = answer;
 		this.#pass(answer);
 	}
 
+	#isBodyless({statusCode, headers}: IncomingMessage): boolean {
+		return getResponseFraming({method: this.#parts.method, status: statusCode ?? 0, headers}) === RESPONSE_FRAMING.Bodyless;
+	}
+
 	#pass(answer: IncomingMessage): void {
 		const received = new ReceivedResponse(answer, this.#parts.method, this.#lastReadBytes);
 		answer.on('data', (chunk: Buffer) => {
