Leave a voter whose update cannot be handled

As a leader sends the same to all, one such message would end all gateways and sidecars at once.

The session client now logs `update-unusable`, and goes to another voter as it does when one does not respond.

No message of this kind has been seen in an installation.

--- a/apps/valelead-daemon/src/session-client.ts
+++ b/apps/valelead-daemon/src/session-client.ts
@@ -162,7 +162,7 @@
 		stream.on('data', (update: SessionUpdate) => {
 			hasUpdate = true;
 			if (stream === this.#stream) {
-				this.#handleUpdate(stream, address, update);
+				this.#receive(stream, address, update);
 			}
 		});
 		stream.on('error', () => {
@@ -208,6 +208,21 @@
 		return now - (this.#silentVoters.get(address) ?? Number.NEGATIVE_INFINITY) < withinMs;
 	}
 
+	/** Handles an update. A voter whose update cannot be handled is left like one that does not respond, as its next one may be alike. */
+	#receive(stream: SessionStream, address: string, update: SessionUpdate): void {
+		try {
+			this.#handleUpdate(stream, address, update);
+		} catch (error) {
+			const {message, stack} = error as Error;
+			this.#parts.logger.error({
+				event: 'update-unusable', address, reason: message, stack,
+			}, 'an update of a voter cannot be handled; trying another voter');
+			this.#silentVoters.set(address, this.#parts.clock.now());
+			this.#parts.leader.redirect('');
+			this.#reconnect(stream);
+		}
+	}
+
 	#handleUpdate(stream: SessionStream, address: string, update: SessionUpdate): void {
 		const now = this.#parts.clock.now();
 		this.#lastUpdateAt = now;
--- a/apps/valelead-daemon/tests/follower.feature
+++ b/apps/valelead-daemon/tests/follower.feature
@@ -25,6 +25,13 @@
     When "a" and "b" stop responding, and "c" and "d" are outside the quorum until the former becomes leader after 2600 ms with a newer routing
     Then the follower has that routing within 2800 ms of the failure
 
+  # Guards against one message of a voter that ends all gateways: nothing caught an error in the turn in which a message arrives.
+  Scenario: A follower leaves a leader whose updates it cannot read
+    Given voters "a" and "b", of which "a" leads and "b" follows it
+    And a follower with a session at "a"
+    When "a" sends a directory that cannot be read and "b" becomes leader after 1500 ms with a newer routing
+    Then the follower has that routing within 2500 ms of the failure
+
   Scenario: A leader that was suspended for a short time is followed again
     Given voters "a" and "b", of which "a" leads and "b" follows it
     And a follower with a session at "a"
--- a/apps/valelead-daemon/tests/follower.steps.ts
+++ b/apps/valelead-daemon/tests/follower.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {setImmediate} from 'node:timers/promises';
-import {create} from '@bufbuild/protobuf';
+import {create, fromBinary} from '@bufbuild/protobuf';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {type Clock, type TimerService} from '@valelead/common';
 import {
@@ -8,7 +8,7 @@
 } from '@valelead/consensus';
 import {
 	type ChannelPool, type FollowerReport, type SessionReport, type SessionUpdate, type UpstreamCrash,
-	FollowerReportSchema, LeaderClient, QuarantineListSchema, RoutingRecordSchema, SessionReportSchema, SessionUpdateSchema,
+	DirectoryDeltaSchema, FollowerReportSchema, LeaderClient, QuarantineListSchema, RoutingRecordSchema, SessionReportSchema, SessionUpdateSchema,
 } from '@valelead/protocol';
 import {newDirectory} from '@valelead/discovery';
 import {pino} from 'pino';
@@ -176,6 +176,7 @@
 		heartbeatMs: HEARTBEAT_MS,
 		newReport: sentAt => create(SessionReportSchema, {report: {case: 'follower', value: create(FollowerReportSchema, {sentAt})}}),
 		onUpdate(update) {
+			fromBinary(DirectoryDeltaSchema, update.directory);
 			world.routingVersion = Math.max(world.routingVersion, update.routing?.version ?? 0);
 			world.current = update.isCurrent ? {at: world.time.now, address: update.leaderAddress} : world.current;
 		},
@@ -239,6 +240,11 @@
 	changeLeader(this, old, next, delayMs);
 });
 
+When('{string} sends a directory that cannot be read and {string} becomes leader after {int} ms with a newer routing', function (this: FollowerWorld, old: string, next: string, delayMs: number) {
+	changeLeader(this, old, next, delayMs);
+	this.voters.set(old, () => ({isCurrent: true, leaderAddress: old, directory: Uint8Array.of(255)}));
+});
+
 When('{string} and {string} stop responding right before a report and {string} becomes leader after {int} ms with a newer routing', function (
 	this: FollowerWorld,
 	old: string,
