End the plays of a pattern with their scenario, and play each seed in a thread

Seen: "Engines that join without copies carry the busy models" timed out at 120 s once, in a run in which three scenarios before it, of processor time alone, had timed out too.

Cause: a step that times out does not end what it runs. The play of the scenario before went on in the same process, so that the next play got a part of the thread. That this was the cause of the recorded run is inferred: its logs are gone.

Change: each seed is played in a worker thread, which is ended with its scenario, also after a time-out. The virtual clock gives the event loop a turn after 64 callbacks in place of each one; the promises' continuations still run after each.

"Plays end with their scenario" fails where the threads are not ended.

--- a/apps/valelead-lab/tests/patterns.feature
+++ b/apps/valelead-lab/tests/patterns.feature
@@ -49,6 +49,11 @@
       | hot-shift |
       | crashing  |
 
+  # Guards against plays that go on after the time-out of their step and take the processor time of the scenarios that follow.
+  Scenario: Plays end with their scenario
+    When the pattern "remote-rare" is played with seeds 1 to 2 until its scenario ends after 1000 ms
+    Then 2 plays were running, and none is after it
+
   Scenario: A pattern file with a fault is refused with its place
     When a pattern file without engines is read
     Then it is refused with code 5002 and "engines"
--- a/apps/valelead-lab/tests/patterns.steps.ts
+++ b/apps/valelead-lab/tests/patterns.steps.ts
@@ -2,34 +2,38 @@
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {Then, When} from '@cucumber/cucumber';
+import {setTimeout} from 'node:timers/promises';
+import {After, Then, When} from '@cucumber/cucumber';
 import {ValeleadError} from '@valelead/common';
-import {
-	type Pattern, type PlayFigures, getPlayFigures, playPattern, readPattern,
-} from 'valelead-lab';
+import {PatternPlays} from './pattern-plays.js';
+import {type Pattern, type PlayFigures, readPattern} from 'valelead-lab';
 
 type LabWorld = {
+	/** Undefined in scenarios that play no pattern. */
+	patternPlays: PatternPlays | undefined;
 	pattern: Pattern;
 	first: number;
 	plays: PlayFigures[];
+	playsBeforeEnd: number;
 	refusal: ValeleadError;
 };
 
-const play = async (pattern: Pattern, first: number, last: number): Promise<PlayFigures[]> => {
-	const plays: PlayFigures[] = [];
-	for (let seed = first; seed <= last; seed += 1) {
-		plays.push(getPlayFigures(pattern, await playPattern(pattern, seed)));
-	}
-
-	return plays;
+/** Ends the plays of a scenario with it, also after a time-out. */
+const endPlays = async ({patternPlays}: LabWorld): Promise<void> => {
+	await patternPlays?.stop();
 };
 
+After(async function (this: LabWorld) {
+	await endPlays(this);
+});
+
 const getMean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
 
 When('the pattern {string} is played with seeds {int} to {int}', {timeout: 120_000}, async function (this: LabWorld, name: string, first: number, last: number) {
 	this.pattern = readPattern(name);
 	this.first = first;
-	this.plays = await play(this.pattern, first, last);
+	this.patternPlays = new PatternPlays();
+	this.plays = await this.patternPlays.play(this.pattern, first, last);
 });
 
 Then('at least {float} of the {string} requests are in time', function (this: LabWorld, share: number, className: string) {
@@ -62,7 +66,26 @@
 });
 
 Then('playing it again gives the same figures', {timeout: 120_000}, async function (this: LabWorld) {
-	assert.deepEqual(await play(this.pattern, this.first, this.first), this.plays);
+	assert.deepEqual(await this.patternPlays!.play(this.pattern, this.first, this.first), this.plays);
+});
+
+When('the pattern {string} is played with seeds {int} to {int} until its scenario ends after {int} ms', async function (
+	this: LabWorld,
+	name: string,
+	first: number,
+	last: number,
+	ms: number,
+) {
+	this.patternPlays = new PatternPlays();
+	void this.patternPlays.play(readPattern(name), first, last);
+	await setTimeout(ms);
+	this.playsBeforeEnd = this.patternPlays.count;
+	await endPlays(this);
+});
+
+Then('{int} plays were running, and none is after it', function (this: LabWorld, count: number) {
+	assert.equal(this.playsBeforeEnd, count);
+	assert.equal(this.patternPlays!.count, 0);
 });
 
 When('a pattern file without engines is read', function (this: LabWorld) {
--- a/packages/emulator/src/virtual-clock.ts
+++ b/packages/emulator/src/virtual-clock.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import type {Clock, TimeoutScheduler} from '@valelead/common';
 
 type Timer = {
@@ -9,8 +10,18 @@
 
 const isBefore = (left: Timer, right: Timer): boolean => left.dueAt === right.dueAt ? left.order < right.order : left.dueAt < right.dueAt;
 
-/** Resolves after the continuations of all promises that are already settled have run. */
+/** The event loop takes its turn after this many callbacks, so that timers, sockets and signals are served during a long run. */
+const CALLBACKS_PER_TURN = 64;
+
+/**
+ * Resolves after the continuations of all promises that are already settled have run. The queue of `nextTick` is served once that of the promises is
+ * empty; a whole turn of the event loop after each callback takes a tenth of the processor time of a simulation.
+ */
 const flushPromises = async (): Promise<void> => new Promise(resolve => {
+	process.nextTick(resolve);
+});
+
+const runEventLoop = async (): Promise<void> => new Promise(resolve => {
 	setImmediate(resolve);
 });
 
@@ -20,6 +31,7 @@
 	readonly #heap: Timer[] = [];
 	#now = 0;
 	#order = 0;
+	#callbacks = 0;
 
 	readonly now = (): number => this.#now;
 	readonly wallNow = (): number => this.#now;
@@ -51,7 +63,8 @@
 			this.#now = next.dueAt;
 			if (!next.isCancelled) {
 				next.run();
-				await flushPromises();
+				this.#callbacks += 1;
+				await (this.#callbacks % CALLBACKS_PER_TURN === 0 ? runEventLoop() : flushPromises());
 			}
 		}
 
