Bound the memory and the time of callers' bodies

All bodies of a gateway now share 1/8 of memoryMb. Above that the largest incomplete one is refused with 429, as it frees most and has not run; one that is not complete when the time of its request ends is refused with 503 (2004). Chunks are joined by 64. A caller whose body is given up is told so and disconnected; one whose body is too long was disconnected without an answer.

--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/body-reading.ts
@@ -0,0 +1,40 @@
+import {Buffer} from 'node:buffer';
+
+/** Memory that a chunk occupies beside its bytes, in bytes. */
+const CHUNK_OVERHEAD_BYTES = 256;
+
+/** Chunks that are joined to one, so that a body that arrives byte by byte occupies little more than its length. */
+const CHUNKS_TO_JOIN = 64;
+
+/** The part of a body that has arrived. */
+export class BodyReading {
+	length = 0;
+	readonly #joined: Buffer[] = [];
+	#chunks: Buffer[] = [];
+
+	/**
+	 * @param endsAt - When the body must be complete, in monotonic milliseconds.
+	 * @param fail - Ends the reading with an error.
+	 */
+	constructor(readonly endsAt: number, readonly fail: (error: Error) => void) {}
+
+	/** The memory that the chunks occupy, in bytes. */
+	get heldBytes(): number {
+		return this.length + ((this.#joined.length + this.#chunks.length) * CHUNK_OVERHEAD_BYTES);
+	}
+
+	add(chunk: Buffer): void {
+		this.length += chunk.length;
+		this.#chunks.push(chunk);
+		if (this.#chunks.length === CHUNKS_TO_JOIN) {
+			this.#joined.push(Buffer.concat(this.#chunks));
+			this.#chunks = [];
+		}
+	}
+
+	/** Returns the whole body. */
+	newBody(): Buffer {
+		const chunks = [...this.#joined, ...this.#chunks];
+		return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+	}
+}
--- /dev/null
+++ b/apps/valelead-daemon/src/gateway/caller-bodies.ts
@@ -0,0 +1,133 @@
+import type {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {
+	type Clock, OUTCOME, RESULT_CODE, type ResultCodeValue, type TimerService, ValeleadError,
+} from '@valelead/common';
+import {BodyReading} from './body-reading.js';
+import type {HeldBody} from './held-body.js';
+
+type BodiesParts = {
+	/** The memory that the process may use, in megabytes. */
+	readonly memoryMb: number;
+	readonly clock: Clock;
+	readonly timers: TimerService;
+};
+
+type BodyTerms = {
+	/** The most bytes of one body. */
+	readonly maxBytes: number;
+	/** When the body must be complete, in monotonic milliseconds. */
+	readonly endsAt: number;
+};
+
+const BYTES_PER_MB = 1_048_576;
+
+/** The share of the process's memory that callers' bodies may occupy: at 210 MB it is 26 MB, beside as much for responses. */
+const BUDGET_SHARE = 1 / 8;
+
+const TICK_MS = 250;
+
+/** The Retry-After time of requests that are refused for want of memory, in milliseconds. */
+const RETRY_AFTER_MS = 1000;
+
+const newError = (code: ResultCodeValue, text: string, retryAfterMs = 0): Error => new ValeleadError(text, {code, outcome: OUTCOME.NotRun, retryAfterMs});
+
+/** Reads the bodies of callers' requests, and bounds the memory of all together and the time for which an incomplete one may occupy it. */
+export class CallerBodies {
+	readonly #maxBytes: number;
+	readonly #reading = new Set<BodyReading>();
+	#heldBytes = 0;
+	readonly #clock: Clock;
+
+	constructor({memoryMb, clock, timers}: BodiesParts) {
+		this.#maxBytes = memoryMb * BYTES_PER_MB * BUDGET_SHARE;
+		this.#clock = clock;
+		timers.repeat(TICK_MS, () => {
+			this.#endOverdue();
+		});
+	}
+
+	/** The memory of all bodies, complete or not, in bytes. */
+	get totalBytes(): number {
+		return this.#heldBytes;
+	}
+
+	/**
+	 * Reads a body. Rejects with BodyTooLarge if it has more bytes than allowed, with QueueFull if it is the largest incomplete one as all bodies exceed
+	 * their memory, and with WaitTooLong if it is not complete in time. The connection is left open in each case.
+	 */
+	async read(message: IncomingMessage, {maxBytes, endsAt}: BodyTerms): Promise<HeldBody> {
+		return new Promise((resolve, reject) => {
+			const reading = new BodyReading(endsAt, error => {
+				this.#forget(reading);
+				message.off('data', add);
+				reject(error);
+			});
+			const add = (chunk: Buffer): void => {
+				const before = reading.heldBytes;
+				reading.add(chunk);
+				this.#heldBytes += reading.heldBytes - before;
+				if (reading.length > maxBytes) {
+					reading.fail(newError(RESULT_CODE.BodyTooLarge, `The body has more than ${maxBytes} bytes`));
+				} else if (this.#heldBytes > this.#maxBytes) {
+					this.#endLargest();
+				}
+			};
+
+			this.#reading.add(reading);
+			message.on('data', add);
+			message.once('end', () => {
+				if (this.#reading.has(reading)) {
+					resolve(this.#complete(reading));
+				}
+			});
+			message.once('error', error => {
+				reading.fail(error);
+			});
+			message.once('close', () => {
+				if (!message.readableEnded) {
+					reading.fail(new Error('the connection ended within the body'));
+				}
+			});
+		});
+	}
+
+	#complete(reading: BodyReading): HeldBody {
+		const bytes = reading.newBody();
+		this.#forget(reading);
+		let heldBytes = bytes.length;
+		this.#heldBytes += heldBytes;
+		return {
+			bytes,
+			release: () => {
+				this.#heldBytes -= heldBytes;
+				heldBytes = 0;
+			},
+		};
+	}
+
+	#forget(reading: BodyReading): void {
+		if (this.#reading.delete(reading)) {
+			this.#heldBytes -= reading.heldBytes;
+		}
+	}
+
+	/** Gives up the largest incomplete body: that frees most memory for the fewest requests, and none of them has run. */
+	#endLargest(): void {
+		let largest: BodyReading | undefined;
+		for (const reading of this.#reading) {
+			largest = largest && largest.heldBytes >= reading.heldBytes ? largest : reading;
+		}
+
+		largest?.fail(newError(RESULT_CODE.QueueFull, 'The bodies of all requests exceed the memory for them', RETRY_AFTER_MS));
+	}
+
+	#endOverdue(): void {
+		const now = this.#clock.now();
+		for (const reading of this.#reading) {
+			if (now >= reading.endsAt) {
+				reading.fail(newError(RESULT_CODE.WaitTooLong, 'The body was not complete within the time of the request'));
+			}
+		}
+	}
+}
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import {newGarbageCollection} from './new-garbage-collection.js';
 import {newPortCheck} from './new-port-check.js';
 import {newGatewayAdmission} from './new-gateway-admission.js';
+import {CallerBodies} from './caller-bodies.js';
 import {EngineChoice} from './engine-choice.js';
 import {getSummedLaneCost} from './get-summed-lane-cost.js';
 import {RequestDispatcher} from './request-dispatcher.js';
@@ -80,6 +81,7 @@
 	readonly #dispatcher: RequestDispatcher;
 	readonly #server: RequestServer;
 	readonly #held: HeldResponses;
+	readonly #bodies: CallerBodies;
 	#admin: Server | undefined;
 	#readiness: Server | undefined;
 	#admission: CachedAdmission | undefined;
@@ -209,8 +211,10 @@
 			},
 			collectGarbage: newGarbageCollection(),
 		});
+		this.#bodies = new CallerBodies({memoryMb: settings.memoryMb, clock: SYSTEM_CLOCK, timers});
 		this.#server = new RequestServer(settings.http, new RequestHandler({
 			held: this.#held,
+			bodies: this.#bodies,
 			codec: adapter.caller,
 			clock: SYSTEM_CLOCK,
 			logger,
--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -11,8 +11,9 @@
 import type {CallerRequest} from '../adapter/caller-request.js';
 import {afterEventLoopIterations} from '../after-event-loop-iterations.js';
 import type {FollowerContact} from '../follower/follower-contact.js';
-import {readBody} from '../read-body.js';
+import type {CallerBodies} from './caller-bodies.js';
 import type {CallerPlace} from './caller-place.js';
+import type {HeldBody} from './held-body.js';
 import type {HeldResponses} from './held-responses.js';
 import {HttpResponseWriter} from './http-response-writer.js';
 import {getCallerCheck} from './get-caller-check.js';
@@ -31,6 +32,8 @@
 	readonly logger: Logger;
 	/** Bounds the memory of all responses. */
 	readonly held: HeldResponses;
+	/** Bounds the memory of all bodies. */
+	readonly bodies: CallerBodies;
 	/** Called with each request once its body has been read completely. */
 	readonly onRequest: (request: GatewayRequest) => void;
 	/** Called when the caller of a request disconnects before the response is complete. */
@@ -43,6 +46,19 @@
 	readonly isStopping: () => boolean;
 };
 
+/** A request whose body is being read. */
+type Arrival = {
+	readonly message: IncomingMessage;
+	readonly head: CallerRequest;
+	readonly answer: HttpResponseWriter;
+	/** In monotonic milliseconds. */
+	readonly arrivedAt: number;
+	readonly body: {held: HeldBody | undefined; isGivenUp: boolean};
+};
+
+/** Codes with which the reading of a body ends before its end. */
+const BODY_FAULTS: ReadonlySet<ResultCodeValue> = new Set([RESULT_CODE.BodyTooLarge, RESULT_CODE.QueueFull, RESULT_CODE.WaitTooLong]);
+
 /**
  * A gateway receives its routing configuration within this time after its start, in milliseconds, even if all controllers start at the same time and
  * must elect a leader first. Callers that are refused meanwhile are told to retry after this time has passed.
@@ -84,11 +100,18 @@
 	async handle(message: IncomingMessage, response: ServerResponse, place: CallerPlace): Promise<void> {
 		const arrivedAt = this.#parts.clock.now();
 		const head = this.#parts.codec.decodeRequest(message.headers);
+		const body: Arrival['body'] = {held: undefined, isGivenUp: false};
+		response.once('close', () => {
+			body.held?.release();
+		});
 		const answer = new HttpResponseWriter({
-			response, requestId: head.id, isLast: () => this.#parts.isStopping() && place.isLatest(), held: this.#parts.held,
+			// The rest of a body that was given up would be read for as long as its caller sends.
+			response, requestId: head.id, isLast: () => body.isGivenUp || (this.#parts.isStopping() && place.isLatest()), held: this.#parts.held,
 		});
 		try {
-			const request = await this.#read(message, head, answer, arrivedAt);
+			const request = await this.#read({
+				message, head, answer, arrivedAt, body,
+			});
 			response.on('close', () => {
 				if (!answer.isEnded) {
 					this.#parts.onCallerDisconnected(request);
@@ -102,8 +125,11 @@
 
 			if (await place.turn && !answer.isCallerDisconnected) {
 				this.#dispatch(request);
+			} else {
+				body.held?.release();
 			}
 		} catch (error) {
+			body.isGivenUp = !message.complete && error instanceof ValeleadError && BODY_FAULTS.has(error.code);
 			this.#refuse(answer, head, message, error);
 		}
 	}
@@ -136,7 +162,7 @@
 		return isFirst;
 	}
 
-	async #read(message: IncomingMessage, head: CallerRequest, answer: HttpResponseWriter, arrivedAt: number): Promise<GatewayRequest> {
+	async #read({message, head, answer, arrivedAt, body}: Arrival): Promise<GatewayRequest> {
 		if (!isForwardable({url: message.url ?? '/', rawHeaders: message.rawHeaders})) {
 			throw this.#newError(RESULT_CODE.MalformedRequest);
 		}
@@ -152,7 +178,9 @@
 		}
 
 		const caller = this.#getCaller(table, route, head);
-		const body = await readBody(message, table.routing.limits.maxBodyBytes);
+		const deadlineAt = arrivedAt + this.#getTimeoutMs(route, head);
+		const held = await this.#parts.bodies.read(message, {maxBytes: table.routing.limits.maxBodyBytes, endsAt: deadlineAt});
+		body.held = held;
 		const origin = await getResumedOrigin({route, caller, head}, this.#parts);
 		const service = origin?.service ?? getServiceByWeight(route, Math.random());
 		const id = String(this.#nextId);
@@ -169,10 +197,10 @@
 			method: message.method ?? 'GET',
 			url: message.url ?? '/',
 			rawHeaders: getForwardedHeaders(message.rawHeaders),
-			body,
+			body: held.bytes,
 			answer,
 			arrivedAt,
-			deadlineAt: arrivedAt + this.#getTimeoutMs(route, head),
+			deadlineAt,
 			routingVersion: table.routing.version,
 		});
 	}
