--- a/apps/valelead-daemon/tests/attempt-faults.feature
+++ b/apps/valelead-daemon/tests/attempt-faults.feature
@@ -15,3 +15,16 @@
       | 10    |
       | 50    |
       | 100   |
+
+  # Guards against an upstream that is avoided, or a retry budget that is spent, because of attempts that never left the process.
+  Scenario: Requests are served at once, without a retry budget, by their second attempts
+    Given a gateway with two upstreams that serve 4 requests at a time, and no retry budget
+    When 40 requests arrive, 8 at a time, and the first attempt of each throws
+    Then each of them is served in the turn of its arrival
+
+  # Guards against requests that are neither sent nor refused because an action before theirs throws.
+  Scenario: Requests are refused at their deadline though the refusal of another one throws
+    Given a gateway without upstreams
+    When 3 requests reach their deadline at once, and refusing the first of them throws
+    Then one error is thrown into the turns of the gateway
+    And the other 2 requests are refused as not run with 2007
--- a/apps/valelead-daemon/tests/attempt-faults.steps.ts
+++ b/apps/valelead-daemon/tests/attempt-faults.steps.ts
@@ -22,6 +22,8 @@
 	dispatcher: RequestDispatcher;
 	/** Ids of the requests for which starting an attempt throws. */
 	faulty: Set<string>;
+	/** True if starting only the first attempt of such a request throws. */
+	isSecondStarted: boolean;
 	/** Attempts that were started, by request. */
 	sent: Map<string, number>;
 	/** Requests in progress at each upstream. */
@@ -60,6 +62,10 @@
 /** Starts an attempt that is answered after a while, or throws as libraries do. */
 const startAttempt = (world: FaultsWorld, {requestId, upstreamId, events}: Parameters<ConstructorParameters<typeof RequestDispatcher>[0]['newAttempt']>[0]) => {
 	if (world.faulty.has(requestId)) {
+		if (world.isSecondStarted) {
+			world.faulty.delete(requestId);
+		}
+
 		throw new RangeError('Port should be >= 0 and < 65536.');
 	}
 
@@ -75,22 +81,23 @@
 	};
 };
 
-Given('a gateway with two upstreams that serve {int} requests at a time', function (this: FaultsWorld, slots: number) {
-	this.time = new VirtualTime();
-	this.faulty = new Set();
-	this.sent = new Map();
-	this.busy = new Map(UPSTREAMS.map(id => [id, 0]));
-	this.ends = new Map();
-	this.thrown = [];
-	const clock = {now: () => this.time.now, wallNow: () => this.time.now};
+const startGateway = (world: FaultsWorld, {ids = UPSTREAMS, slots = 4, hasRetries = true}): void => {
+	world.time = new VirtualTime();
+	world.faulty = new Set();
+	world.isSecondStarted = false;
+	world.sent = new Map();
+	world.busy = new Map(ids.map(id => [id, 0]));
+	world.ends = new Map();
+	world.thrown = [];
+	const clock = {now: () => world.time.now, wallNow: () => world.time.now};
 	const table = newTable();
 	const admission = newGatewayAdmission({
-		dataCentre: 'z', ratio: 1, reserve: 1000, windowMs: 1000, gatewayCount: 1, countedSince: -1000, isUnspent: true,
+		dataCentre: 'z', ratio: hasRetries ? 1 : 0, reserve: hasRetries ? 1000 : 0, windowMs: 1000, gatewayCount: 1, countedSince: -1000, isUnspent: true,
 	});
-	this.dispatcher = new RequestDispatcher({
+	world.dispatcher = new RequestDispatcher({
 		getSettings: () => admission,
 		codec: CODEC,
-		timers: newProcessTimers(this.time, new VirtualProcess(this.time)),
+		timers: newProcessTimers(world.time, new VirtualProcess(world.time)),
 		clock,
 		logger: pino({enabled: false}),
 		residency: {follow: ignore, setNeeds: ignore},
@@ -98,7 +105,7 @@
 		getTable: () => table,
 		getGatewayCount: () => 1,
 		random: () => 0.5,
-		newAttempt: terms => startAttempt(this, terms),
+		newAttempt: terms => startAttempt(world, terms),
 		getLeaderAgeMs: () => 0,
 		isPortRefused: async () => false,
 		onCrash: ignore,
@@ -108,18 +115,30 @@
 		onAborted: ignore,
 		onCancelled: ignore,
 		suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
-		onEnd: ({head}, code, outcome) => {
-			this.ends.set(head.id, {code, outcome});
+		onEnd({head}, code, outcome) {
+			world.ends.set(head.id, {code, outcome});
 		},
 	});
-	this.dispatcher.takeDirectory(UPSTREAMS.map(id => newUpstream(id, {service: SERVICE, slots})));
+	world.dispatcher.takeDirectory(ids.map(id => newUpstream(id, {service: SERVICE, slots})));
+};
+
+Given('a gateway with two upstreams that serve {int} requests at a time', function (this: FaultsWorld, slots: number) {
+	startGateway(this, {slots});
+});
+
+Given('a gateway with two upstreams that serve {int} requests at a time, and no retry budget', function (this: FaultsWorld, slots: number) {
+	startGateway(this, {slots, hasRetries: false});
+});
+
+Given('a gateway without upstreams', function (this: FaultsWorld) {
+	startGateway(this, {ids: []});
 });
 
 const newAnswer = (): ResponseWriter => ({
 	isStarted: false, isEnded: false, isCallerDisconnected: false, start: ignore, data: ignore, end: ignore, refuse: ignore,
 });
 
-const arrive = ({dispatcher, time}: FaultsWorld, id: string): void => {
+const arrive = ({dispatcher, time}: FaultsWorld, id: string, answer = newAnswer()): void => {
 	dispatcher.arrive(newGatewayRequest({
 		id,
 		head: {
@@ -139,7 +158,7 @@
 		caller: {team: undefined, rank: 0, cost: 0},
 		service: SERVICE,
 		target: getTarget(SERVICE, '', ''),
-		answer: newAnswer(),
+		answer,
 		host: 'h',
 		route: ROUTE,
 		method: 'POST',
@@ -207,3 +226,43 @@
 
 	assert.deepEqual([...this.busy.values()], [4, 4]);
 });
+
+When('{int} requests arrive, {int} at a time, and the first attempt of each throws', function (this: FaultsWorld, count: number, atATime: number) {
+	this.isSecondStarted = true;
+	for (let index = 0; index < count; index += 1) {
+		const id = `r${index}`;
+		this.faulty.add(id);
+		arrive(this, id);
+		assert.equal(this.sent.get(id), 1, id);
+		if ((index + 1) % atATime === 0) {
+			this.time.advance(SERVICE_MS);
+		}
+	}
+});
+
+Then('each of them is served in the turn of its arrival', function (this: FaultsWorld) {
+	assert.equal(this.dispatcher.inProgress, 0);
+	assert.deepEqual(new Set([...this.ends.values()].map(({code}) => code)), new Set([RESULT_CODE.Ok]));
+});
+
+When('{int} requests reach their deadline at once, and refusing the first of them throws', function (this: FaultsWorld, count: number) {
+	const faultyAnswer = {
+		...newAnswer(),
+		refuse() {
+			throw new TypeError('Invalid character in header content');
+		},
+	};
+	for (let index = 0; index < count; index += 1) {
+		arrive(this, `r${index}`, index === 0 ? faultyAnswer : newAnswer());
+	}
+
+	runUntil(this, ROUTE.timeoutMs + 1000);
+});
+
+Then('one error is thrown into the turns of the gateway', function (this: FaultsWorld) {
+	assert.equal(this.thrown.length, 1);
+});
+
+Then('the other {int} requests are refused as not run with {int}', function (this: FaultsWorld, count: number, code: number) {
+	assert.deepEqual([...this.ends.values()], Array.from({length: count}, () => ({code, outcome: OUTCOME.NotRun})));
+});
