Test upstreams that draw all requests, overflowing stacks and logs that nobody reads

Attempts that are not started are no failures and take no place, so that two such upstreams of eight get all attempts of 400 requests. Each of them starts the next from within its own failure, so that 500 waiting requests overflow the stack. A process that meets an error does not end while its log cannot be written.

--- a/apps/valelead-daemon/tests/attempt-faults.feature
+++ b/apps/valelead-daemon/tests/attempt-faults.feature
@@ -28,3 +28,18 @@
     When 3 requests reach their deadline at once, and refusing the first of them throws
     Then one error is thrown into the turns of the gateway
     And the other 2 requests are refused as not run with 2007
+
+  # Guards against upstreams that draw all requests, as no attempt at them counts as a failure and their places stay free.
+  Scenario: Requests are served though no attempt can be started at 2 of 8 upstreams
+    Given a gateway with 8 upstreams that serve 4 requests at a time each
+    When 400 requests arrive, and starting an attempt throws at 2 of the upstreams
+    Then nothing is thrown into the turns of the gateway
+    And each other request is sent once and served
+
+  # Guards against a stack that overflows, as each attempt that cannot be started starts the next one from within its own failure.
+  Scenario: Many waiting requests that cannot be started end with their own outcomes
+    Given a gateway with two upstreams that serve 4 requests at a time
+    When all places are taken and 500 requests wait for which starting an attempt throws
+    Then nothing is thrown into the turns of the gateway
+    And each of these requests is refused as not run with 3013, and nothing of it was sent
+    And both upstreams have all their places free
--- a/apps/valelead-daemon/tests/attempt-faults.steps.ts
+++ b/apps/valelead-daemon/tests/attempt-faults.steps.ts
@@ -22,6 +22,8 @@
 	dispatcher: RequestDispatcher;
 	/** Ids of the requests for which starting an attempt throws. */
 	faulty: Set<string>;
+	/** Upstreams at which starting an attempt throws. */
+	faultyUpstreams: Set<string>;
 	/** True if starting only the first attempt of such a request throws. */
 	isSecondStarted: boolean;
 	/** Attempts that were started, by request. */
@@ -61,7 +63,7 @@
 
 /** Starts an attempt that is answered after a while, or throws as libraries do. */
 const startAttempt = (world: FaultsWorld, {requestId, upstreamId, events}: Parameters<ConstructorParameters<typeof RequestDispatcher>[0]['newAttempt']>[0]) => {
-	if (world.faulty.has(requestId)) {
+	if (world.faultyUpstreams.has(upstreamId) || world.faulty.has(requestId)) {
 		if (world.isSecondStarted) {
 			world.faulty.delete(requestId);
 		}
@@ -84,6 +86,7 @@
 const startGateway = (world: FaultsWorld, {ids = UPSTREAMS, slots = 4, hasRetries = true}): void => {
 	world.time = new VirtualTime();
 	world.faulty = new Set();
+	world.faultyUpstreams = new Set();
 	world.isSecondStarted = false;
 	world.sent = new Map();
 	world.busy = new Map(ids.map(id => [id, 0]));
@@ -130,6 +133,10 @@
 	startGateway(this, {slots, hasRetries: false});
 });
 
+Given('a gateway with {int} upstreams that serve {int} requests at a time each', function (this: FaultsWorld, count: number, slots: number) {
+	startGateway(this, {ids: Array.from({length: count}, (_, index) => `u${index}`), slots});
+});
+
 Given('a gateway without upstreams', function (this: FaultsWorld) {
 	startGateway(this, {ids: []});
 });
@@ -182,6 +189,30 @@
 	}
 };
 
+When('{int} requests arrive, and starting an attempt throws at {int} of the upstreams', function (this: FaultsWorld, count: number, faulty: number) {
+	this.faultyUpstreams = new Set([...this.busy.keys()].slice(0, faulty));
+	for (let index = 0; index < count; index += 1) {
+		this.time.after(index * ARRIVAL_MS, () => {
+			arrive(this, `r${index}`);
+		});
+	}
+
+	runUntil(this, 30_000);
+});
+
+When('all places are taken and {int} requests wait for which starting an attempt throws', function (this: FaultsWorld, count: number) {
+	for (let index = 0; index < 8; index += 1) {
+		arrive(this, `r${index}`);
+	}
+
+	for (let index = 0; index < count; index += 1) {
+		this.faulty.add(`f${index}`);
+		arrive(this, `f${index}`);
+	}
+
+	runUntil(this, 5000);
+});
+
 When('{int} requests arrive, and starting an attempt throws for {int} of 100 of them', function (this: FaultsWorld, count: number, share: number) {
 	for (let index = 0; index < count; index += 1) {
 		const id = `r${index}`;
--- a/apps/valelead-daemon/tests/logger.feature
+++ b/apps/valelead-daemon/tests/logger.feature
@@ -20,3 +20,13 @@
       | a throw in a timer     |
       | a rejection            |
       | a value that is thrown |
+
+  # Guards against a process that neither ends nor serves after an error, as its last line cannot be written.
+  Scenario Outline: A process that ends by an error ends although the reader of its log <state>
+    When a process meets an error with 800 lines in its log, whose reader <state>
+    Then it ends within 15 seconds
+
+    Examples:
+      | state      |
+      | has left   |
+      | is stalled |
--- a/apps/valelead-daemon/tests/logger.steps.ts
+++ b/apps/valelead-daemon/tests/logger.steps.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
-import {spawn} from 'node:child_process';
+import {type ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {Then, When} from '@cucumber/cucumber';
 
 type LoggerWorld = {
+	child: ChildProcess | undefined;
 	report: {readonly written: number; readonly heldBytes: number};
 	isEnded: boolean;
 	status: number | null;
@@ -60,3 +61,24 @@
 	assert.equal(this.status, status);
 	assert.match(this.log, /"event":"stopped"/v);
 });
+
+When('a process meets an error with {int} lines in its log, whose reader {}', async function (this: LoggerWorld, lines: number, state: string) {
+	const child = spawn(process.execPath, [FATAL_PROGRAM, 'a throw in a timer', String(lines)], {stdio: ['ignore', 'pipe', 'inherit']});
+	this.child = child;
+	// A stream without a listener for its data is not read further than its buffer.
+	if (state === 'has left') {
+		child.stdout.destroy();
+	}
+});
+
+Then('it ends within {int} seconds', {timeout: 60_000}, async function (this: LoggerWorld, seconds: number) {
+	const child = this.child!;
+	const timer = setTimeout(() => {
+		child.kill('SIGKILL');
+	}, seconds * 1000);
+	const [status] = child.exitCode === null ? await once(child, 'exit') as [number | null] : [child.exitCode];
+	const isKilled = status === null && child.killed;
+	clearTimeout(timer);
+	child.stdout?.destroy();
+	assert.ok(!isKilled, 'the process had to be killed');
+});
