Test the retry budget with gateways that start again and again

Random histories of kills every 0.25 to 3 s, of one, several and all gateways and of leaders, in which attempts are rejected, fail, find no connection or were never started. RetryModel counts arrivals beyond the first of each request, as the rule does: an attempt that reached no upstream is none.

Longer runs by hand: RESTART_SEED and RESTART_RUNS.

--- a/apps/valelead-daemon/tests/retry-budget.feature
+++ b/apps/valelead-daemon/tests/retry-budget.feature
@@ -94,3 +94,13 @@
       | 2        |
       | 5        |
       | 9        |
+
+  # Guards against a budget that gateways renew as they end and start again every 0.25 to 3 s, and against attempts that cost nothing although they arrive.
+  Scenario Outline: Gateways of <gateways> end and start again and again, and leaders too
+    Then in 60 histories in which <gateways> gateways start again and again the service gets no more repeats than its budget allows
+
+    Examples:
+      | gateways |
+      | 1        |
+      | 3        |
+      | 9        |
--- a/apps/valelead-daemon/tests/retry-budget.steps.ts
+++ b/apps/valelead-daemon/tests/retry-budget.steps.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
+import process from 'node:process';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {assertNever} from '@valelead/common';
+import {OUTCOME, RESULT_CODE, assertNever} from '@valelead/common';
 import fc from 'fast-check';
 import {FAULTY_RETRY_STEP} from './faulty-retry-step.js';
+import {RESTART_STEP} from './restart-step.js';
 import {RetryModel} from './retry-model.js';
 import {RETRY_STEP} from './retry-step.js';
 
@@ -227,3 +229,28 @@
 	const {repeats} = this.retries;
 	assert.ok(repeats >= least && repeats <= most, String(repeats));
 });
+
+/** Attempts that were never started, found no connection, were rejected, or failed at their upstream. */
+const MIXED_FAILURES = [
+	{code: RESULT_CODE.AttemptNotStarted, outcome: OUTCOME.NotRun, isUnsent: true},
+	{code: RESULT_CODE.UpstreamRejected, outcome: OUTCOME.NotRun},
+	{code: RESULT_CODE.UpstreamLeaving, outcome: OUTCOME.NotRun},
+	{code: RESULT_CODE.UpstreamUnreachable, outcome: OUTCOME.NotRun, isUnsent: true},
+	{code: RESULT_CODE.UpstreamFailed, outcome: OUTCOME.Unknown},
+];
+
+/** The seed of the histories of restarts, and how many are played; others by hand. */
+const RESTART_SEED = Number(process.env.RESTART_SEED ?? 77);
+const {RESTART_RUNS} = process.env;
+
+Then('in {int} histories in which {int} gateways start again and again the service gets no more repeats than its budget allows', {timeout: 600_000}, (runs: number, gateways: number) => {
+	fc.assert(fc.property(fc.array(RESTART_STEP, {minLength: 20, maxLength: HISTORY_STEPS, size: 'max'}), fc.boolean(), (steps, isMixed) => {
+		const model = new RetryModel(gateways, isMixed ? {failures: MIXED_FAILURES} : {});
+		model.pass(WARM_UP_MS, 0);
+		for (const step of steps) {
+			applyStep(model, step);
+		}
+
+		assert.ok(model.excess <= 0, `${model.excess} more`);
+	}), {numRuns: Number(RESTART_RUNS ?? runs), seed: RESTART_SEED, endOnFailure: true});
+});
--- a/apps/valelead-daemon/tests/retry-model.ts
+++ b/apps/valelead-daemon/tests/retry-model.ts
@@ -1,4 +1,6 @@
-import {OUTCOME, RESULT_CODE} from '@valelead/common';
+import {
+	OUTCOME, type OutcomeValue, RESULT_CODE, type ResultCodeValue,
+} from '@valelead/common';
 import {
 	type AdmissionEvent, type AdmissionSettings, type AdmissionState, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
@@ -46,6 +48,15 @@
 	readonly hasRouting: boolean;
 	/** True if leaders inform gateways of shares of the retry budget that cannot have been spent. */
 	readonly isFirstShared: boolean;
+	/** The ways in which attempts fail, one after the other. */
+	readonly failures: readonly AttemptFailure[];
+};
+
+type AttemptFailure = {
+	readonly code: ResultCodeValue;
+	readonly outcome: OutcomeValue;
+	/** True if the attempt reached no upstream. */
+	readonly isUnsent?: boolean;
 };
 
 /** Arrivals at the service in one tick: first attempts and retries. */
@@ -62,6 +73,7 @@
 
 /** There are enough upstreams for a request to always find one that it has not tried. */
 const UPSTREAMS = Array.from({length: 12}, (_, index) => ({vm: `u${index}`, dataCentre: 'd', concurrencyLimit: 1000}));
+const REJECTION: AttemptFailure = {code: RESULT_CODE.UpstreamLeaving, outcome: OUTCOME.NotRun};
 const NO_SUSPENSIONS = {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0};
 
 /** A model of gateways that send requests, some of which fail, to one service. It uses the real retry budget and the real counting of gateways. */
@@ -69,6 +81,9 @@
 	readonly ticks: Tick[] = [];
 	#now = 0;
 	#nextId = 1;
+	/** Requests that have reached an upstream. */
+	readonly #arrived = new Set<string>();
+	#failed = 0;
 	readonly #clock = {now: () => this.#now, wallNow: () => this.#now};
 	readonly #gateways: Array<ModelGateway | undefined>;
 	#census = new GatewayRegistry(this.#clock);
@@ -83,8 +98,8 @@
 	#committedCount = 0;
 	#shares = this.#newShares();
 
-	constructor(gateways: number, {hasRouting = true, isFirstShared = true}: Partial<ModelOptions> = {}) {
-		this.#options = {hasRouting, isFirstShared};
+	constructor(gateways: number, {hasRouting = true, isFirstShared = true, failures = [REJECTION]}: Partial<ModelOptions> = {}) {
+		this.#options = {hasRouting, isFirstShared, failures};
 		this.#hasRouting = hasRouting;
 		this.#firstShares = this.#newFirstShares();
 		this.#gateways = Array.from({length: gateways}, (_, index) => this.#newGateway(index));
@@ -321,16 +336,26 @@
 		for (const effect of mutateAdmission(gateway.state, this.#getSettings(gateway), event, this.#now)) {
 			if (effect.kind === 'dispatch') {
 				const {requestId, attemptId} = effect;
-				this.ticks.at(-1)!.repeats += attemptId.endsWith('.1') ? 0 : 1;
-				this.#take(gateway, isFailing
+				const failure = isFailing ? this.#getNextFailure() : undefined;
+				if (failure?.isUnsent !== true) {
+					this.ticks.at(-1)!.repeats += this.#arrived.has(requestId) ? 1 : 0;
+					this.#arrived.add(requestId);
+				}
+
+				this.#take(gateway, failure
 					? {
-						kind: 'failed', requestId, attemptId, code: RESULT_CODE.UpstreamLeaving, outcome: OUTCOME.NotRun, jitter: 0.5,
+						kind: 'failed', requestId, attemptId, code: failure.code, outcome: failure.outcome, jitter: 0.5,
 					}
 					: {kind: 'finished', requestId, attemptId}, isFailing);
 			}
 		}
 	}
 
+	#getNextFailure(): AttemptFailure {
+		this.#failed += 1;
+		return this.#options.failures[this.#failed % this.#options.failures.length];
+	}
+
 	#getSettings({count}: ModelGateway): AdmissionSettings {
 		return newGatewayAdmission({
 			dataCentre: 'd', ratio: RATIO, reserve: RESERVE, windowMs: WINDOW_TICKS * TICK_MS, gatewayCount: count.shares, countedSince: count.countedSince, isUnspent: count.isUnspent,
