Bound the memory of request bodies at controllers

Configurations may have 16 MiB as before, all other calls 1 MiB; all bodies together 32 MiB, above which the largest incomplete one is refused with 429, and each must be complete within 30 s. A body that is given up closes its connection after the refusal; too long ones were cut without one. CallerBodies moves up, as gateways and controllers share it.

--- a/apps/valelead-daemon/src/gateway/caller-bodies.ts
+++ b/apps/valelead-daemon/src/caller-bodies.ts
@@ -7,8 +7,8 @@
 import type {HeldBody} from './held-body.js';
 
 type BodiesParts = {
-	/** The memory that the process may use, in megabytes. */
-	readonly memoryMb: number;
+	/** The most bytes that all bodies together may occupy. */
+	readonly maxTotalBytes: number;
 	readonly clock: Clock;
 	readonly timers: TimerService;
 };
@@ -20,11 +20,6 @@
 	readonly endsAt: number;
 };
 
-const BYTES_PER_MB = 1_048_576;
-
-/** The share of the process's memory that callers' bodies may occupy: at 210 MB it is 26 MB, beside as much for responses. */
-const BUDGET_SHARE = 1 / 8;
-
 const TICK_MS = 250;
 
 /** The Retry-After time of requests that are refused for want of memory, in milliseconds. */
@@ -32,15 +27,15 @@
 
 const newError = (code: ResultCodeValue, text: string, retryAfterMs = 0): Error => new ValeleadError(text, {code, outcome: OUTCOME.NotRun, retryAfterMs});
 
-/** Reads the bodies of callers' requests, and bounds the memory of all together and the time for which an incomplete one may occupy it. */
+/** Reads the bodies of requests, and bounds the memory of all together and the time for which an incomplete one may occupy it. */
 export class CallerBodies {
-	readonly #maxBytes: number;
+	readonly #maxTotalBytes: number;
 	readonly #reading = new Set<BodyReading>();
 	#heldBytes = 0;
 	readonly #clock: Clock;
 
-	constructor({memoryMb, clock, timers}: BodiesParts) {
-		this.#maxBytes = memoryMb * BYTES_PER_MB * BUDGET_SHARE;
+	constructor({maxTotalBytes, clock, timers}: BodiesParts) {
+		this.#maxTotalBytes = maxTotalBytes;
 		this.#clock = clock;
 		timers.repeat(TICK_MS, () => {
 			this.#endOverdue();
@@ -69,7 +64,7 @@
 				this.#heldBytes += reading.heldBytes - before;
 				if (reading.length > maxBytes) {
 					reading.fail(newError(RESULT_CODE.BodyTooLarge, `The body has more than ${maxBytes} bytes`));
-				} else if (this.#heldBytes > this.#maxBytes) {
+				} else if (this.#heldBytes > this.#maxTotalBytes) {
 					this.#endLargest();
 				}
 			};
--- a/apps/valelead-daemon/src/controller/control-server.ts
+++ b/apps/valelead-daemon/src/controller/control-server.ts
@@ -15,7 +15,7 @@
 import type {SoftwareVersions} from '../control/software-versions.js';
 import type {UpstreamRegistry} from '../control/upstream-registry.js';
 import type {Voter} from '../control/voter.js';
-import {readBody} from '../read-body.js';
+import {CallerBodies} from '../caller-bodies.js';
 import {withTimeout} from '../with-timeout.js';
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
@@ -40,8 +40,17 @@
 	readonly onRefusal: (call: ControlCall, code: ResultCodeValue) => void;
 };
 
-/** Maximum size of a request body, in bytes; a complete configuration must fit. */
-const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** The most bytes of a request body: a complete configuration must fit. */
+const MAX_ROUTING_BYTES = 16 * 1024 * 1024;
+
+/** The most bytes of any other request body. A heartbeat with 1,400 models takes a tenth of it. */
+const MAX_BODY_BYTES = 1024 * 1024;
+
+/** The most bytes of all request bodies together: two configurations at once. The process has 160 MB of heap on a small VM. */
+const MAX_TOTAL_BYTES = 2 * MAX_ROUTING_BYTES;
+
+/** Within this time a request must have arrived, in milliseconds: the largest configuration at 5 Mbit/s. */
+const REQUEST_TIMEOUT_MS = 30_000;
 
 /** Maximum time of a commit before the caller is told to retry, in milliseconds. Callers wait one second or more. */
 const COMMIT_TIMEOUT_MS = 3000;
@@ -52,9 +61,11 @@
 export class ControlServer {
 	readonly #parts: ControlServerParts;
 	readonly #server: Server;
+	readonly #bodies: CallerBodies;
 
 	constructor(parts: ControlServerParts) {
 		this.#parts = parts;
+		this.#bodies = new CallerBodies({maxTotalBytes: MAX_TOTAL_BYTES, clock: SYSTEM_CLOCK, timers: parts.timers});
 		this.#server = createServer((message, response) => {
 			void this.#handle(message, response);
 		});
@@ -73,10 +84,19 @@
 	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const call = this.#parts.codec.decodeCall(message.method ?? '', message.url ?? '');
 		try {
-			const body = await readBody(message, MAX_BODY_BYTES);
-			const controlResponse = this.#getRedirect(call, message.url ?? '') ?? await this.#execute(call, body.toString('utf8'));
+			const body = await this.#bodies.read(message, {
+				maxBytes: call.kind === 'replaceRouting' ? MAX_ROUTING_BYTES : MAX_BODY_BYTES, endsAt: SYSTEM_CLOCK.now() + REQUEST_TIMEOUT_MS,
+			});
+			response.once('close', body.release);
+			const controlResponse = this.#getRedirect(call, message.url ?? '') ?? await this.#execute(call, body.bytes.toString('utf8'));
 			writeResponse(response, controlResponse);
 		} catch (error) {
+			if (!message.complete) {
+				// The rest of the body would be read for as long as its caller sends.
+				response.setHeader('connection', 'close');
+				message.resume();
+			}
+
 			writeResponse(response, this.#newFailure(call, error));
 		}
 	}
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import {RoutingConfirmation} from '../follower/routing-confirmation.js';
 import {RoutingFollower} from '../follower/routing-follower.js';
 import {GrpcServer} from '../grpc-server.js';
+import {CallerBodies} from '../caller-bodies.js';
 import {EngineManagers} from '../leased-engines/engine-managers.js';
 import {Metrics} from '../metrics/metrics.js';
 import {setTeamMetrics} from '../metrics/set-team-metrics.js';
@@ -24,7 +25,6 @@
 import {newGarbageCollection} from './new-garbage-collection.js';
 import {newPortCheck} from './new-port-check.js';
 import {newGatewayAdmission} from './new-gateway-admission.js';
-import {CallerBodies} from './caller-bodies.js';
 import {EngineChoice} from './engine-choice.js';
 import {getSummedLaneCost} from './get-summed-lane-cost.js';
 import {RequestDispatcher} from './request-dispatcher.js';
@@ -64,6 +64,11 @@
  */
 const SHUTDOWN_RESERVE_MS = 250;
 
+const BYTES_PER_MB = 1_048_576;
+
+/** The share of the process's memory that callers' bodies may occupy: at 210 MB it is 26 MB, beside as much for responses. */
+const BODY_SHARE = 1 / 8;
+
 const IDLE_POLL_MS = 50;
 
 /** The gateway role: accepts callers' requests by the routing configuration in force, and sends them directly to upstreams. */
@@ -211,7 +216,7 @@
 			},
 			collectGarbage: newGarbageCollection(),
 		});
-		this.#bodies = new CallerBodies({memoryMb: settings.memoryMb, clock: SYSTEM_CLOCK, timers});
+		this.#bodies = new CallerBodies({maxTotalBytes: settings.memoryMb * BYTES_PER_MB * BODY_SHARE, clock: SYSTEM_CLOCK, timers});
 		this.#server = new RequestServer(settings.http, new RequestHandler({
 			held: this.#held,
 			bodies: this.#bodies,
