End only the session of a report that cannot be handled

As the sender reports to the next voter when one has ended, one such report would end all controllers one after the other.

The voter now logs `report-unusable` and ends the session with an error; the sender looks for a leader as it does after any lost session.

No report of this kind has been seen in an installation.

--- a/apps/valelead-daemon/src/control/control-sessions.ts
+++ b/apps/valelead-daemon/src/control/control-sessions.ts
@@ -5,6 +5,7 @@
 	type AgentReport, type SessionReport, type SessionUpdate, SessionUpdateSchema,
 } from '@valelead/protocol';
 import type {ServerDuplexStream} from '@grpc/grpc-js';
+import type {Logger} from 'pino';
 import {type VmReport, isRegistered} from '@valelead/membership';
 import {EndpointTable} from './endpoint-table.js';
 import {newOrders} from './new-orders.js';
@@ -32,7 +33,8 @@
 	readonly leader: Leader;
 	readonly watch: LeaderWatch;
 	readonly timers: TimerService;
-	readonly followers: FollowerSessions | undefined;
+	readonly followers: Pick<FollowerSessions, 'handleReport'> | undefined;
+	readonly logger: Logger;
 };
 
 /** Maximum time for which a change is delayed so that later changes are sent together with it, in milliseconds. */
@@ -47,12 +49,16 @@
 	readonly #leader: Leader;
 	readonly #watch: LeaderWatch;
 	readonly #timers: TimerService;
-	readonly #followers: FollowerSessions | undefined;
+	readonly #followers: SessionsParts['followers'];
+	readonly #logger: Logger;
 	readonly #sessions = new Set<Session>();
 	readonly #endpoints = new EndpointTable();
 	readonly #pushes: Coalescer;
 
-	constructor({voter, leader, watch, timers, followers}: SessionsParts) {
+	constructor({
+		voter, leader, watch, timers, followers, logger,
+	}: SessionsParts) {
+		this.#logger = logger;
 		this.#followers = followers;
 		this.#voter = voter;
 		this.#leader = leader;
@@ -83,7 +89,7 @@
 		};
 		this.#sessions.add(session);
 		stream.on('data', (report: SessionReport) => {
-			this.#handleReport(session, report);
+			this.#receive(session, report);
 		});
 		const end = (): void => {
 			this.#sessions.delete(session);
@@ -104,6 +110,19 @@
 		this.#sessions.clear();
 	}
 
+	/** Handles a report. An error ends the session of the sender only, which then looks for a leader again. */
+	#receive(session: Session, report: SessionReport): void {
+		try {
+			this.#handleReport(session, report);
+		} catch (error) {
+			const {message, stack} = error as Error;
+			this.#logger.error({
+				event: 'report-unusable', vm: report.report.value?.vm, reason: message, stack,
+			}, 'a report cannot be handled; its session is ended');
+			session.stream.emit('error', new Error('the report cannot be handled'));
+		}
+	}
+
 	#handleReport(session: Session, {report}: SessionReport): void {
 		if (report.case === 'follower' && this.#followers) {
 			this.#sessions.delete(session);
--- a/apps/valelead-daemon/src/control/new-control-plane.ts
+++ b/apps/valelead-daemon/src/control/new-control-plane.ts
@@ -45,7 +45,7 @@
 		voter, membership, policy, timers, logger,
 	});
 	const sessions = new ControlSessions({
-		voter, leader, watch, timers, followers,
+		voter, leader, watch, timers, followers, logger,
 	});
 	const initialOperatorHash = operatorKeyFile === undefined ? '' : hashKey(readFileSync(operatorKeyFile, 'utf8').trim());
 	const server = new GrpcServer([
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -61,6 +61,7 @@
 export {RequestQuarantine} from './gateway/request-quarantine.js';
 export {encodeCrash} from './follower/encode-crash.js';
 export {FollowerSessions} from './control/follower-sessions.js';
+export {ControlSessions} from './control/control-sessions.js';
 export {RoutingConfirmation} from './follower/routing-confirmation.js';
 export {LeaderWatch} from './control/leader-watch.js';
 export {newStandbyControlService} from './standby/new-standby-control-service.js';
