Begin the wait for the leader's answer on a quota when the leader is asked

Cause: a request without stock waited for half of its objective (150 ms here) from its arrival, but the report that asks the leader leaves only after the burst of arrivals has been taken in. It is the gateway's own delay, taken for silence of the leader.

Change: the wait for the answer begins with the first report that asks for the request. A request that is not reported is refused after half of its objective, as before, so that it waits for its whole objective at most, plus a tick; later leaders do not prolong the wait. The line quota-unknown tells the time since the leader was asked.

--- a/apps/valelead-daemon/src/gateway/quota-gate.ts
+++ b/apps/valelead-daemon/src/gateway/quota-gate.ts
@@ -32,10 +32,14 @@
 /** A request that waits until the leader lends this gateway quota for it. */
 type WaitingRequest = {
 	readonly request: GatewayRequest;
-	/** When the request is refused if the leader has not answered, in monotonic milliseconds. */
-	readonly waitsUntil: number;
-	/** True once the request's need of quota has been reported to the leader. */
+	/** How long the request waits for its need to be reported, and then for the leader's answer, in milliseconds. */
+	readonly maxWaitMs: number;
+	/** When the request is refused if its need has not been reported, or the leader has not answered, in monotonic milliseconds. */
+	waitsUntil: number;
+	/** True once the request's need of quota has been reported to the present leader. */
 	isReported: boolean;
+	/** When the need was first reported to a leader, in monotonic milliseconds; undefined before. */
+	firstReportedAt: number | undefined;
 };
 
 type HeldRequest = {
@@ -43,10 +47,10 @@
 	readonly reservation: Reservation;
 };
 
-/** The longest time that a request waits for the leader's answer, as a fraction of the route's latency objective. */
+/** The longest time that a request waits for the leader's answer after it was asked, as a fraction of the route's latency objective. */
 const MAX_WAIT_FRACTION = 0.5;
 
-/** The longest time that a request waits for the leader's answer, in milliseconds. */
+/** The longest time that a request waits for the leader's answer after it was asked, in milliseconds. */
 const MAX_WAIT_MS = 1000;
 
 const TICK_MS = 50;
@@ -208,7 +212,10 @@
 		const {name} = team!;
 		const maxWaitMs = Math.min(MAX_WAIT_MS, route.objectiveMs * MAX_WAIT_FRACTION);
 		const queue = this.#waiting.get(name) ?? [];
-		const waiting = {request, waitsUntil: Math.min(deadlineAt, this.#parts.clock.now() + maxWaitMs), isReported: false};
+		const waitsUntil = Math.min(deadlineAt, this.#parts.clock.now() + maxWaitMs);
+		const waiting = {
+			request, maxWaitMs, waitsUntil, isReported: false, firstReportedAt: undefined,
+		};
 		this.#waiting.set(name, [...queue, waiting].sort(getOrder));
 		this.#parts.onNeed();
 	}
@@ -223,11 +230,19 @@
 		}
 	}
 
-	/** Returns the costs of the waiting requests that the leader does not know of, and marks the requests as reported. */
+	/**
+	 * Returns the costs of the waiting requests that the leader does not know of, and marks the requests as reported. The wait for the leader's answer
+	 * begins here and not at the arrival: a burst of arrivals delays the report by 100 ms and more on a busy machine, which is no silence of the leader.
+	 */
 	#takeNeeds(team: string): number[] {
+		const now = this.#parts.clock.now();
 		const unreported = (this.#waiting.get(team) ?? []).filter(({isReported}) => !isReported);
 		for (const waiting of unreported) {
 			waiting.isReported = true;
+			if (waiting.firstReportedAt === undefined) {
+				waiting.firstReportedAt = now;
+				waiting.waitsUntil = Math.min(waiting.request.deadlineAt, now + waiting.maxWaitMs);
+			}
 		}
 
 		return unreported.map(({request}) => request.caller.cost);
@@ -270,7 +285,7 @@
 		this.#parts.onRefused(request, RESULT_CODE.QuotaExceeded, Math.max(MIN_RETRY_AFTER_MS, Math.round(waitMs * (1 + this.#parts.random()))));
 	}
 
-	#refuseUnknown(request: GatewayRequest, now: number): void {
+	#refuseUnknown({request, firstReportedAt}: WaitingRequest, now: number): void {
 		const {caller: {team, cost}, head, arrivedAt} = request;
 		this.#parts.logger.info({
 			event: 'quota-unknown',
@@ -278,6 +293,7 @@
 			team: team!.name,
 			cost,
 			waitedMs: Math.round(now - arrivedAt),
+			sinceReportMs: firstReportedAt === undefined ? undefined : Math.round(now - firstReportedAt),
 			silentMs: this.#answeredAt === undefined ? undefined : Math.round(now - this.#answeredAt),
 			isScarce: this.#stock.scarceSubjects.has(team!.name),
 			term: this.#term,
@@ -303,8 +319,8 @@
 				this.#waiting.set(team, queue.filter(({waitsUntil}) => now < waitsUntil));
 			}
 
-			for (const {request} of overdue) {
-				this.#refuseUnknown(request, now);
+			for (const waiting of overdue) {
+				this.#refuseUnknown(waiting, now);
 			}
 		}
 	}
