--- a/apps/valelead-daemon/src/logger.ts
+++ b/apps/valelead-daemon/src/logger.ts
@@ -23,5 +23,7 @@
 	const output = destination({
 		dest: STDOUT_FD, sync: false, minLength: BATCH_BYTES, maxLength: MAX_BUFFERED_BYTES, periodicFlush: FLUSH_INTERVAL_MS,
 	});
+	// Lines that cannot be written, to a full disk or for a reader that has left, are lost; the process goes on.
+	output.on('error', () => undefined);
 	return pino({level, base: context, timestamp: pino.stdTimeFunctions.isoTime}, output);
 };
