Prefer upstreams at which attempts can be started

Such an attempt takes no place and is no failure, so that these upstreams were always the freest; a request tried one, then the other.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -81,6 +81,7 @@
 		try {
 			attempt = this.#newAttempt(request, sending);
 		} catch (error) {
+			request.attempts -= 1;
 			this.#fail(request, sending, newAttemptFailure(RESULT_CODE.AttemptNotStarted, OUTCOME.NotRun, (error as Error).message));
 			return;
 		}
--- a/packages/admission/src/admission-lane.ts
+++ b/packages/admission/src/admission-lane.ts
@@ -15,6 +15,8 @@
 	inProgress: number;
 	/** The time since which the upstream has answered none of the requests in progress there; undefined if none awaits a response. */
 	unansweredSince: number | undefined;
+	/** When an attempt there could last not be started; undefined once the upstream has answered since. */
+	unstartedAt: number | undefined;
 	/** The number of consecutive failures since the last success or ejection. */
 	failures: number;
 	/** The number of consecutive ejections since the last success. */
--- a/packages/admission/src/get-best-lane.ts
+++ b/packages/admission/src/get-best-lane.ts
@@ -21,6 +21,15 @@
 /** Penalty of an upstream that has left all requests unanswered for the time in the settings, in requests in progress. */
 const UNANSWERED_PENALTY = 100;
 
+/**
+ * Penalty of an upstream at which an attempt could not be started lately, in requests in progress. Its places stay free, so that it would draw all requests
+ * otherwise. It remains usable, as the request may have been the cause.
+ */
+const UNSTARTED_PENALTY = 100;
+
+/** Time for which this penalty holds, in milliseconds. */
+const UNSTARTED_PENALTY_MS = 5000;
+
 /** Penalty for each recent failure of an upstream, in requests in progress. */
 const FAILURE_PENALTY = 4;
 
@@ -47,7 +56,8 @@
 const getScore = (lane: AdmissionLane, endpoint: AdmissionEndpoint, settings: AdmissionSettings, now: number): number => {
 	const remotePenalty = endpoint.dataCentre === settings.dataCentre ? 0 : REMOTE_PENALTY;
 	const unansweredPenalty = isUnanswered(lane, settings, now) ? UNANSWERED_PENALTY : 0;
-	return lane.inProgress + (endpoint.otherEntriesInProgress ?? 0) + remotePenalty + unansweredPenalty + (lane.failures * FAILURE_PENALTY);
+	const unstartedPenalty = now - (lane.unstartedAt ?? Number.NEGATIVE_INFINITY) < UNSTARTED_PENALTY_MS ? UNSTARTED_PENALTY : 0;
+	return lane.inProgress + (endpoint.otherEntriesInProgress ?? 0) + remotePenalty + unansweredPenalty + unstartedPenalty + (lane.failures * FAILURE_PENALTY);
 };
 
 /**
--- a/packages/admission/src/get-lane.ts
+++ b/packages/admission/src/get-lane.ts
@@ -15,6 +15,7 @@
 		lastUsedAt: Number.NEGATIVE_INFINITY,
 		inProgress: 0,
 		unansweredSince: undefined,
+		unstartedAt: undefined,
 		failures: 0,
 		ejections: 0,
 		ejectedUntil: 0,
--- a/packages/admission/src/mutate-attempt-failure.ts
+++ b/packages/admission/src/mutate-attempt-failure.ts
@@ -61,8 +61,11 @@
  * the response has been passed on or the stream can be resumed, and if the retry budget allows it. Otherwise it is refused.
  */
 export const mutateAttemptFailure = (state: AdmissionState, settings: AdmissionSettings, record: RequestRecord, failure: Failure, now: number): AdmissionEffect[] => {
-	// An attempt that this process could not begin says nothing about its upstream.
-	if (failure.code !== RESULT_CODE.AttemptNotStarted) {
+	if (failure.code === RESULT_CODE.AttemptNotStarted) {
+		// It is not known whether the upstream or the request is the cause.
+		getLane(state, record.vm).unstartedAt = now;
+		record.unstartedAttempts += 1;
+	} else {
 		mutateFailedLane(state, settings, record, failure, now);
 	}
 
--- a/packages/admission/src/request-record.ts
+++ b/packages/admission/src/request-record.ts
@@ -10,6 +10,8 @@
 	state: string;
 	/** The number of dispatches so far. */
 	attempts: number;
+	/** The number of attempts among them that could not be started. */
+	unstartedAttempts: number;
 	/** The id of the current or last attempt; empty before the first one. */
 	attemptId: string;
 	/** The VM of the current or last attempt; empty before the first one. */
