Carry out the effects of failed attempts one after the other, and all refusals of a stop

Each attempt that could not be started failed while the effects of a decision were carried out, and the next attempt was started from within that failure: with 500 waiting requests of this kind the stack overflowed in the turn of a timer, which ends the process. The effects of such a failure are now carried out after those that are in hand. At a stop, one refusal that throws kept all other requests from being told; each is told now.

--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -2,7 +2,7 @@
 	type Clock, Coalescer, OUTCOME, type OutcomeValue, RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, type SuspensionWatch, type TimerService, visitAll,
 } from '@valelead/common';
 import {
-	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, isRetryAllowed, mutateAdmission, newAdmissionState,
+	type AdmissionEffect, type AdmissionEvent, type AdmissionSettings, type AdmissionState, getAcceptableCount, isRetryAllowed, mutateAdmission, newAdmissionState,
 } from '@valelead/admission';
 import type {Upstream} from '@valelead/discovery';
 import type {RouteTable} from '@valelead/routing';
@@ -29,6 +29,7 @@
 import {newAttemptFailure} from './new-attempt-failure.js';
 import {newAdmissionRequest} from './new-admission-request.js';
 import {TeamShares} from './team-shares.js';
+import {UNLIMITED_REQUESTS} from './unlimited-requests.js';
 import {UpstreamRateLimiter} from './upstream-rate-limiter.js';
 import {UpstreamTable} from './upstream-table.js';
 import type {AttemptFailure} from './attempt-failure.js';
@@ -62,7 +63,6 @@
 };
 
 type Dispatch = Extract<AdmissionEffect, {kind: 'dispatch'}>;
-type Retry = Extract<AdmissionEffect, {kind: 'retry'}>;
 
 /** Interval at which deadlines and timeouts are checked, in milliseconds. */
 const TICK_MS = 50;
@@ -73,11 +73,6 @@
 /** Turns of the event loop in which a process that was stalled reads its pending socket data: one for the data of a connection, one for its end. */
 const TURNS_TO_READ = 2;
 
-/** Stands for the limits per route and per team, which gateways do not have. */
-const UNLIMITED = Number.MAX_SAFE_INTEGER;
-
-const LIMITS = {teamInProgress: UNLIMITED, teamWaiting: UNLIMITED, classWaiting: UNLIMITED};
-
 /** The shortest Retry-After time, in milliseconds. It is short, as engines swap models within about a second. */
 const MIN_RETRY_AFTER_MS = 250;
 
@@ -96,6 +91,8 @@
 	readonly #crashes: CrashGuard;
 	readonly #limits: UpstreamRateLimiter;
 	readonly #stalls: StallWatch;
+	/** The effects that are being carried out; undefined if none are. */
+	#effects: AdmissionEffect[] | undefined;
 	/** Combines refreshes, as reports of many sidecars arrive together and each refresh visits all upstreams. */
 	readonly #refreshes: Coalescer;
 
@@ -190,7 +187,7 @@
 
 		this.#requests.set(request.id, request);
 		this.#trackContinuation(request);
-		this.#take({kind: 'arrive', request: newAdmissionRequest(request), limits: LIMITS});
+		this.#take({kind: 'arrive', request: newAdmissionRequest(request), limits: UNLIMITED_REQUESTS});
 		this.#demand.scheduleReport();
 	}
 
@@ -221,12 +218,14 @@
 
 	/** Aborts all requests that are still in progress, with an error that states whether they may have run. */
 	abortAll(code: ResultCodeValue): void {
-		this.#take({kind: 'refuseAll', code});
-		this.#attempts.cancelAll();
-
-		for (const request of this.#requests.values()) {
-			this.#parts.onAborted(request);
-			this.#refuse(request, code, OUTCOME.Unknown, 0, 'the gateway stops');
+		try {
+			this.#take({kind: 'refuseAll', code});
+		} finally {
+			this.#attempts.cancelAll();
+			visitAll(this.#requests.values(), request => {
+				this.#parts.onAborted(request);
+				this.#refuse(request, code, OUTCOME.Unknown, 0, 'the gateway stops');
+			});
 		}
 	}
 
@@ -382,13 +381,26 @@
 	}
 
 	#take(event: AdmissionEvent): void {
-		visitAll(mutateAdmission(this.#state, this.#getSettings(), event, this.#parts.clock.now()), effect => {
-			if ((effect.kind === 'dispatch' || effect.kind === 'refuse') && effect.wait) {
-				this.#parts.onWaited?.(effect, this.#requests.get(effect.requestId)?.head.id);
-			}
+		const effects = mutateAdmission(this.#state, this.#getSettings(), event, this.#parts.clock.now());
+		// An attempt that cannot be started fails while effects are carried out; if those of the next attempt were carried out within, the stack could overflow.
+		if (event.kind === 'failed' && this.#effects) {
+			this.#effects.push(...effects);
+			return;
+		}
 
-			this.#carryOut(effect);
-		});
+		const outer = this.#effects;
+		this.#effects = effects;
+		try {
+			visitAll(effects, effect => {
+				if ((effect.kind === 'dispatch' || effect.kind === 'refuse') && effect.wait) {
+					this.#parts.onWaited?.(effect, this.#requests.get(effect.requestId)?.head.id);
+				}
+
+				this.#carryOut(effect);
+			});
+		} finally {
+			this.#effects = outer;
+		}
 
 		this.#limits.noteWaiting();
 	}
@@ -400,19 +412,7 @@
 
 	/** Returns the number of waiting requests that an upstream could accept now. */
 	#getWaiting(upstreamId: string): number {
-		if (!this.#isUsable(upstreamId)) {
-			return 0;
-		}
-
-		const inProgress = this.#state.lanes.get(upstreamId)?.inProgress ?? 0;
-		let count = 0;
-		for (const [target, queue] of this.#state.queues) {
-			const endpoint = this.#state.endpoints.get(target)?.find(({vm}) => vm === upstreamId);
-			const places = endpoint ? (endpoint.concurrencyLimit ?? 0) - inProgress : 0;
-			count += Math.min(queue.length, Math.max(0, places));
-		}
-
-		return count;
+		return this.#isUsable(upstreamId) ? getAcceptableCount(this.#state, upstreamId) : 0;
 	}
 
 	#carryOut(effect: AdmissionEffect): void {
@@ -448,7 +448,7 @@
 		}
 	}
 
-	#noteRetry({requestId, isAllowed, left}: Retry): void {
+	#noteRetry({requestId, isAllowed, left}: Extract<AdmissionEffect, {kind: 'retry'}>): void {
 		const request = this.#requests.get(requestId);
 		if (request) {
 			this.#log.logRetry(request, {isAllowed, left, gatewayCount: this.#parts.getGatewayCount()});
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -14,6 +14,7 @@
 export type {RequestLimits} from './request-limits.js';
 export type {RequestWait} from './request-wait.js';
 export {REQUEST_STAGE} from './request-stage.js';
+export {getAcceptableCount} from './get-acceptable-count.js';
 export {isRetryAllowed} from './is-retry-allowed.js';
 export {isBeyondMemory} from './is-beyond-memory.js';
 export {getServiceTarget} from './get-service-target.js';
