--- a/apps/valelead-daemon/src/gateway/request-handler.ts
+++ b/apps/valelead-daemon/src/gateway/request-handler.ts
@@ -142,11 +142,13 @@
 		try {
 			this.#parts.onRequest(request);
 		} catch (error) {
-			const {message, stack} = error as Error;
-			this.#parts.logger.error({
-				event: 'request-error', requestId: request.head.id, reason: message, stack,
-			}, 'an unexpected error while a request was dispatched');
-			this.#parts.onCallerDisconnected(request);
+			this.#logError(request, error);
+			try {
+				this.#parts.onCallerDisconnected(request);
+			} catch (withdrawalError) {
+				this.#logError(request, withdrawalError);
+			}
+
 			if (!request.answer.isEnded) {
 				request.answer.refuse({
 					code: RESULT_CODE.Internal, message: RESULT_DETAILS[RESULT_CODE.Internal].meaning, outcome: OUTCOME.Unknown, retryAfterMs: 0,
@@ -155,6 +157,13 @@
 		}
 	}
 
+	#logError({head}: GatewayRequest, error: unknown): void {
+		const {message, stack} = error as Error;
+		this.#parts.logger.error({
+			event: 'request-error', requestId: head.id, reason: message, stack,
+		}, 'an unexpected error while a request was dispatched');
+	}
+
 	/** Returns true for the first request on a connection. */
 	#isFirst(connection: Socket): boolean {
 		const isFirst = !this.#usedConnections.has(connection);
