Bound the requests of one connection that wait for their answers

A connection with more than 256 requests without an answer is closed. At most one of them is at work; the others have not run.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -8,6 +8,9 @@
 	readBytes: number;
 };
 
+/** The most requests of one connection that wait for their responses. Callers that send more read no answers, and each occupies some 10 KB. */
+const MAX_UNFINISHED = 256;
+
 /**
  * Tracks the connections of callers and which of them are idle. Node's own `closeIdleConnections` treats a connection as idle as soon as `end` was
  * called on its response, and truncates responses to callers that read slowly.
@@ -48,7 +51,8 @@
 	async addResponse(response: ServerResponse): Promise<boolean> {
 		const {socket} = response.req;
 		const connection = this.#connections.get(socket);
-		if (!connection) {
+		if (!connection || connection.unfinished.size === MAX_UNFINISHED) {
+			socket.destroy();
 			return false;
 		}
 
