Refuse what arrives after a stopping gateway has aborted its requests

Found by reading: a gateway with nothing in progress stops before its grace ends, and until its process is gone, up to 300 ms later, a request whose deadline lies before the end of the grace was still sent. It is refused as not run now, as the end is the moment of the stop.

--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -302,6 +302,8 @@
 	stopNow(): void {
 		const now = SYSTEM_CLOCK.now();
 		this.#grace ??= {startedAt: now, endsAt: now};
+		// What arrives from now on could not be answered: an idle gateway stops before its grace period ends.
+		this.#dispatcher.stop(now);
 		this.#intake.refuseAll(RESULT_CODE.Draining);
 		this.#dispatcher.abortAll(RESULT_CODE.Draining);
 	}
--- a/apps/valelead-daemon/tests/attempt-faults.feature
+++ b/apps/valelead-daemon/tests/attempt-faults.feature
@@ -43,3 +43,9 @@
     Then nothing is thrown into the turns of the gateway
     And each of these requests is refused as not run with 3013, and nothing of it was sent
     And both upstreams have all their places free
+
+  # Guards against requests that are sent between the last look at what is in progress and the end of the process, and are lost with it.
+  Scenario: A gateway that has aborted its requests sends nothing more
+    Given a gateway with two upstreams that serve 4 requests at a time
+    When the gateway stops at once, and 3 requests arrive after that
+    Then the 3 requests are refused as not run with 2005, and nothing of them was sent
--- a/apps/valelead-daemon/tests/attempt-faults.steps.ts
+++ b/apps/valelead-daemon/tests/attempt-faults.steps.ts
@@ -297,3 +297,16 @@
 Then('the other {int} requests are refused as not run with {int}', function (this: FaultsWorld, count: number, code: number) {
 	assert.deepEqual([...this.ends.values()], Array.from({length: count}, () => ({code, outcome: OUTCOME.NotRun})));
 });
+
+When('the gateway stops at once, and {int} requests arrive after that', function (this: FaultsWorld, count: number) {
+	this.dispatcher.stop(this.time.now);
+	this.dispatcher.abortAll(RESULT_CODE.Draining);
+	for (let index = 0; index < count; index += 1) {
+		arrive(this, `r${index}`);
+	}
+});
+
+Then('the {int} requests are refused as not run with {int}, and nothing of them was sent', function (this: FaultsWorld, count: number, code: number) {
+	assert.deepEqual([...this.ends.values()], Array.from({length: count}, () => ({code, outcome: OUTCOME.NotRun})));
+	assert.equal(this.sent.size, 0);
+});
