--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -50,6 +50,7 @@
 export {CrashGuard} from './gateway/crash-guard.js';
 export type {GatewayRequest} from './gateway/gateway-request.js';
 export {DeferredFailures} from './gateway/deferred-failures.js';
+export {getUsableChanges} from './follower/get-usable-changes.js';
 export {getOrderStart} from './sidecar/get-order-start.js';
 export {InitialRetryShares} from './control/initial-retry-shares.js';
 export {GatewayRegistry} from './control/gateway-registry.js';
