Give up attempts at upstreams that are gone although no retry is allowed

After a loss the budget is soon spent, and requests at upstreams that are gone waited until their deadlines, so that their callers could not try again.

An attempt at an upstream that neither announces itself nor has responded for 3 s is given up after its time-out, as before. At one that is only slow it goes on unless a retry is allowed. The five scenarios of retries pass; this rule has no scenario of its own.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -26,6 +26,8 @@
 	readonly getAgent: (upstreamId: string, service: string) => UpstreamAgent;
 	/** Returns true if the request of an attempt would be sent again after the attempt failed with this code and an unknown outcome. */
 	readonly isRetryAllowed: (attempt: {readonly requestId: string; readonly attemptId: string; readonly code: ResultCodeValue}) => boolean;
+	/** Returns true if an upstream still announces itself or has responded recently. */
+	readonly isResponsive: (upstreamId: string) => boolean;
 	/** Called for each response head and each complete response of an upstream, whatever the status. */
 	readonly onAnswer: (upstreamId: string) => void;
 	/**
@@ -53,6 +55,13 @@
 	readonly remainingMs: number;
 };
 
+type OverdueAttempt = {
+	readonly attemptId: string;
+	readonly upstreamId: string;
+	/** The result code with which it would fail. */
+	readonly code: ResultCodeValue;
+};
+
 const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_SERVER_ERROR = 500;
@@ -112,16 +121,21 @@
 	 */
 	giveUpOverdue(now: number, getElsewhere: (attemptId: string) => GatewayRequest | undefined): void {
 		for (const [attemptId, attempt] of this.#sent) {
-			const failure = getAttemptTimeout(attempt, code => this.#getRetried(attemptId, code, getElsewhere), now);
+			const failure = getAttemptTimeout(attempt, code => this.#getRetried({attemptId, upstreamId: attempt.upstreamId, code}, getElsewhere), now);
 			if (failure) {
 				attempt.fail(failure.code, failure.reason);
 			}
 		}
 	}
 
-	#getRetried(attemptId: string, code: ResultCodeValue, getElsewhere: (attemptId: string) => GatewayRequest | undefined): GatewayRequest | undefined {
-		const request = getElsewhere(attemptId);
-		return request && this.#parts.isRetryAllowed({requestId: request.id, attemptId, code}) ? request : undefined;
+	/**
+	 * Returns the request of an attempt if giving the attempt up can help its caller: if the request would be sent to another upstream, or, as its own one is
+	 * gone, the caller can try again itself.
+	 */
+	#getRetried({upstreamId, ...attempt}: OverdueAttempt, getElsewhere: (attemptId: string) => GatewayRequest | undefined): GatewayRequest | undefined {
+		const request = getElsewhere(attempt.attemptId);
+		const isHelpful = request && (!this.#parts.isResponsive(upstreamId) || this.#parts.isRetryAllowed({requestId: request.id, ...attempt}));
+		return isHelpful ? request : undefined;
 	}
 
 	#newAttempt(request: GatewayRequest, sending: AttemptTarget): SentAttempt {
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -164,7 +164,6 @@
 		return this.#limits;
 	}
 
-	/** Number of upstreams with a rate limit. */
 	get limitedCount(): number {
 		return this.#limits.count;
 	}
@@ -263,6 +262,7 @@
 			...this.#parts,
 			getAgent: (upstreamId, service) => this.#book.getAgent(upstreamId, service),
 			isRetryAllowed: attempt => isRetryAllowed(this.#state, this.#getSettings(), {...attempt, outcome: OUTCOME.Unknown}, this.#parts.clock.now()),
+			isResponsive: upstreamId => this.#book.isResponsive(upstreamId),
 			onAnswer: upstreamId => {
 				this.#book.noteResponse(upstreamId);
 			},
