--- a/apps/valelead-daemon/tests/attempt-faults.steps.ts
+++ b/apps/valelead-daemon/tests/attempt-faults.steps.ts
@@ -23,7 +23,7 @@
 	/** Ids of the requests for which starting an attempt throws. */
 	faulty: Set<string>;
 	/** Upstreams at which starting an attempt throws. */
-	faultyUpstreams: Set<string>;
+	brokenUpstreams: Set<string>;
 	/** True if starting only the first attempt of such a request throws. */
 	isSecondStarted: boolean;
 	/** Attempts that were started, by request. */
@@ -63,7 +63,7 @@
 
 /** Starts an attempt that is answered after a while, or throws as libraries do. */
 const startAttempt = (world: FaultsWorld, {requestId, upstreamId, events}: Parameters<ConstructorParameters<typeof RequestDispatcher>[0]['newAttempt']>[0]) => {
-	if (world.faultyUpstreams.has(upstreamId) || world.faulty.has(requestId)) {
+	if (world.brokenUpstreams.has(upstreamId) || world.faulty.has(requestId)) {
 		if (world.isSecondStarted) {
 			world.faulty.delete(requestId);
 		}
@@ -86,7 +86,7 @@
 const startGateway = (world: FaultsWorld, {ids = UPSTREAMS, slots = 4, hasRetries = true}): void => {
 	world.time = new VirtualTime();
 	world.faulty = new Set();
-	world.faultyUpstreams = new Set();
+	world.brokenUpstreams = new Set();
 	world.isSecondStarted = false;
 	world.sent = new Map();
 	world.busy = new Map(ids.map(id => [id, 0]));
@@ -190,7 +190,7 @@
 };
 
 When('{int} requests arrive, and starting an attempt throws at {int} of the upstreams', function (this: FaultsWorld, count: number, faulty: number) {
-	this.faultyUpstreams = new Set([...this.busy.keys()].slice(0, faulty));
+	this.brokenUpstreams = new Set([...this.busy.keys()].slice(0, faulty));
 	for (let index = 0; index < count; index += 1) {
 		this.time.after(index * ARRIVAL_MS, () => {
 			arrive(this, `r${index}`);
