Ask for the retry budget only once an attempt is overdue

Whether giving an attempt up helps its caller was worked out for every attempt in each tick, 20 times a second, before its age was looked at.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -55,13 +55,6 @@
 	readonly remainingMs: number;
 };
 
-type OverdueAttempt = {
-	readonly attemptId: string;
-	readonly upstreamId: string;
-	/** The result code with which it would fail. */
-	readonly code: ResultCodeValue;
-};
-
 const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_SERVER_ERROR = 500;
@@ -121,23 +114,16 @@
 	 */
 	giveUpOverdue(now: number, getElsewhere: (attemptId: string) => GatewayRequest | undefined): void {
 		for (const [attemptId, attempt] of this.#sent) {
-			const failure = getAttemptTimeout(attempt, code => this.#getRetried({attemptId, upstreamId: attempt.upstreamId, code}, getElsewhere), now);
+			// Giving up helps if the request would be sent to another upstream, or, as its own one is gone, if the caller can try again itself.
+			const isHelpful = ({id}: GatewayRequest, code: ResultCodeValue): boolean =>
+				!this.#parts.isResponsive(attempt.upstreamId) || this.#parts.isRetryAllowed({requestId: id, attemptId, code});
+			const failure = getAttemptTimeout(attempt, getElsewhere(attemptId), isHelpful, now);
 			if (failure) {
 				attempt.fail(failure.code, failure.reason);
 			}
 		}
 	}
 
-	/**
-	 * Returns the request of an attempt if giving the attempt up can help its caller: if the request would be sent to another upstream, or, as its own one is
-	 * gone, the caller can try again itself.
-	 */
-	#getRetried({upstreamId, ...attempt}: OverdueAttempt, getElsewhere: (attemptId: string) => GatewayRequest | undefined): GatewayRequest | undefined {
-		const request = getElsewhere(attempt.attemptId);
-		const isHelpful = request && (!this.#parts.isResponsive(upstreamId) || this.#parts.isRetryAllowed({requestId: request.id, ...attempt}));
-		return isHelpful ? request : undefined;
-	}
-
 	#newAttempt(request: GatewayRequest, sending: AttemptTarget): SentAttempt {
 		const {codec, clock, newAttempt, getAgent} = this.#parts;
 		const {upstream, remainingMs} = sending;
--- a/apps/valelead-daemon/src/gateway/get-attempt-timeout.ts
+++ b/apps/valelead-daemon/src/gateway/get-attempt-timeout.ts
@@ -13,18 +13,23 @@
 const CONNECT_TIMEOUT_MS = 1000;
 
 /**
- * Returns the error with which an attempt times out now, or undefined while it may continue. An attempt that was sent is given up only for a retry: without
- * one, its caller would lose a response that the upstream may still send.
- * @param getRetried - Returns the request of the attempt if it would be sent to another upstream after a failure with the given code, or undefined.
+ * Returns the error with which an attempt times out now, or undefined while it may continue. An attempt that was sent is given up only if that helps its caller,
+ * who would otherwise lose a response that the upstream may still send.
+ * @param request - The request of the attempt if another upstream could serve it, or undefined.
+ * @param isHelpful - Returns true if giving the attempt up with this code can help the caller of this request.
  */
-export const getAttemptTimeout = (attempt: SentAttempt, getRetried: (code: ResultCodeValue) => GatewayRequest | undefined, now: number): AttemptTimeout | undefined => {
+export const getAttemptTimeout = (
+	attempt: SentAttempt,
+	request: GatewayRequest | undefined,
+	isHelpful: (request: GatewayRequest, code: ResultCodeValue) => boolean,
+	now: number,
+): AttemptTimeout | undefined => {
 	const waitedMs = now - attempt.startedAt;
 	if (!attempt.isSent) {
 		return waitedMs > CONNECT_TIMEOUT_MS ? {code: RESULT_CODE.UpstreamUnreachable, reason: 'the connection was not established in time'} : undefined;
 	}
 
-	const request = attempt.isAnswered ? undefined : getRetried(RESULT_CODE.UpstreamSilent);
 	const canGoElsewhere = request !== undefined && isRepeatable(request.route) && request.attempts < request.route.maxAttempts;
-	const isOverdue = canGoElsewhere && waitedMs > getFirstByteTimeoutMs(request.route);
-	return isOverdue ? {code: RESULT_CODE.UpstreamSilent, reason: `no answer for ${Math.round(waitedMs)} ms`} : undefined;
+	const isOverdue = canGoElsewhere && !attempt.isAnswered && waitedMs > getFirstByteTimeoutMs(request.route);
+	return isOverdue && isHelpful(request, RESULT_CODE.UpstreamSilent) ? {code: RESULT_CODE.UpstreamSilent, reason: `no answer for ${Math.round(waitedMs)} ms`} : undefined;
 };
