--- a/apps/valelead-daemon/src/body-reading.ts
+++ b/apps/valelead-daemon/src/body-reading.ts
@@ -1,7 +1,5 @@
 import {Buffer} from 'node:buffer';
-
-/** Memory that a chunk occupies beside its bytes, in bytes. */
-const CHUNK_OVERHEAD_BYTES = 256;
+import {CHUNK_OVERHEAD_BYTES} from './chunk-overhead-bytes.js';
 
 /** Chunks that are joined to one, so that a body that arrives byte by byte occupies little more than its length. */
 const CHUNKS_TO_JOIN = 64;
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import {RoutingConfirmation} from '../follower/routing-confirmation.js';
 import {RoutingFollower} from '../follower/routing-follower.js';
 import {GrpcServer} from '../grpc-server.js';
+import {BYTES_PER_MB} from '../bytes-per-mb.js';
 import {CallerBodies} from '../caller-bodies.js';
 import {EngineManagers} from '../leased-engines/engine-managers.js';
 import {Metrics} from '../metrics/metrics.js';
@@ -64,8 +65,6 @@
  */
 const SHUTDOWN_RESERVE_MS = 250;
 
-const BYTES_PER_MB = 1_048_576;
-
 /** The share of the process's memory that callers' bodies may occupy: at 210 MB it is 26 MB, beside as much for responses. */
 const BODY_SHARE = 1 / 8;
 
--- a/apps/valelead-daemon/src/gateway/held-responses.ts
+++ b/apps/valelead-daemon/src/gateway/held-responses.ts
@@ -1,6 +1,7 @@
 import {ResponseBudget} from '@valelead/answer';
 import type {TimerService} from '@valelead/common';
 import type {Logger} from 'pino';
+import {BYTES_PER_MB} from '../bytes-per-mb.js';
 import type {HeldResponse} from './held-response.js';
 
 type HeldResponsesParts = {
@@ -24,8 +25,6 @@
 	readonly ticks: number;
 };
 
-const BYTES_PER_MB = 1_048_576;
-
 /**
  * The share of the process's memory that responses may occupy. A gateway needs 70 to 110 MB without them, and a buffer occupies up to twice its size
  * until it is collected, so that 210 MB leave room for 26 MB.
--- a/apps/valelead-daemon/src/gateway/is-continuable.ts
+++ b/apps/valelead-daemon/src/gateway/is-continuable.ts
@@ -1,5 +1,5 @@
+import {isHeaderValue} from '@valelead/common';
 import {canContinue} from '@valelead/stream-origin';
-import {isHeaderValue} from './is-header-value.js';
 import type {EngineView} from './engine-view.js';
 import type {GatewayRequest} from './gateway-request.js';
 
--- a/apps/valelead-daemon/src/gateway/response-forwarder.ts
+++ b/apps/valelead-daemon/src/gateway/response-forwarder.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type CompleteEvents, EventSplitter} from '@valelead/answer';
 import {ROUTE_KIND} from '@valelead/routing';
+import {CHUNK_OVERHEAD_BYTES} from '../chunk-overhead-bytes.js';
 import {getForwardedHeaders} from './get-forwarded-headers.js';
 import type {ResponseHead} from './response-head.js';
 import type {GatewayRequest} from './gateway-request.js';
@@ -13,9 +14,6 @@
 /** Bytes of events that wait for the recording of the stream's origin, above which the upstream is paused. */
 const MAX_WAITING_BYTES = 65_536;
 
-/** Memory that a chunk occupies beside its bytes, in bytes, which dominates if an upstream sends chunks of one byte. */
-const CHUNK_OVERHEAD_BYTES = 256;
-
 /** Forwards an upstream's response to the caller. Streams are forwarded as they arrive; other responses are buffered until they are complete. */
 export class ResponseForwarder {
 	readonly #request: GatewayRequest;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,6 +8,7 @@
 export type {Address} from './address.js';
 export {parseAddress} from './parse-address.js';
 export {isHeaderName} from './is-header-name.js';
+export {isHeaderValue} from './is-header-value.js';
 export {abortRequest} from './abort-request.js';
 export {resetConnection} from './reset-connection.js';
 export {abortRequestAfter} from './abort-request-after.js';
