Keep the unfinished responses of a connection in one place

CallerErrors kept its own list of the unfinished responses of each connection beside that of CallerConnections, with the same beginnings and ends. It asks CallerConnections now.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -78,10 +78,14 @@
 		});
 	}
 
+	/** Returns the responses of a connection that have not been sent completely, oldest first. */
+	getUnfinished(socket: Socket): ServerResponse[] {
+		return [...this.#connections.get(socket)?.unfinished.keys() ?? []];
+	}
+
 	/** True if no request has arrived on a response's connection since its own. */
 	isLatest(response: ServerResponse): boolean {
-		const responses = this.#connections.get(response.req.socket)?.unfinished.keys() ?? [];
-		return [...responses].at(-1) === response;
+		return this.getUnfinished(response.req.socket).at(-1) === response;
 	}
 
 	/** Sets `connection: close` on all responses whose headers have not been sent, now and in the future. */
--- a/apps/valelead-daemon/src/gateway/caller-errors.ts
+++ b/apps/valelead-daemon/src/gateway/caller-errors.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse, STATUS_CODES} from 'node:http';
-import type {Duplex} from 'node:stream';
+import type {Socket} from 'node:net';
+import type {CallerConnections} from '../caller-connections.js';
 
 /** Statuses of Node's own responses to input that it could not read as a request; 400 for any other error. */
 const STATUSES: Readonly<Record<string, number>> = {ERR_HTTP_REQUEST_TIMEOUT: 408, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, HPE_HEADER_OVERFLOW: 431};
@@ -11,24 +12,16 @@
  * on the connection is running: its caller takes that status for the answer, and 408 promises that the request was not run.
  */
 export class CallerErrors {
-	/** Responses that have not been sent completely, oldest first, by connection. */
-	readonly #unfinished = new WeakMap<Duplex, Set<ServerResponse>>();
-	readonly #closing = new WeakSet<Duplex>();
-
-	/** Registers the response to a request that has arrived. */
-	addResponse(response: ServerResponse): void {
-		const {socket} = response.req;
-		const responses = this.#unfinished.get(socket) ?? new Set();
-		responses.add(response);
-		this.#unfinished.set(socket, responses);
-		response.once('close', () => {
-			responses.delete(response);
-		});
+	readonly #connections: CallerConnections;
+	readonly #closing = new WeakSet<Socket>();
+
+	constructor(connections: CallerConnections) {
+		this.#connections = connections;
 	}
 
 	/** Closes a connection on which an error occurred, once the requests that were read before it are answered. */
-	handle(error: NodeJS.ErrnoException, socket: Duplex): void {
-		const last = [...this.#unfinished.get(socket) ?? []].findLast(({req}) => req.complete);
+	handle(error: NodeJS.ErrnoException, socket: Socket): void {
+		const last = this.#connections.getUnfinished(socket).findLast(({req}) => req.complete);
 		if (last && socket.writable) {
 			this.#closeAfter(last, socket);
 			return;
@@ -42,7 +35,7 @@
 		socket.destroy(error);
 	}
 
-	#closeAfter(response: ServerResponse, socket: Duplex): void {
+	#closeAfter(response: ServerResponse, socket: Socket): void {
 		if (this.#closing.has(socket)) {
 			return;
 		}
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
+import type {Socket} from 'node:net';
 import type {CallerLimits} from '@valelead/routing';
 import {CallerConnections} from '../caller-connections.js';
 import {getHost} from '../get-host.js';
@@ -16,17 +17,16 @@
 	readonly #address: string;
 	readonly #server: Server;
 	readonly #connections = new CallerConnections();
-	readonly #errors = new CallerErrors();
+	readonly #errors = new CallerErrors(this.#connections);
 
 	constructor(address: string, handler: RequestHandler) {
 		this.#address = address;
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (message, response) => {
 			const turn = this.#connections.addResponse(response);
-			this.#errors.addResponse(response);
 			void handler.handle(message, response, {turn, isLatest: () => this.#connections.isLatest(response)});
 		});
 		this.#server.on('clientError', (error, socket) => {
-			this.#errors.handle(error, socket);
+			this.#errors.handle(error, socket as Socket);
 		});
 		this.#server.on('connection', socket => {
 			this.#connections.add(socket);
--- a/apps/valelead-daemon/tests/caller-errors.steps.ts
+++ b/apps/valelead-daemon/tests/caller-errors.steps.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {type Server, createServer} from 'node:http';
-import {type AddressInfo, connect} from 'node:net';
+import {type AddressInfo, type Socket, connect} from 'node:net';
 import {
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
-import {CallerErrors} from 'valelead-daemon';
+import {CallerConnections, CallerErrors} from 'valelead-daemon';
 
 type ErrorsWorld = {
 	errorsServer: Server | undefined;
@@ -24,9 +24,10 @@
 });
 
 Given('a server that answers requests after {int} ms and gives heads {int} ms', async function (this: ErrorsWorld, answerMs: number, headMs: number) {
-	const errors = new CallerErrors();
+	const connections = new CallerConnections();
+	const errors = new CallerErrors(connections);
 	const server = createServer({requestTimeout: 0, headersTimeout: headMs, connectionsCheckingInterval: headMs / 2}, (message, response) => {
-		errors.addResponse(response);
+		void connections.addResponse(response);
 		message.resume();
 		message.once('end', () => {
 			setTimeout(() => {
@@ -34,8 +35,11 @@
 			}, answerMs);
 		});
 	});
+	server.on('connection', socket => {
+		connections.add(socket);
+	});
 	server.on('clientError', (error, socket) => {
-		errors.handle(error, socket);
+		errors.handle(error, socket as Socket);
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
