--- a/apps/valelead-daemon/tests/attempt-faults.steps.ts
+++ b/apps/valelead-daemon/tests/attempt-faults.steps.ts
@@ -1,15 +1,16 @@
 import assert from 'node:assert/strict';
-import {Buffer} from 'node:buffer';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {OUTCOME, RESULT_CODE} from '@valelead/common';
-import {type Route, ROUTE_KIND, newRouteTable} from '@valelead/routing';
-import {pino} from 'pino';
+import {type Route, ROUTE_KIND} from '@valelead/routing';
 import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {VirtualProcess} from '../../../tests/support/virtual-process.js';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {newPlainRequest} from './new-plain-request.js';
+import {newPlainTable} from './new-plain-table.js';
+import {newSimulatedDispatcher} from './new-simulated-dispatcher.js';
 import {
-	type CallerCodec, type ResponseWriter, RequestDispatcher, getTarget, newGatewayAdmission, newGatewayRequest,
+	type CallerCodec, type RequestDispatcher, type ResponseWriter, newGatewayAdmission,
 } from 'valelead-daemon';
 
 type RequestEnd = {
@@ -45,18 +46,6 @@
 	priority: 0, maxAttempts: 2, shares: [{service: SERVICE, weight: 1}],
 };
 
-const newTable = () => newRouteTable({
-	version: 1,
-	routes: [ROUTE],
-	services: [{
-		name: SERVICE, healthPath: '/', maxConnections: 100, engine: undefined,
-	}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	teams: undefined,
-});
-
 const CODEC = {newUpstreamHeaders: () => []} as unknown as CallerCodec;
 
 const ignore = (): void => undefined;
@@ -92,32 +81,19 @@
 	world.busy = new Map(ids.map(id => [id, 0]));
 	world.ends = new Map();
 	world.thrown = [];
-	const clock = {now: () => world.time.now, wallNow: () => world.time.now};
-	const table = newTable();
+	const table = newPlainTable(ROUTE);
 	const admission = newGatewayAdmission({
 		dataCentre: 'z', ratio: hasRetries ? 1 : 0, reserve: hasRetries ? 1000 : 0, windowMs: 1000, gatewayCount: 1, countedSince: -1000, isUnspent: true,
 	});
-	world.dispatcher = new RequestDispatcher({
+	world.dispatcher = newSimulatedDispatcher(world.time, {
+		timers: newProcessTimers(world.time, new VirtualProcess(world.time)),
 		getSettings: () => admission,
 		codec: CODEC,
-		timers: newProcessTimers(world.time, new VirtualProcess(world.time)),
-		clock,
-		logger: pino({enabled: false}),
-		residency: {follow: ignore, setNeeds: ignore},
 		origins: undefined as never,
 		getTable: () => table,
 		getGatewayCount: () => 1,
 		random: () => 0.5,
 		newAttempt: terms => startAttempt(world, terms),
-		getLeaderAgeMs: () => 0,
-		isPortRefused: async () => false,
-		onCrash: ignore,
-		onCrashReportDue: ignore,
-		onLimitReportDue: ignore,
-		onRetry: ignore,
-		onAborted: ignore,
-		onCancelled: ignore,
-		suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
 		onEnd({head}, code, outcome) {
 			world.ends.set(head.id, {code, outcome});
 		},
@@ -141,40 +117,9 @@
 	startGateway(this, {ids: []});
 });
 
-const newAnswer = (): ResponseWriter => ({
-	isStarted: false, isEnded: false, isCallerDisconnected: false, start: ignore, data: ignore, end: ignore, refuse: ignore,
-});
-
-const arrive = ({dispatcher, time}: FaultsWorld, id: string, answer = newAnswer()): void => {
-	dispatcher.arrive(newGatewayRequest({
-		id,
-		head: {
-			id,
-			deadlineMs: undefined,
-			model: '',
-			adapter: '',
-			promptTokens: 0,
-			maxNewTokens: 0,
-			sharedSegments: [],
-			hasTokenCount: false,
-			isTokenCountValid: true,
-			lastEventId: '',
-			resumedRequestId: '',
-			key: undefined,
-		},
-		caller: {team: undefined, rank: 0, cost: 0},
-		service: SERVICE,
-		target: getTarget(SERVICE, '', ''),
-		answer,
-		host: 'h',
-		route: ROUTE,
-		method: 'POST',
-		url: '/',
-		rawHeaders: [],
-		body: Buffer.alloc(0),
-		arrivedAt: time.now,
-		deadlineAt: time.now + ROUTE.timeoutMs,
-		routingVersion: 1,
+const arrive = ({dispatcher, time}: FaultsWorld, id: string, answer?: Partial<ResponseWriter>): void => {
+	dispatcher.arrive(newPlainRequest({
+		id, route: ROUTE, arrivedAt: time.now, answer,
 	}));
 };
 
@@ -278,13 +223,12 @@
 
 When('{int} requests reach their deadline at once, and refusing the first of them throws', function (this: FaultsWorld, count: number) {
 	const faultyAnswer = {
-		...newAnswer(),
 		refuse() {
 			throw new TypeError('Invalid character in header content');
 		},
 	};
 	for (let index = 0; index < count; index += 1) {
-		arrive(this, `r${index}`, index === 0 ? faultyAnswer : newAnswer());
+		arrive(this, `r${index}`, index === 0 ? faultyAnswer : undefined);
 	}
 
 	runUntil(this, ROUTE.timeoutMs + 1000);
--- a/apps/valelead-daemon/tests/plain-gateway.ts
+++ b/apps/valelead-daemon/tests/plain-gateway.ts
@@ -1,13 +1,14 @@
-import {Buffer} from 'node:buffer';
-import {type Route, ROUTE_KIND, newRouteTable} from '@valelead/routing';
-import {pino} from 'pino';
+import {type Route, ROUTE_KIND} from '@valelead/routing';
 import {OUTCOME} from '@valelead/common';
 import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {VirtualProcess} from '../../../tests/support/virtual-process.js';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {newPlainRequest} from './new-plain-request.js';
+import {newPlainTable} from './new-plain-table.js';
+import {newSimulatedDispatcher} from './new-simulated-dispatcher.js';
 import {
-	type AttemptOptions, type CallerCodec, type SentAttempt, RequestDispatcher, getTarget, newAttemptFailure, newGatewayAdmission, newGatewayRequest,
+	type AttemptOptions, type CallerCodec, type RequestDispatcher, type SentAttempt, newAttemptFailure, newGatewayAdmission,
 } from 'valelead-daemon';
 
 type GatewayOptions = {
@@ -44,20 +45,6 @@
 
 const CODEC = {newUpstreamHeaders: () => []} as unknown as CallerCodec;
 
-const ignore = (): void => undefined;
-
-const newTable = () => newRouteTable({
-	version: 1,
-	routes: [ROUTE],
-	services: [{
-		name: SERVICE, healthPath: '/', maxConnections: 100, engine: undefined,
-	}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	teams: undefined,
-});
-
 /** The dispatcher of a gateway on virtual time, with a route of two attempts to two upstreams that answer each attempt after the same time. */
 export class PlainGateway {
 	readonly time = new VirtualTime();
@@ -74,32 +61,20 @@
 
 	constructor(options: GatewayOptions) {
 		this.#options = options;
-		const table = newTable();
+		const table = newPlainTable(ROUTE);
 		// The bucket holds no part of a retry, and requests earn none.
 		const admission = newGatewayAdmission({
 			dataCentre: 'z', ratio: 0, reserve: (options.retries + 0.5) / BUDGET_SHARE, windowMs: 1000, gatewayCount: 1, countedSince: -1000, isUnspent: true,
 		});
-		this.#dispatcher = new RequestDispatcher({
+		this.#dispatcher = newSimulatedDispatcher(this.time, {
+			timers: newProcessTimers(this.time, new VirtualProcess(this.time)),
 			getSettings: () => admission,
 			codec: CODEC,
-			timers: newProcessTimers(this.time, new VirtualProcess(this.time)),
-			clock: {now: () => this.time.now, wallNow: () => this.time.now},
-			logger: pino({enabled: false}),
-			residency: {follow: ignore, setNeeds: ignore},
 			origins: undefined as never,
 			getTable: () => table,
 			getGatewayCount: () => 1,
 			random: () => 0.5,
 			newAttempt: terms => this.#startAttempt(terms),
-			getLeaderAgeMs: () => 0,
-			isPortRefused: async () => false,
-			onCrash: ignore,
-			onCrashReportDue: ignore,
-			onLimitReportDue: ignore,
-			onRetry: ignore,
-			onAborted: ignore,
-			onCancelled: ignore,
-			suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
 			onEnd: ({head}, code, outcome) => {
 				this.ends.set(head.id, {
 					status: this.#statuses.get(head.id), code, outcome, at: this.time.now,
@@ -111,45 +86,15 @@
 
 	/** A request that a caller sends now. */
 	arrive(id: string): void {
-		this.#dispatcher.arrive(newGatewayRequest({
+		this.#dispatcher.arrive(newPlainRequest({
 			id,
-			head: {
-				id,
-				deadlineMs: undefined,
-				model: '',
-				adapter: '',
-				promptTokens: 0,
-				maxNewTokens: 0,
-				sharedSegments: [],
-				hasTokenCount: false,
-				isTokenCountValid: true,
-				lastEventId: '',
-				resumedRequestId: '',
-				key: undefined,
-			},
-			caller: {team: undefined, rank: 0, cost: 0},
-			service: SERVICE,
-			target: getTarget(SERVICE, '', ''),
+			route: {...ROUTE, kind: this.#options.kind ?? ROUTE.kind},
+			arrivedAt: this.time.now,
 			answer: {
-				isStarted: false,
-				isEnded: false,
-				isCallerDisconnected: false,
 				start: status => {
 					this.#statuses.set(id, status);
 				},
-				data: ignore,
-				end: ignore,
-				refuse: ignore,
 			},
-			host: 'h',
-			route: {...ROUTE, kind: this.#options.kind ?? ROUTE.kind},
-			method: 'POST',
-			url: '/',
-			rawHeaders: [],
-			body: Buffer.alloc(0),
-			arrivedAt: this.time.now,
-			deadlineAt: this.time.now + ROUTE.timeoutMs,
-			routingVersion: 1,
 		}));
 	}
 
--- a/apps/valelead-daemon/tests/resumed-origin.steps.ts
+++ b/apps/valelead-daemon/tests/resumed-origin.steps.ts
@@ -12,6 +12,7 @@
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {VirtualProcess} from '../../../tests/support/virtual-process.js';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {newCallerHead} from './new-caller-head.js';
 import {SimulatedVersionLog} from './simulated-version-log.js';
 import {
 	type CallerRequest, OriginStore, RouteServices, SoftwareVersions, getResumedOrigin,
@@ -40,20 +41,7 @@
 const LIFETIME_MS = 1_000_000;
 const STEP_MS = 10;
 
-const NEW_REQUEST: CallerRequest = {
-	id: 'b1',
-	deadlineMs: undefined,
-	model: '',
-	adapter: '',
-	promptTokens: 0,
-	maxNewTokens: 0,
-	sharedSegments: [],
-	hasTokenCount: false,
-	isTokenCountValid: true,
-	lastEventId: '',
-	resumedRequestId: '',
-	key: undefined,
-};
+const NEW_REQUEST = newCallerHead('b1');
 
 const newTeam = (name: string): Team => ({
 	name, keyHashes: [], priority: 0, quota: undefined,
--- a/apps/valelead-daemon/tests/send-attempt.ts
+++ b/apps/valelead-daemon/tests/send-attempt.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {parseAddress} from '@valelead/common';
+import {newCallerHead} from './new-caller-head.js';
 import {newSystemTimers} from './new-system-timers.js';
 import {type CallerCodec, type UpstreamAgent, UpstreamAttempt} from 'valelead-daemon';
 
@@ -21,10 +22,7 @@
 /** A codec for tests: the header `id` holds the request id, `not-run` marks a refusal, and `other` marks the response of another upstream. */
 const CODEC: CallerCodec = {
 	readinessPath: '/ready',
-	decodeRequest: () => ({
-		id: '1', deadlineMs: undefined, model: '', adapter: '', promptTokens: 0, maxNewTokens: 0,
-		sharedSegments: [], hasTokenCount: false, isTokenCountValid: true, lastEventId: '', resumedRequestId: '', key: undefined,
-	}),
+	decodeRequest: () => newCallerHead('1'),
 	newUpstreamHeaders: rawHeaders => [...rawHeaders],
 	decodeAnswer: (_status, headers) => ({
 		requestId: String(headers.id),
--- a/apps/valelead-daemon/tests/stream-simulation.ts
+++ b/apps/valelead-daemon/tests/stream-simulation.ts
@@ -1,11 +1,14 @@
 import {Buffer} from 'node:buffer';
 import type {Clock} from '@valelead/common';
-import {type Route, ROUTE_KIND, newRouteTable} from '@valelead/routing';
+import {type Route, ROUTE_KIND} from '@valelead/routing';
 import {pino} from 'pino';
 import {newProcessTimers} from '../../../tests/support/new-process-timers.js';
 import {newUpstream} from '../../../tests/support/new-upstream.js';
 import {VirtualProcess} from '../../../tests/support/virtual-process.js';
 import {VirtualTime} from '../../../tests/support/virtual-time.js';
+import {newCallerHead} from './new-caller-head.js';
+import {newPlainTable} from './new-plain-table.js';
+import {newSimulatedDispatcher} from './new-simulated-dispatcher.js';
 import {SimulatedCallerAttempt} from './simulated-caller-attempt.js';
 import type {SimulatedHolder} from './simulated-holder.js';
 import {SimulatedOriginPool} from './simulated-origin-pool.js';
@@ -14,7 +17,7 @@
 import type {SimulatedStream} from './simulated-stream.js';
 import type {AttemptShare} from './attempt-share.js';
 import {
-	type CallerCodec, type GatewayRequest, OriginClient, OriginStore, RequestDispatcher, getResumedOrigin, getTarget, newGatewayAdmission, newGatewayRequest,
+	type CallerCodec, type GatewayRequest, type RequestDispatcher, OriginClient, OriginStore, getResumedOrigin, getTarget, newGatewayAdmission, newGatewayRequest,
 } from 'valelead-daemon';
 
 type Gateway = {
@@ -78,17 +81,7 @@
 	shares: SERVICES.map(service => ({service, weight: 1})),
 };
 
-const TABLE = newRouteTable({
-	version: 1,
-	routes: [ROUTE],
-	services: SERVICES.map(name => ({
-		name, healthPath: '/', maxConnections: 100, engine: undefined,
-	})),
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	teams: undefined,
-});
+const TABLE = newPlainTable(ROUTE);
 
 const CODEC: CallerCodec = {
 	readinessPath: '/',
@@ -236,27 +229,15 @@
 		const admission = newGatewayAdmission({
 			dataCentre: 'z', ratio: 1, reserve: 1000, windowMs: 1000, gatewayCount: 1, countedSince: -1000, isUnspent: true,
 		});
-		const dispatcher = new RequestDispatcher({
+		const dispatcher = newSimulatedDispatcher(time, {
+			timers,
 			getSettings: () => admission,
 			codec: CODEC,
-			timers,
-			clock,
-			logger,
-			residency: {follow: ignore, setNeeds: ignore},
 			origins,
 			getTable: () => TABLE,
 			getGatewayCount: () => GATEWAYS,
 			random: this.#options.random,
 			newAttempt: terms => new SimulatedStreamAttempt(terms, this.#getEngine(terms.upstreamId), process),
-			getLeaderAgeMs: () => 0,
-			isPortRefused: async () => false,
-			onCrash: ignore,
-			onCrashReportDue: ignore,
-			onLimitReportDue: ignore,
-			onRetry: ignore,
-			onAborted: ignore,
-			onCancelled: ignore,
-			suspensions: {resumedAt: Number.NEGATIVE_INFINITY, lostMs: 0},
 			onEnd: ignore,
 		});
 		return {pool, origins, dispatcher};
@@ -346,20 +327,9 @@
 	}
 
 	async #arrive({parts, process}: Gateway, stream: SimulatedStream, attempt: SimulatedCallerAttempt): Promise<void> {
-		const head = {
-			id: `${stream.name}.${stream.attempts}`,
-			deadlineMs: DEADLINE_MS,
-			model: '',
-			adapter: '',
-			promptTokens: 0,
-			maxNewTokens: 0,
-			sharedSegments: [],
-			hasTokenCount: false,
-			isTokenCountValid: true,
-			lastEventId: stream.lastEvent === 0 ? '' : String(stream.lastEvent),
-			resumedRequestId: stream.firstAttempt,
-			key: undefined,
-		};
+		const head = newCallerHead(`${stream.name}.${stream.attempts}`, {
+			deadlineMs: DEADLINE_MS, lastEventId: stream.lastEvent === 0 ? '' : String(stream.lastEvent), resumedRequestId: stream.firstAttempt,
+		});
 		attempt.id = head.id;
 		const caller = {team: undefined, rank: 0, cost: 0};
 		const {run} = process;
