--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -128,7 +128,7 @@
 		});
 		this.#limits = new UpstreamRateLimiter({
 			...parts,
-			getWaiting: upstreamId => this.#getWaiting(upstreamId),
+			getWaiting: upstreamId => this.#isUsable(upstreamId) ? getAcceptableCount(this.#state, upstreamId) : 0,
 			onNeed: parts.onLimitReportDue,
 			onChange: () => {
 				this.#take({kind: 'tick'});
@@ -164,6 +164,7 @@
 		return this.#limits;
 	}
 
+	/** Number of upstreams with a rate limit. */
 	get limitedCount(): number {
 		return this.#limits.count;
 	}
@@ -410,11 +411,6 @@
 		return this.#limits.count === 0 ? settings : {...settings, sendLimits: this.#limits.getSendLimits()};
 	}
 
-	/** Returns the number of waiting requests that an upstream could accept now. */
-	#getWaiting(upstreamId: string): number {
-		return this.#isUsable(upstreamId) ? getAcceptableCount(this.#state, upstreamId) : 0;
-	}
-
 	#carryOut(effect: AdmissionEffect): void {
 		switch (effect.kind) {
 			case 'dispatch': {
