Record withdrawals of upstreams in the replicated log

Cause: the directory of upstreams lasts for one term, and with it what the leader had acknowledged of departures and drains. Change: drains and departures are committed before they are acknowledged, in an entry that earlier builds apply as nothing. A leader begins its term with those of the last 60 s and takes no announcement before. A declaration that is repeated is acknowledged only once the log and the reachable followers have it. This works for every end of a term, as any leader has all committed entries.

--- a/apps/valelead-daemon/src/control/control-machine.ts
+++ b/apps/valelead-daemon/src/control/control-machine.ts
@@ -1,6 +1,7 @@
 import {
 	type Claims, type ClaimResult, type CommandResult, type ControlRecord, type Intent, decodeIntent, encodeIntent, mutateClaims, mutateIntent, newIntent,
 } from '@valelead/intent';
+import {type Withdrawal, type Withdrawals, mutateWithdrawals} from '@valelead/discovery';
 import type {StateMachine} from '@valelead/consensus';
 import {type OriginRegister, mutateOriginRegister} from '@valelead/stream-origin';
 import type {StoredRouting} from './stored-routing.js';
@@ -19,6 +20,8 @@
 	readonly routes?: ReadonlyArray<[string, readonly string[]]>;
 	/** Missing in snapshots of earlier builds. */
 	readonly gatewayCount?: number;
+	/** Missing in snapshots of earlier builds. */
+	readonly withdrawals?: readonly Withdrawal[];
 };
 
 const encodeRegister = (register: OriginRegister): Array<[string, string[]]> => [...register].map(([name, values]) => [name, [...values]]);
@@ -33,6 +36,7 @@
 	#versions: OriginRegister = new Map();
 	#routes: OriginRegister = new Map();
 	#gatewayCount = 0;
+	#withdrawals: Withdrawals = new Map();
 	#firstRoutingIndex: number | undefined;
 	#recent: AppliedProposal[] = [];
 	readonly #results = new Map<number, CommandResult | readonly ClaimResult[]>();
@@ -66,6 +70,11 @@
 		return this.#gatewayCount;
 	}
 
+	/** The runs of upstreams that have declared that they accept no more requests. */
+	get withdrawals(): Withdrawals {
+		return this.#withdrawals;
+	}
+
 	/** The log index of the installation's first routing configuration; undefined before that entry, or if the routing came with a snapshot. */
 	get firstRoutingIndex(): number | undefined {
 		return this.#firstRoutingIndex;
@@ -107,6 +116,10 @@
 				mutateOriginRegister(this.#routes, kind, {name: route, value: service});
 			}
 
+			if (record.withdrawal) {
+				mutateWithdrawals(this.#withdrawals, {upstream: record.withdrawal, at: record.at});
+			}
+
 			this.#gatewayCount = record.gatewayCount ?? this.#gatewayCount;
 			return;
 		}
@@ -132,6 +145,7 @@
 		this.#claims = new Map(saved.claims);
 		this.#routing = saved.routing;
 		this.#gatewayCount = saved.gatewayCount ?? 0;
+		this.#withdrawals = new Map((saved.withdrawals ?? []).map(withdrawal => [withdrawal.upstream.id, withdrawal]));
 		this.#versions = decodeRegister(saved.versions);
 		this.#routes = decodeRegister(saved.routes);
 		this.#firstRoutingIndex = undefined;
@@ -147,6 +161,7 @@
 			versions: encodeRegister(this.#versions),
 			routes: encodeRegister(this.#routes),
 			gatewayCount: this.#gatewayCount,
+			withdrawals: [...this.#withdrawals.values()],
 		});
 	}
 
--- a/apps/valelead-daemon/src/control/upstream-registry.ts
+++ b/apps/valelead-daemon/src/control/upstream-registry.ts
@@ -2,13 +2,15 @@
 	type Clock, RESULT_CODE, type TimerService, ValeleadError,
 } from '@valelead/common';
 import {
-	type Directory, type Run, type Upstream, UPSTREAM_STATE, getNewestRun, mutateAnnouncement, mutateDeparture, mutateManagerAddress, mutateSilentUpstreams, newDirectory,
+	type Directory, type Run, type Upstream, UPSTREAM_STATE, getNewestRun, mutateAnnouncement, mutateDeparture, mutateManagerAddress, mutateRestoredWithdrawals, mutateSilentUpstreams,
+	newDirectory,
 } from '@valelead/discovery';
 import type {Logger} from 'pino';
 import type {Voter} from './voter.js';
+import type {WithdrawalLog} from './withdrawal-log.js';
 
 type RegistryParts = {
-	readonly voter: Voter;
+	readonly voter: Pick<Voter, 'record'> & Pick<WithdrawalLog, 'node' | 'machine'>;
 	/** Returns the services of the routing in force; undefined before the first routing. */
 	readonly getServices: () => ReadonlySet<string> | undefined;
 	readonly clock: Clock;
@@ -25,13 +27,18 @@
 /** An upstream is removed as silent after it has missed this many announcements. */
 const MAX_MISSED_ANNOUNCEMENTS = 4;
 
-/** Directory of the upstreams that have announced themselves to this voter in its current term as the leader. */
+/**
+ * Directory of the upstreams that have announced themselves to this voter in its current term as the leader. Begins with the withdrawals in the replicated
+ * log, so that an announcement that was delayed beyond the end of a term does not restore a run that has departed.
+ */
 export class UpstreamRegistry {
 	readonly #parts: RegistryParts;
 	#directory: Directory = newDirectory();
 	/** Addresses of the processes that manage engines, by the address of the engine. */
 	readonly #managerAddresses = new Map<string, string>();
 	#term = -1;
+	/** True once the directory of this term has the withdrawals of earlier terms. */
+	#isRestored = false;
 
 	constructor(parts: RegistryParts) {
 		this.#parts = parts;
@@ -55,12 +62,16 @@
 	}
 
 	/**
-	 * Adds an announcement to the directory. Returns true if the upstream has left the ready state with it.
+	 * Adds an announcement to the directory.
 	 * @throws ValeleadError with UnroutedService or MalformedRequest if the announcement must come from another program. Such a program may use
-	 * the address of a real upstream.
+	 * the address of a real upstream. With NotLeader if this voter cannot tell yet which upstreams have departed.
 	 */
-	announce(upstream: Upstream): boolean {
+	announce(upstream: Upstream): void {
 		const known = this.directory.entries.get(upstream.id)?.upstream;
+		if (!this.#isRestored) {
+			throw new ValeleadError('This voter cannot be sure which upstreams have departed', {code: RESULT_CODE.NotLeader});
+		}
+
 		this.#checkAnnouncement(upstream, known);
 		const {version} = this.#directory;
 		const keeperAddress = this.#managerAddresses.get(upstream.address) ?? '';
@@ -74,8 +85,6 @@
 		if (known?.state !== upstream.state) {
 			this.#log(upstream, upstream.state);
 		}
-
-		return upstream.state !== UPSTREAM_STATE.Ready && known?.state !== upstream.state;
 	}
 
 	/** Sets the address of the process that manages an engine; empty if its own sidecar manages it. */
@@ -90,15 +99,12 @@
 		});
 	}
 
-	depart(run: Run): void {
+	/** Removes a run from the directory. Returns the run as it has departed. */
+	depart(run: Run): Upstream {
 		this.#checkTerm();
-		let known: Upstream | undefined;
-		this.#mutateDirectory(() => {
-			known = mutateDeparture(this.#directory, run, this.#parts.clock.now());
-		});
-		if (known) {
-			this.#log(known, 'gone');
-		}
+		const departed = this.#mutateDirectory(() => mutateDeparture(this.#directory, run, this.#parts.clock.now()));
+		this.#log(departed, departed.state);
+		return departed;
 	}
 
 	#checkAnnouncement(upstream: Upstream, known: Upstream | undefined): void {
@@ -122,12 +128,14 @@
 		});
 	}
 
-	#mutateDirectory(mutate: () => void): void {
+	#mutateDirectory<Result>(mutate: () => Result): Result {
 		const before = this.#directory.urgentVersion;
-		mutate();
+		const result = mutate();
 		if (this.#directory.urgentVersion !== before) {
 			this.#parts.onChange();
 		}
+
+		return result;
 	}
 
 	#log({id, service, address, sequence}: Upstream, state: string): void {
@@ -138,11 +146,26 @@
 
 	/** Clears the directory when the term changes: another leader may have received newer announcements in the meantime. */
 	#checkTerm(): void {
-		const term = this.#parts.voter.node?.term ?? 0;
+		const {node} = this.#parts.voter;
+		const term = node?.term ?? 0;
 		if (term !== this.#term) {
 			this.#term = term;
 			this.#directory = newDirectory();
 			this.#managerAddresses.clear();
+			this.#isRestored = false;
+		}
+
+		if (!this.#isRestored && node?.canRead) {
+			this.#isRestored = true;
+			this.#restoreWithdrawals();
+		}
+	}
+
+	#restoreWithdrawals(): void {
+		const {voter, clock, logger} = this.#parts;
+		const count = this.#mutateDirectory(() => mutateRestoredWithdrawals(this.#directory, voter.machine.withdrawals, clock.now(), clock.wallNow()));
+		if (count > 0) {
+			logger.info({event: 'withdrawals-restored', term: this.#term, count}, 'withdrawals of upstreams taken over from earlier terms');
 		}
 	}
 }
--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -7,6 +7,7 @@
 import {
 	type FormationDecision, type DiscoveredVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormationDecision,
 } from '@valelead/consensus';
+import type {Upstream} from '@valelead/discovery';
 import type {ChannelPool} from '@valelead/protocol';
 import type {RouteChange, VersionChange} from '@valelead/stream-origin';
 import type {
@@ -38,6 +39,13 @@
 	readonly vm: string;
 };
 
+/** A change of the replicated state that is carried by an entry without claim commands. */
+type LogChange =
+	| {readonly versionChange: VersionChange}
+	| {readonly routeChange: RouteChange}
+	| {readonly gatewayCount: number}
+	| {readonly withdrawal: Upstream};
+
 type PendingClaim = {
 	readonly command: ClaimCommand;
 	readonly resolve: (result: ClaimResult) => void;
@@ -172,6 +180,11 @@
 		await this.#proposeChange({gatewayCount});
 	}
 
+	/** Commits the withdrawal of an upstream's run, which has declared that it is draining or has departed. */
+	async withdraw(withdrawal: Upstream): Promise<void> {
+		await this.#proposeChange({withdrawal});
+	}
+
 	/** Resolves once the quorum tolerates the configured number of failures, or has stopped growing. */
 	async waitForVoters(): Promise<void> {
 		await this.#membership.waitForVoters();
@@ -214,7 +227,7 @@
 		this.#isCommittingClaims = false;
 	}
 
-	async #proposeChange(change: {readonly versionChange: VersionChange} | {readonly routeChange: RouteChange} | {readonly gatewayCount: number}): Promise<void> {
+	async #proposeChange(change: LogChange): Promise<void> {
 		const index = await this.#propose({
 			kind: 'claims', at: SYSTEM_CLOCK.wallNow(), commands: [], ...change,
 		});
--- a/apps/valelead-daemon/src/controller/control-server.ts
+++ b/apps/valelead-daemon/src/controller/control-server.ts
@@ -5,7 +5,7 @@
 import {
 	RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, SYSTEM_CLOCK, type TimerService, ValeleadError,
 } from '@valelead/common';
-import type {Upstream} from '@valelead/discovery';
+import {type Upstream, UPSTREAM_STATE} from '@valelead/discovery';
 import {type Routing, getRoutingFaults} from '@valelead/routing';
 import type {Logger} from 'pino';
 import type {ControlCall} from '../adapter/control-call.js';
@@ -15,6 +15,7 @@
 import type {SoftwareVersions} from '../control/software-versions.js';
 import type {UpstreamRegistry} from '../control/upstream-registry.js';
 import type {Voter} from '../control/voter.js';
+import type {WithdrawalRecorder} from '../control/withdrawal-recorder.js';
 import {CallerBodies} from '../caller-bodies.js';
 import {withTimeout} from '../with-timeout.js';
 import {getHost} from '../get-host.js';
@@ -31,6 +32,7 @@
 	readonly registry: UpstreamRegistry;
 	readonly versions: Pick<SoftwareVersions, 'register'>;
 	readonly routes: Pick<RouteServices, 'register'>;
+	readonly withdrawals: Pick<WithdrawalRecorder, 'record'>;
 	readonly followers: FollowerSessions;
 	/** IP address and port of this server. */
 	readonly address: string;
@@ -127,14 +129,12 @@
 			}
 
 			case 'announce': {
-				const isLeaving = await this.#announce(this.#parts.codec.decodeAnnouncement(call.instanceId, body));
-				await (isLeaving ? this.#parts.followers.waitForFollowers() : undefined);
+				await this.#announce(this.#parts.codec.decodeAnnouncement(call.instanceId, body));
 				return {status: 200, body: this.#parts.codec.newAnnouncementReply(this.#parts.address)};
 			}
 
 			case 'depart': {
-				this.#parts.registry.depart(this.#parts.codec.decodeDeparture(call.instanceId, body));
-				await this.#parts.followers.waitForFollowers();
+				await this.#confirmWithdrawal(this.#parts.registry.depart(this.#parts.codec.decodeDeparture(call.instanceId, body)));
 				return OK;
 			}
 
@@ -144,8 +144,8 @@
 		}
 	}
 
-	/** Adds an announcement to the directory once the upstream's version is registered. Returns true if the upstream has left the ready state with it. */
-	async #announce(upstream: Upstream): Promise<boolean> {
+	/** Adds an announcement to the directory once the upstream's version is registered. */
+	async #announce(upstream: Upstream): Promise<void> {
 		const {versions, registry, voter, timers} = this.#parts;
 		const newError = (): ValeleadError => new ValeleadError('The quorum did not confirm the software version in time', {code: RESULT_CODE.CommandTimeout});
 		await withTimeout(versions.register(upstream), timers, COMMIT_TIMEOUT_MS, newError);
@@ -153,7 +153,23 @@
 			throw new ValeleadError('This voter does not lead any more', {code: RESULT_CODE.NotLeader});
 		}
 
-		return registry.announce(upstream);
+		registry.announce(upstream);
+		if (upstream.state !== UPSTREAM_STATE.Ready) {
+			await this.#confirmWithdrawal(upstream);
+		}
+	}
+
+	/**
+	 * Resolves once the replicated log and the reachable followers have the withdrawal of a run. A repeated declaration waits too, because the wait of the
+	 * first one may have failed.
+	 */
+	async #confirmWithdrawal(upstream: Upstream): Promise<void> {
+		const {withdrawals, followers, timers} = this.#parts;
+		const newError = (): ValeleadError => new ValeleadError('The quorum did not confirm the withdrawal in time', {code: RESULT_CODE.CommandTimeout});
+		await Promise.all([
+			withTimeout(withdrawals.record(upstream), timers, COMMIT_TIMEOUT_MS, newError),
+			followers.waitForFollowers(),
+		]);
 	}
 
 	async #replaceRouting(document: string): Promise<ControlResponse> {
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -21,6 +21,7 @@
 import {RouteServices} from '../control/route-services.js';
 import {SoftwareVersions} from '../control/software-versions.js';
 import {UpstreamRegistry} from '../control/upstream-registry.js';
+import {WithdrawalRecorder} from '../control/withdrawal-recorder.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
 import {Metrics} from '../metrics/metrics.js';
 import {setQuotaMetrics} from '../metrics/set-quota-metrics.js';
@@ -145,6 +146,7 @@
 		registry,
 		versions,
 		routes,
+		withdrawals: new WithdrawalRecorder({voter, clock: SYSTEM_CLOCK, logger}),
 		followers,
 		address: settings.control,
 		timers,
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -68,6 +68,8 @@
 export {LeaderWatch} from './control/leader-watch.js';
 export {newStandbyControlService} from './standby/new-standby-control-service.js';
 export {UpstreamRegistry} from './control/upstream-registry.js';
+export {WithdrawalRecorder} from './control/withdrawal-recorder.js';
+export type {WithdrawalLog} from './control/withdrawal-log.js';
 export {OrderLeases} from './control/order-leases.js';
 export {SessionClient} from './session-client.js';
 export {MeasuredSpeed} from './sidecar/measured-speed.js';
--- a/apps/valelead-daemon/tests/directory-updates.steps.ts
+++ b/apps/valelead-daemon/tests/directory-updates.steps.ts
@@ -108,7 +108,7 @@
 	const voter = {
 		record: {id: 'v'}, node: {
 			term: 1, isCurrentLeader: true, canRead: true, voters: [],
-		}, machine: {routing: undefined, subscribe: () => undefined},
+		}, machine: {routing: undefined, withdrawals: new Map(), subscribe: () => undefined},
 	};
 	world.leaseHolders = new Map();
 	world.deltas = new Set();
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -20,3 +20,8 @@
 export {newDirectoryCopy} from './new-directory-copy.js';
 export {mutateDirectoryCopy} from './mutate-directory-copy.js';
 export {mutateUnconfirmedUpstreams} from './mutate-unconfirmed-upstreams.js';
+export type {Withdrawal} from './withdrawal.js';
+export type {Withdrawals} from './withdrawals.js';
+export {isWithdrawn} from './is-withdrawn.js';
+export {mutateWithdrawals} from './mutate-withdrawals.js';
+export {mutateRestoredWithdrawals} from './mutate-restored-withdrawals.js';
--- a/packages/discovery/src/mutate-departure.ts
+++ b/packages/discovery/src/mutate-departure.ts
@@ -27,14 +27,14 @@
 
 /**
  * Applies the departure of a run of an upstream. The run is never restored; the upstream may start again as another run. A departure without
- * a start time applies to the newest known run. Returns the run's previous entry; undefined if the run was unknown.
+ * a start time applies to the newest known run. Returns the departed run.
  */
-export const mutateDeparture = (directory: Directory, {instanceId, bornAt}: Run, now: number): Upstream | undefined => {
+export const mutateDeparture = (directory: Directory, {instanceId, bornAt}: Run, now: number): Upstream => {
 	const newest = getNewestRun(directory, instanceId);
 	const run = {instanceId, bornAt: bornAt === 0 ? newest?.bornAt ?? 0 : bornAt};
 	const known = directory.entries.get(getRunId(run))?.upstream;
-	const upstream = {...(known ?? newUnknownUpstream(run)), state: UPSTREAM_STATE.Gone};
+	const upstream: Upstream = {...(known ?? newUnknownUpstream(run)), state: UPSTREAM_STATE.Gone};
 	mutateEntry(directory, upstream, now);
 	directory.entries.get(upstream.id)!.isReplaced = false;
-	return known;
+	return upstream;
 };
--- a/packages/discovery/src/mutate-directory-copy.ts
+++ b/packages/discovery/src/mutate-directory-copy.ts
@@ -11,8 +11,10 @@
  * they are removed as unconfirmed.
  */
 const mutateReplaced = (copy: DirectoryCopy, next: Upstream): void => {
+	// A draining run that a new leader has from an earlier term may have given its address to another upstream since.
+	const isAddressTaken = next.state === UPSTREAM_STATE.Ready;
 	for (const [id, {upstream, unconfirmedSince}] of copy.upstreams) {
-		const hadSameAddress = upstream.address === next.address && unconfirmedSince !== undefined;
+		const hadSameAddress = isAddressTaken && upstream.address === next.address && unconfirmedSince !== undefined;
 		if (id !== next.id && (hadSameAddress || isOlderRun(upstream, next))) {
 			copy.upstreams.delete(id);
 		}
@@ -39,8 +41,11 @@
 	const known = copy.upstreams.get(upstream.id)?.upstream;
 	const isOlder = known !== undefined && upstream.sequence < known.sequence;
 	const isLeaving = known?.state === UPSTREAM_STATE.Draining && upstream.state === UPSTREAM_STATE.Ready;
+	const newest = isOlder || isLeaving ? known : upstream;
 	mutateReplaced(copy, upstream);
-	copy.upstreams.set(upstream.id, {upstream: isOlder || isLeaving ? known : upstream, unconfirmedSince: undefined});
+	copy.upstreams.set(upstream.id, {
+		upstream: upstream.state === UPSTREAM_STATE.Draining ? {...newest, state: UPSTREAM_STATE.Draining} : newest, unconfirmedSince: undefined,
+	});
 	return true;
 };
 
--- a/packages/discovery/src/mutate-silent-upstreams.ts
+++ b/packages/discovery/src/mutate-silent-upstreams.ts
@@ -1,11 +1,9 @@
+import {DEPARTURE_RETENTION_MS} from './departure-retention-ms.js';
 import {UPSTREAM_STATE} from './upstream-state.js';
 import {mutateEntry} from './mutate-entry.js';
 import type {Directory} from './directory.js';
 import type {Upstream} from './upstream.js';
 
-/** Entries of gone and silent upstreams are kept for this long, in milliseconds, so that delayed announcements do not restore departed runs. */
-const GONE_RETENTION_MS = 60_000;
-
 /**
  * Marks upstreams as silent whose last announcement is older than `silenceMs`, and returns them. Removes old entries of gone and silent
  * upstreams.
@@ -15,7 +13,7 @@
 	for (const [id, {upstream, announcedAt}] of directory.entries) {
 		const isUsable = upstream.state === UPSTREAM_STATE.Ready || upstream.state === UPSTREAM_STATE.Draining;
 		const silentMs = now - announcedAt;
-		if (!isUsable && silentMs > GONE_RETENTION_MS) {
+		if (!isUsable && silentMs > DEPARTURE_RETENTION_MS) {
 			directory.entries.delete(id);
 			if (directory.newestRuns.get(upstream.instanceId) === id) {
 				directory.newestRuns.delete(upstream.instanceId);
--- a/packages/discovery/tests/discovery.feature
+++ b/packages/discovery/tests/discovery.feature
@@ -123,3 +123,9 @@
   Scenario: Random announcements of several runs leave the newest run in the state of its newest announcement
     When 300 shuffled histories of announcements of several runs are tried
     Then each ends in the state of its newest announcement
+
+  # Guards against a new leader that takes a working upstream away, as another run drained at its address before.
+  Scenario: A drain that a new leader knows from an earlier term leaves other upstreams as they are
+    Given a directory copy with upstreams "a, b" of leader "one"
+    When leader "two" sends an update with the draining upstream "c" at the address of "a"
+    Then the directory copy contains "a, b, c"
--- a/packages/discovery/tests/discovery.steps.ts
+++ b/packages/discovery/tests/discovery.steps.ts
@@ -105,6 +105,10 @@
 	sendChange(this, epoch, true, [newAnnounced(id, UPSTREAM_STATE.Ready, 1, this.copy.upstreams.get(other)!.upstream.address)]);
 });
 
+When('leader {string} sends an update with the draining upstream {string} at the address of {string}', function (this: DiscoveryWorld, epoch: string, id: string, other: string) {
+	sendChange(this, epoch, true, [newAnnounced(id, UPSTREAM_STATE.Draining, 1, this.copy.upstreams.get(other)!.upstream.address)]);
+});
+
 Given('a directory copy with the run of {string} born at {int}', function (this: DiscoveryWorld, instanceId: string, bornAt: number) {
 	this.copy = newDirectoryCopy();
 	this.version = 0;
