Send no two requests with the same id on one connection to an upstream

Cause: a full upstream sent its rejection of the first attempt a second time while the second attempt ran on the same connection. The id is the same for both attempts, so the copy was taken for the answer to the second one. Change: an agent remembers the last 256 ids of each connection. An attempt that is assigned a connection that has carried its id closes it before anything is written and takes another, so that the copy arrives on a closed connection. Requests of different callers with one id are kept apart in the same way.

--- a/apps/valelead-daemon/src/gateway/upstream-agent.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-agent.ts
@@ -6,6 +6,9 @@
 
 const KEEP_ALIVE_PROBE_MS = 1000;
 
+/** Number of requests of a connection whose ids are remembered. An upstream sends an answer a second time in the place of one of the next ones. */
+const MAX_REMEMBERED_IDS = 256;
+
 const destroyOnData = function (this: Socket): void {
 	this.destroy();
 };
@@ -15,6 +18,9 @@
  * would otherwise be read as the response to the next one.
  */
 export class UpstreamAgent extends Agent {
+	/** Ids of the latest requests of each connection, oldest first. */
+	readonly #requestIds = new WeakMap<Socket, Set<string>>();
+
 	/** @param maxConnections - Largest number of open connections; further requests wait for a free one. */
 	constructor(maxConnections: number) {
 		super({
@@ -22,6 +28,25 @@
 		});
 	}
 
+	/**
+	 * Assigns a connection to a request. Returns false if a request with the same id has used the connection: its answer, sent a second time, could not be
+	 * told from the answer to this one.
+	 */
+	assign(socket: Socket, requestId: string): boolean {
+		const ids = this.#requestIds.get(socket) ?? new Set();
+		if (ids.has(requestId)) {
+			return false;
+		}
+
+		this.#requestIds.set(socket, ids.add(requestId));
+		if (ids.size > MAX_REMEMBERED_IDS) {
+			const [oldest] = ids;
+			ids.delete(oldest);
+		}
+
+		return true;
+	}
+
 	override keepSocketAlive(socket: Socket): boolean {
 		// Node's own method returns whether the socket may be kept; the published types say that it returns nothing.
 		const keepAlive = super.keepSocketAlive.bind(this) as unknown as (socket: Socket) => boolean;
--- a/apps/valelead-daemon/src/gateway/upstream-attempt.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-attempt.ts
@@ -26,7 +26,7 @@
 export class UpstreamAttempt implements SentAttempt {
 	readonly #parts: AttemptOptions;
 	readonly #timers: TimerService;
-	readonly #request: ClientRequest;
+	#request: ClientRequest;
 	/** True if bytes of the request may have been sent. */
 	#isSent = false;
 	#isAnswered = false;
@@ -106,7 +106,7 @@
 
 	#send(): ClientRequest {
 		const {
-			address, agent, method, url, headers, body,
+			requestId, address, agent, method, url, headers, body,
 		} = this.#parts;
 		const hasBody = body.length > 0 || !BODYLESS_METHODS.has(method);
 		const request = newHttpRequest({
@@ -118,6 +118,13 @@
 			headers: [...headers, ...(hasBody ? ['content-length', String(body.length)] : [])] as never,
 		});
 		request.on('socket', socket => {
+			if (!agent.assign(socket, requestId)) {
+				// Nothing has been written yet: a request is written after this event.
+				this.#request = this.#send();
+				request.destroy();
+				return;
+			}
+
 			this.#noteReads(socket, request);
 			if (!socket.connecting) {
 				this.#isSent = true;
@@ -135,6 +142,10 @@
 			this.#takeAnswer(answer);
 		});
 		request.on('error', error => {
+			if (request !== this.#request) {
+				return;
+			}
+
 			this.fail(this.#isAnswered ? RESULT_CODE.AnswerCut : RESULT_CODE.UpstreamFailed, error.message, getConnectionState(error));
 		});
 		request.end(body);
--- a/apps/valelead-daemon/tests/send-attempt.ts
+++ b/apps/valelead-daemon/tests/send-attempt.ts
@@ -13,6 +13,9 @@
 };
 
 type AttemptKind = {
+	readonly requestId?: string;
+	/** Names the attempt to the upstream. */
+	readonly attempt?: string;
 	readonly method?: string;
 	readonly body?: Buffer;
 	/** Whether the body of a response is read; false for an attempt that fails because of the head. */
@@ -34,17 +37,17 @@
 
 /** Sends a request, GET unless another method is given, to an upstream at the loopback address, and calls `onOver` with the result. */
 export const sendAttempt = (port: number, agent: UpstreamAgent, onOver: (result: AttemptResult) => void, kind: AttemptKind = {}): UpstreamAttempt => {
-	const {method = 'GET', body = Buffer.alloc(0), isHeadTaken = true} = kind;
+	const {requestId = '1', attempt = '', method = 'GET', body = Buffer.alloc(0), isHeadTaken = true} = kind;
 	const chunks: Buffer[] = [];
 	return new UpstreamAttempt({
-		requestId: '1',
+		requestId,
 		upstreamId: 'u',
 		address: parseAddress(`127.0.0.1:${port}`)!,
 		agent,
 		codec: CODEC,
 		method,
 		url: '/',
-		headers: ['host', 'a'],
+		headers: ['host', 'a', 'id', requestId, 'attempt', attempt],
 		body,
 		startedAt: 0,
 		events: {
