Keep a drain when the draining upstream falls silent

Cause: one field holds what an upstream declares and what is observed of it. Silent replaced draining, and silent upstreams are offered. Change: the states are a chart that the leader's directory and the followers' copies share. Nothing leads back from draining or gone, so no observation can undo a declaration on either side; a run that is marked as replaced keeps its declared state.

--- a/apps/valelead-daemon/src/control/upstream-registry.ts
+++ b/apps/valelead-daemon/src/control/upstream-registry.ts
@@ -78,12 +78,13 @@
 		this.#mutateDirectory(() => {
 			mutateAnnouncement(this.#directory, {...upstream, keeperAddress}, this.#parts.clock.now());
 		});
-		if (keeperAddress !== '' && this.#directory.version !== version) {
-			this.#parts.onEngineModels({...upstream, keeperAddress});
+		const listed = this.#directory.entries.get(upstream.id)?.upstream;
+		if (listed && keeperAddress !== '' && this.#directory.version !== version) {
+			this.#parts.onEngineModels(listed);
 		}
 
-		if (known?.state !== upstream.state) {
-			this.#log(upstream, upstream.state);
+		if (listed && listed.state !== known?.state) {
+			this.#log(listed, listed.state);
 		}
 	}
 
--- a/packages/discovery/src/directory-entry.ts
+++ b/packages/discovery/src/directory-entry.ts
@@ -1,3 +1,4 @@
+import type {UpstreamStateValue} from './upstream-state-value.js';
 import type {Upstream} from './upstream.js';
 
 /** An upstream in the leader's directory, with the state that the leader tracks for it. */
@@ -9,6 +10,9 @@
 	version: number;
 	/** The directory's version at the last change of the upstream's copies on disk. */
 	diskCopiesVersion: number;
-	/** True if the run counts as gone only because a newer run of the upstream, or another upstream at its address, announced itself. */
-	isReplaced: boolean;
+	/**
+	 * The state before the run was marked as gone because a newer run of the upstream, or another upstream at its address, announced itself; undefined if the run
+	 * is not replaced.
+	 */
+	replacedState: UpstreamStateValue | undefined;
 };
--- a/packages/discovery/src/mutate-announcement.ts
+++ b/packages/discovery/src/mutate-announcement.ts
@@ -1,5 +1,6 @@
 import {UPSTREAM_STATE} from './upstream-state.js';
 import {getNewestRun} from './get-newest-run.js';
+import {getStateAfter} from './get-state-after.js';
 import {isOlderRun} from './is-older-run.js';
 import {mutateEntry} from './mutate-entry.js';
 import type {Directory} from './directory.js';
@@ -22,11 +23,10 @@
 		return;
 	}
 
-	const hasLeft = known.upstream.state === UPSTREAM_STATE.Gone && !known.isReplaced;
-	if (upstream.sequence <= known.upstream.sequence || hasLeft) {
+	const declared = known.replacedState ?? known.upstream.state;
+	if (upstream.sequence <= known.upstream.sequence || declared === UPSTREAM_STATE.Gone) {
 		return;
 	}
 
-	const isLeaving = known.upstream.state === UPSTREAM_STATE.Draining;
-	mutateEntry(directory, isLeaving ? {...upstream, state: UPSTREAM_STATE.Draining} : upstream, now);
+	mutateEntry(directory, {...upstream, state: getStateAfter(declared, upstream.state)}, now);
 };
--- a/packages/discovery/src/mutate-departure.ts
+++ b/packages/discovery/src/mutate-departure.ts
@@ -35,6 +35,6 @@
 	const known = directory.entries.get(getRunId(run))?.upstream;
 	const upstream: Upstream = {...(known ?? newUnknownUpstream(run)), state: UPSTREAM_STATE.Gone};
 	mutateEntry(directory, upstream, now);
-	directory.entries.get(upstream.id)!.isReplaced = false;
+	directory.entries.get(upstream.id)!.replacedState = undefined;
 	return upstream;
 };
--- a/packages/discovery/src/mutate-directory-copy.ts
+++ b/packages/discovery/src/mutate-directory-copy.ts
@@ -1,4 +1,5 @@
 import {UPSTREAM_STATE} from './upstream-state.js';
+import {getStateAfter} from './get-state-after.js';
 import {isOlderRun} from './is-older-run.js';
 import type {DirectoryChange} from './directory-change.js';
 import type {DirectoryCopy} from './directory-copy.js';
@@ -28,6 +29,16 @@
 const getCompleteUpstream = (copy: DirectoryCopy, {areDiskCopiesUnchanged, ...upstream}: UpstreamChange): Upstream =>
 	areDiskCopiesUnchanged ? {...upstream, copiesOnDisk: copy.upstreams.get(upstream.id)?.upstream.copiesOnDisk ?? []} : upstream;
 
+/** Returns the newer of two descriptions of a run, in a state that regards both. */
+const getNewer = (known: Upstream, next: Upstream): Upstream => {
+	const isOlder = next.sequence < known.sequence;
+	if (isOlder && next.state !== UPSTREAM_STATE.Draining) {
+		return known;
+	}
+
+	return {...(isOlder ? known : next), state: getStateAfter(known.state, next.state)};
+};
+
 const mutateUpstream = (copy: DirectoryCopy, change: UpstreamChange): boolean => {
 	const upstream = getCompleteUpstream(copy, change);
 	if (upstream.state === UPSTREAM_STATE.Gone) {
@@ -39,13 +50,8 @@
 	}
 
 	const known = copy.upstreams.get(upstream.id)?.upstream;
-	const isOlder = known !== undefined && upstream.sequence < known.sequence;
-	const isLeaving = known?.state === UPSTREAM_STATE.Draining && upstream.state === UPSTREAM_STATE.Ready;
-	const newest = isOlder || isLeaving ? known : upstream;
 	mutateReplaced(copy, upstream);
-	copy.upstreams.set(upstream.id, {
-		upstream: upstream.state === UPSTREAM_STATE.Draining ? {...newest, state: UPSTREAM_STATE.Draining} : newest, unconfirmedSince: undefined,
-	});
+	copy.upstreams.set(upstream.id, {upstream: known ? getNewer(known, upstream) : upstream, unconfirmedSince: undefined});
 	return true;
 };
 
--- a/packages/discovery/src/mutate-entry.ts
+++ b/packages/discovery/src/mutate-entry.ts
@@ -13,9 +13,9 @@
 		if (isReplacedBy(entry.upstream, next)) {
 			directory.version += 1;
 			directory.urgentVersion = directory.version;
+			entry.replacedState = entry.upstream.state;
 			entry.upstream = {...entry.upstream, state: UPSTREAM_STATE.Gone};
 			entry.version = directory.version;
-			entry.isReplaced = true;
 		}
 	}
 };
--- a/packages/discovery/src/mutate-stored-entry.ts
+++ b/packages/discovery/src/mutate-stored-entry.ts
@@ -36,6 +36,6 @@
 	mutateNewestRun(directory, upstream);
 	const hasSameDiskCopies = known !== undefined && JSON.stringify(known.upstream.copiesOnDisk) === JSON.stringify(upstream.copiesOnDisk);
 	directory.entries.set(upstream.id, {
-		upstream, announcedAt: now, version: directory.version, diskCopiesVersion: hasSameDiskCopies ? known.diskCopiesVersion : directory.version, isReplaced: false,
+		upstream, announcedAt: now, version: directory.version, diskCopiesVersion: hasSameDiskCopies ? known.diskCopiesVersion : directory.version, replacedState: undefined,
 	});
 };
--- a/packages/discovery/tests/discovery.feature
+++ b/packages/discovery/tests/discovery.feature
@@ -129,3 +129,27 @@
     Given a directory copy with upstreams "a, b" of leader "one"
     When leader "two" sends an update with the draining upstream "c" at the address of "a"
     Then the directory copy contains "a, b, c"
+
+  # Guards against an observation that erases a declaration: a draining upstream that fell silent was used again.
+  Scenario Outline: The leader and a follower keep what an upstream has declared: <before>, then <event>
+    Given upstream "a" at "10.0.0.1:80" announced itself as "ready" with sequence 5
+    And a directory copy that follows the directory
+    When upstream "a" is <before>
+    And upstream "a" is <event>
+    Then upstream "a" is "<after>" in the directory and "<copied>" in the copy
+
+    Examples:
+      | before   | event                     | after    | copied   |
+      | ready    | silent                    | silent   | silent   |
+      | ready    | draining                  | draining | draining |
+      | ready    | gone                      | gone     | unknown  |
+      | silent   | ready                     | ready    | ready    |
+      | silent   | draining                  | draining | draining |
+      | silent   | gone                      | gone     | unknown  |
+      | draining | ready                     | draining | draining |
+      | draining | silent                    | draining | draining |
+      | draining | replaced and then ready   | draining | draining |
+      | draining | gone                      | gone     | unknown  |
+      | gone     | ready                     | gone     | unknown  |
+      | gone     | silent                    | gone     | unknown  |
+      | gone     | draining                  | gone     | unknown  |
--- a/packages/discovery/tests/discovery.steps.ts
+++ b/packages/discovery/tests/discovery.steps.ts
@@ -93,6 +93,50 @@
 	sendChange(this, epoch, true, newReady(ids));
 });
 
+Given('a directory copy that follows the directory', function (this: DiscoveryWorld) {
+	this.copy = newDirectoryCopy();
+});
+
+const follow = ({copy, directory}: DiscoveryWorld): void => {
+	const {version} = directory!;
+	mutateDirectoryCopy(copy, {
+		epoch: 'one', version, isWhole: copy.version === 0, upstreams: getChangesSince(directory!, copy.version),
+	}, 0);
+};
+
+/** Returns the sequence of the next announcement of an upstream. */
+const getNextSequence = ({directory}: DiscoveryWorld, id: string): number => directory!.entries.get(id)!.upstream.sequence + 1;
+
+const EVENTS: Readonly<Record<string, (world: DiscoveryWorld, id: string) => void>> = {
+	ready(world, id) {
+		announce(world, id, UPSTREAM_STATE.Ready, getNextSequence(world, id));
+	},
+	draining(world, id) {
+		announce(world, id, UPSTREAM_STATE.Draining, getNextSequence(world, id));
+	},
+	silent({directory}) {
+		mutateSilentUpstreams(directory!, SILENCE_MS, SILENCE_MS + 1);
+	},
+	gone({directory}, id) {
+		mutateDeparture(directory!, {instanceId: id, bornAt: 0}, 0);
+	},
+	'replaced and then ready'(world, id) {
+		world.addresses.set('other', world.addresses.get(id)!);
+		announce(world, 'other', UPSTREAM_STATE.Ready, 1);
+		announce(world, id, UPSTREAM_STATE.Ready, getNextSequence(world, id));
+	},
+};
+
+When(/^upstream "(.*)" is (ready|draining|silent|gone|replaced and then ready)$/, function (this: DiscoveryWorld, id: string, event: string) {
+	EVENTS[event](this, id);
+	follow(this);
+});
+
+Then('upstream {string} is {string} in the directory and {string} in the copy', function (this: DiscoveryWorld, id: string, state: string, copied: string) {
+	assert.equal(this.directory!.entries.get(id)?.upstream.state, state);
+	assert.equal(this.copy.upstreams.get(id)?.upstream.state ?? 'unknown', copied);
+});
+
 When('leader {string} sends a complete update with upstreams {string}', function (this: DiscoveryWorld, epoch: string, ids: string) {
 	sendChange(this, epoch, true, newReady(ids));
 });
