Form the first quorum after a first start that was disturbed

Cause: the settings allow a quorum to be formed in the first process only, and nothing on the disks told that it never was. Change: the identity of a voter names the controllers of the first settings. Later these form the quorum if the settings name the same ones, all are reached, none belongs to a quorum and all that vote have kept their identities. A lost disk gives a new identity without these names, so no second quorum can be formed where one may have been.

--- a/apps/valelead-daemon/src/control/controller-peers.ts
+++ b/apps/valelead-daemon/src/control/controller-peers.ts
@@ -28,11 +28,12 @@
 /** Maximum rounds of join calls: to the known leader, to the controllers of the settings and those they know, and to the leader named by these. */
 const MAX_JOIN_ROUNDS = 3;
 
-const toFoundVoter = ({address, reply: {id, vm, isFormed, isStandby, proposal, formation}}: IdentifiedPeer): DiscoveredVoter => ({
+const toFoundVoter = ({address, reply: {id, vm, isFormed, isStandby, isFounder, proposal, formation}}: IdentifiedPeer): DiscoveredVoter => ({
 	voter: {
 		id, vm, address, isLearner: false,
 	},
 	canVote: !isStandby,
+	isFounder,
 	isFormed,
 	proposal,
 	formation,
--- a/apps/valelead-daemon/src/control/new-consensus-service.ts
+++ b/apps/valelead-daemon/src/control/new-consensus-service.ts
@@ -33,7 +33,7 @@
 		const isFormed = voter.node !== undefined;
 		const voterAddresses = (voter.node?.voters ?? []).map(({address}) => address);
 		reply(null, create(IdentifyReplySchema, {
-			id, vm, formation, isFormed, leaderAddress: getLeaderAddress(voter), voterAddresses, proposal: [...voter.proposal],
+			id, vm, formation, isFormed, leaderAddress: getLeaderAddress(voter), voterAddresses, proposal: [...voter.proposal], isFounder: voter.isFounder,
 		}));
 	},
 	async join(call: ServerUnaryCall<JoinRequest, unknown>, reply: sendUnaryData<unknown>) {
--- a/apps/valelead-daemon/src/control/voter.ts
+++ b/apps/valelead-daemon/src/control/voter.ts
@@ -5,7 +5,7 @@
 	type TimerService, RESULT_CODE, SYSTEM_CLOCK, SYSTEM_SUSPENSIONS, ValeleadError, assertNever,
 } from '@valelead/common';
 import {
-	type FormationDecision, type DiscoveredVoter, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormationDecision,
+	type FormationDecision, type StoredLog, type Voter as VoterRecord, ConsensusNode, FileStorage, getFormationDecision, isFormationAllowed,
 } from '@valelead/consensus';
 import type {Upstream} from '@valelead/discovery';
 import type {ChannelPool} from '@valelead/protocol';
@@ -37,6 +37,8 @@
 type Identity = {
 	readonly id: string;
 	readonly vm: string;
+	/** Addresses of the controllers in the settings of the installation's first start; missing if the identity was made later or by an earlier build. */
+	readonly founders?: readonly string[];
 };
 
 /** A change of the replicated state that is carried by an entry without claim commands. */
@@ -119,6 +121,11 @@
 		};
 	}
 
+	/** True if the settings of the installation's first start named this voter, and it has kept its disk since. */
+	get isFounder(): boolean {
+		return this.#founders.includes(this.#parts.settings.listen);
+	}
+
 	/** Ids of the voters with which this one would form a quorum, while it belongs to none. */
 	get proposal(): readonly string[] {
 		return this.#proposal;
@@ -257,9 +264,11 @@
 			}
 		}
 
-		const identity = {id: randomUUID(), vm: this.#parts.vm};
+		const {vm, mayForm} = this.#parts;
+		// The settings allow to form a quorum at the first start only. If the process ends before the quorum has formed, the identity still allows it.
+		const identity: Identity = {id: randomUUID(), vm, ...(mayForm !== false && {founders: this.#peers.configured})};
 		await writeSynced(file, JSON.stringify(identity));
-		this.#parts.logger.info({event: 'identity-made', voterId: identity.id, mayForm: this.#parts.mayForm !== false}, 'the data folder was empty; the voter starts with a new identity');
+		this.#parts.logger.info({event: 'identity-made', voterId: identity.id, mayForm: mayForm !== false}, 'the data folder was empty; the voter starts with a new identity');
 		return identity;
 	}
 
@@ -294,7 +303,14 @@
 		while (!this.#node && !this.#isStopped) {
 			const peers = await this.#peers.findVoters();
 			const decision = getFormationDecision(this.record, this.#peers.configured.length, peers);
-			if (decision.kind !== 'wait' && this.#isAllowed(decision, peers)) {
+			const isAllowed = isFormationAllowed(decision, {
+				peers,
+				isFirstStart: this.#parts.mayForm !== false,
+				configured: this.#peers.configured,
+				founders: this.#founders,
+				address: this.#parts.settings.listen,
+			});
+			if (decision.kind !== 'wait' && isAllowed) {
 				const voters = decision.kind === 'form' ? decision.voters : [];
 				const stored: StoredLog = {
 					...this.#identity!,
@@ -314,13 +330,7 @@
 		}
 	}
 
-	/** True if the decision may be carried out: a new quorum is formed only by configured voters and only at the first start of the installation. */
-	#isAllowed(decision: FormationDecision, peers: readonly DiscoveredVoter[]): boolean {
-		if (decision.kind === 'join' || peers.some(peer => peer.isFormed)) {
-			return true;
-		}
-
-		const {mayForm, settings} = this.#parts;
-		return mayForm !== false && this.#peers.configured.includes(settings.listen);
+	get #founders(): readonly string[] {
+		return this.#identity?.founders ?? [];
 	}
 }
--- a/packages/consensus/src/discovered-voter.ts
+++ b/packages/consensus/src/discovered-voter.ts
@@ -5,6 +5,8 @@
 	readonly voter: Voter;
 	/** False if the controller has no disk; such a controller never has a vote. */
 	readonly canVote: boolean;
+	/** True if the settings of the first start of the installation named the peer, and it has kept its disk since. */
+	readonly isFounder: boolean;
 	/** True if the peer belongs to a quorum. */
 	readonly isFormed: boolean;
 	/** Ids of the voters with which the peer would form a quorum, as long as it belongs to none. */
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -26,6 +26,7 @@
 export {ConsensusNode} from './consensus-node.js';
 export type {DiscoveredVoter} from './discovered-voter.js';
 export {getFormationDecision} from './get-formation-decision.js';
+export {isFormationAllowed} from './is-formation-allowed.js';
 export type {FormationDecision} from './formation-decision.js';
 export {getNextMembership} from './get-next-membership.js';
 export {getVotersWithoutSilent} from './get-voters-without-silent.js';
--- a/packages/consensus/tests/fake-formation.ts
+++ b/packages/consensus/tests/fake-formation.ts
@@ -16,7 +16,7 @@
 	const {snapshot, voters} = voter.state;
 	const formation = snapshot.voters.length > 0 ? snapshot.voters : voters;
 	return {
-		voter: voter.record, canVote: true, isFormed: voter.isFormed, proposal, formation: voter.isFormed ? formation : [],
+		voter: voter.record, canVote: true, isFounder: true, isFormed: voter.isFormed, proposal, formation: voter.isFormed ? formation : [],
 	};
 };
 
--- a/packages/consensus/tests/node.steps.ts
+++ b/packages/consensus/tests/node.steps.ts
@@ -161,13 +161,13 @@
 	const formation = split(counted).map(id => newVoter(id));
 	const peers: DiscoveredVoter[] = [
 		...split(standbys).map(id => ({
-			voter: newVoter(id), canVote: false, isFormed: false, proposal: [], formation: [],
+			voter: newVoter(id), canVote: false, isFounder: false, isFormed: false, proposal: [], formation: [],
 		})),
 		...split(voters).map(id => ({
-			voter: newVoter(id), canVote: true, isFormed: false, proposal: split(proposed), formation: [],
+			voter: newVoter(id), canVote: true, isFounder: true, isFormed: false, proposal: split(proposed), formation: [],
 		})),
 		...split(formed).map(id => ({
-			voter: newVoter(id), canVote: true, isFormed: true, proposal: [], formation,
+			voter: newVoter(id), canVote: true, isFounder: true, isFormed: true, proposal: [], formation,
 		})),
 	];
 	this.decision = getFormationDecision(this.self, this.named, peers);
