--- a/apps/valelead-daemon/src/body-reading.ts
+++ b/apps/valelead-daemon/src/body-reading.ts
@@ -10,11 +10,8 @@
 	readonly #joined: Buffer[] = [];
 	#chunks: Buffer[] = [];
 
-	/**
-	 * @param endsAt - When the body must be complete, in monotonic milliseconds.
-	 * @param fail - Ends the reading with an error.
-	 */
-	constructor(readonly endsAt: number, readonly fail: (error: Error) => void) {}
+	/** @param fail - Ends the reading with an error. */
+	constructor(readonly fail: (error: Error) => void) {}
 
 	/** The memory that the chunks occupy, in bytes. */
 	get heldBytes(): number {
--- a/apps/valelead-daemon/src/caller-bodies.ts
+++ b/apps/valelead-daemon/src/caller-bodies.ts
@@ -20,8 +20,6 @@
 	readonly endsAt: number;
 };
 
-const TICK_MS = 250;
-
 /** The Retry-After time of requests that are refused for want of memory, in milliseconds. */
 const RETRY_AFTER_MS = 1000;
 
@@ -33,13 +31,12 @@
 	readonly #reading = new Set<BodyReading>();
 	#heldBytes = 0;
 	readonly #clock: Clock;
+	readonly #timers: TimerService;
 
 	constructor({maxTotalBytes, clock, timers}: BodiesParts) {
 		this.#maxTotalBytes = maxTotalBytes;
 		this.#clock = clock;
-		timers.repeat(TICK_MS, () => {
-			this.#endOverdue();
-		});
+		this.#timers = timers;
 	}
 
 	/** The memory of all bodies, complete or not, in bytes. */
@@ -53,7 +50,11 @@
 	 */
 	async read(message: IncomingMessage, {maxBytes, endsAt}: BodyTerms): Promise<HeldBody> {
 		return new Promise((resolve, reject) => {
-			const reading = new BodyReading(endsAt, error => {
+			const overdue = this.#timers.after(endsAt - this.#clock.now(), () => {
+				reading.fail(newError(RESULT_CODE.WaitTooLong, 'The body was not complete within the time of the request'));
+			});
+			const reading = new BodyReading(error => {
+				overdue.cancel();
 				this.#forget(reading);
 				message.off('data', add);
 				reject(error);
@@ -73,6 +74,7 @@
 			message.on('data', add);
 			message.once('end', () => {
 				if (this.#reading.has(reading)) {
+					overdue.cancel();
 					resolve(this.#complete(reading));
 				}
 			});
@@ -116,13 +118,4 @@
 
 		largest?.fail(newError(RESULT_CODE.QueueFull, 'The bodies of all requests exceed the memory for them', RETRY_AFTER_MS));
 	}
-
-	#endOverdue(): void {
-		const now = this.#clock.now();
-		for (const reading of this.#reading) {
-			if (now >= reading.endsAt) {
-				reading.fail(newError(RESULT_CODE.WaitTooLong, 'The body was not complete within the time of the request'));
-			}
-		}
-	}
 }
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -33,6 +33,7 @@
 export {HeldResponses} from './gateway/held-responses.js';
 export {Metrics} from './metrics/metrics.js';
 export {WaitRecorder} from './gateway/wait-recorder.js';
+export {CallerBodies} from './caller-bodies.js';
 export {CallerConnections} from './caller-connections.js';
 export {CallerErrors} from './gateway/caller-errors.js';
 export {HttpResponseWriter} from './gateway/http-response-writer.js';
