Bound the remembered request ids of connections, and refuse departures at leaders without the log

By reading the diff: callers choose the ids of their requests and may send ids of many kilobytes, which each connection kept 256 times. A connection now keeps 64, and hashes of long ones. A departure that reached a new leader before it had applied the log could be overwritten by a recorded drain of the same run; it is refused until then, as announcements are (no test notices this: both states get no request). `isWithdrawn` told whether the withdrawal is recorded, and is named so.

--- a/apps/valelead-daemon/src/control/upstream-registry.ts
+++ b/apps/valelead-daemon/src/control/upstream-registry.ts
@@ -68,10 +68,7 @@
 	 */
 	announce(upstream: Upstream): void {
 		const known = this.directory.entries.get(upstream.id)?.upstream;
-		if (!this.#isRestored) {
-			throw new ValeleadError('This voter cannot be sure which upstreams have departed', {code: RESULT_CODE.NotLeader});
-		}
-
+		this.#requireRestored();
 		this.#checkAnnouncement(upstream, known);
 		const {version} = this.#directory;
 		const keeperAddress = this.#managerAddresses.get(upstream.address) ?? '';
@@ -100,14 +97,24 @@
 		});
 	}
 
-	/** Removes a run from the directory. Returns the run as it has departed. */
+	/**
+	 * Removes a run from the directory. Returns the run as it has departed.
+	 * @throws ValeleadError with NotLeader if this voter cannot tell yet which upstreams have departed: the run may be recorded as draining.
+	 */
 	depart(run: Run): Upstream {
 		this.#checkTerm();
+		this.#requireRestored();
 		const departed = this.#mutateDirectory(() => mutateDeparture(this.#directory, run, this.#parts.clock.now()));
 		this.#log(departed, departed.state);
 		return departed;
 	}
 
+	#requireRestored(): void {
+		if (!this.#isRestored) {
+			throw new ValeleadError('This voter cannot be sure which upstreams have departed', {code: RESULT_CODE.NotLeader});
+		}
+	}
+
 	#checkAnnouncement(upstream: Upstream, known: Upstream | undefined): void {
 		const isRouted = this.#parts.getServices()?.has(upstream.service) ?? true;
 		if (!isRouted && known?.service !== upstream.service) {
--- a/apps/valelead-daemon/src/control/withdrawal-recorder.ts
+++ b/apps/valelead-daemon/src/control/withdrawal-recorder.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@valelead/common';
-import {type Upstream, isWithdrawn} from '@valelead/discovery';
+import {type Upstream, isWithdrawalRecorded} from '@valelead/discovery';
 import type {Logger} from 'pino';
 import type {WithdrawalLog} from './withdrawal-log.js';
 
@@ -23,7 +23,7 @@
 	/** Resolves once the declared state of a run is in the replicated log. */
 	async record(upstream: Upstream): Promise<void> {
 		const {voter, clock, logger} = this.#parts;
-		if (voter.node?.canRead && isWithdrawn(voter.machine.withdrawals, upstream, clock.wallNow())) {
+		if (voter.node?.canRead && isWithdrawalRecorded(voter.machine.withdrawals, upstream, clock.wallNow())) {
 			return;
 		}
 
--- a/apps/valelead-daemon/src/gateway/upstream-agent.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-agent.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {type ClientRequest, Agent} from 'node:http';
 import type {Socket} from 'node:net';
 
@@ -7,7 +8,12 @@
 const KEEP_ALIVE_PROBE_MS = 1000;
 
 /** Number of requests of a connection whose ids are remembered. An upstream sends an answer a second time in the place of one of the next ones. */
-const MAX_REMEMBERED_IDS = 256;
+const MAX_REMEMBERED_IDS = 64;
+
+/** Longer ids are remembered by their hash, as callers may send ids of many kilobytes. In characters. */
+const MAX_ID_LENGTH = 64;
+
+const getIdKey = (requestId: string): string => requestId.length > MAX_ID_LENGTH ? createHash('sha256').update(requestId).digest('base64') : requestId;
 
 const destroyOnData = function (this: Socket): void {
 	this.destroy();
@@ -18,7 +24,7 @@
  * would otherwise be read as the response to the next one.
  */
 export class UpstreamAgent extends Agent {
-	/** Ids of the latest requests of each connection, oldest first. */
+	/** Keys of the ids of the latest requests of each connection, oldest first. */
 	readonly #requestIds = new WeakMap<Socket, Set<string>>();
 
 	/** @param maxConnections - Largest number of open connections; further requests wait for a free one. */
@@ -33,12 +39,13 @@
 	 * told from the answer to this one.
 	 */
 	assign(socket: Socket, requestId: string): boolean {
+		const key = getIdKey(requestId);
 		const ids = this.#requestIds.get(socket) ?? new Set();
-		if (ids.has(requestId)) {
+		if (ids.has(key)) {
 			return false;
 		}
 
-		this.#requestIds.set(socket, ids.add(requestId));
+		this.#requestIds.set(socket, ids.add(key));
 		if (ids.size > MAX_REMEMBERED_IDS) {
 			const [oldest] = ids;
 			ids.delete(oldest);
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -22,6 +22,6 @@
 export {mutateUnconfirmedUpstreams} from './mutate-unconfirmed-upstreams.js';
 export type {Withdrawal} from './withdrawal.js';
 export type {Withdrawals} from './withdrawals.js';
-export {isWithdrawn} from './is-withdrawn.js';
+export {isWithdrawalRecorded} from './is-withdrawal-recorded.js';
 export {mutateWithdrawals} from './mutate-withdrawals.js';
 export {mutateRestoredWithdrawals} from './mutate-restored-withdrawals.js';
--- a/packages/discovery/src/is-withdrawn.ts
+++ b/packages/discovery/src/is-withdrawal-recorded.ts
@@ -7,7 +7,7 @@
 const REFRESH_MS = DEPARTURE_RETENTION_MS / 2;
 
 /** Returns true if the declared state of a run is recorded and need not be recorded again yet. */
-export const isWithdrawn = (withdrawals: Withdrawals, {id, state}: Upstream, wallNow: number): boolean => {
+export const isWithdrawalRecorded = (withdrawals: Withdrawals, {id, state}: Upstream, wallNow: number): boolean => {
 	const known = withdrawals.get(id);
 	const isDeclared = known !== undefined && (known.upstream.state === state || known.upstream.state === UPSTREAM_STATE.Gone);
 	return isDeclared && wallNow - known.at < REFRESH_MS;
