Export only the stand-in from the file of the upstream that answers twice

Nothing else uses the type of its decisions, and a file has one export. Found by reading the whole change again; behaviour and checks are as they were.

--- a/apps/valelead-daemon/tests/twofold-upstream.ts
+++ b/apps/valelead-daemon/tests/twofold-upstream.ts
@@ -3,7 +3,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 
 /** What an upstream decides about a request that has arrived. */
-export type Verdict = {
+type Verdict = {
 	readonly isRejected: boolean;
 	/** Whether the previous answer of the connection is sent once more, before the request is answered. */
 	readonly isPreviousRepeated: boolean;
