Log what was known of an attempt that was given up

An attempt that an upstream did not answer in time left only attempt-failed, which has neither the deadline that the upstream was given nor how long the upstream had been silent. No decision is changed.

--- a/apps/valelead-daemon/src/gateway/active-attempts.ts
+++ b/apps/valelead-daemon/src/gateway/active-attempts.ts
@@ -6,10 +6,13 @@
 import type {Upstream} from '@valelead/discovery';
 import {ROUTE_KIND, isRepeatable} from '@valelead/routing';
 import type {CallerCodec} from '../adapter/caller-codec.js';
+import {ABANDONED_EVENT} from './abandoned-event.js';
 import {ResponseForwarder} from './response-forwarder.js';
 import {getAttemptTimeout} from './get-attempt-timeout.js';
 import {mutateChunkTimes} from './mutate-chunk-times.js';
 import {newAttemptFailure} from './new-attempt-failure.js';
+import type {AbandonedEventValue} from './abandoned-event-value.js';
+import type {DispatchLog} from './dispatch-log.js';
 import type {ResponseHead} from './response-head.js';
 import type {AttemptFailure} from './attempt-failure.js';
 import type {AttemptOptions} from './attempt-options.js';
@@ -20,6 +23,7 @@
 type AttemptsParts = {
 	readonly codec: CallerCodec;
 	readonly clock: Clock;
+	readonly log: Pick<DispatchLog, 'logAbandoned'>;
 	/** Starts an attempt, which sends the request to the upstream. */
 	readonly newAttempt: (terms: AttemptOptions) => SentAttempt;
 	/** Returns the connection pool of an upstream. */
@@ -28,6 +32,8 @@
 	readonly isRetryAllowed: (attempt: {readonly requestId: string; readonly attemptId: string; readonly code: ResultCodeValue}) => boolean;
 	/** Returns true if an upstream still announces itself or has responded recently. */
 	readonly isResponsive: (upstreamId: string) => boolean;
+	/** Returns the time since an upstream last sent a response head or the end of a response, in milliseconds; undefined if it never did. */
+	readonly getSilentMs: (upstreamId: string) => number | undefined;
 	/** Called for each response head and each complete response of an upstream, whatever the status. */
 	readonly onAnswer: (upstreamId: string) => void;
 	/**
@@ -55,6 +61,12 @@
 	readonly remainingMs: number;
 };
 
+type TrackedAttempt = {
+	readonly attempt: SentAttempt;
+	/** The deadline that the upstream was given, in milliseconds from the start of the attempt. */
+	readonly deadlineMs: number;
+};
+
 const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_SERVER_ERROR = 500;
@@ -70,7 +82,7 @@
 /** Tracks the attempts of a gateway that are in progress and forwards their responses to the callers. */
 export class ActiveAttempts {
 	readonly #parts: AttemptsParts;
-	readonly #sent = new Map<string, SentAttempt>();
+	readonly #sent = new Map<string, TrackedAttempt>();
 	readonly #pipes = new Map<string, ResponseForwarder>();
 
 	constructor(parts: AttemptsParts) {
@@ -88,14 +100,14 @@
 			return;
 		}
 
-		this.#sent.set(sending.attemptId, attempt);
+		this.#sent.set(sending.attemptId, {attempt, deadlineMs: sending.remainingMs});
 	}
 
 	/** Cancels an attempt at its upstream without calling `onFailed`. */
 	cancel(attemptId: string): void {
-		const attempt = this.#sent.get(attemptId);
-		if (attempt) {
-			this.#cancel(attempt);
+		const tracked = this.#sent.get(attemptId);
+		if (tracked) {
+			this.#cancel(tracked);
 		}
 
 		this.#forget(attemptId);
@@ -103,8 +115,8 @@
 
 	/** Cancels all attempts at their upstreams. */
 	cancelAll(): void {
-		for (const attempt of this.#sent.values()) {
-			this.#cancel(attempt);
+		for (const tracked of this.#sent.values()) {
+			this.#cancel(tracked);
 		}
 	}
 
@@ -113,12 +125,14 @@
 	 * @param getElsewhere - Returns the request of an attempt if another upstream could serve it, or undefined.
 	 */
 	giveUpOverdue(now: number, getElsewhere: (attemptId: string) => GatewayRequest | undefined): void {
-		for (const [attemptId, attempt] of this.#sent) {
+		for (const [attemptId, tracked] of this.#sent) {
+			const {attempt} = tracked;
 			// Giving up helps if the request would be sent to another upstream, or, as its own one is gone, if the caller can try again itself.
 			const isHelpful = ({id}: GatewayRequest, code: ResultCodeValue): boolean =>
 				!this.#parts.isResponsive(attempt.upstreamId) || this.#parts.isRetryAllowed({requestId: id, attemptId, code});
 			const failure = getAttemptTimeout(attempt, getElsewhere(attemptId), isHelpful, now);
 			if (failure) {
+				this.#logAbandoned(ABANDONED_EVENT.Overdue, tracked);
 				attempt.fail(failure.code, failure.reason);
 			}
 		}
@@ -215,7 +229,7 @@
 				}
 			});
 		}, reason => {
-			this.#sent.get(sending.attemptId)?.fail(RESULT_CODE.AnswerTooLarge, reason);
+			this.#sent.get(sending.attemptId)?.attempt.fail(RESULT_CODE.AnswerTooLarge, reason);
 		}));
 		if (isStream) {
 			this.#parts.onStarted(request, sending.attemptId);
@@ -239,7 +253,7 @@
 	/** Forwards a part of a response, and pauses the upstream until the caller has read enough. An attempt whose response cannot be forwarded fails. */
 	#forward(attemptId: string, chunk: Buffer): void {
 		const pipe = this.#pipes.get(attemptId);
-		const attempt = this.#sent.get(attemptId);
+		const attempt = this.#sent.get(attemptId)?.attempt;
 		try {
 			pipe?.data(chunk);
 		} catch (error) {
@@ -261,9 +275,16 @@
 		this.#parts.onFailed(request, attemptId, upstream, end);
 	}
 
-	#cancel(attempt: SentAttempt): void {
-		this.#parts.onCancelled(attempt);
-		attempt.cancel();
+	#cancel(tracked: TrackedAttempt): void {
+		this.#logAbandoned(ABANDONED_EVENT.Cancelled, tracked);
+		this.#parts.onCancelled(tracked.attempt);
+		tracked.attempt.cancel();
+	}
+
+	/** Logs an attempt that its upstream may still read: a reset does not take back what the system of the upstream has received. */
+	#logAbandoned(event: AbandonedEventValue, {attempt, deadlineMs}: TrackedAttempt): void {
+		const ageMs = this.#parts.clock.now() - attempt.startedAt;
+		this.#parts.log.logAbandoned(event, attempt, {ageMs, deadlineMs, silentMs: this.#parts.getSilentMs(attempt.upstreamId)});
 	}
 
 	#forget(attemptId: string): void {
--- a/apps/valelead-daemon/src/gateway/dispatch-log.ts
+++ b/apps/valelead-daemon/src/gateway/dispatch-log.ts
@@ -1,4 +1,5 @@
 import type {Logger} from 'pino';
+import type {AbandonedEventValue} from './abandoned-event-value.js';
 import type {AttemptFailure} from './attempt-failure.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {SentAttempt} from './sent-attempt.js';
@@ -16,6 +17,16 @@
 	readonly sourceCount: number;
 };
 
+/** What was known of an attempt when it was abandoned, in milliseconds. */
+type AbandonedTimes = {
+	/** Time since the attempt was started. */
+	readonly ageMs: number;
+	/** The deadline that the upstream was given, from the start of the attempt. */
+	readonly deadlineMs: number;
+	/** Time since the upstream last sent a response head or the end of a response; undefined if it never did. */
+	readonly silentMs: number | undefined;
+};
+
 type RetryCharge = {
 	/** True if the retry budget of the service has a retry left. */
 	readonly isAllowed: boolean;
@@ -95,13 +106,21 @@
 		}, isAllowed ? 'retry charged to the retry budget of the service' : 'retry refused: the retry budget of the service is exhausted');
 	}
 
-	/** Logs a cancelled attempt. A request that was sent without a response may still reach its upstream. */
-	logCancelled({
-		requestId, upstreamId, isSent, isAnswered, isConnectionReused, startedAt,
-	}: SentAttempt, now: number): void {
+	/** Logs an abandoned attempt. A request that was sent without a response may still reach its upstream. */
+	logAbandoned(event: AbandonedEventValue, {
+		requestId, upstreamId, isSent, isAnswered, isConnectionReused,
+	}: SentAttempt, {ageMs, deadlineMs, silentMs}: AbandonedTimes): void {
 		this.#logger.info({
-			event: 'attempt-cancelled', requestId, upstreamId, isSent, isAnswered, isConnectionReused, ageMs: Math.round(now - startedAt),
-		}, 'attempt cancelled');
+			event,
+			requestId,
+			upstreamId,
+			isSent,
+			isAnswered,
+			isConnectionReused,
+			ageMs: Math.round(ageMs),
+			deadlineMs: Math.round(deadlineMs),
+			silentMs: silentMs === undefined ? undefined : Math.round(silentMs),
+		}, 'attempt abandoned');
 	}
 
 	logStall(stalledMs: number): void {
--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -282,10 +282,8 @@
 			onEnded: (request, attemptId, passOn) => {
 				this.#end(request, attemptId, passOn);
 			},
-			onCancelled: attempt => {
-				this.#log.logCancelled(attempt, this.#parts.clock.now());
-				this.#parts.onCancelled(attempt);
-			},
+			log: this.#log,
+			getSilentMs: upstreamId => this.#book.getSilentMs(upstreamId),
 			onFailed: (request, attemptId, upstream, end) => {
 				this.#crashes.noteEnd(request, upstream, end, isLast => {
 					this.#fail(attemptId, end, isLast);
--- a/apps/valelead-daemon/src/gateway/upstream-table.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-table.ts
@@ -71,6 +71,12 @@
 		this.#respondedAt.set(upstreamId, this.#parts.clock.now());
 	}
 
+	/** Returns the time since the upstream last responded, in milliseconds; undefined if it never did. */
+	getSilentMs(upstreamId: string): number | undefined {
+		const respondedAt = this.#respondedAt.get(upstreamId);
+		return respondedAt === undefined ? undefined : this.#parts.clock.now() - respondedAt;
+	}
+
 	/** True if the upstream still announces itself, or has responded to a request recently. */
 	isResponsive(upstreamId: string): boolean {
 		const respondedAt = this.#respondedAt.get(upstreamId) ?? Number.NEGATIVE_INFINITY;
