Send a request to no more different upstreams than its route allows

Operators: a request that upstreams reject without running it was sent to up to two upstreams more than the attempts of its route (SPARE_ATTEMPTS). Admission now keeps the upstreams that a request has reached. Once they are as many as allowed, it goes to one of these again, holds up no other request meanwhile, and is refused as not run as soon as none of them serves its target.

--- a/apps/valelead-daemon/src/gateway/new-admission-request.ts
+++ b/apps/valelead-daemon/src/gateway/new-admission-request.ts
@@ -3,7 +3,10 @@
 import {getAdmissionTarget} from './get-admission-target.js';
 import type {GatewayRequest} from './gateway-request.js';
 
-/** Additional dispatches, beyond the attempts of the route, for requests that upstreams refuse before running them. */
+/**
+ * Additional dispatches, beyond the attempts of the route, for requests that upstreams refuse before running them. They go to upstreams that the request
+ * has reached: the attempts of the route also bound the upstreams that it may be sent to.
+ */
 const SPARE_ATTEMPTS = 2;
 
 /** Returns the fields of a request on which the admission decides. */
@@ -23,6 +26,7 @@
 	isResumable: isResumableStream(route),
 	maxRuns: route.maxAttempts,
 	maxAttempts: route.maxAttempts + SPARE_ATTEMPTS,
+	maxUpstreams: route.maxAttempts,
 	prompt: head.prompt,
 	retryBudget: service,
 });
--- a/packages/admission/src/admission-request.ts
+++ b/packages/admission/src/admission-request.ts
@@ -25,6 +25,8 @@
 	readonly maxRuns?: number;
 	/** The maximum number of dispatches; absent for the limit in the entry's settings. */
 	readonly maxAttempts?: number;
+	/** The maximum number of different upstreams that the request may reach; absent for no such limit. */
+	readonly maxUpstreams?: number;
 	/** The size of the prompt; absent for requests to services without models, and if the caller states no size. */
 	readonly prompt?: Prompt;
 	/** The name of the retry budget, which all requests with the same name share. */
--- a/packages/admission/src/get-best-lane.ts
+++ b/packages/admission/src/get-best-lane.ts
@@ -1,16 +1,15 @@
+import {getAllowedEndpoints} from './get-allowed-endpoints.js';
 import {getUsableLane} from './get-usable-lane.js';
 import type {AdmissionEndpoint} from './admission-endpoint.js';
 import type {AdmissionLane} from './admission-lane.js';
-import type {AdmissionRequest} from './admission-request.js';
 import type {BestLane} from './best-lane.js';
 import type {LaneLoads} from './lane-loads.js';
 import type {AdmissionSettings} from './admission-settings.js';
 import type {AdmissionState} from './admission-state.js';
+import type {RequestRecord} from './request-record.js';
 
 type LaneSearch = {
-	readonly request: AdmissionRequest;
-	/** The VM of the last attempt of the request; empty before its first attempt. */
-	readonly previousVm: string;
+	readonly record: Pick<RequestRecord, 'request' | 'vm' | 'reachedVms'>;
 	/** The number of requests that may still be sent to each upstream that limits its request rate, by VM. */
 	readonly sendsLeft: ReadonlyMap<string, number>;
 };
@@ -36,10 +35,10 @@
 /** Penalty of the upstream at which the last attempt of a request failed, in requests in progress: it is used again only if no other one can serve. */
 const PREVIOUS_ATTEMPT_PENALTY = 100;
 
-const getLoads = (state: AdmissionState, {request: {target}, sendsLeft}: LaneSearch, now: number): LaneLoads => {
+const getLoads = (state: AdmissionState, {record, sendsLeft}: LaneSearch, now: number): LaneLoads => {
 	const loads = new Map<AdmissionEndpoint, number>();
-	for (const endpoint of state.endpoints.get(target) ?? []) {
-		const lane = getUsableLane(state, endpoint, target, sendsLeft, now);
+	for (const endpoint of getAllowedEndpoints(state, record)) {
+		const lane = getUsableLane(state, endpoint, record.request.target, sendsLeft, now);
 		if (lane) {
 			loads.set(endpoint, lane.inProgress + (endpoint.otherEntriesInProgress ?? 0));
 		}
@@ -66,7 +65,8 @@
  * The cost that the settings give each VM for the request is added. Returns undefined if no VM can take the request now.
  */
 export const getBestLane = (state: AdmissionState, settings: AdmissionSettings, search: LaneSearch, now: number): BestLane | undefined => {
-	const {request, previousVm, sendsLeft} = search;
+	const {record, sendsLeft} = search;
+	const {request, vm: previousVm} = record;
 	const loads = settings.getLaneCost ? getLoads(state, search, now) : undefined;
 	if (loads?.size === 0) {
 		return undefined;
@@ -75,7 +75,7 @@
 	const getCost = loads && settings.getLaneCost?.(request, loads);
 	let best: BestLane | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
-	for (const endpoint of loads?.keys() ?? state.endpoints.get(request.target) ?? []) {
+	for (const endpoint of loads?.keys() ?? getAllowedEndpoints(state, record)) {
 		// The loads contain usable upstreams only.
 		const lane = loads ? state.lanes.get(endpoint.vm) : getUsableLane(state, endpoint, request.target, sendsLeft, now);
 		if (!lane) {
--- a/packages/admission/src/mutate-admission.ts
+++ b/packages/admission/src/mutate-admission.ts
@@ -13,6 +13,7 @@
 import {mutateResponseTimes} from './mutate-response-times.js';
 import {mutateUnservableRequests} from './mutate-unservable-requests.js';
 import {mutateRequestState} from './mutate-request-state.js';
+import {mutateStrandedRequests} from './mutate-stranded-requests.js';
 import {mutateStopRefusals} from './mutate-stop-refusals.js';
 import {newCreditRequests} from './new-credit-requests.js';
 import type {AdmissionEffect} from './admission-effect.js';
@@ -127,7 +128,7 @@
 		case 'tick': {
 			mutateUnresponsiveLanes(state, settings, now);
 			mutateMissedRequests(state, settings, now);
-			return mutateUnservableRequests(state, settings, now);
+			return [...mutateStrandedRequests(state), ...mutateUnservableRequests(state, settings, now)];
 		}
 
 		default: {
--- a/packages/admission/src/mutate-attempt-failure.ts
+++ b/packages/admission/src/mutate-attempt-failure.ts
@@ -11,6 +11,7 @@
 import {mutateLaneFailure} from './mutate-lane-failure.js';
 import {mutateRequestRefusal} from './mutate-request-refusal.js';
 import {mutateRequestRelease} from './mutate-request-release.js';
+import {UNSENT_CODES} from './unsent-codes.js';
 import {mutateEnqueued} from './mutate-enqueued.js';
 import {mutateRequestState} from './mutate-request-state.js';
 import type {AdmissionEffect} from './admission-effect.js';
@@ -70,6 +71,10 @@
 	}
 
 	const effects: AdmissionEffect[] = [];
+	if (!UNSENT_CODES.has(failure.code)) {
+		record.reachedVms.add(record.vm);
+	}
+
 	let isRetried = isRetryable(settings, record, failure, now);
 	const cost = getRetryCost(settings, failure.code);
 	if (cost > 0) {
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -1,6 +1,8 @@
+import {getAllowedEndpoints} from './get-allowed-endpoints.js';
 import {getBestLane} from './get-best-lane.js';
 import {getNextRequest} from './get-next-request.js';
 import {getTeamUsage} from './get-team-usage.js';
+import {getUsableLane} from './get-usable-lane.js';
 import {hasUsableLane} from './has-usable-lane.js';
 import {isHeldForUrgent} from './is-held-for-urgent.js';
 import {mutateClassService} from './mutate-class-service.js';
@@ -101,9 +103,13 @@
 	};
 };
 
-const isAllowed = (state: AdmissionState, record: RequestRecord, now: number): boolean => {
-	const isInTime = record.request.deadlineAt > now;
-	return isInTime && getTeamUsage(state, record.request.team).inProgress < record.limits.teamInProgress;
+/** True if no limit of its own holds a request back. One that waits for certain upstreams must not hold up the requests behind it. */
+const isAllowed = ({state, sendsLeft, now}: DispatchRound, record: RequestRecord): boolean => {
+	const {request, limits} = record;
+	const isInTime = request.deadlineAt > now;
+	const isTeamAllowed = getTeamUsage(state, request.team).inProgress < limits.teamInProgress;
+	const isRestricted = record.reachedVms.size === request.maxUpstreams;
+	return isInTime && isTeamAllowed && (!isRestricted || getAllowedEndpoints(state, record).some(endpoint => getUsableLane(state, endpoint, request.target, sendsLeft, now)));
 };
 
 const mutateSendsLeft = (sendsLeft: Map<string, number>, vm: string): void => {
@@ -114,13 +120,14 @@
 };
 
 /** Returns the next request of a target, if an upstream can take one. */
-const getTargetRequest = ({state, settings, sendsLeft, now}: DispatchRound, target: string): RequestRecord | undefined => {
+const getTargetRequest = (round: DispatchRound, target: string): RequestRecord | undefined => {
+	const {state, settings, sendsLeft, now} = round;
 	const queue = state.queues.get(target);
 	if (!queue || !hasUsableLane(state, target, sendsLeft, now)) {
 		return undefined;
 	}
 
-	const allowed = queue.filter(record => isAllowed(state, record, now));
+	const allowed = queue.filter(record => isAllowed(round, record));
 	const next = getNextRequest(state, settings, allowed, now);
 	const isHeld = next !== undefined && settings.isOrderedByLatestStart === true && isHeldForUrgent(state, next, sendsLeft, now);
 	return isHeld ? getNextRequest(state, settings, allowed.filter(record => !isHeldForUrgent(state, record, sendsLeft, now)), now) : next;
@@ -129,7 +136,7 @@
 /** Sends a request to its best upstream; returns undefined if none can take it now. */
 const mutateDispatch = (round: DispatchRound, record: RequestRecord): AdmissionEffect | undefined => {
 	const {state, settings, sendsLeft, now} = round;
-	const chosen = getBestLane(state, settings, {request: record.request, previousVm: record.vm, sendsLeft}, now);
+	const chosen = getBestLane(state, settings, {record, sendsLeft}, now);
 	if (!chosen) {
 		return undefined;
 	}
--- a/packages/admission/src/request-record.ts
+++ b/packages/admission/src/request-record.ts
@@ -16,6 +16,8 @@
 	attemptId: string;
 	/** The VM of the current or last attempt; empty before the first one. */
 	vm: string;
+	/** The VMs that earlier attempts reached, whether or not the request ran there. */
+	readonly reachedVms: Set<string>;
 	/** The number of earlier attempts that may have run. */
 	runs: number;
 	/** True if a retry was charged to the retry budget and has not reached an upstream yet. */
--- a/packages/admission/tests/counts-at-rest.steps.ts
+++ b/packages/admission/tests/counts-at-rest.steps.ts
@@ -93,6 +93,7 @@
 			isResumable: random() < 0.5,
 			maxRuns: 2,
 			maxAttempts: 3,
+			maxUpstreams: pick(history, [undefined, 1, 2]),
 			retryBudget: 'b',
 		},
 	};
--- a/packages/admission/tests/direct.feature
+++ b/packages/admission/tests/direct.feature
@@ -20,6 +20,34 @@
     Then 2 requests were sent a second time
     And every refusal says that the request did not run
 
+  # Guards against requests that are sent to more upstreams than their route allows while upstreams reject them. Each one has three dispatches.
+  Scenario Outline: A request that may reach <most> upstreams is rejected by all of them
+    Given an entry that reaches upstreams "one, two, three" directly, with a limit of 3 requests each and 9 retries
+    When upstreams refuse every request before running it and a request that may reach <most> of them arrives
+    Then the request was sent 3 times, to <most> different upstreams
+    And every refusal says that the request did not run
+
+    Examples:
+      | most |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario: A request that waits for the only upstream that it may reach holds up no other request
+    Given an entry that reaches upstreams "one, two" directly, with a limit of 1 requests each and 2 retries
+    When a request that may reach 1 upstream is rejected by "one", which is avoided for 400 ms
+    And 1 request arrives
+    Then the last 1 were sent to "two"
+    When 400 ms pass without a response
+    Then the last 1 were sent to "one"
+
+  Scenario: A request is refused once the only upstream that it may reach no longer serves its target
+    Given an entry that reaches upstreams "one, two" directly, with a limit of 1 requests each and 2 retries
+    When a request that may reach 1 upstream is rejected by "one", which is avoided for 400 ms
+    And "one" no longer serves the target
+    And 50 ms pass without a response
+    Then every refusal says that the request did not run
+
   Scenario: A request that may have run is retried no more often than its route allows
     When upstreams fail every request after running it and 1 request that may run 2 times arrives
     Then the request was sent 2 times
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -212,3 +212,25 @@
 Then('the upstream is ejected', function (this: DirectWorld) {
 	assert.ok([...this.direct.state.lanes.values()].every(lane => lane.ejectedUntil > this.direct.now));
 });
+
+When('upstreams refuse every request before running it and a request that may reach {int} of them arrives', function (this: DirectWorld, maxUpstreams: number) {
+	this.direct.getReaction = dispatch => newFailure(dispatch, RESULT_CODE.UpstreamRejected, OUTCOME.NotRun);
+	arrive(this, {maxAttempts: 3, maxUpstreams});
+});
+
+Then('the request was sent {int} times, to {int} different upstreams', function (this: DirectWorld, sent: number, upstreams: number) {
+	assert.equal(this.direct.dispatched.length, sent);
+	assert.equal(new Set(this.direct.dispatched.map(({vm}) => vm)).size, upstreams);
+});
+
+When('a request that may reach {int} upstream is rejected by {string}, which is avoided for {int} ms', function (this: DirectWorld, maxUpstreams: number, vm: string, avoidMs: number) {
+	const {direct} = this;
+	direct.settings = {...direct.settings, refusedTargetAvoidMs: avoidMs};
+	direct.getReaction = dispatch => dispatch.vm === vm ? newFailure(dispatch, RESULT_CODE.UpstreamLeaving, OUTCOME.NotRun) : undefined;
+	arrive(this, {maxAttempts: 3, maxUpstreams});
+	direct.getReaction = () => undefined;
+});
+
+When('{string} no longer serves the target', function (this: DirectWorld, gone: string) {
+	take(this, {kind: 'endpoints', endpoints: new Map([[TARGET, this.direct.state.endpoints.get(TARGET)!.filter(({vm}) => vm !== gone)]])});
+});
