Pause before a request is sent again to an upstream that it has reached

Since a request reaches no more different upstreams than its route allows, one that a full upstream rejected was sent there again in the same moment, was rejected again, and cost the retry budget a token each time. It now waits for 100 ms, about the response time of a plain service; requests that may reach another upstream go there at once, as before. direct.feature: three dispatches at one upstream without a pause before, with one before each now.

--- a/packages/admission/src/mutate-arrival.ts
+++ b/packages/admission/src/mutate-arrival.ts
@@ -48,7 +48,19 @@
 
 	mutateRetryTokens(state, settings, request, settings.retryTokensPerRequest, now);
 	const record = {
-		request, limits, state: 'waiting', attempts: 0, unstartedAttempts: 0, attemptId: '', vm: '', reachedVms: new Set<string>(), runs: 0, isRetryCharged: false, isCounted: false, dispatchedAt: 0,
+		request,
+		limits,
+		state: 'waiting',
+		attempts: 0,
+		unstartedAttempts: 0,
+		attemptId: '',
+		vm: '',
+		reachedVms: new Set<string>(),
+		pausedUntil: 0,
+		runs: 0,
+		isRetryCharged: false,
+		isCounted: false,
+		dispatchedAt: 0,
 	};
 	state.requests.set(request.requestId, record);
 	mutateEnqueued(state, record);
--- a/packages/admission/src/mutate-attempt-failure.ts
+++ b/packages/admission/src/mutate-attempt-failure.ts
@@ -27,6 +27,12 @@
 
 type RetryEffect = Extract<AdmissionEffect, {kind: 'retry'}>;
 
+/**
+ * Time after a failed attempt before the request is sent to an upstream that it has reached, in milliseconds. One that was full a moment ago would reject it
+ * again; responses of plain services take about this time, so that a place is free after it.
+ */
+const PAUSE_MS = 100;
+
 /** Result codes of attempts to which the upstream sent no response at all. */
 const UNANSWERED_CODES: ReadonlySet<ResultCodeValue> = new Set([RESULT_CODE.UpstreamUnreachable, RESULT_CODE.UpstreamSilent]);
 
@@ -98,6 +104,7 @@
 	}
 
 	mutateRequestRelease(state, record);
+	record.pausedUntil = now + PAUSE_MS;
 	mutateRequestState(record, 'requeue');
 	record.request = {...record.request, target: failure.target ?? record.request.target};
 	mutateEnqueued(state, record);
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -103,13 +103,17 @@
 	};
 };
 
+/** True if a request that may be sent only to upstreams which it has reached can be sent to one of them now. */
+const isReachedUsable = ({state, sendsLeft, now}: DispatchRound, record: RequestRecord): boolean =>
+	now >= record.pausedUntil && getAllowedEndpoints(state, record).some(endpoint => getUsableLane(state, endpoint, record.request.target, sendsLeft, now));
+
 /** True if no limit of its own holds a request back. One that waits for certain upstreams must not hold up the requests behind it. */
-const isAllowed = ({state, sendsLeft, now}: DispatchRound, record: RequestRecord): boolean => {
+const isAllowed = (round: DispatchRound, record: RequestRecord): boolean => {
+	const {state, now} = round;
 	const {request, limits} = record;
 	const isInTime = request.deadlineAt > now;
 	const isTeamAllowed = getTeamUsage(state, request.team).inProgress < limits.teamInProgress;
-	const isRestricted = record.reachedVms.size === request.maxUpstreams;
-	return isInTime && isTeamAllowed && (!isRestricted || getAllowedEndpoints(state, record).some(endpoint => getUsableLane(state, endpoint, request.target, sendsLeft, now)));
+	return isInTime && isTeamAllowed && (record.reachedVms.size !== request.maxUpstreams || isReachedUsable(round, record));
 };
 
 const mutateSendsLeft = (sendsLeft: Map<string, number>, vm: string): void => {
--- a/packages/admission/src/request-record.ts
+++ b/packages/admission/src/request-record.ts
@@ -18,6 +18,8 @@
 	vm: string;
 	/** The VMs that earlier attempts reached, whether or not the request ran there. */
 	readonly reachedVms: Set<string>;
+	/** Until when the request is not sent to an upstream that it has reached, in monotonic milliseconds. */
+	pausedUntil: number;
 	/** The number of earlier attempts that may have run. */
 	runs: number;
 	/** True if a retry was charged to the retry budget and has not reached an upstream yet. */
--- a/packages/admission/tests/direct.feature
+++ b/packages/admission/tests/direct.feature
@@ -24,7 +24,7 @@
   Scenario Outline: A request that may reach <most> upstreams is rejected by all of them
     Given an entry that reaches upstreams "one, two, three" directly, with a limit of 3 requests each and 9 retries
     When upstreams refuse every request before running it and a request that may reach <most> of them arrives
-    Then the request was sent 3 times, to <most> different upstreams
+    Then the request was sent 3 times, to <most> different upstreams, with a pause before each of the same
     And every refusal says that the request did not run
 
     Examples:
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -25,6 +25,9 @@
 
 const TARGET = 'service/s';
 
+/** How long a request that may reach no further upstream waits before it is sent again, in milliseconds. */
+const PAUSE_MS = 100;
+
 /** Subtracts a sent request from what the rate limit of its upstream still allows. */
 const consumeSendLimit = ({direct}: DirectWorld, vm: string): void => {
 	const limit = direct.settings.sendLimits?.get(vm);
@@ -216,9 +219,16 @@
 When('upstreams refuse every request before running it and a request that may reach {int} of them arrives', function (this: DirectWorld, maxUpstreams: number) {
 	this.direct.getReaction = dispatch => newFailure(dispatch, RESULT_CODE.UpstreamRejected, OUTCOME.NotRun);
 	arrive(this, {maxAttempts: 3, maxUpstreams});
+	for (let waits = 0; waits < 2; waits += 1) {
+		take(this, {kind: 'tick'});
+		assert.equal(this.direct.dispatched.length, Math.min(3, maxUpstreams + waits));
+		this.direct.now += PAUSE_MS;
+	}
+
+	take(this, {kind: 'tick'});
 });
 
-Then('the request was sent {int} times, to {int} different upstreams', function (this: DirectWorld, sent: number, upstreams: number) {
+Then('the request was sent {int} times, to {int} different upstreams, with a pause before each of the same', function (this: DirectWorld, sent: number, upstreams: number) {
 	assert.equal(this.direct.dispatched.length, sent);
 	assert.equal(new Set(this.direct.dispatched.map(({vm}) => vm)).size, upstreams);
 });
