Let a request wait for an upstream that did not serve its target a moment ago

A request whose only upstream had answered 421 was refused at once, although the upstream often serves the model 400 ms later.

--- a/packages/admission/src/mutate-admission.ts
+++ b/packages/admission/src/mutate-admission.ts
@@ -128,7 +128,7 @@
 		case 'tick': {
 			mutateUnresponsiveLanes(state, settings, now);
 			mutateMissedRequests(state, settings, now);
-			return [...mutateStrandedRequests(state, now), ...mutateUnservableRequests(state, settings, now)];
+			return [...mutateStrandedRequests(state), ...mutateUnservableRequests(state, settings, now)];
 		}
 
 		default: {
--- a/packages/admission/src/mutate-attempt-failure.ts
+++ b/packages/admission/src/mutate-attempt-failure.ts
@@ -4,7 +4,6 @@
 import {getRetryBudget} from './get-retry-budget.js';
 import {getRetryCost} from './get-retry-cost.js';
 import {isRetryable} from './is-retryable.js';
-import {isServable} from './is-servable.js';
 import {NOT_ACCEPTING_CODES} from './not-accepting-codes.js';
 import {mutateRetryTokens} from './mutate-retry-tokens.js';
 import {getLane} from './get-lane.js';
@@ -82,7 +81,7 @@
 		record.reachedVms.add(record.vm);
 	}
 
-	let isRetried = isRetryable(settings, record, failure, now) && isServable(state, record, now);
+	let isRetried = isRetryable(settings, record, failure, now);
 	const cost = getRetryCost(settings, failure.code);
 	if (cost > 0) {
 		// The charge of an attempt that reached its upstream is used up.
