--- a/apps/valelead-daemon/src/gateway/upstream-table.ts
+++ b/apps/valelead-daemon/src/gateway/upstream-table.ts
@@ -79,8 +79,8 @@
 
 	/** True if the upstream still announces itself, or has responded to a request recently. */
 	isResponsive(upstreamId: string): boolean {
-		const respondedAt = this.#respondedAt.get(upstreamId) ?? Number.NEGATIVE_INFINITY;
-		return this.views.get(upstreamId)?.upstream.state === UPSTREAM_STATE.Ready || this.#parts.clock.now() - respondedAt < RECENT_RESPONSE_MS;
+		const silentMs = this.getSilentMs(upstreamId) ?? Number.POSITIVE_INFINITY;
+		return this.views.get(upstreamId)?.upstream.state === UPSTREAM_STATE.Ready || silentMs < RECENT_RESPONSE_MS;
 	}
 
 	close(): void {
--- a/packages/admission/src/mutate-dispatches.ts
+++ b/packages/admission/src/mutate-dispatches.ts
@@ -3,6 +3,7 @@
 import {getNextRequest} from './get-next-request.js';
 import {getTeamUsage} from './get-team-usage.js';
 import {getUsableLane} from './get-usable-lane.js';
+import {hasReachedAll} from './has-reached-all.js';
 import {hasUsableLane} from './has-usable-lane.js';
 import {isHeldForUrgent} from './is-held-for-urgent.js';
 import {mutateClassService} from './mutate-class-service.js';
@@ -113,7 +114,7 @@
 	const {request, limits} = record;
 	const isInTime = request.deadlineAt > now;
 	const isTeamAllowed = getTeamUsage(state, request.team).inProgress < limits.teamInProgress;
-	return isInTime && isTeamAllowed && (record.reachedVms.size !== request.maxUpstreams || isReachedUsable(round, record));
+	return isInTime && isTeamAllowed && (!hasReachedAll(record) || isReachedUsable(round, record));
 };
 
 const mutateSendsLeft = (sendsLeft: Map<string, number>, vm: string): void => {
--- a/packages/admission/src/mutate-stranded-requests.ts
+++ b/packages/admission/src/mutate-stranded-requests.ts
@@ -1,12 +1,12 @@
 import {OUTCOME, RESULT_CODE} from '@valelead/common';
 import {getAllowedEndpoints} from './get-allowed-endpoints.js';
+import {hasReachedAll} from './has-reached-all.js';
 import {mutateRequestRefusal} from './mutate-request-refusal.js';
 import type {AdmissionEffect} from './admission-effect.js';
 import type {AdmissionState} from './admission-state.js';
 import type {RequestRecord} from './request-record.js';
 
-const isStranded = (state: AdmissionState, record: RequestRecord): boolean =>
-	record.reachedVms.size === record.request.maxUpstreams && getAllowedEndpoints(state, record).length === 0;
+const isStranded = (state: AdmissionState, record: RequestRecord): boolean => hasReachedAll(record) && getAllowedEndpoints(state, record).length === 0;
 
 /** Refuses the waiting requests that have reached as many upstreams as they may, once none of these serves their target any more. */
 export const mutateStrandedRequests = (state: AdmissionState): AdmissionEffect[] => {
--- a/packages/admission/tests/direct.feature
+++ b/packages/admission/tests/direct.feature
@@ -33,6 +33,7 @@
       | 2    |
       | 3    |
 
+  # Guards against a queue that stands still behind a request which may be sent to one upstream only.
   Scenario: A request that waits for the only upstream that it may reach holds up no other request
     Given an entry that reaches upstreams "one, two" directly, with a limit of 1 requests each and 2 retries
     When a request that may reach 1 upstream is rejected by "one", which is avoided for 400 ms
@@ -41,6 +42,7 @@
     When 400 ms pass without a response
     Then the last 1 were sent to "one"
 
+  # Guards against a request that waits until its deadline for an upstream that is gone.
   Scenario: A request is refused once the only upstream that it may reach no longer serves its target
     Given an entry that reaches upstreams "one, two" directly, with a limit of 1 requests each and 2 retries
     When a request that may reach 1 upstream is rejected by "one", which is avoided for 400 ms
