--- a/apps/valelead-daemon/src/stop-signals.ts
+++ b/apps/valelead-daemon/src/stop-signals.ts
@@ -15,8 +15,8 @@
 
 	constructor(parts: SignalsParts) {
 		this.#parts = parts;
-		const handleSignal = (): void => {
-			this.#handle();
+		const handleSignal = (signal: NodeJS.Signals): void => {
+			this.#handle(signal);
 		};
 
 		process.on('SIGTERM', handleSignal);
@@ -34,9 +34,9 @@
 		});
 	}
 
-	#handle(): void {
+	#handle(signal: NodeJS.Signals): void {
 		this.#count += 1;
-		this.#parts.logger.info({event: 'stop-signal', signals: this.#count}, 'stop signal');
+		this.#parts.logger.info({event: 'stop-signal', signal, signals: this.#count}, 'stop signal');
 		if (this.#count === 1) {
 			this.#onFirst?.();
 		} else {
