Finish what is in progress although further stop signals come

Callers of a gateway that got SIGTERM a second time within its grace saw streams cut and plain requests answered with 502; callers of an entry lost their streams when the entry or the agent of its engine was told to stop twice (LOST).

Cause: the second stop signal, of whatever kind, ended all work on purpose. It was meant for a person at a terminal, but supervisors, wrappers that pass signals on, and repeated deployments send SIGTERM in series. Class: an event that may be a repetition, taken for a new order.

The states of a stop are now a chart in which nothing leads from a stop by SIGTERM to its hurried end. A person may still interrupt a process twice (SIGINT); a second interrupt within 500 ms is the same key press, passed on by a wrapper.

--- a/apps/valelead-daemon/src/run-daemon.ts
+++ b/apps/valelead-daemon/src/run-daemon.ts
@@ -108,7 +108,8 @@
 	const part: {running?: Stoppable} = {};
 	const signals = new StopSignals({
 		logger,
-		onRepeated() {
+		clock: SYSTEM_CLOCK,
+		onHurried() {
 			if (part.running) {
 				part.running.stopNow();
 			} else {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -45,15 +45,15 @@
 	plugins: [WORKSPACE_SOURCES],
 });
 
-const listCharts = () => readdirSync('packages').flatMap(name => {
-	const folder = path.join('packages', name, 'charts');
+const listCharts = () => ['packages', 'apps'].flatMap(parent => readdirSync(parent).flatMap(name => {
+	const folder = path.join(parent, name, 'charts');
 	try {
 		return readdirSync(folder).map(file => path.join(folder, file));
 	} catch {
 		// Most packages have no charts.
 		return [];
 	}
-});
+}));
 
 const copyCharts = (charts, folder) => {
 	mkdirSync(path.join(folder, 'charts'), {recursive: true});
