Let requests finish until the last sixth of a short grace

With a grace of 1 s a gateway aborted what was in progress 750 ms after its stop signal: streams were cut and plain requests got 502 before the last sixth of the grace, in which work may end. The time that is kept for the shutdown was 250 ms, however short the grace. It is now an eighth of a grace below 2 s; the deployments, with 8 s, see no change.

--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -60,10 +60,11 @@
 const BALANCER_DRAIN_MS = 2500;
 
 /**
- * End of the platform's grace period that is reserved for the shutdown, in milliseconds: requests in progress are aborted this long before its end.
- * Closing the servers and writing the last log lines take about 20 ms.
+ * End of the platform's grace period that is reserved for the shutdown, in milliseconds, and as a share of a short one: requests in progress are aborted this
+ * long before its end, which must lie in the last sixth of the period. Closing the servers and writing the last log lines take about 20 ms.
  */
 const SHUTDOWN_RESERVE_MS = 250;
+const SHUTDOWN_RESERVE_SHARE = 1 / 8;
 
 /** The share of the process's memory that callers' bodies may occupy: at 210 MB it is 26 MB, beside as much for responses. */
 const BODY_SHARE = 1 / 8;
@@ -270,11 +271,12 @@
 	async stop(): Promise<void> {
 		const {settings, timers, logger} = this.#parts;
 		const startedAt = SYSTEM_CLOCK.now();
-		const endsAt = startedAt + (settings.graceSeconds * MS_PER_SECOND) - SHUTDOWN_RESERVE_MS;
+		const graceMs = settings.graceSeconds * MS_PER_SECOND;
+		const endsAt = startedAt + graceMs - Math.min(SHUTDOWN_RESERVE_MS, graceMs * SHUTDOWN_RESERVE_SHARE);
 		this.#grace = {startedAt, endsAt};
 		this.#dispatcher.stop(endsAt);
 		this.#follower.scheduleReport();
-		await timers.wait(Math.min(BALANCER_DRAIN_MS, settings.graceSeconds * MS_PER_SECOND / 2));
+		await timers.wait(Math.min(BALANCER_DRAIN_MS, graceMs / 2));
 		this.#server.close();
 		this.#server.closeIdle();
 		while (this.#isBusy && SYSTEM_CLOCK.now() < endsAt) {
