Try an upstream that rejects requests again each second

Callers waited for seconds, some until their deadlines, while upstreams that had been full had places again.

Cause: a rejection before running counted like any failure of an upstream, so that the time of its ejection doubled with each one, up to 8 s. A rejection shows that the upstream can be reached and answers, and costs its caller a round trip. Class: a refusal for want of room taken for a fault. The time of an ejection now grows with other failures only.

Failed before: 3 of 3 examples of 'Upstreams that rejected all requests' (3,200 to 5,200 ms without a request sent); all pass.

--- a/packages/admission/src/mutate-attempt-failure.ts
+++ b/packages/admission/src/mutate-attempt-failure.ts
@@ -59,7 +59,9 @@
 	if (NOT_ACCEPTING_CODES.has(code)) {
 		lane.avoided.set(record.request.target, now + settings.refusedTargetAvoidMs);
 	} else {
-		mutateLaneFailure(lane, settings, {jitter, isUnreachable: code === RESULT_CODE.UpstreamUnreachable}, now);
+		mutateLaneFailure(lane, settings, {
+			jitter, isUnreachable: code === RESULT_CODE.UpstreamUnreachable, isRejected: code === RESULT_CODE.UpstreamRejected,
+		}, now);
 	}
 };
 
--- a/packages/admission/tests/direct.feature
+++ b/packages/admission/tests/direct.feature
@@ -50,6 +50,17 @@
     And 50 ms pass without a response
     Then every refusal says that the request did not run
 
+  # Guards against requests that wait for seconds, some until their deadlines, for upstreams that have places again after they had rejected requests for a while.
+  Scenario Outline: Upstreams that rejected all requests for <ms> ms get requests soon after they accept them again
+    When a request arrives each 100 ms, of which upstreams reject all of the first <ms> ms before running them
+    Then requests were sent again within 1000 ms after that
+
+    Examples:
+      | ms    |
+      | 4000  |
+      | 10000 |
+      | 20000 |
+
   Scenario: A request that may have run is retried no more often than its route allows
     When upstreams fail every request after running it and 1 request that may run 2 times arrives
     Then the request was sent 2 times
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -18,6 +18,8 @@
 		nextId: number;
 		dispatched: Dispatch[];
 		refused: Array<Extract<AdmissionEffect, {kind: 'refuse'}>>;
+		/** How long after upstreams accepted requests again the first one was sent, in milliseconds. */
+		outageMs: number;
 		/** The reaction of an upstream to a request, applied as soon as the request is sent. */
 		getReaction: (dispatch: Dispatch) => AdmissionEvent | undefined;
 	};
@@ -28,6 +30,9 @@
 /** How long a request that may reach no further upstream waits before it is sent again, in milliseconds. */
 const PAUSE_MS = 100;
 
+/** A play in which no request is sent any more ends after this time, in milliseconds. */
+const LONGEST_OUTAGE_MS = 20_000;
+
 /** Subtracts a sent request from what the rate limit of its upstream still allows. */
 const consumeSendLimit = ({direct}: DirectWorld, vm: string): void => {
 	const limit = direct.settings.sendLimits?.get(vm);
@@ -97,6 +102,7 @@
 		nextId: 0,
 		dispatched: [],
 		refused: [],
+		outageMs: 0,
 		getReaction: () => undefined,
 	};
 	take(this, {kind: 'endpoints', endpoints: new Map([[TARGET, names.split(', ').map(vm => ({vm, dataCentre: 'dc', concurrencyLimit: limit}))]])});
@@ -228,6 +234,23 @@
 	take(this, {kind: 'tick'});
 });
 
+When('a request arrives each {int} ms, of which upstreams reject all of the first {int} ms before running them', function (this: DirectWorld, periodMs: number, rejectedMs: number) {
+	const {direct} = this;
+	direct.getReaction = dispatch => direct.now < rejectedMs ? newFailure(dispatch, RESULT_CODE.UpstreamRejected, OUTCOME.NotRun) : undefined;
+	const isAccepted = (): boolean => direct.dispatched.length > 0 && direct.state.requests.get(direct.dispatched.at(-1)!.requestId)?.state === 'sent';
+	while (!isAccepted() && direct.now < rejectedMs + LONGEST_OUTAGE_MS) {
+		arrive(this);
+		direct.now += periodMs;
+		take(this, {kind: 'tick'});
+	}
+
+	this.direct.outageMs = direct.now - rejectedMs;
+});
+
+Then('requests were sent again within {int} ms after that', function (this: DirectWorld, limitMs: number) {
+	assert.ok(this.direct.outageMs <= limitMs, `${this.direct.outageMs} ms`);
+});
+
 Then('the request was sent {int} times, to {int} different upstreams, with a pause before each of the same', function (this: DirectWorld, sent: number, upstreams: number) {
 	assert.equal(this.direct.dispatched.length, sent);
 	assert.equal(new Set(this.direct.dispatched.map(({vm}) => vm)).size, upstreams);
