--- a/apps/valelead-daemon/src/stop-signals.ts
+++ b/apps/valelead-daemon/src/stop-signals.ts
@@ -13,7 +13,7 @@
 
 const STOP_CHART = loadStateChart(new URL('../charts/stop.chart.json', import.meta.url));
 
-/** An interrupt that follows another one sooner is the same key press, which a wrapper passes on to a process that the terminal has told itself, in milliseconds. */
+/** An interrupt that follows another one within this time, in milliseconds, is the same key press: the terminal tells all processes, and wrappers pass it on. */
 const KEY_PRESS_MS = 500;
 
 /**
--- a/packages/admission/tests/direct.feature
+++ b/packages/admission/tests/direct.feature
@@ -52,7 +52,7 @@
 
   # Guards against requests that wait for seconds, some until their deadlines, for upstreams that have places again after they had rejected requests for a while.
   Scenario Outline: Upstreams that rejected all requests for <ms> ms get requests soon after they accept them again
-    When a request arrives each 100 ms, of which upstreams reject all of the first <ms> ms before running them
+    When a request arrives each 100 ms, and upstreams reject all of them before running them for the first <ms> ms
     Then requests were sent again within 1000 ms after that
 
     Examples:
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -234,7 +234,7 @@
 	take(this, {kind: 'tick'});
 });
 
-When('a request arrives each {int} ms, of which upstreams reject all of the first {int} ms before running them', function (this: DirectWorld, periodMs: number, rejectedMs: number) {
+When('a request arrives each {int} ms, and upstreams reject all of them before running them for the first {int} ms', function (this: DirectWorld, periodMs: number, rejectedMs: number) {
 	const {direct} = this;
 	direct.getReaction = dispatch => direct.now < rejectedMs ? newFailure(dispatch, RESULT_CODE.UpstreamRejected, OUTCOME.NotRun) : undefined;
 	const isAccepted = (): boolean => direct.dispatched.length > 0 && direct.state.requests.get(direct.dispatched.at(-1)!.requestId)?.state === 'sent';
@@ -244,7 +244,7 @@
 		take(this, {kind: 'tick'});
 	}
 
-	this.direct.outageMs = direct.now - rejectedMs;
+	direct.outageMs = direct.now - rejectedMs;
 });
 
 Then('requests were sent again within {int} ms after that', function (this: DirectWorld, limitMs: number) {
