--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -17,7 +17,7 @@
 	readonly isRefusalCharged?: boolean;
 	/** The number of consecutive failures after which an upstream is ejected, that is, gets no requests until its ejection time has passed. */
 	readonly failuresBeforeEjection: number;
-	/** The time of an upstream's first ejection; each further ejection without a success in between lasts twice as long. */
+	/** The time of an upstream's first ejection; each further ejection without a success in between lasts twice as long, unless a rejection caused it. */
 	readonly baseEjectionMs: number;
 	readonly maxEjectionMs: number;
 	/** The time for which a target's requests are not sent to an upstream that has refused one of them. */
