Log when a stopping gateway closes its listening socket, and which connections it closes as idle

The logs could not tell a request that was reset unread from one that never came: closing the listening socket and idle connections left no line. `listener-closed` names the time since the last connection was accepted and the readiness checks that have failed, and `stopping` counts connections that were closed as idle, among them those on which no request had been read. No decision is changed. What a reset takes back of an answer that the operating system has is not visible to the process.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {Clock} from '@valelead/common';
 
 type Connection = {
 	/** Responses that this process has not completely handed to the operating system, in the order of their requests, with what waits for their turn. */
@@ -8,6 +9,10 @@
 	readBytes: number;
 };
 
+type ConnectionsParts = {
+	readonly clock: Clock;
+};
+
 /** The most requests of one connection that wait for their responses. Callers that send more read no answers, and each occupies some 10 KB. */
 const MAX_UNFINISHED = 256;
 
@@ -19,6 +24,24 @@
 	readonly #connections = new Map<Socket, Connection>();
 	readonly #unfinished = new Set<ServerResponse>();
 	#isClosing = false;
+	#lastAcceptedAt = Number.NEGATIVE_INFINITY;
+	#idleClosedCount = 0;
+	#unusedClosedCount = 0;
+	readonly #clock: Clock;
+
+	constructor({clock}: ConnectionsParts) {
+		this.#clock = clock;
+	}
+
+	/** When the last connection was accepted, in monotonic milliseconds; minus infinity if there was none. */
+	get lastAcceptedAt(): number {
+		return this.#lastAcceptedAt;
+	}
+
+	/** Number of connections that were closed as idle, and of those among them that never carried a request. */
+	get closedCounts(): {readonly idle: number; readonly unused: number} {
+		return {idle: this.#idleClosedCount, unused: this.#unusedClosedCount};
+	}
 
 	/** Number of responses with data still buffered in this process. The data is lost if the process exits. */
 	get unfinishedCount(): number {
@@ -31,6 +54,7 @@
 
 	add(socket: Socket): void {
 		const connection: Connection = {unfinished: new Map(), readBytes: 0};
+		this.#lastAcceptedAt = this.#clock.now();
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
@@ -102,6 +126,8 @@
 	closeIdle(): void {
 		for (const [socket, {unfinished, readBytes}] of this.#connections) {
 			if (unfinished.size === 0 && socket.bytesRead === readBytes) {
+				this.#idleClosedCount += 1;
+				this.#unusedClosedCount += readBytes === 0 ? 1 : 0;
 				socket.destroy();
 			}
 		}
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -2,7 +2,9 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {OUTCOME, RESULT_CODE, RESULT_DETAILS} from '@valelead/common';
+import {
+	OUTCOME, RESULT_CODE, RESULT_DETAILS, SYSTEM_CLOCK,
+} from '@valelead/common';
 import {CallerConnections} from '../caller-connections.js';
 import {stopListening} from '../stop-listening.js';
 import type {EntrySettings} from '../settings/entry-settings.js';
@@ -25,7 +27,7 @@
 	readonly #settings: EntrySettings;
 	readonly #getUnreadyReason: () => string | undefined;
 	readonly #server: Server;
-	readonly #connections = new CallerConnections();
+	readonly #connections = new CallerConnections({clock: SYSTEM_CLOCK});
 
 	constructor(handler: HttpHandler, settings: EntrySettings, getUnreadyReason: () => string | undefined) {
 		this.#handler = handler;
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
 import {newGatewayAdmission} from './new-gateway-admission.js';
 import {EngineChoice} from './engine-choice.js';
 import {getSummedLaneCost} from './get-summed-lane-cost.js';
+import {ReadinessChecks} from './readiness-checks.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import {RequestHandler} from './request-handler.js';
 import {RequestReceiver} from './request-receiver.js';
@@ -85,6 +86,7 @@
 	readonly #intake: RequestReceiver;
 	readonly #dispatcher: RequestDispatcher;
 	readonly #server: RequestServer;
+	readonly #checks = new ReadinessChecks();
 	readonly #held: HeldResponses;
 	readonly #bodies: CallerBodies;
 	#admin: Server | undefined;
@@ -246,7 +248,11 @@
 		await this.#residencyServer.listen(`${settings.listenHost ?? settings.host}:${settings.sidecarPort}`, newServerCredentials(settings.tls));
 		this.#follower.start();
 		await this.#server.listen();
-		this.#readiness = await startReadinessServer(settings.readiness, adapter.caller.readinessPath, () => this.#getUnreadyReason());
+		this.#readiness = await startReadinessServer(settings.readiness, adapter.caller.readinessPath, () => {
+			const reason = this.#getUnreadyReason();
+			this.#checks.note(reason === undefined);
+			return reason;
+		});
 		this.#admin = await startAdminServer({
 			...settings.admin,
 			metrics: this.#metrics,
@@ -277,6 +283,7 @@
 		this.#dispatcher.stop(endsAt);
 		this.#follower.scheduleReport();
 		await timers.wait(Math.min(BALANCER_DRAIN_MS, graceMs / 2));
+		this.#logListenerClosed(startedAt);
 		this.#server.close();
 		this.#server.closeIdle();
 		while (this.#isBusy && SYSTEM_CLOCK.now() < endsAt) {
@@ -285,7 +292,10 @@
 			this.#server.closeIdle();
 		}
 
-		logger.info({event: 'stopping', inProgress: this.#dispatcher.inProgress, unfinished: this.#server.unfinishedCount}, 'gateway stops');
+		const {idle, unused} = this.#server.closedCounts;
+		logger.info({
+			event: 'stopping', inProgress: this.#dispatcher.inProgress, unfinished: this.#server.unfinishedCount, idleClosed: idle, unusedClosed: unused,
+		}, 'gateway stops');
 		this.stopNow();
 		this.#engineManagers.stop();
 		this.#residencyServer.stop();
@@ -312,6 +322,17 @@
 		this.#dispatcher.abortAll(RESULT_CODE.Draining);
 	}
 
+	#logListenerClosed(stoppedAt: number): void {
+		const now = SYSTEM_CLOCK.now();
+		const {lastAcceptedAt} = this.#server;
+		this.#parts.logger.info({
+			event: 'listener-closed',
+			stopMs: Math.round(now - stoppedAt),
+			acceptedMs: Number.isFinite(lastAcceptedAt) ? Math.round(now - lastAcceptedAt) : undefined,
+			failedChecks: this.#checks.failedCount,
+		}, 'no further connections are accepted');
+	}
+
 	#newFollower(): RoutingFollower {
 		const {
 			settings, adapter, logger, timers, pool,
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import type {Socket} from 'node:net';
+import {SYSTEM_CLOCK} from '@valelead/common';
 import type {CallerLimits} from '@valelead/routing';
 import {CallerConnections} from '../caller-connections.js';
 import {getHost} from '../get-host.js';
@@ -16,7 +17,7 @@
 export class RequestServer {
 	readonly #address: string;
 	readonly #server: Server;
-	readonly #connections = new CallerConnections();
+	readonly #connections = new CallerConnections({clock: SYSTEM_CLOCK});
 	readonly #errors = new CallerErrors(this.#connections);
 
 	constructor(address: string, handler: RequestHandler) {
@@ -38,6 +39,16 @@
 		return this.#connections.unfinishedCount;
 	}
 
+	/** When the last connection was accepted, in monotonic milliseconds; minus infinity if there was none. */
+	get lastAcceptedAt(): number {
+		return this.#connections.lastAcceptedAt;
+	}
+
+	/** Number of connections that were closed as idle, and of those among them that never carried a request. */
+	get closedCounts(): {readonly idle: number; readonly unused: number} {
+		return this.#connections.closedCounts;
+	}
+
 	async listen(): Promise<void> {
 		this.#server.listen(getPort(this.#address), getHost(this.#address));
 		await once(this.#server, 'listening');
--- a/apps/valelead-daemon/tests/caller-errors.steps.ts
+++ b/apps/valelead-daemon/tests/caller-errors.steps.ts
@@ -5,6 +5,7 @@
 import {
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
+import {SYSTEM_CLOCK} from '@valelead/common';
 import {CallerConnections, CallerErrors} from 'valelead-daemon';
 
 type ErrorsWorld = {
@@ -24,7 +25,7 @@
 });
 
 Given('a server that answers requests after {int} ms and gives heads {int} ms', async function (this: ErrorsWorld, answerMs: number, headMs: number) {
-	const connections = new CallerConnections();
+	const connections = new CallerConnections({clock: SYSTEM_CLOCK});
 	const errors = new CallerErrors(connections);
 	const server = createServer({requestTimeout: 0, headersTimeout: headMs, connectionsCheckingInterval: headMs / 2}, (message, response) => {
 		void connections.addResponse(response);
