Discard the input of a closing connection until its caller closes too

Callers saw: the connection is reset after a part of an answer that the gateway had sent whole, when it stopped while they read late and had sent more; and a reset in place of 400, 413 or 431 while they were still sending.

Cause: Node.js closes the socket as soon as the last response has been handed to the operating system, and idle connections were destroyed. A socket that is closed with unread input, or that receives more afterwards, resets its connection, and a reset discards what the other side has not received (RFC 9112, section 9.6). The log says code 0 for such requests.

Now the output is ended first, and input is discarded until the caller closes, for 5 s and 16 MiB at most, on up to 512 connections. A process that stops waits for these connections within its grace. What follows on the connection is not read as a request, so nothing of it runs. The answers to input that is no request have a length, so that callers see that they are whole.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Clock} from '@valelead/common';
+import type {Clock, TimerService} from '@valelead/common';
+import {LingeringConnections} from './lingering-connections.js';
 
 type Connection = {
 	/** Responses that this process has not completely handed to the operating system, in the order of their requests, with what waits for their turn. */
@@ -11,6 +12,7 @@
 
 type ConnectionsParts = {
 	readonly clock: Clock;
+	readonly timers: TimerService;
 };
 
 /** The most requests of one connection that wait for their responses. Callers that send more read no answers, and each occupies some 10 KB. */
@@ -28,9 +30,11 @@
 	#idleClosedCount = 0;
 	#unusedClosedCount = 0;
 	readonly #clock: Clock;
+	readonly #lingering: LingeringConnections;
 
-	constructor({clock}: ConnectionsParts) {
+	constructor({clock, timers}: ConnectionsParts) {
 		this.#clock = clock;
+		this.#lingering = new LingeringConnections(timers);
 	}
 
 	/** When the last connection was accepted, in monotonic milliseconds; minus infinity if there was none. */
@@ -58,14 +62,22 @@
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
-			// Node.js does not close responses that wait for an earlier one on their connection.
-			for (const [response, takeTurn] of connection.unfinished) {
-				this.#unfinished.delete(response);
-				takeTurn(false);
-			}
-
-			connection.unfinished.clear();
+			this.#dropResponses(connection);
 		});
+		// Node.js calls this after a response that closes its connection, and would close the socket although input may be unread.
+		socket.destroySoon = () => {
+			this.close(socket);
+		};
+	}
+
+	/** Closes a connection once its output has been sent. Requests whose responses wait for their turn are not answered. */
+	close(socket: Socket): void {
+		const connection = this.#connections.get(socket);
+		if (connection) {
+			this.#dropResponses(connection);
+		}
+
+		this.#lingering.close(socket);
 	}
 
 	/**
@@ -124,12 +136,26 @@
 
 	/** Closes connections that have no unfinished response and no partially received request. */
 	closeIdle(): void {
-		for (const [socket, {unfinished, readBytes}] of this.#connections) {
-			if (unfinished.size === 0 && socket.bytesRead === readBytes) {
+		for (const [socket, connection] of this.#connections) {
+			if (this.#isIdle(socket, connection)) {
 				this.#idleClosedCount += 1;
-				this.#unusedClosedCount += readBytes === 0 ? 1 : 0;
-				socket.destroy();
+				this.#unusedClosedCount += connection.readBytes === 0 ? 1 : 0;
+				this.close(socket);
 			}
 		}
 	}
+
+	#isIdle(socket: Socket, {unfinished, readBytes}: Connection): boolean {
+		return unfinished.size === 0 && socket.bytesRead === readBytes && !socket.writableEnded;
+	}
+
+	/** Node.js does not close responses that wait for an earlier one on their connection. */
+	#dropResponses({unfinished}: Connection): void {
+		for (const [response, takeTurn] of unfinished) {
+			this.#unfinished.delete(response);
+			takeTurn(false);
+		}
+
+		unfinished.clear();
+	}
 }
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -3,7 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	OUTCOME, RESULT_CODE, RESULT_DETAILS, SYSTEM_CLOCK,
+	type TimerService, OUTCOME, RESULT_CODE, RESULT_DETAILS, SYSTEM_CLOCK,
 } from '@valelead/common';
 import {CallerConnections} from '../caller-connections.js';
 import {stopListening} from '../stop-listening.js';
@@ -21,18 +21,27 @@
 /** The Retry-After time of requests on connections beyond the limit, in milliseconds. */
 const RETRY_AFTER_MS = 1000;
 
+type ServerParts = {
+	readonly handler: HttpHandler;
+	readonly settings: EntrySettings;
+	readonly timers: TimerService;
+	/** Returns the reason why the process accepts no requests, or undefined if it accepts them. */
+	readonly getUnreadyReason: () => string | undefined;
+};
+
 /** The HTTP server for callers and for the readiness checks of the platform's load balancer. */
 export class CallerServer {
 	readonly #handler: HttpHandler;
 	readonly #settings: EntrySettings;
 	readonly #getUnreadyReason: () => string | undefined;
 	readonly #server: Server;
-	readonly #connections = new CallerConnections({clock: SYSTEM_CLOCK});
+	readonly #connections: CallerConnections;
 
-	constructor(handler: HttpHandler, settings: EntrySettings, getUnreadyReason: () => string | undefined) {
+	constructor({handler, settings, timers, getUnreadyReason}: ServerParts) {
 		this.#handler = handler;
 		this.#settings = settings;
 		this.#getUnreadyReason = getUnreadyReason;
+		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
 		this.#server = createServer({
 			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS,
 		}, (message, response) => {
@@ -46,6 +55,11 @@
 		});
 	}
 
+	/** Number of open connections, with those that wait for their callers to close. */
+	get connectionCount(): number {
+		return this.#connections.size;
+	}
+
 	/** Number of responses with data still buffered in this process. */
 	get unfinishedCount(): number {
 		return this.#connections.unfinishedCount;
--- a/apps/valelead-daemon/src/entry/entry.ts
+++ b/apps/valelead-daemon/src/entry/entry.ts
@@ -48,7 +48,9 @@
 	constructor(parts: EntryParts) {
 		this.#parts = parts;
 		this.#dispatcher = this.#newDispatcher();
-		this.#callers = new CallerServer(this.#newHandler(), parts.settings, () => this.#getUnreadyReason());
+		this.#callers = new CallerServer({
+			handler: this.#newHandler(), settings: parts.settings, timers: parts.timers, getUnreadyReason: () => this.#getUnreadyReason(),
+		});
 		this.#session = this.#newSession();
 	}
 
@@ -193,7 +195,7 @@
 	}
 
 	async #waitUntilIdle(): Promise<void> {
-		const isBusy = (): boolean => this.#dispatcher.inProgress > 0 || this.#callers.unfinishedCount > 0;
+		const isBusy = (): boolean => this.#dispatcher.inProgress > 0 || this.#callers.connectionCount > 0;
 		while (isBusy() && SYSTEM_CLOCK.now() < this.#endsAt!) {
 			await this.#parts.timers.wait(IDLE_POLL_INTERVAL_MS);
 			this.#callers.closeIdle();
--- a/apps/valelead-daemon/src/gateway/caller-errors.ts
+++ b/apps/valelead-daemon/src/gateway/caller-errors.ts
@@ -29,7 +29,9 @@
 
 		if (socket.writable) {
 			const status = STATUSES[error.code ?? ''] ?? BAD_REQUEST;
-			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			this.#connections.close(socket);
+			return;
 		}
 
 		socket.destroy(error);
@@ -46,7 +48,7 @@
 		}
 
 		response.once('close', () => {
-			socket.destroy();
+			this.#connections.close(socket);
 		});
 	}
 }
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -222,25 +222,27 @@
 		this.#bodies = new CallerBodies({
 			maxTotalBytes: settings.memoryMb * BYTES_PER_MB * BODY_SHARE, clock: SYSTEM_CLOCK, timers, collectGarbage,
 		});
-		this.#server = new RequestServer(settings.http, new RequestHandler({
-			held: this.#held,
-			bodies: this.#bodies,
-			codec: adapter.caller,
-			clock: SYSTEM_CLOCK,
-			logger,
-			onRequest: request => {
-				this.#intake.arrive(request);
-			},
-			onCallerDisconnected: request => {
-				this.#intake.abandon(request);
-			},
-			getTable: () => this.#follower.table,
-			isConfirmed: () => this.#confirmation.isFresh,
-			getContact: () => this.#follower.contact,
-			isStopping: () => this.#grace !== undefined,
-			findSoleVersion: async (route, service) => this.#origins.findSoleVersion(route, service),
-			findOrigin: async (key, requestId) => this.#origins.lookUp(key, requestId),
-		}));
+		this.#server = new RequestServer({
+			address: settings.http, timers, handler: new RequestHandler({
+				held: this.#held,
+				bodies: this.#bodies,
+				codec: adapter.caller,
+				clock: SYSTEM_CLOCK,
+				logger,
+				onRequest: request => {
+					this.#intake.arrive(request);
+				},
+				onCallerDisconnected: request => {
+					this.#intake.abandon(request);
+				},
+				getTable: () => this.#follower.table,
+				isConfirmed: () => this.#confirmation.isFresh,
+				getContact: () => this.#follower.contact,
+				isStopping: () => this.#grace !== undefined,
+				findSoleVersion: async (route, service) => this.#origins.findSoleVersion(route, service),
+				findOrigin: async (key, requestId) => this.#origins.lookUp(key, requestId),
+			}),
+		});
 	}
 
 	async start(): Promise<void> {
@@ -307,9 +309,9 @@
 		this.#admin?.close();
 	}
 
-	/** True if a request is in progress, or a caller has not received the whole of a completed response. */
+	/** True if a request is in progress, or a connection is open: its caller may not have received the whole of a completed response. */
 	get #isBusy(): boolean {
-		return this.#dispatcher.inProgress > 0 || this.#server.unfinishedCount > 0;
+		return this.#dispatcher.inProgress > 0 || this.#server.connectionCount > 0;
 	}
 
 	/** Stops without waiting: refuses the requests that wait and aborts those in progress. */
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import type {Socket} from 'node:net';
-import {SYSTEM_CLOCK} from '@valelead/common';
+import {SYSTEM_CLOCK, type TimerService} from '@valelead/common';
 import type {CallerLimits} from '@valelead/routing';
 import {CallerConnections} from '../caller-connections.js';
 import {getHost} from '../get-host.js';
@@ -13,15 +13,24 @@
 /** The largest request head (request line and headers) that a configuration can allow, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
 
+type ServerParts = {
+	/** IP address and port. */
+	readonly address: string;
+	readonly handler: RequestHandler;
+	readonly timers: TimerService;
+};
+
 /** The HTTP server that receives the requests of callers. */
 export class RequestServer {
 	readonly #address: string;
 	readonly #server: Server;
-	readonly #connections = new CallerConnections({clock: SYSTEM_CLOCK});
-	readonly #errors = new CallerErrors(this.#connections);
+	readonly #connections: CallerConnections;
+	readonly #errors: CallerErrors;
 
-	constructor(address: string, handler: RequestHandler) {
+	constructor({address, handler, timers}: ServerParts) {
 		this.#address = address;
+		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
+		this.#errors = new CallerErrors(this.#connections);
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (message, response) => {
 			const turn = this.#connections.addResponse(response);
 			void handler.handle(message, response, {turn, isLatest: () => this.#connections.isLatest(response)});
@@ -34,6 +43,11 @@
 		});
 	}
 
+	/** Number of open connections, with those that wait for their callers to close. */
+	get connectionCount(): number {
+		return this.#connections.size;
+	}
+
 	/** Number of responses that have not been completely sent to their callers. */
 	get unfinishedCount(): number {
 		return this.#connections.unfinishedCount;
--- /dev/null
+++ b/apps/valelead-daemon/src/lingering-connections.ts
@@ -0,0 +1,65 @@
+import type {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
+import type {TimerService} from '@valelead/common';
+
+/** The longest time for which the input of a closing connection is discarded, in milliseconds. A caller that has read everything closes at once. */
+const MAX_LINGER_MS = 5000;
+
+/** The most input that is discarded on one connection, in bytes: four of the largest bodies. */
+const MAX_DISCARDED_BYTES = 16_777_216;
+
+/** The most connections that wait for their callers to close. The oldest one is closed for each one beyond. */
+const MAX_CONNECTIONS = 512;
+
+/**
+ * Closes connections in order (RFC 9112, section 9.6): ends their output, then discards their input until their callers close too. The operating system resets
+ * a connection that is closed with unread input, or that receives more afterwards, and a reset discards what the caller has not received.
+ */
+export class LingeringConnections {
+	readonly #timers: TimerService;
+	/** The connections that are closing, oldest first. */
+	readonly #sockets = new Set<Socket>();
+
+	constructor(timers: TimerService) {
+		this.#timers = timers;
+	}
+
+	get size(): number {
+		return this.#sockets.size;
+	}
+
+	/** Closes a connection of an HTTP server once its output has been sent. Requests that arrive on it from now on are not read. */
+	close(socket: Socket): void {
+		if (socket.destroyed || this.#sockets.has(socket)) {
+			return;
+		}
+
+		if (this.#sockets.size === MAX_CONNECTIONS) {
+			const [oldest] = this.#sockets;
+			oldest.destroy();
+		}
+
+		const limit = this.#timers.after(MAX_LINGER_MS, () => {
+			socket.destroy();
+		});
+		this.#sockets.add(socket);
+		socket.once('close', () => {
+			limit.cancel();
+			this.#sockets.delete(socket);
+		});
+		this.#discardInput(socket);
+		socket.end();
+	}
+
+	#discardInput(socket: Socket): void {
+		const before = socket.bytesRead;
+		// Detaches the parser of the HTTP server, which would take up further requests.
+		socket.removeAllListeners('data');
+		socket.on('data', (_chunk: Buffer) => {
+			if (socket.bytesRead - before > MAX_DISCARDED_BYTES) {
+				socket.destroy();
+			}
+		});
+		socket.resume();
+	}
+}
--- a/apps/valelead-daemon/tests/caller-errors.steps.ts
+++ b/apps/valelead-daemon/tests/caller-errors.steps.ts
@@ -6,6 +6,7 @@
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {SYSTEM_CLOCK} from '@valelead/common';
+import {newSystemTimers} from './new-system-timers.js';
 import {CallerConnections, CallerErrors} from 'valelead-daemon';
 
 type ErrorsWorld = {
@@ -25,7 +26,7 @@
 });
 
 Given('a server that answers requests after {int} ms and gives heads {int} ms', async function (this: ErrorsWorld, answerMs: number, headMs: number) {
-	const connections = new CallerConnections({clock: SYSTEM_CLOCK});
+	const connections = new CallerConnections({clock: SYSTEM_CLOCK, timers: newSystemTimers()});
 	const errors = new CallerErrors(connections);
 	const server = createServer({requestTimeout: 0, headersTimeout: headMs, connectionsCheckingInterval: headMs / 2}, (message, response) => {
 		void connections.addResponse(response);
