Read what has arrived before a stopping gateway closes its listening socket and idle connections

Callers saw: a connection that is reset although they had sent a whole request, with no line in the gateway's log.

Cause: both were closed by a timer, 2.5 s after the stop signal. In each iteration of Node's event loop timers come before sockets, so after any pause of the process the close came before what had arrived was accepted and read: connections that waited in the accept queue were reset, and ones that had just been accepted, or whose request lay unread, counted as idle. The time said nothing of what the balancer had seen.

Now the listening socket is closed once the balancer has seen two checks fail, no connection has come for 500 ms, and none waits to be accepted, at the latest at half of the grace. Connections are closed as idle once what had arrived on them is read; a new one is kept for a second for its first request.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock, TimerService} from '@valelead/common';
+import {afterEventLoopIterations} from './after-event-loop-iterations.js';
 import {LingeringConnections} from './lingering-connections.js';
 
 type Connection = {
@@ -8,6 +9,8 @@
 	readonly unfinished: Map<ServerResponse, (isTurn: boolean) => void>;
 	/** Bytes received on the connection when its last response finished. */
 	readBytes: number;
+	/** In monotonic milliseconds. */
+	readonly acceptedAt: number;
 };
 
 type ConnectionsParts = {
@@ -18,6 +21,15 @@
 /** The most requests of one connection that wait for their responses. Callers that send more read no answers, and each occupies some 10 KB. */
 const MAX_UNFINISHED = 256;
 
+/** The time within which the first request on a new connection arrives, in milliseconds: its caller connected to send one. */
+const FIRST_REQUEST_MS = 1000;
+
+/**
+ * Event-loop iterations after which the input of a connection has been read. Timers come before sockets in each iteration, so a timer that is late because the
+ * process was stalled runs before the requests that have arrived meanwhile are read.
+ */
+const ITERATIONS_TO_READ = 2;
+
 /**
  * Tracks the connections of callers and which of them are idle. Node's own `closeIdleConnections` treats a connection as idle as soon as `end` was
  * called on its response, and truncates responses to callers that read slowly.
@@ -26,6 +38,7 @@
 	readonly #connections = new Map<Socket, Connection>();
 	readonly #unfinished = new Set<ServerResponse>();
 	#isClosing = false;
+	#acceptedCount = 0;
 	#lastAcceptedAt = Number.NEGATIVE_INFINITY;
 	#idleClosedCount = 0;
 	#unusedClosedCount = 0;
@@ -57,8 +70,9 @@
 	}
 
 	add(socket: Socket): void {
-		const connection: Connection = {unfinished: new Map(), readBytes: 0};
-		this.#lastAcceptedAt = this.#clock.now();
+		const connection: Connection = {unfinished: new Map(), readBytes: 0, acceptedAt: this.#clock.now()};
+		this.#lastAcceptedAt = connection.acceptedAt;
+		this.#acceptedCount += 1;
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
@@ -80,6 +94,17 @@
 		this.#lingering.close(socket);
 	}
 
+	/** Resolves once no connection waits to be accepted. Node.js accepts one in each iteration of the event loop. */
+	async acceptWaiting(): Promise<void> {
+		let acceptedCount: number;
+		do {
+			acceptedCount = this.#acceptedCount;
+			await new Promise<void>(resolve => {
+				afterEventLoopIterations(ITERATIONS_TO_READ, resolve);
+			});
+		} while (this.#acceptedCount > acceptedCount);
+	}
+
 	/**
 	 * Registers the response to a request that has arrived. Resolves with true once it is the first unfinished response of its connection, and with false if
 	 * the connection ends before: with a response that fails or closes it, those behind it are lost.
@@ -134,15 +159,31 @@
 		}
 	}
 
-	/** Closes connections that have no unfinished response and no partially received request. */
+	/** Closes connections that have no unfinished response and no partially received request, once what has arrived on them is read. */
 	closeIdle(): void {
-		for (const [socket, connection] of this.#connections) {
-			if (this.#isIdle(socket, connection)) {
-				this.#idleClosedCount += 1;
-				this.#unusedClosedCount += connection.readBytes === 0 ? 1 : 0;
-				this.close(socket);
+		const newestAt = this.#clock.now() - FIRST_REQUEST_MS;
+		const idle = [...this.#connections].filter(([socket, connection]) => this.#isIdle(socket, connection) && (connection.readBytes > 0 || connection.acceptedAt < newestAt));
+		if (idle.length === 0) {
+			return;
+		}
+
+		afterEventLoopIterations(ITERATIONS_TO_READ, () => {
+			for (const [socket] of idle) {
+				this.closeIfIdle(socket);
 			}
+		});
+	}
+
+	/** Closes a connection if it has no unfinished response and no partially received request. */
+	closeIfIdle(socket: Socket): void {
+		const connection = this.#connections.get(socket);
+		if (!connection || !this.#isIdle(socket, connection)) {
+			return;
 		}
+
+		this.#idleClosedCount += 1;
+		this.#unusedClosedCount += connection.readBytes === 0 ? 1 : 0;
+		this.close(socket);
 	}
 
 	#isIdle(socket: Socket, {unfinished, readBytes}: Connection): boolean {
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -75,8 +75,9 @@
 		this.#connections.closeAfterResponses();
 	}
 
-	/** Stops accepting connections and closes idle ones. Busy connections close after their response. */
-	close(): void {
+	/** Stops accepting connections, after those that wait, and closes idle ones. Busy connections close after their response. */
+	async close(): Promise<void> {
+		await this.#connections.acceptWaiting();
 		stopListening(this.#server);
 		this.#connections.closeIdle();
 	}
--- a/apps/valelead-daemon/src/entry/entry.ts
+++ b/apps/valelead-daemon/src/entry/entry.ts
@@ -78,7 +78,7 @@
 		const {settings, timers} = this.#parts;
 		this.#beginStop(SYSTEM_CLOCK.now() + settings.balancerDelayMs + settings.stopLimitMs);
 		await timers.wait(settings.balancerDelayMs);
-		this.#callers.close();
+		await this.#callers.close();
 		await this.#waitUntilIdle();
 		this.stopNow();
 		this.#session.stop();
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
 import {newGatewayAdmission} from './new-gateway-admission.js';
 import {EngineChoice} from './engine-choice.js';
 import {getSummedLaneCost} from './get-summed-lane-cost.js';
+import {isBalancerDrained} from './is-balancer-drained.js';
 import {ReadinessChecks} from './readiness-checks.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import {RequestHandler} from './request-handler.js';
@@ -57,8 +58,8 @@
 
 const MS_PER_SECOND = 1000;
 
-/** Time until the load balancer stops opening connections, in milliseconds: it checks readiness each second and tolerates two failures. */
-const BALANCER_DRAIN_MS = 2500;
+/** The share of the grace period after which the gateway accepts no further connections, whatever the balancer does. The rest is for their requests. */
+const ACCEPTING_SHARE = 1 / 2;
 
 /**
  * End of the platform's grace period that is reserved for the shutdown, in milliseconds, and as a share of a short one: requests in progress are aborted this
@@ -284,7 +285,7 @@
 		this.#grace = {startedAt, endsAt};
 		this.#dispatcher.stop(endsAt);
 		this.#follower.scheduleReport();
-		await timers.wait(Math.min(BALANCER_DRAIN_MS, graceMs / 2));
+		await this.#acceptUntilDrained(startedAt, startedAt + (graceMs * ACCEPTING_SHARE));
 		this.#logListenerClosed(startedAt);
 		this.#server.close();
 		this.#server.closeIdle();
@@ -324,6 +325,19 @@
 		this.#dispatcher.abortAll(RESULT_CODE.Draining);
 	}
 
+	/** Accepts connections until the balancer opens no more, and at most until a time in monotonic milliseconds. */
+	async #acceptUntilDrained(stoppedAt: number, endsAt: number): Promise<void> {
+		let now: number;
+		do {
+			await this.#parts.timers.wait(IDLE_POLL_MS);
+			// After a stall, timers run before the connections that have come meanwhile are accepted.
+			await this.#server.acceptWaiting();
+			now = SYSTEM_CLOCK.now();
+		} while (now < endsAt && !isBalancerDrained({
+			stopMs: now - stoppedAt, acceptedMs: now - this.#server.lastAcceptedAt, isChecked: this.#checks.hasPassed, failedChecks: this.#checks.failedCount,
+		}));
+	}
+
 	#logListenerClosed(stoppedAt: number): void {
 		const now = SYSTEM_CLOCK.now();
 		const {lastAcceptedAt} = this.#server;
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -79,6 +79,11 @@
 		this.#connections.closeIdle();
 	}
 
+	/** Resolves once no connection waits to be accepted. */
+	async acceptWaiting(): Promise<void> {
+		await this.#connections.acceptWaiting();
+	}
+
 	/** Stops accepting new connections. */
 	close(): void {
 		stopListening(this.#server);
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -110,6 +110,7 @@
 export {newDemand} from './gateway/new-demand.js';
 export {ExpectedRetries} from './gateway/expected-retries.js';
 export {EngineDiscovery} from './gateway/engine-discovery.js';
+export {isBalancerDrained} from './gateway/is-balancer-drained.js';
 export {isLoadTooLate} from './gateway/is-load-too-late.js';
 export {ControllerPeers} from './control/controller-peers.js';
 export {LeaderFinder} from './standby/leader-finder.js';
