Close idle connections of a stopping gateway while it still accepts new ones

Callers saw: a kept connection whose answer began before the stop signal stays open after it, and takes further requests to the stopping gateway.

Cause: idle connections were first closed together with the listening socket, which waits for failed checks of the balancer, up to half of the grace.

Idle connections are closed from 2.5 s on, as before, and still only once what has arrived on them is read.

--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import {OriginClient} from '../stream-origins/origin-client.js';
 import {getStartupDurationMs} from '../get-startup-duration-ms.js';
 import {newServerCredentials} from '../tls/new-server-credentials.js';
+import {BALANCER_DRAIN_MS} from './balancer-drain-ms.js';
 import {HeldResponses} from './held-responses.js';
 import {newGarbageCollection} from './new-garbage-collection.js';
 import {newPortCheck} from './new-port-check.js';
@@ -333,6 +334,10 @@
 			// After a stall, timers run before the connections that have come meanwhile are accepted.
 			await this.#server.acceptWaiting();
 			now = SYSTEM_CLOCK.now();
+			if (now - stoppedAt >= BALANCER_DRAIN_MS) {
+				// Connections that stay open would carry further requests to this process, whether or not the balancer still opens new ones.
+				this.#server.closeIdle();
+			}
 		} while (now < endsAt && !isBalancerDrained({
 			stopMs: now - stoppedAt, acceptedMs: now - this.#server.lastAcceptedAt, isChecked: this.#checks.hasPassed, failedChecks: this.#checks.failedCount,
 		}));
--- a/apps/valelead-daemon/src/gateway/is-balancer-drained.ts
+++ b/apps/valelead-daemon/src/gateway/is-balancer-drained.ts
@@ -1,3 +1,5 @@
+import {BALANCER_DRAIN_MS} from './balancer-drain-ms.js';
+
 type BalancerView = {
 	/** Time since the stop signal, in milliseconds. */
 	readonly stopMs: number;
@@ -9,9 +11,6 @@
 	readonly failedChecks: number;
 };
 
-/** Time until the load balancer stops opening connections, in milliseconds: it checks readiness each second and tolerates two failures. */
-const BALANCER_DRAIN_MS = 2500;
-
 /** Failed checks after which the balancer opens no further connections. */
 const FAILED_CHECKS = 2;
 
