Read what has arrived before a connection is closed at the end of its idle time

Callers saw: a connection that is reset although their request had arrived before the end of `idle_timeout_ms`, with no line in the gateway's log.

Cause: Node.js destroys a connection whose idle time has passed, in a timer. In each iteration of its event loop timers come before sockets, so after a pause of the process beyond that time the connection was destroyed before the request on it was read; with unread input a close is a reset.

Now the servers of the gateway and the entry decide themselves: a connection whose idle time has passed is closed two iterations later, unless bytes have arrived on it by then, and through CallerConnections, which ends the output first. As before, it is closed too if what it received after its last answer is no whole request.

The entry has the same change, without a scenario of its own.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -168,21 +168,28 @@
 		}
 
 		afterEventLoopIterations(ITERATIONS_TO_READ, () => {
-			for (const [socket] of idle) {
-				this.closeIfIdle(socket);
+			for (const [socket, connection] of idle) {
+				if (this.#connections.has(socket) && this.#isIdle(socket, connection)) {
+					this.#closeIdle(socket, connection);
+				}
 			}
 		});
 	}
 
-	/** Closes a connection if it has no unfinished response and no partially received request. */
-	closeIfIdle(socket: Socket): void {
-		const connection = this.#connections.get(socket);
-		if (!connection || !this.#isIdle(socket, connection)) {
-			return;
-		}
+	/** Closes a connection whose idle time has passed, unless something has arrived on it meanwhile that has not been read yet. */
+	closeSilent(socket: Socket): void {
+		const {bytesRead} = socket;
+		afterEventLoopIterations(ITERATIONS_TO_READ, () => {
+			const connection = this.#connections.get(socket);
+			if (connection?.unfinished.size === 0 && socket.bytesRead === bytesRead && !socket.writableEnded) {
+				this.#closeIdle(socket, connection);
+			}
+		});
+	}
 
+	#closeIdle(socket: Socket, {readBytes}: Connection): void {
 		this.#idleClosedCount += 1;
-		this.#unusedClosedCount += connection.readBytes === 0 ? 1 : 0;
+		this.#unusedClosedCount += readBytes === 0 ? 1 : 0;
 		this.close(socket);
 	}
 
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -2,6 +2,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {
 	type TimerService, OUTCOME, RESULT_CODE, RESULT_DETAILS, SYSTEM_CLOCK,
 } from '@valelead/common';
@@ -53,6 +54,10 @@
 			this.#connections.add(socket);
 			socket.setNoDelay(true);
 		});
+		// Without a listener, Node.js destroys connections at the end of their idle time.
+		this.#server.on('timeout', (socket: Socket) => {
+			this.#connections.closeSilent(socket);
+		});
 	}
 
 	/** Number of open connections, with those that wait for their callers to close. */
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -41,6 +41,10 @@
 		this.#server.on('connection', socket => {
 			this.#connections.add(socket);
 		});
+		// Without a listener, Node.js destroys connections at the end of their idle time.
+		this.#server.on('timeout', (socket: Socket) => {
+			this.#connections.closeSilent(socket);
+		});
 	}
 
 	/** Number of open connections, with those that wait for their callers to close. */
