Sync the names of the log's files before a voter reads them

What callers saw: nothing that was reported. A voter that was killed between the rename of a new log file and the sync of its folder read that file when it started again, and stored further entries and votes in it. A loss of power then took the name of the file, and with it all of that: the voter went on under its old identity with an older log, or with none.

Cause: `FileStorage.load` synced the content of the file that it found, but not its name. Only `#startFile` synced the folder, after the rename.

Why it works: the folder is synced before its names are listed, so whatever is read is durable under the name under which it is read. The same holds for the identity file, which is in that folder. The storage takes its file operations as an argument, so that the test replaces the disk alone.

--- a/packages/consensus/src/file-storage.ts
+++ b/packages/consensus/src/file-storage.ts
@@ -1,12 +1,12 @@
 import type {Buffer} from 'node:buffer';
-import {
-	type FileHandle, mkdir, open, readFile, readdir, rename, rm,
-} from 'node:fs/promises';
+import nodeFileSystem from 'node:fs/promises';
 import path from 'node:path';
 import {RESULT_CODE, ValeleadError} from '@valelead/common';
 import {decodeFrames} from './decode-frames.js';
 import {encodeFrame} from './encode-frame.js';
 import {mutateStoredLog} from './mutate-stored-log.js';
+import type {FileSystem} from './file-system.js';
+import type {LogFile} from './log-file.js';
 import type {LogStorage} from './log-storage.js';
 import type {PersistEffect} from './persist-effect.js';
 import type {MutableStoredLog} from './mutable-stored-log.js';
@@ -19,35 +19,31 @@
 
 const getFileName = (number: number): string => `log-${String(number).padStart(10, '0')}.wal`;
 
-const syncFolder = async (folder: string): Promise<void> => {
-	const handle = await open(folder, 'r');
-	try {
-		await handle.sync();
-	} finally {
-		await handle.close();
-	}
-};
-
 /**
  * Stores the log in one append-only file. A batch is one checksummed frame, which is synced before the batch counts as stored.
  * A snapshot starts a new file, which replaces the old one by an atomic rename.
  */
 export class FileStorage implements LogStorage {
 	readonly #folder: string;
+	readonly #fileSystem: FileSystem;
 	#number = 0;
-	#handle: FileHandle | undefined;
+	#handle: LogFile | undefined;
 	#stored: MutableStoredLog | undefined;
 	/** Number of bytes of the file that contain complete, synced frames. */
 	#validLength = 0;
 	/** True if a write failed, so that the file may contain a partial frame after the valid bytes. */
 	#hasFailedWrite = false;
 
-	constructor(folder: string) {
+	constructor(folder: string, fileSystem: FileSystem = nodeFileSystem) {
 		this.#folder = folder;
+		this.#fileSystem = fileSystem;
 	}
 
 	async load(): Promise<StoredLog | undefined> {
-		await mkdir(this.#folder, {recursive: true});
+		await this.#fileSystem.mkdir(this.#folder, {recursive: true});
+		// An earlier process may have been killed between a rename and the sync of the folder. Unless the names are durable, a loss of power would take
+		// everything that is stored under them from now on.
+		await this.#syncFolder();
 		const newest = await this.#getNewestNumber();
 		if (newest === undefined) {
 			return undefined;
@@ -55,7 +51,7 @@
 
 		this.#number = newest;
 		const file = path.join(this.#folder, getFileName(newest));
-		const {records, validLength} = decodeFrames(await readFile(file));
+		const {records, validLength} = decodeFrames(await this.#fileSystem.readFile(file));
 		const first = records[0]?.[0] as StoredLog | undefined;
 		if (!first) {
 			throw new ValeleadError(`${file} has no complete first record`, {code: RESULT_CODE.CorruptLog});
@@ -68,7 +64,7 @@
 			}
 		}
 
-		this.#handle = await open(file, 'r+');
+		this.#handle = await this.#fileSystem.open(file, 'r+');
 		await this.#handle.truncate(validLength);
 		await this.#handle.sync();
 		await this.#reopen(file);
@@ -78,7 +74,7 @@
 	}
 
 	async create(stored: StoredLog): Promise<void> {
-		await mkdir(this.#folder, {recursive: true});
+		await this.#fileSystem.mkdir(this.#folder, {recursive: true});
 		await this.#startFile({...stored, entries: [...stored.entries]});
 	}
 
@@ -121,18 +117,18 @@
 		const temporary = `${file}.tmp`;
 		const frame = encodeFrame([stored]);
 		await this.#writeNew(temporary, frame);
-		await rename(temporary, file);
-		await syncFolder(this.#folder);
+		await this.#fileSystem.rename(temporary, file);
+		await this.#syncFolder();
 		this.#number = previous + 1;
 		this.#stored = stored;
 		this.#validLength = frame.length;
 		this.#hasFailedWrite = false;
 		await this.#reopen(file);
-		await rm(path.join(this.#folder, getFileName(previous)), {force: true});
+		await this.#fileSystem.rm(path.join(this.#folder, getFileName(previous)), {force: true});
 	}
 
 	async #writeNew(file: string, frame: Buffer): Promise<void> {
-		const handle = await open(file, 'w', OWNER_ONLY_MODE);
+		const handle = await this.#fileSystem.open(file, 'w', OWNER_ONLY_MODE);
 		try {
 			await handle.writeFile(frame);
 			await handle.sync();
@@ -141,13 +137,22 @@
 		}
 	}
 
+	async #syncFolder(): Promise<void> {
+		const handle = await this.#fileSystem.open(this.#folder, 'r');
+		try {
+			await handle.sync();
+		} finally {
+			await handle.close();
+		}
+	}
+
 	async #reopen(file: string): Promise<void> {
 		await this.#handle?.close();
-		this.#handle = await open(file, 'a');
+		this.#handle = await this.#fileSystem.open(file, 'a');
 	}
 
 	async #getNewestNumber(): Promise<number | undefined> {
-		const names = await readdir(this.#folder);
+		const names = await this.#fileSystem.readdir(this.#folder);
 		const numbers = names
 			.map(name => FILE_PATTERN.exec(name)?.groups?.number)
 			.filter(number => number !== undefined)
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -22,6 +22,8 @@
 export {getLeaseEnd} from './get-lease-end.js';
 export {encodeFrame} from './encode-frame.js';
 export {decodeFrames} from './decode-frames.js';
+export type {FileSystem} from './file-system.js';
+export type {LogFile} from './log-file.js';
 export {FileStorage} from './file-storage.js';
 export {ConsensusNode} from './consensus-node.js';
 export type {DiscoveredVoter} from './discovered-voter.js';
