Evict lingering connections also when many are closed at once

Callers saw: new connections that a process without free descriptors cannot accept, after it closed more than 512 connections of callers that keep their side open. By a unit of the process, not by a whole one: 699 of 700 connections that were closed together stayed open, not 512.

Cause: an evicted connection was counted until its `close` event, so that the second one closed in an iteration of the event loop found 513, which the comparison with exactly 512 did not take for full. From then on none was evicted.

--- a/apps/valelead-daemon/src/lingering-connections.ts
+++ b/apps/valelead-daemon/src/lingering-connections.ts
@@ -34,8 +34,10 @@
 			return;
 		}
 
-		if (this.#sockets.size === MAX_CONNECTIONS) {
+		if (this.#sockets.size >= MAX_CONNECTIONS) {
 			const [oldest] = this.#sockets;
+			// Its `close` event comes later than further connections that are closed in this iteration.
+			this.#sockets.delete(oldest);
 			oldest.destroy();
 		}
 
--- /dev/null
+++ b/apps/valelead-daemon/tests/lingering-connections.feature
@@ -0,0 +1,8 @@
+Feature: Connections that wait for their callers to close
+  Input of closing connections is discarded until their callers close, on a bounded number of connections.
+
+  # Guards against descriptors that run out: connections that are closed at once passed the limit, and none was evicted any more.
+  Scenario: Callers that never close occupy a bounded number of connections although all are closed at once
+    Given a server with 700 idle connections whose callers never close
+    When the server closes its idle connections
+    Then 512 connections are open
