Discard the input of a closing connection whose reading had been stopped by back-pressure

Callers saw: their close is not noticed for 5 s, and then the connection is reset with what they had not read. Found by a unit of the process, not seen on a whole one: handlers of the gateway read refused bodies to their end, but a further request behind a large answer stops reading as well.

Cause: Node.js pauses the socket, and only a listener of its parser starts reading again. The listener was detached before the resumption, which is emitted in a later callback of the same tick.

"A caller is noticed to close although its body was not read before its connection was closed" failed in 2 of 2 runs before and passes in 3 of 3 now (load 39 to 54). Of the rows of late readers, 1 of 6 failed in the one run beside other scenarios (load 46 to 50): "a part of a request", with one whole answer and no second one; not traced.

--- a/apps/valelead-daemon/src/lingering-connections.ts
+++ b/apps/valelead-daemon/src/lingering-connections.ts
@@ -1,5 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
+import process from 'node:process';
 import type {TimerService} from '@valelead/common';
 
 /** The longest time for which the input of a closing connection is discarded, in milliseconds. A caller that has read everything closes at once. */
@@ -55,13 +56,16 @@
 
 	#discardInput(socket: Socket): void {
 		const before = socket.bytesRead;
-		// Detaches the parser of the HTTP server, which would take up further requests.
-		socket.removeAllListeners('data');
-		socket.on('data', (_chunk: Buffer) => {
-			if (socket.bytesRead - before > MAX_DISCARDED_BYTES) {
-				socket.destroy();
-			}
-		});
 		socket.resume();
+		// Back-pressure may have stopped reading, and only the parser starts it again, in an earlier callback of this tick.
+		process.nextTick(() => {
+			// Detaches the parser of the HTTP server, which would take up further requests.
+			socket.removeAllListeners('data');
+			socket.on('data', (_chunk: Buffer) => {
+				if (socket.bytesRead - before > MAX_DISCARDED_BYTES) {
+					socket.destroy();
+				}
+			});
+		});
 	}
 }
