Read the answers that came during a stall before an upstream is ejected as unresponsive

Callers saw: 503 in place of an answer after their gateway had stood still for 1.5 s and more, although the upstream had answered all that it was sent (requests with 600 ms; by reading, an ejection takes 1 s and longer).

Cause: an upstream that has answered nothing for 1.5 s is ejected, on the tick that follows a pause of the gateway's process too. In each iteration of Node's event loop timers come before sockets, so that tick came before the answers were read. An answer does not end an ejection.

Now StallWatch tells whether what arrived during a stall may still lie unread: from the stall until two iterations after it was noticed. The admission ejects no upstream for its silence meanwhile. If the upstream is still silent then, it is ejected on the next tick.

--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -13,7 +13,6 @@
 import {StallWatch} from '../stall-watch.js';
 import type {LimitExchange} from '../follower/limit-exchange.js';
 import type {OriginRecorder} from '../stream-origins/origin-recorder.js';
-import {afterEventLoopIterations} from '../after-event-loop-iterations.js';
 import {ActiveAttempts} from './active-attempts.js';
 import {CrashGuard} from './crash-guard.js';
 import {DemandReporter} from './demand-reporter.js';
@@ -70,9 +69,6 @@
 /** Time for which the report of a sidecar is delayed, so that reports of several sidecars are applied together, in milliseconds. */
 const REFRESH_COALESCE_MS = 25;
 
-/** Turns of the event loop in which a process that was stalled reads its pending socket data: one for the data of a connection, one for its end. */
-const TURNS_TO_READ = 2;
-
 /** The shortest Retry-After time, in milliseconds. It is short, as engines swap models within about a second. */
 const MIN_RETRY_AFTER_MS = 250;
 
@@ -405,7 +401,7 @@
 	}
 
 	#getSettings(): AdmissionSettings {
-		const settings = this.#parts.getSettings();
+		const settings = {...this.#parts.getSettings(), isInputUnread: this.#stalls.isInputUnread};
 		return this.#limits.count === 0 ? settings : {...settings, sendLimits: this.#limits.getSendLimits()};
 	}
 
@@ -454,7 +450,7 @@
 		// The request is counted before it is sent, because the next decisions depend on the count.
 		this.#limits.noteSent(dispatch.vm);
 		if (this.#stalls.isStalled) {
-			afterEventLoopIterations(TURNS_TO_READ, () => {
+			this.#stalls.onceRead(() => {
 				this.#sendUnlessAbandoned(dispatch);
 			});
 			return;
--- a/apps/valelead-daemon/src/stall-watch.ts
+++ b/apps/valelead-daemon/src/stall-watch.ts
@@ -1,4 +1,5 @@
 import type {Clock, TimerService} from '@valelead/common';
+import {afterEventLoopIterations} from './after-event-loop-iterations.js';
 
 /** The interval between two checks of the clock, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
@@ -12,12 +13,17 @@
  */
 const CHECKS_TO_CATCH_UP = 3;
 
+/** Event-loop iterations in which pending socket data is read: one for the data of a connection, one for its end. */
+const ITERATIONS_TO_READ = 2;
+
 /** Detects that the process was suspended or got no processor time, so that the input it reads afterwards may be stale. */
 export class StallWatch {
 	readonly #clock: Clock;
 	readonly #onStall: (stalledMs: number) => void;
 	#lastCheckAt: number;
 	#checksSinceStall = CHECKS_TO_CATCH_UP;
+	/** Number of stalls whose pending input is being read. */
+	#unreadStalls = 0;
 
 	/** @param onStall - Called when the process continues after a stall, with the length of the stall in milliseconds. */
 	constructor(clock: Clock, timers: TimerService, onStall: (stalledMs: number) => void = () => undefined) {
@@ -34,6 +40,16 @@
 		return this.#checksSinceStall < CHECKS_TO_CATCH_UP || this.#hasGap;
 	}
 
+	/** True if input that arrived during a stall may not have been read yet: timers fire before sockets are read. */
+	get isInputUnread(): boolean {
+		return this.#unreadStalls > 0 || this.#hasGap;
+	}
+
+	/** Calls back once the input that is pending now has been read. */
+	onceRead(callback: () => void): void {
+		afterEventLoopIterations(ITERATIONS_TO_READ, callback);
+	}
+
 	get #hasGap(): boolean {
 		return this.#clock.now() - this.#lastCheckAt > STALL_MS;
 	}
@@ -42,6 +58,10 @@
 		const now = this.#clock.now();
 		if (this.#hasGap) {
 			this.#checksSinceStall = 0;
+			this.#unreadStalls += 1;
+			this.onceRead(() => {
+				this.#unreadStalls -= 1;
+			});
 			this.#onStall(now - this.#lastCheckAt);
 		} else {
 			this.#checksSinceStall += 1;
--- a/packages/admission/src/admission-settings.ts
+++ b/packages/admission/src/admission-settings.ts
@@ -31,6 +31,8 @@
 	 * absent for no such check.
 	 */
 	readonly ejectUnresponsiveAfterMs?: number;
+	/** True while responses that arrived during a stall of the process may not have been read; absent for false. */
+	readonly isInputUnread?: boolean;
 	/** The limits of the upstreams that limit their request rate, by VM; absent if none does. */
 	readonly sendLimits?: ReadonlyMap<string, SendLimit>;
 	/**
--- a/packages/admission/src/mutate-unresponsive-lanes.ts
+++ b/packages/admission/src/mutate-unresponsive-lanes.ts
@@ -11,7 +11,7 @@
  * some seconds until the directory removes the machine. Requests that arrive in the meantime are better sent to other upstreams.
  */
 export const mutateUnresponsiveLanes = (state: AdmissionState, settings: AdmissionSettings, now: number): void => {
-	if (settings.ejectUnresponsiveAfterMs === undefined) {
+	if (settings.ejectUnresponsiveAfterMs === undefined || settings.isInputUnread) {
 		return;
 	}
 
