Read the answers that came during a stall before requests are ended at their deadlines

Callers saw: 504 with an unknown outcome, or a stream that is cut, although the upstream's whole answer had come within the deadline; unsafe requests had run. The deadline had passed while their gateway stood still.

Cause: deadlines were checked by the tick that follows a pause, and with each event of the admission. In each iteration of Node's event loop timers come before sockets, and of the sockets a new request may be read before an answer. Each such request also counted as a failure of its upstream, and three of them ejected it.

Now requests that an upstream has are ended at their deadlines only once what arrived during a stall is read, two iterations of the event loop after it was noticed. StallWatch tells the dispatcher then, so that requests without an answer end at once, also in a process that stalls again and again. Requests that were not sent are refused as before.

--- a/apps/valelead-daemon/src/gateway/request-dispatcher.ts
+++ b/apps/valelead-daemon/src/gateway/request-dispatcher.ts
@@ -98,6 +98,8 @@
 		this.#log = new DispatchLog(parts.logger);
 		this.#stalls = new StallWatch(parts.clock, parts.timers, stalledMs => {
 			this.#log.logStall(stalledMs);
+		}, () => {
+			this.#tick(parts.clock.now());
 		});
 		this.#book = new UpstreamTable({
 			clock: parts.clock,
@@ -342,7 +344,7 @@
 		}
 
 		for (const request of this.#requests.values()) {
-			if (now >= request.deadlineAt) {
+			if (now >= request.deadlineAt && !this.#stalls.isInputUnread) {
 				this.#expire(request);
 			}
 		}
--- a/apps/valelead-daemon/src/stall-watch.ts
+++ b/apps/valelead-daemon/src/stall-watch.ts
@@ -20,15 +20,22 @@
 export class StallWatch {
 	readonly #clock: Clock;
 	readonly #onStall: (stalledMs: number) => void;
+	readonly #onRead: () => void;
 	#lastCheckAt: number;
+	/** When the input that arrived during the last stall had been read. */
+	#lastReadAt = Number.NEGATIVE_INFINITY;
 	#checksSinceStall = CHECKS_TO_CATCH_UP;
 	/** Number of stalls whose pending input is being read. */
 	#unreadStalls = 0;
 
-	/** @param onStall - Called when the process continues after a stall, with the length of the stall in milliseconds. */
-	constructor(clock: Clock, timers: TimerService, onStall: (stalledMs: number) => void = () => undefined) {
+	/**
+	 * @param onStall - Called when the process continues after a stall, with the length of the stall in milliseconds.
+	 * @param onRead - Called once the input that arrived during a stall has been read.
+	 */
+	constructor(clock: Clock, timers: TimerService, onStall: (stalledMs: number) => void = () => undefined, onRead: () => void = () => undefined) {
 		this.#clock = clock;
 		this.#onStall = onStall;
+		this.#onRead = onRead;
 		this.#lastCheckAt = clock.now();
 		timers.repeat(CHECK_INTERVAL_MS, () => {
 			this.#check();
@@ -42,7 +49,7 @@
 
 	/** True if input that arrived during a stall may not have been read yet: timers fire before sockets are read. */
 	get isInputUnread(): boolean {
-		return this.#unreadStalls > 0 || this.#hasGap;
+		return this.#unreadStalls > 0 || (this.#hasGap && this.#clock.now() - this.#lastReadAt > STALL_MS);
 	}
 
 	/** Calls back once the input that is pending now has been read. */
@@ -61,6 +68,8 @@
 			this.#unreadStalls += 1;
 			this.onceRead(() => {
 				this.#unreadStalls -= 1;
+				this.#lastReadAt = this.#clock.now();
+				this.#onRead();
 			});
 			this.#onStall(now - this.#lastCheckAt);
 		} else {
--- a/apps/valelead-daemon/tests/stall-watch.steps.ts
+++ b/apps/valelead-daemon/tests/stall-watch.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {setImmediate as nextIteration} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {TimerService} from '@valelead/common';
 import {StallWatch} from 'valelead-daemon';
@@ -7,10 +8,15 @@
 	now: number;
 	fire: () => void;
 	stalls: StallWatch;
+	/** How often the input that arrived during a stall had been read. */
+	readCount: number;
 };
 
 const PERIOD_MS = 50;
 
+/** More iterations of the event loop than it takes to read what has arrived. */
+const ITERATIONS = 3;
+
 const fireOnTime = (world: StallWorld, times: number): void => {
 	for (let fired = 0; fired < times; fired += 1) {
 		world.now += PERIOD_MS;
@@ -26,7 +32,11 @@
 			this.fire = fire;
 		},
 	};
-	this.stalls = new StallWatch({now: () => this.now, wallNow: () => this.now}, timers as unknown as TimerService);
+	this.readCount = 0;
+	this.stalls = new StallWatch({now: () => this.now, wallNow: () => this.now}, timers as unknown as TimerService, undefined, () => {
+		assert.equal(this.stalls.isInputUnread, false);
+		this.readCount += 1;
+	});
 	fireOnTime(this, 10);
 });
 
@@ -49,3 +59,26 @@
 Then('its input may be stale', function (this: StallWorld) {
 	assert.equal(this.stalls.isStalled, true);
 });
+
+When('a timer fires {int} times, each after {int} ms, and what has arrived is read each time', async function (this: StallWorld, times: number, ms: number) {
+	for (let fired = 0; fired < times; fired += 1) {
+		this.now += ms;
+		this.fire();
+		assert.equal(this.stalls.isInputUnread, true);
+		for (let iteration = 0; iteration < ITERATIONS; iteration += 1) {
+			await nextIteration();
+		}
+	}
+});
+
+Then('its input has been read', function (this: StallWorld) {
+	assert.equal(this.stalls.isInputUnread, false);
+});
+
+Then('its input may lie unread', function (this: StallWorld) {
+	assert.equal(this.stalls.isInputUnread, true);
+});
+
+Then('it was told so {int} times', function (this: StallWorld, times: number) {
+	assert.equal(this.readCount, times);
+});
--- a/packages/admission/src/mutate-expired-requests.ts
+++ b/packages/admission/src/mutate-expired-requests.ts
@@ -15,7 +15,7 @@
 	}
 };
 
-/** Refuses the requests whose deadline passed before their response began. */
+/** Refuses the requests whose deadline passed before their response began. A response that arrived in time may have to be read first. */
 export const mutateExpiredRequests = (state: AdmissionState, settings: AdmissionSettings, now: number): AdmissionEffect[] => {
 	if (now < state.nextDeadlineAt) {
 		return [];
@@ -28,7 +28,7 @@
 			continue;
 		}
 
-		if (record.request.deadlineAt > now) {
+		if (record.request.deadlineAt > now || (record.state === 'sent' && settings.isInputUnread)) {
 			nextDeadlineAt = Math.min(nextDeadlineAt, record.request.deadlineAt);
 			continue;
 		}
