Run the calls of one connection to an entry one after the other, and close it after the last of them

Callers saw: of four calls sent together to an entry that was told to stop, the first was answered with `Connection: close` and the connection ended, although all four had run.

Cause: a stopping entry set `connection: close` on each unfinished response, not only on the last one of its connection, and ran all requests of a connection at once. A response that closes its connection takes those behind it along.

Now a later request on the connection takes that header over from the response before it, and the entry, like a gateway, submits a request once it is the first unfinished one of its connection. A request whose turn does not come has not run.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -36,7 +36,8 @@
  */
 export class CallerConnections {
 	readonly #connections = new Map<Socket, Connection>();
-	readonly #unfinished = new Set<ServerResponse>();
+	/** Responses that close their connections unless another request arrives before they begin. */
+	readonly #last = new WeakSet<ServerResponse>();
 	#isClosing = false;
 	#acceptedCount = 0;
 	#lastAcceptedAt = Number.NEGATIVE_INFINITY;
@@ -117,9 +118,8 @@
 			return false;
 		}
 
-		this.#unfinished.add(response);
 		if (this.#isClosing) {
-			response.setHeader('connection', 'close');
+			this.#closeAfter(response, [...connection.unfinished.keys()].at(-1));
 		}
 
 		return new Promise(resolve => {
@@ -129,7 +129,6 @@
 			}
 
 			response.once('close', () => {
-				this.#unfinished.delete(response);
 				connection.unfinished.delete(response);
 				connection.readBytes = socket.bytesRead;
 				const [next] = connection.unfinished;
@@ -149,12 +148,13 @@
 		return this.getUnfinished(response.req.socket).at(-1) === response;
 	}
 
-	/** Sets `connection: close` on all responses whose headers have not been sent, now and in the future. */
+	/** Sets `connection: close` on the last response of each connection if its headers have not been sent, now and in the future. */
 	closeAfterResponses(): void {
 		this.#isClosing = true;
-		for (const response of this.#unfinished) {
-			if (!response.headersSent) {
-				response.setHeader('connection', 'close');
+		for (const {unfinished} of this.#connections.values()) {
+			const last = [...unfinished.keys()].at(-1);
+			if (last) {
+				this.#closeAfter(last);
 			}
 		}
 	}
@@ -193,14 +193,25 @@
 		this.close(socket);
 	}
 
+	/** Closes a connection after a response, and not after the one before it, which would take this one along. */
+	#closeAfter(response: ServerResponse, previous?: ServerResponse): void {
+		if (previous && !previous.headersSent && this.#last.delete(previous)) {
+			previous.removeHeader('connection');
+		}
+
+		if (!response.headersSent) {
+			this.#last.add(response);
+			response.setHeader('connection', 'close');
+		}
+	}
+
 	#isIdle(socket: Socket, {unfinished, readBytes}: Connection): boolean {
 		return unfinished.size === 0 && socket.bytesRead === readBytes && !socket.writableEnded;
 	}
 
 	/** Node.js does not close responses that wait for an earlier one on their connection. */
 	#dropResponses({unfinished}: Connection): void {
-		for (const [response, takeTurn] of unfinished) {
-			this.#unfinished.delete(response);
+		for (const takeTurn of unfinished.values()) {
 			takeTurn(false);
 		}
 
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -46,8 +46,7 @@
 		this.#server = createServer({
 			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS,
 		}, (message, response) => {
-			void this.#connections.addResponse(response);
-			this.#handle(message, response);
+			this.#handle(message, response, this.#connections.addResponse(response));
 		});
 		this.#server.maxConnections = settings.maxConnections + REFUSED_CONNECTIONS;
 		this.#server.on('connection', socket => {
@@ -75,7 +74,7 @@
 		await once(this.#server, 'listening');
 	}
 
-	/** Sets `connection: close` on all responses whose headers have not been sent, now and in the future. */
+	/** Closes connections after their last responses. */
 	closeAfterResponses(): void {
 		this.#connections.closeAfterResponses();
 	}
@@ -92,7 +91,7 @@
 		this.#connections.closeIdle();
 	}
 
-	#handle(message: IncomingMessage, response: ServerResponse): void {
+	#handle(message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>): void {
 		if (message.url === '/healthz' || message.url === '/readyz') {
 			const reason = message.url === '/readyz' ? this.#getUnreadyReason() : undefined;
 			response.writeHead(reason === undefined ? 200 : 503, {'content-type': 'text/plain'});
@@ -108,6 +107,6 @@
 			return;
 		}
 
-		void this.#handler.handle(message, response);
+		void this.#handler.handle(message, response, turn);
 	}
 }
--- a/apps/valelead-daemon/src/entry/http-handler.ts
+++ b/apps/valelead-daemon/src/entry/http-handler.ts
@@ -65,10 +65,15 @@
 		this.#parts = parts;
 	}
 
-	async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+	/**
+	 * Handles a request. Requests of one connection are dispatched one after the other: a response that fails or closes the connection would take the responses
+	 * behind it along, although their requests have run.
+	 * @param turn - Resolves with true once all earlier requests of the connection are answered, and with false if the connection ends before.
+	 */
+	async handle(message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>): Promise<void> {
 		const requestId = randomUUID();
 		try {
-			await this.#handle(message, response, requestId);
+			await this.#handle(message, response, turn, requestId);
 		} catch (error) {
 			const refusal = toRefusal(error);
 			if (refusal.code === RESULT_CODE.Internal) {
@@ -80,7 +85,7 @@
 		}
 	}
 
-	async #handle(message: IncomingMessage, response: ServerResponse, requestId: string): Promise<void> {
+	async #handle(message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>, requestId: string): Promise<void> {
 		const refusalCode = this.#parts.getRefusalCode();
 		if (refusalCode !== undefined) {
 			throw new ValeleadError(RESULT_DETAILS[refusalCode].meaning, {code: refusalCode, outcome: OUTCOME.NotRun, retryAfterMs: 1000});
@@ -97,12 +102,16 @@
 			return;
 		}
 
-		const request = await this.#route(message, team);
+		const body = await readBody(message, this.#parts.maxBodyBytes);
+		if (!await turn) {
+			return;
+		}
+
+		const request = this.#route(message, team, body);
 		await (request.idempotencyKey === '' ? this.#serve(request, response, requestId) : this.#serveOnce(request, response, requestId));
 	}
 
-	async #route(message: IncomingMessage, team: Team): Promise<RoutedRequest> {
-		const body = await readBody(message, this.#parts.maxBodyBytes);
+	#route(message: IncomingMessage, team: Team, body: Buffer): RoutedRequest {
 		return routeRequest(this.#parts.follower.intent, team, {
 			method: message.method ?? 'GET', path: message.url ?? '/', headers: message.headers, body,
 		});
