Answer what is no HTTP at an entry like a gateway does

Callers saw: 400 without a length in place of the answer to a call that was running, when something that is no request followed it; and a reset in place of 400 or 431 while they were still sending.

Cause: the entry left errors of the parser to Node.js, which writes its own response at once, also while a request runs, and closes the socket with unread input.

Now the entry shares `CallerErrors`: the connection is closed after the answers that are due, and its input is discarded until the caller closes.

A body that is too long was answered with 413 before too, whole, on a connection that stays open.

--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -7,6 +7,7 @@
 	type TimerService, OUTCOME, RESULT_CODE, RESULT_DETAILS, SYSTEM_CLOCK,
 } from '@valelead/common';
 import {CallerConnections} from '../caller-connections.js';
+import {CallerErrors} from '../gateway/caller-errors.js';
 import {stopListening} from '../stop-listening.js';
 import type {EntrySettings} from '../settings/entry-settings.js';
 import {writeRefusal} from './write-refusal.js';
@@ -37,17 +38,22 @@
 	readonly #getUnreadyReason: () => string | undefined;
 	readonly #server: Server;
 	readonly #connections: CallerConnections;
+	readonly #errors: CallerErrors;
 
 	constructor({handler, settings, timers, getUnreadyReason}: ServerParts) {
 		this.#handler = handler;
 		this.#settings = settings;
 		this.#getUnreadyReason = getUnreadyReason;
 		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
+		this.#errors = new CallerErrors(this.#connections);
 		this.#server = createServer({
 			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS,
 		}, (message, response) => {
 			this.#handle(message, response, this.#connections.addResponse(response));
 		});
+		this.#server.on('clientError', (error, socket) => {
+			this.#errors.handle(error, socket as Socket);
+		});
 		this.#server.maxConnections = settings.maxConnections + REFUSED_CONNECTIONS;
 		this.#server.on('connection', socket => {
 			this.#connections.add(socket);
