Let a stopping controller answer the calls that it has read, and close its connections in order

Operators and upstreams saw: a configuration cut after 195,414 of 400,000 bytes, or 3.9 of 12 MB, when the leading controller was told to stop while they read late; a reset in place of 400, 413 or 431 while they were still sending; calls that were dropped unread 300 ms after the stop signal, when the process had stood still; and no answer to a change that the quorum was committing. None was acknowledged and lost.

Cause: the control servers were closed with Node's own `close`, the voter stopped and the process exited 300 ms after the signal, whatever was in progress. A proposal of a voter that has stopped never settles. Errors and early answers closed sockets with unread input.

Now both control servers are a `GracefulServer`, which shares `CallerConnections` and `CallerErrors` with gateways and entries. From the stop signal on, responses close their connections. After the transfer of leadership the controller takes up what waits to be accepted, stops listening, and keeps its voter until the requests that were read whole are answered, at most until its grace ends as a gateway's does. Then the voter stops, so that a slow reader does not keep it a candidate, and the process waits for its callers to close. Calls that still arrive get a redirect or 503.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -66,6 +66,11 @@
 		return [...this.#connections.values()].reduce((sum, connection) => sum + connection.unfinished.size, 0);
 	}
 
+	/** Number of requests that have been read completely and whose responses have not been written completely. */
+	get inProgressCount(): number {
+		return [...this.#connections.values()].reduce((sum, {unfinished}) => sum + [...unfinished.keys()].filter(({req, writableEnded}) => req.complete && !writableEnded).length, 0);
+	}
+
 	get size(): number {
 		return this.#connections.size;
 	}
--- a/apps/valelead-daemon/src/controller/control-server.ts
+++ b/apps/valelead-daemon/src/controller/control-server.ts
@@ -1,7 +1,4 @@
-import {once} from 'node:events';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
 	RESULT_CODE, RESULT_DETAILS, type ResultCodeValue, SYSTEM_CLOCK, type TimerService, ValeleadError,
 } from '@valelead/common';
@@ -17,9 +14,8 @@
 import type {Voter} from '../control/voter.js';
 import type {WithdrawalRecorder} from '../control/withdrawal-recorder.js';
 import {CallerBodies} from '../caller-bodies.js';
+import {GracefulServer} from '../graceful-server.js';
 import {withTimeout} from '../with-timeout.js';
-import {getHost} from '../get-host.js';
-import {getPort} from '../get-port.js';
 import type {ControlResponse} from './control-response.js';
 import {newRedirect} from './new-redirect.js';
 import {newRefusal} from './new-refusal.js';
@@ -62,34 +58,59 @@
 /** The HTTP control interface for operators and upstreams. Only the leader serves the calls; other voters redirect to it. */
 export class ControlServer {
 	readonly #parts: ControlServerParts;
-	readonly #server: Server;
+	readonly #server: GracefulServer;
 	readonly #bodies: CallerBodies;
 
 	constructor(parts: ControlServerParts) {
 		this.#parts = parts;
 		this.#bodies = new CallerBodies({maxTotalBytes: MAX_TOTAL_BYTES, clock: SYSTEM_CLOCK, timers: parts.timers});
-		this.#server = createServer((message, response) => {
-			void this.#handle(message, response);
+		this.#server = new GracefulServer({
+			address: parts.address,
+			timers: parts.timers,
+			onRequest: (message, response, turn) => {
+				void this.#handle(message, response, turn);
+			},
 		});
 	}
 
 	async listen(): Promise<void> {
-		this.#server.listen(getPort(this.#parts.address), getHost(this.#parts.address));
-		await once(this.#server, 'listening');
+		await this.#server.listen();
+	}
+
+	/** Closes connections after their next responses. */
+	closeAfterResponses(): void {
+		this.#server.closeAfterResponses();
 	}
 
-	close(): void {
-		this.#server.close();
-		this.#server.closeIdleConnections();
+	/**
+	 * Stops accepting calls. Resolves once none is in progress.
+	 * @param endsAt - When the stop ends at the latest, in monotonic milliseconds.
+	 */
+	async stop(endsAt: number): Promise<void> {
+		await this.#server.stop(endsAt);
 	}
 
-	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+	/** Resolves once all connections of a server that stops are closed. */
+	async waitUntilClosed(): Promise<void> {
+		await this.#server.waitUntilClosed();
+	}
+
+	stopNow(): void {
+		this.#server.stopNow();
+	}
+
+	async #handle(message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>): Promise<void> {
 		const call = this.#parts.codec.decodeCall(message.method ?? '', message.url ?? '');
 		try {
 			const body = await this.#bodies.read(message, {
 				maxBytes: call.kind === 'replaceRouting' ? MAX_ROUTING_BYTES : MAX_BODY_BYTES, endsAt: SYSTEM_CLOCK.now() + REQUEST_TIMEOUT_MS,
 			});
 			response.once('close', body.release);
+			if (!await turn) {
+				body.release();
+				return;
+			}
+
 			const controlResponse = this.#getRedirect(call, message.url ?? '') ?? await this.#execute(call, body.bytes.toString('utf8'));
 			writeResponse(response, controlResponse);
 		} catch (error) {
--- a/apps/valelead-daemon/src/controller/start-controller.ts
+++ b/apps/valelead-daemon/src/controller/start-controller.ts
@@ -23,6 +23,7 @@
 import {UpstreamRegistry} from '../control/upstream-registry.js';
 import {WithdrawalRecorder} from '../control/withdrawal-recorder.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
+import {getGraceEnd} from '../get-grace-end.js';
 import {Metrics} from '../metrics/metrics.js';
 import {setQuotaMetrics} from '../metrics/set-quota-metrics.js';
 import {setQuorumMetrics} from '../metrics/set-quorum-metrics.js';
@@ -187,17 +188,21 @@
 	logger.info({event: 'started', control: settings.control, startMs: getStartupDurationMs()}, 'controller started');
 	return {
 		async stop() {
+			const endsAt = getGraceEnd(SYSTEM_CLOCK.now(), settings.graceSeconds);
+			control.closeAfterResponses();
 			await transferLeadership(voter, timers);
-			control.close();
+			// The voter and its followers settle the calls in progress.
+			await control.stop(endsAt);
 			sessions.close();
 			await voter.stop();
 			server.stop();
+			await control.waitUntilClosed();
 			admin.close();
 			pool.close();
 			timers.stop();
 		},
 		stopNow() {
-			control.close();
+			control.stopNow();
 		},
 		reload(next) {
 			if (next.role === 'controller') {
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
 import {startAdminServer} from '../admin-server.js';
 import {RoutingConfirmation} from '../follower/routing-confirmation.js';
 import {RoutingFollower} from '../follower/routing-follower.js';
+import {getGraceEnd} from '../get-grace-end.js';
 import {GrpcServer} from '../grpc-server.js';
 import {BYTES_PER_MB} from '../bytes-per-mb.js';
 import {CallerBodies} from '../caller-bodies.js';
@@ -62,13 +63,6 @@
 /** The share of the grace period after which the gateway accepts no further connections, whatever the balancer does. The rest is for their requests. */
 const ACCEPTING_SHARE = 1 / 2;
 
-/**
- * End of the platform's grace period that is reserved for the shutdown, in milliseconds, and as a share of a short one: requests in progress are aborted this
- * long before its end, which must lie in the last sixth of the period. Closing the servers and writing the last log lines take about 20 ms.
- */
-const SHUTDOWN_RESERVE_MS = 250;
-const SHUTDOWN_RESERVE_SHARE = 1 / 8;
-
 /** The share of the process's memory that callers' bodies may occupy: at 210 MB it is 26 MB, beside as much for responses. */
 const BODY_SHARE = 1 / 8;
 
@@ -282,7 +276,7 @@
 		const {settings, timers, logger} = this.#parts;
 		const startedAt = SYSTEM_CLOCK.now();
 		const graceMs = settings.graceSeconds * MS_PER_SECOND;
-		const endsAt = startedAt + graceMs - Math.min(SHUTDOWN_RESERVE_MS, graceMs * SHUTDOWN_RESERVE_SHARE);
+		const endsAt = getGraceEnd(startedAt, settings.graceSeconds);
 		this.#grace = {startedAt, endsAt};
 		this.#dispatcher.stop(endsAt);
 		this.#follower.scheduleReport();
--- a/apps/valelead-daemon/src/standby/standby-server.ts
+++ b/apps/valelead-daemon/src/standby/standby-server.ts
@@ -1,15 +1,11 @@
-import {once} from 'node:events';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import {RESULT_CODE, RESULT_DETAILS} from '@valelead/common';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {RESULT_CODE, RESULT_DETAILS, type TimerService} from '@valelead/common';
 import type {ControlCodec} from '../adapter/control-codec.js';
 import type {ControlResponse} from '../controller/control-response.js';
 import {newRedirect} from '../controller/new-redirect.js';
 import {newRefusal} from '../controller/new-refusal.js';
 import {writeResponse} from '../controller/write-response.js';
-import {getHost} from '../get-host.js';
-import {getPort} from '../get-port.js';
+import {GracefulServer} from '../graceful-server.js';
 import type {LeaderFinder} from './leader-finder.js';
 
 type ServerParts = {
@@ -17,31 +13,46 @@
 	readonly finder: LeaderFinder;
 	/** IP address and port of this server. */
 	readonly address: string;
+	readonly timers: TimerService;
 };
 
 /** The HTTP control interface of a diskless controller: redirects operators and upstreams to the leader. */
 export class StandbyServer {
 	readonly #parts: ServerParts;
-	readonly #server: Server;
+	readonly #server: GracefulServer;
 
 	constructor(parts: ServerParts) {
 		this.#parts = parts;
-		this.#server = createServer((message, response) => {
-			// The body is discarded, as the caller sends it again to the leader.
-			message.resume();
-			void this.#respond(message, response);
+		this.#server = new GracefulServer({
+			address: parts.address,
+			timers: parts.timers,
+			onRequest: (message, response) => {
+				// The body is discarded, as the caller sends it again to the leader.
+				message.resume();
+				void this.#respond(message, response);
+			},
 		});
 	}
 
 	async listen(): Promise<void> {
-		const {address} = this.#parts;
-		this.#server.listen(getPort(address), getHost(address));
-		await once(this.#server, 'listening');
+		await this.#server.listen();
 	}
 
-	close(): void {
-		this.#server.close();
-		this.#server.closeIdleConnections();
+	/**
+	 * Stops accepting calls. Resolves once none is in progress.
+	 * @param endsAt - When the stop ends at the latest, in monotonic milliseconds.
+	 */
+	async stop(endsAt: number): Promise<void> {
+		await this.#server.stop(endsAt);
+	}
+
+	/** Resolves once all connections of a server that stops are closed. */
+	async waitUntilClosed(): Promise<void> {
+		await this.#server.waitUntilClosed();
+	}
+
+	stopNow(): void {
+		this.#server.stopNow();
 	}
 
 	async #respond(message: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/apps/valelead-daemon/src/standby/start-standby.ts
+++ b/apps/valelead-daemon/src/standby/start-standby.ts
@@ -6,6 +6,7 @@
 import type {Adapter} from '../adapter/adapter.js';
 import {startAdminServer} from '../admin-server.js';
 import {getPeerAddresses} from '../follower/get-peer-addresses.js';
+import {getGraceEnd} from '../get-grace-end.js';
 import {GrpcServer} from '../grpc-server.js';
 import {Metrics} from '../metrics/metrics.js';
 import type {ControllerSettings} from '../settings/controller-settings.js';
@@ -33,7 +34,9 @@
 		{definition: newServiceDefinition(Consensus), implementation: newStandbyConsensusService(settings.vm, finder)},
 		{definition: newServiceDefinition(Control), implementation: newStandbyControlService(finder)},
 	]);
-	const control = new StandbyServer({codec: adapter.control, finder, address: settings.control});
+	const control = new StandbyServer({
+		codec: adapter.control, finder, address: settings.control, timers,
+	});
 	await server.listen(`${settings.listenHost ?? settings.host}:${settings.peerPort}`, newServerCredentials(settings.tls));
 	await control.listen();
 	const admin = await startAdminServer({
@@ -47,14 +50,15 @@
 	}, 'controller started without a data folder; it redirects callers to the leader');
 	return {
 		async stop() {
-			control.close();
+			await control.stop(getGraceEnd(SYSTEM_CLOCK.now(), settings.graceSeconds));
 			server.stop();
+			await control.waitUntilClosed();
 			admin.close();
 			pool.close();
 			timers.stop();
 		},
 		stopNow() {
-			control.close();
+			control.stopNow();
 		},
 		reload(next) {
 			if (next.role === 'controller') {
