Test voters on disks that lose power after acknowledgements

Real `ConsensusNode`s with `FileStorage` on simulated disks, in virtual time: changes are acknowledged, processes are killed at any moment, a voter is cut off, a leader hands over; then disks within the tolerance are lost as all others lose power, and whoever can be read from must have what was acknowledged.

--- a/packages/consensus/tests/fake-file-system.ts
+++ b/packages/consensus/tests/fake-file-system.ts
@@ -25,15 +25,21 @@
 export class FakeFileSystem implements FileSystem {
 	readonly #random: () => number;
 	readonly #mutation: DiskMutation;
+	readonly #wait: () => Promise<void>;
 	#names = new Map<string, FakeInode>();
 	#syncedNames = new Map<string, FakeInode>();
 	#nameChanges: NameChange[] = [];
 	#operationsToKill = Number.POSITIVE_INFINITY;
 	#operationsToRefusal = Number.POSITIVE_INFINITY;
 
-	constructor(random: () => number, mutation: DiskMutation) {
+	/** Number of the process that uses the disk; nothing that an earlier one has begun is executed any more. */
+	#run = 0;
+
+	/** @param wait - Resolves when an operation is executed that was begun now. */
+	constructor(random: () => number, mutation: DiskMutation, wait = async (): Promise<void> => undefined) {
 		this.#random = random;
 		this.#mutation = mutation;
+		this.#wait = wait;
 	}
 
 	get isKilled(): boolean {
@@ -51,6 +57,7 @@
 	}
 
 	restart(): void {
+		this.#run += 1;
 		this.#operationsToKill = Number.POSITIVE_INFINITY;
 		this.#operationsToRefusal = Number.POSITIVE_INFINITY;
 	}
@@ -72,7 +79,7 @@
 	}
 
 	async mkdir(): Promise<void> {
-		this.#execute(() => undefined);
+		await this.#execute(() => undefined);
 	}
 
 	async readdir(): Promise<string[]> {
@@ -84,7 +91,7 @@
 	}
 
 	async rename(from: string, to: string): Promise<void> {
-		this.#execute(() => {
+		await this.#execute(() => {
 			const inode = this.#names.get(path.basename(from));
 			this.#changeName({name: path.basename(to), inode, isNew: false});
 			this.#changeName({name: path.basename(from), inode: undefined, isNew: false});
@@ -92,7 +99,7 @@
 	}
 
 	async rm(file: string): Promise<void> {
-		this.#execute(() => {
+		await this.#execute(() => {
 			if (this.#names.has(path.basename(file))) {
 				this.#changeName({name: path.basename(file), inode: undefined, isNew: false});
 			}
@@ -121,7 +128,7 @@
 	/** Returns a handle of a file, or of the folder if no file is given. */
 	#newHandle(inode: FakeInode | undefined): LogFile {
 		const append = async (bytes: Buffer): Promise<void> => {
-			this.#execute(() => {
+			await this.#execute(() => {
 				inode!.append(bytes);
 			}, () => {
 				inode!.append(bytes.subarray(0, Math.floor(this.#random() * bytes.length)));
@@ -129,7 +136,7 @@
 		};
 
 		const sync = async (): Promise<void> => {
-			this.#execute(() => {
+			await this.#execute(() => {
 				if (inode) {
 					this.#syncFile(inode);
 				} else {
@@ -142,7 +149,7 @@
 			appendFile: append,
 			writeFile: append,
 			truncate: async length => {
-				this.#execute(() => {
+				await this.#execute(() => {
 					inode!.truncate(length);
 				});
 			},
@@ -185,8 +192,10 @@
 	 * Executes an operation, unless the process is killed or the disk refuses it.
 	 * @param executePartly - What a refused or interrupted operation may do; all of it if left out.
 	 */
-	#execute<Value>(execute: () => Value, executePartly: () => unknown = execute): Value {
-		if (this.isKilled) {
+	async #execute<Value>(execute: () => Value, executePartly: () => unknown = execute): Promise<Value> {
+		const run = this.#run;
+		await this.#wait();
+		if (this.isKilled || run !== this.#run) {
 			throw new Error('the process has been killed');
 		}
 
--- a/packages/consensus/tests/power-losses.feature
+++ b/packages/consensus/tests/power-losses.feature
@@ -16,3 +16,27 @@
       | left out    |
       | file sync   |
       | folder sync |
+
+  # Guards against an acknowledged change that is gone after disks were lost as all others lost power, whatever came before: processes that were killed
+  # at any moment, a voter that was cut off, a leader that handed over. It covers the order of writes and answers, snapshots and what a start reads.
+  Scenario Outline: <size> voters that lose <losses> disks as all others lose power have everything that was acknowledged
+    When <runs> histories of <size> voters that bear <losses> losses with seed 1 lose disks and power while the disks leave out "none"
+    Then everything that was stored is read back
+
+    Examples:
+      | size | losses | runs |
+      | 3    | 1      | 300  |
+      | 4    | 1      | 60   |
+      | 5    | 2      | 120  |
+      | 6    | 2      | 40   |
+
+  # Guards against a voter that stores an acknowledged change in a file whose name is not durable yet, because an earlier process was killed before it had
+  # synced the folder.
+  Scenario: A change is acknowledged after all voters were killed during a snapshot
+    When 3 voters are killed 56 ms after their 3rd change, and 336 ms after another one lose power and the first its disk
+    Then everything that was stored is read back
+
+  @off
+  Scenario: Histories of voters detect disks that leave out each folder sync
+    When 100 histories of 3 voters that bear 1 losses with seed 1 lose disks and power while the disks leave out "folder sync"
+    Then something that was stored is not read back
