Answer the requests that were taken from a connection with too many

Callers saw: the connection is reset, and none of their requests is answered, when more than 256 requests come together on it; the first of them had reached an upstream and ran there.

Cause: the 257th request destroyed the socket.

Now the connection is closed after the answer to the 256th request, which says so (Connection: close). Further input is discarded, so that nothing of it runs. The mechanism is that of input that is no request, which moves to CallerConnections.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -38,6 +38,8 @@
 	readonly #connections = new Map<Socket, Connection>();
 	/** Responses that close their connections unless another request arrives before they begin. */
 	readonly #last = new WeakSet<ServerResponse>();
+	/** Connections that are closed after one of their responses. */
+	readonly #closing = new WeakSet<Socket>();
 	#isClosing = false;
 	#acceptedCount = 0;
 	#lastAcceptedAt = Number.NEGATIVE_INFINITY;
@@ -112,19 +114,24 @@
 	}
 
 	/**
-	 * Registers the response to a request that has arrived. Resolves with true once it is the first unfinished response of its connection, and with false if
-	 * the connection ends before: with a response that fails or closes it, those behind it are lost.
+	 * Registers the response to a request that has arrived, unless its connection takes no further ones. Resolves with true once it is the first unfinished
+	 * response of its connection, and with false if the connection ends before: with a response that fails or closes it, those behind it are lost.
 	 */
 	async addResponse(response: ServerResponse): Promise<boolean> {
 		const {socket} = response.req;
 		const connection = this.#connections.get(socket);
-		if (!connection || connection.unfinished.size === MAX_UNFINISHED) {
+		if (!connection) {
 			socket.destroy();
 			return false;
 		}
 
+		if (connection.unfinished.size === MAX_UNFINISHED || this.#closing.has(socket)) {
+			this.#endInput(socket, connection);
+			return false;
+		}
+
 		if (this.#isClosing) {
-			this.#closeAfter(response, [...connection.unfinished.keys()].at(-1));
+			this.#markLast(response, [...connection.unfinished.keys()].at(-1));
 		}
 
 		return new Promise(resolve => {
@@ -143,11 +150,33 @@
 		});
 	}
 
+	/** Closes the connection of a response after it. Requests that follow on the connection are not answered. */
+	closeAfter(response: ServerResponse): void {
+		const {socket} = response.req;
+		if (this.#closing.has(socket)) {
+			return;
+		}
+
+		this.#closing.add(socket);
+		if (!response.headersSent) {
+			response.setHeader('connection', 'close');
+		}
+
+		response.once('close', () => {
+			this.close(socket);
+		});
+	}
+
 	/** Returns the responses of a connection that have not been sent completely, oldest first. */
 	getUnfinished(socket: Socket): ServerResponse[] {
 		return [...this.#connections.get(socket)?.unfinished.keys() ?? []];
 	}
 
+	/** True if a response was registered and has not been sent completely. */
+	has(response: ServerResponse): boolean {
+		return this.#connections.get(response.req.socket)?.unfinished.has(response) === true;
+	}
+
 	/** True if no request has arrived on a response's connection since its own. */
 	isLatest(response: ServerResponse): boolean {
 		return this.getUnfinished(response.req.socket).at(-1) === response;
@@ -159,7 +188,7 @@
 		for (const {unfinished} of this.#connections.values()) {
 			const last = [...unfinished.keys()].at(-1);
 			if (last) {
-				this.#closeAfter(last);
+				this.#markLast(last);
 			}
 		}
 	}
@@ -199,7 +228,7 @@
 	}
 
 	/** Closes a connection after a response, and not after the one before it, which would take this one along. */
-	#closeAfter(response: ServerResponse, previous?: ServerResponse): void {
+	#markLast(response: ServerResponse, previous?: ServerResponse): void {
 		if (previous && !previous.headersSent && this.#last.delete(previous)) {
 			previous.removeHeader('connection');
 		}
@@ -214,6 +243,21 @@
 		return unfinished.size === 0 && socket.bytesRead === readBytes && !socket.writableEnded;
 	}
 
+	/** Takes no further requests on a connection, and closes it once those that were taken are answered. */
+	#endInput(socket: Socket, {unfinished}: Connection): void {
+		if (this.#closing.has(socket)) {
+			return;
+		}
+
+		this.closeAfter([...unfinished.keys()].at(-1)!);
+		// The parser, which may be at work now, is detached afterwards.
+		afterEventLoopIterations(1, () => {
+			if (!socket.destroyed) {
+				this.#lingering.discardInput(socket);
+			}
+		});
+	}
+
 	/** Node.js does not close responses that wait for an earlier one on their connection. */
 	#dropResponses({unfinished}: Connection): void {
 		for (const takeTurn of unfinished.values()) {
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -49,7 +49,10 @@
 		this.#server = createServer({
 			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS,
 		}, (message, response) => {
-			this.#handle(message, response, this.#connections.addResponse(response));
+			const turn = this.#connections.addResponse(response);
+			if (this.#connections.has(response)) {
+				this.#handle(message, response, turn);
+			}
 		});
 		this.#server.on('clientError', (error, socket) => {
 			this.#errors.handle(error, socket as Socket);
--- a/apps/valelead-daemon/src/gateway/caller-errors.ts
+++ b/apps/valelead-daemon/src/gateway/caller-errors.ts
@@ -1,4 +1,4 @@
-import {type ServerResponse, STATUS_CODES} from 'node:http';
+import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
 import type {CallerConnections} from '../caller-connections.js';
 
@@ -13,7 +13,6 @@
  */
 export class CallerErrors {
 	readonly #connections: CallerConnections;
-	readonly #closing = new WeakSet<Socket>();
 
 	constructor(connections: CallerConnections) {
 		this.#connections = connections;
@@ -23,7 +22,7 @@
 	handle(error: NodeJS.ErrnoException, socket: Socket): void {
 		const last = this.#connections.getUnfinished(socket).findLast(({req}) => req.complete);
 		if (last && socket.writable) {
-			this.#closeAfter(last, socket);
+			this.#connections.closeAfter(last);
 			return;
 		}
 
@@ -36,19 +35,4 @@
 
 		socket.destroy(error);
 	}
-
-	#closeAfter(response: ServerResponse, socket: Socket): void {
-		if (this.#closing.has(socket)) {
-			return;
-		}
-
-		this.#closing.add(socket);
-		if (!response.headersSent) {
-			response.setHeader('connection', 'close');
-		}
-
-		response.once('close', () => {
-			this.#connections.close(socket);
-		});
-	}
 }
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -33,7 +33,9 @@
 		this.#errors = new CallerErrors(this.#connections);
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (message, response) => {
 			const turn = this.#connections.addResponse(response);
-			void handler.handle(message, response, {turn, isLatest: () => this.#connections.isLatest(response)});
+			if (this.#connections.has(response)) {
+				void handler.handle(message, response, {turn, isLatest: () => this.#connections.isLatest(response)});
+			}
 		});
 		this.#server.on('clientError', (error, socket) => {
 			this.#errors.handle(error, socket as Socket);
--- a/apps/valelead-daemon/src/graceful-server.ts
+++ b/apps/valelead-daemon/src/graceful-server.ts
@@ -40,7 +40,14 @@
 		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
 		this.#errors = new CallerErrors(this.#connections);
 		this.#server = createServer((message, response) => {
-			onRequest(message, response, this.#connections.addResponse(response));
+			const turn = this.#connections.addResponse(response);
+			if (this.#connections.has(response)) {
+				onRequest(message, response, turn);
+			}
+		});
+		// Without a listener, Node.js destroys connections at the end of their idle time.
+		this.#server.on('timeout', (socket: Socket) => {
+			this.#connections.closeSilent(socket);
 		});
 		this.#server.on('clientError', (error, socket) => {
 			this.#errors.handle(error, socket as Socket);
--- a/apps/valelead-daemon/src/lingering-connections.ts
+++ b/apps/valelead-daemon/src/lingering-connections.ts
@@ -50,11 +50,12 @@
 			limit.cancel();
 			this.#sockets.delete(socket);
 		});
-		this.#discardInput(socket);
+		this.discardInput(socket);
 		socket.end();
 	}
 
-	#discardInput(socket: Socket): void {
+	/** Reads no further requests on a connection. Closes it once too much has arrived. */
+	discardInput(socket: Socket): void {
 		const before = socket.bytesRead;
 		socket.resume();
 		// Back-pressure may have stopped reading, and only the parser starts it again, in an earlier callback of this tick.
