Let a stopping agent end its lanes before it closes their connections

Callers saw: 502 with the code of a lost agent and an unknown outcome for a call that had run whole, when its entry read late while the agent was told to stop.

Cause: an attempt counts as ended once its last frame is written to the lane. The agent then aborted all calls of its server 50 ms later, with the frames that HTTP/2 had not sent: what is beyond the window of an entry that does not read stays in the agent's process.

--- a/apps/valelead-daemon/src/agent/new-agent-service.ts
+++ b/apps/valelead-daemon/src/agent/new-agent-service.ts
@@ -58,6 +58,13 @@
 		stream.on('cancelled', end);
 	}
 
+	/** Ends all lanes once what was written to them has been sent. */
+	closeLanes(): void {
+		for (const {stream} of this.#lanes.values()) {
+			stream.end();
+		}
+	}
+
 	sendCredits(entry: string, ids: readonly string[]): void {
 		this.#lanes.get(entry)?.writer.addCredits(ids, this.#agent.creditMs);
 	}
@@ -140,8 +147,14 @@
 	}
 }
 
+type RunningService = {
+	readonly implementation: UntypedServiceImplementation;
+	/** Ends all lanes once what was written to them has been sent. */
+	readonly closeLanes: () => void;
+};
+
 /** Starts the agent and creates the gRPC implementation of its service. */
-export const newAgentService = (agent: Agent, upstream: Upstream, onReport: () => void): UntypedServiceImplementation => {
+export const newAgentService = (agent: Agent, upstream: Upstream, onReport: () => void): RunningService => {
 	const service = new AgentService(agent, upstream);
 	agent.start({
 		onCredits(entry, creditIds) {
@@ -154,10 +167,15 @@
 	};
 
 	return {
-		lane,
-		outcome(call: ServerUnaryCall<OutcomeRequest, unknown>, send: sendUnaryData<unknown>) {
-			const outcome = agent.withdraw(call.request.attemptId, call.request.creditId);
-			send(null, create(OutcomeReplySchema, {outcome}));
+		implementation: {
+			lane,
+			outcome(call: ServerUnaryCall<OutcomeRequest, unknown>, send: sendUnaryData<unknown>) {
+				const outcome = agent.withdraw(call.request.attemptId, call.request.creditId);
+				send(null, create(OutcomeReplySchema, {outcome}));
+			},
+		},
+		closeLanes() {
+			service.closeLanes();
 		},
 	};
 };
--- a/apps/valelead-daemon/src/agent/start-agent.ts
+++ b/apps/valelead-daemon/src/agent/start-agent.ts
@@ -42,12 +42,10 @@
 			agent.applyUpdate(update);
 		},
 	});
-	const server = new GrpcServer([{
-		definition: newServiceDefinition(AgentDescription),
-		implementation: newAgentService(agent, upstream, () => {
-			session.scheduleReport();
-		}),
-	}]);
+	const service = newAgentService(agent, upstream, () => {
+		session.scheduleReport();
+	});
+	const server = new GrpcServer([{definition: newServiceDefinition(AgentDescription), implementation: service.implementation}]);
 	await server.listen(settings.listen, newServerCredentials(settings.tls));
 	const admin = await startAdminServer({
 		...settings.admin,
@@ -77,6 +75,9 @@
 			await timers.wait(STATUS_POLL_INTERVAL_MS);
 			startupCheck.cancel();
 			session.stop();
+			// Entries may not have received the whole of the responses yet.
+			service.closeLanes();
+			await server.finish(timers);
 			server.stop();
 			admin.close();
 			pool.close();
