Read what has arrived before a request head is taken for overdue

Callers saw: 408 although the whole head had arrived within `header_timeout_ms`, and the requests behind it on the connection were not read.

Cause: Node.js looks for overdue heads in a timer, which comes before sockets in each iteration of its event loop. After a pause of the process the head was answered 408 before its rest was read. That includes the first head on a connection that had been open for that time without a request.

Now CallerErrors answers 408 two iterations later, unless a request has been read on the connection by then. Node.js watches the next head on it again.

Not played with a suspended gateway: Node.js looks for overdue heads every 30 s only.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -9,6 +9,8 @@
 	readonly unfinished: Map<ServerResponse, (isTurn: boolean) => void>;
 	/** Bytes received on the connection when its last response finished. */
 	readBytes: number;
+	/** Number of requests that have been received. */
+	requestCount: number;
 	/** In monotonic milliseconds. */
 	readonly acceptedAt: number;
 };
@@ -78,7 +80,9 @@
 	}
 
 	add(socket: Socket): void {
-		const connection: Connection = {unfinished: new Map(), readBytes: 0, acceptedAt: this.#clock.now()};
+		const connection: Connection = {
+			unfinished: new Map(), readBytes: 0, requestCount: 0, acceptedAt: this.#clock.now(),
+		};
 		this.#lastAcceptedAt = connection.acceptedAt;
 		this.#acceptedCount += 1;
 		this.#connections.set(socket, connection);
@@ -130,6 +134,7 @@
 			return false;
 		}
 
+		connection.requestCount += 1;
 		if (this.#isClosing) {
 			this.#markLast(response, [...connection.unfinished.keys()].at(-1));
 		}
@@ -182,6 +187,17 @@
 		return this.getUnfinished(response.req.socket).at(-1) === response;
 	}
 
+	/** Calls back once what has arrived on a connection is read, unless a whole request head was among it. */
+	onceRequestMissing(socket: Socket, callback: () => void): void {
+		const getCount = (): number | undefined => this.#connections.get(socket)?.requestCount;
+		const before = getCount();
+		afterEventLoopIterations(ITERATIONS_TO_READ, () => {
+			if (getCount() === before) {
+				callback();
+			}
+		});
+	}
+
 	/** Sets `connection: close` on the last response of each connection if its headers have not been sent, now and in the future. */
 	closeAfterResponses(): void {
 		this.#isClosing = true;
--- a/apps/valelead-daemon/src/gateway/caller-errors.ts
+++ b/apps/valelead-daemon/src/gateway/caller-errors.ts
@@ -2,8 +2,11 @@
 import type {Socket} from 'node:net';
 import type {CallerConnections} from '../caller-connections.js';
 
+/** The error of a head that is not complete in time. Node.js raises it in a timer, which runs before what arrived during a stall is read. */
+const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Statuses of Node's own responses to input that it could not read as a request; 400 for any other error. */
-const STATUSES: Readonly<Record<string, number>> = {ERR_HTTP_REQUEST_TIMEOUT: 408, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, HPE_HEADER_OVERFLOW: 431};
+const STATUSES: Readonly<Record<string, number>> = {[HEAD_TIMEOUT]: 408, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, HPE_HEADER_OVERFLOW: 431};
 
 const BAD_REQUEST = 400;
 
@@ -20,6 +23,19 @@
 
 	/** Closes a connection on which an error occurred, once the requests that were read before it are answered. */
 	handle(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (error.code === HEAD_TIMEOUT) {
+			this.#connections.onceRequestMissing(socket, () => {
+				// Other input may have ended the connection meanwhile.
+				if (socket.writable) {
+					this.#end(error, socket);
+				}
+			});
+		} else {
+			this.#end(error, socket);
+		}
+	}
+
+	#end(error: NodeJS.ErrnoException, socket: Socket): void {
 		const last = this.#connections.getUnfinished(socket).findLast(({req}) => req.complete);
 		if (last && socket.writable) {
 			this.#connections.closeAfter(last);
--- a/apps/valelead-daemon/tests/caller-errors.feature
+++ b/apps/valelead-daemon/tests/caller-errors.feature
@@ -28,3 +28,21 @@
     Given a server that answers requests after 400 ms and gives heads 100 ms
     When a caller sends a request whose chunked body cannot be read
     Then it gets the answer 400, nothing else, and a closed connection
+
+  # Guards against a 408 for a head that arrived in time and lies unread, because its server stood still when the time was up.
+  Scenario Outline: <count> requests whose heads arrive in time, the first after <sent> bytes of it, are answered although the server stands still beyond that time
+    Given a server that answers requests after 0 ms and gives heads 1000 ms
+    When a caller sends <sent> bytes, and the rest of <count> requests before the server stands still for 2000 ms
+    Then it gets <count> answers with status 200
+
+    Examples:
+      | count | sent |
+      | 1     | 7    |
+      | 2     | 7    |
+      | 1     | 0    |
+
+  # Guards against heads that have all the time they like because a server stood still.
+  Scenario: A head that is incomplete when its server goes on after its time is answered 408
+    Given a server that answers requests after 0 ms and gives heads 1000 ms
+    When a caller sends 7 bytes, and the rest of 0 requests before the server stands still for 2000 ms
+    Then it gets 1 answers with status 408
