Ask the voters in the log for admission when the settings name nobody in the quorum

What callers saw: after power had dropped everywhere and two of six disks were lost, as many as the settings state, the acknowledged configuration could not be read back through the controllers of the settings and the gateways answered 503 (2013) for good. A quorum led and had the configuration: the three controllers that no settings name. Of the three that they name, two had lost their disks, and the third had been removed as silent before, as it was suspended or down for over 2 s.

Cause: a voter without a leader asked the controllers of its settings to be admitted, and those that these name. All of them were outside the quorum and knew no leader, so none came back, and whoever starts at these addresses finds none. The removed voter had the addresses of the others in its log.

Why it works: in its second round of join calls the voter asks the voters in its log too. One of them leads or names the leader, which admits it; the others then learn the leader from it, as do operators and gateways. The first round is as before, so a quorum that the settings name is asked no more often.

--- a/apps/valelead-daemon/src/control/controller-peers.ts
+++ b/apps/valelead-daemon/src/control/controller-peers.ts
@@ -25,7 +25,10 @@
 
 const CALL_TIMEOUT_MS = 1000;
 
-/** Maximum rounds of join calls: to the known leader, to the controllers of the settings and those they know, and to the leader named by these. */
+/**
+ * Maximum rounds of join calls: to the known leader, or to the controllers of the settings and those they know; to all of these and the voters in the
+ * log; and to the leader named by these.
+ */
 const MAX_JOIN_ROUNDS = 3;
 
 const toFoundVoter = ({address, reply: {id, vm, isFormed, isStandby, isFounder, proposal, formation}}: IdentifiedPeer): DiscoveredVoter => ({
@@ -72,8 +75,10 @@
 	/**
 	 * Requests admission to the quorum. Only the leader admits voters. The leader may be missing from the settings, so every controller that is called
 	 * replies with the leader's address. All addresses of a round are called in parallel because some controllers may be down.
+	 * @param voterAddresses - Addresses of the voters in this voter's log, one of which may lead while all controllers of the settings are outside the
+	 * quorum.
 	 */
-	async askToJoin(record: VoterRecord, leaderAddress: string): Promise<void> {
+	async askToJoin(record: VoterRecord, leaderAddress: string, voterAddresses: readonly string[]): Promise<void> {
 		const called = new Set(['', this.#parts.ownAddress]);
 		let pending = leaderAddress === '' ? this.#known : [leaderAddress];
 		for (let round = 0; round < MAX_JOIN_ROUNDS; round += 1) {
@@ -87,7 +92,7 @@
 				called.add(address);
 			}
 
-			pending = [...replies.map(reply => reply?.leaderAddress ?? ''), ...this.#known];
+			pending = [...replies.map(reply => reply?.leaderAddress ?? ''), ...this.#known, ...voterAddresses];
 		}
 	}
 
--- a/apps/valelead-daemon/src/control/voter-membership.ts
+++ b/apps/valelead-daemon/src/control/voter-membership.ts
@@ -92,7 +92,7 @@
 	async #join(): Promise<void> {
 		const node = this.#parts.getNode();
 		if (node?.isAskingToJoin) {
-			await this.#parts.peers.askToJoin(this.#parts.getRecord(), node.leader?.address ?? '');
+			await this.#parts.peers.askToJoin(this.#parts.getRecord(), node.leader?.address ?? '', node.voters.map(({address}) => address));
 		}
 	}
 
--- a/apps/valelead-daemon/tests/controller-peers.feature
+++ b/apps/valelead-daemon/tests/controller-peers.feature
@@ -22,3 +22,12 @@
     And a join request to "s1" returns the leader "v1"
     And a join request to "s2" returns the leader ""
     Then "s1, s2, v1" receive a join request, and the last one admits the voter
+
+  # Guards against a voter that is outside the quorum for as long as the controllers of its settings are outside it too.
+  Scenario: A voter sends its join request to the voters in its log when no controller of the settings knows a leader
+    Given a voter whose settings list "v1, v2"
+    When the log of the voter lists "v1, v2, v3, self"
+    And a join request to "v1" returns the leader ""
+    And a join request to "v2" returns the leader ""
+    And a join request to "v3" returns the leader "v4"
+    Then "v1, v2, v3, v4" receive a join request, and the last one admits the voter
--- a/apps/valelead-daemon/tests/controller-peers.steps.ts
+++ b/apps/valelead-daemon/tests/controller-peers.steps.ts
@@ -19,6 +19,8 @@
 	/** Leader addresses that controllers return when they refuse a join request, by the address of the controller. */
 	redirects: Map<string, string>;
 	joinRequests: string[];
+	/** Addresses of the voters in the voter's own log. */
+	logged: readonly string[];
 };
 
 const split = (text: string): string[] => text === '' ? [] : text.split(', ');
@@ -45,6 +47,7 @@
 	this.behaviours = new Map();
 	this.redirects = new Map();
 	this.joinRequests = [];
+	this.logged = [];
 	const pool = {
 		get: (address: string) => ({
 			unary: async (method: unknown) => method === Consensus.method.join ? join(this, address) : identify(this, address),
@@ -77,6 +80,10 @@
 	this.redirects.set(address, leader);
 });
 
+When('the log of the voter lists {string}', function (this: PeersWorld, addresses: string) {
+	this.logged = split(addresses);
+});
+
 Then('{string} are found, of which {string} can vote', async function (this: PeersWorld, addresses: string, voters: string) {
 	const found = await this.peers.findVoters();
 	assert.deepEqual(found.map(({voter}) => voter.address), split(addresses));
@@ -86,6 +93,6 @@
 Then('{string} receive a join request, and the last one admits the voter', async function (this: PeersWorld, addresses: string) {
 	await this.peers.askToJoin({
 		id: 'self', vm: 'self', address: 'self', isLearner: false,
-	}, '');
+	}, '', this.logged);
 	assert.deepEqual(this.joinRequests, split(addresses));
 });
