--- a/apps/valelead-daemon/src/agent/lane-writer.ts
+++ b/apps/valelead-daemon/src/agent/lane-writer.ts
@@ -43,6 +43,11 @@
 
 	#flush(): void {
 		this.#isFlushScheduled = false;
+		if (this.#lane.writableEnded) {
+			// An error of a write would discard what the entry has not received yet.
+			return;
+		}
+
 		const update = create(LaneUpdateSchema, {
 			frames: this.#frames,
 			...(this.#credits.length > 0 && {credits: {ids: this.#credits, validForMs: this.#validForMs}}),
