--- a/apps/valelead-daemon/src/gateway/caller-errors.ts
+++ b/apps/valelead-daemon/src/caller-errors.ts
@@ -1,6 +1,6 @@
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
-import type {CallerConnections} from '../caller-connections.js';
+import type {CallerConnections} from './caller-connections.js';
 
 /** The error of a head that is not complete in time. Node.js raises it in a timer, which runs before what arrived during a stall is read. */
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -7,7 +7,7 @@
 	type TimerService, OUTCOME, RESULT_CODE, RESULT_DETAILS, SYSTEM_CLOCK,
 } from '@valelead/common';
 import {CallerConnections} from '../caller-connections.js';
-import {CallerErrors} from '../gateway/caller-errors.js';
+import {CallerErrors} from '../caller-errors.js';
 import {stopListening} from '../stop-listening.js';
 import type {EntrySettings} from '../settings/entry-settings.js';
 import {writeRefusal} from './write-refusal.js';
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -7,7 +7,7 @@
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
 import {stopListening} from '../stop-listening.js';
-import {CallerErrors} from './caller-errors.js';
+import {CallerErrors} from '../caller-errors.js';
 import type {RequestHandler} from './request-handler.js';
 
 /** The largest request head (request line and headers) that a configuration can allow, in bytes. */
--- a/apps/valelead-daemon/src/graceful-server.ts
+++ b/apps/valelead-daemon/src/graceful-server.ts
@@ -5,7 +5,7 @@
 import type {Socket} from 'node:net';
 import {SYSTEM_CLOCK, type TimerService} from '@valelead/common';
 import {CallerConnections} from './caller-connections.js';
-import {CallerErrors} from './gateway/caller-errors.js';
+import {CallerErrors} from './caller-errors.js';
 import {getHost} from './get-host.js';
 import {getPort} from './get-port.js';
 import {stopListening} from './stop-listening.js';
--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -35,7 +35,7 @@
 export {WaitRecorder} from './gateway/wait-recorder.js';
 export {CallerBodies} from './caller-bodies.js';
 export {CallerConnections} from './caller-connections.js';
-export {CallerErrors} from './gateway/caller-errors.js';
+export {CallerErrors} from './caller-errors.js';
 export {HttpResponseWriter} from './gateway/http-response-writer.js';
 export {UpstreamAttempt} from './gateway/upstream-attempt.js';
 export {getForwardedHeaders} from './gateway/get-forwarded-headers.js';
