--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -42,7 +42,7 @@
 	readonly #last = new WeakSet<ServerResponse>();
 	/** Connections that are closed after one of their responses. */
 	readonly #closing = new WeakSet<Socket>();
-	#isClosing = false;
+	#isStopping = false;
 	#acceptedCount = 0;
 	#lastAcceptedAt = Number.NEGATIVE_INFINITY;
 	#idleClosedCount = 0;
@@ -135,7 +135,7 @@
 		}
 
 		connection.requestCount += 1;
-		if (this.#isClosing) {
+		if (this.#isStopping) {
 			this.#markLast(response, [...connection.unfinished.keys()].at(-1));
 		}
 
@@ -200,7 +200,7 @@
 
 	/** Sets `connection: close` on the last response of each connection if its headers have not been sent, now and in the future. */
 	closeAfterResponses(): void {
-		this.#isClosing = true;
+		this.#isStopping = true;
 		for (const {unfinished} of this.#connections.values()) {
 			const last = [...unfinished.keys()].at(-1);
 			if (last) {
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -2,13 +2,12 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
 import {
 	type TimerService, OUTCOME, RESULT_CODE, RESULT_DETAILS, SYSTEM_CLOCK,
 } from '@valelead/common';
 import {CallerConnections} from '../caller-connections.js';
-import {CallerErrors} from '../caller-errors.js';
 import {stopListening} from '../stop-listening.js';
+import {trackConnections} from '../track-connections.js';
 import type {EntrySettings} from '../settings/entry-settings.js';
 import {writeRefusal} from './write-refusal.js';
 import type {HttpHandler} from './http-handler.js';
@@ -38,14 +37,12 @@
 	readonly #getUnreadyReason: () => string | undefined;
 	readonly #server: Server;
 	readonly #connections: CallerConnections;
-	readonly #errors: CallerErrors;
 
 	constructor({handler, settings, timers, getUnreadyReason}: ServerParts) {
 		this.#handler = handler;
 		this.#settings = settings;
 		this.#getUnreadyReason = getUnreadyReason;
 		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
-		this.#errors = new CallerErrors(this.#connections);
 		this.#server = createServer({
 			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS,
 		}, (message, response) => {
@@ -54,18 +51,11 @@
 				this.#handle(message, response, turn);
 			}
 		});
-		this.#server.on('clientError', (error, socket) => {
-			this.#errors.handle(error, socket as Socket);
-		});
 		this.#server.maxConnections = settings.maxConnections + REFUSED_CONNECTIONS;
+		trackConnections(this.#server, this.#connections);
 		this.#server.on('connection', socket => {
-			this.#connections.add(socket);
 			socket.setNoDelay(true);
 		});
-		// Without a listener, Node.js destroys connections at the end of their idle time.
-		this.#server.on('timeout', (socket: Socket) => {
-			this.#connections.closeSilent(socket);
-		});
 	}
 
 	/** Number of open connections, with those that wait for their callers to close. */
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -1,13 +1,12 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
-import type {Socket} from 'node:net';
 import {SYSTEM_CLOCK, type TimerService} from '@valelead/common';
 import type {CallerLimits} from '@valelead/routing';
 import {CallerConnections} from '../caller-connections.js';
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
 import {stopListening} from '../stop-listening.js';
-import {CallerErrors} from '../caller-errors.js';
+import {trackConnections} from '../track-connections.js';
 import type {RequestHandler} from './request-handler.js';
 
 /** The largest request head (request line and headers) that a configuration can allow, in bytes. */
@@ -25,28 +24,17 @@
 	readonly #address: string;
 	readonly #server: Server;
 	readonly #connections: CallerConnections;
-	readonly #errors: CallerErrors;
 
 	constructor({address, handler, timers}: ServerParts) {
 		this.#address = address;
 		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
-		this.#errors = new CallerErrors(this.#connections);
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (message, response) => {
 			const turn = this.#connections.addResponse(response);
 			if (this.#connections.has(response)) {
 				void handler.handle(message, response, {turn, isLatest: () => this.#connections.isLatest(response)});
 			}
 		});
-		this.#server.on('clientError', (error, socket) => {
-			this.#errors.handle(error, socket as Socket);
-		});
-		this.#server.on('connection', socket => {
-			this.#connections.add(socket);
-		});
-		// Without a listener, Node.js destroys connections at the end of their idle time.
-		this.#server.on('timeout', (socket: Socket) => {
-			this.#connections.closeSilent(socket);
-		});
+		trackConnections(this.#server, this.#connections);
 	}
 
 	/** Number of open connections, with those that wait for their callers to close. */
--- a/apps/valelead-daemon/src/graceful-server.ts
+++ b/apps/valelead-daemon/src/graceful-server.ts
@@ -2,13 +2,12 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
 import {SYSTEM_CLOCK, type TimerService} from '@valelead/common';
 import {CallerConnections} from './caller-connections.js';
-import {CallerErrors} from './caller-errors.js';
 import {getHost} from './get-host.js';
 import {getPort} from './get-port.js';
 import {stopListening} from './stop-listening.js';
+import {trackConnections} from './track-connections.js';
 
 type ServerParts = {
 	/** IP address and port. */
@@ -30,7 +29,6 @@
 	readonly #timers: TimerService;
 	readonly #server: Server;
 	readonly #connections: CallerConnections;
-	readonly #errors: CallerErrors;
 	/** When a stop ends, answered or not, in monotonic milliseconds. */
 	#endsAt = Number.POSITIVE_INFINITY;
 
@@ -38,23 +36,13 @@
 		this.#address = address;
 		this.#timers = timers;
 		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
-		this.#errors = new CallerErrors(this.#connections);
 		this.#server = createServer((message, response) => {
 			const turn = this.#connections.addResponse(response);
 			if (this.#connections.has(response)) {
 				onRequest(message, response, turn);
 			}
 		});
-		// Without a listener, Node.js destroys connections at the end of their idle time.
-		this.#server.on('timeout', (socket: Socket) => {
-			this.#connections.closeSilent(socket);
-		});
-		this.#server.on('clientError', (error, socket) => {
-			this.#errors.handle(error, socket as Socket);
-		});
-		this.#server.on('connection', socket => {
-			this.#connections.add(socket);
-		});
+		trackConnections(this.#server, this.#connections);
 	}
 
 	async listen(): Promise<void> {
