Free bodies that were given up although their connections are still open

Cause: the listeners of a request refer to the part of its body that had arrived, and live as long as its connection, which now stays open for up to 5 s after the refusal. A given-up body counted as freed and was not.

--- a/apps/valelead-daemon/src/body-reading.ts
+++ b/apps/valelead-daemon/src/body-reading.ts
@@ -27,6 +27,13 @@
 		}
 	}
 
+	/** Frees the memory of the chunks. The listeners of a request refer to its reading for as long as the connection is open. */
+	clear(): void {
+		this.length = 0;
+		this.#joined.length = 0;
+		this.#chunks = [];
+	}
+
 	/** Returns the whole body. */
 	newBody(): Buffer {
 		const chunks = [...this.#joined, ...this.#chunks];
--- a/apps/valelead-daemon/src/caller-bodies.ts
+++ b/apps/valelead-daemon/src/caller-bodies.ts
@@ -63,6 +63,7 @@
 				overdue.cancel();
 				this.#noteGivenUp(reading.heldBytes);
 				this.#forget(reading);
+				reading.clear();
 				message.off('data', add);
 				reject(error);
 			});
@@ -99,6 +100,7 @@
 	#complete(reading: BodyReading): HeldBody {
 		const bytes = reading.newBody();
 		this.#forget(reading);
+		reading.clear();
 		let heldBytes = bytes.length;
 		this.#heldBytes += heldBytes;
 		return {
