Remove two counts that nothing reads

The number of lingering connections never had a reader, and the entry waits for its connections now, not for unfinished responses.

--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -63,11 +63,6 @@
 		return this.#connections.size;
 	}
 
-	/** Number of responses with data still buffered in this process. */
-	get unfinishedCount(): number {
-		return this.#connections.unfinishedCount;
-	}
-
 	async listen(): Promise<void> {
 		this.#server.listen(this.#settings.http.port, this.#settings.http.host);
 		await once(this.#server, 'listening');
--- a/apps/valelead-daemon/src/lingering-connections.ts
+++ b/apps/valelead-daemon/src/lingering-connections.ts
@@ -25,10 +25,6 @@
 		this.#timers = timers;
 	}
 
-	get size(): number {
-		return this.#sockets.size;
-	}
-
 	/** Closes a connection of an HTTP server once its output has been sent. Requests that arrive on it from now on are not read. */
 	close(socket: Socket): void {
 		if (socket.destroyed || this.#sockets.has(socket)) {
