Let the test's upstream reset connections that it is shutting down

Seen: after "After random histories of requests no connection is taken" the test process did not end, and used 47 to 60 % of a core in 3 of 3 runs (load 20 to 28), held by connections that were destroyed and had no `close` event. Cause: the upstream called `resetAndDestroy` on connections with a pending shutdown. The operating system's reset is refused then (EINVAL), and Node.js leaves the handle open and polled. `resetConnection` of the product was made for this; the test did not use it.

--- a/apps/valelead-daemon/tests/answering-upstream.ts
+++ b/apps/valelead-daemon/tests/answering-upstream.ts
@@ -2,6 +2,7 @@
 import {
 	type AddressInfo, type Server, type Socket, createServer,
 } from 'node:net';
+import {resetConnection} from '@valelead/common';
 
 /** What an upstream does once a request has arrived. */
 export type UpstreamReply = {
@@ -76,7 +77,7 @@
 			}
 
 			case 'reset': {
-				socket.resetAndDestroy();
+				resetConnection(socket);
 				break;
 			}
 
