Read the closes of connections before requests are sent in their test

The output that was kept does not name the history. Cause (reproduced): the test gives the agent 20 ms to read that the upstream has closed connections. After a stall of the process this timer fires before the sockets are read, and a request is sent on a closed connection: it ends with 3003 and outcome unknown, as it should.

--- a/apps/valelead-daemon/tests/returned-connections.steps.ts
+++ b/apps/valelead-daemon/tests/returned-connections.steps.ts
@@ -3,7 +3,7 @@
 import {once} from 'node:events';
 import {type Socket, connect} from 'node:net';
 import process from 'node:process';
-import {setTimeout as wait} from 'node:timers/promises';
+import {setImmediate as nextIteration, setTimeout as wait} from 'node:timers/promises';
 import {After, Then, When} from '@cucumber/cucumber';
 import {RESULT_CODE, resetConnection} from '@valelead/common';
 import {newRandom} from '../../../tests/support/new-random.js';
@@ -156,8 +156,10 @@
 /** Sends as many requests at once as there are connections, and returns how they end. */
 const getServed = async (place: Place): Promise<string[]> => {
 	place.upstream.setReply(() => SOUND);
-	// Lets the agent read that connections were closed.
+	// Lets the agent read that connections were closed. After a stall the timer fires before the sockets are read.
 	await wait(POLL_MS);
+	await nextIteration();
+	await nextIteration();
 	return Promise.all(Array.from({length: CONNECTIONS}, async () => send(place, 'GET', NO_BODY, SERVED_LIMIT_MS)));
 };
 
