Let callers receive the answers before one that is broken off

Callers saw: of two requests on one connection, the first answer was cut or did not come at all, although it was complete, because the second one was broken off by its upstream while the caller had not read the first one yet.

Cause: `abortResponse` destroyed the connection at once. The system resets a connection that is closed with unread input or that receives more afterwards, and discards what the caller has not received. Connections of HTTP/1.0 callers were reset on purpose, with the same effect.

The connection of an HTTP/1.0 caller is reset without an end of its output before: at once if nothing was answered on it, else after the 5 s of a lingering close.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -94,6 +94,12 @@
 		socket.destroySoon = () => {
 			this.close(socket);
 		};
+
+		const reset = socket.resetAndDestroy.bind(socket);
+		socket.resetAndDestroy = () => {
+			this.#reset(socket, connection, reset);
+			return socket;
+		};
 	}
 
 	/** Closes a connection once its output has been sent. Requests whose responses wait for their turn are not answered. */
@@ -231,12 +237,22 @@
 		const {bytesRead} = socket;
 		afterEventLoopIterations(ITERATIONS_TO_READ, () => {
 			const connection = this.#connections.get(socket);
-			if (connection?.unfinished.size === 0 && socket.bytesRead === bytesRead && !socket.writableEnded) {
+			if (connection?.unfinished.size === 0 && socket.bytesRead === bytesRead && !socket.writableEnded && !this.#lingering.has(socket)) {
 				this.#closeIdle(socket, connection);
 			}
 		});
 	}
 
+	/** Resets a connection: later if responses were sent on it that its caller may not have received. */
+	#reset(socket: Socket, connection: Connection, reset: () => void): void {
+		this.#dropResponses(connection);
+		if (connection.readBytes === 0) {
+			reset();
+		} else {
+			this.#lingering.closeWithReset(socket, reset);
+		}
+	}
+
 	#closeIdle(socket: Socket, {readBytes}: Connection): void {
 		this.#idleClosedCount += 1;
 		this.#unusedClosedCount += readBytes === 0 ? 1 : 0;
@@ -256,7 +272,7 @@
 	}
 
 	#isIdle(socket: Socket, {unfinished, readBytes}: Connection): boolean {
-		return unfinished.size === 0 && socket.bytesRead === readBytes && !socket.writableEnded;
+		return unfinished.size === 0 && socket.bytesRead === readBytes && !socket.writableEnded && !this.#lingering.has(socket);
 	}
 
 	/** Takes no further requests on a connection, and closes it once those that were taken are answered. */
--- a/apps/valelead-daemon/src/lingering-connections.ts
+++ b/apps/valelead-daemon/src/lingering-connections.ts
@@ -18,36 +18,35 @@
  */
 export class LingeringConnections {
 	readonly #timers: TimerService;
-	/** The connections that are closing, oldest first. */
-	readonly #sockets = new Set<Socket>();
+	/** The connections that are closing, oldest first, with what ends each of them at once. */
+	readonly #sockets = new Map<Socket, () => void>();
 
 	constructor(timers: TimerService) {
 		this.#timers = timers;
 	}
 
+	/** True if a connection is closing. */
+	has(socket: Socket): boolean {
+		return this.#sockets.has(socket);
+	}
+
 	/** Closes a connection of an HTTP server once its output has been sent. Requests that arrive on it from now on are not read. */
 	close(socket: Socket): void {
-		if (socket.destroyed || this.#sockets.has(socket)) {
-			return;
+		if (this.#add(socket, () => socket.destroy())) {
+			socket.end();
 		}
+	}
 
-		if (this.#sockets.size >= MAX_CONNECTIONS) {
-			const [oldest] = this.#sockets;
-			// Its `close` event comes later than further connections that are closed in this iteration.
-			this.#sockets.delete(oldest);
-			oldest.destroy();
+	/**
+	 * Resets a connection of an HTTP server once its caller has had time to receive what was sent. Its output is not ended before, and requests that arrive on
+	 * it from now on are not read.
+	 * @param reset - Resets the connection at once.
+	 */
+	closeWithReset(socket: Socket, reset: () => void): void {
+		if (this.#add(socket, reset)) {
+			// The HTTP server would end the output once the caller ends its own.
+			socket.removeAllListeners('end');
 		}
-
-		const limit = this.#timers.after(MAX_LINGER_MS, () => {
-			socket.destroy();
-		});
-		this.#sockets.add(socket);
-		socket.once('close', () => {
-			limit.cancel();
-			this.#sockets.delete(socket);
-		});
-		this.discardInput(socket);
-		socket.end();
 	}
 
 	/** Reads no further requests on a connection. Closes it once too much has arrived. */
@@ -60,9 +59,36 @@
 			socket.removeAllListeners('data');
 			socket.on('data', (_chunk: Buffer) => {
 				if (socket.bytesRead - before > MAX_DISCARDED_BYTES) {
-					socket.destroy();
+					const closeNow = this.#sockets.get(socket) ?? (() => socket.destroy());
+					closeNow();
 				}
 			});
 		});
 	}
+
+	/**
+	 * Discards the input of a connection until it is closed. Returns false if it is closing already.
+	 * @param closeNow - Called if the caller has not closed the connection in time.
+	 */
+	#add(socket: Socket, closeNow: () => void): boolean {
+		if (socket.destroyed || this.#sockets.has(socket)) {
+			return false;
+		}
+
+		if (this.#sockets.size >= MAX_CONNECTIONS) {
+			const [[oldest, closeOldest]] = this.#sockets;
+			// Its `close` event comes later than further connections that are closed in this iteration.
+			this.#sockets.delete(oldest);
+			closeOldest();
+		}
+
+		const limit = this.#timers.after(MAX_LINGER_MS, closeNow);
+		this.#sockets.set(socket, closeNow);
+		socket.once('close', () => {
+			limit.cancel();
+			this.#sockets.delete(socket);
+		});
+		this.discardInput(socket);
+		return true;
+	}
 }
