Send what a closing connection still holds although its caller ends its side

Callers saw: a cut response, when they ended their side of a connection within a request while the gateway was closing it and had bytes buffered.

Cause: the HTTP server of Node.js listens to the end of the input. Within a request it reports an error, and `CallerErrors` destroys a connection that takes no more output, with all that Node.js still buffers.

Now a closing connection has no such listener. It ends once its output is sent, or at the end of its lingering close.

--- a/apps/valelead-daemon/src/index.ts
+++ b/apps/valelead-daemon/src/index.ts
@@ -36,6 +36,7 @@
 export {CallerBodies} from './caller-bodies.js';
 export {CallerConnections} from './caller-connections.js';
 export {CallerErrors} from './caller-errors.js';
+export {trackConnections} from './track-connections.js';
 export {HttpResponseWriter} from './gateway/http-response-writer.js';
 export {UpstreamAttempt} from './gateway/upstream-attempt.js';
 export {getForwardedHeaders} from './gateway/get-forwarded-headers.js';
--- a/apps/valelead-daemon/src/lingering-connections.ts
+++ b/apps/valelead-daemon/src/lingering-connections.ts
@@ -43,10 +43,7 @@
 	 * @param reset - Resets the connection at once.
 	 */
 	closeWithReset(socket: Socket, reset: () => void): void {
-		if (this.#add(socket, reset)) {
-			// The HTTP server would end the output once the caller ends its own.
-			socket.removeAllListeners('end');
-		}
+		this.#add(socket, reset);
 	}
 
 	/** Reads no further requests on a connection. Closes it once too much has arrived. */
@@ -89,6 +86,8 @@
 			this.#sockets.delete(socket);
 		});
 		this.discardInput(socket);
+		// At the end of the input, the HTTP server would end the output, or destroy the connection if it were within a request.
+		socket.removeAllListeners('end');
 		return true;
 	}
 }
--- a/apps/valelead-daemon/tests/caller-errors.feature
+++ b/apps/valelead-daemon/tests/caller-errors.feature
@@ -46,3 +46,9 @@
     Given a server that answers requests after 0 ms and gives heads 1000 ms
     When a caller sends 7 bytes, and the rest of 0 requests before the server stands still for 2000 ms
     Then it gets 1 answers with status 408
+
+  # Guards against bytes that are lost because their caller ends its side within a request while its connection is closing.
+  Scenario: A caller that ends its side within a request gets what its closing connection still has to send
+    Given a server that sends 20000000 bytes and closes the connection
+    When a caller asks, begins a further request, ends its side after 300 ms and reads 300 ms later
+    Then it gets all 20000000 bytes
--- a/apps/valelead-daemon/tests/caller-errors.steps.ts
+++ b/apps/valelead-daemon/tests/caller-errors.steps.ts
@@ -8,7 +8,7 @@
 } from '@cucumber/cucumber';
 import {SYSTEM_CLOCK} from '@valelead/common';
 import {newSystemTimers} from './new-system-timers.js';
-import {CallerConnections, CallerErrors} from 'valelead-daemon';
+import {CallerConnections, CallerErrors, trackConnections} from 'valelead-daemon';
 
 type ErrorsWorld = {
 	errorsServer: Server | undefined;
@@ -113,3 +113,38 @@
 	assert.deepEqual(this.received.match(/HTTP\/1\.1 \d+/gv), [`HTTP/1.1 ${status}`], this.received);
 	assert.equal(this.received.endsWith('own'), status === 200, this.received);
 });
+
+Given('a server that sends {int} bytes and closes the connection', async function (this: ErrorsWorld, bytes: number) {
+	const connections = new CallerConnections({clock: SYSTEM_CLOCK, timers: newSystemTimers()});
+	const server = createServer((message, response) => {
+		void connections.addResponse(response);
+		message.resume();
+		response.writeHead(200, {'content-length': bytes});
+		response.write('x'.repeat(bytes));
+		setTimeout(() => {
+			connections.close(message.socket);
+		}, GAP_MS);
+	});
+	trackConnections(server, connections);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	this.errorsServer = server;
+});
+
+When('a caller asks, begins a further request, ends its side after {int} ms and reads {int} ms later', async function (this: ErrorsWorld, endMs: number, readMs: number) {
+	const socket = connect({port: (this.errorsServer!.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true});
+	this.received = '';
+	socket.on('error', () => undefined);
+	socket.write(`${REQUEST}POST /w`);
+	await wait(endMs);
+	socket.end();
+	await wait(readMs);
+	socket.on('data', (chunk: Uint8Array) => {
+		this.received += String(chunk);
+	});
+	await once(socket, 'close');
+});
+
+Then('it gets all {int} bytes', function (this: ErrorsWorld, bytes: number) {
+	assert.equal(this.received.split('\r\n\r\n')[1]?.length, bytes);
+});
