Let a stop close connections on which no request follows what came after their last answer

Operators saw: a gateway that is told to stop runs until its grace ends, although nothing is in progress.

Cause: a connection on which bytes came after its last answer (an empty line, the rest of a body that was refused early) does not count as idle, as the bytes may be a part of a request head.

Now it counts as idle once nothing more has come for the time limit of request heads since a stop first looked at it. A head whose beginning came before has run out of time by then, and one that is on its way is still read within its limit.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -9,6 +9,8 @@
 	readonly unfinished: Map<ServerResponse, (isTurn: boolean) => void>;
 	/** Bytes received on the connection when its last response finished. */
 	readBytes: number;
+	/** Bytes received on the connection when it was last looked at by a stop, and since when there were no more, in monotonic milliseconds. */
+	silence: {readonly bytes: number; readonly startedAt: number} | undefined;
 	/** Number of requests that have been received. */
 	requestCount: number;
 	/** In monotonic milliseconds. */
@@ -81,7 +83,7 @@
 
 	add(socket: Socket): void {
 		const connection: Connection = {
-			unfinished: new Map(), readBytes: 0, requestCount: 0, acceptedAt: this.#clock.now(),
+			unfinished: new Map(), readBytes: 0, silence: undefined, requestCount: 0, acceptedAt: this.#clock.now(),
 		};
 		this.#lastAcceptedAt = connection.acceptedAt;
 		this.#acceptedCount += 1;
@@ -215,17 +217,26 @@
 		}
 	}
 
-	/** Closes connections that have no unfinished response and no partially received request, once what has arrived on them is read. */
-	closeIdle(): void {
-		const newestAt = this.#clock.now() - FIRST_REQUEST_MS;
-		const idle = [...this.#connections].filter(([socket, connection]) => this.#isIdle(socket, connection) && (connection.readBytes > 0 || connection.acceptedAt < newestAt));
+	/**
+	 * Closes connections that have no unfinished response and no partially received request, once what has arrived on them is read. Other input after the last
+	 * response, such as the rest of a refused body, is no request if nothing follows it within the time in which a request head must arrive.
+	 * @param headMs - That time, in milliseconds.
+	 */
+	closeIdle(headMs: number): void {
+		const now = this.#clock.now();
+		const newestAt = now - FIRST_REQUEST_MS;
+		const idle = [...this.#connections].filter(([socket, connection]) => {
+			const isIdle = this.#isIdle(socket, connection) || this.#isSilent(socket, connection, now - headMs);
+			return isIdle && (socket.bytesRead > 0 || connection.acceptedAt < newestAt);
+		});
 		if (idle.length === 0) {
 			return;
 		}
 
 		afterEventLoopIterations(ITERATIONS_TO_READ, () => {
 			for (const [socket, connection] of idle) {
-				if (this.#connections.has(socket) && this.#isIdle(socket, connection)) {
+				const isIdle = this.#isIdle(socket, connection) || this.#isSilent(socket, connection, now - headMs);
+				if (this.#connections.has(socket) && isIdle) {
 					this.#closeIdle(socket, connection);
 				}
 			}
@@ -237,7 +248,7 @@
 		const {bytesRead} = socket;
 		afterEventLoopIterations(ITERATIONS_TO_READ, () => {
 			const connection = this.#connections.get(socket);
-			if (connection?.unfinished.size === 0 && socket.bytesRead === bytesRead && !socket.writableEnded && !this.#lingering.has(socket)) {
+			if (connection && socket.bytesRead === bytesRead && this.#isOpen(socket, connection)) {
 				this.#closeIdle(socket, connection);
 			}
 		});
@@ -271,8 +282,27 @@
 		}
 	}
 
-	#isIdle(socket: Socket, {unfinished, readBytes}: Connection): boolean {
-		return unfinished.size === 0 && socket.bytesRead === readBytes && !socket.writableEnded && !this.#lingering.has(socket);
+	#isIdle(socket: Socket, connection: Connection): boolean {
+		return this.#isOpen(socket, connection) && socket.bytesRead === connection.readBytes;
+	}
+
+	/** True if a connection has no unfinished response, and nothing has arrived on it since a time in monotonic milliseconds. */
+	#isSilent(socket: Socket, connection: Connection, since: number): boolean {
+		if (!this.#isOpen(socket, connection)) {
+			connection.silence = undefined;
+			return false;
+		}
+
+		if (connection.silence?.bytes !== socket.bytesRead) {
+			connection.silence = {bytes: socket.bytesRead, startedAt: this.#clock.now()};
+		}
+
+		return connection.silence.startedAt < since;
+	}
+
+	/** True if a connection has no unfinished response and is not closing. */
+	#isOpen(socket: Socket, {unfinished}: Connection): boolean {
+		return unfinished.size === 0 && !socket.writableEnded && !this.#lingering.has(socket);
 	}
 
 	/** Takes no further requests on a connection, and closes it once those that were taken are answered. */
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -77,12 +77,12 @@
 	async close(): Promise<void> {
 		await this.#connections.acceptWaiting();
 		stopListening(this.#server);
-		this.#connections.closeIdle();
+		this.#connections.closeIdle(this.#server.headersTimeout);
 	}
 
 	/** Closes connections that have become idle. */
 	closeIdle(): void {
-		this.#connections.closeIdle();
+		this.#connections.closeIdle(this.#server.headersTimeout);
 	}
 
 	#handle(message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>): void {
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -70,7 +70,7 @@
 
 	/** Closes idle connections. Connections with a request in progress are closed after its response. */
 	closeIdle(): void {
-		this.#connections.closeIdle();
+		this.#connections.closeIdle(this.#server.headersTimeout);
 	}
 
 	/** Resolves once no connection waits to be accepted. */
--- a/apps/valelead-daemon/src/graceful-server.ts
+++ b/apps/valelead-daemon/src/graceful-server.ts
@@ -78,10 +78,10 @@
 	}
 
 	async #closeIdleWhile(isBusy: () => boolean): Promise<void> {
-		this.#connections.closeIdle();
+		this.#connections.closeIdle(this.#server.headersTimeout);
 		while (isBusy() && SYSTEM_CLOCK.now() < this.#endsAt) {
 			await this.#timers.wait(IDLE_POLL_MS);
-			this.#connections.closeIdle();
+			this.#connections.closeIdle(this.#server.headersTimeout);
 		}
 	}
 }
--- a/apps/valelead-daemon/tests/lingering-connections.steps.ts
+++ b/apps/valelead-daemon/tests/lingering-connections.steps.ts
@@ -93,7 +93,7 @@
 });
 
 When('the server closes its idle connections', function (this: LingeringWorld) {
-	this.connections.closeIdle();
+	this.connections.closeIdle(LIMIT_MS);
 });
 
 When('a caller sends a body of {int} bytes and closes after its answer', async function (this: LingeringWorld, bytes: number) {
