Look for overdue request heads each 500 ms

Callers saw: a connection with a part of a head stays open for up to 30 s beyond `header_timeout_ms`.

Cause: Node.js looks for overdue heads at its `connectionsCheckingInterval`, which was not set.

Now all three servers for callers set it to 500 ms. Node.js also reports a new connection on which nothing has come, which would get 408 soon after that time limit; it is idle instead, and closed without an answer once its idle time has passed as well.

--- a/apps/valelead-daemon/src/caller-errors.ts
+++ b/apps/valelead-daemon/src/caller-errors.ts
@@ -16,17 +16,23 @@
  */
 export class CallerErrors {
 	readonly #connections: CallerConnections;
+	readonly #getIdleMs: () => number;
 
-	constructor(connections: CallerConnections) {
+	/** @param getIdleMs - Returns for how long a connection may be idle, in milliseconds. */
+	constructor(connections: CallerConnections, getIdleMs: () => number) {
 		this.#connections = connections;
+		this.#getIdleMs = getIdleMs;
 	}
 
 	/** Closes a connection on which an error occurred, once the requests that were read before it are answered. */
 	handle(error: NodeJS.ErrnoException, socket: Socket): void {
 		if (error.code === HEAD_TIMEOUT) {
 			this.#connections.onceRequestMissing(socket, () => {
-				// Other input may have ended the connection meanwhile.
-				if (socket.writable) {
+				if (socket.bytesRead === 0) {
+					// No head has begun: the connection is idle.
+					socket.setTimeout(this.#getIdleMs());
+				} else if (socket.writable) {
+					// Other input may have ended the connection meanwhile.
 					this.#end(error, socket);
 				}
 			});
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -6,6 +6,7 @@
 	type TimerService, OUTCOME, RESULT_CODE, RESULT_DETAILS, SYSTEM_CLOCK,
 } from '@valelead/common';
 import {CallerConnections} from '../caller-connections.js';
+import {HEAD_CHECK_INTERVAL_MS} from '../head-check-interval-ms.js';
 import {stopListening} from '../stop-listening.js';
 import {trackConnections} from '../track-connections.js';
 import type {EntrySettings} from '../settings/entry-settings.js';
@@ -44,7 +45,7 @@
 		this.#getUnreadyReason = getUnreadyReason;
 		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
 		this.#server = createServer({
-			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS,
+			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
 		}, (message, response) => {
 			const turn = this.#connections.addResponse(response);
 			if (this.#connections.has(response)) {
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -5,6 +5,7 @@
 import {CallerConnections} from '../caller-connections.js';
 import {getHost} from '../get-host.js';
 import {getPort} from '../get-port.js';
+import {HEAD_CHECK_INTERVAL_MS} from '../head-check-interval-ms.js';
 import {stopListening} from '../stop-listening.js';
 import {trackConnections} from '../track-connections.js';
 import type {RequestHandler} from './request-handler.js';
@@ -28,7 +29,9 @@
 	constructor({address, handler, timers}: ServerParts) {
 		this.#address = address;
 		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
-		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (message, response) => {
+		this.#server = createServer({
+			maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, noDelay: true,
+		}, (message, response) => {
 			const turn = this.#connections.addResponse(response);
 			if (this.#connections.has(response)) {
 				void handler.handle(message, response, {turn, isLatest: () => this.#connections.isLatest(response)});
--- a/apps/valelead-daemon/src/graceful-server.ts
+++ b/apps/valelead-daemon/src/graceful-server.ts
@@ -6,6 +6,7 @@
 import {CallerConnections} from './caller-connections.js';
 import {getHost} from './get-host.js';
 import {getPort} from './get-port.js';
+import {HEAD_CHECK_INTERVAL_MS} from './head-check-interval-ms.js';
 import {stopListening} from './stop-listening.js';
 import {trackConnections} from './track-connections.js';
 
@@ -36,7 +37,7 @@
 		this.#address = address;
 		this.#timers = timers;
 		this.#connections = new CallerConnections({clock: SYSTEM_CLOCK, timers});
-		this.#server = createServer((message, response) => {
+		this.#server = createServer({connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS}, (message, response) => {
 			const turn = this.#connections.addResponse(response);
 			if (this.#connections.has(response)) {
 				onRequest(message, response, turn);
--- a/apps/valelead-daemon/src/track-connections.ts
+++ b/apps/valelead-daemon/src/track-connections.ts
@@ -5,7 +5,7 @@
 
 /** Makes an HTTP server leave it to a `CallerConnections` how its connections are closed, in place of Node.js, which destroys their sockets. */
 export const trackConnections = (server: Server, connections: CallerConnections): void => {
-	const errors = new CallerErrors(connections);
+	const errors = new CallerErrors(connections, () => server.keepAliveTimeout);
 	server.on('connection', socket => {
 		connections.add(socket);
 	});
--- a/apps/valelead-daemon/tests/caller-errors.steps.ts
+++ b/apps/valelead-daemon/tests/caller-errors.steps.ts
@@ -33,7 +33,7 @@
 
 Given('a server that answers requests after {int} ms and gives heads {int} ms', async function (this: ErrorsWorld, answerMs: number, headMs: number) {
 	const connections = new CallerConnections({clock: SYSTEM_CLOCK, timers: newSystemTimers()});
-	const errors = new CallerErrors(connections);
+	const errors = new CallerErrors(connections, () => server.keepAliveTimeout);
 	const server = createServer({requestTimeout: 0, headersTimeout: headMs, connectionsCheckingInterval: headMs / 2}, (message, response) => {
 		void connections.addResponse(response);
 		message.resume();
