Reset connections of aborted responses before a stopped process ends

Callers of HTTP/1.0 saw: an orderly close, which they take as the end of a complete response, when the grace of a gateway ended within the second response on a connection.

Cause: since responses before an aborted one are left time to be received, such a connection is reset 5 s later. A process that ends before closes it in order.

Now gateways and entries reset these connections as the last step of their stop.

The entry's call has no test of its own.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -114,6 +114,11 @@
 		this.#lingering.close(socket);
 	}
 
+	/** Resets the connections of aborted responses at once, before the process ends. */
+	resetAborted(): void {
+		this.#lingering.resetNow();
+	}
+
 	/** Resolves once no connection waits to be accepted. Node.js accepts one in each iteration of the event loop. */
 	async acceptWaiting(): Promise<void> {
 		let acceptedCount: number;
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -81,6 +81,11 @@
 		this.#connections.closeIdle(this.#server.headersTimeout);
 	}
 
+	/** Resets the connections of aborted responses at once, before the process ends. */
+	resetAborted(): void {
+		this.#connections.resetAborted();
+	}
+
 	/** Closes connections that have become idle. */
 	closeIdle(): void {
 		this.#connections.closeIdle(this.#server.headersTimeout);
--- a/apps/valelead-daemon/src/entry/entry.ts
+++ b/apps/valelead-daemon/src/entry/entry.ts
@@ -81,6 +81,7 @@
 		await this.#callers.close();
 		await this.#waitUntilIdle();
 		this.stopNow();
+		this.#callers.resetAborted();
 		this.#session.stop();
 		this.#admin?.close();
 	}
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -301,6 +301,7 @@
 		this.#origins.stop();
 		this.#residency.stop();
 		this.#dispatcher.close();
+		this.#server.resetAborted();
 		this.#readiness?.close();
 		this.#admin?.close();
 	}
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -81,6 +81,11 @@
 		await this.#connections.acceptWaiting();
 	}
 
+	/** Resets the connections of aborted responses at once, before the process ends. */
+	resetAborted(): void {
+		this.#connections.resetAborted();
+	}
+
 	/** Stops accepting new connections. */
 	close(): void {
 		stopListening(this.#server);
--- a/apps/valelead-daemon/src/lingering-connections.ts
+++ b/apps/valelead-daemon/src/lingering-connections.ts
@@ -20,6 +20,8 @@
 	readonly #timers: TimerService;
 	/** The connections that are closing, oldest first, with what ends each of them at once. */
 	readonly #sockets = new Map<Socket, () => void>();
+	/** Those among them that are reset, with what does so. */
+	readonly #resets = new Map<Socket, () => void>();
 
 	constructor(timers: TimerService) {
 		this.#timers = timers;
@@ -43,7 +45,19 @@
 	 * @param reset - Resets the connection at once.
 	 */
 	closeWithReset(socket: Socket, reset: () => void): void {
-		this.#add(socket, reset);
+		if (this.#add(socket, reset)) {
+			this.#resets.set(socket, reset);
+			socket.once('close', () => {
+				this.#resets.delete(socket);
+			});
+		}
+	}
+
+	/** Resets the connections that wait for it at once: they would be closed in order at the end of the process. */
+	resetNow(): void {
+		for (const reset of this.#resets.values()) {
+			reset();
+		}
 	}
 
 	/** Reads no further requests on a connection. Closes it once too much has arrived. */
