Measure the leader's silence in time in which the process runs

Cause: a session was given up at a heartbeat at which the last update was 1.9 intervals old, unless the heartbeat was over 200 ms late. A stall that begins after a report and ends as the next one is due, or up to 200 ms later, is no late heartbeat, and timers come before sockets: the update lay unread. The leader that was left is not followed for another second, and the routing is confirmed for 1.6 s only where keys can be revoked within 2 s.

A number of event-loop iterations is no measure of what is unread.

Silence now is the time in which this process has run without an update: of a gap between two checks of the clock, 50 ms apart, 200 ms count. After a stall a session has the rest of that time, with its round trips, and a leader that is gone is left as soon as before if the process does not stall. The time limit of the first update is measured in the same way.

--- a/apps/valelead-daemon/src/session-client.ts
+++ b/apps/valelead-daemon/src/session-client.ts
@@ -6,6 +6,7 @@
 } from '@valelead/protocol';
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import type {Logger} from 'pino';
+import {RunningTime} from './running-time.js';
 
 type SessionStream = ClientDuplexStream<SessionReport, SessionUpdate>;
 
@@ -27,13 +28,13 @@
 /** The delay before connecting again after a session has ended, in milliseconds. */
 const RECONNECT_MS = 100;
 
-/** A voter is considered silent after this many heartbeat intervals without an update, which is at the second heartbeat after its last update. */
+/**
+ * A voter is considered silent after this many heartbeat intervals of running time without an update, which is at the second heartbeat after its last
+ * update.
+ */
 const MAX_SILENT_HEARTBEATS = 1.9;
 
-/** A heartbeat timer that fires later than this shows that this process was stalled, in milliseconds. */
-const STALL_MS = 200;
-
-/** A voter that sends no update on a new stream within this time is skipped, in milliseconds. */
+/** A voter that sends no update on a new stream within this running time is skipped, in milliseconds. */
 const FIRST_UPDATE_TIMEOUT_MS = 700;
 
 /** The delay before the next report to a voter that names no leader, in milliseconds. */
@@ -66,7 +67,8 @@
 	readonly #parts: SessionParts;
 	#stream: SessionStream | undefined;
 	#lastUpdateAt = 0;
-	#lastHeartbeatAt: number;
+	/** Running time since the last update, or since the session was opened. */
+	readonly #silence: RunningTime;
 	#connectedAt = 0;
 	#address = '';
 	/** When a leader last sent an update in any session. Before the first update, the time when this client was created. */
@@ -84,7 +86,7 @@
 	constructor(parts: SessionParts) {
 		this.#parts = parts;
 		this.#lastLedAt = parts.clock.now();
-		this.#lastHeartbeatAt = this.#lastLedAt;
+		this.#silence = new RunningTime(parts.clock, parts.timers);
 		this.#reports = new Coalescer(parts.timers, COALESCE_MS, () => {
 			this.#report();
 		});
@@ -94,6 +96,7 @@
 	}
 
 	start(): void {
+		this.#silence.start();
 		this.#heartbeats = this.#parts.timers.repeat(this.#parts.heartbeatMs, now => {
 			this.#handleHeartbeat(now);
 		});
@@ -103,6 +106,7 @@
 	stop(): void {
 		this.#isStopped = true;
 		this.#heartbeats?.cancel();
+		this.#silence.stop();
 		this.#stream?.end();
 	}
 
@@ -117,10 +121,7 @@
 	}
 
 	#handleHeartbeat(now: number): void {
-		// Updates that arrived while this process was stalled have not been read yet.
-		const wasStalled = now - this.#lastHeartbeatAt > this.#parts.heartbeatMs + STALL_MS;
-		this.#lastHeartbeatAt = now;
-		if (this.#stream && !wasStalled && now - this.#lastUpdateAt > this.#parts.heartbeatMs * MAX_SILENT_HEARTBEATS) {
+		if (this.#stream && this.#silence.elapsedMs > this.#parts.heartbeatMs * MAX_SILENT_HEARTBEATS) {
 			this.#abandonVoter(this.#stream, now);
 			return;
 		}
@@ -157,6 +158,7 @@
 		this.#address = address;
 		this.#connectedAt = clock.now();
 		this.#lastUpdateAt = this.#connectedAt;
+		this.#silence.restart();
 		this.#hasLeader = false;
 		let hasUpdate = false;
 		stream.on('data', (update: SessionUpdate) => {
@@ -176,19 +178,20 @@
 			this.#reconnect(stream);
 		});
 		this.#report(true);
-		const abandonIfSilent = (dueAt: number) => (now: number): void => {
+		const abandonIfSilent = (now: number): void => {
 			if (hasUpdate || stream !== this.#stream) {
 				return;
 			}
 
-			if (now > dueAt + STALL_MS) {
-				timers.after(FIRST_UPDATE_TIMEOUT_MS, abandonIfSilent(now + FIRST_UPDATE_TIMEOUT_MS));
+			const leftMs = FIRST_UPDATE_TIMEOUT_MS - this.#silence.elapsedMs;
+			if (leftMs > 0) {
+				timers.after(leftMs, abandonIfSilent);
 			} else {
 				this.#abandonVoter(stream, now);
 			}
 		};
 
-		timers.after(FIRST_UPDATE_TIMEOUT_MS, abandonIfSilent(this.#connectedAt + FIRST_UPDATE_TIMEOUT_MS));
+		timers.after(FIRST_UPDATE_TIMEOUT_MS, abandonIfSilent);
 	}
 
 	/** Advances in the list to the next voter that has not recently been silent, if there is one. */
@@ -226,6 +229,7 @@
 	#handleUpdate(stream: SessionStream, address: string, update: SessionUpdate): void {
 		const now = this.#parts.clock.now();
 		this.#lastUpdateAt = now;
+		this.#silence.restart();
 		this.#silentVoters.delete(address);
 		const hasChanges = update.routing !== undefined || update.quarantine !== undefined;
 		if (update.isCurrent || hasChanges) {
