Give upstreams their time again after a leader has stood still

The leader logged `silent` for upstreams that had announced themselves without a pause. That state is a change of the directory, which its followers are sent (read, not measured).

Cause: the check for silent upstreams is a timer, and timers come before sockets. After a stall of more than four announcements all upstreams were over their time, and the announcements that had come lay unread.

A check that comes over 200 ms late now shows a stall, after which upstreams have the four intervals once more. A process that does not stall decides as before; one that stalls again and again within these intervals takes no upstream for silent.

--- a/apps/valelead-daemon/src/control/upstream-registry.ts
+++ b/apps/valelead-daemon/src/control/upstream-registry.ts
@@ -27,6 +27,9 @@
 /** An upstream is removed as silent after it has missed this many announcements. */
 const MAX_MISSED_ANNOUNCEMENTS = 4;
 
+/** A check for silent upstreams that comes later than this shows that this process was stalled, in milliseconds. */
+const STALL_MS = 200;
+
 /**
  * Directory of the upstreams that have announced themselves to this voter in its current term as the leader. Begins with the withdrawals in the replicated
  * log, so that an announcement that was delayed beyond the end of a term does not restore a run that has departed.
@@ -37,11 +40,15 @@
 	/** Addresses of the processes that manage engines, by the address of the engine. */
 	readonly #managerAddresses = new Map<string, string>();
 	#term = -1;
+	#checkedAt: number;
+	/** When this process went on after its last stall, in monotonic milliseconds. */
+	#resumedAt = Number.NEGATIVE_INFINITY;
 	/** True once the directory of this term has the withdrawals of earlier terms. */
 	#isRestored = false;
 
 	constructor(parts: RegistryParts) {
 		this.#parts = parts;
+		this.#checkedAt = parts.clock.now();
 	}
 
 	/** Identifies the leader and term that the directory's version belongs to. */
@@ -56,6 +63,7 @@
 	}
 
 	start(): void {
+		this.#checkedAt = this.#parts.clock.now();
 		this.#parts.timers.repeat(this.#parts.announceMs, now => {
 			this.#removeSilent(now);
 		});
@@ -127,10 +135,19 @@
 		}
 	}
 
+	/** After a stall the announcements that arrived meanwhile are still unread, so that upstreams have the whole time once more. */
 	#removeSilent(now: number): void {
+		const {announceMs} = this.#parts;
+		const silenceMs = announceMs * MAX_MISSED_ANNOUNCEMENTS;
+		this.#resumedAt = now - this.#checkedAt > announceMs + STALL_MS ? now : this.#resumedAt;
+		this.#checkedAt = now;
 		this.#checkTerm();
+		if (now - this.#resumedAt < silenceMs) {
+			return;
+		}
+
 		this.#mutateDirectory(() => {
-			for (const upstream of mutateSilentUpstreams(this.#directory, this.#parts.announceMs * MAX_MISSED_ANNOUNCEMENTS, now)) {
+			for (const upstream of mutateSilentUpstreams(this.#directory, silenceMs, now)) {
 				this.#log(upstream, 'silent');
 			}
 		});
