Stop accepting connections although more keep coming

Callers saw: a stopping gateway that is sent new connections without a pause went on accepting them past half of its grace and past its end, until SIGKILL cut what was in progress. The same wait is in the stop of an entry and of both control servers.

Cause: `acceptWaiting` ended only after two iterations of the event loop in which no connection was accepted. Under a steady rate of connections there are no such iterations, and the time limit of the caller is checked between its calls only.

Why it works: connections are accepted in the order in which they came, and no more of them can have waited than the listening socket's queue holds. The end of the grace limits the wait too, where each iteration takes long.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -25,6 +25,9 @@
 /** The most requests of one connection that wait for their responses. Callers that send more read no answers, and each occupies some 10 KB. */
 const MAX_UNFINISHED = 256;
 
+/** The most connections that wait to be accepted: the default of the listening sockets of Node.js. They are accepted in the order in which they came. */
+const MAX_WAITING = 511;
+
 /** The time within which the first request on a new connection arrives, in milliseconds: its caller connected to send one. */
 const FIRST_REQUEST_MS = 1000;
 
@@ -119,15 +122,19 @@
 		this.#lingering.resetNow();
 	}
 
-	/** Resolves once no connection waits to be accepted. Node.js accepts one in each iteration of the event loop. */
-	async acceptWaiting(): Promise<void> {
+	/**
+	 * Resolves once the connections that wait now have been accepted, or at a time limit. Node.js accepts one in each iteration of the event loop.
+	 * @param getEndsAt - Returns the time limit, in monotonic milliseconds.
+	 */
+	async acceptWaiting(getEndsAt: () => number): Promise<void> {
+		const lastCount = this.#acceptedCount + MAX_WAITING;
 		let acceptedCount: number;
 		do {
 			acceptedCount = this.#acceptedCount;
 			await new Promise<void>(resolve => {
 				afterEventLoopIterations(ITERATIONS_TO_READ, resolve);
 			});
-		} while (this.#acceptedCount > acceptedCount);
+		} while (this.#acceptedCount > acceptedCount && this.#acceptedCount < lastCount && this.#clock.now() < getEndsAt());
 	}
 
 	/**
--- a/apps/valelead-daemon/src/entry/caller-server.ts
+++ b/apps/valelead-daemon/src/entry/caller-server.ts
@@ -74,9 +74,12 @@
 		this.#connections.closeAfterResponses();
 	}
 
-	/** Stops accepting connections, after those that wait, and closes idle ones. Busy connections close after their response. */
-	async close(): Promise<void> {
-		await this.#connections.acceptWaiting();
+	/**
+	 * Stops accepting connections, after those that wait, and closes idle ones. Busy connections close after their response.
+	 * @param getEndsAt - Returns the time at which no further connections are accepted at the latest, in monotonic milliseconds.
+	 */
+	async close(getEndsAt: () => number): Promise<void> {
+		await this.#connections.acceptWaiting(getEndsAt);
 		stopListening(this.#server);
 		this.#connections.closeIdle(this.#server.headersTimeout);
 	}
--- a/apps/valelead-daemon/src/entry/entry.ts
+++ b/apps/valelead-daemon/src/entry/entry.ts
@@ -78,7 +78,7 @@
 		const {settings, timers} = this.#parts;
 		this.#beginStop(SYSTEM_CLOCK.now() + settings.balancerDelayMs + settings.stopLimitMs);
 		await timers.wait(settings.balancerDelayMs);
-		await this.#callers.close();
+		await this.#callers.close(() => this.#endsAt!);
 		await this.#waitUntilIdle();
 		this.stopNow();
 		this.#callers.resetAborted();
--- a/apps/valelead-daemon/src/gateway/gateway.ts
+++ b/apps/valelead-daemon/src/gateway/gateway.ts
@@ -327,7 +327,7 @@
 		do {
 			await this.#parts.timers.wait(IDLE_POLL_MS);
 			// After a stall, timers run before the connections that have come meanwhile are accepted.
-			await this.#server.acceptWaiting();
+			await this.#server.acceptWaiting(this.#grace!.endsAt);
 			now = SYSTEM_CLOCK.now();
 			if (now - stoppedAt >= BALANCER_DRAIN_MS) {
 				// Connections that stay open would carry further requests to this process, whether or not the balancer still opens new ones.
--- a/apps/valelead-daemon/src/gateway/request-server.ts
+++ b/apps/valelead-daemon/src/gateway/request-server.ts
@@ -76,9 +76,12 @@
 		this.#connections.closeIdle(this.#server.headersTimeout);
 	}
 
-	/** Resolves once no connection waits to be accepted. */
-	async acceptWaiting(): Promise<void> {
-		await this.#connections.acceptWaiting();
+	/**
+	 * Resolves once the connections that wait now have been accepted.
+	 * @param endsAt - When it resolves at the latest, in monotonic milliseconds.
+	 */
+	async acceptWaiting(endsAt: number): Promise<void> {
+		await this.#connections.acceptWaiting(() => endsAt);
 	}
 
 	/** Resets the connections of aborted responses at once, before the process ends. */
--- a/apps/valelead-daemon/src/graceful-server.ts
+++ b/apps/valelead-daemon/src/graceful-server.ts
@@ -63,7 +63,7 @@
 	async stop(endsAt: number): Promise<void> {
 		this.#endsAt = Math.min(this.#endsAt, endsAt);
 		this.closeAfterResponses();
-		await this.#connections.acceptWaiting();
+		await this.#connections.acceptWaiting(() => this.#endsAt);
 		stopListening(this.#server);
 		await this.#closeIdleWhile(() => this.#connections.inProgressCount > 0);
 	}
