Test where a stream is resumed while the other upstream is ejected

Cause of one form, traced by the gateway's lanes in trials: three streams break at one engine, which is ejected for 1 s. A fourth one that is sent after that begins at the other engine, and when it breaks there, only that engine is usable. The choice is the intended one: the upstream that failed the request is used again only if no other one can serve.

This pins that choice, which no scenario of the package covered.

--- a/packages/admission/tests/direct.feature
+++ b/packages/admission/tests/direct.feature
@@ -83,6 +83,13 @@
     Then the request was sent 2 times
     And the last 1 were sent to "two"
 
+  # Guards against a stream that waits for an ejected upstream, or is sent to it, although the one that broke it off has failed less often.
+  Scenario: A resumable stream that breaks while the other upstream is ejected is resumed where it broke
+    Given an entry that reaches upstreams "one, two" directly, with a limit of 20 requests each and 4 retries
+    And "two" has 16 requests of other entries in progress
+    When 3 resumable streams break at "one", and a further one arrives and breaks at the other upstream
+    Then the further one was sent to "two" twice, the second time within 150 ms
+
   Scenario: A broken stream that must not run twice is not sent again
     When a stream that runs once begins at an upstream and breaks
     Then the request was sent 1 times
--- a/packages/admission/tests/direct.steps.ts
+++ b/packages/admission/tests/direct.steps.ts
@@ -20,6 +20,8 @@
 		refused: Array<Extract<AdmissionEffect, {kind: 'refuse'}>>;
 		/** How long after upstreams accepted requests again the first one was sent, in milliseconds. */
 		outageMs: number;
+		/** When the last attempt failed, in milliseconds. */
+		failedAt: number;
 		/** The reaction of an upstream to a request, applied as soon as the request is sent. */
 		getReaction: (dispatch: Dispatch) => AdmissionEvent | undefined;
 	};
@@ -30,6 +32,9 @@
 /** How long a request that may reach no further upstream waits before it is sent again, in milliseconds. */
 const PAUSE_MS = 100;
 
+/** Interval of ticks, in milliseconds. */
+const TICK_MS = 50;
+
 /** A play in which no request is sent any more ends after this time, in milliseconds. */
 const LONGEST_OUTAGE_MS = 20_000;
 
@@ -103,6 +108,7 @@
 		dispatched: [],
 		refused: [],
 		outageMs: 0,
+		failedAt: 0,
 		getReaction: () => undefined,
 	};
 	take(this, {kind: 'endpoints', endpoints: new Map([[TARGET, names.split(', ').map(vm => ({vm, dataCentre: 'dc', concurrencyLimit: limit}))]])});
@@ -207,6 +213,33 @@
 	take(this, newFailure(this.direct.dispatched.at(-1)!, RESULT_CODE.AnswerCut, OUTCOME.Unknown));
 });
 
+When('{int} resumable streams break at {string}, and a further one arrives and breaks at the other upstream', function (this: DirectWorld, count: number, vm: string) {
+	const {direct} = this;
+	for (let index = 0; index < count; index += 1) {
+		arrive(this, {isResumable: true});
+		const first = direct.dispatched.at(-1)!;
+		assert.equal(first.vm, vm);
+		start(this);
+		take(this, newFailure(first, RESULT_CODE.AnswerCut, OUTCOME.Unknown));
+	}
+
+	arrive(this, {isResumable: true});
+	start(this);
+	direct.failedAt = direct.now;
+	take(this, newFailure(direct.dispatched.at(-1)!, RESULT_CODE.AnswerCut, OUTCOME.Unknown));
+});
+
+Then('the further one was sent to {string} twice, the second time within {int} ms', function (this: DirectWorld, vm: string, limitMs: number) {
+	const {direct} = this;
+	const getSent = (): Dispatch[] => direct.dispatched.filter(({requestId}) => requestId === String(direct.nextId));
+	while (getSent().length < 2 && direct.now < direct.failedAt + limitMs) {
+		direct.now += TICK_MS;
+		take(this, {kind: 'tick'});
+	}
+
+	assert.deepEqual(getSent().map(dispatch => dispatch.vm), [vm, vm]);
+});
+
 When('a stream that runs once begins at an upstream and breaks', function (this: DirectWorld) {
 	arrive(this, {isRepeatable: false});
 	start(this);
