Answer the requests before a CONNECT on their connection

Cause: without a listener for `connect`, Node.js destroys the connection as soon as it has read such a head. `CallerErrors`, which waits for the requests that were read before, is not told. Why it works: CONNECT is handled like other input that is no request. Node.js has detached the connection from its server by then, so `drain`, the end of the caller's side and errors are handled here until the connection is closed.

--- a/apps/valelead-daemon/src/caller-connections.ts
+++ b/apps/valelead-daemon/src/caller-connections.ts
@@ -117,6 +117,11 @@
 		this.#lingering.close(socket);
 	}
 
+	/** Reads no further requests on a connection. */
+	discardInput(socket: Socket): void {
+		this.#lingering.discardInput(socket);
+	}
+
 	/** Resets the connections of aborted responses at once, before the process ends. */
 	resetAborted(): void {
 		this.#lingering.resetNow();
--- a/apps/valelead-daemon/src/track-connections.ts
+++ b/apps/valelead-daemon/src/track-connections.ts
@@ -1,7 +1,8 @@
-import type {Server} from 'node:http';
+import type {IncomingMessage, Server} from 'node:http';
 import type {Socket} from 'node:net';
 import type {CallerConnections} from './caller-connections.js';
 import {CallerErrors} from './caller-errors.js';
+import {refuseTunnel} from './refuse-tunnel.js';
 
 const EXPECTATION_FAILED = 417;
 
@@ -22,6 +23,10 @@
 	server.on('clientError', (error, socket) => {
 		errors.handle(error, socket as Socket);
 	});
+	// Without a listener, Node.js destroys the connection, also while a request that was read before on it is running.
+	server.on('connect', (message: IncomingMessage) => {
+		refuseTunnel(message.socket, connections, errors);
+	});
 	// The idle time of a connection has passed.
 	server.on('timeout', (socket: Socket) => {
 		connections.closeSilent(socket);
